--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/job_api/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers' API of files and batch jobs, included by the entry program.
--- /dev/null
+++ b/crates/model/tests/config.rs
@@ -0,0 +1,81 @@
+//! Parsing of configuration documents.
+
+use model::parse_config;
+
+const GOOD: &str = r#"
+[[class]]
+name = "live-hints"
+work = "online"
+first_token_ms = 430
+between_tokens_ms = 64
+
+[[class]]
+name = "clue-bundles"
+work = "batch"
+complete_within_s = 3600
+
+[[class]]
+name = "court-booking"
+work = "service"
+service = "bookings"
+answer_within_ms = 2000
+
+[[model]]
+name = "oraculo"
+online_class = "live-hints"
+batch_class = "clue-bundles"
+"#;
+
+fn check_problems(text: &str, expected: &[(usize, &str)]) {
+    let problems = parse_config(text).expect_err("the document must be refused");
+    let found: Vec<_> = problems
+        .iter()
+        .map(|problem| (problem.line, problem.message.as_str()))
+        .collect();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn parse_config_good_document() {
+    let config = parse_config(GOOD).expect("the document is good");
+    assert_eq!(config.classes.len(), 3);
+    assert!(
+        config
+            .class("live-hints")
+            .is_some_and(model::Class::is_online)
+    );
+    assert!(config.model("oraculo").is_some());
+    assert!(config.service_class("bookings").is_some());
+}
+
+#[test]
+fn parse_config_reports_every_problem() {
+    check_problems(
+        "[[class]]\nname = \"a b\"\nwork = \"online\"\nfirst_token_ms = 0\n",
+        &[
+            (2, "a name has 1 to 64 letters, digits, '-', '_' or '.'"),
+            (4, "first_token_ms must be at least 1"),
+            (1, "between_tokens_ms is missing"),
+        ],
+    );
+}
+
+#[test]
+fn parse_config_class_twice() {
+    let class = "[[class]]\nname = \"a\"\nwork = \"batch\"\ncomplete_within_s = 1\n";
+    check_problems(&class.repeat(2), &[(5, "class \"a\" stands twice")]);
+}
+
+#[test]
+fn parse_config_default_of_wrong_kind() {
+    let text = "[[class]]\nname = \"a\"\nwork = \"batch\"\ncomplete_within_s = 1\n\
+                [[model]]\nname = \"m\"\nonline_class = \"a\"\n";
+    check_problems(text, &[(7, "there is no online class named \"a\"")]);
+}
+
+#[test]
+fn parse_config_placement_is_no_setting() {
+    let text = "[[class]]\nname = \"a\"\nwork = \"batch\"\nweight = 3\n";
+    let problems = parse_config(text).expect_err("weights do not exist");
+    assert_eq!(problems[0].line, 4);
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,8 @@
+//! Protocol between redwingtack's own programs: h2 streams with bincode bodies.
+//!
+//! This crate exists so that every program speaks one versioned protocol. It
+//! carries messages; what they mean is decided elsewhere.
+
+mod message;
+
+pub use crate::message::{DispatchNotice, PROTOCOL_VERSION, PeerRequest, PeerResponse};
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,71 @@
+//! Messages between programs.
+
+use std::sync::Arc;
+
+use membership::{GossipFrame, UpstreamEvidence};
+use model::{ErrorKind, InstanceEntry, JobId, UpstreamId, View, ViewRevision};
+use serde::{Deserialize, Serialize};
+
+/// Version of the protocol, sent with each request; others are refused.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// A request to a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// News between control programs.
+    Gossip(GossipFrame),
+    /// From entry and batch to the control program beside them: answers with a
+    /// [`PeerResponse::View`] as soon as its revision exceeds `revision`, or
+    /// with the same view when `wait_ms` have passed.
+    ViewSince {
+        /// Revision that the sender has.
+        revision: ViewRevision,
+        /// Longest wait, milliseconds.
+        wait_ms: u64,
+    },
+    /// From entry and batch to the control program beside them: the sender
+    /// runs, and with which state.
+    Register(InstanceEntry),
+    /// From entry and batch to control: contacts with upstreams.
+    Evidence(Vec<UpstreamEvidence>),
+    /// From an entry to the owner of a batch window: online work sent to its
+    /// upstreams, coalesced.
+    Notices(Vec<DispatchNotice>),
+    /// From an entry to batch programs: a job was cancelled.
+    CancelJob(JobId),
+    /// From an entry to the home entry of an idempotency key.
+    Coalesce {
+        /// Customer and key.
+        key: Arc<str>,
+    },
+}
+
+/// Online work that an entry sent to an upstream since its last notice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DispatchNotice {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Prompt tokens sent that are not expected in its prefix cache.
+    pub prompt_tokens: u32,
+    /// Requests sent.
+    pub started: u32,
+    /// Requests that ended.
+    pub ended: u32,
+    /// Highest time to first token seen since the last notice, microseconds.
+    pub first_token_us: u32,
+    /// Highest time between tokens seen since the last notice, microseconds.
+    pub between_tokens_us: u32,
+}
+
+/// The answer of a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerResponse {
+    /// Done.
+    Ack,
+    /// The view asked for.
+    View(Box<View>),
+    /// News in return.
+    Gossip(GossipFrame),
+    /// Refused.
+    Refused(ErrorKind),
+}
--- /dev/null
+++ b/crates/process/src/admin.rs
@@ -0,0 +1,104 @@
+//! Health and metrics endpoints: `/healthz`, `/readyz` and `/metrics`.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use opentelemetry::global;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use salvo::{
+    Response, Router, Server, conn::TcpListener, handler, http::StatusCode, prelude::Listener,
+};
+
+/// Shared by a program and its health endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct AdminState {
+    ready: Arc<AtomicBool>,
+    registry: Registry,
+}
+
+impl AdminState {
+    /// Installs the global meter provider and starts as not ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the metrics exporter cannot be built.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let state = Self::default();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(state.registry.clone())
+            .build()?;
+        global::set_meter_provider(SdkMeterProvider::builder().with_reader(exporter).build());
+        Ok(state)
+    }
+
+    /// Sets whether `/readyz` answers 200.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+    }
+
+    /// Whether the program takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Routes that a program with an HTTP server of its own can include.
+    #[must_use]
+    pub fn router(&self) -> Router {
+        Router::new()
+            .push(Router::with_path("healthz").get(health))
+            .push(Router::with_path("readyz").get(Ready {
+                state: self.clone(),
+            }))
+            .push(Router::with_path("metrics").get(Metrics {
+                state: self.clone(),
+            }))
+    }
+
+    fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+/// Serves the endpoints at `address` until the process ends.
+pub async fn serve_admin(address: std::net::SocketAddr, state: AdminState) {
+    let acceptor = TcpListener::new(address).bind().await;
+    Server::new(acceptor).serve(state.router()).await;
+}
+
+#[handler]
+fn health(res: &mut Response) {
+    res.render("ok\n");
+}
+
+struct Ready {
+    state: AdminState,
+}
+
+#[handler]
+impl Ready {
+    fn handle(&self, res: &mut Response) {
+        if self.state.is_ready() {
+            res.render("ready\n");
+            return;
+        }
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        res.render("not ready\n");
+    }
+}
+
+struct Metrics {
+    state: AdminState,
+}
+
+#[handler]
+impl Metrics {
+    fn handle(&self, res: &mut Response) {
+        res.render(self.state.render());
+    }
+}
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,16 @@
+//! What every program does the same way: checked settings, logs, metrics,
+//! health endpoints and shutdown.
+//!
+//! This crate exists so that operators meet one behaviour in all programs.
+
+mod admin;
+mod event;
+mod settings;
+mod shutdown;
+
+pub use crate::{
+    admin::{AdminState, serve_admin},
+    event::{init_logs, quote},
+    settings::{SettingProblem, Settings, exit_with_problems},
+    shutdown::{Shutdown, wait_for_signal},
+};
--- /dev/null
+++ b/crates/process/src/settings.rs
@@ -0,0 +1,100 @@
+//! Checks settings and reports all problems in one message.
+
+use std::{fmt, net::SocketAddr, process, str::FromStr};
+
+/// Exit code of a program whose settings are wrong.
+const EXIT_SETTINGS: i32 = 2;
+
+/// One setting that is missing or malformed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingProblem {
+    /// Flag without dashes; the environment variable has the same name.
+    pub flag: &'static str,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// Collects the problems of a program's settings.
+#[derive(Debug, Default)]
+pub struct Settings {
+    problems: Vec<SettingProblem>,
+}
+
+impl Settings {
+    /// Starts without problems.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Parses a required value; remembers a problem if it is absent or malformed.
+    pub fn required<T>(&mut self, flag: &'static str, text: Option<&str>) -> Option<T>
+    where
+        T: FromStr<Err: fmt::Display>,
+    {
+        if text.is_none() {
+            self.push(flag, "is required".to_owned());
+        }
+        self.parse(flag, text?)
+    }
+
+    /// Parses a value that has a default.
+    pub fn or_default<T>(&mut self, flag: &'static str, text: Option<&str>, default: T) -> T
+    where
+        T: FromStr<Err: fmt::Display>,
+    {
+        match text {
+            Some(text) => self.parse(flag, text).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// Parses `IP:PORT`; host names are not resolved.
+    pub fn address(&mut self, flag: &'static str, text: Option<&str>) -> Option<SocketAddr> {
+        self.required(flag, text)
+    }
+
+    /// Remembers a problem.
+    pub fn push(&mut self, flag: &'static str, message: String) {
+        self.problems.push(SettingProblem { flag, message });
+    }
+
+    /// The problems found, in the order of checking.
+    #[must_use]
+    pub fn into_problems(self) -> Vec<SettingProblem> {
+        self.problems
+    }
+
+    fn parse<T>(&mut self, flag: &'static str, text: &str) -> Option<T>
+    where
+        T: FromStr<Err: fmt::Display>,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.push(flag, format!("{text:?} is not valid: {error}"));
+                None
+            }
+        }
+    }
+}
+
+impl fmt::Display for SettingProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let variable = self.flag.replace('-', "_").to_uppercase();
+        write!(
+            f,
+            "--{} (REDWINGTACK_{variable}): {}",
+            self.flag, self.message
+        )
+    }
+}
+
+/// Prints every problem to standard error and exits with code 2.
+pub fn exit_with_problems(program: &str, problems: &[SettingProblem]) -> ! {
+    eprintln!("{program}: {} settings are wrong:", problems.len());
+    for problem in problems {
+        eprintln!("  {problem}");
+    }
+    process::exit(EXIT_SETTINGS)
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,39 @@
+//! Chores of the project: `cargo xtask tidy`, `cargo xtask test`.
+
+mod known_red;
+mod tidy;
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+fn main() -> ExitCode {
+    let root = project_root();
+    match env::args().nth(1).as_deref() {
+        Some("tidy") => report_tidy(&root),
+        Some("test") => known_red::run_tests(&root),
+        _ => {
+            eprintln!("usage: cargo xtask tidy | test");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn report_tidy(root: &std::path::Path) -> ExitCode {
+    let findings = tidy::check_tree(root);
+    for finding in &findings {
+        eprintln!("{finding}");
+    }
+    if findings.is_empty() {
+        println!("tidy: no findings");
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("tidy: {} findings", findings.len());
+    ExitCode::FAILURE
+}
+
+fn project_root() -> PathBuf {
+    // The manifest of this crate lies one level below the root.
+    let manifest = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    manifest
+        .parent()
+        .map_or_else(|| manifest.clone(), PathBuf::from)
+}
