--- /dev/null
+++ b/crates/job_api/src/caller.rs
@@ -0,0 +1,44 @@
+//! What a request's headers say of its caller.
+
+use model::{CustomerId, ErrorKind};
+use salvo::http::{HeaderMap, header};
+
+use crate::Refusal;
+
+const CLASS_HEADER: &str = "redwingtack-class";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
+const BEARER: &str = "Bearer ";
+
+/// The customer, named by the API key.
+pub(crate) fn customer(headers: &HeaderMap) -> Result<CustomerId, Refusal> {
+    text(headers, header::AUTHORIZATION.as_str())
+        .and_then(|value| value.strip_prefix(BEARER))
+        .map(str::trim)
+        .filter(|key| !key.is_empty())
+        .map(CustomerId::new)
+        .ok_or_else(|| {
+            let message = "No API key was sent. Send it as `Authorization: Bearer KEY`.";
+            Refusal::new(ErrorKind::MissingApiKey, message)
+        })
+}
+
+/// The class that the caller asked for.
+pub(crate) fn class(headers: &HeaderMap) -> Option<&str> {
+    text(headers, CLASS_HEADER)
+}
+
+/// The key that resends of a request share.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<&str>, Refusal> {
+    match text(headers, IDEMPOTENCY_KEY_HEADER) {
+        Some(key) if key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES => {
+            let message = "Idempotency-Key must have 1 to 255 characters.";
+            Err(Refusal::new(ErrorKind::InvalidRequest, message))
+        }
+        key => Ok(key),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/job_api/src/file_object.rs
@@ -0,0 +1,104 @@
+//! Files in `OpenAI`'s form.
+
+use jobs::{FileRow, JobRow};
+use model::{CustomerId, ErrorKind, JobId};
+use salvo::Request;
+use serde_json::{Value, json};
+
+use crate::{
+    JobApi, Refusal,
+    batch_object::{ResultFile, parse_result_file, seconds},
+    caller,
+};
+
+/// A file that a caller may read.
+pub(crate) enum FoundFile {
+    /// An uploaded file.
+    Upload(Box<FileRow>),
+    /// A result file of a job.
+    Result(Box<JobRow>, ResultFile),
+}
+
+/// `GET /v1/files/{file}`
+pub(crate) async fn retrieve(api: &JobApi, req: &mut Request) -> Result<Value, Refusal> {
+    let customer = caller::customer(req.headers())?;
+    let id = file_param(req);
+    match find(api, &customer, &id).await? {
+        FoundFile::Upload(row) => Ok(of_upload(&row)),
+        FoundFile::Result(job, kind) => {
+            let chunks = api.store.chunks(&job.job).await?;
+            let tally = jobs::tally(chunks.iter().map(|(chunk, row)| (*chunk, row)));
+            let objects = match kind {
+                ResultFile::Output => tally.outputs,
+                ResultFile::Errors => tally.errors,
+            };
+            let content_bytes: u64 = objects.iter().map(|object| object.content_bytes).sum();
+            Ok(object(
+                &id,
+                "batch_output",
+                &format!("{id}.jsonl"),
+                content_bytes,
+                job.created_at_ms,
+            ))
+        }
+    }
+}
+
+/// The object of an uploaded file.
+pub(crate) fn of_upload(row: &FileRow) -> Value {
+    object(
+        &row.file,
+        &row.purpose,
+        &row.file_name,
+        row.content_bytes,
+        row.created_at_ms,
+    )
+}
+
+/// Finds a file of the customer. Another customer's file does not exist.
+pub(crate) async fn find(
+    api: &JobApi,
+    customer: &CustomerId,
+    id: &str,
+) -> Result<FoundFile, Refusal> {
+    let found = match parse_result_file(id) {
+        Some((job, kind)) => {
+            let job = api.store.job(&JobId::new(job)).await?;
+            job.filter(|(_, row)| row.customer == *customer)
+                .map(|(_, row)| FoundFile::Result(Box::new(row), kind))
+        }
+        None => {
+            let file = api.store.file(id).await?;
+            file.filter(|row| row.customer == *customer)
+                .map(|row| FoundFile::Upload(Box::new(row)))
+        }
+    };
+    found.ok_or_else(|| {
+        let message = format!("The file {id:?} does not exist.");
+        Refusal::new(ErrorKind::NotFound, message)
+    })
+}
+
+/// Identifier of the file in the path.
+pub(crate) fn file_param(req: &Request) -> String {
+    req.param("file").unwrap_or_default()
+}
+
+fn object(
+    id: &str,
+    purpose: &str,
+    file_name: &str,
+    content_bytes: u64,
+    created_at_ms: u64,
+) -> Value {
+    json!({
+        "id": id,
+        "object": "file",
+        "bytes": content_bytes,
+        "created_at": seconds(created_at_ms),
+        "expires_at": null,
+        "filename": file_name,
+        "purpose": purpose,
+        "status": "processed",
+    })
+}
--- /dev/null
+++ b/crates/job_api/src/upload.rs
@@ -0,0 +1,262 @@
+//! Takes an uploaded file: checks it, cuts it and stores it while it streams
+//! in. The file's row is written last, so that a refused or broken upload
+//! leaves nothing that a caller could use.
+
+use std::{fmt::Write as _, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{StreamExt, TryStreamExt};
+use job_store::{JobStore, StoreError, manifest_name, segment_name, unix_ms};
+use jobs::{
+    FileRow, FileSummary, Priority, RowValue, Segment, Settle, Splitter, Transaction, file_key,
+};
+use model::{CustomerId, ErrorKind};
+use multra::{Field, Multipart};
+use salvo::{Request, http::header};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use tokio::{task::JoinSet, time::Instant};
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{JobApi, Refusal, caller, check, file_object};
+
+/// Segments that are on their way to the object store at once.
+const SEGMENTS_IN_FLIGHT: usize = 3;
+/// Purpose of input files of batches.
+const BATCH_PURPOSE: &str = "batch";
+/// Longest value of a form field besides the file.
+const FIELD_MAX_BYTES: usize = 1_024;
+/// Time limit of writing the file's row.
+const ROW_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// `POST /v1/files`
+pub(crate) async fn create_file(api: &JobApi, req: &mut Request) -> Result<Value, Refusal> {
+    let customer = caller::customer(req.headers())?;
+    let view = api.view()?;
+    let boundary = boundary(req)?;
+    let body = req.take_body();
+    let parts = body.map(|frame| frame.map(|frame| frame.into_data().unwrap_or_default()));
+    let mut form = Multipart::new(parts.map_err(std::io::Error::other), boundary);
+    let mut purpose = None;
+    let mut upload = None;
+    while let Some(mut field) = form.next_field().await.map_err(broken_form)? {
+        match field.name() {
+            Some("purpose") => purpose = Some(read_text(&mut field).await?),
+            Some("file") if upload.is_none() => {
+                upload = Some(read_file(&api.store, &mut field).await?);
+            }
+            _ => {}
+        }
+    }
+    let Some(upload) = upload else {
+        return Err(Refusal::invalid("file", "The form has no field `file`."));
+    };
+    let checked = match purpose.as_deref() {
+        Some(BATCH_PURPOSE) => check::models(&view, &upload.summary.models),
+        _ => Err(Refusal::invalid("purpose", "`purpose` must be \"batch\".")),
+    };
+    if let Err(refusal) = checked {
+        upload.objects.discard();
+        return Err(refusal);
+    }
+    let row = upload.into_row(customer, &api.store);
+    insert(&api.store, &row).await?;
+    log::info!(
+        "event=file_accepted file={} items={} bytes={}",
+        row.file,
+        row.items,
+        row.content_bytes
+    );
+    Ok(file_object::of_upload(&row))
+}
+
+/// A file whose segments and manifest are stored.
+struct Upload {
+    file: Arc<str>,
+    file_name: String,
+    digest: String,
+    summary: FileSummary,
+    objects: StoredObjects,
+}
+
+/// Names of stored objects. Unless they are kept, they are removed.
+struct StoredObjects {
+    store: JobStore,
+    names: Vec<String>,
+}
+
+impl StoredObjects {
+    /// Removes the objects in the background.
+    fn discard(self) {
+        tokio::spawn(async move {
+            for name in &self.names {
+                self.store.delete_object(name).await;
+            }
+        });
+    }
+}
+
+impl Upload {
+    fn into_row(self, customer: CustomerId, store: &JobStore) -> FileRow {
+        FileRow {
+            file: self.file,
+            customer,
+            file_name: self.file_name,
+            purpose: BATCH_PURPOSE.to_owned(),
+            digest: self.digest,
+            content_bytes: self.summary.content_bytes,
+            segments: self.summary.segments,
+            items: self.summary.items,
+            chunks: u32::try_from(self.summary.manifest.chunks.len()).unwrap_or(u32::MAX),
+            models: self.summary.models,
+            created_at_ms: unix_ms(),
+            op: store.next_op(),
+        }
+    }
+}
+
+async fn read_file(store: &JobStore, field: &mut Field<'_>) -> Result<Upload, Refusal> {
+    let id = Uuid::new_v4();
+    let file: Arc<str> = Arc::from(format!("file-{}", id.simple()));
+    let file_name = field.file_name().unwrap_or("upload.jsonl").to_owned();
+    let mut writer = SegmentWriter {
+        file: Arc::clone(&file),
+        objects: StoredObjects {
+            store: store.clone(),
+            names: Vec::new(),
+        },
+        tasks: JoinSet::new(),
+    };
+    let result = stream_file(field, &mut writer, xxh3_64(id.as_bytes())).await;
+    match result {
+        Ok((digest, summary)) => Ok(Upload {
+            file,
+            file_name,
+            digest,
+            summary,
+            objects: writer.objects,
+        }),
+        Err(refusal) => {
+            writer.tasks.shutdown().await;
+            writer.objects.discard();
+            Err(refusal)
+        }
+    }
+}
+
+async fn stream_file(
+    field: &mut Field<'_>,
+    writer: &mut SegmentWriter,
+    seed: u64,
+) -> Result<(String, FileSummary), Refusal> {
+    let mut splitter = Splitter::new(seed);
+    let mut hash = Sha256::new();
+    while let Some(part) = field.chunk().await.map_err(broken_form)? {
+        hash.update(&part);
+        splitter.push(&part)?;
+        for segment in splitter.take_segments() {
+            writer.put(segment).await?;
+        }
+    }
+    let mut summary = splitter.finish()?;
+    if let Some(last) = summary.last.take() {
+        writer.put(last).await?;
+    }
+    writer.finish().await?;
+    let manifest = serde_json::to_vec(&summary.manifest)
+        .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
+    let name = manifest_name(&writer.file);
+    writer.objects.names.push(name.clone());
+    let store = &writer.objects.store;
+    store.put_object(&name, Bytes::from(manifest)).await?;
+    Ok((hex(&hash.finalize()), summary))
+}
+
+/// Writes segments with a bounded number in flight.
+struct SegmentWriter {
+    file: Arc<str>,
+    objects: StoredObjects,
+    tasks: JoinSet<Result<(), StoreError>>,
+}
+
+impl SegmentWriter {
+    async fn put(&mut self, segment: Segment) -> Result<(), Refusal> {
+        while self.tasks.len() >= SEGMENTS_IN_FLIGHT {
+            self.join_one().await?;
+        }
+        let name = segment_name(&self.file, segment.index);
+        self.objects.names.push(name.clone());
+        let store = self.objects.store.clone();
+        let content = Bytes::from(segment.content);
+        self.tasks
+            .spawn(async move { store.put_object(&name, content).await });
+        Ok(())
+    }
+
+    async fn finish(&mut self) -> Result<(), Refusal> {
+        while !self.tasks.is_empty() {
+            self.join_one().await?;
+        }
+        Ok(())
+    }
+
+    async fn join_one(&mut self) -> Result<(), Refusal> {
+        match self.tasks.join_next().await {
+            Some(Ok(result)) => Ok(result?),
+            Some(Err(error)) => Err(Refusal::new(ErrorKind::Internal, error.to_string())),
+            None => Ok(()),
+        }
+    }
+}
+
+async fn insert(store: &JobStore, row: &FileRow) -> Result<(), Refusal> {
+    let key = file_key(&row.file);
+    let transaction = Transaction::new()
+        .with_absent(&key)
+        .with_put(&key, RowValue::File(Box::new(row.clone())));
+    let settle = Settle::new(transaction, &key, row.op);
+    let deadline = Instant::now() + ROW_TIMEOUT;
+    // The identifier is fresh, so that the insert cannot be refused.
+    store
+        .settle_until(settle, Priority::Commit, deadline)
+        .await?;
+    Ok(())
+}
+
+async fn read_text(field: &mut Field<'_>) -> Result<String, Refusal> {
+    let mut text = Vec::new();
+    while let Some(part) = field.chunk().await.map_err(broken_form)? {
+        text.extend_from_slice(&part);
+        if text.len() > FIELD_MAX_BYTES {
+            return Err(Refusal::invalid("purpose", "`purpose` is too long."));
+        }
+    }
+    Ok(String::from_utf8_lossy(&text).into_owned())
+}
+
+fn boundary(req: &Request) -> Result<String, Refusal> {
+    let content_type = req.headers().get(header::CONTENT_TYPE);
+    content_type
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| multra::parse_boundary(value).ok())
+        .ok_or_else(|| {
+            let message = "The body must be multipart/form-data with `purpose` and `file`.";
+            Refusal::new(ErrorKind::InvalidRequest, message)
+        })
+}
+
+fn broken_form(error: multra::Error) -> Refusal {
+    let message = format!("The form cannot be read: {error}");
+    Refusal::new(ErrorKind::InvalidRequest, message)
+}
+
+/// Lower-case hexadecimal digits.
+pub(crate) fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/job_store/src/objects.rs
@@ -0,0 +1,152 @@
+//! Objects: segments and manifests of files, results and partial results of
+//! chunks.
+
+use std::{ops::Range, time::Duration};
+
+use bytes::Bytes;
+use jobs::{ChunkSpan, ItemRecord, Manifest, ObjectRef, Priority};
+use platform::{ByteStream, PlatformError};
+
+use crate::{JobStore, StoreError};
+
+/// Pause before an object write is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Name of a segment of a file.
+#[must_use]
+pub fn segment_name(file: &str, index: u32) -> String {
+    format!("file/{file}/segment/{index:06}")
+}
+
+/// Name of a file's manifest.
+#[must_use]
+pub fn manifest_name(file: &str) -> String {
+    format!("file/{file}/manifest")
+}
+
+impl JobStore {
+    /// Writes an object whose name nobody else uses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached; the object may
+    /// exist.
+    pub async fn put_object(&self, name: &str, content: Bytes) -> Result<(), StoreError> {
+        self.admitted_for_read(Priority::Commit).await?;
+        self.meter.on_object_write();
+        let result = self.platform().put_object_bytes(name, content).await;
+        self.on_result(&result);
+        Ok(result?)
+    }
+
+    /// Writes an object whose name nobody else uses, however long the platform
+    /// is away.
+    pub async fn put_object_surely(&self, name: &str, content: Bytes) {
+        loop {
+            self.admitted(Priority::Commit).await;
+            self.meter.on_object_write();
+            let result = self
+                .platform()
+                .put_object_bytes(name, content.clone())
+                .await;
+            self.on_result(&result);
+            if result.is_ok() {
+                return;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    /// Removes an object that nothing refers to. A failure leaves garbage.
+    pub async fn delete_object(&self, name: &str) {
+        if let Err(error) = self.platform().delete_object(name).await {
+            log::debug!("event=object_left name={name} error={error:?}");
+        }
+    }
+
+    /// Reads a file's manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or the manifest is
+    /// malformed.
+    pub async fn manifest(&self, file: &str) -> Result<Manifest, StoreError> {
+        let content = self.object(&manifest_name(file), None).await?;
+        serde_json::from_slice(&content).map_err(malformed)
+    }
+
+    /// Reads the lines of a chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn chunk_lines(&self, file: &str, span: ChunkSpan) -> Result<Bytes, StoreError> {
+        let range = u64::from(span.start_byte)..u64::from(span.end_byte);
+        self.object(&segment_name(file, span.segment), Some(range))
+            .await
+    }
+
+    /// Reads a partial result.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or the object is
+    /// malformed.
+    pub async fn records(&self, name: &str) -> Result<Vec<ItemRecord>, StoreError> {
+        let content = self.object(name, None).await?;
+        serde_json::from_slice(&content).map_err(malformed)
+    }
+
+    /// Streams an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached or there is no such
+    /// object.
+    pub async fn object_stream(&self, name: &str) -> Result<ByteStream, StoreError> {
+        self.admitted_for_read(Priority::Claim).await?;
+        self.meter.on_object_read();
+        let result = self.platform().object_stream(name, None).await;
+        self.on_result(&result);
+        result?.ok_or_else(|| missing(name))
+    }
+
+    /// Writes one line per record and tells where.
+    pub async fn put_lines<'a>(
+        &self,
+        name: String,
+        records: impl IntoIterator<Item = &'a ItemRecord>,
+    ) -> Option<ObjectRef> {
+        let mut content = Vec::new();
+        for record in records {
+            content.extend_from_slice(record.line.as_bytes());
+            content.push(b'\n');
+        }
+        if content.is_empty() {
+            return None;
+        }
+        let content_bytes = content.len() as u64;
+        self.put_object_surely(&name, Bytes::from(content)).await;
+        Some(ObjectRef {
+            name,
+            content_bytes,
+        })
+    }
+
+    async fn object(&self, name: &str, range: Option<Range<u64>>) -> Result<Bytes, StoreError> {
+        self.admitted_for_read(Priority::Claim).await?;
+        self.meter.on_object_read();
+        let result: Result<Option<Bytes>, PlatformError> =
+            self.platform().object(name, range).await;
+        self.on_result(&result);
+        result?.ok_or_else(|| missing(name))
+    }
+}
+
+fn missing(name: &str) -> StoreError {
+    StoreError::Malformed(format!("object {name:?} does not exist"))
+}
+
+fn malformed(error: impl std::fmt::Display) -> StoreError {
+    StoreError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/job_store/src/rows.rs
@@ -0,0 +1,188 @@
+//! Reads of rows.
+
+use jobs::{
+    ChunkName, ChunkRow, FileRow, JobRow, OpenJob, Priority, RowValue, chunk_key, chunk_prefix,
+    file_key, job_key, open_prefix,
+};
+use model::{JobId, Region};
+use platform::{Row, RowPage};
+
+use crate::{JobStore, StoreError};
+
+/// Rows asked for in one page.
+const PAGE_ROWS: u32 = 1_000;
+/// Open jobs asked for in one page.
+const OPEN_PAGE_ROWS: u32 = 64;
+
+impl JobStore {
+    /// Reads a job's row with its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn job(&self, job: &JobId) -> Result<Option<(u64, JobRow)>, StoreError> {
+        match self.row(&job_key(job), Priority::Cancel).await? {
+            Some((version, RowValue::Job(row))) => Ok(Some((version, *row))),
+            _ => Ok(None),
+        }
+    }
+
+    /// Reads a file's row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn file(&self, file: &str) -> Result<Option<FileRow>, StoreError> {
+        match self.row(&file_key(file), Priority::Cancel).await? {
+            Some((_, RowValue::File(row))) => Ok(Some(*row)),
+            _ => Ok(None),
+        }
+    }
+
+    /// Reads a chunk's row with its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn chunk(
+        &self,
+        job: &JobId,
+        chunk: ChunkName,
+    ) -> Result<Option<(u64, ChunkRow)>, StoreError> {
+        match self.row(&chunk_key(job, chunk), Priority::Claim).await? {
+            Some((version, RowValue::Chunk(row))) => Ok(Some((version, *row))),
+            _ => Ok(None),
+        }
+    }
+
+    /// Reads the rows of all chunks of a job that were ever claimed, in the
+    /// order of the input.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn chunks(&self, job: &JobId) -> Result<Vec<(ChunkName, ChunkRow)>, StoreError> {
+        let prefix = chunk_prefix(job);
+        let mut chunks = Vec::new();
+        let mut after = None;
+        loop {
+            let page = self
+                .page(&prefix, after.as_deref(), PAGE_ROWS, Priority::Claim)
+                .await?;
+            after = page.rows.last().map(|row| row.key.clone());
+            for row in &page.rows {
+                let name = row.key.strip_prefix(&prefix).unwrap_or_default();
+                let name = name.parse().map_err(malformed)?;
+                if let RowValue::Chunk(value) = decode(row)? {
+                    chunks.push((name, *value));
+                }
+            }
+            if !page.more || after.is_none() {
+                return Ok(chunks);
+            }
+        }
+    }
+
+    /// Reads a page of the open jobs of a region by deadline, with the key to
+    /// go on after if more follow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn open_jobs(
+        &self,
+        region: &Region,
+        after: Option<&str>,
+    ) -> Result<(Vec<OpenJob>, Option<String>), StoreError> {
+        let prefix = open_prefix(region);
+        let page = self
+            .page(&prefix, after, OPEN_PAGE_ROWS, Priority::Poll)
+            .await?;
+        let last = page.rows.last().map(|row| row.key.clone());
+        let mut jobs = Vec::new();
+        for row in page.rows {
+            if let RowValue::Open(value) = decode(&row)? {
+                jobs.push(OpenJob {
+                    key: row.key,
+                    version: row.version,
+                    row: *value,
+                });
+            }
+        }
+        Ok((jobs, last.filter(|_| page.more)))
+    }
+
+    /// Reads the open row at `key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn open_job(&self, key: &str) -> Result<Option<OpenJob>, StoreError> {
+        let Some((version, RowValue::Open(row))) = self.row(key, Priority::Claim).await? else {
+            return Ok(None);
+        };
+        Ok(Some(OpenJob {
+            key: key.to_owned(),
+            version,
+            row: *row,
+        }))
+    }
+
+    /// Identifiers of a customer's jobs, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached.
+    pub async fn job_ids(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u32,
+    ) -> Result<(Vec<JobId>, bool), StoreError> {
+        let page = self.page(prefix, after, limit, Priority::Poll).await?;
+        let mut ids = Vec::new();
+        for row in &page.rows {
+            if let RowValue::Listed(job) = decode(row)? {
+                ids.push(job);
+            }
+        }
+        Ok((ids, page.more))
+    }
+
+    async fn row(
+        &self,
+        key: &str,
+        priority: Priority,
+    ) -> Result<Option<(u64, RowValue)>, StoreError> {
+        self.admitted_for_read(priority).await?;
+        self.meter.on_table_read();
+        let result = self.platform().row(key).await;
+        self.on_result(&result);
+        let Some(row) = result? else {
+            return Ok(None);
+        };
+        Ok(Some((row.version, decode(&row)?)))
+    }
+
+    async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u32,
+        priority: Priority,
+    ) -> Result<RowPage, StoreError> {
+        self.admitted_for_read(priority).await?;
+        self.meter.on_table_read();
+        let result = self.platform().rows(prefix, after, limit).await;
+        self.on_result(&result);
+        Ok(result?)
+    }
+}
+
+fn decode(row: &Row) -> Result<RowValue, StoreError> {
+    RowValue::decode(&row.key, &row.value).map_err(malformed)
+}
+
+fn malformed(error: impl std::fmt::Display) -> StoreError {
+    StoreError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/jobs/src/accept.rs
@@ -0,0 +1,206 @@
+//! Accepts a job by one conditional insert.
+
+use std::{fmt::Write as _, sync::Arc};
+
+use model::{ClassName, CustomerId, JobId, ModelName, Region};
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+use crate::{
+    Ask, JobRow, JobState, OpId, OpenRow, Reply, RowValue, Settle, Transaction, Verdict, job_key,
+    listed_key, open_key,
+};
+
+/// Bytes of the hash that a job's identifier shows.
+const JOB_ID_BYTES: usize = 16;
+/// Version of a job's row while the job is open.
+const OPEN_JOB_VERSION: u64 = 1;
+
+/// A checked job that is not accepted yet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct NewJob {
+    /// Derived from the customer and the idempotency key.
+    pub job: JobId,
+    /// Owner.
+    pub customer: CustomerId,
+    /// Class that set the deadline.
+    pub class: Option<ClassName>,
+    /// Path that every item is sent to.
+    pub endpoint: String,
+    /// Input file.
+    pub input_file: Arc<str>,
+    /// SHA-256 over the input's digest and the parameters, in hexadecimal.
+    pub digest: String,
+    /// Window that the caller asked for, as written.
+    pub completion_window: String,
+    /// Pairs that the caller attached, sorted by name.
+    pub metadata: Vec<(String, String)>,
+    /// Region whose instances run it.
+    pub region: Region,
+    /// Models that its items name, sorted.
+    pub models: Vec<ModelName>,
+    /// Items in it.
+    pub items: u32,
+    /// Chunks in its manifest.
+    pub chunks: u32,
+    /// Time of acceptance.
+    pub created_at_ms: u64,
+    /// Time by which the last result is due.
+    pub deadline_ms: u64,
+}
+
+/// An acceptance under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Acceptance {
+    settle: Settle,
+    key: String,
+    row: JobRow,
+    phase: Phase,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    Inserting,
+    /// A job of the same identifier exists; compares its digest.
+    Comparing,
+}
+
+/// A job whose row certainly exists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// The row.
+    pub row: JobRow,
+    /// Whether an earlier request created it.
+    pub is_resend: bool,
+}
+
+/// Why a job was not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum AcceptanceError {
+    /// The idempotency key belongs to a job with another content.
+    #[error("the idempotency key was used with another content")]
+    Conflict,
+}
+
+/// The identifier that every request with this key leads to.
+#[must_use]
+pub fn job_id_for(customer: &CustomerId, key: &str) -> JobId {
+    let mut hash = Sha256::new();
+    hash.update(customer.as_str());
+    hash.update([0]);
+    hash.update(key);
+    let digest = hash.finalize();
+    let mut id = String::from("batch_");
+    for byte in digest.iter().take(JOB_ID_BYTES) {
+        // Writing to a string cannot fail.
+        let _ = write!(id, "{byte:02x}");
+    }
+    JobId::from(id)
+}
+
+impl Acceptance {
+    /// Starts the acceptance of `job`.
+    #[must_use]
+    pub fn new(job: &NewJob, op: OpId) -> Self {
+        let key = job_key(&job.job);
+        let open_key = open_key(&job.region, job.deadline_ms, &job.job);
+        let listed_key = listed_key(&job.customer, job.created_at_ms, &job.job);
+        let row = job_row(job, op);
+        let transaction = Transaction::new()
+            .with_absent(&key)
+            .with_absent(&open_key)
+            .with_absent(&listed_key)
+            .with_put(&key, RowValue::Job(Box::new(row.clone())))
+            .with_put(&listed_key, RowValue::Listed(job.job.clone()))
+            .with_put(&open_key, RowValue::Open(Box::new(open_row(job, op))));
+        Self {
+            settle: Settle::new(transaction, &key, op),
+            key,
+            row,
+            phase: Phase::Inserting,
+        }
+    }
+
+    /// What to ask the table next.
+    #[must_use]
+    pub fn ask(&self) -> Ask<'_> {
+        match self.phase {
+            Phase::Inserting => self.settle.ask(),
+            Phase::Comparing => Ask::Read(&self.key),
+        }
+    }
+
+    /// Whether the job may exist although that is not certain yet.
+    #[must_use]
+    pub const fn is_ambiguous(&self) -> bool {
+        self.settle.is_ambiguous()
+    }
+
+    /// Takes the answer to the last question. `None` asks for another.
+    pub fn on_reply(&mut self, reply: &Reply) -> Option<Result<Accepted, AcceptanceError>> {
+        match self.phase {
+            Phase::Inserting => match self.settle.on_reply(reply)? {
+                Verdict::Applied { .. } => Some(Ok(Accepted {
+                    row: self.row.clone(),
+                    is_resend: false,
+                })),
+                Verdict::Refused => {
+                    self.phase = Phase::Comparing;
+                    None
+                }
+            },
+            Phase::Comparing => self.compare(reply),
+        }
+    }
+
+    fn compare(&self, reply: &Reply) -> Option<Result<Accepted, AcceptanceError>> {
+        let Reply::Row(Some((_, RowValue::Job(existing)))) = reply else {
+            return None;
+        };
+        if existing.digest != self.row.digest || existing.customer != self.row.customer {
+            return Some(Err(AcceptanceError::Conflict));
+        }
+        Some(Ok(Accepted {
+            row: (**existing).clone(),
+            is_resend: true,
+        }))
+    }
+}
+
+fn job_row(job: &NewJob, op: OpId) -> JobRow {
+    JobRow {
+        job: job.job.clone(),
+        customer: job.customer.clone(),
+        class: job.class.clone(),
+        endpoint: job.endpoint.clone(),
+        input_file: job.input_file.clone(),
+        digest: job.digest.clone(),
+        completion_window: job.completion_window.clone(),
+        metadata: job.metadata.clone(),
+        region: job.region.clone(),
+        items: job.items,
+        chunks: job.chunks,
+        created_at_ms: job.created_at_ms,
+        deadline_ms: job.deadline_ms,
+        accept_op: op,
+        state: JobState::Open,
+    }
+}
+
+fn open_row(job: &NewJob, op: OpId) -> OpenRow {
+    OpenRow {
+        job: job.job.clone(),
+        job_version: OPEN_JOB_VERSION,
+        customer: job.customer.clone(),
+        endpoint: job.endpoint.clone(),
+        input_file: job.input_file.clone(),
+        models: job.models.clone(),
+        items: job.items,
+        chunks: job.chunks,
+        cursor: 0,
+        active: Vec::new(),
+        created_at_ms: job.created_at_ms,
+        deadline_ms: job.deadline_ms,
+        op,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/choose.rs
@@ -0,0 +1,207 @@
+//! Chooses what a batch process claims next: by slack to the deadline, fair
+//! among customers, and with few processes looking at the same lapsed lease.
+
+use std::hash::Hasher;
+
+use model::{CustomerId, InstanceId, JobId};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::{ActiveChunk, ChunkName, OpenJob, chunk_key, job_key};
+
+/// Processes that look after a lease that lapsed.
+const WATCHERS: usize = 3;
+/// Delay between one watcher's try and the next one's, milliseconds.
+const WATCHER_STEP_MS: u64 = 300;
+/// Slack below which a job goes before those with more of it, milliseconds.
+const AT_RISK_MS: i64 = 60_000;
+
+/// Something to claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Work {
+    /// Index of the job in the table of open jobs.
+    pub job: usize,
+    /// What to do.
+    pub kind: WorkKind,
+}
+
+/// Kinds of work on an open job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Claim chunks that nobody has claimed yet.
+    Fresh,
+    /// Look at a chunk whose lease seems to have lapsed.
+    Takeover(ChunkName),
+    /// See whether every chunk is done.
+    Finish,
+}
+
+/// A chunk or job that needs no look before a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deferral {
+    /// The job.
+    pub job: JobId,
+    /// The chunk; `None` defers the check for completion.
+    pub chunk: Option<ChunkName>,
+    /// Time of the next look.
+    pub until_ms: u64,
+}
+
+/// Chunks in work for one customer, as far as the open rows tell.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CustomerLoad {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Chunks that are leased.
+    pub chunks: usize,
+}
+
+/// What a choice depends on besides the open jobs.
+#[derive(Debug, Clone, Copy)]
+pub struct Chooser<'a> {
+    /// This process.
+    pub instance: &'a InstanceId,
+    /// Batch processes that take work, sorted; holds this one.
+    pub peers: &'a [InstanceId],
+    /// Looks that are not due, sorted by nothing in particular.
+    pub deferrals: &'a [Deferral],
+    /// Chunks that this process holds.
+    pub held: &'a [(JobId, ChunkName)],
+    /// Time that the fleet needs per item of a job, microseconds.
+    pub item_us: u64,
+    /// Current time.
+    pub now_ms: u64,
+}
+
+/// Chooses the work to try next, if there is any.
+#[must_use]
+pub fn choose_work(jobs: &[OpenJob], chooser: &Chooser<'_>) -> Option<Work> {
+    let loads = customer_loads(jobs, chooser.now_ms);
+    let candidates = jobs.iter().enumerate().filter_map(|(index, job)| {
+        let kind = chooser.due(job)?;
+        Some((chooser.rank(job, kind, &loads), Work { job: index, kind }))
+    });
+    candidates
+        .min_by_key(|(rank, _)| *rank)
+        .map(|(_, work)| work)
+}
+
+/// Whether `instance` is among the few processes that look after `key`.
+#[must_use]
+pub fn is_watcher(instance: &InstanceId, peers: &[InstanceId], key: &str) -> bool {
+    watcher_rank(instance, peers, key) < WATCHERS
+}
+
+/// Order of a candidate; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_calm: bool,
+    customer_chunks: usize,
+    slack_ms: i64,
+    tie: u64,
+}
+
+impl Chooser<'_> {
+    fn due(&self, job: &OpenJob) -> Option<WorkKind> {
+        let lapsed = job.row.active.iter().find(|entry| self.is_due(job, entry));
+        if let Some(entry) = lapsed {
+            return Some(WorkKind::Takeover(entry.chunk));
+        }
+        if job.row.cursor < job.row.chunks {
+            return Some(WorkKind::Fresh);
+        }
+        let all_done = job.row.active.iter().all(|entry| {
+            let deferral = self.deferral(&job.row.job, Some(entry.chunk));
+            deferral == Some(u64::MAX)
+        });
+        let is_deferred = self
+            .deferral(&job.row.job, None)
+            .is_some_and(|until_ms| until_ms > self.now_ms);
+        let watches = is_watcher(self.instance, self.peers, &job_key(&job.row.job));
+        (all_done && watches && !is_deferred).then_some(WorkKind::Finish)
+    }
+
+    fn is_due(&self, job: &OpenJob, entry: &ActiveChunk) -> bool {
+        let id = &job.row.job;
+        let is_held = self
+            .held
+            .iter()
+            .any(|(held, chunk)| held == id && *chunk == entry.chunk);
+        if is_held || entry.lease_until_ms > self.now_ms {
+            return false;
+        }
+        let deferred_until_ms = self.deferral(id, Some(entry.chunk)).unwrap_or(0);
+        if deferred_until_ms > self.now_ms {
+            return false;
+        }
+        let key = chunk_key(id, entry.chunk);
+        let rank = watcher_rank(self.instance, self.peers, &key);
+        let lapsed_at_ms = entry.lease_until_ms.max(deferred_until_ms);
+        rank < WATCHERS && self.now_ms >= lapsed_at_ms + WATCHER_STEP_MS * rank as u64
+    }
+
+    fn deferral(&self, job: &JobId, chunk: Option<ChunkName>) -> Option<u64> {
+        let matching = |entry: &&Deferral| entry.job == *job && entry.chunk == chunk;
+        let found = self.deferrals.iter().find(matching);
+        found.map(|entry| entry.until_ms)
+    }
+
+    fn rank(&self, job: &OpenJob, kind: WorkKind, loads: &[CustomerLoad]) -> Rank {
+        let position = loads.binary_search_by(|load| load.customer.cmp(&job.row.customer));
+        let slack_ms = self.slack_ms(job);
+        Rank {
+            // Looking at a lapsed lease costs one read and frees stuck items.
+            is_calm: kind == WorkKind::Fresh && slack_ms > AT_RISK_MS,
+            customer_chunks: position.map_or(0, |index| loads[index].chunks),
+            slack_ms,
+            tie: weight(self.instance, &job_key(&job.row.job)),
+        }
+    }
+
+    /// Time left after the unclaimed items have run.
+    fn slack_ms(&self, job: &OpenJob) -> i64 {
+        let row = &job.row;
+        let unclaimed = u64::from(row.chunks - row.cursor);
+        let items = u64::from(row.items) * unclaimed / u64::from(row.chunks.max(1));
+        let needed_ms = items * self.item_us / 1_000;
+        let left_ms = i128::from(row.deadline_ms) - i128::from(self.now_ms);
+        let slack_ms = left_ms - i128::from(needed_ms);
+        i64::try_from(slack_ms).unwrap_or(i64::MAX)
+    }
+}
+
+/// Counts the leased chunks of each customer, sorted by customer.
+fn customer_loads(jobs: &[OpenJob], now_ms: u64) -> Vec<CustomerLoad> {
+    let mut loads: Vec<CustomerLoad> = Vec::new();
+    for job in jobs {
+        let active = job.row.active.iter();
+        let chunks = active.filter(|entry| entry.lease_until_ms > now_ms).count();
+        let customer = &job.row.customer;
+        match loads.binary_search_by(|load| load.customer.cmp(customer)) {
+            Ok(index) => loads[index].chunks += chunks,
+            Err(index) => loads.insert(
+                index,
+                CustomerLoad {
+                    customer: customer.clone(),
+                    chunks,
+                },
+            ),
+        }
+    }
+    loads
+}
+
+/// Number of peers that look after `key` before `instance` does.
+fn watcher_rank(instance: &InstanceId, peers: &[InstanceId], key: &str) -> usize {
+    let own = weight(instance, key);
+    let before = |peer: &&InstanceId| *peer != instance && weight(peer, key) > own;
+    peers.iter().filter(before).count()
+}
+
+/// Rendezvous weight of an instance for a key.
+fn weight(instance: &InstanceId, key: &str) -> u64 {
+    let mut hash = Xxh3Default::new();
+    hash.update(instance.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(key.as_bytes());
+    hash.finish()
+}
--- /dev/null
+++ b/crates/jobs/src/claim.rs
@@ -0,0 +1,254 @@
+//! Claims chunks: fresh ones from a job's cursor, lapsed ones from their
+//! holder, and splits of chunks whose holders keep dying.
+
+use model::InstanceId;
+
+use crate::{
+    ActiveChunk, ChunkName, ChunkRow, ChunkState, HeldChunk, OpId, OpenRow, RowValue, Settle,
+    Transaction, chunk_key, job_key, row::SPLIT_LAPSES,
+};
+
+/// Parts that a chunk is split into.
+const SPLIT_PARTS: u32 = 16;
+/// Version of a chunk's row after it was inserted.
+const INSERTED_VERSION: u64 = 1;
+
+/// Who claims, and for how long.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Claimant {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Time at which a claim made now lapses.
+    pub lease_until_ms: u64,
+}
+
+/// An open job as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct OpenJob {
+    /// Key of the row.
+    pub key: String,
+    /// Version of the row.
+    pub version: u64,
+    /// The row.
+    pub row: OpenRow,
+}
+
+/// A chunk to take over, as it was read.
+#[derive(Debug, Clone, Copy)]
+pub struct Takeover<'a> {
+    /// The chunk.
+    pub chunk: ChunkName,
+    /// Version of its row.
+    pub version: u64,
+    /// Its row.
+    pub row: &'a ChunkRow,
+    /// Items in it.
+    pub items: u32,
+}
+
+/// A claim ready to be written, and what is held once it has taken effect.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ClaimPlan {
+    /// The conditional write.
+    pub settle: Settle,
+    /// Chunks held afterwards; empty for a split.
+    pub chunks: Vec<HeldChunk>,
+    /// The open row afterwards.
+    pub open: OpenJob,
+}
+
+/// Claims up to `count` chunks that nobody has claimed yet, and drops `done`
+/// chunks from the open row. `None` if no such chunk is left.
+#[must_use]
+pub fn plan_fresh(
+    job: &OpenJob,
+    claimant: &Claimant,
+    op: OpId,
+    count: u32,
+    done: &[ChunkName],
+) -> Option<ClaimPlan> {
+    let first = job.row.cursor;
+    let end = job.row.chunks.min(first.saturating_add(count));
+    if first >= end {
+        return None;
+    }
+    let mut open = job.row.clone();
+    open.cursor = end;
+    open.op = op;
+    open.active.retain(|entry| !done.contains(&entry.chunk));
+    let mut transaction = Transaction::new().with_version(&job.key, job.version);
+    let mut chunks = Vec::new();
+    for index in first..end {
+        let chunk = ChunkName::whole(index);
+        let key = chunk_key(&open.job, chunk);
+        let row = fresh_row(claimant, op);
+        open.active.push(active(chunk, claimant));
+        transaction = transaction
+            .with_absent(&key)
+            .with_put(&key, RowValue::Chunk(Box::new(row.clone())));
+        chunks.push(HeldChunk::new(&open, chunk, INSERTED_VERSION, row));
+    }
+    let marker = chunk_key(&open.job, ChunkName::whole(first));
+    let transaction = transaction.with_put(&job.key, RowValue::Open(Box::new(open.clone())));
+    Some(ClaimPlan {
+        settle: Settle::new(transaction, &marker, op),
+        chunks,
+        open: after(job, open),
+    })
+}
+
+/// Takes over a chunk that is free or whose lease has lapsed at `now_ms`. A
+/// chunk whose holders keep dying is
+/// split instead. `None` if the chunk is not to be had.
+#[must_use]
+pub fn plan_takeover(
+    job: &OpenJob,
+    found: &Takeover<'_>,
+    claimant: &Claimant,
+    op: OpId,
+    now_ms: u64,
+) -> Option<ClaimPlan> {
+    let Takeover {
+        chunk,
+        version,
+        row,
+        items,
+    } = *found;
+    let has_lapsed = match &row.state {
+        ChunkState::Free => false,
+        ChunkState::Held { lease_until_ms, .. } if *lease_until_ms <= now_ms => true,
+        ChunkState::Held { .. } | ChunkState::Split | ChunkState::Done { .. } => return None,
+    };
+    let mut row = row.clone();
+    row.op = op;
+    row.fence += 1;
+    row.lapses += u16::from(has_lapsed);
+    if has_lapsed && row.is_suspect() && items > 1 {
+        return Some(plan_split(job, chunk, version, row, items));
+    }
+    row.state = ChunkState::Held {
+        holder: claimant.instance.clone(),
+        lease_until_ms: claimant.lease_until_ms,
+    };
+    let key = chunk_key(&job.row.job, chunk);
+    let transaction = Transaction::new()
+        .with_version(&job_key(&job.row.job), job.row.job_version)
+        .with_version(&key, version)
+        .with_put(&key, RowValue::Chunk(Box::new(row.clone())));
+    let mut open = job.clone();
+    for entry in &mut open.row.active {
+        if entry.chunk == chunk {
+            *entry = active(chunk, claimant);
+        }
+    }
+    Some(ClaimPlan {
+        settle: Settle::new(transaction, &key, op),
+        chunks: vec![HeldChunk::new(&open.row, chunk, version + 1, row)],
+        open,
+    })
+}
+
+fn plan_split(
+    job: &OpenJob,
+    chunk: ChunkName,
+    version: u64,
+    parent: ChunkRow,
+    items: u32,
+) -> ClaimPlan {
+    let op = parent.op;
+    let parent_key = chunk_key(&job.row.job, chunk);
+    let mut open = job.row.clone();
+    open.op = op;
+    open.active.retain(|entry| entry.chunk != chunk);
+    let mut transaction = Transaction::new()
+        .with_version(&job.key, job.version)
+        .with_version(&parent_key, version);
+    for part in parts(chunk, items) {
+        let key = chunk_key(&open.job, part);
+        let row = part_row(&parent, part);
+        transaction = transaction
+            .with_absent(&key)
+            .with_put(&key, RowValue::Chunk(Box::new(row)));
+        open.active.push(ActiveChunk {
+            chunk: part,
+            holder: None,
+            lease_until_ms: 0,
+        });
+    }
+    let split = ChunkRow {
+        state: ChunkState::Split,
+        ..parent
+    };
+    let transaction = transaction
+        .with_put(&parent_key, RowValue::Chunk(Box::new(split)))
+        .with_put(&job.key, RowValue::Open(Box::new(open.clone())));
+    ClaimPlan {
+        settle: Settle::new(transaction, &parent_key, op),
+        chunks: Vec::new(),
+        open: after(job, open),
+    }
+}
+
+/// Splits the items of a chunk into parts of about the same number of items.
+fn parts(chunk: ChunkName, items: u32) -> Vec<ChunkName> {
+    let start = chunk.part.map_or(0, |(start, _)| start);
+    let part_items = items.div_ceil(SPLIT_PARTS).max(1);
+    let mut parts = Vec::new();
+    let mut from = 0;
+    while from < items {
+        let to = items.min(from + part_items);
+        parts.push(chunk.with_part(start + from, start + to));
+        from = to;
+    }
+    parts
+}
+
+/// A part starts as suspect as its parent, so that its next lapse splits it
+/// again, and remembers what its parent knew of its items.
+fn part_row(parent: &ChunkRow, part: ChunkName) -> ChunkRow {
+    let (start, end) = part.part.unwrap_or((0, u32::MAX));
+    let attempts = parent.attempts.iter().copied();
+    let intents = parent.intents.iter().copied();
+    ChunkRow {
+        fence: parent.fence,
+        op: parent.op,
+        lapses: SPLIT_LAPSES,
+        attempts: attempts
+            .filter(|entry| (start..end).contains(&entry.item))
+            .collect(),
+        intents: intents.filter(|item| (start..end).contains(item)).collect(),
+        partial: parent.partial.clone(),
+        state: ChunkState::Free,
+    }
+}
+
+fn fresh_row(claimant: &Claimant, op: OpId) -> ChunkRow {
+    ChunkRow {
+        fence: 1,
+        op,
+        lapses: 0,
+        attempts: Vec::new(),
+        intents: Vec::new(),
+        partial: None,
+        state: ChunkState::Held {
+            holder: claimant.instance.clone(),
+            lease_until_ms: claimant.lease_until_ms,
+        },
+    }
+}
+
+fn active(chunk: ChunkName, claimant: &Claimant) -> ActiveChunk {
+    ActiveChunk {
+        chunk,
+        holder: Some(claimant.instance.clone()),
+        lease_until_ms: claimant.lease_until_ms,
+    }
+}
+
+fn after(job: &OpenJob, row: OpenRow) -> OpenJob {
+    OpenJob {
+        key: job.key.clone(),
+        version: job.version + 1,
+        row,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/key.rs
@@ -0,0 +1,133 @@
+//! Keys of rows and names of objects.
+
+use std::{
+    fmt::{self, Write as _},
+    str::FromStr,
+};
+
+use model::{CustomerId, JobId, Region};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use sha2::{Digest, Sha256};
+
+/// Bytes of the hash of a customer that a key shows.
+const CUSTOMER_HASH_BYTES: usize = 16;
+
+/// A chunk of a job, or a part of a chunk that was split.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChunkName {
+    /// Index of the chunk in the job's manifest.
+    pub index: u32,
+    /// First item and the one after the last, for a part of a split chunk.
+    pub part: Option<(u32, u32)>,
+}
+
+impl ChunkName {
+    /// A whole chunk.
+    #[must_use]
+    pub const fn whole(index: u32) -> Self {
+        Self { index, part: None }
+    }
+
+    /// The items from `start` up to `end` of the same chunk.
+    #[must_use]
+    pub const fn with_part(self, start: u32, end: u32) -> Self {
+        Self {
+            index: self.index,
+            part: Some((start, end)),
+        }
+    }
+}
+
+impl fmt::Display for ChunkName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:06}", self.index)?;
+        if let Some((start, end)) = self.part {
+            write!(f, ".{start:06}-{end:06}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for ChunkName {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let Some((index, part)) = text.split_once('.') else {
+            return Ok(Self::whole(text.parse()?));
+        };
+        let (start, end) = part.split_once('-').unwrap_or((part, ""));
+        Ok(Self::whole(index.parse()?).with_part(start.parse()?, end.parse()?))
+    }
+}
+
+impl Serialize for ChunkName {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ChunkName {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?
+            .parse()
+            .map_err(de::Error::custom)
+    }
+}
+
+/// Key of a job's row.
+#[must_use]
+pub fn job_key(job: &JobId) -> String {
+    format!("job/{job}")
+}
+
+/// Key of a chunk's row.
+#[must_use]
+pub fn chunk_key(job: &JobId, chunk: ChunkName) -> String {
+    format!("chunk/{job}/{chunk}")
+}
+
+/// Prefix of the rows of a job's chunks.
+#[must_use]
+pub fn chunk_prefix(job: &JobId) -> String {
+    format!("chunk/{job}/")
+}
+
+/// Key of a file's row.
+#[must_use]
+pub fn file_key(file: &str) -> String {
+    format!("file/{file}")
+}
+
+/// Key of the row that lists a job among its customer's; the newest sorts
+/// first.
+#[must_use]
+pub fn listed_key(customer: &CustomerId, created_at_ms: u64, job: &JobId) -> String {
+    let age_order = u64::MAX - created_at_ms;
+    format!("{}{age_order:020}/{job}", listed_prefix(customer))
+}
+
+/// Prefix of the rows that list a customer's jobs. An API key may hold any
+/// character and is a secret, so its hash stands in the key.
+#[must_use]
+pub fn listed_prefix(customer: &CustomerId) -> String {
+    let digest = Sha256::digest(customer.as_str());
+    let mut prefix = String::from("listed/");
+    for byte in digest.iter().take(CUSTOMER_HASH_BYTES) {
+        // Writing to a string cannot fail.
+        let _ = write!(prefix, "{byte:02x}");
+    }
+    prefix.push('/');
+    prefix
+}
+
+/// Key of the row that lists a job as open; rows of a region sort by deadline.
+#[must_use]
+pub fn open_key(region: &Region, deadline_ms: u64, job: &JobId) -> String {
+    format!("open/{region}/{deadline_ms:016}/{job}")
+}
+
+/// Prefix of the open jobs of a region.
+#[must_use]
+pub fn open_prefix(region: &Region) -> String {
+    format!("open/{region}/")
+}
--- /dev/null
+++ b/crates/jobs/src/settle.rs
@@ -0,0 +1,134 @@
+//! Carries one conditional write to a certain outcome.
+//!
+//! A lost answer is settled by reading the marker row back: it carries the
+//! operation's id if the write took effect. If it does not, the same
+//! transaction is sent again; its checks let it take effect once at most, also
+//! when the first copy still travels.
+
+use crate::{OpId, RowValue, Transaction};
+
+/// A conditional write under way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Settle {
+    transaction: Transaction,
+    marker: String,
+    op: OpId,
+    is_ambiguous: bool,
+    phase: Phase,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    Sending,
+    /// The write may or may not have taken effect.
+    ReadingAfterLoss,
+    /// A repeated write met a conflict, perhaps with its own first copy.
+    ReadingAfterConflict,
+}
+
+/// What to ask the table next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask<'a> {
+    /// Apply the transaction.
+    Transact(&'a Transaction),
+    /// Read the row at the key.
+    Read(&'a str),
+}
+
+/// What the table answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Reply {
+    /// The transaction took effect; versions of the put rows in order.
+    Committed(Vec<u64>),
+    /// A check did not hold; nothing took effect.
+    Conflict,
+    /// The row asked for, with its version.
+    Row(Option<(u64, RowValue)>),
+    /// The call certainly took no effect.
+    NotApplied,
+    /// No answer came; the call may have taken effect or may still do so.
+    Unknown,
+}
+
+/// Certain outcome of a conditional write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// It took effect; version of the marker row.
+    Applied {
+        /// Version of the marker row.
+        version: u64,
+    },
+    /// It took no effect and never will.
+    Refused,
+}
+
+impl Settle {
+    /// Starts a write whose effect shows in the row at `marker`.
+    #[must_use]
+    pub fn new(transaction: Transaction, marker: &str, op: OpId) -> Self {
+        Self {
+            transaction,
+            marker: marker.to_owned(),
+            op,
+            is_ambiguous: false,
+            phase: Phase::Sending,
+        }
+    }
+
+    /// What to ask next; after a failed call the same may be asked again.
+    #[must_use]
+    pub fn ask(&self) -> Ask<'_> {
+        match self.phase {
+            Phase::Sending => Ask::Transact(&self.transaction),
+            Phase::ReadingAfterLoss | Phase::ReadingAfterConflict => Ask::Read(&self.marker),
+        }
+    }
+
+    /// Whether a copy of the write may have taken effect or may still do so.
+    #[must_use]
+    pub const fn is_ambiguous(&self) -> bool {
+        self.is_ambiguous
+    }
+
+    /// Takes the answer to the last question. `None` asks for another.
+    pub fn on_reply(&mut self, reply: &Reply) -> Option<Verdict> {
+        match self.phase {
+            Phase::Sending => self.on_sent(reply),
+            Phase::ReadingAfterLoss | Phase::ReadingAfterConflict => self.on_read(reply),
+        }
+    }
+
+    fn on_sent(&mut self, reply: &Reply) -> Option<Verdict> {
+        match reply {
+            Reply::Committed(versions) => {
+                let position = self.transaction.put_position(&self.marker)?;
+                let version = versions.get(position).copied()?;
+                return Some(Verdict::Applied { version });
+            }
+            Reply::Conflict if self.is_ambiguous => self.phase = Phase::ReadingAfterConflict,
+            Reply::Conflict => return Some(Verdict::Refused),
+            Reply::Unknown => {
+                self.is_ambiguous = true;
+                self.phase = Phase::ReadingAfterLoss;
+            }
+            Reply::NotApplied | Reply::Row(_) => {}
+        }
+        None
+    }
+
+    fn on_read(&mut self, reply: &Reply) -> Option<Verdict> {
+        let Reply::Row(row) = reply else {
+            return None;
+        };
+        if let Some((version, value)) = row
+            && value.carries(self.op)
+        {
+            return Some(Verdict::Applied { version: *version });
+        }
+        if self.phase == Phase::ReadingAfterConflict {
+            return Some(Verdict::Refused);
+        }
+        self.phase = Phase::Sending;
+        None
+    }
+}
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -51,6 +51,9 @@
     OutcomeUnknown,
     /// The platform's table or object store cannot be reached; nothing ran.
     PlatformUnavailable,
+    /// A write to the platform may or may not have taken effect; a resend with
+    /// the same idempotency key finds out.
+    PlatformUncertain,
     /// This process is shutting down.
     Stopping,
     /// This process has no configuration yet.
@@ -98,7 +101,7 @@
 
 impl ErrorKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::InvalidRequest,
         Self::BodyTooLarge,
         Self::MissingApiKey,
@@ -122,6 +125,7 @@
         Self::DeadlineBeforeStart,
         Self::OutcomeUnknown,
         Self::PlatformUnavailable,
+        Self::PlatformUncertain,
         Self::Stopping,
         Self::NotReady,
         Self::Cancelled,
@@ -157,6 +161,7 @@
             Self::DeadlineBeforeStart => row(503, "deadline_before_start", Ran::No, AfterS(1)),
             Self::OutcomeUnknown => row(409, "outcome_unknown", Ran::Unknown, Never),
             Self::PlatformUnavailable => row(503, "platform_unavailable", Ran::No, AfterS(5)),
+            Self::PlatformUncertain => row(504, "platform_uncertain", Ran::Unknown, AfterS(5)),
             Self::Stopping => row(503, "stopping", Ran::No, AfterS(1)),
             Self::NotReady => row(503, "not_ready", Ran::No, AfterS(1)),
             Self::Cancelled => row(499, "cancelled", Ran::Unknown, Never),
