Give the chores a library so that their rules are tested

A listed test that did not run counts as stale, like one that passes. The test command builds the programs first, because scenarios start them and cargo builds only the programs of the crate under test.

--- a/xtask/src/known_red.rs
+++ b/xtask/src/known_red.rs
@@ -2,19 +2,21 @@
 //!
 //! An entry is one line, `test | command | seed | seen | issue`, where `test`
 //! is the name that the test runner prints. Blank lines and lines that begin
-//! with `#` are skipped. A listed test that passes is an error too, so that
-//! the list cannot outlive the fault.
+//! with `#` are skipped. A listed test that does not fail is an error too, so
+//! that the list cannot outlive the fault.
 
 use std::{
     collections::BTreeSet,
-    fs,
+    fmt, fs,
     path::Path,
     process::{Command, ExitCode, Stdio},
 };
 
 const FIELDS: usize = 5;
 
-/// Runs every test of the workspace and judges the outcome.
+/// Builds every program, runs every test of the workspace and judges the
+/// outcome.
+#[must_use]
 pub fn run_tests(root: &Path) -> ExitCode {
     let known = match read_list(root) {
         Ok(known) => known,
@@ -23,6 +25,10 @@
             return ExitCode::FAILURE;
         }
     };
+    if !build_programs(root) {
+        eprintln!("the programs that scenarios start could not be built");
+        return ExitCode::FAILURE;
+    }
     let output = Command::new("cargo")
         .args(["test", "--workspace", "--no-fail-fast"])
         .current_dir(root)
@@ -38,69 +44,113 @@
     };
     let text = String::from_utf8_lossy(&output.stdout);
     print!("{text}");
-    judge(&known, &Outcome::parse(&text), output.status.success())
+    let verdict = Verdict::new(&known, &text, output.status.success());
+    print!("{verdict}");
+    if verdict.is_green() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
 
-struct Outcome {
-    passed: BTreeSet<String>,
-    failed: BTreeSet<String>,
+/// What a run of the tests means, given the list of known failures.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Number of tests that passed.
+    pub passed: usize,
+    /// Failures that are listed.
+    pub known: Vec<String>,
+    /// Failures that are not listed.
+    pub unexpected: Vec<String>,
+    /// Listed tests that pass or did not run, so that the list is wrong.
+    pub stale: Vec<String>,
+    /// Whether the run failed without naming a test, as after a build error.
+    pub unexplained: bool,
 }
 
-impl Outcome {
-    fn parse(text: &str) -> Self {
-        let with_suffix = |suffix: &str| {
-            let names = text.lines().filter_map(|line| {
-                line.strip_prefix("test ")?
-                    .strip_suffix(suffix)
-                    .map(str::to_owned)
-            });
-            names.collect()
-        };
+impl Verdict {
+    /// Judges the standard output of `cargo test`.
+    #[must_use]
+    pub fn new(known: &BTreeSet<String>, text: &str, success: bool) -> Self {
+        let passed = names(text, " ... ok");
+        let failed = names(text, " ... FAILED");
         Self {
-            passed: with_suffix(" ... ok"),
-            failed: with_suffix(" ... FAILED"),
+            passed: passed.len(),
+            known: failed.intersection(known).cloned().collect(),
+            unexpected: failed.difference(known).cloned().collect(),
+            stale: known.difference(&failed).cloned().collect(),
+            unexplained: !success && failed.is_empty(),
         }
     }
-}
 
-fn judge(known: &BTreeSet<String>, outcome: &Outcome, success: bool) -> ExitCode {
-    let unexpected: Vec<_> = outcome.failed.difference(known).collect();
-    let healed: Vec<_> = known.intersection(&outcome.passed).collect();
-    for name in outcome.failed.intersection(known) {
-        println!("known red: {name}");
-    }
-    for name in &unexpected {
-        eprintln!("failed: {name}");
+    /// Whether nothing happened but what the list says.
+    #[must_use]
+    pub fn is_green(&self) -> bool {
+        self.unexpected.is_empty() && self.stale.is_empty() && !self.unexplained
     }
-    for name in &healed {
-        eprintln!("passes although KNOWN-RED.txt lists it: {name}");
-    }
-    // A run that fails without naming a test (a build error, a crash) is red.
-    let explained = success || !outcome.failed.is_empty();
-    let green = unexpected.is_empty() && healed.is_empty() && explained;
-    println!(
-        "{} passed, {} failed",
-        outcome.passed.len(),
-        outcome.failed.len()
-    );
-    if green {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for name in &self.known {
+            writeln!(f, "known red: {name}")?;
+        }
+        for name in &self.unexpected {
+            writeln!(f, "failed: {name}")?;
+        }
+        for name in &self.stale {
+            writeln!(f, "listed in KNOWN-RED.txt but did not fail: {name}")?;
+        }
+        if self.unexplained {
+            writeln!(f, "the run failed without naming a test")?;
+        }
+        writeln!(
+            f,
+            "{} passed, {} failed",
+            self.passed,
+            self.known.len() + self.unexpected.len()
+        )
     }
 }
 
+/// Parses the list of known failures.
+///
+/// # Errors
+///
+/// Returns the first line that is not an entry.
+pub fn parse_list(text: &str) -> Result<BTreeSet<String>, String> {
+    let lines = text.lines().map(str::trim);
+    lines
+        .filter(|line| !line.is_empty() && !line.starts_with('#'))
+        .map(parse_entry)
+        .collect()
+}
+
+/// Tests start the programs that they find beside themselves, and `cargo test`
+/// builds only those of the tested crate.
+fn build_programs(root: &Path) -> bool {
+    let status = Command::new("cargo")
+        .args(["build", "--workspace", "--bins"])
+        .current_dir(root)
+        .stdin(Stdio::null())
+        .status();
+    status.is_ok_and(|status| status.success())
+}
+
+/// Names in lines such as `test route_case ... ok`; several test files may use
+/// one name, so names are listed per line.
+fn names(text: &str, suffix: &str) -> BTreeSet<String> {
+    let line_name = |line: &str| Some(line.strip_prefix("test ")?.strip_suffix(suffix)?.to_owned());
+    text.lines().filter_map(line_name).collect()
+}
+
 fn read_list(root: &Path) -> Result<BTreeSet<String>, String> {
     let path = root.join("KNOWN-RED.txt");
     if !path.exists() {
         return Ok(BTreeSet::new());
     }
     let text = fs::read_to_string(&path).map_err(|error| error.to_string())?;
-    let lines = text
-        .lines()
-        .map(str::trim)
-        .filter(|line| !line.is_empty() && !line.starts_with('#'));
-    lines.map(parse_entry).collect()
+    parse_list(&text)
 }
 
 fn parse_entry(line: &str) -> Result<String, String> {
--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,4 @@
+//! Chores of the project, as a library so that their rules can be tested.
+
+pub mod known_red;
+pub mod tidy;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,9 +1,12 @@
 //! Chores of the project: `cargo xtask tidy`, `cargo xtask test`.
 
-mod known_red;
-mod tidy;
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use std::{env, path::PathBuf, process::ExitCode};
+use xtask::{known_red, tidy};
 
 fn main() -> ExitCode {
     let root = project_root();
@@ -17,7 +20,7 @@
     }
 }
 
-fn report_tidy(root: &std::path::Path) -> ExitCode {
+fn report_tidy(root: &Path) -> ExitCode {
     let findings = tidy::check_tree(root);
     for finding in &findings {
         eprintln!("{finding}");
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -22,9 +22,12 @@
 /// One departure from the rules.
 #[derive(Debug)]
 pub struct Finding {
-    path: PathBuf,
-    line: usize,
-    message: String,
+    /// File.
+    pub path: PathBuf,
+    /// Line, counted from one.
+    pub line: usize,
+    /// The rule that is not kept.
+    pub message: String,
 }
 
 impl fmt::Display for Finding {
@@ -34,6 +37,7 @@
 }
 
 /// Checks every Rust source file below `root`.
+#[must_use]
 pub fn check_tree(root: &Path) -> Vec<Finding> {
     let mut files = Vec::new();
     let mut findings = Vec::new();
