peer: serve and call peers over h2, follow the control program's view

Cause: programs need one versioned protocol before anything else can talk. The version travels in the first frame (a header), so that a program of another version is refused with a typed error that every version can read; a version inside the bincode body was ruled out, as a changed body could not be told from a malformed one. A deadline ends each call and resets the stream, which cancels the handler. ViewWatch keeps the newer configuration when a restarted control program knows an older one.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,18 @@
 //! This crate exists so that every program speaks one versioned protocol. It
 //! carries messages; what they mean is decided elsewhere.
 
+mod client;
+mod codec;
+mod error;
 mod message;
+mod server;
+mod view_watch;
 
-pub use crate::message::{DispatchNotice, PROTOCOL_VERSION, PeerRequest, PeerResponse};
+pub use crate::{
+    client::PeerClient,
+    codec::{MESSAGE_MAX_BYTES, decode, encode},
+    error::PeerError,
+    message::{DispatchNotice, PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    server::{PeerHandler, serve},
+    view_watch::ViewWatch,
+};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -8,6 +8,8 @@
 
 /// Version of the protocol, sent with each request; others are refused.
 pub const PROTOCOL_VERSION: u16 = 1;
+/// Header that carries the version, in requests and answers.
+pub(crate) const VERSION_HEADER: &str = "redwingtack-protocol";
 
 /// A request to a peer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -15,8 +17,9 @@
     /// News between control programs.
     Gossip(GossipFrame),
     /// From entry and batch to the control program beside them: answers with a
-    /// [`PeerResponse::View`] as soon as its revision exceeds `revision`, or
-    /// with the same view when `wait_ms` have passed.
+    /// [`PeerResponse::View`] as soon as its revision differs from `revision`,
+    /// or with the same view when `wait_ms` have passed. Revisions do not
+    /// outlive the control program, hence "differs" and not "exceeds".
     ViewSince {
         /// Revision that the sender has.
         revision: ViewRevision,
--- /dev/null
+++ b/crates/peer/tests/call.rs
@@ -0,0 +1,228 @@
+//! Calls between two ends of the peer protocol.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use model::{ErrorKind, JobId};
+use peer::{
+    MESSAGE_MAX_BYTES, PeerClient, PeerError, PeerHandler, PeerRequest, PeerResponse, decode,
+    encode, serve,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+const LONG: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Default)]
+struct Answers {
+    handled: AtomicUsize,
+    ended: AtomicUsize,
+}
+
+impl PeerHandler for Answers {
+    async fn handle(&self, request: PeerRequest) -> PeerResponse {
+        self.handled.fetch_add(1, Ordering::SeqCst);
+        if let PeerRequest::Coalesce { .. } = request {
+            sleep(LONG).await;
+        }
+        self.ended.fetch_add(1, Ordering::SeqCst);
+        PeerResponse::Refused(ErrorKind::NotReady)
+    }
+}
+
+struct Server {
+    address: String,
+    handler: Arc<Answers>,
+    task: JoinHandle<()>,
+}
+
+async fn start(address: &str) -> Server {
+    let listener = TcpListener::bind(address).await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let handler = Arc::new(Answers::default());
+    let task = tokio::spawn(serve(
+        listener,
+        Arc::clone(&handler),
+        std::future::pending(),
+    ));
+    Server {
+        address,
+        handler,
+        task,
+    }
+}
+
+fn cancel_job() -> PeerRequest {
+    PeerRequest::CancelJob(JobId::new("job-1"))
+}
+
+async fn call(client: &PeerClient, address: &str) -> Result<PeerResponse, PeerError> {
+    client
+        .call(address, &cancel_job(), Instant::now() + LONG)
+        .await
+}
+
+#[tokio::test]
+async fn call_answers() {
+    let server = start("127.0.0.1:0").await;
+    let client = PeerClient::new();
+    for _ in 0..3 {
+        let answer = call(&client, &server.address).await.expect("answer");
+        assert_eq!(answer, PeerResponse::Refused(ErrorKind::NotReady));
+    }
+    assert_eq!(server.handler.handled.load(Ordering::SeqCst), 3);
+}
+
+#[tokio::test]
+async fn call_refused_connection_is_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    drop(listener);
+    let error = call(&PeerClient::new(), &address)
+        .await
+        .expect_err("refused");
+    assert!(error.is_unsent());
+    assert_eq!(error.kind(), ErrorKind::ConnectRefused);
+}
+
+#[tokio::test]
+async fn call_host_name_is_refused() {
+    let error = call(&PeerClient::new(), "localhost:80")
+        .await
+        .expect_err("not IP:PORT");
+    assert!(matches!(error, PeerError::Address(_)));
+}
+
+#[tokio::test]
+async fn call_deadline_cancels_the_handler() {
+    let server = start("127.0.0.1:0").await;
+    let request = PeerRequest::Coalesce {
+        key: Arc::from("key"),
+    };
+    let deadline = Instant::now() + Duration::from_millis(300);
+    let error = PeerClient::new()
+        .call(&server.address, &request, deadline)
+        .await
+        .expect_err("the handler is slow");
+    assert_eq!(error.kind(), ErrorKind::DeadlineExceeded);
+    assert!(!error.is_unsent());
+    assert_eq!(server.handler.ended.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn call_silent_peer_meets_the_deadline() {
+    // Accepts connections in the kernel and never answers.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let deadline = Instant::now() + Duration::from_millis(200);
+    let error = PeerClient::new()
+        .call(&address, &cancel_job(), deadline)
+        .await
+        .expect_err("silent");
+    assert!(matches!(error, PeerError::Deadline), "{error:?}");
+}
+
+#[tokio::test]
+async fn call_reconnects_after_a_restart() {
+    let server = start("127.0.0.1:0").await;
+    let client = PeerClient::new();
+    call(&client, &server.address).await.expect("answer");
+    server.task.abort();
+    let _ = server.task.await;
+    let restarted = start(&server.address).await;
+    // The first call may find the old connection broken.
+    let mut answer = call(&client, &restarted.address).await;
+    if answer.is_err() {
+        answer = call(&client, &restarted.address).await;
+    }
+    answer.expect("answer after the restart");
+}
+
+#[tokio::test]
+async fn call_too_large_is_refused_before_sending() {
+    let server = start("127.0.0.1:0").await;
+    let request = PeerRequest::Coalesce {
+        key: Arc::from("x".repeat(MESSAGE_MAX_BYTES + 1)),
+    };
+    let error = PeerClient::new()
+        .call(&server.address, &request, Instant::now() + LONG)
+        .await
+        .expect_err("too large");
+    assert!(matches!(error, PeerError::TooLarge));
+    assert_eq!(server.handler.handled.load(Ordering::SeqCst), 0);
+}
+
+/// Sends a raw request and returns the status of the answer.
+async fn raw_status(address: &str, version: &str, body: Vec<u8>) -> u16 {
+    let stream = TcpStream::connect(address).await.expect("connect");
+    let (sender, connection) = h2::client::handshake(stream).await.expect("handshake");
+    tokio::spawn(connection);
+    let request = http::Request::post("http://peer/")
+        .header("redwingtack-protocol", version)
+        .body(())
+        .expect("request");
+    let mut sender = sender.ready().await.expect("ready");
+    let (response, mut stream) = sender.send_request(request, false).expect("send");
+    stream.send_data(Bytes::from(body), true).expect("send");
+    response.await.expect("response").status().as_u16()
+}
+
+#[tokio::test]
+async fn serve_other_version_is_refused() {
+    let server = start("127.0.0.1:0").await;
+    let body = encode(&cancel_job()).expect("encode");
+    assert_eq!(raw_status(&server.address, "2", body.clone()).await, 505);
+    assert_eq!(raw_status(&server.address, "x", body.clone()).await, 505);
+    assert_eq!(raw_status(&server.address, "1", body).await, 200);
+    assert_eq!(server.handler.handled.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn serve_malformed_body_is_refused() {
+    let server = start("127.0.0.1:0").await;
+    let mut body = encode(&cancel_job()).expect("encode");
+    body.push(0);
+    assert_eq!(raw_status(&server.address, "1", body).await, 400);
+    assert_eq!(raw_status(&server.address, "1", vec![250; 40]).await, 400);
+    assert_eq!(server.handler.handled.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn call_other_version_is_a_typed_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("accept");
+        let mut connection = h2::server::handshake(stream).await.expect("handshake");
+        while let Some(Ok((_, mut respond))) = connection.accept().await {
+            let response = http::Response::builder()
+                .status(505)
+                .header("redwingtack-protocol", "7")
+                .body(())
+                .expect("response");
+            respond.send_response(response, true).expect("send");
+        }
+    });
+    let error = call(&PeerClient::new(), &address)
+        .await
+        .expect_err("another version");
+    assert!(matches!(error, PeerError::Version { theirs: 7 }));
+    assert!(error.is_unsent());
+}
+
+#[test]
+fn decode_hostile_length_is_refused() {
+    // Announces a name of 2^60 bytes.
+    let mut body = vec![5, 253];
+    body.extend_from_slice(&(1_u64 << 60).to_le_bytes());
+    assert!(decode::<PeerRequest>(&body).is_err());
+}
