Add the policy cores: routing, admission, retries, limits, batch window

Cause: entries and batch owners need one stable API to build against. Change: Router (deterministic subsets on a ring, home region first, prefix affinity against load, own work before owners' news before engine reports, ejection with a single probe), RetryBudget, CustomerLimits, BatchWindow with Urgency. DispatchNotice moves from peer to model, which peer exports as before, so that the cores do not depend on the protocol crate.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod error;
 mod name;
+mod notice;
 mod view;
 
 pub use crate::{
@@ -18,6 +19,7 @@
         ClassName, CustomerId, FailureDomain, InstanceId, JobId, ModelName, Region, ServiceName,
         UpstreamId,
     },
+    notice::DispatchNotice,
     view::{
         InstanceEntry, InstanceRole, Liveness, UpstreamEntry, UpstreamKind, View, ViewRevision,
     },
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,4 +5,6 @@
 
 mod message;
 
-pub use crate::message::{DispatchNotice, PROTOCOL_VERSION, PeerRequest, PeerResponse};
+pub use model::DispatchNotice;
+
+pub use crate::message::{PROTOCOL_VERSION, PeerRequest, PeerResponse};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use membership::{GossipFrame, UpstreamEvidence};
-use model::{ErrorKind, InstanceEntry, JobId, UpstreamId, View, ViewRevision};
+use model::{DispatchNotice, ErrorKind, InstanceEntry, JobId, View, ViewRevision};
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol, sent with each request; others are refused.
@@ -40,23 +40,6 @@
     },
 }
 
-/// Online work that an entry sent to an upstream since its last notice.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DispatchNotice {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Prompt tokens sent that are not expected in its prefix cache.
-    pub prompt_tokens: u32,
-    /// Requests sent.
-    pub started: u32,
-    /// Requests that ended.
-    pub ended: u32,
-    /// Highest time to first token seen since the last notice, microseconds.
-    pub first_token_us: u32,
-    /// Highest time between tokens seen since the last notice, microseconds.
-    pub between_tokens_us: u32,
-}
-
 /// The answer of a peer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerResponse {
--- /dev/null
+++ b/crates/policy/tests/limits.rs
@@ -0,0 +1,87 @@
+//! Retry budget, customer limits and subsets.
+
+use model::{ClassName, CustomerId, ErrorKind};
+use policy::{CustomerLimits, RetryBudget, retry_is_safe, subset, subset_order};
+
+#[test]
+fn try_retry_stays_within_share() {
+    let mut budget = RetryBudget::new().with_share(0.1).with_reserve(2);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.on_request();
+        retries += u32::from(budget.try_retry());
+    }
+    assert!((90..=102).contains(&retries), "{retries}");
+}
+
+#[test]
+fn retry_is_safe_table() {
+    let check = |kind, idempotent, tokens, expected| {
+        assert_eq!(
+            retry_is_safe(kind, idempotent, tokens),
+            expected,
+            "{kind:?}"
+        );
+    };
+    check(ErrorKind::ConnectRefused, false, 0, true);
+    check(ErrorKind::UpstreamRefused, false, 0, true);
+    check(ErrorKind::UpstreamLeaving, false, 0, true);
+    check(ErrorKind::ConnectionLost, false, 0, false);
+    check(ErrorKind::ConnectionLost, true, 0, true);
+    check(ErrorKind::ConnectionLost, true, 1, false);
+    check(ErrorKind::UpstreamFailed, false, 0, false);
+    check(ErrorKind::DeadlineExceeded, true, 0, false);
+    check(ErrorKind::InvalidRequest, true, 0, false);
+}
+
+#[test]
+fn admit_holds_each_customer_to_its_own_limit() {
+    let mut limits = CustomerLimits::new();
+    let class = ClassName::new("hints");
+    let (loud, calm) = (CustomerId::new("loud"), CustomerId::new("calm"));
+    let mut admitted = 0;
+    for ms in 0..10_000 {
+        admitted += u32::from(limits.admit(&loud, &class, 10, ms * 1_000).is_ok());
+    }
+    assert!((100..=111).contains(&admitted), "{admitted}");
+    assert!(limits.admit(&calm, &class, 10, 10_000_000).is_ok());
+}
+
+#[test]
+fn admit_tells_when_to_come_back() {
+    let mut limits = CustomerLimits::new();
+    let class = ClassName::new("hints");
+    let customer = CustomerId::new("a");
+    assert!(limits.admit(&customer, &class, 1, 0).is_ok());
+    let refusal = limits.admit(&customer, &class, 1, 0).unwrap_err();
+    assert_eq!(refusal.retry_after_ms, 1_000);
+    assert!(limits.admit(&customer, &class, 1, 1_000_000).is_ok());
+}
+
+#[test]
+fn admit_forgets_idle_customers() {
+    let mut limits = CustomerLimits::new();
+    let class = ClassName::new("hints");
+    for number in 0..20_000_u64 {
+        let customer = CustomerId::from(format!("c{number}"));
+        let admitted = limits.admit(&customer, &class, 10, number * 10_000);
+        assert!(admitted.is_ok());
+    }
+    assert!(limits.rows() < 2_048, "{}", limits.rows());
+}
+
+#[test]
+fn subset_covers_upstreams_evenly() {
+    let names: Vec<String> = (0..1_428).map(|number| format!("u{number}")).collect();
+    let order = subset_order(names.iter().map(String::as_str));
+    let mut covered = vec![0_u32; names.len()];
+    for rank in 0..514 {
+        let chosen = subset(&order, rank, 514, 16);
+        assert_eq!(chosen.len(), 16);
+        for index in chosen {
+            covered[index] += 1;
+        }
+    }
+    let (least, most) = (covered.iter().min(), covered.iter().max());
+    assert!(least >= Some(&5) && most <= Some(&6), "{least:?} {most:?}");
+}
