--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,11 +10,13 @@
 mod server;
 mod view_watch;
 
+pub use model::DispatchNotice;
+
 pub use crate::{
     client::PeerClient,
     codec::{MESSAGE_MAX_BYTES, decode, encode},
     error::PeerError,
-    message::{DispatchNotice, PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    message::{PROTOCOL_VERSION, PeerRequest, PeerResponse},
     server::{PeerHandler, serve},
     view_watch::ViewWatch,
 };
