Add stand-ins of platform, engine and service, and the clients of both interfaces

Cause: nothing spoke the platform's and the upstreams' protocols yet. Change: hyper clients with typed failures (what was certainly not applied or not run against what is unknown), settling of lost answers by repeating the conditional transaction and reading back the caller's marker, chat streams that cancel at the engine when dropped, and stand-ins with scripted faults. A pooled connection that dies is "not sent" only if hyper reports the request as cancelled, which it does only while the request is still queued. Ruled out: treating a missing marker as "not applied" without repeating the transaction; the first attempt may still be under way.

--- /dev/null
+++ b/crates/standin/src/engine_streams.rs
@@ -0,0 +1,95 @@
+//! Sequences that an engine generates, and the streams that read them.
+
+use std::sync::Arc;
+
+use tokio::{sync::watch, time::Instant};
+use upstream::{ChatChunk, ChatRequest, Usage};
+
+use crate::answer;
+
+/// Answer to one request, fixed from the start.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) attempt_id: String,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) tokens: Vec<String>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) cached_tokens: u32,
+    pub(crate) finish_reason: &'static str,
+    /// The stream breaks once after this token.
+    pub(crate) crash_after: Option<u32>,
+}
+
+/// How far a sequence has come.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Progress {
+    pub(crate) last_token_index: u32,
+    pub(crate) is_cancelled: bool,
+}
+
+/// A sequence and its readers.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) id: u64,
+    pub(crate) answer: Arc<Answer>,
+    pub(crate) progress: watch::Sender<Progress>,
+    pub(crate) reader_count: u32,
+    /// When the last reader left or the stream was made.
+    pub(crate) unread_since: Instant,
+}
+
+impl Answer {
+    pub(crate) fn new(attempt_id: &str, request: &ChatRequest, block_tokens: u32) -> Self {
+        let prompt = answer::prompt_text(request);
+        let (prompt_tokens, _) = answer::prompt_blocks(&request.model, &prompt, block_tokens);
+        let finish_reason = if answer::is_cut_by_limit(request) {
+            "length"
+        } else {
+            "stop"
+        };
+        Self {
+            attempt_id: attempt_id.to_owned(),
+            model: request.model.clone(),
+            tokens: answer::answer_tokens(request),
+            prompt_tokens,
+            cached_tokens: 0,
+            finish_reason,
+            crash_after: answer::marker(&prompt, "crash-after"),
+            prompt,
+        }
+    }
+
+    pub(crate) fn last_index(&self) -> u32 {
+        u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Chunk of one token, or the final chunk past the last one.
+    pub(crate) fn chunk(&self, token_index: u32) -> ChatChunk {
+        let position = (token_index as usize).saturating_sub(1);
+        match self.tokens.get(position) {
+            Some(text) => ChatChunk {
+                token_index,
+                text: text.clone(),
+                finish_reason: None,
+                usage: None,
+            },
+            None => ChatChunk {
+                token_index: self.last_index(),
+                text: String::new(),
+                finish_reason: Some(self.finish_reason.to_owned()),
+                usage: Some(self.usage()),
+            },
+        }
+    }
+
+    pub(crate) fn usage(&self) -> Usage {
+        let completion_tokens = self.last_index();
+        Usage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens,
+            total_tokens: self.prompt_tokens + completion_tokens,
+            cached_tokens: self.cached_tokens,
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! Small stand-ins of the platform, of model engines and of plain services,
+//! with scripted faults, for tests and first tries.
+//!
+//! This crate exists so that the real programs meet the real protocols and
+//! real failures without the platform. Nothing here is shipped.
+
+mod answer;
+mod engine;
+mod engine_core;
+mod engine_state;
+mod engine_streams;
+mod fault;
+mod http;
+mod platform;
+mod prefix_cache;
+mod remote;
+mod service;
+mod table;
+
+pub use crate::{
+    answer::{answer_tokens, output_limit, prompt_blocks, prompt_text},
+    engine::{EngineSettings, RunCount, RunCounts, start_engine},
+    engine_core::{Emitted, EngineCore, EngineParams, SequenceRequest},
+    fault::{Fault, FaultKind, FaultScript},
+    http::Standin,
+    platform::{PlatformCounts, PlatformSettings, start_platform},
+    remote::Remote,
+    service::{ServiceCallCount, ServiceCounts, ServiceSettings, start_service},
+};
