--- /dev/null
+++ b/crates/batch/src/context.rs
@@ -0,0 +1,86 @@
+//! What every task of the program needs.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use job_store::{JobStore, StoreError};
+use jobs::{ChunkName, ChunkSpan, Claimant, Manifest};
+use model::{InstanceId, Region};
+use upstream::UpstreamClient;
+
+/// Manifests kept in memory.
+const MANIFESTS_MAX: usize = 16;
+
+/// Shared by the tasks of a batch program.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) store: JobStore,
+    pub(crate) upstreams: UpstreamClient,
+    pub(crate) instance: InstanceId,
+    pub(crate) region: Region,
+    pub(crate) lease_ms: u64,
+    pub(crate) memory_limit_bytes: usize,
+    pub(crate) manifests: Manifests,
+}
+
+/// Manifests of files read lately, the latest last.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Manifests {
+    entries: Arc<Mutex<Vec<ManifestOf>>>,
+}
+
+#[derive(Debug)]
+struct ManifestOf {
+    file: Arc<str>,
+    manifest: Arc<Manifest>,
+}
+
+impl Context {
+    /// A claim made at `now_ms`.
+    pub(crate) fn claimant(&self, now_ms: u64) -> Claimant {
+        Claimant {
+            instance: self.instance.clone(),
+            lease_until_ms: now_ms + self.lease_ms,
+        }
+    }
+
+    /// The bytes of a chunk, its first item and its number of items.
+    pub(crate) async fn span(
+        &self,
+        file: &Arc<str>,
+        chunk: ChunkName,
+    ) -> Result<(ChunkSpan, u32, u32), StoreError> {
+        let manifest = self.manifest(file).await?;
+        let index = usize::try_from(chunk.index).unwrap_or(usize::MAX);
+        let span = manifest.chunks.get(index).copied().ok_or_else(|| {
+            StoreError::Malformed(format!("chunk {chunk} is not in the manifest of {file}"))
+        })?;
+        let (first, end) = chunk.part.unwrap_or((0, span.items));
+        Ok((span, first, end.saturating_sub(first)))
+    }
+
+    async fn manifest(&self, file: &Arc<str>) -> Result<Arc<Manifest>, StoreError> {
+        if let Some(manifest) = self.manifests.find(file) {
+            return Ok(manifest);
+        }
+        let manifest = Arc::new(self.store.manifest(file).await?);
+        self.manifests
+            .insert(Arc::clone(file), Arc::clone(&manifest));
+        Ok(manifest)
+    }
+}
+
+impl Manifests {
+    fn find(&self, file: &Arc<str>) -> Option<Arc<Manifest>> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = entries.iter().find(|entry| entry.file == *file);
+        found.map(|entry| Arc::clone(&entry.manifest))
+    }
+
+    fn insert(&self, file: Arc<str>, manifest: Arc<Manifest>) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if entries.len() >= MANIFESTS_MAX {
+            entries.remove(0);
+        }
+        entries.push(ManifestOf { file, manifest });
+    }
+}
--- /dev/null
+++ b/crates/batch/src/dispatch.rs
@@ -0,0 +1,223 @@
+//! Sends one item to an upstream and collects its answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, header};
+use jobs::{ItemEnd, ItemRequest, ItemStart};
+use model::{ErrorKind, Ran};
+use policy::BatchItemId;
+use serde_json::{Map, Value, json};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+use upstream::{ChatRequest, ChatStream, ServiceCall, UpstreamClient, UpstreamError};
+use uuid::Uuid;
+
+use crate::event::Event;
+
+/// Time limit of an attempt.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_mins(5);
+/// Tokens between two reports of progress.
+const PROGRESS_TOKENS: usize = 16;
+/// Characters of a prompt that make about one token.
+const CHARS_PER_TOKEN: usize = 4;
+
+/// An attempt at an item.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) client: UpstreamClient,
+    pub(crate) address: SocketAddr,
+    pub(crate) start: ItemStart,
+    pub(crate) batch_item: BatchItemId,
+    /// Path at the service, for items that no engine runs.
+    pub(crate) service_path: Option<String>,
+    /// Whether a service call may be repeated after a failure.
+    pub(crate) is_repeatable: bool,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+}
+
+/// What an engine generated.
+#[derive(Debug, Default)]
+struct Generated {
+    tokens: Vec<String>,
+    finish_reason: Option<String>,
+    usage: Value,
+}
+
+impl Attempt {
+    /// Runs the attempt to its end, or until `withdraw` resolves.
+    pub(crate) async fn run(self, withdraw: oneshot::Receiver<()>) -> ItemEnd {
+        let attempt_id = Uuid::new_v4().to_string();
+        match &self.service_path {
+            Some(path) => self.call_service(&attempt_id, path).await,
+            None => self.complete_chat(&attempt_id, withdraw).await,
+        }
+    }
+
+    async fn complete_chat(
+        &self,
+        attempt_id: &str,
+        mut withdraw: oneshot::Receiver<()>,
+    ) -> ItemEnd {
+        let request = match chat_request(&self.start) {
+            Ok(request) => request,
+            Err(message) => return bad_request(&message),
+        };
+        let mut generated = Generated {
+            tokens: self.start.tokens.clone(),
+            ..Generated::default()
+        };
+        let deadline = Instant::now() + ATTEMPT_TIMEOUT;
+        let run = async {
+            let mut stream = self
+                .client
+                .chat(self.address, attempt_id, &request, deadline)
+                .await?;
+            self.collect(&mut stream, &mut generated).await
+        };
+        // Dropping the run cancels the stream at the engine.
+        let result = tokio::select! {
+            result = run => Some(result),
+            _ = &mut withdraw => None,
+        };
+        match result {
+            None => ItemEnd::Withdrawn {
+                tokens: generated.tokens,
+            },
+            Some(Ok(())) => ItemEnd::Answered {
+                status: 200,
+                body: completion(attempt_id, &request.model, &generated),
+            },
+            Some(Err(error)) => failed(&error, generated.tokens),
+        }
+    }
+
+    async fn collect(
+        &self,
+        stream: &mut ChatStream,
+        generated: &mut Generated,
+    ) -> Result<(), UpstreamError> {
+        let mut received = 0;
+        while let Some(chunk) = stream.next().await? {
+            if chunk.finish_reason.is_some() {
+                generated.finish_reason = chunk.finish_reason;
+                generated.usage = json!(chunk.usage);
+                continue;
+            }
+            generated.tokens.push(chunk.text);
+            if received % PROGRESS_TOKENS == 0 {
+                // The worker may have ended.
+                let _ = self.events.send(Event::ItemProgressed(self.batch_item));
+            }
+            received += 1;
+        }
+        Ok(())
+    }
+
+    async fn call_service(&self, attempt_id: &str, path: &str) -> ItemEnd {
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        let body = Value::Object(self.start.request.body.clone()).to_string();
+        let call = ServiceCall {
+            method: Method::POST,
+            path_and_query: path.to_owned(),
+            headers,
+            body: Bytes::from(body),
+        };
+        let deadline = Instant::now() + ATTEMPT_TIMEOUT;
+        match self
+            .client
+            .call(self.address, attempt_id, call, deadline)
+            .await
+        {
+            Ok(answer) if answer.status.is_server_error() && self.is_repeatable => {
+                ItemEnd::Failed {
+                    kind: ErrorKind::UpstreamFailed,
+                    tokens: Vec::new(),
+                }
+            }
+            Ok(answer) => {
+                let body = serde_json::from_slice(&answer.body)
+                    .unwrap_or_else(|_| Value::from(String::from_utf8_lossy(&answer.body)));
+                ItemEnd::Answered {
+                    status: answer.status.as_u16(),
+                    body,
+                }
+            }
+            Err(error) => failed(&error, Vec::new()),
+        }
+    }
+}
+
+/// A rough count of the tokens of a prompt.
+pub(crate) fn prompt_tokens(request: &ItemRequest) -> u32 {
+    let chars = request
+        .body
+        .get("messages")
+        .map_or(0, |messages| messages.to_string().len());
+    u32::try_from(chars / CHARS_PER_TOKEN).unwrap_or(u32::MAX)
+}
+
+/// Model that an item names.
+pub(crate) fn model_of(request: &ItemRequest) -> Option<&str> {
+    request.body.get("model").and_then(Value::as_str)
+}
+
+fn chat_request(start: &ItemStart) -> Result<ChatRequest, String> {
+    let mut body: Map<String, Value> = start.request.body.clone();
+    body.insert("stream".to_owned(), Value::Bool(true));
+    let mut request: ChatRequest =
+        serde_json::from_value(Value::Object(body)).map_err(|error| error.to_string())?;
+    request.continue_from_tokens.clone_from(&start.tokens);
+    Ok(request)
+}
+
+fn bad_request(message: &str) -> ItemEnd {
+    let answer = ErrorKind::InvalidRequest.answer();
+    ItemEnd::Answered {
+        status: answer.status,
+        body: json!({"error": {
+            "message": message,
+            "type": "invalid_request_error",
+            "param": "body",
+            "code": answer.code,
+        }}),
+    }
+}
+
+fn failed(error: &UpstreamError, tokens: Vec<String>) -> ItemEnd {
+    if error.ran() == Ran::No {
+        return ItemEnd::NotRun(error.kind);
+    }
+    match error.status {
+        // The upstream understood the request and will not run it.
+        Some(status) if (400..500).contains(&status) => ItemEnd::Answered {
+            status,
+            body: json!({"error": {"message": error.message}}),
+        },
+        _ => ItemEnd::Failed {
+            kind: error.kind,
+            tokens,
+        },
+    }
+}
+
+fn completion(id: &str, model: &str, generated: &Generated) -> Value {
+    json!({
+        "id": format!("chatcmpl-{id}"),
+        "object": "chat.completion",
+        "created": job_store::unix_ms() / 1_000,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": generated.tokens.concat()},
+            "finish_reason": generated.finish_reason.as_deref().unwrap_or("stop"),
+        }],
+        "usage": generated.usage,
+    })
+}
--- /dev/null
+++ b/crates/batch/src/held.rs
@@ -0,0 +1,83 @@
+//! The table of held chunks.
+
+use jobs::{ChunkRun, HeldChunk, ItemRecord};
+use policy::BatchItemId;
+use tokio::sync::oneshot;
+
+use crate::event::{HeldId, WriteKind};
+
+/// A chunk that this process holds.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) id: HeldId,
+    pub(crate) chunk: HeldChunk,
+    pub(crate) endpoint: String,
+    pub(crate) deadline_ms: u64,
+    pub(crate) is_repeatable: bool,
+    /// It may not be run beside any other chunk.
+    pub(crate) is_alone: bool,
+    /// The items, once they are read.
+    pub(crate) run: Option<ChunkRun>,
+    pub(crate) is_loading: bool,
+    pub(crate) load_at_ms: u64,
+    /// Length of its lines, bytes.
+    pub(crate) line_bytes: usize,
+    pub(crate) leased_at_ms: u64,
+    /// Records in its latest partial result.
+    pub(crate) recorded: usize,
+    /// The write under way.
+    pub(crate) write: Option<WriteKind>,
+    pub(crate) running: Vec<Running>,
+}
+
+/// An attempt under way. Dropping it withdraws the item.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) batch_item: BatchItemId,
+    withdraw: Option<oneshot::Sender<()>>,
+}
+
+impl Running {
+    pub(crate) fn new(batch_item: BatchItemId, withdraw: oneshot::Sender<()>) -> Self {
+        Self {
+            batch_item,
+            withdraw: Some(withdraw),
+        }
+    }
+
+    /// Takes the item back; its end is reported as usual.
+    pub(crate) fn withdraw(&mut self) {
+        self.withdraw = None;
+    }
+}
+
+impl Held {
+    /// Whether every item has its record.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.run.as_ref().is_some_and(ChunkRun::is_complete)
+    }
+
+    /// Records of its items so far.
+    pub(crate) fn records(&self) -> Vec<ItemRecord> {
+        let run = self.run.iter();
+        run.flat_map(ChunkRun::records).cloned().collect()
+    }
+
+    /// Number of items that have a record.
+    pub(crate) fn record_count(&self) -> usize {
+        let run = self.run.iter();
+        run.flat_map(ChunkRun::records).count()
+    }
+
+    /// Number of items that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.run.as_ref().map_or(0, ChunkRun::waiting)
+    }
+
+    /// Memory that it takes, roughly.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let records = self.run.as_ref().map_or(0, ChunkRun::record_bytes);
+        // Parsed requests take about as much again as their lines.
+        self.line_bytes * 2 + records
+    }
+}
--- /dev/null
+++ b/crates/batch/src/open_table.rs
@@ -0,0 +1,59 @@
+//! The table of open jobs that the worker knows of.
+
+use jobs::OpenJob;
+
+use crate::event::OpenPage;
+
+/// Open jobs, sorted by key.
+#[derive(Debug, Default)]
+pub(crate) struct OpenTable {
+    jobs: Vec<OpenJob>,
+}
+
+impl OpenTable {
+    /// The jobs.
+    pub(crate) fn jobs(&self) -> &[OpenJob] {
+        &self.jobs
+    }
+
+    /// Replaces the jobs between the ends of a page.
+    pub(crate) fn merge(&mut self, page: OpenPage) {
+        let is_in_page = |key: &str| {
+            page.after.as_deref().is_none_or(|after| key > after)
+                && page.next.as_deref().is_none_or(|next| key <= next)
+        };
+        let known = std::mem::take(&mut self.jobs);
+        let mut fresh = page.jobs;
+        for job in known {
+            match fresh.iter_mut().find(|other| other.key == job.key) {
+                // A claim may have seen a later version than the page.
+                Some(other) if other.version < job.version => *other = job,
+                Some(_) => {}
+                None if is_in_page(&job.key) => {}
+                None => fresh.push(job),
+            }
+        }
+        fresh.sort_unstable_by(|a, b| a.key.cmp(&b.key));
+        self.jobs = fresh;
+    }
+
+    /// Replaces one job, unless a later version of it is known.
+    pub(crate) fn put(&mut self, job: OpenJob) {
+        match self.find(&job.key) {
+            Ok(index) if self.jobs[index].version > job.version => {}
+            Ok(index) => self.jobs[index] = job,
+            Err(index) => self.jobs.insert(index, job),
+        }
+    }
+
+    /// Removes a job that has ended.
+    pub(crate) fn remove(&mut self, key: &str) {
+        if let Ok(index) = self.find(key) {
+            self.jobs.remove(index);
+        }
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.jobs.binary_search_by(|job| job.key.as_str().cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/batch/src/program.rs
@@ -0,0 +1,143 @@
+//! Starts and stops the batch program.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use job_store::JobStore;
+use model::{InstanceEntry, InstanceRole, Liveness};
+use peer::{PeerClient, PeerHandler, PeerRequest, PeerResponse, ViewWatch};
+use platform::Platform;
+use process::Shutdown;
+use thiserror::Error;
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
+use upstream::UpstreamClient;
+use uuid::Uuid;
+
+use crate::{
+    BatchSettings,
+    context::{Context, Manifests},
+    event::Event,
+    worker::Worker,
+};
+
+/// A running batch program.
+#[derive(Debug)]
+pub struct Batch {
+    peer_address: SocketAddr,
+    view: ViewWatch,
+    store: JobStore,
+    shutdown: Shutdown,
+    worker: JoinHandle<()>,
+}
+
+/// Why a batch program cannot start.
+#[derive(Debug, Error)]
+pub enum BatchError {
+    /// The address for peers cannot be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+impl Batch {
+    /// Starts to work as soon as the control program tells of a fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address for peers cannot be bound.
+    pub async fn start(settings: &BatchSettings) -> Result<Self, BatchError> {
+        let address = settings.peer_listen;
+        let listen_error = |source| BatchError::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen_error)?;
+        let peer_address = listener.local_addr().map_err(listen_error)?;
+        let own = InstanceEntry {
+            id: settings.instance_id.clone(),
+            role: InstanceRole::Batch,
+            peer_address: peer_address.to_string(),
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            liveness: Liveness::Live,
+            incarnation: 0,
+        };
+        let control = settings.control.to_string();
+        let view = ViewWatch::start(&control, own, PeerClient::new());
+        let store = JobStore::new(Platform::new(settings.platform), random());
+        let context = Context {
+            store: store.clone(),
+            upstreams: UpstreamClient::new(),
+            instance: settings.instance_id.clone(),
+            region: settings.region.clone(),
+            lease_ms: settings.lease_ms,
+            memory_limit_bytes: settings.memory_limit_bytes,
+            manifests: Manifests::default(),
+        };
+        let (events, received) = mpsc::unbounded_channel();
+        let handler = Arc::new(Peers {
+            events: events.clone(),
+        });
+        tokio::spawn(peer::serve(listener, handler, std::future::pending()));
+        let shutdown = Shutdown::new();
+        let worker = Worker::new(context, view.subscribe(), events);
+        let worker = tokio::spawn(worker.run(received, shutdown.clone()));
+        Ok(Self {
+            peer_address,
+            view,
+            store,
+            shutdown,
+            worker,
+        })
+    }
+
+    /// Address that peers reach.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Access to the platform, for its counts.
+    #[must_use]
+    pub fn store(&self) -> &JobStore {
+        &self.store
+    }
+
+    /// Resolves once a configuration has been received.
+    pub async fn configured(&self) {
+        self.view.configured().await;
+    }
+
+    /// Lets running items end, gives leases back and ends.
+    pub async fn stop(self) {
+        self.view.set_liveness(Liveness::Leaving);
+        self.shutdown.begin();
+        if let Err(error) = self.worker.await {
+            log::error!("event=worker_failed error={}", process::quote(&error));
+        }
+    }
+}
+
+struct Peers {
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl PeerHandler for Peers {
+    async fn handle(&self, request: PeerRequest) -> PeerResponse {
+        let event = match request {
+            PeerRequest::CancelJob(job) => Event::JobCancelled(job),
+            PeerRequest::Notices(notices) => Event::Noticed(notices),
+            _ => return PeerResponse::Refused(model::ErrorKind::InvalidRequest),
+        };
+        match self.events.send(event) {
+            Ok(()) => PeerResponse::Ack,
+            Err(_) => PeerResponse::Refused(model::ErrorKind::Stopping),
+        }
+    }
+}
+
+/// A random number that identifies this process.
+fn random() -> u64 {
+    let (high, low) = Uuid::new_v4().as_u64_pair();
+    high ^ low
+}
--- /dev/null
+++ b/crates/batch/src/schedule.rs
@@ -0,0 +1,357 @@
+//! What the worker claims and which items it starts.
+
+use std::sync::Arc;
+
+use job_store::unix_ms;
+use jobs::{
+    Chooser, ChunkName, Deferral, ItemRequest, ItemStart, OpenJob, Work, WorkKind, choose_work,
+};
+use model::{InstanceId, JobId, ModelName, UpstreamKind};
+use policy::{BatchItemId, Urgency};
+use tokio::sync::oneshot;
+
+use crate::{
+    claims::{self, Holdings},
+    dispatch::{self, Attempt},
+    event::{Event, HeldId, ItemEnded},
+    held::{Held, Running},
+    windows,
+    worker::Worker,
+};
+
+/// Reads a second that all batch processes together spend on finding jobs.
+const POLL_READS_PER_S: u64 = 200;
+/// Shortest time between two looks for jobs, milliseconds.
+const POLL_MIN_MS: u64 = 500;
+/// Longest time between two looks for jobs, milliseconds.
+const POLL_MAX_MS: u64 = 20_000;
+/// Items that wait, per owned upstream, below which another chunk is claimed.
+const WAITING_PER_UPSTREAM: usize = 100;
+/// Most chunks held at once, for each owned upstream.
+const HELD_PER_UPSTREAM: usize = 2;
+/// Chunks held at once beyond that.
+const HELD_MORE: usize = 2;
+/// Time over which the rate of items is observed, milliseconds.
+const RATE_WINDOW_MS: u64 = 5_000;
+/// Prefix of the endpoints of plain services.
+const SERVICE_PREFIX: &str = "/services/";
+/// Parts of an item in which rates are counted, so that slow ones do not
+/// round to zero.
+const ITEM_PARTS: u64 = 1_000;
+const MS_PER_S: u64 = 1_000;
+const US_PER_MS: u64 = 1_000;
+
+impl Worker {
+    /// Looks for open jobs and claims work if there is room.
+    pub(crate) fn look_for_work(&mut self, now_ms: u64) {
+        let view = Arc::clone(&self.view.borrow());
+        let peers = windows::batch_peers(&view, &self.context.instance, None);
+        self.observe_rate(peers.len(), now_ms);
+        if now_ms >= self.schedule.poll_at_ms && !self.schedule.is_polling {
+            self.poll(peers.len(), now_ms);
+        }
+        if self.schedule.is_claiming || now_ms < self.schedule.claim_at_ms {
+            return;
+        }
+        if let Some(work) = self.choose(&peers, now_ms) {
+            self.claim(work);
+        }
+    }
+
+    /// Starts items as far as the windows allow, and takes back what they ask
+    /// for.
+    pub(crate) fn start_items(&mut self, now_ms: u64) {
+        let urgency = self.urgency(now_ms);
+        self.held.sort_by_key(|held| held.deadline_ms);
+        let used: usize = self.held.iter().map(Held::memory_bytes).sum();
+        let has_memory = used < self.context.memory_limit_bytes;
+        for index in 0..self.windows.owned().len() {
+            let plan = self.windows.plan(index, urgency, self.now_us());
+            for item in &plan.cancel {
+                self.withdraw(*item);
+            }
+            if !has_memory {
+                continue;
+            }
+            let mut prompt_tokens = 0;
+            for started in 0..plan.start_items {
+                if started > 0 && prompt_tokens >= plan.start_prompt_tokens {
+                    break;
+                }
+                match self.start_one(index, now_ms) {
+                    Some(tokens) => prompt_tokens += tokens,
+                    None => break,
+                }
+            }
+        }
+    }
+
+    /// Whether items of a chunk may start.
+    pub(crate) fn may_start(&self, held: &Held, now_ms: u64) -> bool {
+        self.watch_list.may_start(&held.chunk.job, now_ms)
+    }
+
+    /// Whether calls to an endpoint may be repeated after they may have run.
+    pub(crate) fn is_repeatable(&self, endpoint: &str) -> bool {
+        let Some(service) = service_of(endpoint) else {
+            return true;
+        };
+        let view = self.view.borrow();
+        match view
+            .config
+            .service_class(service)
+            .map(|class| &class.target)
+        {
+            Some(model::ClassTarget::Service(target)) => target.idempotent,
+            _ => false,
+        }
+    }
+
+    /// Remembers when to look at a chunk or job again.
+    pub(crate) fn defer(&mut self, deferral: Deferral) {
+        let same = self
+            .deferrals
+            .iter_mut()
+            .find(|entry| entry.job == deferral.job && entry.chunk == deferral.chunk);
+        match same {
+            Some(entry) => *entry = deferral,
+            None => self.deferrals.push(deferral),
+        }
+    }
+
+    /// Forgets deferrals of jobs that are no longer open.
+    pub(crate) fn forget_old(&mut self, now_ms: u64) {
+        let open = self.open.jobs();
+        let is_open = |job: &JobId| open.iter().any(|other| other.row.job == *job);
+        self.deferrals
+            .retain(|entry| entry.until_ms > now_ms && is_open(&entry.job));
+        self.done.retain(|(job, _)| is_open(job));
+    }
+
+    /// Looks at once whether a job is complete.
+    pub(crate) fn check_finished(&mut self, job: &JobId, now_ms: u64) {
+        let is_last = self
+            .open
+            .jobs()
+            .iter()
+            .any(|open| open.row.job == *job && open.row.cursor >= open.row.chunks);
+        if is_last {
+            self.defer(Deferral {
+                job: job.clone(),
+                chunk: None,
+                until_ms: now_ms,
+            });
+        }
+    }
+
+    fn poll(&mut self, peers: usize, now_ms: u64) {
+        let peers = u64::try_from(peers).unwrap_or(u64::MAX);
+        let interval_ms = (peers * MS_PER_S / POLL_READS_PER_S).clamp(POLL_MIN_MS, POLL_MAX_MS);
+        self.schedule.poll_at_ms = now_ms + interval_ms;
+        self.schedule.is_polling = true;
+        self.schedule.polls += 1;
+        // Every other page begins with the most urgent jobs.
+        let after = if self.schedule.polls.is_multiple_of(2) {
+            self.schedule.next_page.take()
+        } else {
+            None
+        };
+        let context = self.context.clone();
+        self.spawn(async move { Event::Polled(claims::poll(&context, after).await) });
+    }
+
+    fn choose(&self, peers: &[InstanceId], now_ms: u64) -> Option<Work> {
+        let runnable: Vec<bool> = self
+            .open
+            .jobs()
+            .iter()
+            .map(|job| self.can_run(job))
+            .collect();
+        let held: Vec<(JobId, ChunkName)> = self
+            .held
+            .iter()
+            .map(|held| (held.chunk.job.clone(), held.chunk.chunk))
+            .collect();
+        let chooser = Chooser {
+            instance: &self.context.instance,
+            peers,
+            deferrals: &self.deferrals,
+            runnable: &runnable,
+            has_room: self.has_room(),
+            held: &held,
+            item_us: self.schedule.item_us,
+            now_ms,
+        };
+        choose_work(self.open.jobs(), &chooser)
+    }
+
+    fn claim(&mut self, work: Work) {
+        self.schedule.is_claiming = true;
+        let job = self.open.jobs()[work.job].clone();
+        if work.kind == WorkKind::Finish {
+            self.defer(Deferral {
+                job: job.row.job.clone(),
+                chunk: None,
+                until_ms: unix_ms() + MS_PER_S,
+            });
+        }
+        let of_job = self.done.iter().filter(|(id, _)| *id == job.row.job);
+        let done: Vec<ChunkName> = of_job.map(|(_, chunk)| *chunk).collect();
+        let holdings = Holdings {
+            has_suspect: self.held.iter().any(|held| held.chunk.row.is_suspect()),
+            is_empty: self.held.is_empty(),
+        };
+        let context = self.context.clone();
+        self.spawn(async move {
+            let key = job.key.clone();
+            let result = claims::claim(&context, job, work.kind, &done, holdings).await;
+            Event::Claimed { key, result }
+        });
+    }
+
+    fn can_run(&self, job: &OpenJob) -> bool {
+        let service = service_of(&job.row.endpoint);
+        self.windows.can_run(&job.row.models, service)
+    }
+
+    fn has_room(&self) -> bool {
+        if self.schedule.is_draining || self.held.iter().any(|held| held.is_alone) {
+            return self.held.is_empty();
+        }
+        let upstreams = self.windows.owned().len();
+        let waiting: usize = self.held.iter().map(Held::waiting).sum();
+        let is_loading = self.held.iter().any(|held| held.run.is_none());
+        let memory_bytes: usize = self.held.iter().map(Held::memory_bytes).sum();
+        !is_loading
+            && waiting < WAITING_PER_UPSTREAM * upstreams
+            && self.held.len() < HELD_PER_UPSTREAM * upstreams + HELD_MORE
+            && memory_bytes < self.context.memory_limit_bytes / 2
+    }
+
+    /// Starts an item at an upstream and returns its prompt tokens.
+    fn start_one(&mut self, index: usize, now_ms: u64) -> Option<u32> {
+        let kind = self.windows.owned()[index].kind.clone();
+        let (held, start) = self.take_item(&kind, now_ms)?;
+        let prompt_tokens = dispatch::prompt_tokens(&start.request);
+        let started_at_us = self.now_us();
+        self.last_id += 1;
+        let batch_item: BatchItemId = self.last_id;
+        self.windows
+            .on_started(index, batch_item, prompt_tokens, started_at_us);
+        self.send(index, held, start, batch_item);
+        Some(prompt_tokens)
+    }
+
+    /// Finds the next item that an upstream of this kind can run.
+    fn take_item(&mut self, kind: &UpstreamKind, now_ms: u64) -> Option<(HeldId, ItemStart)> {
+        for index in 0..self.held.len() {
+            if !self.may_start(&self.held[index], now_ms) {
+                continue;
+            }
+            let held = &mut self.held[index];
+            let service = service_of(&held.endpoint);
+            let fits = |request: &ItemRequest| match (kind, service) {
+                (UpstreamKind::Service { service: name }, Some(service)) => {
+                    name.as_str() == service
+                }
+                (UpstreamKind::Engine { models }, None) => serves(models, request),
+                _ => false,
+            };
+            let Some(run) = &mut held.run else { continue };
+            if let Some(start) = run.start_next(&held.chunk.row, now_ms, fits) {
+                return Some((held.id, start));
+            }
+        }
+        None
+    }
+
+    fn send(&mut self, index: usize, id: HeldId, start: ItemStart, batch_item: BatchItemId) {
+        let Some(held) = self.held.iter_mut().find(|held| held.id == id) else {
+            return;
+        };
+        let (withdraw, withdrawn) = oneshot::channel();
+        let (item, attempt) = (start.item, start.attempt);
+        held.running.push(Running::new(batch_item, withdraw));
+        let attempt_to_run = Attempt {
+            client: self.context.upstreams.clone(),
+            address: self.windows.owned()[index].address,
+            start,
+            batch_item,
+            service_path: service_path(&held.endpoint),
+            is_repeatable: held.is_repeatable,
+            events: self.events.clone(),
+        };
+        self.spawn(async move {
+            let end = attempt_to_run.run(withdrawn).await;
+            Event::ItemEnded(ItemEnded {
+                held: id,
+                item,
+                attempt,
+                batch_item,
+                end,
+            })
+        });
+    }
+
+    fn withdraw(&mut self, item: BatchItemId) {
+        let mut running = self.held.iter_mut().flat_map(|held| &mut held.running);
+        if let Some(running) = running.find(|running| running.batch_item == item) {
+            running.withdraw();
+        }
+    }
+
+    fn urgency(&self, now_ms: u64) -> Urgency {
+        if self.schedule.item_us == 0 {
+            return Urgency::NONE;
+        }
+        let parts_per_s = ITEM_PARTS * 1_000_000 / self.schedule.item_us;
+        let of_job = |job: &OpenJob| {
+            let unclaimed = u64::from(job.row.chunks - job.row.cursor);
+            let items = u64::from(job.row.items) * unclaimed / u64::from(job.row.chunks.max(1));
+            let deadline_us = job.row.deadline_ms * US_PER_MS;
+            Urgency::new(
+                items * ITEM_PARTS,
+                parts_per_s,
+                deadline_us,
+                now_ms * US_PER_MS,
+            )
+        };
+        let urgencies = self.open.jobs().iter().map(of_job);
+        urgencies.fold(Urgency::NONE, Urgency::max)
+    }
+
+    fn observe_rate(&mut self, peers: usize, now_ms: u64) {
+        let schedule = &mut self.schedule;
+        let passed_ms = now_ms.saturating_sub(schedule.rate_since_ms);
+        if passed_ms < RATE_WINDOW_MS {
+            return;
+        }
+        let fleet_items = schedule.ended_items * u64::try_from(peers).unwrap_or(u64::MAX);
+        if let Some(item_us) = (passed_ms * US_PER_MS).checked_div(fleet_items)
+            && schedule.rate_since_ms > 0
+        {
+            schedule.item_us = item_us.max(1);
+        }
+        schedule.rate_since_ms = now_ms;
+        schedule.ended_items = 0;
+    }
+}
+
+/// Service that an endpoint belongs to.
+fn service_of(endpoint: &str) -> Option<&str> {
+    endpoint.strip_prefix(SERVICE_PREFIX)?.split('/').next()
+}
+
+/// Path of an endpoint at its service.
+fn service_path(endpoint: &str) -> Option<String> {
+    let rest = endpoint.strip_prefix(SERVICE_PREFIX)?;
+    let path = rest.split_once('/').map_or("", |(_, path)| path);
+    Some(format!("/{path}"))
+}
+
+/// Whether an engine with these models can run an item. One that names no
+/// model is refused by any engine, which ends it.
+fn serves(models: &[ModelName], request: &ItemRequest) -> bool {
+    dispatch::model_of(request)
+        .is_none_or(|model| models.iter().any(|loaded| loaded.as_str() == model))
+}
--- /dev/null
+++ b/crates/batch/src/watch_list.rs
@@ -0,0 +1,100 @@
+//! Watches whether the jobs of held chunks are still open.
+//!
+//! A cancellation is told to holders at once, but the message may be lost.
+//! With the platform up, no item starts unless the job was seen open less than
+//! a second ago.
+
+use job_store::StoreError;
+use model::JobId;
+
+/// Time between two checks of a job, milliseconds.
+const CHECK_INTERVAL_MS: u64 = 400;
+/// Age of a successful check up to which items may start, milliseconds.
+const CHECK_MAX_AGE_MS: u64 = 900;
+
+/// Jobs of held chunks.
+#[derive(Debug, Default)]
+pub(crate) struct WatchList {
+    jobs: Vec<WatchedJob>,
+}
+
+#[derive(Debug)]
+struct WatchedJob {
+    job: JobId,
+    /// Time at which the last check that found the job open began.
+    open_at_ms: u64,
+    next_check_at_ms: u64,
+    is_checking: bool,
+    is_platform_away: bool,
+}
+
+impl WatchList {
+    /// Watches a job that was found open at `now_ms`.
+    pub(crate) fn watch(&mut self, job: &JobId, now_ms: u64) {
+        match self.find(job) {
+            Ok(index) => self.jobs[index].open_at_ms = now_ms.max(self.jobs[index].open_at_ms),
+            Err(index) => self.jobs.insert(
+                index,
+                WatchedJob {
+                    job: job.clone(),
+                    open_at_ms: now_ms,
+                    next_check_at_ms: now_ms + CHECK_INTERVAL_MS,
+                    is_checking: false,
+                    is_platform_away: false,
+                },
+            ),
+        }
+    }
+
+    /// Forgets jobs of which no chunk is held.
+    pub(crate) fn retain(&mut self, is_held: impl Fn(&JobId) -> bool) {
+        self.jobs.retain(|watched| is_held(&watched.job));
+    }
+
+    /// Whether items of a job may start.
+    pub(crate) fn may_start(&self, job: &JobId, now_ms: u64) -> bool {
+        let Ok(index) = self.find(job) else {
+            return false;
+        };
+        let watched = &self.jobs[index];
+        watched.is_platform_away || now_ms < watched.open_at_ms + CHECK_MAX_AGE_MS
+    }
+
+    /// Jobs whose check is due; they count as being checked from now on.
+    pub(crate) fn take_due(&mut self, now_ms: u64) -> Vec<JobId> {
+        let due = self
+            .jobs
+            .iter_mut()
+            .filter(|watched| !watched.is_checking && watched.next_check_at_ms <= now_ms);
+        due.map(|watched| {
+            watched.is_checking = true;
+            watched.job.clone()
+        })
+        .collect()
+    }
+
+    /// Takes the result of a check that began at `began_at_ms`.
+    pub(crate) fn on_checked(
+        &mut self,
+        job: &JobId,
+        began_at_ms: u64,
+        result: &Result<bool, StoreError>,
+        now_ms: u64,
+    ) {
+        let Ok(index) = self.find(job) else { return };
+        let watched = &mut self.jobs[index];
+        watched.is_checking = false;
+        watched.next_check_at_ms = (began_at_ms + CHECK_INTERVAL_MS).max(now_ms);
+        watched.is_platform_away = matches!(result, Err(StoreError::Unavailable));
+        if matches!(result, Ok(true)) {
+            watched.open_at_ms = watched.open_at_ms.max(began_at_ms);
+        }
+        if result.is_err() {
+            watched.next_check_at_ms = now_ms + CHECK_INTERVAL_MS;
+        }
+    }
+
+    fn find(&self, job: &JobId) -> Result<usize, usize> {
+        self.jobs.binary_search_by(|watched| watched.job.cmp(job))
+    }
+}
--- /dev/null
+++ b/crates/batch/src/windows.rs
@@ -0,0 +1,186 @@
+//! The batch windows of the upstreams that this process owns.
+//!
+//! Each upstream has one owner among the batch processes of its region, by
+//! rendezvous hash. While two views differ an upstream may have two owners,
+//! which costs online latency for a moment and never correctness.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jobs::rendezvous_rank;
+use model::{InstanceId, InstanceRole, Liveness, Region, UpstreamEntry, UpstreamId, UpstreamKind};
+use model::{ModelName, View};
+use peer::DispatchNotice;
+use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
+
+/// Calls in flight at a plain service.
+const SERVICE_CALLS_MAX: u32 = 4;
+
+/// Windows of the owned upstreams, sorted by upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Windows {
+    owned: Vec<Owned>,
+}
+
+/// An owned upstream.
+#[derive(Debug)]
+pub(crate) struct Owned {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) address: SocketAddr,
+    pub(crate) kind: UpstreamKind,
+    window: BatchWindow,
+    items: Vec<BatchItemId>,
+    /// It takes no new work; its window ends with its last item.
+    is_leaving: bool,
+}
+
+impl Windows {
+    /// The owned upstreams.
+    pub(crate) fn owned(&self) -> &[Owned] {
+        &self.owned
+    }
+
+    /// Takes a new view. Windows of upstreams that are no longer owned stay
+    /// until their items have ended.
+    pub(crate) fn on_view(&mut self, view: &View, instance: &InstanceId, region: &Region) {
+        for owned in &mut self.owned {
+            owned.is_leaving = true;
+        }
+        let peers = batch_peers(view, instance, Some(region));
+        for entry in &view.upstreams {
+            let is_usable = entry.region == *region && entry.liveness == Liveness::Live;
+            let key = format!("window/{}", entry.id);
+            if is_usable && rendezvous_rank(instance, &peers, &key) == 0 {
+                self.own(entry);
+            }
+        }
+        self.owned
+            .retain(|owned| !owned.is_leaving || !owned.items.is_empty());
+    }
+
+    /// Whether an owned upstream can run items with one of these models, or of
+    /// this service.
+    pub(crate) fn can_run(&self, models: &[ModelName], service: Option<&str>) -> bool {
+        self.owned.iter().any(|owned| {
+            !owned.is_leaving
+                && match (&owned.kind, service) {
+                    (UpstreamKind::Service { service: name }, Some(service)) => {
+                        name.as_str() == service
+                    }
+                    (UpstreamKind::Engine { models: loaded }, None) => {
+                        models.is_empty() || models.iter().any(|model| loaded.contains(model))
+                    }
+                    _ => false,
+                }
+        })
+    }
+
+    /// Decides what to start and cancel at the upstream with this index.
+    pub(crate) fn plan(&mut self, index: usize, urgency: Urgency, now_us: u64) -> WindowPlan {
+        let owned = &mut self.owned[index];
+        owned.window.set_urgency(urgency);
+        let mut plan = owned.window.tick(now_us);
+        if let UpstreamKind::Service { .. } = owned.kind {
+            let in_flight = u32::try_from(owned.items.len()).unwrap_or(u32::MAX);
+            plan.start_items = SERVICE_CALLS_MAX.saturating_sub(in_flight);
+            plan.cancel.clear();
+        }
+        if owned.is_leaving {
+            plan.start_items = 0;
+        }
+        plan
+    }
+
+    pub(crate) fn on_started(
+        &mut self,
+        index: usize,
+        item: BatchItemId,
+        prompt_tokens: u32,
+        now_us: u64,
+    ) {
+        let owned = &mut self.owned[index];
+        owned.items.push(item);
+        owned.window.on_batch_started(item, prompt_tokens, now_us);
+    }
+
+    pub(crate) fn on_progress(&mut self, item: BatchItemId, now_us: u64) {
+        if let Some(owned) = self.of_item(item) {
+            owned.window.on_batch_progress(item, now_us);
+        }
+    }
+
+    pub(crate) fn on_ended(&mut self, item: BatchItemId, now_us: u64) {
+        if let Some(owned) = self.of_item(item) {
+            owned.window.on_batch_ended(item, now_us);
+            owned.items.retain(|other| *other != item);
+        }
+    }
+
+    pub(crate) fn on_notices(&mut self, notices: &[DispatchNotice], now_us: u64) {
+        for notice in notices {
+            let owned = self
+                .owned
+                .iter_mut()
+                .find(|owned| owned.upstream == notice.upstream);
+            if let Some(owned) = owned {
+                owned.window.on_notice(notice, now_us);
+            }
+        }
+    }
+
+    fn own(&mut self, entry: &UpstreamEntry) {
+        let Ok(address) = entry.address.parse() else {
+            log::warn!(
+                "event=upstream_address_malformed upstream={} address={:?}",
+                entry.id,
+                entry.address
+            );
+            return;
+        };
+        match self
+            .owned
+            .binary_search_by(|owned| owned.upstream.cmp(&entry.id))
+        {
+            Ok(index) => {
+                let owned = &mut self.owned[index];
+                owned.is_leaving = false;
+                owned.address = address;
+                owned.kind = entry.kind.clone();
+            }
+            Err(index) => self.owned.insert(
+                index,
+                Owned {
+                    upstream: entry.id.clone(),
+                    address,
+                    kind: entry.kind.clone(),
+                    window: BatchWindow::new(entry.id.clone()),
+                    items: Vec::new(),
+                    is_leaving: false,
+                },
+            ),
+        }
+    }
+
+    fn of_item(&mut self, item: BatchItemId) -> Option<&mut Owned> {
+        self.owned
+            .iter_mut()
+            .find(|owned| owned.items.contains(&item))
+    }
+}
+
+/// Batch processes that take work, sorted, with this one among them.
+pub(crate) fn batch_peers(
+    view: &View,
+    instance: &InstanceId,
+    region: Option<&Region>,
+) -> Arc<[InstanceId]> {
+    let live = view.instances.iter().filter(|entry| {
+        entry.role == InstanceRole::Batch
+            && entry.liveness == Liveness::Live
+            && region.is_none_or(|region| entry.region == *region)
+    });
+    let mut peers: Vec<_> = live.map(|entry| entry.id.clone()).collect();
+    if let Err(index) = peers.binary_search(instance) {
+        peers.insert(index, instance.clone());
+    }
+    Arc::from(peers)
+}
--- /dev/null
+++ b/crates/batch/src/writes.rs
@@ -0,0 +1,85 @@
+//! Tasks that write a held chunk: renewal with a partial result, commit and
+//! hand-back.
+
+use bytes::Bytes;
+use job_store::JobStore;
+use jobs::{
+    ChunkResult, HeldChunk, ItemRecord, LeaseWrite, OpId, PartialRef, Priority, Progress, Verdict,
+};
+
+use crate::context::Context;
+
+/// Records the progress of a chunk and keeps or gives back its lease.
+pub(crate) async fn record_progress(
+    context: &Context,
+    chunk: &HeldChunk,
+    mut progress: Progress,
+    records: Vec<ItemRecord>,
+    lease_until_ms: Option<u64>,
+) -> (LeaseWrite, Verdict) {
+    let store = &context.store;
+    let op = store.next_op();
+    if !records.is_empty() {
+        let name = chunk.object_name("partial", op);
+        let bytes = serde_json::to_vec(&records).unwrap_or_default();
+        store.put_object_surely(&name, Bytes::from(bytes)).await;
+        progress.partial = Some(PartialRef { name });
+    }
+    let write = match lease_until_ms {
+        Some(lease_until_ms) => chunk.plan_renew(op, &context.instance, lease_until_ms, progress),
+        None => chunk.plan_hand_back(op, progress),
+    };
+    let verdict = store.settle(write.settle.clone(), Priority::Commit).await;
+    remove_superseded(store, chunk, &write, verdict);
+    (write, verdict)
+}
+
+/// Writes the results of a chunk and commits them.
+pub(crate) async fn commit(
+    context: &Context,
+    chunk: &HeldChunk,
+    records: Vec<ItemRecord>,
+) -> (LeaseWrite, Verdict) {
+    let store = &context.store;
+    let op = store.next_op();
+    let write = chunk.plan_commit(op, put_result(store, chunk, op, &records).await);
+    drop(records);
+    let verdict = store.settle(write.settle.clone(), Priority::Commit).await;
+    remove_superseded(store, chunk, &write, verdict);
+    (write, verdict)
+}
+
+async fn put_result(
+    store: &JobStore,
+    chunk: &HeldChunk,
+    op: OpId,
+    records: &[ItemRecord],
+) -> ChunkResult {
+    let (errors, output): (Vec<_>, Vec<_>) = records.iter().partition(|record| record.is_error);
+    let count = |records: &[&ItemRecord]| u32::try_from(records.len()).unwrap_or(u32::MAX);
+    ChunkResult {
+        completed: count(&output),
+        failed: count(&errors),
+        output: store
+            .put_lines(chunk.object_name("output", op), output)
+            .await,
+        errors: store
+            .put_lines(chunk.object_name("errors", op), errors)
+            .await,
+    }
+}
+
+/// Removes the partial result that the chunk's row no longer names.
+fn remove_superseded(store: &JobStore, chunk: &HeldChunk, write: &LeaseWrite, verdict: Verdict) {
+    let Some(partial) = chunk.row.partial.clone() else {
+        return;
+    };
+    // Parts of a split chunk share the partial result of their parent.
+    let is_shared = chunk.chunk.part.is_some();
+    let is_kept = write.row.partial.as_ref() == Some(&partial);
+    if is_kept || is_shared || verdict == Verdict::Refused {
+        return;
+    }
+    let store = store.clone();
+    tokio::spawn(async move { store.delete_object(&partial.name).await });
+}
--- a/crates/job_api/src/file_object.rs
+++ b/crates/job_api/src/file_object.rs
@@ -61,17 +61,14 @@
     customer: &CustomerId,
     id: &str,
 ) -> Result<FoundFile, Refusal> {
-    let found = match parse_result_file(id) {
-        Some((job, kind)) => {
-            let job = api.store.job(&JobId::new(job)).await?;
-            job.filter(|(_, row)| row.customer == *customer)
-                .map(|(_, row)| FoundFile::Result(Box::new(row), kind))
-        }
-        None => {
-            let file = api.store.file(id).await?;
-            file.filter(|row| row.customer == *customer)
-                .map(|row| FoundFile::Upload(Box::new(row)))
-        }
+    let found = if let Some((job, kind)) = parse_result_file(id) {
+        let job = api.store.job(&JobId::new(job)).await?;
+        job.filter(|(_, row)| row.customer == *customer)
+            .map(|(_, row)| FoundFile::Result(Box::new(row), kind))
+    } else {
+        let file = api.store.file(id).await?;
+        file.filter(|row| row.customer == *customer)
+            .map(|row| FoundFile::Upload(Box::new(row)))
     };
     found.ok_or_else(|| {
         let message = format!("The file {id:?} does not exist.");
--- a/crates/job_api/src/upload.rs
+++ b/crates/job_api/src/upload.rs
@@ -40,7 +40,11 @@
     let mut form = Multipart::new(parts.map_err(std::io::Error::other), boundary);
     let mut purpose = None;
     let mut upload = None;
-    while let Some(mut field) = form.next_field().await.map_err(broken_form)? {
+    while let Some(mut field) = form
+        .next_field()
+        .await
+        .map_err(|error| broken_form(&error))?
+    {
         match field.name() {
             Some("purpose") => purpose = Some(read_text(&mut field).await?),
             Some("file") if upload.is_none() => {
@@ -152,7 +156,7 @@
 ) -> Result<(String, FileSummary), Refusal> {
     let mut splitter = Splitter::new(seed);
     let mut hash = Sha256::new();
-    while let Some(part) = field.chunk().await.map_err(broken_form)? {
+    while let Some(part) = field.chunk().await.map_err(|error| broken_form(&error))? {
         hash.update(&part);
         splitter.push(&part)?;
         for segment in splitter.take_segments() {
@@ -226,7 +230,7 @@
 
 async fn read_text(field: &mut Field<'_>) -> Result<String, Refusal> {
     let mut text = Vec::new();
-    while let Some(part) = field.chunk().await.map_err(broken_form)? {
+    while let Some(part) = field.chunk().await.map_err(|error| broken_form(&error))? {
         text.extend_from_slice(&part);
         if text.len() > FIELD_MAX_BYTES {
             return Err(Refusal::invalid("purpose", "`purpose` is too long."));
@@ -246,7 +250,7 @@
         })
 }
 
-fn broken_form(error: multra::Error) -> Refusal {
+fn broken_form(error: &multra::Error) -> Refusal {
     let message = format!("The form cannot be read: {error}");
     Refusal::new(ErrorKind::InvalidRequest, message)
 }
--- a/crates/jobs/src/choose.rs
+++ b/crates/jobs/src/choose.rs
@@ -64,6 +64,10 @@
     pub peers: &'a [InstanceId],
     /// Looks that are not due, sorted by nothing in particular.
     pub deferrals: &'a [Deferral],
+    /// For each open job, whether this process can run its items.
+    pub runnable: &'a [bool],
+    /// Whether this process has room for another chunk.
+    pub has_room: bool,
     /// Chunks that this process holds.
     pub held: &'a [(JobId, ChunkName)],
     /// Time that the fleet needs per item of a job, microseconds.
@@ -77,7 +81,8 @@
 pub fn choose_work(jobs: &[OpenJob], chooser: &Chooser<'_>) -> Option<Work> {
     let loads = customer_loads(jobs, chooser.now_ms);
     let candidates = jobs.iter().enumerate().filter_map(|(index, job)| {
-        let kind = chooser.due(job)?;
+        let can_claim = chooser.has_room && chooser.runnable.get(index) == Some(&true);
+        let kind = chooser.due(job, can_claim)?;
         Some((chooser.rank(job, kind, &loads), Work { job: index, kind }))
     });
     candidates
@@ -88,7 +93,7 @@
 /// Whether `instance` is among the few processes that look after `key`.
 #[must_use]
 pub fn is_watcher(instance: &InstanceId, peers: &[InstanceId], key: &str) -> bool {
-    watcher_rank(instance, peers, key) < WATCHERS
+    rendezvous_rank(instance, peers, key) < WATCHERS
 }
 
 /// Order of a candidate; the least goes first.
@@ -101,13 +106,14 @@
 }
 
 impl Chooser<'_> {
-    fn due(&self, job: &OpenJob) -> Option<WorkKind> {
+    fn due(&self, job: &OpenJob, can_claim: bool) -> Option<WorkKind> {
         let lapsed = job.row.active.iter().find(|entry| self.is_due(job, entry));
-        if let Some(entry) = lapsed {
-            return Some(WorkKind::Takeover(entry.chunk));
-        }
-        if job.row.cursor < job.row.chunks {
-            return Some(WorkKind::Fresh);
+        let has_fresh = job.row.cursor < job.row.chunks;
+        match lapsed {
+            Some(entry) if can_claim => return Some(WorkKind::Takeover(entry.chunk)),
+            None if can_claim && has_fresh => return Some(WorkKind::Fresh),
+            _ if has_fresh => return None,
+            _ => {}
         }
         let all_done = job.row.active.iter().all(|entry| {
             let deferral = self.deferral(&job.row.job, Some(entry.chunk));
@@ -134,7 +140,7 @@
             return false;
         }
         let key = chunk_key(id, entry.chunk);
-        let rank = watcher_rank(self.instance, self.peers, &key);
+        let rank = rendezvous_rank(self.instance, self.peers, &key);
         let lapsed_at_ms = entry.lease_until_ms.max(deferred_until_ms);
         rank < WATCHERS && self.now_ms >= lapsed_at_ms + WATCHER_STEP_MS * rank as u64
     }
@@ -190,8 +196,10 @@
     loads
 }
 
-/// Number of peers that look after `key` before `instance` does.
-fn watcher_rank(instance: &InstanceId, peers: &[InstanceId], key: &str) -> usize {
+/// Number of peers that look after `key` before `instance` does; zero for its
+/// owner.
+#[must_use]
+pub fn rendezvous_rank(instance: &InstanceId, peers: &[InstanceId], key: &str) -> usize {
     let own = weight(instance, key);
     let before = |peer: &&InstanceId| *peer != instance && weight(peer, key) > own;
     peers.iter().filter(before).count()
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -46,6 +46,38 @@
     pub items: u32,
 }
 
+/// Under which terms a chunk may be taken over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Terms {
+    /// Beside any other chunks.
+    Shared,
+    /// Beside no other suspect chunk, so that a death blames only this one
+    /// among the suspects.
+    OneSuspect,
+    /// Beside no other chunk: the next death ends its only item.
+    Alone,
+}
+
+/// The terms of taking over a chunk of `items` items.
+#[must_use]
+pub fn takeover_terms(row: &ChunkRow, items: u32) -> Terms {
+    let after = ChunkRow {
+        lapses: row.lapses + u16::from(row.state != ChunkState::Free),
+        ..row.clone()
+    };
+    if after.is_exhausted(items) || !after.is_suspect() {
+        return Terms::Shared;
+    }
+    let next = ChunkRow {
+        lapses: after.lapses + 1,
+        ..after
+    };
+    if next.is_exhausted(items) {
+        return Terms::Alone;
+    }
+    Terms::OneSuspect
+}
+
 /// A claim ready to be written, and what is held once it has taken effect.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ClaimPlan {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,8 +22,12 @@
 
 pub use crate::{
     accept::{Acceptance, AcceptanceError, Accepted, NewJob, job_id_for},
-    choose::{Chooser, CustomerLoad, Deferral, Work, WorkKind, choose_work, is_watcher},
-    claim::{ClaimPlan, Claimant, OpenJob, Takeover, plan_fresh, plan_takeover},
+    choose::{
+        Chooser, CustomerLoad, Deferral, Work, WorkKind, choose_work, is_watcher, rendezvous_rank,
+    },
+    claim::{
+        ClaimPlan, Claimant, OpenJob, Takeover, Terms, plan_fresh, plan_takeover, takeover_terms,
+    },
     finish::{JobTally, holders, plan_cancel, plan_finish, tally},
     input::{
         CHUNK_MAX_BYTES, CHUNK_MAX_ITEMS, ChunkSpan, FILE_MAX_BYTES, FileSummary, ITEM_MAX_BYTES,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -119,19 +119,24 @@
         missing.map(|item| item.item).take(count).collect()
     }
 
-    /// Whether an item could start now.
+    /// Number of items that wait for a start.
     #[must_use]
-    pub fn has_ready(&self, row: &ChunkRow, now_ms: u64) -> bool {
-        self.items
-            .iter()
-            .any(|item| self.may_start(item, row, now_ms))
+    pub fn waiting(&self) -> usize {
+        let waiting = |item: &&RunItem| matches!(item.state, ItemState::Waiting { .. });
+        self.items.iter().filter(waiting).count()
     }
 
-    /// Starts the next item that is ready. `row` is the chunk's row as this
-    /// holder wrote it last.
-    pub fn start_next(&mut self, row: &ChunkRow, now_ms: u64) -> Option<ItemStart> {
-        let index =
-            (0..self.items.len()).find(|index| self.may_start(&self.items[*index], row, now_ms))?;
+    /// Starts the next item that is ready and `fits`. `row` is the chunk's row
+    /// as this holder wrote it last.
+    pub fn start_next(
+        &mut self,
+        row: &ChunkRow,
+        now_ms: u64,
+        fits: impl Fn(&ItemRequest) -> bool,
+    ) -> Option<ItemStart> {
+        let index = self.items.iter().position(|item| {
+            self.may_start(item, row, now_ms) && item.request.as_ref().is_some_and(&fits)
+        })?;
         self.next_attempt += 1;
         let attempt = self.next_attempt;
         let item = &mut self.items[index];
