--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,56 @@
+//! What a request's headers say of its caller.
+
+use http::{HeaderMap, header};
+use model::{CustomerId, ErrorKind};
+
+use crate::Refusal;
+
+/// Header that names the class of a request.
+const CLASS_HEADER: &str = "redwingtack-class";
+/// Header that marks resends of one request.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
+const BEARER: &str = "Bearer ";
+
+/// The caller of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Caller {
+    /// Customer, named by the API key.
+    pub(crate) customer: CustomerId,
+    /// Class that the caller asked for.
+    pub(crate) class: Option<String>,
+    /// Key shared by resends.
+    pub(crate) idempotency_key: Option<String>,
+}
+
+impl Caller {
+    /// Reads the headers of a request.
+    pub(crate) fn from_headers(headers: &HeaderMap) -> Result<Self, Refusal> {
+        let api_key = text(headers, header::AUTHORIZATION.as_str())
+            .and_then(|value| value.strip_prefix(BEARER))
+            .map(str::trim)
+            .filter(|key| !key.is_empty())
+            .ok_or_else(missing_api_key)?;
+        let idempotency_key = text(headers, IDEMPOTENCY_KEY_HEADER);
+        if idempotency_key
+            .is_some_and(|key| key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES)
+        {
+            let message = "Idempotency-Key must have 1 to 255 characters.";
+            return Err(Refusal::new(ErrorKind::InvalidRequest, message));
+        }
+        Ok(Self {
+            customer: CustomerId::new(api_key),
+            class: text(headers, CLASS_HEADER).map(str::to_owned),
+            idempotency_key: idempotency_key.map(str::to_owned),
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn missing_api_key() -> Refusal {
+    let message = "No API key was sent. Send it as `Authorization: Bearer KEY`.";
+    Refusal::new(ErrorKind::MissingApiKey, message)
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,38 @@
+//! `redwingtack-entry`: the callers' API on one instance.
+
+use std::process::ExitCode;
+
+use entry::EntrySettings;
+use process::{AdminState, Shutdown};
+
+const PROGRAM: &str = "redwingtack-entry";
+
+fn main() -> ExitCode {
+    let options = entry::options().run();
+    let settings = match options.check() {
+        Ok(settings) => settings,
+        Err(problems) => process::exit_with_problems(PROGRAM, &problems),
+    };
+    let _logs = process::init_logs(&settings.log_level).ok();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=exit error={}", process::quote(&error));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
+    let admin = AdminState::new()?;
+    let shutdown = Shutdown::new();
+    let stopping = shutdown.clone();
+    tokio::spawn(async move { process::wait_for_signal(&stopping).await });
+    tokio::spawn(process::serve_admin(settings.admin_listen, admin.clone()));
+    let (_fleet, watch) = tokio::sync::watch::channel(None);
+    let entry = entry::Entry::start(&settings, watch)?;
+    log::info!("event=ready program={PROGRAM} listen={}", entry.address());
+    entry.run_until(&shutdown).await;
+    Ok(())
+}
