--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,8 +3,20 @@
 //! This crate exists so that every program speaks one versioned protocol. It
 //! carries messages; what they mean is decided elsewhere.
 
+mod client;
+mod codec;
+mod error;
 mod message;
+mod server;
+mod view_watch;
 
 pub use model::DispatchNotice;
 
-pub use crate::message::{PROTOCOL_VERSION, PeerRequest, PeerResponse};
+pub use crate::{
+    client::PeerClient,
+    codec::{MESSAGE_MAX_BYTES, decode, encode},
+    error::PeerError,
+    message::{PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    server::{PeerHandler, serve},
+    view_watch::ViewWatch,
+};
