--- /dev/null
+++ b/crates/cli/src/dev.rs
@@ -0,0 +1,56 @@
+//! `redwingtack dev`: the whole path in one process, for a first try.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    process::ExitCode,
+};
+
+use bpaf::{OptionParser, Parser, construct, long};
+use process::{Settings, Shutdown};
+
+const PROGRAM: &str = "redwingtack dev";
+const PORT: u16 = 8080;
+
+/// Unchecked settings of `redwingtack dev`.
+#[derive(Debug, Clone)]
+pub struct DevOptions {
+    listen: Option<String>,
+    log_level: Option<String>,
+}
+
+/// Parser of the subcommand.
+pub fn options() -> OptionParser<DevOptions> {
+    let listen = long("listen")
+        .env("REDWINGTACK_LISTEN")
+        .help("Address that callers reach; 127.0.0.1:8080 unless set")
+        .argument("IP:PORT")
+        .optional();
+    let log_level = long("log-level")
+        .env("REDWINGTACK_LOG_LEVEL")
+        .help("error, warn, info, debug or trace; warn unless set")
+        .argument("LEVEL")
+        .optional();
+    construct!(DevOptions { listen, log_level })
+        .to_options()
+        .descr("Runs the whole path in one process on built-in stand-ins.")
+}
+
+/// Runs until SIGINT or SIGTERM.
+pub fn run(options: &DevOptions) -> ExitCode {
+    let mut settings = Settings::new();
+    let default = SocketAddr::from((Ipv4Addr::LOCALHOST, PORT));
+    let listen = settings.or_default("listen", options.listen.as_deref(), default);
+    let problems = settings.into_problems();
+    if !problems.is_empty() {
+        process::exit_with_problems(PROGRAM, &problems);
+    }
+    let level = options.log_level.as_deref().unwrap_or("warn");
+    let _logs = process::init_logs(level).ok();
+    match serve(listen) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{PROGRAM}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -89,7 +89,7 @@
     pub(crate) fn new(id: String, model: &str) -> Self {
         Self {
             id,
-            created_s: clock::now_s(),
+            created_s: clock::unix_s(),
             model: model.to_owned(),
         }
     }
--- /dev/null
+++ b/crates/entry/src/background.rs
@@ -0,0 +1,163 @@
+//! Background work of an entry: views, load reports, notices and evidence.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use model::{DispatchNotice, InstanceRole, UpstreamEntry, UpstreamId, UpstreamKind, View};
+use peer::{PeerClient, PeerRequest};
+use process::{AdminState, Shutdown};
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, MissedTickBehavior},
+};
+
+use crate::{fleet::Fleet, server::Shared};
+
+/// Time between load reports of one engine.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time that notices are held back to be coalesced.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which a message to a peer is given up.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Starts the tasks; they end with the returned set.
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    fleet: &Fleet,
+    peers: &PeerClient,
+    admin: &AdminState,
+    shutdown: &Shutdown,
+) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow_view(
+        Arc::clone(shared),
+        fleet.subscribe(),
+        admin.clone(),
+        shutdown.clone(),
+    ));
+    tasks.spawn(poll_loads(Arc::clone(shared)));
+    tasks.spawn(send_notices(Arc::clone(shared), peers.clone()));
+    if let Some(control) = fleet.control_address() {
+        let control = control.to_owned();
+        tasks.spawn(send_evidence(Arc::clone(shared), peers.clone(), control));
+    }
+    tasks
+}
+
+async fn follow_view(
+    shared: Arc<Shared>,
+    mut view: watch::Receiver<Arc<View>>,
+    admin: AdminState,
+    shutdown: Shutdown,
+) {
+    loop {
+        let current = Arc::clone(&view.borrow_and_update());
+        shared.dispatcher.set_view(&current);
+        if current.config.version > 0 && !shutdown.is_stopping() {
+            admin.set_ready(true);
+        }
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn poll_loads(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(LOAD_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut polls = JoinSet::new();
+    loop {
+        interval.tick().await;
+        let view = Arc::clone(&shared.view.borrow());
+        for id in shared.dispatcher.upstreams() {
+            if let Some(address) = engine_address(&view, &id) {
+                polls.spawn(poll_load(Arc::clone(&shared), id, address));
+            }
+        }
+        while polls.join_next().await.is_some() {}
+    }
+}
+
+async fn poll_load(shared: Arc<Shared>, id: UpstreamId, address: SocketAddr) {
+    match shared.upstreams.load(address).await {
+        Ok(report) => shared.dispatcher.on_report(&id, &report),
+        Err(error) => log::debug!(
+            "event=load_unknown upstream={id} error={}",
+            process::quote(&error)
+        ),
+    }
+}
+
+async fn send_notices(shared: Arc<Shared>, peers: PeerClient) {
+    let mut sends = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = shared.dispatcher.notices_ready() => {}
+            () = tokio::time::sleep(NOTICE_INTERVAL) => {}
+        }
+        let notices = shared.dispatcher.take_notices();
+        let view = Arc::clone(&shared.view.borrow());
+        for (owner, notices) in by_owner(&view, notices) {
+            sends.spawn(send(peers.clone(), owner, PeerRequest::Notices(notices)));
+        }
+        while sends.try_join_next().is_some() {}
+    }
+}
+
+/// Groups notices by the peer address of the batch program that owns the
+/// upstream's window.
+fn by_owner(view: &View, notices: Vec<DispatchNotice>) -> Vec<(String, Vec<DispatchNotice>)> {
+    let mut groups: Vec<(String, Vec<DispatchNotice>)> = Vec::new();
+    for notice in notices {
+        let Some(owner) = window_owner(view, &notice.upstream) else {
+            continue;
+        };
+        match groups.binary_search_by(|group| group.0.cmp(&owner)) {
+            Ok(index) => groups[index].1.push(notice),
+            Err(index) => groups.insert(index, (owner, vec![notice])),
+        }
+    }
+    groups
+}
+
+fn window_owner(view: &View, upstream: &UpstreamId) -> Option<String> {
+    let upstream = find(view, upstream)?;
+    let owner = membership::batch_window_owner(view, upstream)?;
+    (owner.role == InstanceRole::Batch).then(|| owner.peer_address.clone())
+}
+
+async fn send_evidence(shared: Arc<Shared>, peers: PeerClient, control: String) {
+    loop {
+        shared.dispatcher.evidence().ready().await;
+        let evidence = shared.dispatcher.evidence().take();
+        if !evidence.is_empty() {
+            send(peers.clone(), control.clone(), PeerRequest::Evidence(evidence)).await;
+        }
+    }
+}
+
+async fn send(peers: PeerClient, address: String, request: PeerRequest) {
+    let deadline = Instant::now() + PEER_TIMEOUT;
+    if let Err(error) = peers.call(&address, &request, deadline).await {
+        log::debug!(
+            "event=peer_call_failed peer={address} error={}",
+            process::quote(&error)
+        );
+    }
+}
+
+fn engine_address(view: &View, id: &UpstreamId) -> Option<SocketAddr> {
+    let upstream = find(view, id)?;
+    match upstream.kind {
+        UpstreamKind::Engine { .. } => upstream.address.parse().ok(),
+        UpstreamKind::Service { .. } => None,
+    }
+}
+
+fn find<'a>(view: &'a View, id: &UpstreamId) -> Option<&'a UpstreamEntry> {
+    let index = view
+        .upstreams
+        .binary_search_by(|upstream| upstream.id.cmp(id))
+        .ok()?;
+    Some(&view.upstreams[index])
+}
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,6 +1,7 @@
 //! `POST /v1/chat/completions`.
 
 mod flow;
+mod prompt;
 mod request;
 
 use std::{convert::Infallible, sync::Arc};
@@ -43,6 +44,7 @@
         let parsed = ParsedChat::parse(&body)?;
         let view = self.shared.view()?;
         let class = request::online_class(&view.config, &caller, &parsed)?;
+        self.shared.dispatcher.admit(&caller.customer, &class)?;
         let head = AnswerHead::new(format!("chatcmpl-{}", Uuid::new_v4().simple()), &parsed.request.model);
         let stream = parsed.stream;
         let include_usage = parsed.include_usage;
--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -1,24 +1,32 @@
 //! Drives one request through its attempts at engines.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use model::{Class, ClassTarget, ErrorKind, ModelName, UpstreamId};
-use tokio::time::{Duration, timeout};
-use upstream::{ChatChunk, ChatRequest, Usage};
+use model::{Class, ClassTarget, ErrorKind, Ran};
+use policy::{Destination, RouteRequest};
+use tokio::time::Instant;
+use upstream::{ChatChunk, ChatRequest, ChatStream, UpstreamError, Usage};
 use uuid::Uuid;
 
-use crate::{
-    Refusal, clock,
-    engine::{AttemptError, EngineStream},
-    routing::Slot,
-    server::Shared,
-};
+use super::prompt::Prompt;
+use crate::{Refusal, clock, dispatch::Ticket, server::Shared};
 
-/// Longest wait for the next token, milliseconds.
-const TOKEN_TIMEOUT_MS: u64 = 30_000;
+/// Attempts of one request at most, the first included.
+const ATTEMPTS_MAX: u32 = 4;
+/// A request is given up when its first token is this many targets late.
+const GIVE_UP_TARGETS: u64 = 4;
+/// Shortest time until a request without a first token is given up.
+const GIVE_UP_MIN_MS: u64 = 2_000;
+/// An engine that is silent for this many targets between tokens has stalled.
+const STALL_TARGETS: u64 = 50;
+/// Shortest silence that counts as a stall.
+const STALL_MIN_MS: u64 = 3_000;
+/// Longest wait for the end mark once the final chunk has come.
+const END_MARK_WAIT_MS: u64 = 200;
+const US_PER_MS: u64 = 1_000;
 
 /// What a request yields.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum ChatEvent {
     /// Text of the next token.
     Text(String),
@@ -35,144 +43,306 @@
 pub(crate) struct ChatFlow {
     shared: Arc<Shared>,
     request: ChatRequest,
-    model: ModelName,
-    deadline_ms: u64,
-    failed: Vec<UpstreamId>,
+    prompt: Prompt,
+    arrived_at_us: u64,
+    first_token_deadline_us: u64,
+    give_up_at: Instant,
+    stall_ms: u64,
     delivered: Vec<String>,
-    attempt: Option<Attempt>,
+    attempts: u32,
+    excluded: Vec<model::UpstreamId>,
+    ran: Ran,
+    last_refusal: Option<Refusal>,
+    current: Option<Attempt>,
 }
 
-/// One attempt at one engine. Dropping it before the end cancels the stream.
+/// One attempt with its open stream.
 struct Attempt {
-    shared: Arc<Shared>,
     id: String,
-    slot: Slot,
-    stream: EngineStream,
-    ended: bool,
+    ticket: Ticket,
+    stream: ChatStream,
+    /// Tokens that the caller had when the stream was last resumed.
+    resumed_after: Option<u32>,
 }
 
 impl ChatFlow {
+    /// A request that has been admitted and not been sent.
     pub(crate) fn new(shared: Arc<Shared>, request: ChatRequest, class: &Class) -> Self {
-        let within_ms = match class.target {
-            ClassTarget::Online { first_token_ms, .. } => first_token_ms,
-            ClassTarget::Batch { .. } | ClassTarget::Service(_) => TOKEN_TIMEOUT_MS,
+        let (first_token_ms, between_tokens_ms) = match class.target {
+            ClassTarget::Online {
+                first_token_ms,
+                between_tokens_ms,
+                ..
+            } => (first_token_ms, between_tokens_ms),
+            ClassTarget::Batch { .. } | ClassTarget::Service(_) => (GIVE_UP_MIN_MS, STALL_MIN_MS),
         };
+        let arrived_at_us = clock::now_us();
+        let give_up_ms = (first_token_ms * GIVE_UP_TARGETS).max(GIVE_UP_MIN_MS);
         Self {
             shared,
-            model: ModelName::new(&request.model),
+            prompt: Prompt::new(&request),
             request,
-            deadline_ms: clock::now_ms() + within_ms + TOKEN_TIMEOUT_MS,
-            failed: Vec::new(),
+            arrived_at_us,
+            first_token_deadline_us: arrived_at_us + first_token_ms * US_PER_MS,
+            give_up_at: Instant::now() + Duration::from_millis(give_up_ms),
+            stall_ms: (between_tokens_ms * STALL_TARGETS).max(STALL_MIN_MS),
             delivered: Vec::new(),
-            attempt: None,
+            attempts: 0,
+            excluded: Vec::new(),
+            ran: Ran::No,
+            last_refusal: None,
+            current: None,
         }
     }
 
-    /// The next event.
+    /// The next event. After an error or the end there is none.
     pub(crate) async fn next(&mut self) -> Result<ChatEvent, Refusal> {
         loop {
-            if self.attempt.is_none() {
-                let attempt = self.start().await?;
-                self.attempt = Some(attempt);
+            if self.current.is_none() {
+                self.start().await?;
             }
-            let Some(attempt) = &mut self.attempt else {
+            let Some(attempt) = &mut self.current else {
                 continue;
             };
-            match attempt.next().await {
-                Ok(chunk) => return Ok(self.deliver(chunk)),
-                Err(error) => self.fail(error)?,
+            match attempt.stream.next().await {
+                Ok(Some(chunk)) => return Ok(self.deliver(chunk).await),
+                Ok(None) => {
+                    let message = "the engine ended its stream without a finish reason";
+                    let error = UpstreamError::new(ErrorKind::StreamCut, message);
+                    self.recover(error).await?;
+                }
+                Err(error) => self.recover(error).await?,
             }
         }
     }
 
-    async fn start(&mut self) -> Result<Attempt, Refusal> {
+    /// Sends the request, or what is left of it, until an engine accepts it.
+    async fn start(&mut self) -> Result<(), Refusal> {
         loop {
             let view = self.shared.view()?;
-            let slot = self
-                .shared
-                .routing
-                .pick(&view, &self.model, &self.failed)
-                .ok_or_else(|| {
-                    let message = format!("No live upstream serves the model {}.", self.model);
-                    Refusal::new(ErrorKind::NoUpstream, message)
-                })?;
+            let route = self.shared.dispatcher.route(&view, &self.route_request());
+            // After a failed attempt its error says more than "no upstream".
+            let ticket = route.map_err(|refusal| self.last_refusal.take().unwrap_or(refusal))?;
             let id = Uuid::new_v4().simple().to_string();
-            self.request.continue_from_tokens.clone_from(&self.delivered);
-            let started = self
+            self.attempts += 1;
+            self.request
+                .continue_from_tokens
+                .clone_from(&self.delivered);
+            let opened = self
                 .shared
-                .engines
-                .start(&slot.upstream.address, &id, &self.request)
+                .upstreams
+                .chat(ticket.address(), &id, &self.request, self.deadline())
                 .await;
-            match started {
+            match opened {
                 Ok(stream) => {
-                    return Ok(Attempt {
-                        shared: Arc::clone(&self.shared),
-                        id,
-                        slot,
-                        stream,
-                        ended: false,
-                    });
+                    self.open(id, ticket, stream, None);
+                    return Ok(());
                 }
-                Err(error) => {
-                    self.failed.push(slot.upstream.id.clone());
-                    self.fail(error)?;
+                Err(error) if error.kind == ErrorKind::ConnectionLost => {
+                    // The engine may have read the request and be at work.
+                    let after = self.delivered_count();
+                    match self.resume(&id, &ticket, after).await {
+                        Some(stream) => {
+                            self.open(id, ticket, stream, Some(after));
+                            return Ok(());
+                        }
+                        None => self.give_up_attempt(ticket, &error)?,
+                    }
                 }
+                Err(error) => self.give_up_attempt(ticket, &error)?,
             }
         }
     }
 
-    fn fail(&mut self, error: AttemptError) -> Result<(), Refusal> {
-        if let Some(attempt) = self.attempt.take() {
-            self.failed.push(attempt.slot.upstream.id.clone());
+    fn open(
+        &mut self,
+        id: String,
+        ticket: Ticket,
+        stream: ChatStream,
+        resumed_after: Option<u32>,
+    ) {
+        if stream.is_leaving() {
+            ticket.on_leaving();
         }
-        let retryable = error.kind != ErrorKind::UpstreamFailed;
-        if retryable && clock::now_ms() < self.deadline_ms {
+        self.current = Some(Attempt {
+            id,
+            ticket,
+            stream,
+            resumed_after,
+        });
+    }
+
+    /// Goes on after the stream of the current attempt broke: at the same
+    /// engine if it still has the stream, else elsewhere.
+    async fn recover(&mut self, error: UpstreamError) -> Result<(), Refusal> {
+        let Some(attempt) = self.current.take() else {
+            return Ok(());
+        };
+        let Attempt {
+            id,
+            ticket,
+            stream,
+            resumed_after,
+        } = attempt;
+        drop(stream);
+        let is_cut = matches!(
+            error.kind,
+            ErrorKind::ConnectionLost | ErrorKind::StreamCut
+        );
+        let after = self.delivered_count();
+        // A stream that breaks twice at the same token would break for ever.
+        if is_cut
+            && resumed_after != Some(after)
+            && let Some(stream) = self.resume(&id, &ticket, after).await
+        {
+            self.open(id, ticket, stream, Some(after));
             return Ok(());
         }
-        Err(Refusal::new(error.kind, error.message))
+        self.give_up_attempt(ticket, &error)
     }
 
-    fn deliver(&mut self, chunk: ChatChunk) -> ChatEvent {
-        if let Some(finish_reason) = chunk.finish_reason {
-            if let Some(attempt) = &mut self.attempt {
-                attempt.ended = true;
+    async fn resume(&self, id: &str, ticket: &Ticket, after: u32) -> Option<ChatStream> {
+        let resumed = self
+            .shared
+            .upstreams
+            .resume(ticket.address(), id, after, self.deadline())
+            .await;
+        match resumed {
+            Ok(stream) => {
+                log::info!(
+                    "event=stream_resumed upstream={} after={after}",
+                    ticket.upstream()
+                );
+                Some(stream)
             }
+            Err(error) => {
+                log::info!(
+                    "event=resume_failed upstream={} error={}",
+                    ticket.upstream(),
+                    process::quote(&error)
+                );
+                None
+            }
+        }
+    }
+
+    /// Ends an attempt that failed; refuses if there may be no other.
+    fn give_up_attempt(&mut self, ticket: Ticket, error: &UpstreamError) -> Result<(), Refusal> {
+        log::info!(
+            "event=attempt_failed upstream={} kind={} tokens={} error={}",
+            ticket.upstream(),
+            error.kind.answer().code,
+            self.delivered.len(),
+            process::quote(&error.message)
+        );
+        self.ran = worse(self.ran, error.ran());
+        self.excluded.push(ticket.upstream().clone());
+        ticket.fail(error.kind);
+        let refusal = self.refusal(error);
+        if !self.may_retry(error) {
+            return Err(refusal);
+        }
+        self.last_refusal = Some(refusal);
+        Ok(())
+    }
+
+    fn may_retry(&self, error: &UpstreamError) -> bool {
+        if self.attempts >= ATTEMPTS_MAX {
+            return false;
+        }
+        // Tokens already passed on are continued, not repeated; so a stall or
+        // a cut in mid-stream counts as an attempt that showed nothing.
+        let is_safe = match error.kind {
+            ErrorKind::StreamCut | ErrorKind::ConnectionLost => true,
+            ErrorKind::DeadlineExceeded => !self.delivered.is_empty(),
+            kind => policy::retry_is_safe(kind, true, 0),
+        };
+        let in_time = !self.delivered.is_empty() || Instant::now() < self.give_up_at;
+        is_safe && in_time && self.shared.dispatcher.try_retry()
+    }
+
+    fn refusal(&self, error: &UpstreamError) -> Refusal {
+        let kind = if self.delivered.is_empty() {
+            error.kind
+        } else {
+            ErrorKind::StreamCut
+        };
+        let message = format!("The upstream failed: {}.", error.message);
+        let refusal = Refusal::new(kind, message).with_ran(self.ran);
+        match error.retry_after_s {
+            Some(seconds) => refusal.with_retry_after_s(seconds),
+            None => refusal,
+        }
+    }
+
+    async fn deliver(&mut self, chunk: ChatChunk) -> ChatEvent {
+        if let Some(finish_reason) = chunk.finish_reason {
+            self.finish().await;
             return ChatEvent::End {
                 finish_reason,
                 usage: chunk.usage,
             };
         }
+        if let Some(attempt) = &mut self.current {
+            if self.delivered.is_empty() {
+                attempt.ticket.on_first_token();
+                let took_us = clock::now_us().saturating_sub(self.arrived_at_us);
+                self.shared.metrics.on_first_token(took_us);
+            } else {
+                attempt.ticket.on_token();
+            }
+            let stall = Duration::from_millis(self.stall_ms);
+            attempt.stream.set_deadline(Instant::now() + stall);
+        }
         self.delivered.push(chunk.text.clone());
         ChatEvent::Text(chunk.text)
     }
-}
 
-impl Attempt {
-    async fn next(&mut self) -> Result<ChatChunk, AttemptError> {
-        let next = timeout(Duration::from_millis(TOKEN_TIMEOUT_MS), self.stream.next());
-        match next.await {
-            Ok(Ok(Some(chunk))) => Ok(chunk),
-            Ok(Ok(None)) => Err(AttemptError {
-                kind: ErrorKind::StreamCut,
-                message: "the engine ended the stream without a finish reason".to_owned(),
-            }),
-            Ok(Err(error)) => Err(error),
-            Err(_) => Err(AttemptError {
-                kind: ErrorKind::DeadlineExceeded,
-                message: "the engine sent no token in time".to_owned(),
-            }),
+    /// Reads the end mark, so that the connection can serve the next request.
+    async fn finish(&mut self) {
+        if let Some(mut attempt) = self.current.take() {
+            let wait = Duration::from_millis(END_MARK_WAIT_MS);
+            attempt.stream.set_deadline(Instant::now() + wait);
+            if let Err(error) = attempt.stream.next().await {
+                log::debug!("event=end_mark_missing error={}", process::quote(&error));
+            }
         }
     }
-}
 
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
+    fn route_request(&self) -> RouteRequest {
+        let first_token_deadline_us = if self.attempts == 0 {
+            self.first_token_deadline_us
+        } else {
+            // A second attempt that comes late is still worth more than none.
+            clock::now_us() + self.stall_ms * US_PER_MS
+        };
+        RouteRequest {
+            destination: Destination::Model(self.prompt.model.clone()),
+            prompt_tokens: self.prompt.tokens + self.delivered_count(),
+            prefix_hashes: self.prompt.prefix_hashes.clone(),
+            first_token_deadline_us,
+            excluded: self.excluded.clone(),
+            link_bytes: self.prompt.bytes,
         }
-        let shared = Arc::clone(&self.shared);
-        let id = std::mem::take(&mut self.id);
-        let address = self.slot.upstream.address.clone();
-        tokio::spawn(async move { shared.engines.cancel(&address, &id).await });
+    }
+
+    fn deadline(&self) -> Instant {
+        if self.delivered.is_empty() {
+            return self.give_up_at;
+        }
+        Instant::now() + Duration::from_millis(self.stall_ms)
+    }
+
+    fn delivered_count(&self) -> u32 {
+        u32::try_from(self.delivered.len()).unwrap_or(u32::MAX)
+    }
+}
+
+/// What is known to have run after two attempts.
+fn worse(left: Ran, right: Ran) -> Ran {
+    match (left, right) {
+        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
+        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+        (Ran::No, Ran::No) => Ran::No,
     }
 }
--- /dev/null
+++ b/crates/entry/src/chat/prompt.rs
@@ -0,0 +1,50 @@
+//! What routing needs to know of a prompt.
+
+use model::ModelName;
+use serde_json::Value;
+use upstream::ChatRequest;
+
+/// Bytes per token that an estimate assumes.
+const BYTES_PER_TOKEN: usize = 4;
+/// Leading bytes of a prompt that are hashed for prefix affinity.
+const PREFIX_MAX_BYTES: usize = 4_096;
+
+/// Size and prefix of a prompt.
+#[derive(Debug, Clone)]
+pub(crate) struct Prompt {
+    /// Model that the prompt is for.
+    pub(crate) model: ModelName,
+    /// Estimated tokens.
+    pub(crate) tokens: u32,
+    /// Bytes of text.
+    pub(crate) bytes: u64,
+    /// Hashes of the leading blocks.
+    pub(crate) prefix_hashes: Vec<u64>,
+}
+
+impl Prompt {
+    pub(crate) fn new(request: &ChatRequest) -> Self {
+        let mut prefix = Vec::new();
+        let mut total_bytes = 0;
+        for message in &request.messages {
+            add(&message.role, &mut prefix, &mut total_bytes);
+            match &message.content {
+                Value::String(text) => add(text, &mut prefix, &mut total_bytes),
+                content => add(&content.to_string(), &mut prefix, &mut total_bytes),
+            }
+        }
+        Self {
+            model: ModelName::new(&request.model),
+            tokens: u32::try_from(total_bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX),
+            bytes: u64::try_from(total_bytes).unwrap_or(u64::MAX),
+            prefix_hashes: policy::prefix_hashes(&prefix),
+        }
+    }
+}
+
+fn add(text: &str, prefix: &mut Vec<u8>, total_bytes: &mut usize) {
+    let room = PREFIX_MAX_BYTES.saturating_sub(prefix.len());
+    let taken = room.min(text.len());
+    prefix.extend_from_slice(&text.as_bytes()[..taken]);
+    *total_bytes += text.len();
+}
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,9 +1,12 @@
-//! Wall-clock time for deadlines.
+//! Time: Unix time for callers, monotonic time for decisions.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    sync::OnceLock,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
 
 /// Unix time, milliseconds.
-pub(crate) fn now_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -11,6 +14,13 @@
 }
 
 /// Unix time, seconds.
-pub(crate) fn now_s() -> u64 {
-    now_ms() / 1_000
+pub(crate) fn unix_s() -> u64 {
+    unix_ms() / 1_000
+}
+
+/// Monotonic time since the first call in this process, microseconds.
+pub(crate) fn now_us() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    let elapsed = START.get_or_init(Instant::now).elapsed();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/entry/src/evidence.rs
@@ -0,0 +1,44 @@
+//! Direct evidence about upstreams, kept until it is sent to control.
+
+use std::sync::{Mutex, PoisonError};
+
+use membership::UpstreamEvidence;
+use model::{Liveness, UpstreamId};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// Evidence not yet sent, newest state per upstream, sorted by upstream.
+#[derive(Debug, Default)]
+pub(crate) struct EvidenceLog {
+    pending: Mutex<Vec<UpstreamEvidence>>,
+    ready: Notify,
+}
+
+impl EvidenceLog {
+    /// Remembers what a contact showed.
+    pub(crate) fn push(&self, id: &UpstreamId, liveness: Liveness) {
+        let evidence = UpstreamEvidence {
+            id: id.clone(),
+            liveness,
+            seen_at_ms: clock::unix_ms(),
+        };
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        match pending.binary_search_by(|other| other.id.cmp(id)) {
+            Ok(index) => pending[index] = evidence,
+            Err(index) => pending.insert(index, evidence),
+        }
+        self.ready.notify_one();
+    }
+
+    /// Takes what is pending.
+    pub(crate) fn take(&self) -> Vec<UpstreamEvidence> {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut pending)
+    }
+
+    /// Resolves once evidence has come since the last call.
+    pub(crate) async fn ready(&self) {
+        self.ready.notified().await;
+    }
+}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,10 +1,62 @@
-//! The view of the fleet that requests are routed by.
+//! Where an entry learns of the fleet: from the control program beside it.
 
 use std::sync::Arc;
 
-use model::View;
+use model::{InstanceEntry, Liveness, View};
+use peer::{PeerClient, ViewWatch};
 use tokio::sync::watch;
 
-/// Follows the view of the control program on this instance. `None` until the
-/// first view has arrived.
-pub type FleetWatch = watch::Receiver<Option<Arc<View>>>;
+/// Source of the view that requests are routed by.
+#[derive(Debug)]
+pub struct Fleet {
+    view: watch::Receiver<Arc<View>>,
+    control: Option<Control>,
+}
+
+/// The control program on this instance.
+#[derive(Debug)]
+struct Control {
+    address: String,
+    watch: ViewWatch,
+}
+
+impl Fleet {
+    /// Follows the control program at `address` and registers `own` there.
+    #[must_use]
+    pub fn follow(address: &str, own: InstanceEntry, client: PeerClient) -> Self {
+        let watch = ViewWatch::start(address, own, client);
+        Self {
+            view: watch.subscribe(),
+            control: Some(Control {
+                address: address.to_owned(),
+                watch,
+            }),
+        }
+    }
+
+    /// Takes views from `view`; there is no control program.
+    #[must_use]
+    pub fn from_receiver(view: watch::Receiver<Arc<View>>) -> Self {
+        Self {
+            view,
+            control: None,
+        }
+    }
+
+    /// A receiver that sees each new view.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
+    /// Peer address of the control program.
+    pub(crate) fn control_address(&self) -> Option<&str> {
+        self.control.as_ref().map(|control| control.address.as_str())
+    }
+
+    /// Tells the fleet that this entry takes no new work.
+    pub(crate) fn leave(&self) {
+        if let Some(control) = &self.control {
+            control.watch.set_liveness(Liveness::Leaving);
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,19 +5,22 @@
 //! core; this crate performs what the core decides.
 
 mod answer;
+mod background;
 mod caller;
 mod chat;
 mod clock;
-mod engine;
+mod dispatch;
+mod evidence;
 mod fleet;
+mod metrics;
 mod models;
 mod refusal;
-mod routing;
+mod routes;
 mod server;
 mod settings;
 
 pub use crate::{
-    fleet::FleetWatch,
+    fleet::Fleet,
     refusal::Refusal,
     server::{Entry, StartError},
     settings::{EntryOptions, EntrySettings, options},
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use entry::EntrySettings;
+use entry::{Entry, EntrySettings};
 use process::{AdminState, Shutdown};
 
 const PROGRAM: &str = "redwingtack-entry";
@@ -14,7 +14,7 @@
         Err(problems) => process::exit_with_problems(PROGRAM, &problems),
     };
     let _logs = process::init_logs(&settings.log_level).ok();
-    match run(settings) {
+    match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=exit error={}", process::quote(&error));
@@ -24,15 +24,14 @@
 }
 
 #[tokio::main]
-async fn run(settings: EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(settings: &EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
     let admin = AdminState::new()?;
     let shutdown = Shutdown::new();
     let stopping = shutdown.clone();
     tokio::spawn(async move { process::wait_for_signal(&stopping).await });
     tokio::spawn(process::serve_admin(settings.admin_listen, admin.clone()));
-    let (_fleet, watch) = tokio::sync::watch::channel(None);
-    let entry = entry::Entry::start(&settings, watch)?;
-    log::info!("event=ready program={PROGRAM} listen={}", entry.address());
+    let entry = Entry::start(settings, admin, &shutdown)?;
+    log::info!("event=listening program={PROGRAM} listen={}", entry.address());
     entry.run_until(&shutdown).await;
     Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,131 @@
+//! Metrics of an entry, with labels from closed sets only.
+
+use model::ErrorKind;
+use opentelemetry::{
+    KeyValue, global,
+    metrics::{Counter, Histogram, UpDownCounter},
+};
+
+const US_PER_S: f64 = 1e6;
+/// Bounds of the histograms of time, seconds.
+const TIME_BOUNDS_S: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.43, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Instruments; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    active: UpDownCounter<i64>,
+    duration: Histogram<f64>,
+    first_token: Histogram<f64>,
+    attempts: Counter<u64>,
+    attempt_failures: Counter<u64>,
+    retries: Counter<u64>,
+    answers_dropped: Counter<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let meter = global::meter("redwingtack.entry");
+        let histogram = |name: &'static str, description: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(description)
+                .with_boundaries(TIME_BOUNDS_S.to_vec())
+                .build()
+        };
+        Self {
+            active: meter
+                .i64_up_down_counter("http.server.active_requests")
+                .with_description("Requests of callers in flight")
+                .build(),
+            duration: histogram(
+                "http.server.request.duration",
+                "Time from the request to the head of its answer",
+            ),
+            first_token: histogram(
+                "gen_ai.server.time_to_first_token",
+                "Time from the request to its first token",
+            ),
+            attempts: meter
+                .u64_counter("redwingtack.upstream.attempts")
+                .with_description("Attempts at upstreams")
+                .build(),
+            attempt_failures: meter
+                .u64_counter("redwingtack.upstream.attempt_failures")
+                .with_description("Attempts that failed, by kind")
+                .build(),
+            retries: meter
+                .u64_counter("redwingtack.upstream.retries")
+                .with_description("Retries, granted by the budget or not")
+                .build(),
+            answers_dropped: meter
+                .u64_counter("redwingtack.upstream.answers_dropped")
+                .with_description("Answers that came late or belonged to another attempt")
+                .build(),
+        }
+    }
+
+    /// A request of a caller is in flight until the result is dropped.
+    pub(crate) fn begin_request(&self) -> ActiveRequest {
+        self.active.add(1, &[]);
+        ActiveRequest {
+            active: self.active.clone(),
+        }
+    }
+
+    /// The head of the answer was written.
+    pub(crate) fn on_answer(&self, route: &'static str, status: u16, took_us: u64) {
+        let labels = [
+            KeyValue::new("http.route", route),
+            KeyValue::new("http.response.status_code", i64::from(status)),
+        ];
+        self.duration.record(seconds(took_us), &labels);
+    }
+
+    /// The first token of an answer went to the caller.
+    pub(crate) fn on_first_token(&self, took_us: u64) {
+        self.first_token.record(seconds(took_us), &[]);
+    }
+
+    /// An attempt was sent.
+    pub(crate) fn on_attempt(&self, crosses_region: bool) {
+        let labels = [KeyValue::new("crosses_region", crosses_region)];
+        self.attempts.add(1, &labels);
+    }
+
+    /// An attempt failed.
+    pub(crate) fn on_attempt_failed(&self, kind: ErrorKind) {
+        let labels = [KeyValue::new("error.type", kind.answer().code)];
+        self.attempt_failures.add(1, &labels);
+    }
+
+    /// A retry was asked of the budget.
+    pub(crate) fn on_retry(&self, granted: bool) {
+        self.retries.add(1, &[KeyValue::new("granted", granted)]);
+    }
+
+    /// An answer was dropped.
+    pub(crate) fn on_answer_dropped(&self) {
+        self.answers_dropped.add(1, &[]);
+    }
+}
+
+/// Counts one request in flight.
+#[derive(Debug)]
+pub(crate) struct ActiveRequest {
+    active: UpDownCounter<i64>,
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.active.add(-1, &[]);
+    }
+}
+
+// Microseconds fit the mantissa for 285 years.
+#[allow(clippy::cast_precision_loss)]
+fn seconds(time_us: u64) -> f64 {
+    time_us as f64 / US_PER_S
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,123 @@
+//! Paths of the callers' API.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, StatusCode, header};
+use model::ErrorKind;
+use process::Shutdown;
+use salvo::{Depot, FlowCtrl, Request, Response, Router, handler, writing::Json};
+
+use crate::{
+    Refusal, caller::Caller, chat::Chat, clock, models::ModelList, server::Shared,
+};
+
+/// Every route of the callers' API.
+pub(crate) fn router(shared: &Arc<Shared>, shutdown: &Shutdown) -> Router {
+    let chat = Chat {
+        shared: Arc::clone(shared),
+    };
+    let measure = |route| Measure {
+        shared: Arc::clone(shared),
+        shutdown: shutdown.clone(),
+        route,
+    };
+    let models = || Models {
+        shared: Arc::clone(shared),
+    };
+    let v1 = Router::with_path("v1")
+        .push(
+            Router::with_path("chat/completions")
+                .hoop(measure("/v1/chat/completions"))
+                .post(chat),
+        )
+        .push(
+            Router::with_path("models")
+                .hoop(measure("/v1/models"))
+                .get(models()),
+        )
+        .push(
+            Router::with_path("models/{model}")
+                .hoop(measure("/v1/models/{model}"))
+                .get(models()),
+        );
+    Router::new().push(v1)
+}
+
+/// Answers requests that no route took, in the same form as other refusals.
+#[handler]
+pub(crate) async fn refuse_unrouted(
+    req: &mut Request,
+    _depot: &mut Depot,
+    res: &mut Response,
+    _ctrl: &mut FlowCtrl,
+) {
+    let kind = match res.status_code {
+        Some(StatusCode::NOT_FOUND) | None => ErrorKind::NotFound,
+        Some(StatusCode::METHOD_NOT_ALLOWED) => ErrorKind::MethodNotAllowed,
+        Some(status) if status.is_client_error() => ErrorKind::InvalidRequest,
+        Some(_) => ErrorKind::Internal,
+    };
+    let message = format!("{} {} is not served here.", req.method(), req.uri().path());
+    Refusal::new(kind, message).render(res);
+}
+
+/// Counts and times the requests of one route.
+struct Measure {
+    shared: Arc<Shared>,
+    shutdown: Shutdown,
+    route: &'static str,
+}
+
+#[handler]
+impl Measure {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let began_us = clock::now_us();
+        let active = self.shared.metrics.begin_request();
+        ctrl.call_next(req, depot, res).await;
+        let status = res.status_code.unwrap_or(StatusCode::OK).as_u16();
+        let took_us = clock::now_us().saturating_sub(began_us);
+        self.shared.metrics.on_answer(self.route, status, took_us);
+        drop(active);
+        if self.shutdown.is_stopping() {
+            // The client's next request then goes to another instance.
+            res.headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+}
+
+struct Models {
+    shared: Arc<Shared>,
+}
+
+#[handler]
+impl Models {
+    fn handle(&self, req: &mut Request, res: &mut Response) {
+        if let Err(refusal) = self.answer(req, res) {
+            refusal.render(res);
+        }
+    }
+}
+
+impl Models {
+    fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
+        Caller::from_headers(req.headers())?;
+        let list = ModelList::new(&*self.shared.view()?);
+        let Some(name) = req.param::<String>("model") else {
+            res.render(Json(list));
+            return Ok(());
+        };
+        let object = list.find(&name).ok_or_else(|| {
+            let message = format!("The model {name:?} does not exist.");
+            Refusal::new(ErrorKind::UnknownModel, message).with_param("model")
+        })?;
+        res.render(Json(object));
+        Ok(())
+    }
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,46 +1,59 @@
-//! The HTTP server of an entry: routes, limits and planned stop.
+//! The HTTP server of an entry: start and planned stop.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
-use http::StatusCode;
-use model::{ErrorKind, View};
-use process::Shutdown;
+use model::{ErrorKind, InstanceEntry, InstanceRole, Liveness, View};
+use peer::PeerClient;
+use policy::Router;
+use process::{AdminState, Shutdown};
 use salvo::{
-    Depot, FlowCtrl, Request, Response, Router, Server, Service,
-    catcher::Catcher,
-    conn::tcp::TcpAcceptor,
-    handler,
-    http::ParseError,
+    Request, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor, http::ParseError,
     server::ServerHandle,
 };
-use tokio::{net::TcpSocket, task::JoinHandle};
+use tokio::{
+    net::TcpSocket,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+use upstream::UpstreamClient;
 
 use crate::{
-    EntrySettings, FleetWatch, Refusal, chat::Chat, engine::EngineClient, models::ModelList,
-    routing::Routing,
+    EntrySettings, Fleet, Refusal, background, dispatch::Dispatcher, metrics::Metrics, routes,
 };
 
 const LISTEN_BACKLOG: u32 = 4_096;
 
 /// What every request handler shares.
+#[derive(Debug)]
 pub(crate) struct Shared {
-    pub(crate) fleet: FleetWatch,
-    pub(crate) routing: Arc<Routing>,
-    pub(crate) engines: EngineClient,
+    /// The view that requests are routed by.
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) upstreams: UpstreamClient,
+    pub(crate) metrics: Metrics,
     body_limit_bytes: usize,
 }
 
 /// A running entry.
 pub struct Entry {
     address: SocketAddr,
+    drain_ms: u64,
+    fleet: Fleet,
+    admin: AdminState,
     handle: ServerHandle,
     serving: JoinHandle<io::Result<()>>,
+    background: JoinSet<()>,
 }
 
 /// Why an entry could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// The callers' address cannot be bound.
+    /// An address cannot be bound.
     #[error("cannot listen at {address}: {source}")]
     Listen {
         /// The address.
@@ -51,12 +64,14 @@
 }
 
 impl Shared {
-    /// The current view.
+    /// The current view, once it holds a configuration.
     pub(crate) fn view(&self) -> Result<Arc<View>, Refusal> {
-        self.fleet.borrow().clone().ok_or_else(|| {
+        let view = Arc::clone(&self.view.borrow());
+        if view.config.version == 0 {
             let message = "This instance has no configuration yet.";
-            Refusal::new(ErrorKind::NotReady, message)
-        })
+            return Err(Refusal::new(ErrorKind::NotReady, message));
+        }
+        Ok(view)
     }
 
     /// Reads a whole body within the limit.
@@ -76,32 +91,67 @@
 }
 
 impl Entry {
-    /// Binds the callers' address and begins to serve.
+    /// Follows the control program named in `settings` and begins to serve.
     ///
     /// # Errors
     ///
-    /// Returns an error if the address cannot be bound.
-    pub fn start(settings: &EntrySettings, fleet: FleetWatch) -> Result<Self, StartError> {
+    /// Returns an error if an address cannot be bound.
+    pub fn start(
+        settings: &EntrySettings,
+        admin: AdminState,
+        shutdown: &Shutdown,
+    ) -> Result<Self, StartError> {
+        let peers = PeerClient::new();
+        let control = settings.control.to_string();
+        let fleet = Fleet::follow(&control, own_entry(settings), peers.clone());
+        Self::start_with_fleet(settings, fleet, &peers, admin, shutdown)
+    }
+
+    /// Begins to serve with another source of views.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub fn start_with_fleet(
+        settings: &EntrySettings,
+        fleet: Fleet,
+        peers: &PeerClient,
+        admin: AdminState,
+        shutdown: &Shutdown,
+    ) -> Result<Self, StartError> {
         let listen_error = |source| StartError::Listen {
             address: settings.listen,
             source,
         };
         let acceptor = listen(settings.listen).map_err(listen_error)?;
         let address = acceptor.local_addr().map_err(listen_error)?;
+        let metrics = Metrics::new();
+        let router = Router::new(
+            settings.instance_id.clone(),
+            settings.region.clone(),
+            seed(),
+        );
         let shared = Arc::new(Shared {
-            fleet,
-            routing: Arc::new(Routing::default()),
-            engines: EngineClient::new(),
+            view: fleet.subscribe(),
+            dispatcher: Arc::new(Dispatcher::new(router, metrics.clone())),
+            upstreams: UpstreamClient::new(),
+            metrics,
             body_limit_bytes: settings.body_limit_bytes,
         });
+        let background = background::start(&shared, &fleet, peers, &admin, shutdown);
         let server = Server::new(acceptor);
         let handle = server.handle();
-        let service = Service::new(routes(&shared)).catcher(Catcher::new(refuse_unrouted));
+        let service = Service::new(routes::router(&shared, shutdown))
+            .catcher(Catcher::new(routes::refuse_unrouted));
         let serving = tokio::spawn(server.try_serve(service));
         Ok(Self {
             address,
+            drain_ms: settings.drain_ms,
+            fleet,
+            admin,
             handle,
             serving,
+            background,
         })
     }
 
@@ -111,13 +161,24 @@
         self.address
     }
 
-    /// Serves until `shutdown` begins and the requests in flight have ended.
-    pub async fn run_until(self, shutdown: &Shutdown) {
+    /// Serves until `shutdown` begins and every request has ended.
+    ///
+    /// New connections are still served for the drain time, until the balancer
+    /// has seen that `/readyz` fails.
+    pub async fn run_until(mut self, shutdown: &Shutdown) {
         shutdown.stopped().await;
+        log::info!("event=stopping drain_ms={}", self.drain_ms);
+        self.admin.set_ready(false);
+        self.fleet.leave();
+        tokio::time::sleep(Duration::from_millis(self.drain_ms)).await;
         self.handle.stop_graceful(None);
-        if let Err(error) = self.serving.await {
-            log::error!("event=server_failed error={}", process::quote(&error));
+        match self.serving.await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::error!("event=serve_failed error={}", process::quote(&error)),
+            Err(error) => log::error!("event=serve_failed error={}", process::quote(&error)),
         }
+        self.background.shutdown().await;
+        log::info!("event=stopped");
     }
 }
 
@@ -134,67 +195,23 @@
     TcpAcceptor::try_from(socket.listen(LISTEN_BACKLOG)?)
 }
 
-fn routes(shared: &Arc<Shared>) -> Router {
-    let chat = Chat {
-        shared: Arc::clone(shared),
-    };
-    let list = Models {
-        shared: Arc::clone(shared),
-    };
-    let find = Models {
-        shared: Arc::clone(shared),
-    };
-    let v1 = Router::with_path("v1")
-        .push(Router::with_path("chat/completions").post(chat))
-        .push(Router::with_path("models").get(list))
-        .push(Router::with_path("models/{model}").get(find));
-    Router::new().push(v1)
-}
-
-struct Models {
-    shared: Arc<Shared>,
-}
-
-#[handler]
-impl Models {
-    fn handle(&self, req: &mut Request, res: &mut Response) {
-        if let Err(refusal) = self.answer(req, res) {
-            refusal.render(res);
-        }
-    }
-}
-
-impl Models {
-    fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
-        crate::caller::Caller::from_headers(req.headers())?;
-        let list = ModelList::new(&*self.shared.view()?);
-        let Some(name) = req.param::<String>("model") else {
-            res.render(salvo::writing::Json(list));
-            return Ok(());
-        };
-        let object = list.find(&name).ok_or_else(|| {
-            let message = format!("The model {name:?} does not exist.");
-            Refusal::new(ErrorKind::UnknownModel, message).with_param("model")
-        })?;
-        res.render(salvo::writing::Json(object));
-        Ok(())
+fn own_entry(settings: &EntrySettings) -> InstanceEntry {
+    InstanceEntry {
+        id: settings.instance_id.clone(),
+        role: InstanceRole::Entry,
+        peer_address: settings.peer_listen.to_string(),
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        liveness: Liveness::Live,
+        incarnation: 0,
     }
 }
 
-/// Answers requests that no route took, in the same form as other refusals.
-#[handler]
-async fn refuse_unrouted(
-    req: &mut Request,
-    _depot: &mut Depot,
-    res: &mut Response,
-    _ctrl: &mut FlowCtrl,
-) {
-    let kind = match res.status_code {
-        Some(StatusCode::NOT_FOUND) | None => ErrorKind::NotFound,
-        Some(StatusCode::METHOD_NOT_ALLOWED) => ErrorKind::MethodNotAllowed,
-        Some(status) if status.is_client_error() => ErrorKind::InvalidRequest,
-        Some(_) => ErrorKind::Internal,
-    };
-    let message = format!("{} {} is not served here.", req.method(), req.uri().path());
-    Refusal::new(kind, message).render(res);
+/// Entries that start together must not choose alike.
+fn seed() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let random = uuid::Uuid::new_v4().as_u64_pair().0;
+    u64::from(since_epoch.subsec_nanos()) ^ random
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use process::{SettingProblem, Settings};
 
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+const DRAIN_MS: u64 = 5_000;
 
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
@@ -29,6 +30,8 @@
     pub failure_domain: FailureDomain,
     /// Longest body of a chat or service request, bytes.
     pub body_limit_bytes: usize,
+    /// Time for which a stopping entry still accepts connections, milliseconds.
+    pub drain_ms: u64,
     /// Specification for the logger.
     pub log_level: String,
 }
@@ -45,6 +48,7 @@
     region: Option<String>,
     failure_domain: Option<String>,
     body_limit_bytes: Option<String>,
+    drain_ms: Option<String>,
     log_level: Option<String>,
 }
 
@@ -96,6 +100,11 @@
         .help("Longest body of a chat or service request; 4194304 unless set")
         .argument("BYTES")
         .optional();
+    let drain_ms = long("drain-ms")
+        .env("REDWINGTACK_DRAIN_MS")
+        .help("Time for which a stopping entry still accepts connections, so that the balancer notices; 5000 unless set")
+        .argument("MS")
+        .optional();
     let log_level = long("log-level")
         .env("REDWINGTACK_LOG_LEVEL")
         .help("error, warn, info, debug or trace; info unless set")
@@ -111,6 +120,7 @@
         region,
         failure_domain,
         body_limit_bytes,
+        drain_ms,
         log_level,
     })
     .to_options()
@@ -144,6 +154,7 @@
             self.body_limit_bytes.as_deref(),
             BODY_LIMIT_BYTES,
         );
+        let drain_ms = settings.or_default("drain-ms", self.drain_ms.as_deref(), DRAIN_MS);
         let checked = || {
             Some(EntrySettings {
                 listen: listen?,
@@ -155,6 +166,7 @@
                 region: Region::from(region?),
                 failure_domain: FailureDomain::from(failure_domain?),
                 body_limit_bytes,
+                drain_ms,
                 log_level: self.log_level.clone().unwrap_or_else(|| "info".to_owned()),
             })
         };
