--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -1,6 +1,10 @@
 //! `redwingtack dev`: the whole path in one process, for a first try.
 
+mod config;
+mod fleet;
+
 use std::{
+    error::Error,
     net::{Ipv4Addr, SocketAddr},
     process::ExitCode,
 };
@@ -8,6 +12,8 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use process::{Settings, Shutdown};
 
+use self::fleet::DevFleet;
+
 const PROGRAM: &str = "redwingtack dev";
 const PORT: u16 = 8080;
 
@@ -54,3 +60,16 @@
         }
     }
 }
+
+#[tokio::main]
+async fn serve(listen: SocketAddr) -> Result<(), Box<dyn Error>> {
+    let shutdown = Shutdown::new();
+    let signalled = shutdown.clone();
+    tokio::spawn(async move { process::wait_for_signal(&signalled).await });
+    let fleet = DevFleet::start(listen, &shutdown).await?;
+    fleet.print_addresses();
+    println!("ready: http://{}/v1", fleet.address());
+    fleet.run_until(&shutdown).await;
+    println!("stopped");
+    Ok(())
+}
--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use model::{DispatchNotice, InstanceRole, UpstreamEntry, UpstreamId, UpstreamKind, View};
+use model::{
+    DispatchNotice, InstanceRole, Liveness, UpstreamEntry, UpstreamId, UpstreamKind, View,
+};
 use peer::{PeerClient, PeerRequest};
 use process::{AdminState, Shutdown};
 use tokio::{
@@ -122,8 +124,14 @@
 
 fn window_owner(view: &View, upstream: &UpstreamId) -> Option<String> {
     let upstream = find(view, upstream)?;
-    let owner = membership::batch_window_owner(view, upstream)?;
-    (owner.role == InstanceRole::Batch).then(|| owner.peer_address.clone())
+    let owner = view
+        .instances
+        .iter()
+        .filter(|instance| instance.liveness == Liveness::Live)
+        .find(|instance| {
+            instance.role == InstanceRole::Batch && instance.region == upstream.region
+        })?;
+    Some(owner.peer_address.clone())
 }
 
 async fn send_evidence(shared: Arc<Shared>, peers: PeerClient, control: String) {
@@ -131,7 +139,12 @@
         shared.dispatcher.evidence().ready().await;
         let evidence = shared.dispatcher.evidence().take();
         if !evidence.is_empty() {
-            send(peers.clone(), control.clone(), PeerRequest::Evidence(evidence)).await;
+            send(
+                peers.clone(),
+                control.clone(),
+                PeerRequest::Evidence(evidence),
+            )
+            .await;
         }
     }
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,7 +6,7 @@
 use crate::Refusal;
 
 /// Header that names the class of a request.
-const CLASS_HEADER: &str = "redwingtack-class";
+pub(crate) const CLASS_HEADER: &str = "redwingtack-class";
 /// Header that marks resends of one request.
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -45,7 +45,10 @@
         let view = self.shared.view()?;
         let class = request::online_class(&view.config, &caller, &parsed)?;
         self.shared.dispatcher.admit(&caller.customer, &class)?;
-        let head = AnswerHead::new(format!("chatcmpl-{}", Uuid::new_v4().simple()), &parsed.request.model);
+        let head = AnswerHead::new(
+            format!("chatcmpl-{}", Uuid::new_v4().simple()),
+            &parsed.request.model,
+        );
         let stream = parsed.stream;
         let include_usage = parsed.include_usage;
         let flow = ChatFlow::new(Arc::clone(&self.shared), parsed.request, &class);
--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -2,28 +2,21 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::{Class, ClassTarget, ErrorKind, Ran};
+use model::{Class, ErrorKind, Ran, RetryAdvice, UpstreamId};
 use policy::{Destination, RouteRequest};
 use tokio::time::Instant;
 use upstream::{ChatChunk, ChatRequest, ChatStream, UpstreamError, Usage};
 use uuid::Uuid;
 
 use super::prompt::Prompt;
-use crate::{Refusal, clock, dispatch::Ticket, server::Shared};
+use crate::{Refusal, clock, dispatch::Ticket, patience::Patience, refusal, server::Shared};
 
 /// Attempts of one request at most, the first included.
 const ATTEMPTS_MAX: u32 = 4;
-/// A request is given up when its first token is this many targets late.
-const GIVE_UP_TARGETS: u64 = 4;
-/// Shortest time until a request without a first token is given up.
-const GIVE_UP_MIN_MS: u64 = 2_000;
-/// An engine that is silent for this many targets between tokens has stalled.
-const STALL_TARGETS: u64 = 50;
-/// Shortest silence that counts as a stall.
-const STALL_MIN_MS: u64 = 3_000;
+/// Upstreams that may fail on a request before the request itself is blamed.
+const FAILED_RUNS_MAX: u32 = 2;
 /// Longest wait for the end mark once the final chunk has come.
 const END_MARK_WAIT_MS: u64 = 200;
-const US_PER_MS: u64 = 1_000;
 
 /// What a request yields.
 #[derive(Debug, Clone)]
@@ -45,12 +38,11 @@
     request: ChatRequest,
     prompt: Prompt,
     arrived_at_us: u64,
-    first_token_deadline_us: u64,
-    give_up_at: Instant,
-    stall_ms: u64,
+    patience: Patience,
     delivered: Vec<String>,
     attempts: u32,
-    excluded: Vec<model::UpstreamId>,
+    failed_runs: u32,
+    excluded: Vec<UpstreamId>,
     ran: Ran,
     last_refusal: Option<Refusal>,
     current: Option<Attempt>,
@@ -68,26 +60,15 @@
 impl ChatFlow {
     /// A request that has been admitted and not been sent.
     pub(crate) fn new(shared: Arc<Shared>, request: ChatRequest, class: &Class) -> Self {
-        let (first_token_ms, between_tokens_ms) = match class.target {
-            ClassTarget::Online {
-                first_token_ms,
-                between_tokens_ms,
-                ..
-            } => (first_token_ms, between_tokens_ms),
-            ClassTarget::Batch { .. } | ClassTarget::Service(_) => (GIVE_UP_MIN_MS, STALL_MIN_MS),
-        };
-        let arrived_at_us = clock::now_us();
-        let give_up_ms = (first_token_ms * GIVE_UP_TARGETS).max(GIVE_UP_MIN_MS);
         Self {
             shared,
             prompt: Prompt::new(&request),
             request,
-            arrived_at_us,
-            first_token_deadline_us: arrived_at_us + first_token_ms * US_PER_MS,
-            give_up_at: Instant::now() + Duration::from_millis(give_up_ms),
-            stall_ms: (between_tokens_ms * STALL_TARGETS).max(STALL_MIN_MS),
+            arrived_at_us: clock::now_us(),
+            patience: Patience::new(&class.target),
             delivered: Vec::new(),
             attempts: 0,
+            failed_runs: 0,
             excluded: Vec::new(),
             ran: Ran::No,
             last_refusal: None,
@@ -154,13 +135,7 @@
         }
     }
 
-    fn open(
-        &mut self,
-        id: String,
-        ticket: Ticket,
-        stream: ChatStream,
-        resumed_after: Option<u32>,
-    ) {
+    fn open(&mut self, id: String, ticket: Ticket, stream: ChatStream, resumed_after: Option<u32>) {
         if stream.is_leaving() {
             ticket.on_leaving();
         }
@@ -185,10 +160,7 @@
             resumed_after,
         } = attempt;
         drop(stream);
-        let is_cut = matches!(
-            error.kind,
-            ErrorKind::ConnectionLost | ErrorKind::StreamCut
-        );
+        let is_cut = matches!(error.kind, ErrorKind::ConnectionLost | ErrorKind::StreamCut);
         let after = self.delivered_count();
         // A stream that breaks twice at the same token would break for ever.
         if is_cut
@@ -235,9 +207,12 @@
             self.delivered.len(),
             process::quote(&error.message)
         );
-        self.ran = worse(self.ran, error.ran());
+        self.ran = refusal::worse(self.ran, error.ran());
         self.excluded.push(ticket.upstream().clone());
         ticket.fail(error.kind);
+        if self.delivered.is_empty() && error.ran() != Ran::No {
+            self.failed_runs += 1;
+        }
         let refusal = self.refusal(error);
         if !self.may_retry(error) {
             return Err(refusal);
@@ -247,7 +222,7 @@
     }
 
     fn may_retry(&self, error: &UpstreamError) -> bool {
-        if self.attempts >= ATTEMPTS_MAX {
+        if self.attempts >= ATTEMPTS_MAX || self.failed_runs >= FAILED_RUNS_MAX {
             return false;
         }
         // Tokens already passed on are continued, not repeated; so a stall or
@@ -257,7 +232,7 @@
             ErrorKind::DeadlineExceeded => !self.delivered.is_empty(),
             kind => policy::retry_is_safe(kind, true, 0),
         };
-        let in_time = !self.delivered.is_empty() || Instant::now() < self.give_up_at;
+        let in_time = !self.delivered.is_empty() || !self.patience.is_over();
         is_safe && in_time && self.shared.dispatcher.try_retry()
     }
 
@@ -270,7 +245,7 @@
         let message = format!("The upstream failed: {}.", error.message);
         let refusal = Refusal::new(kind, message).with_ran(self.ran);
         match error.retry_after_s {
-            Some(seconds) => refusal.with_retry_after_s(seconds),
+            Some(seconds) => refusal.with_retry(RetryAdvice::AfterS(seconds)),
             None => refusal,
         }
     }
@@ -291,8 +266,7 @@
             } else {
                 attempt.ticket.on_token();
             }
-            let stall = Duration::from_millis(self.stall_ms);
-            attempt.stream.set_deadline(Instant::now() + stall);
+            attempt.stream.set_deadline(self.patience.stalls_at());
         }
         self.delivered.push(chunk.text.clone());
         ChatEvent::Text(chunk.text)
@@ -311,10 +285,10 @@
 
     fn route_request(&self) -> RouteRequest {
         let first_token_deadline_us = if self.attempts == 0 {
-            self.first_token_deadline_us
+            self.patience.due_at_us
         } else {
             // A second attempt that comes late is still worth more than none.
-            clock::now_us() + self.stall_ms * US_PER_MS
+            u64::MAX
         };
         RouteRequest {
             destination: Destination::Model(self.prompt.model.clone()),
@@ -328,21 +302,12 @@
 
     fn deadline(&self) -> Instant {
         if self.delivered.is_empty() {
-            return self.give_up_at;
+            return self.patience.give_up_at;
         }
-        Instant::now() + Duration::from_millis(self.stall_ms)
+        self.patience.stalls_at()
     }
 
     fn delivered_count(&self) -> u32 {
         u32::try_from(self.delivered.len()).unwrap_or(u32::MAX)
     }
 }
-
-/// What is known to have run after two attempts.
-fn worse(left: Ran, right: Ran) -> Ran {
-    match (left, right) {
-        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
-        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
-        (Ran::No, Ran::No) => Ran::No,
-    }
-}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -7,7 +7,8 @@
 };
 
 use model::{
-    Class, CustomerId, DispatchNotice, ErrorKind, InstanceRole, Liveness, UpstreamId, View,
+    Class, CustomerId, DispatchNotice, ErrorKind, InstanceRole, Liveness, RetryAdvice, UpstreamId,
+    View,
 };
 use policy::{AttemptId, CustomerLimits, RetryBudget, Route, RouteRequest, Router};
 use tokio::sync::Notify;
@@ -80,9 +81,10 @@
             .limits
             .admit(customer, &class.name, requests_per_s, clock::now_us())
             .map_err(|limit| {
-                let message = format!("The limit of {requests_per_s} requests per second is used up.");
+                let message =
+                    format!("The limit of {requests_per_s} requests per second is used up.");
                 Refusal::new(ErrorKind::CustomerLimit, message)
-                    .with_retry_after_s(seconds(limit.retry_after_ms))
+                    .with_retry(retry_after(limit.retry_after_ms))
             })
     }
 
@@ -96,7 +98,7 @@
         let route = self.policy().router.route(request, now_us);
         let route = route.map_err(|refusal| {
             Refusal::new(refusal.kind, refusal_message(refusal.kind))
-                .with_retry_after_s(seconds(refusal.retry_after_ms))
+                .with_retry(retry_after(refusal.retry_after_ms))
         })?;
         self.notices_ready.notify_one();
         if let Some(address) = address_of(view, &route.upstream) {
@@ -186,7 +188,10 @@
     /// A further token came.
     pub(crate) fn on_token(&self) {
         let now_us = clock::now_us();
-        self.dispatcher.policy().router.on_token(self.attempt, now_us);
+        self.dispatcher
+            .policy()
+            .router
+            .on_token(self.attempt, now_us);
     }
 
     /// The upstream said that it is leaving.
@@ -207,7 +212,9 @@
             .on_failure(self.attempt, kind, now_us);
         match kind {
             ErrorKind::UpstreamLeaving => self.on_leaving(),
-            ErrorKind::ConnectRefused => dispatcher.evidence.push(&self.upstream, Liveness::Suspect),
+            ErrorKind::ConnectRefused => {
+                dispatcher.evidence.push(&self.upstream, Liveness::Suspect);
+            }
             _ => {}
         }
     }
@@ -217,7 +224,10 @@
     fn drop(&mut self) {
         if !self.is_over {
             let now_us = clock::now_us();
-            self.dispatcher.policy().router.on_ended(self.attempt, now_us);
+            self.dispatcher
+                .policy()
+                .router
+                .on_ended(self.attempt, now_us);
         }
     }
 }
@@ -238,6 +248,7 @@
     }
 }
 
-fn seconds(wait_ms: u64) -> u32 {
-    u32::try_from(wait_ms.div_ceil(MS_PER_S).max(1)).unwrap_or(u32::MAX)
+fn retry_after(wait_ms: u64) -> RetryAdvice {
+    let seconds = wait_ms.div_ceil(MS_PER_S).max(1);
+    RetryAdvice::AfterS(u32::try_from(seconds).unwrap_or(u32::MAX))
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -50,7 +50,9 @@
 
     /// Peer address of the control program.
     pub(crate) fn control_address(&self) -> Option<&str> {
-        self.control.as_ref().map(|control| control.address.as_str())
+        self.control
+            .as_ref()
+            .map(|control| control.address.as_str())
     }
 
     /// Tells the fleet that this entry takes no new work.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,9 +14,11 @@
 mod fleet;
 mod metrics;
 mod models;
+mod patience;
 mod refusal;
 mod routes;
 mod server;
+mod service;
 mod settings;
 
 pub use crate::{
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -31,7 +31,10 @@
     tokio::spawn(async move { process::wait_for_signal(&stopping).await });
     tokio::spawn(process::serve_admin(settings.admin_listen, admin.clone()));
     let entry = Entry::start(settings, admin, &shutdown)?;
-    log::info!("event=listening program={PROGRAM} listen={}", entry.address());
+    log::info!(
+        "event=listening program={PROGRAM} listen={}",
+        entry.address()
+    );
     entry.run_until(&shutdown).await;
     Ok(())
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,7 +21,6 @@
     attempts: Counter<u64>,
     attempt_failures: Counter<u64>,
     retries: Counter<u64>,
-    answers_dropped: Counter<u64>,
 }
 
 impl Metrics {
@@ -60,10 +59,6 @@
                 .u64_counter("redwingtack.upstream.retries")
                 .with_description("Retries, granted by the budget or not")
                 .build(),
-            answers_dropped: meter
-                .u64_counter("redwingtack.upstream.answers_dropped")
-                .with_description("Answers that came late or belonged to another attempt")
-                .build(),
         }
     }
 
@@ -105,11 +100,6 @@
     pub(crate) fn on_retry(&self, granted: bool) {
         self.retries.add(1, &[KeyValue::new("granted", granted)]);
     }
-
-    /// An answer was dropped.
-    pub(crate) fn on_answer_dropped(&self) {
-        self.answers_dropped.add(1, &[]);
-    }
 }
 
 /// Counts one request in flight.
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -38,7 +38,9 @@
 
     /// Finds one model.
     pub(crate) fn find(self, name: &str) -> Option<ModelObject> {
-        self.data.into_iter().find(|object| object.id.as_str() == name)
+        self.data
+            .into_iter()
+            .find(|object| object.id.as_str() == name)
     }
 }
 
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Header that says whether a refused request ran.
-const RAN_HEADER: &str = "redwingtack-ran";
+pub(crate) const RAN_HEADER: &str = "redwingtack-ran";
 /// Header by which `OpenAI`'s clients are told not to resend.
 const SHOULD_RETRY_HEADER: &str = "x-should-retry";
 
@@ -20,8 +20,8 @@
     pub message: String,
     /// Parameter of the request that is at fault.
     pub param: Option<&'static str>,
-    /// Computed time to come back, seconds, if better than the table's.
-    pub retry_after_s: Option<u32>,
+    /// When to come back, if known better than by the table.
+    pub retry: Option<RetryAdvice>,
     /// Whether the request ran, if known better than the table.
     pub ran: Option<Ran>,
 }
@@ -33,7 +33,7 @@
             kind,
             message: message.into(),
             param: None,
-            retry_after_s: None,
+            retry: None,
             ran: None,
         }
     }
@@ -45,10 +45,10 @@
         self
     }
 
-    /// Sets a computed time to come back, seconds.
+    /// Sets when to come back.
     #[must_use]
-    pub fn with_retry_after_s(mut self, retry_after_s: u32) -> Self {
-        self.retry_after_s = Some(retry_after_s);
+    pub fn with_retry(mut self, retry: RetryAdvice) -> Self {
+        self.retry = Some(retry);
         self
     }
 
@@ -90,22 +90,24 @@
             HeaderValue::from_static("application/json"),
         );
         headers.insert(RAN_HEADER, HeaderValue::from_static(self.ran().as_str()));
-        match self.retry_after(&answer) {
-            Some(seconds) => {
+        match self.retry.unwrap_or(answer.retry) {
+            RetryAdvice::AfterS(seconds) => {
                 headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
             }
-            None => {
+            RetryAdvice::Never => {
                 headers.insert(SHOULD_RETRY_HEADER, HeaderValue::from_static("false"));
             }
         }
         res.body(self.body());
     }
+}
 
-    fn retry_after(&self, answer: &Answer) -> Option<u32> {
-        match answer.retry {
-            RetryAdvice::Never => None,
-            RetryAdvice::AfterS(seconds) => Some(self.retry_after_s.unwrap_or(seconds)),
-        }
+/// What is known to have run after two attempts.
+pub(crate) fn worse(left: Ran, right: Ran) -> Ran {
+    match (left, right) {
+        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
+        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+        (Ran::No, Ran::No) => Ran::No,
     }
 }
 
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Refusal, caller::Caller, chat::Chat, clock, models::ModelList, server::Shared,
+    service::Services,
 };
 
 /// Every route of the callers' API.
@@ -40,7 +41,12 @@
                 .hoop(measure("/v1/models/{model}"))
                 .get(models()),
         );
-    Router::new().push(v1)
+    let services = Router::with_path("services/{name}/{**path}")
+        .hoop(measure("/services/{name}/{path}"))
+        .goal(Services {
+            shared: Arc::clone(shared),
+        });
+    Router::new().push(v1).push(services)
 }
 
 /// Answers requests that no route took, in the same form as other refusals.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,6 +9,7 @@
 
 use model::{ErrorKind, InstanceEntry, InstanceRole, Liveness, View};
 use peer::PeerClient;
+use platform::Platform;
 use policy::Router;
 use process::{AdminState, Shutdown};
 use salvo::{
@@ -20,10 +21,12 @@
     sync::watch,
     task::{JoinHandle, JoinSet},
 };
+use tokio_util::task::TaskTracker;
 use upstream::UpstreamClient;
 
 use crate::{
     EntrySettings, Fleet, Refusal, background, dispatch::Dispatcher, metrics::Metrics, routes,
+    service::Claims,
 };
 
 const LISTEN_BACKLOG: u32 = 4_096;
@@ -36,6 +39,9 @@
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) upstreams: UpstreamClient,
     pub(crate) metrics: Metrics,
+    pub(crate) claims: Claims,
+    /// Work that a planned stop waits for.
+    pub(crate) tasks: TaskTracker,
     body_limit_bytes: usize,
 }
 
@@ -47,6 +53,7 @@
     admin: AdminState,
     handle: ServerHandle,
     serving: JoinHandle<io::Result<()>>,
+    tasks: TaskTracker,
     background: JoinSet<()>,
 }
 
@@ -131,11 +138,14 @@
             settings.region.clone(),
             seed(),
         );
+        let tasks = TaskTracker::new();
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
             dispatcher: Arc::new(Dispatcher::new(router, metrics.clone())),
             upstreams: UpstreamClient::new(),
             metrics,
+            claims: Claims::new(Platform::new(settings.platform), tasks.clone()),
+            tasks: tasks.clone(),
             body_limit_bytes: settings.body_limit_bytes,
         });
         let background = background::start(&shared, &fleet, peers, &admin, shutdown);
@@ -151,6 +161,7 @@
             admin,
             handle,
             serving,
+            tasks,
             background,
         })
     }
@@ -177,6 +188,8 @@
             Ok(Err(error)) => log::error!("event=serve_failed error={}", process::quote(&error)),
             Err(error) => log::error!("event=serve_failed error={}", process::quote(&error)),
         }
+        self.tasks.close();
+        self.tasks.wait().await;
         self.background.shutdown().await;
         log::info!("event=stopped");
     }
--- /dev/null
+++ b/crates/entry/src/service/claim.rs
@@ -0,0 +1,301 @@
+//! Claims of calls that may run once only.
+//!
+//! A row is inserted before the call is sent, so that no resend, at whichever
+//! entry, sends it again. The outcome replaces the claim; a claim without an
+//! outcome past its time becomes `Unknown` for good. Each change is conditional
+//! on the row's version, so clocks decide only when somebody may give up.
+
+use std::time::Duration;
+
+use model::{CustomerId, ErrorKind, Ran};
+use platform::{
+    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+use upstream::ServiceAnswer;
+use uuid::Uuid;
+
+use super::{flow::ServiceFlow, stored::StoredAnswer};
+use crate::{Refusal, clock};
+
+/// Longest wait for the platform before a call is sent.
+const CLAIM_TIMEOUT_MS: u64 = 2_000;
+/// Longest wait for the platform before the caller gets its answer.
+const STORE_TIMEOUT_MS: u64 = 1_000;
+/// Longest time that an outcome is offered to a platform that is down.
+const STORE_GIVE_UP_MS: u64 = 300_000;
+/// Time between two looks at a claim that another call holds.
+const POLL_MS: u64 = 100;
+/// Time after the holder's deadline until its outcome counts as unknown.
+const HOLDER_GRACE_MS: u64 = 2_000;
+
+/// State of one idempotency key of one customer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct ClaimRow {
+    /// Distinguishes the holder from every other call.
+    operation: String,
+    /// Digest of the call, so that another call under the key is recognised.
+    digest: String,
+    state: ClaimState,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ClaimState {
+    /// The holder may have sent the call.
+    Claimed {
+        /// When the holder will have given up, Unix milliseconds.
+        answer_by_ms: u64,
+    },
+    /// The service answered.
+    Done(StoredAnswer),
+    /// Whether the call ran will never be known.
+    Unknown,
+}
+
+/// Version of a claim that this process has just inserted.
+const INSERTED_VERSION: u64 = 1;
+
+/// Runs calls once.
+#[derive(Debug, Clone)]
+pub(crate) struct Claims {
+    platform: Platform,
+    tasks: TaskTracker,
+}
+
+/// Key of the row of a claim.
+pub(crate) fn row_key(customer: &CustomerId, key: &str) -> String {
+    format!("claim/{}/{}", escape(customer.as_str()), escape(key))
+}
+
+impl Claims {
+    pub(crate) fn new(platform: Platform, tasks: TaskTracker) -> Self {
+        Self { platform, tasks }
+    }
+
+    /// Sends a call under a claim, or answers from the claim that is there.
+    pub(crate) async fn run_once(
+        self,
+        key: String,
+        digest: String,
+        flow: ServiceFlow,
+    ) -> Result<ServiceAnswer, Refusal> {
+        let claim = ClaimRow {
+            operation: Uuid::new_v4().simple().to_string(),
+            digest,
+            state: ClaimState::Claimed {
+                answer_by_ms: clock::unix_ms() + flow.patience().left_ms(),
+            },
+        };
+        match self.insert(&key, &claim).await {
+            Ok(TransactOutcome::Committed { .. }) => self.run_claimed(key, claim, flow).await,
+            Ok(TransactOutcome::Conflict { row: Some(row), .. }) => {
+                self.answer_from(row, &claim.digest).await
+            }
+            Ok(TransactOutcome::Conflict { row: None, .. }) => {
+                // The claim of a call that did not run was removed just now.
+                let message = "An earlier call with this key has just ended without running.";
+                Err(Refusal::new(ErrorKind::PlatformUnavailable, message))
+            }
+            Err(error) => {
+                if !error.is_not_applied() {
+                    self.release_later(key, claim);
+                }
+                Err(unavailable(&error))
+            }
+        }
+    }
+
+    async fn insert(&self, key: &str, claim: &ClaimRow) -> Result<TransactOutcome, PlatformError> {
+        let request = put(key, Expected::Absent, claim);
+        let deadline = Instant::now() + Duration::from_millis(CLAIM_TIMEOUT_MS);
+        let is_own = |row: &Row| is_operation(row, &claim.operation);
+        let settled = self
+            .platform
+            .transact_settled(&request, key, is_own, deadline);
+        match tokio::time::timeout_at(deadline, settled).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(PlatformError::Unknown("no answer in time".to_owned())),
+        }
+    }
+
+    async fn run_claimed(
+        self,
+        key: String,
+        claim: ClaimRow,
+        flow: ServiceFlow,
+    ) -> Result<ServiceAnswer, Refusal> {
+        match flow.run().await {
+            Ok(answer) => {
+                let stored = StoredAnswer::store(&answer, &self.platform).await;
+                let state = stored.map_or(ClaimState::Unknown, ClaimState::Done);
+                self.replace_soon(key, ClaimRow { state, ..claim }).await;
+                Ok(answer)
+            }
+            Err(refusal) if refusal.ran() == Ran::No => {
+                self.release_later(key, claim);
+                Err(refusal)
+            }
+            Err(refusal) => {
+                let state = ClaimState::Unknown;
+                self.replace_soon(key, ClaimRow { state, ..claim }).await;
+                Err(outcome_unknown(&refusal.message))
+            }
+        }
+    }
+
+    /// Answers a resend; waits while the holder may still get an answer.
+    async fn answer_from(&self, mut row: Row, digest: &str) -> Result<ServiceAnswer, Refusal> {
+        loop {
+            let claim = parse(&row)?;
+            if claim.digest != digest {
+                let message = "This Idempotency-Key was used with another call.";
+                return Err(Refusal::new(ErrorKind::IdempotencyConflict, message));
+            }
+            let answer_by_ms = match claim.state {
+                ClaimState::Done(stored) => {
+                    let answer = stored.load(&self.platform).await;
+                    return answer.map_err(|error| unavailable(&error).with_ran(Ran::Yes));
+                }
+                ClaimState::Unknown => {
+                    return Err(outcome_unknown(
+                        "An earlier call with this key may have run.",
+                    ));
+                }
+                ClaimState::Claimed { answer_by_ms } => answer_by_ms,
+            };
+            if clock::unix_ms() > answer_by_ms + HOLDER_GRACE_MS {
+                let state = ClaimState::Unknown;
+                self.replace(&row.key, row.version, &ClaimRow { state, ..claim })
+                    .await
+                    .map_err(|error| unavailable(&error).with_ran(Ran::Unknown))?;
+            }
+            tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+            row = self.read(&row.key).await?;
+        }
+    }
+
+    async fn read(&self, key: &str) -> Result<Row, Refusal> {
+        let row = self.platform.row(key).await;
+        let row = row.map_err(|error| unavailable(&error).with_ran(Ran::Unknown))?;
+        row.ok_or_else(|| {
+            let message = "The earlier call with this key did not run.";
+            Refusal::new(ErrorKind::UpstreamRefused, message)
+        })
+    }
+
+    /// Records an outcome; goes on in the background if the platform is slow.
+    async fn replace_soon(&self, key: String, claim: ClaimRow) {
+        let this = self.clone();
+        let task = self.tasks.spawn(async move {
+            let deadline = Instant::now() + Duration::from_millis(STORE_GIVE_UP_MS);
+            while Instant::now() < deadline {
+                match this.replace(&key, INSERTED_VERSION, &claim).await {
+                    Ok(()) => return,
+                    Err(error) => log::warn!(
+                        "event=outcome_not_stored key={key} error={}",
+                        process::quote(&error)
+                    ),
+                }
+                tokio::time::sleep(Duration::from_millis(STORE_TIMEOUT_MS)).await;
+            }
+        });
+        // The caller need not wait for a slow platform: without the outcome, a
+        // resend is told that the outcome is unknown.
+        let _ = tokio::time::timeout(Duration::from_millis(STORE_TIMEOUT_MS), task).await;
+    }
+
+    /// A conflict means that the claim has been settled otherwise.
+    async fn replace(
+        &self,
+        key: &str,
+        version: u64,
+        claim: &ClaimRow,
+    ) -> Result<(), PlatformError> {
+        let request = put(key, Expected::Version(version), claim);
+        self.platform.transact(&request).await?;
+        Ok(())
+    }
+
+    /// Removes the claim of a call that did not run, so that a resend may.
+    fn release_later(&self, key: String, claim: ClaimRow) {
+        let this = self.clone();
+        self.tasks.spawn(async move {
+            let deadline = Instant::now() + Duration::from_millis(STORE_GIVE_UP_MS);
+            while Instant::now() < deadline {
+                match this.release(&key, &claim.operation).await {
+                    Ok(()) => return,
+                    Err(error) => log::warn!(
+                        "event=claim_not_released key={key} error={}",
+                        process::quote(&error)
+                    ),
+                }
+                tokio::time::sleep(Duration::from_millis(STORE_TIMEOUT_MS)).await;
+            }
+        });
+    }
+
+    async fn release(&self, key: &str, operation: &str) -> Result<(), PlatformError> {
+        let Some(row) = self.platform.row(key).await? else {
+            return Ok(());
+        };
+        if !is_operation(&row, operation) {
+            return Ok(());
+        }
+        let request = TransactRequest {
+            conditions: vec![Condition {
+                key: key.to_owned(),
+                expected: Expected::Version(row.version),
+            }],
+            mutations: vec![Mutation::Delete {
+                key: key.to_owned(),
+            }],
+        };
+        self.platform.transact(&request).await?;
+        Ok(())
+    }
+}
+
+fn put(key: &str, expected: Expected, claim: &ClaimRow) -> TransactRequest {
+    TransactRequest {
+        conditions: vec![Condition {
+            key: key.to_owned(),
+            expected,
+        }],
+        mutations: vec![Mutation::Put {
+            key: key.to_owned(),
+            value: serde_json::to_string(claim).unwrap_or_default(),
+        }],
+    }
+}
+
+fn parse(row: &Row) -> Result<ClaimRow, Refusal> {
+    serde_json::from_str(&row.value).map_err(|error| {
+        log::error!(
+            "event=claim_malformed key={} error={}",
+            row.key,
+            process::quote(&error)
+        );
+        outcome_unknown("The record of an earlier call with this key cannot be read.")
+    })
+}
+
+fn is_operation(row: &Row, operation: &str) -> bool {
+    serde_json::from_str::<ClaimRow>(&row.value).is_ok_and(|claim| claim.operation == operation)
+}
+
+fn unavailable(error: &PlatformError) -> Refusal {
+    let message = format!("The platform cannot be reached: {error}.");
+    Refusal::new(ErrorKind::PlatformUnavailable, message)
+}
+
+fn outcome_unknown(message: &str) -> Refusal {
+    Refusal::new(ErrorKind::OutcomeUnknown, message)
+}
+
+/// Keeps customers and keys apart in the name of a row.
+fn escape(text: &str) -> String {
+    text.replace('%', "%25").replace('/', "%2F")
+}
--- /dev/null
+++ b/crates/entry/src/service/flow.rs
@@ -0,0 +1,132 @@
+//! Drives one call to a plain service through its attempts.
+
+use std::sync::Arc;
+
+use model::{Class, ErrorKind, Ran, RetryAdvice, ServiceName, ServiceTarget, UpstreamId};
+use policy::{Destination, RouteRequest};
+use upstream::{ServiceAnswer, ServiceCall, UpstreamError};
+use uuid::Uuid;
+
+use crate::{Refusal, patience::Patience, refusal, server::Shared};
+
+/// Attempts of one call at most, the first included.
+const ATTEMPTS_MAX: u32 = 4;
+
+/// One call on its way.
+pub(crate) struct ServiceFlow {
+    shared: Arc<Shared>,
+    call: ServiceCall,
+    service: ServiceName,
+    idempotent: bool,
+    patience: Patience,
+    attempts: u32,
+    excluded: Vec<UpstreamId>,
+    ran: Ran,
+    last_refusal: Option<Refusal>,
+}
+
+impl ServiceFlow {
+    /// A call that has been admitted and not been sent.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        call: ServiceCall,
+        class: &Class,
+        target: &ServiceTarget,
+    ) -> Self {
+        Self {
+            shared,
+            call,
+            service: target.service.clone(),
+            idempotent: target.idempotent,
+            patience: Patience::new(&class.target),
+            attempts: 0,
+            excluded: Vec::new(),
+            ran: Ran::No,
+            last_refusal: None,
+        }
+    }
+
+    /// The call.
+    pub(crate) fn call(&self) -> &ServiceCall {
+        &self.call
+    }
+
+    /// Deadlines of the call.
+    pub(crate) fn patience(&self) -> &Patience {
+        &self.patience
+    }
+
+    /// Sends the call until a service answers. A call that is not idempotent
+    /// is sent again only if it certainly did not run.
+    pub(crate) async fn run(mut self) -> Result<ServiceAnswer, Refusal> {
+        loop {
+            let view = self.shared.view()?;
+            let route = self.shared.dispatcher.route(&view, &self.route_request());
+            let ticket = route.map_err(|refusal| self.last_refusal.take().unwrap_or(refusal))?;
+            self.attempts += 1;
+            let attempt_id = Uuid::new_v4().simple().to_string();
+            let answer = self
+                .shared
+                .upstreams
+                .call(
+                    ticket.address(),
+                    &attempt_id,
+                    self.call.clone(),
+                    self.patience.give_up_at,
+                )
+                .await;
+            let error = match answer {
+                Ok(answer) => {
+                    ticket.on_first_token();
+                    return Ok(answer);
+                }
+                Err(error) => error,
+            };
+            log::info!(
+                "event=attempt_failed upstream={} kind={} error={}",
+                ticket.upstream(),
+                error.kind.answer().code,
+                process::quote(&error.message)
+            );
+            self.ran = refusal::worse(self.ran, error.ran());
+            self.excluded.push(ticket.upstream().clone());
+            ticket.fail(error.kind);
+            let refusal = self.refusal(&error);
+            if !self.may_retry(error.kind) {
+                return Err(refusal);
+            }
+            self.last_refusal = Some(refusal);
+        }
+    }
+
+    fn may_retry(&self, kind: ErrorKind) -> bool {
+        self.attempts < ATTEMPTS_MAX
+            && policy::retry_is_safe(kind, self.idempotent, 0)
+            && !self.patience.is_over()
+            && self.shared.dispatcher.try_retry()
+    }
+
+    fn refusal(&self, error: &UpstreamError) -> Refusal {
+        let message = format!("The service failed: {}.", error.message);
+        let refusal = Refusal::new(error.kind, message).with_ran(self.ran);
+        if !self.idempotent && self.ran != Ran::No {
+            // Sending it again could run it twice.
+            return refusal.with_retry(RetryAdvice::Never);
+        }
+        match error.retry_after_s {
+            Some(seconds) => refusal.with_retry(RetryAdvice::AfterS(seconds)),
+            None => refusal,
+        }
+    }
+
+    fn route_request(&self) -> RouteRequest {
+        RouteRequest {
+            destination: Destination::Service(self.service.clone()),
+            prompt_tokens: 0,
+            prefix_hashes: Vec::new(),
+            first_token_deadline_us: self.patience.due_at_us,
+            excluded: self.excluded.clone(),
+            link_bytes: u64::try_from(self.call.body.len()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/service/stored.rs
@@ -0,0 +1,94 @@
+//! Answers of services in a form that the table can hold.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use platform::{Platform, PlatformError};
+use serde::{Deserialize, Serialize};
+use upstream::ServiceAnswer;
+use uuid::Uuid;
+
+/// Longest body that stands in the row itself.
+const INLINE_MAX_BYTES: usize = 16 * 1024;
+
+/// An answer that resends get.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct StoredAnswer {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: StoredBody,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StoredBody {
+    /// Base64 in the row.
+    Inline(String),
+    /// Name of an object.
+    Object(String),
+}
+
+impl StoredAnswer {
+    /// Stores the body as an object if it is long.
+    pub(crate) async fn store(
+        answer: &ServiceAnswer,
+        platform: &Platform,
+    ) -> Result<Self, PlatformError> {
+        let body = if answer.body.len() <= INLINE_MAX_BYTES {
+            StoredBody::Inline(BASE64_STANDARD.encode(&answer.body))
+        } else {
+            let name = format!("claim-answer/{}", Uuid::new_v4().simple());
+            platform
+                .put_object_bytes(&name, answer.body.clone())
+                .await?;
+            StoredBody::Object(name)
+        };
+        Ok(Self {
+            status: answer.status.as_u16(),
+            headers: text_headers(&answer.headers),
+            body,
+        })
+    }
+
+    /// Reads the answer back.
+    pub(crate) async fn load(self, platform: &Platform) -> Result<ServiceAnswer, PlatformError> {
+        let body = match self.body {
+            StoredBody::Inline(text) => BASE64_STANDARD
+                .decode(text)
+                .map(Bytes::from)
+                .map_err(|error| PlatformError::Protocol(error.to_string()))?,
+            StoredBody::Object(name) => platform
+                .object(&name, None)
+                .await?
+                .ok_or_else(|| PlatformError::Protocol(format!("object {name} is missing")))?,
+        };
+        let status = StatusCode::from_u16(self.status)
+            .map_err(|error| PlatformError::Protocol(error.to_string()))?;
+        Ok(ServiceAnswer {
+            status,
+            headers: header_map(&self.headers),
+            body,
+        })
+    }
+}
+
+fn text_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+fn header_map(headers: &[(String, String)]) -> HeaderMap {
+    headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let name = HeaderName::try_from(name.as_str()).ok()?;
+            let value = HeaderValue::try_from(value.as_str()).ok()?;
+            Some((name, value))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/tests/chat.rs
@@ -0,0 +1,168 @@
+//! Chat completions through an entry, against stand-in engines.
+
+mod support;
+
+use http::StatusCode;
+use serde_json::Value;
+use standin::{EngineSettings, Fault, FaultKind, Remote, Standin, start_engine};
+use support::{TestEntry, any_port, chat_body, engine};
+
+async fn engines(count: usize) -> Vec<Standin> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let engine = start_engine(EngineSettings::default()).await;
+        engines.push(engine.expect("an engine starts"));
+    }
+    engines
+}
+
+fn entry_over(engines: &[Standin]) -> TestEntry {
+    let upstreams = engines
+        .iter()
+        .enumerate()
+        .map(|(index, standin)| engine(&format!("engine-{index}"), standin.address()))
+        .collect();
+    TestEntry::start(upstreams, any_port())
+}
+
+fn streamed(mut body: Value) -> Value {
+    body["stream"] = Value::Bool(true);
+    body
+}
+
+async fn total_runs(engines: &[Standin]) -> u32 {
+    let mut runs = 0;
+    for engine in engines {
+        let counts = Remote::new(engine.address()).runs().await;
+        let counts = counts.expect("the engine counts runs");
+        runs += counts.prompts.iter().map(|count| count.runs).sum::<u32>();
+    }
+    runs
+}
+
+#[tokio::test]
+async fn chat_plain_answers_in_openai_form() {
+    let engines = engines(1).await;
+    let entry = entry_over(&engines);
+    let answer = entry.chat(&[], chat_body("a hint please", 5)).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let json = answer.json();
+    assert_eq!(json["object"], "chat.completion");
+    assert_eq!(json["model"], "oraculo");
+    assert_eq!(json["choices"][0]["message"]["role"], "assistant");
+    assert_eq!(json["choices"][0]["finish_reason"], "length");
+    assert_eq!(json["usage"]["completion_tokens"], 5);
+    assert!(
+        json["created"]
+            .as_u64()
+            .is_some_and(|created_s| created_s > 0)
+    );
+    let id = json["id"].as_str().unwrap_or_default();
+    assert!(id.starts_with("chatcmpl-"), "{id}");
+}
+
+#[tokio::test]
+async fn chat_streamed_gives_the_same_text() {
+    let engines = engines(1).await;
+    let entry = entry_over(&engines);
+    let plain = entry.chat(&[], chat_body("a hint please", 8)).await.json();
+    let body = streamed(chat_body("a hint please", 8));
+    let answer = entry.chat(&[], body).await;
+    assert_eq!(
+        answer.header("content-type"),
+        Some("text/event-stream; charset=utf-8")
+    );
+    let content = &plain["choices"][0]["message"]["content"];
+    assert_eq!(content, &answer.streamed_text());
+    let events = answer.events();
+    let first: Value = serde_json::from_str(&events[0]).expect("an event is JSON");
+    assert_eq!(first["object"], "chat.completion.chunk");
+    assert_eq!(first["choices"][0]["delta"]["role"], "assistant");
+    let last: Value = serde_json::from_str(&events[events.len() - 2]).expect("an event is JSON");
+    assert_eq!(last["choices"][0]["finish_reason"], "length");
+    assert!(last.get("usage").is_none());
+}
+
+#[tokio::test]
+async fn chat_streamed_includes_usage_when_asked() {
+    let engines = engines(1).await;
+    let entry = entry_over(&engines);
+    let mut body = streamed(chat_body("a hint please", 3));
+    body["stream_options"] = serde_json::json!({"include_usage": true});
+    let events = entry.chat(&[], body).await.events();
+    let last: Value = serde_json::from_str(&events[events.len() - 2]).expect("an event is JSON");
+    assert_eq!(last["choices"], serde_json::json!([]));
+    assert_eq!(last["usage"]["completion_tokens"], 3);
+}
+
+/// The text that one undisturbed engine gives.
+async fn undisturbed(prompt: &str, max_tokens: u32) -> String {
+    let engines = engines(1).await;
+    let entry = entry_over(&engines);
+    let body = streamed(chat_body(prompt, max_tokens));
+    entry.chat(&[], body).await.streamed_text()
+}
+
+#[tokio::test]
+async fn chat_engine_dies_in_mid_stream_and_another_continues() {
+    let engines = engines(2).await;
+    let entry = entry_over(&engines);
+    let body = streamed(chat_body("tell me where to dig", 60));
+    let answer = entry.chat(&[], body);
+    let kill = async {
+        // The engine that runs the request goes down once it has run a while.
+        loop {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            for engine in &engines {
+                let remote = Remote::new(engine.address());
+                let counts = remote.runs().await.expect("the engine counts runs");
+                if counts.prompts.iter().any(|count| count.tokens >= 10) {
+                    let fault = Fault::new(FaultKind::Down).with_for_ms(60_000);
+                    remote.add_fault(&fault).await.expect("the fault is set");
+                    return;
+                }
+            }
+        }
+    };
+    let (answer, ()) = tokio::join!(answer, kill);
+    assert_eq!(answer.status, StatusCode::OK);
+    let expected = undisturbed("tell me where to dig", 60).await;
+    assert_eq!(answer.streamed_text(), expected);
+}
+
+#[tokio::test]
+async fn chat_failing_prompt_is_an_error_after_few_runs() {
+    let engines = engines(3).await;
+    let entry = entry_over(&engines);
+    let answer = entry.chat(&[], chat_body("[[fail]]", 5)).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(answer.code(), "upstream_failed");
+    assert_eq!(answer.header("redwingtack-ran"), Some("yes"));
+    assert!(total_runs(&engines).await <= 2);
+}
+
+#[tokio::test]
+async fn chat_caller_gone_cancels_at_the_engine() {
+    let engines = engines(1).await;
+    let entry = entry_over(&engines);
+    let body = streamed(chat_body("a very long hint", 100_000));
+    let request = entry.chat(&[], body);
+    let gone = tokio::time::timeout(std::time::Duration::from_millis(200), request).await;
+    assert!(gone.is_err());
+    let remote = Remote::new(engines[0].address());
+    let tokens = async || {
+        let counts = remote.runs().await.expect("the engine counts runs");
+        counts.prompts.iter().map(|count| count.tokens).sum::<u32>()
+    };
+    let mut before = tokens().await;
+    let began = tokio::time::Instant::now();
+    loop {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        let now = tokens().await;
+        if now == before {
+            return;
+        }
+        assert!(began.elapsed() < support::PATIENCE, "the engine goes on");
+        before = now;
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,289 @@
+//! A fleet of stand-ins with one entry, and a client.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use entry::{Entry, EntrySettings, Fleet};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use model::{
+    FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
+    UpstreamKind, View,
+};
+use peer::PeerClient;
+use process::{AdminState, Shutdown};
+use serde_json::Value;
+use tokio::{sync::watch, task::JoinHandle};
+
+/// Longest time that a test waits for anything.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Classes of the tests.
+pub const CONFIG: &str = r#"
+[[class]]
+name = "booking"
+work = "service"
+service = "courts"
+answer_within_ms = 2000
+idempotent = false
+
+[[class]]
+name = "bundle"
+work = "batch"
+complete_within_s = 600
+
+[[class]]
+name = "hint"
+work = "online"
+first_token_ms = 2000
+between_tokens_ms = 100
+
+[[class]]
+name = "limited"
+work = "online"
+first_token_ms = 2000
+between_tokens_ms = 100
+customer_requests_per_s = 1
+
+[[class]]
+name = "lookup"
+work = "service"
+service = "courts"
+answer_within_ms = 2000
+idempotent = true
+
+[[model]]
+name = "oraculo"
+online_class = "hint"
+batch_class = "bundle"
+"#;
+
+/// A running entry; its view can be changed.
+pub struct TestEntry {
+    pub address: SocketAddr,
+    pub view: watch::Sender<Arc<View>>,
+    pub shutdown: Shutdown,
+    pub admin: AdminState,
+    pub running: JoinHandle<()>,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub fn code(&self) -> String {
+        let json = self.json();
+        json["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Data of each server-sent event.
+    pub fn events(&self) -> Vec<String> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        text.split("\n\n")
+            .filter_map(|event| event.strip_prefix("data: "))
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Text of a streamed answer; it must have its end mark.
+    pub fn streamed_text(&self) -> String {
+        let events = self.events();
+        assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+        events[..events.len() - 1]
+            .iter()
+            .fold(String::new(), |text, event| {
+                let chunk: Value = serde_json::from_str(event).expect("an event is JSON");
+                let content = chunk["choices"][0]["delta"]["content"].as_str();
+                text + content.unwrap_or_default()
+            })
+    }
+}
+
+impl TestEntry {
+    /// Starts an entry over `upstreams`, with the platform at `platform`.
+    pub fn start(upstreams: Vec<UpstreamEntry>, platform: SocketAddr) -> Self {
+        Self::start_with(upstreams, platform, |_| {})
+    }
+
+    /// As [`TestEntry::start`], with changed settings.
+    pub fn start_with(
+        upstreams: Vec<UpstreamEntry>,
+        platform: SocketAddr,
+        change: impl FnOnce(&mut EntrySettings),
+    ) -> Self {
+        let (view, receiver) = watch::channel(Arc::new(view_of(upstreams)));
+        let mut settings = EntrySettings {
+            listen: any_port(),
+            peer_listen: any_port(),
+            admin_listen: any_port(),
+            control: any_port(),
+            platform,
+            instance_id: InstanceId::new("entry-0"),
+            region: Region::new("lima"),
+            failure_domain: FailureDomain::new("lima-a"),
+            body_limit_bytes: 64 * 1024,
+            drain_ms: 0,
+            log_level: String::new(),
+        };
+        change(&mut settings);
+        let shutdown = Shutdown::new();
+        let admin = AdminState::default();
+        let fleet = Fleet::from_receiver(receiver);
+        let peers = PeerClient::new();
+        let entry = Entry::start_with_fleet(&settings, fleet, &peers, admin.clone(), &shutdown)
+            .expect("the entry starts");
+        let address = entry.address();
+        let stopping = shutdown.clone();
+        let running = tokio::spawn(async move { entry.run_until(&stopping).await });
+        Self {
+            address,
+            view,
+            shutdown,
+            admin,
+            running,
+        }
+    }
+
+    /// Sends one request with an API key.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let mut all = vec![("authorization", "Bearer customer-1")];
+        all.extend_from_slice(headers);
+        send(self.address, method, path, &all, body.into()).await
+    }
+
+    /// Posts a chat request.
+    pub async fn chat(&self, headers: &[(&str, &str)], body: Value) -> Answer {
+        let path = "/v1/chat/completions";
+        self.send(Method::POST, path, headers, body.to_string())
+            .await
+    }
+
+    /// Begins the planned stop and waits for its end.
+    pub async fn stop(self) {
+        self.shutdown.begin();
+        tokio::time::timeout(PATIENCE, self.running)
+            .await
+            .expect("the entry stops")
+            .expect("the entry does not panic");
+    }
+}
+
+/// Sends one request over a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Answer {
+    let client: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(0)
+        .build_http();
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body)).expect("the request is valid");
+    let exchange = async {
+        let response = client.request(request).await.expect("the entry answers");
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.expect("the answer is whole");
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        }
+    };
+    tokio::time::timeout(PATIENCE, exchange)
+        .await
+        .expect("the entry answers in time")
+}
+
+/// A chat request for the model of the tests.
+pub fn chat_body(prompt: &str, max_tokens: u32) -> Value {
+    serde_json::json!({
+        "model": "oraculo",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+    })
+}
+
+pub fn view_of(mut upstreams: Vec<UpstreamEntry>) -> View {
+    upstreams.sort_by(|left, right| left.id.cmp(&right.id));
+    let mut config = model::parse_config(CONFIG).expect("the configuration is valid");
+    config.version = 1;
+    View {
+        revision: 1,
+        config,
+        instances: Vec::new(),
+        upstreams,
+    }
+}
+
+pub fn engine(id: &str, address: SocketAddr) -> UpstreamEntry {
+    let kind = UpstreamKind::Engine {
+        models: vec![ModelName::new("oraculo")],
+    };
+    upstream(id, address, kind)
+}
+
+pub fn service(id: &str, address: SocketAddr) -> UpstreamEntry {
+    let kind = UpstreamKind::Service {
+        service: ServiceName::new("courts"),
+    };
+    upstream(id, address, kind)
+}
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address at which nothing listens.
+pub async fn refusing_address() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind(any_port())
+        .await
+        .expect("a port is free");
+    listener.local_addr().expect("the socket has an address")
+}
+
+fn upstream(id: &str, address: SocketAddr, kind: UpstreamKind) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::new(id),
+        address: address.to_string(),
+        kind,
+        region: Region::new("lima"),
+        failure_domain: FailureDomain::new("lima-a"),
+        liveness: Liveness::Live,
+    }
+}
