platform: pace calls by priority, with backoff and a circuit breaker

Cause: after an outage every process would send at once what piled up. Change: a core without I/O (budget by priority, full-to-half jitter, one probe while the breaker is open, empty budgets when it closes) and a gate that holds back the client's calls. Ruled out: queues by priority inside the client; reserves in the budget give the same order without holding requests.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform.
 
-use std::{fmt::Write, io, net::SocketAddr, ops::Range, time::Duration};
+use std::{fmt::Write, io, net::SocketAddr, ops::Range, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream::BoxStream};
@@ -11,7 +11,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    InstanceListing, PlatformError, Row, RowPage, TransactOutcome, TransactRequest, paths,
+    InstanceListing, Operation, Pacer, PlatformError, Priority, Row, RowPage, TransactOutcome,
+    TransactRequest,
+    gate::Gate,
+    paths,
     transport::{self, Body, HttpClient},
 };
 
@@ -29,6 +32,8 @@
     client: HttpClient,
     address: SocketAddr,
     call_timeout_ms: u64,
+    gate: Option<Arc<Gate>>,
+    priority: Priority,
 }
 
 impl Platform {
@@ -39,6 +44,8 @@
             client: transport::http_client(),
             address,
             call_timeout_ms: CALL_TIMEOUT_MS,
+            gate: None,
+            priority: Priority::Control,
         }
     }
 
@@ -49,6 +56,28 @@
         self
     }
 
+    /// Paces the calls of this handle and of its clones. Calls wait for their
+    /// turn within their time limit, and fail as not applied if it cannot come.
+    #[must_use]
+    pub fn with_pacer(mut self, pacer: Pacer) -> Self {
+        self.gate = Some(Arc::new(Gate::new(pacer)));
+        self
+    }
+
+    /// A handle whose calls have this priority; the budget stays shared.
+    #[must_use]
+    pub fn with_priority(mut self, priority: Priority) -> Self {
+        self.priority = priority;
+        self
+    }
+
+    /// Divides the fleet's budget among this many live instances.
+    pub fn set_live_instances(&self, instances: u32) {
+        if let Some(gate) = &self.gate {
+            gate.set_live_instances(instances);
+        }
+    }
+
     /// Applies a transaction once. An [`PlatformError::Unknown`] outcome has
     /// to be settled; see [`Platform::transact_settled`].
     ///
@@ -210,7 +239,18 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, PlatformError> {
-        transport::send(&self.client, request, deadline).await
+        let Some(gate) = &self.gate else {
+            return transport::send(&self.client, request, deadline).await;
+        };
+        let operation = if request.method() == Method::GET {
+            Operation::Read
+        } else {
+            Operation::Write
+        };
+        gate.admit(self.priority, operation, deadline).await?;
+        let result = transport::send(&self.client, request, deadline).await;
+        gate.record(&result);
+        result
     }
 
     fn request(
--- /dev/null
+++ b/crates/platform/src/gate.rs
@@ -0,0 +1,70 @@
+//! Holds calls back until the pacer lets them go.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{Admission, CallOutcome, Operation, Pacer, PlatformError, Priority};
+
+/// A pacer with a clock, shared by all handles of one process.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    pacer: Mutex<Pacer>,
+    started_at: Instant,
+}
+
+impl Gate {
+    pub(crate) fn new(pacer: Pacer) -> Self {
+        Self {
+            pacer: Mutex::new(pacer),
+            started_at: Instant::now(),
+        }
+    }
+
+    /// Waits for a call's turn. If it cannot come before `deadline`, fails at
+    /// once.
+    pub(crate) async fn admit(
+        &self,
+        priority: Priority,
+        operation: Operation,
+        deadline: Instant,
+    ) -> Result<(), PlatformError> {
+        loop {
+            let admission = self.lock().admit(priority, operation, self.now_ms());
+            let Admission::Wait { until_ms } = admission else {
+                return Ok(());
+            };
+            let next_at = self.started_at + Duration::from_millis(until_ms);
+            if next_at >= deadline {
+                let message = "held back by the circuit breaker or the budget";
+                return Err(PlatformError::NotApplied(message.to_owned()));
+            }
+            tokio::time::sleep_until(next_at).await;
+        }
+    }
+
+    pub(crate) fn record<T>(&self, result: &Result<T, PlatformError>) {
+        let outcome = match result {
+            Ok(_) | Err(PlatformError::Protocol(_) | PlatformError::Unconditioned(_)) => {
+                CallOutcome::Answered
+            }
+            Err(PlatformError::NotApplied(_) | PlatformError::Unknown(_)) => CallOutcome::Failed,
+        };
+        self.lock().record(outcome, self.now_ms());
+    }
+
+    pub(crate) fn set_live_instances(&self, instances: u32) {
+        self.lock().set_live_instances(instances, self.now_ms());
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pacer> {
+        self.pacer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod client;
 mod error;
+mod gate;
+mod pacing;
 mod protocol;
 mod settle;
 mod transport;
@@ -13,6 +15,7 @@
 pub use crate::{
     client::{ByteStream, Platform},
     error::PlatformError,
+    pacing::{Admission, Backoff, CallOutcome, Operation, Pacer, PacerSettings, Priority},
     protocol::{
         Condition, Expected, InstanceListing, ListedInstance, ListedRole, Mutation, Row, RowPage,
         TransactOutcome, TransactRequest, paths,
--- a/crates/platform/src/settle.rs
+++ b/crates/platform/src/settle.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
+    Backoff, Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome,
+    TransactRequest,
 };
 
 /// First wait between two attempts; it doubles up to the longest.
@@ -36,7 +37,7 @@
     ) -> Result<TransactOutcome, PlatformError> {
         let versions = versions_after(request)?;
         let mut is_ambiguous = false;
-        let mut wait_ms = RETRY_FIRST_MS;
+        let mut backoff = Backoff::new(RETRY_FIRST_MS, RETRY_LONGEST_MS, rand::random());
         loop {
             let error = match self.transact(request).await {
                 Ok(TransactOutcome::Conflict { key, row }) if is_ambiguous => {
@@ -53,12 +54,11 @@
                 Err(error) => error,
             };
             is_ambiguous = true;
-            let next = Instant::now() + Duration::from_millis(wait_ms);
-            if next >= deadline {
+            let next_at = Instant::now() + Duration::from_millis(backoff.next_wait_ms());
+            if next_at >= deadline {
                 return Err(PlatformError::Unknown(error.to_string()));
             }
-            tokio::time::sleep_until(next).await;
-            wait_ms = (wait_ms * 2).min(RETRY_LONGEST_MS);
+            tokio::time::sleep_until(next_at).await;
         }
     }
 }
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use platform::{
-    Condition, Expected, InstanceListing, ListedInstance, ListedRole, Mutation, Platform,
-    PlatformError, TransactOutcome, TransactRequest, paths,
+    Condition, Expected, InstanceListing, ListedInstance, ListedRole, Mutation, Pacer,
+    PacerSettings, Platform, PlatformError, TransactOutcome, TransactRequest, paths,
 };
 use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
 use tokio::{net::TcpListener, time::Instant};
@@ -289,3 +289,30 @@
     assert_eq!(outcome, Err(PlatformError::Unconditioned("k".to_owned())));
     assert_eq!(platform.row("k").await.unwrap(), None);
 }
+
+#[tokio::test]
+async fn with_pacer_fails_at_once_while_the_platform_is_down() {
+    let (_standin, platform, remote) = start().await;
+    let settings = PacerSettings {
+        backoff_first_ms: 2_000,
+        ..PacerSettings::default()
+    };
+    let platform = platform
+        .with_call_timeout_ms(SETTLE_TIMEOUT_MS)
+        .with_pacer(Pacer::new(settings, 1));
+    remote
+        .add_fault(&Fault::new(FaultKind::Refuse))
+        .await
+        .unwrap();
+    let impatient = platform.clone().with_call_timeout_ms(1);
+    let request = put_if("k", Expected::Absent, "v");
+    for _ in 0..PacerSettings::default().failures_to_open {
+        assert!(platform.transact(&request).await.is_err());
+    }
+    let error = impatient.transact(&request).await.unwrap_err();
+    assert!(error.to_string().contains("circuit breaker"), "{error}");
+    remote.clear_faults().await.unwrap();
+    // The probe goes out within the usual time limit.
+    let committed = TransactOutcome::Committed { versions: vec![1] };
+    assert_eq!(platform.transact(&request).await.unwrap(), committed);
+}
--- /dev/null
+++ b/crates/platform/tests/pacing.rs
@@ -0,0 +1,183 @@
+//! The pacing core, for any sequence of calls and outcomes.
+
+use platform::{Admission, Backoff, CallOutcome, Operation, Pacer, PacerSettings, Priority};
+use proptest::prelude::*;
+
+const WRITES_PER_S: u64 = 20;
+const BURST: u64 = 20;
+const PRIORITIES: [Priority; 4] = [
+    Priority::Commit,
+    Priority::Control,
+    Priority::Claim,
+    Priority::Poll,
+];
+
+/// One step of a caller: how long after the previous one, what it asks for,
+/// and how the call ends if it goes out.
+#[derive(Debug, Clone)]
+struct Step {
+    after_ms: u64,
+    priority: Priority,
+    operation: Operation,
+    outcome: CallOutcome,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (
+        0..400u64,
+        prop::sample::select(&PRIORITIES[..]),
+        any::<bool>(),
+        prop::bool::weighted(0.7),
+    );
+    let step = step.prop_map(|(after_ms, priority, is_write, answers)| Step {
+        after_ms,
+        priority,
+        operation: if is_write {
+            Operation::Write
+        } else {
+            Operation::Read
+        },
+        outcome: if answers {
+            CallOutcome::Answered
+        } else {
+            CallOutcome::Failed
+        },
+    });
+    prop::collection::vec(step, 1..300)
+}
+
+fn settings() -> PacerSettings {
+    PacerSettings {
+        fleet_writes_per_s: f64::from(u32::try_from(WRITES_PER_S).unwrap()),
+        fleet_reads_per_s: 50.0,
+        burst: f64::from(u32::try_from(BURST).unwrap()),
+        ..PacerSettings::default()
+    }
+}
+
+proptest! {
+    #[test]
+    fn admit_keeps_the_rate(steps in steps(), seed: u64) {
+        let settings = settings();
+        let mut pacer = Pacer::new(settings.clone(), seed);
+        let mut now_ms = 0;
+        let mut writes = Vec::new();
+        for step in steps {
+            now_ms += step.after_ms;
+            if pacer.admit(step.priority, step.operation, now_ms) == Admission::Go {
+                pacer.record(step.outcome, now_ms);
+                if step.operation == Operation::Write {
+                    writes.push(now_ms);
+                }
+            }
+        }
+        // Probes of the breaker are outside the budget and at least this rare.
+        let probe_every_ms = settings.backoff_first_ms / 2;
+        for (index, first_ms) in writes.iter().enumerate() {
+            for (count, last_ms) in writes[index..].iter().enumerate() {
+                let span_ms = last_ms - first_ms;
+                let budget = BURST + span_ms * WRITES_PER_S / 1_000;
+                let probes = 1 + span_ms / probe_every_ms;
+                prop_assert!(u64::try_from(count).unwrap() <= budget + probes);
+            }
+        }
+    }
+
+    #[test]
+    fn admit_prefers_the_higher_priority(steps in steps(), seed: u64) {
+        let mut pacer = Pacer::new(settings(), seed);
+        let mut now_ms = 0;
+        for step in steps {
+            now_ms += step.after_ms;
+            let goes = PRIORITIES.map(|priority| {
+                let admission = pacer.clone().admit(priority, step.operation, now_ms);
+                admission == Admission::Go
+            });
+            prop_assert!(goes.is_sorted_by(|higher, lower| higher >= lower));
+            if pacer.admit(step.priority, step.operation, now_ms) == Admission::Go {
+                pacer.record(step.outcome, now_ms);
+            }
+        }
+    }
+
+    #[test]
+    fn admit_lets_one_probe_out_after_failures(seed: u64, callers in 2..50usize) {
+        let mut pacer = Pacer::new(settings(), seed);
+        for _ in 0..settings().failures_to_open {
+            prop_assert_eq!(ask(&mut pacer, 0), Admission::Go);
+            pacer.record(CallOutcome::Failed, 0);
+        }
+        let Admission::Wait { until_ms } = ask(&mut pacer, 0) else {
+            return Err(TestCaseError::fail("the breaker must be open"));
+        };
+        prop_assert!(until_ms > 0 && until_ms <= settings().backoff_first_ms);
+        let goes = (0..callers).filter(|_| ask(&mut pacer, until_ms) == Admission::Go);
+        prop_assert_eq!(goes.count(), 1);
+    }
+
+    #[test]
+    fn admit_comes_to_every_priority_once_the_platform_answers(steps in steps(), seed: u64) {
+        let mut pacer = Pacer::new(settings(), seed);
+        let mut now_ms = 0;
+        for step in steps {
+            now_ms += step.after_ms;
+            if pacer.admit(step.priority, step.operation, now_ms) == Admission::Go {
+                pacer.record(step.outcome, now_ms);
+            }
+        }
+        for priority in PRIORITIES {
+            let mut waits = 0;
+            while let Admission::Wait { until_ms } = pacer.admit(priority, Operation::Write, now_ms) {
+                prop_assert!(until_ms > now_ms);
+                now_ms = until_ms;
+                waits += 1;
+                prop_assert!(waits <= 3);
+            }
+            pacer.record(CallOutcome::Answered, now_ms);
+        }
+    }
+
+    #[test]
+    fn next_wait_doubles_with_jitter_up_to_the_longest(seed: u64) {
+        let mut backoff = Backoff::new(100, 1_000, seed);
+        for full_ms in [100, 200, 400, 800, 1_000, 1_000] {
+            let wait_ms = backoff.next_wait_ms();
+            prop_assert!((full_ms / 2..=full_ms).contains(&wait_ms));
+        }
+        backoff.reset();
+        prop_assert!(backoff.next_wait_ms() <= 100);
+    }
+}
+
+fn ask(pacer: &mut Pacer, now_ms: u64) -> Admission {
+    pacer.admit(Priority::Commit, Operation::Write, now_ms)
+}
+
+#[test]
+fn record_after_an_outage_starts_with_empty_budgets() {
+    let mut pacer = Pacer::new(settings(), 1);
+    for _ in 0..settings().failures_to_open {
+        assert_eq!(ask(&mut pacer, 0), Admission::Go);
+        pacer.record(CallOutcome::Failed, 0);
+    }
+    assert_eq!(ask(&mut pacer, 60_000), Admission::Go);
+    pacer.record(CallOutcome::Answered, 60_000);
+    // 20 writes a second: the first of those that waited goes 50 ms later.
+    let expected = Admission::Wait { until_ms: 60_050 };
+    assert_eq!(ask(&mut pacer, 60_000), expected);
+}
+
+#[test]
+fn set_live_instances_divides_the_rate() {
+    let mut pacer = Pacer::new(settings(), 1);
+    pacer.set_live_instances(10, 0);
+    let mut goes = 0;
+    for now_ms in 0..10_000 {
+        if ask(&mut pacer, now_ms) == Admission::Go {
+            pacer.record(CallOutcome::Answered, now_ms);
+            goes += 1;
+        }
+    }
+    // A burst of 20, then 2 a second for 10 s.
+    assert!((38..=40).contains(&goes), "{goes}");
+}
