--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! The callers' API: online calls to models and plain services.
+//!
+//! This crate exists so that callers meet one HTTP interface, in `OpenAI`'s
+//! form, on every instance. Where a request goes is decided by the policy
+//! core; this crate performs what the core decides.
+
+mod answer;
+mod background;
+mod caller;
+mod chat;
+mod clock;
+mod dispatch;
+mod evidence;
+mod fleet;
+mod metrics;
+mod models;
+mod patience;
+mod refusal;
+mod routes;
+mod server;
+mod service;
+mod settings;
+
+pub use crate::{
+    fleet::Fleet,
+    refusal::Refusal,
+    server::{Entry, StartError},
+    settings::{EntryOptions, EntrySettings, options},
+};
