--- a/crates/batch/src/claims.rs
+++ b/crates/batch/src/claims.rs
@@ -2,10 +2,11 @@
 
 use job_store::{StoreError, unix_ms};
 use jobs::{
-    ChunkName, ChunkRun, ChunkState, ClaimPlan, Deferral, HeldChunk, OpenJob, Priority, Takeover,
-    Terms, Verdict, WorkKind, plan_finish, plan_fresh, plan_takeover, takeover_terms, tally,
+    ChunkName, ChunkRun, ChunkState, ClaimPlan, Deferral, HeldChunk, OpenJob, Takeover, Terms,
+    Verdict, WorkKind, plan_finish, plan_fresh, plan_takeover, takeover_terms, tally,
 };
 use model::ErrorKind;
+use platform::Priority;
 
 use crate::{
     context::Context,
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -5,7 +5,7 @@
 use job_store::JobStore;
 use model::{InstanceEntry, InstanceRole, Liveness};
 use peer::{PeerClient, PeerHandler, PeerRequest, PeerResponse, ViewWatch};
-use platform::Platform;
+use platform::{Pacer, PacerSettings, Platform};
 use process::Shutdown;
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
@@ -64,7 +64,9 @@
         };
         let control = settings.control.to_string();
         let view = ViewWatch::start(&control, own, PeerClient::new());
-        let store = JobStore::new(Platform::new(settings.platform), random());
+        let pacer = Pacer::new(PacerSettings::default(), random());
+        let platform = Platform::new(settings.platform).with_pacer(pacer);
+        let store = JobStore::new(platform, random());
         let context = Context {
             store: store.clone(),
             upstreams: UpstreamClient::new(),
--- a/crates/batch/src/watch_list.rs
+++ b/crates/batch/src/watch_list.rs
@@ -2,7 +2,7 @@
 //!
 //! A cancellation is told to holders at once, but the message may be lost.
 //! With the platform up, no item starts unless the job was seen open less than
-//! a second ago.
+//! a second ago. While the platform is away or slow, claimed work goes on.
 
 use job_store::StoreError;
 use model::JobId;
@@ -57,7 +57,8 @@
             return false;
         };
         let watched = &self.jobs[index];
-        watched.is_platform_away || now_ms < watched.open_at_ms + CHECK_MAX_AGE_MS
+        let is_slow = watched.is_checking && now_ms >= watched.next_check_at_ms + CHECK_MAX_AGE_MS;
+        watched.is_platform_away || is_slow || now_ms < watched.open_at_ms + CHECK_MAX_AGE_MS
     }
 
     /// Jobs whose check is due; they count as being checked from now on.
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -4,7 +4,7 @@
 
 use job_store::{StoreError, unix_ms};
 use jobs::{ChunkName, Deferral, HeldChunk, Verdict};
-use model::{JobId, View};
+use model::{JobId, Liveness, View};
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -158,6 +158,12 @@
         let context = &self.context;
         self.windows
             .on_view(&view, &context.instance, &context.region);
+        let live = view
+            .instances
+            .iter()
+            .filter(|entry| entry.liveness == Liveness::Live);
+        let live = u32::try_from(live.count()).unwrap_or(u32::MAX);
+        context.store.set_live_instances(live);
     }
 
     fn on_event(&mut self, event: Event) {
--- a/crates/batch/src/writes.rs
+++ b/crates/batch/src/writes.rs
@@ -3,9 +3,8 @@
 
 use bytes::Bytes;
 use job_store::JobStore;
-use jobs::{
-    ChunkResult, HeldChunk, ItemRecord, LeaseWrite, OpId, PartialRef, Priority, Progress, Verdict,
-};
+use jobs::{ChunkResult, HeldChunk, ItemRecord, LeaseWrite, OpId, PartialRef, Progress, Verdict};
+use platform::Priority;
 
 use crate::context::Context;
 
--- /dev/null
+++ b/crates/batch/tests/support/control.rs
@@ -0,0 +1,109 @@
+//! A minimal control program: serves a view and lists whoever registers.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use model::{InstanceId, View};
+use peer::{PeerHandler, PeerRequest, PeerResponse};
+use tokio::{net::TcpListener, sync::watch};
+
+/// Silence after which an instance is taken off the view.
+const SILENCE: Duration = Duration::from_millis(1_500);
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// A running control program.
+pub struct Control {
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+struct State {
+    view: watch::Sender<Arc<View>>,
+    heard: Mutex<Vec<(InstanceId, Instant)>>,
+}
+
+impl Control {
+    pub async fn start(view: View) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(State {
+            view: watch::Sender::new(Arc::new(view)),
+            heard: Mutex::default(),
+        });
+        tokio::spawn(peer::serve(
+            listener,
+            Arc::clone(&state),
+            std::future::pending(),
+        ));
+        let sweeper = Arc::clone(&state);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(SWEEP).await;
+                sweeper.sweep();
+            }
+        });
+        Self { address, state }
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
+        self.state.view.subscribe()
+    }
+
+    /// Changes the view.
+    pub fn change(&self, change: impl FnOnce(&mut View)) {
+        self.state.change(change);
+    }
+}
+
+impl State {
+    fn change(&self, change: impl FnOnce(&mut View)) {
+        self.view.send_modify(|view| {
+            let view = Arc::make_mut(view);
+            change(view);
+            view.revision += 1;
+        });
+    }
+
+    fn sweep(&self) {
+        let mut heard = self.heard.lock().unwrap();
+        let silent: Vec<_> = heard
+            .extract_if(.., |(_, at)| at.elapsed() > SILENCE)
+            .collect();
+        for (id, _) in silent {
+            self.change(|view| view.instances.retain(|entry| entry.id != id));
+        }
+    }
+}
+
+impl PeerHandler for State {
+    async fn handle(&self, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::ViewSince { revision, wait_ms } => {
+                let mut view = self.view.subscribe();
+                let newer = view.wait_for(|view| view.revision > revision);
+                let wait = Duration::from_millis(wait_ms);
+                let _ = tokio::time::timeout(wait, newer).await;
+                let view = (**self.view.borrow()).clone();
+                PeerResponse::View(Box::new(view))
+            }
+            PeerRequest::Register(entry) => {
+                let mut heard = self.heard.lock().unwrap();
+                heard.retain(|(id, _)| *id != entry.id);
+                heard.push((entry.id.clone(), Instant::now()));
+                drop(heard);
+                if !self.view.borrow().instances.contains(&entry) {
+                    self.change(|view| {
+                        view.instances.retain(|other| other.id != entry.id);
+                        view.instances.push(entry);
+                        view.instances.sort_by(|a, b| a.id.cmp(&b.id));
+                    });
+                }
+                PeerResponse::Ack
+            }
+            _ => PeerResponse::Ack,
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/support/mod.rs
@@ -0,0 +1,295 @@
+//! Stand-ins, an entry's job routes, a minimal control program, and batch
+//! programs as processes of their own.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+pub mod client;
+pub mod control;
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use job_api::JobApi;
+use job_store::JobStore;
+use model::{
+    FailureDomain, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
+    UpstreamKind, View, parse_config,
+};
+use peer::PeerClient;
+use platform::Platform;
+use salvo::{Router, Server, conn::TcpListener, prelude::Listener};
+use standin::{
+    EngineParams, EngineSettings, PlatformSettings, Remote, ServiceSettings, Standin, start_engine,
+    start_platform, start_service,
+};
+
+pub use client::Client;
+use control::Control;
+
+/// Longest time that a test waits for anything.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Lease of the batch programs in tests, milliseconds.
+pub const LEASE_MS: u64 = 1_500;
+pub const REGION: &str = "andes";
+pub const MODEL: &str = "oraculo";
+
+const CONFIG: &str = r#"
+[[class]]
+name = "booking"
+work = "service"
+service = "courts"
+answer_within_ms = 2000
+idempotent = false
+
+[[class]]
+name = "bundle"
+work = "batch"
+complete_within_s = 600
+
+[[class]]
+name = "hint"
+work = "online"
+first_token_ms = 2000
+between_tokens_ms = 100
+
+[[model]]
+name = "oraculo"
+online_class = "hint"
+batch_class = "bundle"
+"#;
+
+/// Everything but the batch programs.
+pub struct Fleet {
+    pub platform: Standin,
+    pub engines: Vec<Standin>,
+    pub service: Standin,
+    pub control: Control,
+    pub entries: Vec<SocketAddr>,
+}
+
+/// A batch program in a process of its own, killed when dropped.
+pub struct BatchProcess {
+    child: Child,
+}
+
+impl Fleet {
+    /// Starts a platform, `engines` engines, a service, a control program and
+    /// two entries.
+    pub async fn start(engines: usize) -> Self {
+        let params = EngineParams {
+            base_us: 2_000.0,
+            ..EngineParams::default()
+        };
+        Self::start_with(engines, params).await
+    }
+
+    /// As [`Fleet::start`], with engines of these parameters.
+    pub async fn start_with(engines: usize, params: EngineParams) -> Self {
+        let platform = start_platform(PlatformSettings::default()).await.unwrap();
+        let service = start_service(ServiceSettings {
+            answer_ms: 5,
+            ..ServiceSettings::default()
+        });
+        let service = service.await.unwrap();
+        let mut running = Vec::new();
+        for _ in 0..engines {
+            let settings = EngineSettings {
+                models: vec![ModelName::new(MODEL)],
+                params: params.clone(),
+                ..EngineSettings::default()
+            };
+            running.push(start_engine(settings).await.unwrap());
+        }
+        let control = Control::start(view(&running, &service)).await;
+        let mut entries = Vec::new();
+        for _ in 0..2 {
+            entries.push(start_entry(platform.address(), &control).await);
+        }
+        Self {
+            platform,
+            engines: running,
+            service,
+            control,
+            entries,
+        }
+    }
+
+    /// A caller of the first entry.
+    pub fn client(&self) -> Client {
+        Client::new(self.entries[0])
+    }
+
+    /// Scripts and inspects the platform.
+    pub fn platform_remote(&self) -> Remote {
+        Remote::new(self.platform.address())
+    }
+
+    /// Starts a batch program.
+    pub fn batch(&self, instance: &str) -> BatchProcess {
+        self.batch_with(instance, LEASE_MS, &[])
+    }
+
+    /// Starts a batch program with further flags.
+    pub fn batch_with(&self, instance: &str, lease_ms: u64, flags: &[&str]) -> BatchProcess {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_redwingtack-batch"));
+        command
+            .args(["--peer-listen", "127.0.0.1:0"])
+            .args(["--admin-listen", "127.0.0.1:0"])
+            .args(["--control", &self.control.address.to_string()])
+            .args(["--platform", &self.platform.address().to_string()])
+            .args(["--instance-id", instance])
+            .args(["--region", REGION])
+            .args(["--failure-domain", "lima-a"])
+            .args(["--lease-ms", &lease_ms.to_string()])
+            .args(["--log-level", "info"])
+            .args(flags)
+            .stdin(Stdio::null());
+        let child = command.spawn().unwrap();
+        BatchProcess { child }
+    }
+
+    /// How often each prompt started at the engines, in all.
+    pub async fn prompt_runs(&self) -> Vec<(String, u32)> {
+        let mut runs: Vec<(String, u32)> = Vec::new();
+        for engine in &self.engines {
+            let counts = Remote::new(engine.address()).runs().await.unwrap();
+            for count in counts.prompts {
+                match runs.binary_search_by(|(id, _)| id.cmp(&count.id)) {
+                    Ok(index) => runs[index].1 += count.runs,
+                    Err(index) => runs.insert(index, (count.id, count.runs)),
+                }
+            }
+        }
+        runs
+    }
+
+    /// Number of starts at the engines.
+    pub async fn starts(&self) -> u32 {
+        self.prompt_runs().await.iter().map(|(_, runs)| runs).sum()
+    }
+}
+
+impl BatchProcess {
+    /// Ends the process without notice.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends a signal by name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the end of a planned stop.
+    pub async fn ended(&mut self) -> bool {
+        for _ in 0..600 {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Identifier of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for BatchProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A well-formed line for the model.
+pub fn line(custom_id: &str, prompt: &str, max_tokens: u32) -> String {
+    format!(
+        r#"{{"custom_id":"{custom_id}","method":"POST","url":"/v1/chat/completions","body":{{"model":"{MODEL}","messages":[{{"role":"user","content":"{prompt}"}}],"max_tokens":{max_tokens}}}}}"#
+    )
+}
+
+/// `count` well-formed lines with different prompts.
+pub fn lines(count: usize, max_tokens: u32) -> String {
+    let lines =
+        (0..count).map(|index| line(&format!("i{index}"), &format!("p{index}"), max_tokens));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+async fn start_entry(platform: SocketAddr, control: &Control) -> SocketAddr {
+    let process = uuid::Uuid::new_v4().as_u64_pair().0;
+    let store = JobStore::new(Platform::new(platform), process);
+    let region = Region::new(REGION);
+    let api = JobApi::new(store, control.subscribe(), region, PeerClient::new());
+    let router = Router::new().push(Router::with_path("v1").push(api.router()));
+    let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
+    let address = acceptor.local_addr().unwrap();
+    tokio::spawn(Server::new(acceptor).serve(router));
+    address
+}
+
+fn view(engines: &[Standin], service: &Standin) -> View {
+    let mut config = parse_config(CONFIG).unwrap();
+    config.version = 1;
+    let engine_entries = engines.iter().enumerate().map(|(index, engine)| {
+        let kind = UpstreamKind::Engine {
+            models: vec![ModelName::new(MODEL)],
+        };
+        upstream(&format!("engine-{index}"), engine.address(), kind)
+    });
+    let mut upstreams: Vec<_> = engine_entries.collect();
+    let kind = UpstreamKind::Service {
+        service: ServiceName::new("courts"),
+    };
+    upstreams.push(upstream("service-courts", service.address(), kind));
+    View {
+        revision: 1,
+        config,
+        instances: Vec::new(),
+        upstreams,
+    }
+}
+
+fn upstream(id: &str, address: SocketAddr, kind: UpstreamKind) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::new(id),
+        address: address.to_string(),
+        kind,
+        region: Region::new(REGION),
+        failure_domain: FailureDomain::new("lima-a"),
+        liveness: Liveness::Live,
+    }
+}
+
+/// Polls `probe` until it gives a value.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(probe: impl Fn() -> F) -> T {
+    let poll = async {
+        loop {
+            if let Some(value) = probe().await {
+                return value;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    match tokio::time::timeout(PATIENCE, poll).await {
+        Ok(value) => value,
+        Err(_) => panic!("nothing came of it within {PATIENCE:?}"),
+    }
+}
--- a/crates/job_api/src/batch.rs
+++ b/crates/job_api/src/batch.rs
@@ -4,11 +4,12 @@
 
 use job_store::unix_ms;
 use jobs::{
-    AcceptanceError, FileRow, JobRow, JobState, JobTally, NewJob, Priority, Verdict, job_id_for,
-    listed_key, listed_prefix, plan_cancel,
+    AcceptanceError, FileRow, JobRow, JobState, JobTally, NewJob, Verdict, job_id_for, listed_key,
+    listed_prefix, plan_cancel,
 };
 use model::{CustomerId, ErrorKind, InstanceId, InstanceRole, JobId, View};
 use peer::PeerRequest;
+use platform::Priority;
 use salvo::Request;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -125,7 +126,7 @@
     let settle = plan_cancel(&job, version, op, unix_ms());
     let verdict = api
         .store
-        .settle_until(settle, Priority::Cancel, deadline)
+        .settle_until(settle, Priority::Control, deadline)
         .await?;
     if matches!(verdict, Verdict::Applied { .. }) {
         log::info!("event=job_cancelled job={}", job.job);
--- a/crates/job_api/src/upload.rs
+++ b/crates/job_api/src/upload.rs
@@ -7,11 +7,10 @@
 use bytes::Bytes;
 use futures::{StreamExt, TryStreamExt};
 use job_store::{JobStore, StoreError, manifest_name, segment_name, unix_ms};
-use jobs::{
-    FileRow, FileSummary, Priority, RowValue, Segment, Settle, Splitter, Transaction, file_key,
-};
+use jobs::{FileRow, FileSummary, RowValue, Segment, Settle, Splitter, Transaction, file_key};
 use model::{CustomerId, ErrorKind};
 use multra::{Field, Multipart};
+use platform::Priority;
 use salvo::{Request, http::header};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
--- a/crates/job_store/src/objects.rs
+++ b/crates/job_store/src/objects.rs
@@ -4,8 +4,8 @@
 use std::{ops::Range, time::Duration};
 
 use bytes::Bytes;
-use jobs::{ChunkSpan, ItemRecord, Manifest, ObjectRef, Priority};
-use platform::{ByteStream, PlatformError};
+use jobs::{ChunkSpan, ItemRecord, Manifest, ObjectRef};
+use platform::{ByteStream, Priority};
 
 use crate::{JobStore, StoreError};
 
@@ -32,26 +32,20 @@
     /// Returns an error if the platform cannot be reached; the object may
     /// exist.
     pub async fn put_object(&self, name: &str, content: Bytes) -> Result<(), StoreError> {
-        self.admitted_for_read(Priority::Commit).await?;
         self.meter.on_object_write();
-        let result = self.platform().put_object_bytes(name, content).await;
-        self.on_result(&result);
-        Ok(result?)
+        let platform = self.platform(Priority::Commit);
+        Ok(platform.put_object_bytes(name, content).await?)
     }
 
     /// Writes an object whose name nobody else uses, however long the platform
     /// is away.
     pub async fn put_object_surely(&self, name: &str, content: Bytes) {
         loop {
-            self.admitted(Priority::Commit).await;
             self.meter.on_object_write();
-            let result = self
-                .platform()
-                .put_object_bytes(name, content.clone())
-                .await;
-            self.on_result(&result);
-            if result.is_ok() {
-                return;
+            let platform = self.platform(Priority::Commit);
+            match platform.put_object_bytes(name, content.clone()).await {
+                Ok(()) => return,
+                Err(error) => log::debug!("event=object_write_failed error={error:?}"),
             }
             tokio::time::sleep(REPEAT_PAUSE).await;
         }
@@ -59,7 +53,7 @@
 
     /// Removes an object that nothing refers to. A failure leaves garbage.
     pub async fn delete_object(&self, name: &str) {
-        if let Err(error) = self.platform().delete_object(name).await {
+        if let Err(error) = self.platform(Priority::Poll).delete_object(name).await {
             log::debug!("event=object_left name={name} error={error:?}");
         }
     }
@@ -104,11 +98,10 @@
     /// Returns an error if the platform cannot be reached or there is no such
     /// object.
     pub async fn object_stream(&self, name: &str) -> Result<ByteStream, StoreError> {
-        self.admitted_for_read(Priority::Claim).await?;
         self.meter.on_object_read();
-        let result = self.platform().object_stream(name, None).await;
-        self.on_result(&result);
-        result?.ok_or_else(|| missing(name))
+        let platform = self.platform(Priority::Claim);
+        let opened = platform.object_stream(name, None).await?;
+        opened.ok_or_else(|| missing(name))
     }
 
     /// Writes one line per record and tells where.
@@ -134,12 +127,10 @@
     }
 
     async fn object(&self, name: &str, range: Option<Range<u64>>) -> Result<Bytes, StoreError> {
-        self.admitted_for_read(Priority::Claim).await?;
         self.meter.on_object_read();
-        let result: Result<Option<Bytes>, PlatformError> =
-            self.platform().object(name, range).await;
-        self.on_result(&result);
-        result?.ok_or_else(|| missing(name))
+        let platform = self.platform(Priority::Claim);
+        let content = platform.object(name, range).await?;
+        content.ok_or_else(|| missing(name))
     }
 }
 
--- a/crates/job_store/src/rows.rs
+++ b/crates/job_store/src/rows.rs
@@ -1,11 +1,11 @@
 //! Reads of rows.
 
 use jobs::{
-    ChunkName, ChunkRow, FileRow, JobRow, OpenJob, Priority, RowValue, chunk_key, chunk_prefix,
-    file_key, job_key, open_prefix,
+    ChunkName, ChunkRow, FileRow, JobRow, OpenJob, RowValue, chunk_key, chunk_prefix, file_key,
+    job_key, open_prefix,
 };
 use model::{JobId, Region};
-use platform::{Row, RowPage};
+use platform::{Priority, Row, RowPage};
 
 use crate::{JobStore, StoreError};
 
@@ -21,7 +21,7 @@
     ///
     /// Returns an error if the platform cannot be reached.
     pub async fn job(&self, job: &JobId) -> Result<Option<(u64, JobRow)>, StoreError> {
-        match self.row(&job_key(job), Priority::Cancel).await? {
+        match self.row(&job_key(job), Priority::Control).await? {
             Some((version, RowValue::Job(row))) => Ok(Some((version, *row))),
             _ => Ok(None),
         }
@@ -33,7 +33,7 @@
     ///
     /// Returns an error if the platform cannot be reached.
     pub async fn file(&self, file: &str) -> Result<Option<FileRow>, StoreError> {
-        match self.row(&file_key(file), Priority::Cancel).await? {
+        match self.row(&file_key(file), Priority::Control).await? {
             Some((_, RowValue::File(row))) => Ok(Some(*row)),
             _ => Ok(None),
         }
@@ -154,11 +154,8 @@
         key: &str,
         priority: Priority,
     ) -> Result<Option<(u64, RowValue)>, StoreError> {
-        self.admitted_for_read(priority).await?;
         self.meter.on_table_read();
-        let result = self.platform().row(key).await;
-        self.on_result(&result);
-        let Some(row) = result? else {
+        let Some(row) = self.platform(priority).row(key).await? else {
             return Ok(None);
         };
         Ok(Some((row.version, decode(&row)?)))
@@ -171,11 +168,9 @@
         limit: u32,
         priority: Priority,
     ) -> Result<RowPage, StoreError> {
-        self.admitted_for_read(priority).await?;
         self.meter.on_table_read();
-        let result = self.platform().rows(prefix, after, limit).await;
-        self.on_result(&result);
-        Ok(result?)
+        let platform = self.platform(priority);
+        Ok(platform.rows(prefix, after, limit).await?)
     }
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,7 +13,6 @@
 mod input;
 mod key;
 mod lease;
-mod pacing;
 mod record;
 mod row;
 mod run;
@@ -38,7 +37,6 @@
         open_prefix,
     },
     lease::{ChunkResult, HeldChunk, LEASE_MS, LeaseWrite, Progress, renewal_due_ms},
-    pacing::{Pacer, Priority},
     record::{BadItem, ItemEnd, ItemRecord, ItemRequest, parse_request},
     row::{
         ActiveChunk, Attempts, ChunkRow, ChunkState, FileRow, JobRow, JobState, ObjectRef, OpenRow,
