standin: faults by content of the body, answers withheld after the effect, count of faults met

Cause: scenarios must strike at exact points, such as between a result object and its commit. Change: faults select by path and by text in the body; a new fault lets the request take effect and never answers. Handlers get whole bodies.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use model::ModelName;
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -133,21 +132,15 @@
         &self.0.faults
     }
 
-    async fn control(&self, request: Request<Incoming>) -> Reply {
+    fn control(&self, request: Request<Bytes>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/standin/runs") => Ok(server::json(&self.0.lock().run_counts())),
-            (&Method::PUT, "/standin/leaving") => match server::json_body::<bool>(request).await? {
-                Ok(leaving) => {
-                    self.0.lock().leaving = leaving;
-                    Ok(server::text(StatusCode::OK, "set\n"))
-                }
-                Err(answer) => Ok(answer),
-            },
-            _ => Ok(server::text(StatusCode::NOT_FOUND, "no such path\n")),
+            (&Method::GET, "/standin/runs") => server::json(&self.0.lock().run_counts()),
+            (&Method::PUT, "/standin/leaving") => self.set_leaving(&request),
+            _ => server::text(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Reply {
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
         let leaving = self.0.lock().leaving;
         let mut response = self.route(request).await?;
         if leaving {
@@ -159,7 +152,7 @@
 }
 
 impl Front {
-    async fn route(&self, request: Request<Incoming>) -> Reply {
+    async fn route(&self, request: Request<Bytes>) -> Reply {
         let path = request.uri().path().to_owned();
         if let Some(attempt_id) = path.strip_prefix(paths::STREAMS) {
             return Ok(self.stream(&request, attempt_id));
@@ -167,7 +160,7 @@
         match (request.method(), path.as_str()) {
             (&Method::POST, paths::CHAT_COMPLETIONS) => self.chat(request).await,
             (&Method::GET, paths::LOAD) => Ok(server::json(&self.0.load_report())),
-            (&Method::POST, paths::ORDERS) => match server::json_body::<Order>(request).await? {
+            (&Method::POST, paths::ORDERS) => match server::decode::<Order>(&request) {
                 Ok(order) => Ok(self.order(order).await),
                 Err(answer) => Ok(answer),
             },
@@ -175,13 +168,23 @@
         }
     }
 
-    async fn chat(&self, request: Request<Incoming>) -> Reply {
+    fn set_leaving(&self, request: &Request<Bytes>) -> Response<Body> {
+        match server::decode::<bool>(request) {
+            Ok(leaving) => {
+                self.0.lock().leaving = leaving;
+                server::text(StatusCode::OK, "set\n")
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    async fn chat(&self, request: Request<Bytes>) -> Reply {
         let attempt_id = request
             .headers()
             .get(headers::ATTEMPT)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let message = match server::json_body::<ChatRequest>(request).await? {
+        let message = match server::decode::<ChatRequest>(&request) {
             Ok(message) => message,
             Err(answer) => return Ok(answer),
         };
@@ -216,7 +219,7 @@
         reader.whole().await
     }
 
-    fn stream(&self, request: &Request<Incoming>, attempt_id: &str) -> Response<Body> {
+    fn stream(&self, request: &Request<Bytes>, attempt_id: &str) -> Response<Body> {
         if request.method() == Method::DELETE {
             self.0.lock().cancel(attempt_id);
             return server::text(StatusCode::OK, "cancelled\n");
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -1,7 +1,10 @@
 //! Scripted faults of the stand-ins.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -22,6 +25,9 @@
     /// Only requests whose path begins with this.
     #[serde(default)]
     pub path: String,
+    /// Only requests whose body contains this text.
+    #[serde(default)]
+    pub contains: String,
     /// Ends after this many requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub times: Option<u32>,
@@ -46,6 +52,8 @@
     ResetAfterBody,
     /// Reads the request, does nothing and never answers.
     Hang,
+    /// The request takes effect and is never answered.
+    HangAfterBody,
     /// Answers as usual, this much later.
     Slow {
         /// Delay before the request takes effect, milliseconds.
@@ -65,6 +73,7 @@
 pub struct FaultScript {
     active: Mutex<Vec<ActiveFault>>,
     changed: Notify,
+    met: AtomicU32,
 }
 
 #[derive(Debug)]
@@ -90,6 +99,7 @@
         Self {
             kind,
             path: String::new(),
+            contains: String::new(),
             times: None,
             for_ms: None,
         }
@@ -102,6 +112,13 @@
         self
     }
 
+    /// Limits the fault to requests whose body contains `text`.
+    #[must_use]
+    pub fn with_contains(mut self, text: &str) -> Self {
+        text.clone_into(&mut self.contains);
+        self
+    }
+
     /// Ends the fault after `times` requests.
     #[must_use]
     pub fn with_times(mut self, times: u32) -> Self {
@@ -117,6 +134,13 @@
     }
 }
 
+impl Fault {
+    fn is_met_by(&self, body: &[u8]) -> bool {
+        let text = self.contains.as_bytes();
+        text.is_empty() || body.windows(text.len()).any(|part| part == text)
+    }
+}
+
 impl FaultScript {
     /// Puts a fault into force.
     pub fn add(&self, fault: Fault) {
@@ -137,20 +161,43 @@
         self.lock().clear();
     }
 
+    /// Number of requests that met a fault.
+    #[must_use]
+    pub fn met(&self) -> u32 {
+        self.met.load(Ordering::Relaxed)
+    }
+
+    /// Whether a request is to be cut before its body is read.
+    pub(crate) fn take_reset(&self, path: &str) -> bool {
+        let is_reset = |kind| kind == FaultKind::ResetAfterHeaders;
+        self.take_where(path, Access::Read, |fault| is_reset(fault.kind))
+            .is_some()
+    }
+
     /// The fault that meets a request, if any. A limit that is not exceeded
     /// meets none.
-    pub(crate) fn take(&self, path: &str, access: Access) -> Option<FaultKind> {
+    pub(crate) fn take(&self, path: &str, body: &[u8], access: Access) -> Option<FaultKind> {
+        self.take_where(path, access, |fault| fault.is_met_by(body))
+    }
+
+    fn take_where(
+        &self,
+        path: &str,
+        access: Access,
+        matches: impl Fn(&Fault) -> bool,
+    ) -> Option<FaultKind> {
         let now = Instant::now();
         let mut active = self.lock();
         active.retain(|fault| fault.is_in_force(now));
         let mut met = active
             .iter_mut()
-            .filter(|fault| path.starts_with(&fault.fault.path))
+            .filter(|fault| path.starts_with(&fault.fault.path) && matches(&fault.fault))
             .filter_map(|fault| fault.meets(access, now).then_some(fault));
         let fault = met.next()?;
         if let Some(times) = &mut fault.fault.times {
             *times -= 1;
         }
+        self.met.fetch_add(1, Ordering::Relaxed);
         Some(fault.fault.kind)
     }
 
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -48,10 +48,10 @@
     fn faults(&self) -> &FaultScript;
 
     /// Answers a request below `/standin/`, which no fault meets.
-    fn control(&self, request: Request<Incoming>) -> impl Future<Output = Reply> + Send;
+    fn control(&self, request: Request<Bytes>) -> Response<Body>;
 
     /// Answers one request.
-    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Reply> + Send;
+    fn handle(&self, request: Request<Bytes>) -> impl Future<Output = Reply> + Send;
 }
 
 /// A running stand-in. Dropping it ends it at once, with all connections.
@@ -140,28 +140,32 @@
 }
 
 async fn dispatch<H: Handler>(handler: &H, request: Request<Incoming>) -> Reply {
-    let path = request.uri().path();
+    let path = request.uri().path().to_owned();
     if path == "/standin/faults" {
-        return script_faults(handler.faults(), request).await;
+        return Ok(script_faults(handler.faults(), &collect(request).await?));
     }
     if path == "/healthz" {
         return Ok(text(StatusCode::OK, "ok\n"));
     }
     if path.starts_with("/standin/") {
-        return handler.control(request).await;
+        return Ok(handler.control(collect(request).await?));
     }
     let access = if request.method() == Method::GET {
         Access::Read
     } else {
         Access::Write
     };
-    match handler.faults().take(path, access) {
+    if handler.faults().take_reset(&path) {
+        return Err(Dropped);
+    }
+    let request = collect(request).await?;
+    match handler.faults().take(&path, request.body(), access) {
         None => handler.handle(request).await,
         Some(kind) => meet_fault(handler, request, kind).await,
     }
 }
 
-async fn meet_fault<H: Handler>(handler: &H, request: Request<Incoming>, kind: FaultKind) -> Reply {
+async fn meet_fault<H: Handler>(handler: &H, request: Request<Bytes>, kind: FaultKind) -> Reply {
     match kind {
         FaultKind::Refuse => Ok(refused(StatusCode::SERVICE_UNAVAILABLE)),
         FaultKind::Limit { .. } => Ok(refused(StatusCode::TOO_MANY_REQUESTS)),
@@ -172,13 +176,12 @@
         }
         FaultKind::Fail => {
             handler.handle(request).await?;
-            Ok(text(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "scripted failure\n",
-            ))
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            Ok(text(status, "scripted failure\n"))
         }
-        FaultKind::Hang => {
-            read_body(request).await?;
+        FaultKind::Hang => std::future::pending().await,
+        FaultKind::HangAfterBody => {
+            let _unsent = handler.handle(request).await?;
             std::future::pending().await
         }
         FaultKind::Slow { delay_ms } => {
@@ -196,33 +199,35 @@
     response
 }
 
-async fn script_faults(faults: &FaultScript, request: Request<Incoming>) -> Reply {
-    if request.method() == Method::DELETE {
-        faults.clear();
-        return Ok(text(StatusCode::OK, "cleared\n"));
-    }
-    match json_body::<Fault>(request).await? {
-        Ok(fault) => {
-            faults.add(fault);
-            Ok(text(StatusCode::OK, "added\n"))
+fn script_faults(faults: &FaultScript, request: &Request<Bytes>) -> Response<Body> {
+    match *request.method() {
+        Method::GET => json(&faults.met()),
+        Method::DELETE => {
+            faults.clear();
+            text(StatusCode::OK, "cleared\n")
         }
-        Err(answer) => Ok(answer),
+        _ => match decode::<Fault>(request) {
+            Ok(fault) => {
+                faults.add(fault);
+                text(StatusCode::OK, "added\n")
+            }
+            Err(answer) => answer,
+        },
     }
 }
 
-/// Reads a whole body; a cut body ends the exchange.
-pub(crate) async fn read_body(request: Request<Incoming>) -> Result<Bytes, Dropped> {
-    let body = request.into_body().collect().await.map_err(|_| Dropped)?;
-    Ok(body.to_bytes())
+/// Reads the whole body; a cut body ends the exchange.
+async fn collect(request: Request<Incoming>) -> Result<Request<Bytes>, Dropped> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Dropped)?;
+    Ok(Request::from_parts(parts, body.to_bytes()))
 }
 
-/// Reads a JSON body, or gives the 400 answer to a malformed one.
-pub(crate) async fn json_body<T: DeserializeOwned>(
-    request: Request<Incoming>,
-) -> Result<Result<T, Response<Body>>, Dropped> {
-    let body = read_body(request).await?;
-    Ok(serde_json::from_slice(&body)
-        .map_err(|error| text(StatusCode::BAD_REQUEST, &format!("{error}\n"))))
+/// Decodes a JSON body, or gives the 400 answer to a malformed one.
+#[expect(clippy::result_large_err, reason = "the error is the answer to send")]
+pub(crate) fn decode<T: DeserializeOwned>(request: &Request<Bytes>) -> Result<T, Response<Body>> {
+    serde_json::from_slice(request.body())
+        .map_err(|error| text(StatusCode::BAD_REQUEST, &format!("{error}\n")))
 }
 
 pub(crate) fn json<T: Serialize>(message: &T) -> Response<Body> {
@@ -255,7 +260,7 @@
 }
 
 /// Value of one query parameter, percent-decoded.
-pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
+pub(crate) fn query(request: &Request<Bytes>, name: &str) -> Option<String> {
     let pairs = request.uri().query()?.split('&');
     let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
     let (_, value) = pairs.find(|(key, _)| *key == name)?;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use platform::{InstanceListing, TransactRequest, paths};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -91,50 +90,52 @@
         &self.faults
     }
 
-    async fn control(&self, request: Request<Incoming>) -> Reply {
+    fn control(&self, request: Request<Bytes>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/standin/counts") => Ok(server::json(&self.lock().counts)),
-            (&Method::PUT, "/standin/instances") => {
-                match server::json_body::<InstanceListing>(request).await? {
-                    Ok(listing) => {
-                        self.lock().listings.push_back((Instant::now(), listing));
-                        Ok(server::text(StatusCode::OK, "set\n"))
-                    }
-                    Err(answer) => Ok(answer),
-                }
-            }
-            _ => Ok(server::text(StatusCode::NOT_FOUND, "no such path\n")),
+            (&Method::GET, "/standin/counts") => server::json(&self.lock().counts),
+            (&Method::PUT, "/standin/instances") => self.set_instances(&request),
+            _ => server::text(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Reply {
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
         let path = request.uri().path().to_owned();
         if let Some(name) = path.strip_prefix(paths::OBJECTS) {
-            return self.object(request, &server::unescape(name)).await;
-        }
-        match (request.method(), path.as_str()) {
-            (&Method::POST, paths::TRANSACT) => {
-                match server::json_body::<TransactRequest>(request).await? {
-                    Ok(transaction) => Ok(self.transact(transaction)),
-                    Err(answer) => Ok(answer),
-                }
-            }
-            (&Method::GET, paths::ROW) => Ok(self.row(&request)),
-            (&Method::GET, paths::ROWS) => Ok(self.rows(&request)),
-            (&Method::GET, paths::INSTANCES) => Ok(self.instances()),
-            _ => Ok(server::text(StatusCode::NOT_FOUND, "no such path\n")),
+            return Ok(self.object(request, &server::unescape(name)));
         }
+        Ok(match (request.method(), path.as_str()) {
+            (&Method::POST, paths::TRANSACT) => self.transact(&request),
+            (&Method::GET, paths::ROW) => self.row(&request),
+            (&Method::GET, paths::ROWS) => self.rows(&request),
+            (&Method::GET, paths::INSTANCES) => self.instances(),
+            _ => server::text(StatusCode::NOT_FOUND, "no such path\n"),
+        })
     }
 }
 
 impl State {
-    fn transact(&self, transaction: TransactRequest) -> Response<Body> {
-        let mut inner = self.lock();
-        inner.counts.table_writes += 1;
-        server::json(&inner.table.transact(transaction))
+    fn set_instances(&self, request: &Request<Bytes>) -> Response<Body> {
+        match server::decode::<InstanceListing>(request) {
+            Ok(listing) => {
+                self.lock().listings.push_back((Instant::now(), listing));
+                server::text(StatusCode::OK, "set\n")
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    fn transact(&self, request: &Request<Bytes>) -> Response<Body> {
+        match server::decode::<TransactRequest>(request) {
+            Ok(transaction) => {
+                let mut inner = self.lock();
+                inner.counts.table_writes += 1;
+                server::json(&inner.table.transact(transaction))
+            }
+            Err(answer) => answer,
+        }
     }
 
-    fn row(&self, request: &Request<Incoming>) -> Response<Body> {
+    fn row(&self, request: &Request<Bytes>) -> Response<Body> {
         let key = server::query(request, "key").unwrap_or_default();
         let mut inner = self.lock();
         inner.counts.table_reads += 1;
@@ -144,7 +145,7 @@
         }
     }
 
-    fn rows(&self, request: &Request<Incoming>) -> Response<Body> {
+    fn rows(&self, request: &Request<Bytes>) -> Response<Body> {
         let prefix = server::query(request, "prefix").unwrap_or_default();
         let after = server::query(request, "after");
         let limit = server::query(request, "limit").and_then(|limit| limit.parse().ok());
@@ -154,27 +155,26 @@
         server::json(&inner.table.page(&prefix, after.as_deref(), limit))
     }
 
-    async fn object(&self, request: Request<Incoming>, name: &str) -> Reply {
+    fn object(&self, request: Request<Bytes>, name: &str) -> Response<Body> {
         match *request.method() {
             Method::PUT => {
-                let content = server::read_body(request).await?;
                 let mut inner = self.lock();
                 inner.counts.object_writes += 1;
-                inner.objects.insert(name.to_owned(), content);
-                Ok(server::text(StatusCode::OK, "written\n"))
+                inner.objects.insert(name.to_owned(), request.into_body());
+                server::text(StatusCode::OK, "written\n")
             }
             Method::DELETE => {
                 let mut inner = self.lock();
                 inner.counts.object_writes += 1;
                 inner.objects.remove(name);
-                Ok(server::text(StatusCode::OK, "removed\n"))
+                server::text(StatusCode::OK, "removed\n")
             }
-            Method::GET => Ok(self.read_object(&request, name)),
-            _ => Ok(server::text(StatusCode::METHOD_NOT_ALLOWED, "no\n")),
+            Method::GET => self.read_object(&request, name),
+            _ => server::text(StatusCode::METHOD_NOT_ALLOWED, "no\n"),
         }
     }
 
-    fn read_object(&self, request: &Request<Incoming>, name: &str) -> Response<Body> {
+    fn read_object(&self, request: &Request<Bytes>, name: &str) -> Response<Body> {
         let mut inner = self.lock();
         inner.counts.object_reads += 1;
         let Some(content) = inner.objects.get(name).cloned() else {
--- a/crates/standin/src/remote.rs
+++ b/crates/standin/src/remote.rs
@@ -45,6 +45,15 @@
         Ok(())
     }
 
+    /// Number of requests that met a fault.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no valid answer came.
+    pub async fn faults_met(&self) -> io::Result<u32> {
+        self.read("/standin/faults").await
+    }
+
     /// Ends every fault.
     ///
     /// # Errors
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -8,13 +8,13 @@
     time::Duration,
 };
 
-use http::{Request, StatusCode};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     FaultScript, Standin,
-    http::{self as server, Handler, Reply},
+    http::{self as server, Body, Handler, Reply},
 };
 
 /// Headers that name a call, in order of preference; without one its body does.
@@ -82,22 +82,22 @@
         &self.faults
     }
 
-    async fn control(&self, request: Request<Incoming>) -> Reply {
+    fn control(&self, request: Request<Bytes>) -> Response<Body> {
         if request.uri().path() != "/standin/calls" {
-            return Ok(server::text(StatusCode::NOT_FOUND, "no such path\n"));
+            return server::text(StatusCode::NOT_FOUND, "no such path\n");
         }
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
         let calls = calls.values().cloned().collect();
-        Ok(server::json(&ServiceCounts { calls }))
+        server::json(&ServiceCounts { calls })
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Reply {
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
         let path = request.uri().path().to_owned();
         let named = CALL_ID_HEADERS
             .iter()
             .find_map(|name| request.headers().get(*name)?.to_str().ok())
             .map(str::to_owned);
-        let body = server::read_body(request).await?;
+        let body = request.into_body();
         let id = named.unwrap_or_else(|| String::from_utf8_lossy(&body).into_owned());
         let count = self.record(id, path);
         tokio::time::sleep(Duration::from_millis(self.settings.answer_ms)).await;
