scenario: a small test language that starts, kills and pauses the programs

Cause: promises under failure need processes that really fail. Change: a parser with errors by line and a runner that starts the real binaries on a block of loopback addresses of its own, scripts the stand-ins, submits jobs and load, and checks what callers and upstreams have seen. Ruled out: an existing table-test crate; its directives rewrite expected output, which suits no run whose figures vary.

--- /dev/null
+++ b/crates/scenario/src/process.rs
@@ -0,0 +1,165 @@
+//! Starts, signals and ends the programs under test.
+
+use std::{
+    collections::BTreeMap,
+    env,
+    fs::{self, File},
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tokio::{process::Child, time::Instant};
+
+use crate::command::{ProcessSignal, Role};
+
+/// Lines of each log that a failed scenario shows.
+const LOG_TAIL_LINES: usize = 12;
+
+/// Processes by role and name. Dropping it kills those that are left.
+#[derive(Debug)]
+pub(crate) struct ProcessTable {
+    log_folder: PathBuf,
+    running: BTreeMap<(Role, String), Child>,
+    logs: Vec<PathBuf>,
+}
+
+impl ProcessTable {
+    pub(crate) fn new(scenario: &str) -> Result<Self, String> {
+        let folder = target_folder().ok_or("the target folder is unknown")?;
+        let log_folder = folder.join("scenario-logs").join(scenario);
+        // The folder of an earlier run may not exist.
+        let _ = fs::remove_dir_all(&log_folder);
+        fs::create_dir_all(&log_folder).map_err(|error| error.to_string())?;
+        Ok(Self {
+            log_folder,
+            running: BTreeMap::new(),
+            logs: Vec::new(),
+        })
+    }
+
+    /// Starts a program. Its output goes to a file that a failure shows.
+    pub(crate) fn start(
+        &mut self,
+        role: Role,
+        name: &str,
+        program: &str,
+        arguments: &[String],
+    ) -> Result<(), String> {
+        if self.running.contains_key(&(role, name.to_owned())) {
+            return Err(format!("{role:?} {name} runs already"));
+        }
+        let path = binary(program).ok_or("the target folder is unknown")?;
+        if !path.exists() {
+            let hint = "run `cargo build --workspace --bins`";
+            return Err(format!("{program} is not built; {hint}"));
+        }
+        let log = self.open_log(role, name)?;
+        let output = log.try_clone().map_err(|error| error.to_string())?;
+        let child = tokio::process::Command::new(&path)
+            .args(arguments)
+            .env_clear()
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| format!("{program} cannot be started: {error}"))?;
+        self.running.insert((role, name.to_owned()), child);
+        Ok(())
+    }
+
+    pub(crate) fn signal(
+        &mut self,
+        role: Role,
+        name: &str,
+        signal: ProcessSignal,
+    ) -> Result<(), String> {
+        let child = self.child(role, name)?;
+        let id = child.id().ok_or("the process has ended")?;
+        let id = i32::try_from(id).map_err(|error| error.to_string())?;
+        let number = match signal {
+            ProcessSignal::Kill => Signal::SIGKILL,
+            ProcessSignal::Stop => Signal::SIGTERM,
+            ProcessSignal::Pause => Signal::SIGSTOP,
+            ProcessSignal::Wake => Signal::SIGCONT,
+        };
+        kill(Pid::from_raw(id), number).map_err(|error| error.to_string())
+    }
+
+    /// Waits for a process to end and returns its exit code; none if a signal
+    /// ended it. The name is free again afterwards.
+    pub(crate) async fn wait(
+        &mut self,
+        role: Role,
+        name: &str,
+        deadline: Instant,
+    ) -> Result<Option<i32>, String> {
+        let child = self.child(role, name)?;
+        let status = tokio::time::timeout_at(deadline, child.wait())
+            .await
+            .map_err(|_| format!("{role:?} {name} has not ended in time"))?
+            .map_err(|error| error.to_string())?;
+        self.running.remove(&(role, name.to_owned()));
+        Ok(status.code())
+    }
+
+    /// Fails if a process that should run has ended.
+    pub(crate) fn check_alive(&mut self, role: Role, name: &str) -> Result<(), String> {
+        match self.child(role, name)?.try_wait() {
+            Ok(None) => Ok(()),
+            Ok(Some(status)) => Err(format!("{role:?} {name} has ended: {status}")),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// The last lines of every log.
+    pub(crate) fn log_tails(&self) -> String {
+        let mut text = String::new();
+        for path in &self.logs {
+            let content = fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<_> = content.lines().collect();
+            let start = lines.len().saturating_sub(LOG_TAIL_LINES);
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            text.push_str(&format_tail(&name, &lines[start..]));
+        }
+        text
+    }
+
+    fn child(&mut self, role: Role, name: &str) -> Result<&mut Child, String> {
+        let child = self.running.get_mut(&(role, name.to_owned()));
+        child.ok_or_else(|| format!("{role:?} {name} has not been started"))
+    }
+
+    fn open_log(&mut self, role: Role, name: &str) -> Result<File, String> {
+        let number = self.logs.len();
+        let file_name = format!("{number:02}-{role:?}-{name}.log").to_lowercase();
+        let path = self.log_folder.join(file_name);
+        let file = File::create(&path).map_err(|error| error.to_string())?;
+        self.logs.push(path);
+        Ok(file)
+    }
+}
+
+/// Time limit as an instant.
+pub(crate) fn within(limit_ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(limit_ms)
+}
+
+fn format_tail(name: &str, lines: &[&str]) -> String {
+    format!("--- {name}\n{}\n", lines.join("\n"))
+}
+
+/// The test runs in `target/<profile>/deps`.
+fn target_folder() -> Option<PathBuf> {
+    let test = env::current_exe().ok()?;
+    test.parent()?.parent().map(Path::to_owned)
+}
+
+fn binary(program: &str) -> Option<PathBuf> {
+    Some(target_folder()?.join(program))
+}
--- /dev/null
+++ b/crates/scenario/src/runner/count.rs
@@ -0,0 +1,74 @@
+//! Commands that count what upstreams have seen.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::{Runner, pause_until};
+use crate::{
+    command::Command,
+    process::within,
+    upstreams::{self, Starts},
+};
+
+impl Runner {
+    pub(super) async fn run_count_command(&mut self, command: Command) -> Result<(), String> {
+        match command {
+            Command::Runs {
+                at_least,
+                within_ms,
+            } => {
+                let deadline = within(within_ms);
+                while self.starts().await.all < at_least {
+                    pause_until(deadline, "too few starts at engines in time").await?;
+                }
+                Ok(())
+            }
+            Command::Repeats { at_most } => {
+                let starts = self.starts().await;
+                if starts.repeated <= at_most {
+                    return Ok(());
+                }
+                Err(format!("{starts:?}, expected at most {at_most} repeated"))
+            }
+            Command::Quiet { after_ms, for_ms } => {
+                let engines: Vec<_> = self.fleet.engines().collect();
+                expect_no_start(&engines, after_ms, for_ms).await
+            }
+            Command::Idle {
+                upstream,
+                after_ms,
+                for_ms,
+            } => {
+                let address = self.fleet.upstream(&upstream)?.address;
+                expect_no_start(&[address], after_ms, for_ms).await
+            }
+            Command::Calls {
+                service,
+                id,
+                at_least,
+                at_most,
+            } => {
+                let count = upstreams::count_calls(self.fleet.services(&service), &id).await?;
+                if (at_least..=at_most).contains(&count) {
+                    return Ok(());
+                }
+                Err(format!("call {id} ran {count} times"))
+            }
+            other => Err(format!("{other:?} counts nothing")),
+        }
+    }
+
+    async fn starts(&self) -> Starts {
+        upstreams::count_starts(self.fleet.engines()).await
+    }
+}
+
+async fn expect_no_start(engines: &[SocketAddr], after_ms: u64, for_ms: u64) -> Result<(), String> {
+    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+    let before = upstreams::count_starts(engines.iter().copied()).await;
+    tokio::time::sleep(Duration::from_millis(for_ms)).await;
+    let after = upstreams::count_starts(engines.iter().copied()).await;
+    if after.all == before.all {
+        return Ok(());
+    }
+    Err(format!("{} starts in {for_ms} ms", after.all - before.all))
+}
--- /dev/null
+++ b/crates/scenario/src/runner/job.rs
@@ -0,0 +1,69 @@
+//! Commands that concern jobs.
+
+use super::Runner;
+use crate::{
+    command::Command,
+    jobs::{self, Job},
+    process::within,
+};
+
+impl Runner {
+    pub(super) async fn run_job_command(&mut self, command: Command) -> Result<(), String> {
+        match command {
+            Command::Job {
+                name,
+                instances,
+                class,
+                items,
+                key,
+                customer,
+                end,
+                resend_within_ms,
+            } => {
+                let entries = instances.iter().map(|instance| self.fleet.entry(instance));
+                let entries: Vec<_> = entries.collect::<Result<_, _>>()?;
+                let mut job = Job {
+                    name: name.clone(),
+                    class,
+                    key,
+                    customer,
+                    items,
+                    id: String::new(),
+                };
+                jobs::submit_everywhere(&self.caller, &mut job, &entries, end, resend_within_ms)
+                    .await?;
+                self.jobs.insert(name, job);
+                Ok(())
+            }
+            Command::Settled {
+                job,
+                instance,
+                state,
+                within_ms,
+            } => {
+                let entry = self.fleet.entry(&instance)?;
+                let deadline = within(within_ms);
+                jobs::wait_for_state(&self.caller, self.job(&job)?, entry, &state, deadline).await
+            }
+            Command::Results {
+                job,
+                instance,
+                completed,
+                failed,
+            } => {
+                let entry = self.fleet.entry(&instance)?;
+                jobs::check_results(&self.caller, self.job(&job)?, entry, completed, failed).await
+            }
+            Command::Cancel { job, instance } => {
+                let entry = self.fleet.entry(&instance)?;
+                jobs::cancel(&self.caller, self.job(&job)?, entry).await
+            }
+            other => Err(format!("{other:?} concerns no job")),
+        }
+    }
+
+    fn job(&self, name: &str) -> Result<&Job, String> {
+        let job = self.jobs.get(name);
+        job.ok_or_else(|| format!("no job is called {name}"))
+    }
+}
