--- a/crates/batch/tests/support/client.rs
+++ b/crates/batch/tests/support/client.rs
@@ -18,7 +18,7 @@
 type Body = BoxBody<Bytes, Infallible>;
 
 /// A caller of one entry.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Client {
     http: legacy::Client<HttpConnector, Body>,
     address: SocketAddr,
@@ -66,7 +66,7 @@
     }
 
     pub fn with_api_key(mut self, api_key: &str) -> Self {
-        self.api_key = api_key.to_owned();
+        api_key.clone_into(&mut self.api_key);
         self
     }
 
--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -31,7 +31,7 @@
 use control::Control;
 
 /// Longest time that a test waits for anything.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 /// Lease of the batch programs in tests, milliseconds.
 pub const LEASE_MS: u64 = 1_500;
 pub const REGION: &str = "andes";
@@ -288,8 +288,6 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    match tokio::time::timeout(PATIENCE, poll).await {
-        Ok(value) => value,
-        Err(_) => panic!("nothing came of it within {PATIENCE:?}"),
-    }
+    let value = tokio::time::timeout(PATIENCE, poll).await;
+    value.expect("nothing came of it in time")
 }
