--- /dev/null
+++ b/crates/membership/src/ownership.rs
@@ -0,0 +1,69 @@
+//! Who owns what: rendezvous hashing over a view.
+//!
+//! Each program computes owners from its own view. Two views may differ for a
+//! moment, so that two owners exist or none. Everything that relies on an owner
+//! must therefore stay correct with several; only capacity may suffer.
+
+use model::{InstanceEntry, InstanceRole, Liveness, Region, UpstreamEntry, View};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The batch program that decides how much batch work `upstream` gets. It is in
+/// the region of the upstream, or anywhere if that region has none.
+#[must_use]
+pub fn batch_window_owner<'a>(
+    view: &'a View,
+    upstream: &UpstreamEntry,
+) -> Option<&'a InstanceEntry> {
+    let key = upstream.id.as_str();
+    owner_in_region(view, InstanceRole::Batch, &upstream.region, key)
+        .or_else(|| owner(view, InstanceRole::Batch, key))
+}
+
+/// The entry of `region` that coalesces requests with the idempotency key `key`.
+#[must_use]
+pub fn key_home<'a>(view: &'a View, region: &Region, key: &str) -> Option<&'a InstanceEntry> {
+    owner_in_region(view, InstanceRole::Entry, region, key)
+}
+
+/// The control program that should issue orders to engines. A fenced lease in
+/// the table decides; this only keeps most candidates from trying.
+#[must_use]
+pub fn order_issuer(view: &View) -> Option<&InstanceEntry> {
+    owner(view, InstanceRole::Control, "orders")
+}
+
+/// Weight of `candidate` for `key`; the highest weight owns the key.
+#[must_use]
+pub fn rendezvous_weight(key: &str, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
+fn owner<'a>(view: &'a View, role: InstanceRole, key: &str) -> Option<&'a InstanceEntry> {
+    choose(view, key, |entry| entry.role == role)
+}
+
+fn owner_in_region<'a>(
+    view: &'a View,
+    role: InstanceRole,
+    region: &Region,
+    key: &str,
+) -> Option<&'a InstanceEntry> {
+    choose(view, key, |entry| {
+        entry.role == role && entry.region == *region
+    })
+}
+
+/// Live instances come first; a suspect owns a key only if nobody is live.
+fn choose<'a>(
+    view: &'a View,
+    key: &str,
+    is_candidate: impl Fn(&InstanceEntry) -> bool,
+) -> Option<&'a InstanceEntry> {
+    let best = |liveness: Liveness| {
+        view.instances
+            .iter()
+            .filter(|entry| entry.liveness == liveness && is_candidate(entry))
+            .max_by_key(|entry| rendezvous_weight(key, entry.id.as_str()))
+    };
+    best(Liveness::Live).or_else(|| best(Liveness::Suspect))
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,109 @@
+//! The view that the programs beside a control program get.
+
+use model::{InstanceEntry, InstanceRole, Liveness, UpstreamEntry, View};
+
+use crate::{
+    NodeRumor, UpstreamRumor, fleet::Fleet, rendezvous_weight, upstream::effective_liveness,
+};
+
+/// Most upstreams of one other region in a view.
+const REMOTE_UPSTREAMS_MAX: usize = 64;
+
+impl Fleet {
+    /// What is known now: the own region in full, of each other region a
+    /// sample of the nodes and a subset of the upstreams.
+    #[must_use]
+    pub fn view(&self, now_ms: u64) -> View {
+        let known = self.nodes.rows().iter().map(|row| &row.rumor);
+        let sampled = self.regions.rows().iter().flat_map(|row| &row.sample);
+        let mut instances: Vec<InstanceEntry> = known
+            .chain(sampled)
+            .filter(|rumor| rumor.liveness != Liveness::Dead)
+            .flat_map(entries)
+            .collect();
+        instances.sort_unstable_by(|a, b| (&a.id, a.role).cmp(&(&b.id, b.role)));
+        View {
+            revision: self.revision,
+            config: (*self.config).clone(),
+            instances,
+            upstreams: self.upstream_entries(now_ms),
+        }
+    }
+
+    /// Grows with each change of the view, but for suspicions that end.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn upstream_entries(&self, now_ms: u64) -> Vec<UpstreamEntry> {
+        let mut chosen: Vec<&UpstreamRumor> = Vec::new();
+        let mut remote: Vec<&UpstreamRumor> = Vec::new();
+        for row in self.upstreams.rows() {
+            match row.entry.liveness {
+                Liveness::Dead => {}
+                _ if self.is_own_region(&row.entry.region) => chosen.push(row),
+                _ => remote.push(row),
+            }
+        }
+        chosen.extend(self.choose_remote(remote));
+        chosen.sort_unstable_by(|a, b| a.entry.id.cmp(&b.entry.id));
+        chosen
+            .into_iter()
+            .map(|row| UpstreamEntry {
+                liveness: effective_liveness(row, now_ms),
+                ..row.entry.clone()
+            })
+            .collect()
+    }
+
+    fn choose_remote<'a>(&self, mut remote: Vec<&'a UpstreamRumor>) -> Vec<&'a UpstreamRumor> {
+        let own = self.own.id.as_str();
+        remote.sort_by_cached_key(|row| {
+            let weight = rendezvous_weight(own, row.entry.id.as_str());
+            (row.entry.region.clone(), weight)
+        });
+        let mut chosen: Vec<&UpstreamRumor> = Vec::new();
+        let mut same_region = 0;
+        for row in remote {
+            let is_same = chosen
+                .last()
+                .is_some_and(|last| last.entry.region == row.entry.region);
+            same_region = if is_same { same_region + 1 } else { 1 };
+            if same_region <= REMOTE_UPSTREAMS_MAX {
+                chosen.push(row);
+            }
+        }
+        chosen
+    }
+}
+
+fn entries(rumor: &NodeRumor) -> Vec<InstanceEntry> {
+    let entry = |role: InstanceRole, address: &str, liveness: Liveness, incarnation: u64| {
+        InstanceEntry {
+            id: rumor.id.clone(),
+            role,
+            peer_address: address.to_owned(),
+            region: rumor.region.clone(),
+            failure_domain: rumor.failure_domain.clone(),
+            // A program takes no work on a node that takes none.
+            liveness: liveness.max(rumor.liveness),
+            incarnation,
+        }
+    };
+    let control = entry(
+        InstanceRole::Control,
+        &rumor.peer_address,
+        rumor.liveness,
+        rumor.incarnation,
+    );
+    let programs = rumor.programs.iter().map(|program| {
+        entry(
+            program.role,
+            &program.peer_address,
+            program.liveness,
+            program.incarnation,
+        )
+    });
+    std::iter::once(control).chain(programs).collect()
+}
