--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,258 @@
+//! Runs the membership core: its clock, its questions and its reads.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use membership::{
+    Action, Fleet, GossipFrame, NodeRumor, Program, Question, RegionSummary, UpstreamEvidence,
+};
+use model::{FleetConfig, InstanceEntry, InstanceRole, Liveness, View};
+use peer::{NodeStatus, PeerClient, PeerRequest, PeerResponse};
+use platform::Platform;
+use process::AdminState;
+use tokio::{sync::watch, time::MissedTickBehavior};
+
+use crate::{ControlSettings, clock::Clock, config_store, listing::convert_listing};
+
+/// Time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(100);
+
+/// A control program's core with its connections.
+#[derive(Debug)]
+pub(crate) struct Node {
+    fleet: Mutex<Fleet>,
+    clock: Clock,
+    view: watch::Sender<Published>,
+    client: PeerClient,
+    platform: Platform,
+    admin: AdminState,
+}
+
+/// What programs beside the control program are told.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Published {
+    pub(crate) view: Arc<View>,
+    /// Whether the control program can vouch for it.
+    pub(crate) synced: bool,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: &ControlSettings,
+        peer_address: SocketAddr,
+        admin: AdminState,
+    ) -> Self {
+        let clock = Clock::new();
+        let now_ms = clock.now_ms();
+        let own = NodeRumor {
+            id: settings.instance_id.clone(),
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            peer_address: peer_address.to_string(),
+            incarnation: now_ms,
+            liveness: Liveness::Live,
+            programs: Vec::new(),
+        };
+        let seeds = settings.seeds.iter().map(ToString::to_string).collect();
+        let random_seed = uuid::Uuid::new_v4().as_u64_pair().0;
+        Self {
+            fleet: Mutex::new(Fleet::new(own, seeds, random_seed, now_ms)),
+            clock,
+            view: watch::Sender::default(),
+            client: PeerClient::new(),
+            platform: Platform::new(settings.platform),
+            admin,
+        }
+    }
+
+    pub(crate) fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    pub(crate) fn client(&self) -> &PeerClient {
+        &self.client
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(crate) fn published(&self) -> watch::Receiver<Published> {
+        self.view.subscribe()
+    }
+
+    pub(crate) fn config(&self) -> Arc<FleetConfig> {
+        Arc::clone(self.lock().config())
+    }
+
+    /// Configuration version in force on this node.
+    pub(crate) fn status(&self) -> NodeStatus {
+        let fleet = self.lock();
+        NodeStatus {
+            id: fleet.own().id.clone(),
+            region: fleet.own().region.clone(),
+            config_version: Some(fleet.config().version),
+        }
+    }
+
+    /// Nodes of the own region, but for this one and the dead.
+    pub(crate) fn region_nodes(&self) -> Vec<NodeRumor> {
+        let fleet = self.lock();
+        fleet.region_nodes().cloned().collect()
+    }
+
+    /// Nodes to talk to in each other region.
+    pub(crate) fn other_regions(&self) -> Vec<RegionSummary> {
+        self.lock().other_region_summaries().to_vec()
+    }
+
+    /// Ticks for ever.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.update(Fleet::tick);
+        }
+    }
+
+    /// Begins the planned stop and lets the news out.
+    pub(crate) async fn stop(self: &Arc<Self>) {
+        self.update(|fleet, now_ms| {
+            fleet.stop(now_ms);
+            fleet.tick(now_ms);
+        });
+        tokio::time::sleep(TICK * 3).await;
+    }
+
+    pub(crate) fn received(self: &Arc<Self>, frame: GossipFrame) -> GossipFrame {
+        self.update(|fleet, now_ms| fleet.received(frame, now_ms))
+    }
+
+    pub(crate) fn adopt(self: &Arc<Self>, config: FleetConfig) {
+        self.update(|fleet, now_ms| {
+            fleet.config_read(Some(Arc::new(config)));
+            // The new version goes out at once and not with the next tick.
+            fleet.tick(now_ms);
+        });
+    }
+
+    pub(crate) fn register(self: &Arc<Self>, entry: &InstanceEntry) {
+        if entry.role == InstanceRole::Control {
+            return;
+        }
+        let program = Program {
+            role: entry.role,
+            peer_address: entry.peer_address.clone(),
+            liveness: entry.liveness,
+            incarnation: entry.incarnation,
+        };
+        self.update(|fleet, now_ms| fleet.register(&program, now_ms));
+    }
+
+    pub(crate) fn evidence(self: &Arc<Self>, evidence: &[UpstreamEvidence]) {
+        self.update(|fleet, now_ms| {
+            fleet.evidence(evidence, now_ms);
+            fleet.tick(now_ms);
+        });
+    }
+
+    /// Gives the core an event, starts what it asks for and publishes the view
+    /// if it changed.
+    fn update<T>(self: &Arc<Self>, event: impl FnOnce(&mut Fleet, u64) -> T) -> T {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.lock();
+        let result = event(&mut fleet, now_ms);
+        let actions = fleet.take_actions();
+        self.publish(&fleet, now_ms);
+        drop(fleet);
+        for action in actions {
+            self.start(action);
+        }
+        result
+    }
+
+    fn publish(&self, fleet: &Fleet, now_ms: u64) {
+        let synced = fleet.is_synced();
+        self.view.send_if_modified(|published| {
+            if published.view.revision == fleet.revision() && published.synced == synced {
+                return false;
+            }
+            if published.synced != synced {
+                log::info!(
+                    "event=synced value={synced} version={}",
+                    fleet.config().version
+                );
+            }
+            *published = Published {
+                view: Arc::new(fleet.view(now_ms)),
+                synced,
+            };
+            true
+        });
+        self.admin.set_ready(synced);
+    }
+
+    fn start(self: &Arc<Self>, action: Action) {
+        let node = Arc::clone(self);
+        match action {
+            Action::Ask(question) => tokio::spawn(node.ask(question)),
+            Action::ReadConfig => tokio::spawn(node.read_config()),
+            Action::ReadListing => tokio::spawn(node.read_listing()),
+        };
+    }
+
+    async fn ask(self: Arc<Self>, question: Box<Question>) {
+        let Question {
+            id,
+            address,
+            frame,
+            deadline_ms,
+        } = *question;
+        let deadline = self.clock.instant(deadline_ms);
+        let request = PeerRequest::Gossip(frame);
+        match self.client.call(&address, &request, deadline).await {
+            Ok(PeerResponse::Gossip(answer)) => {
+                self.update(|fleet, now_ms| fleet.answered(id, answer, now_ms));
+            }
+            Ok(other) => {
+                log::warn!("event=peer_unexpected_answer peer={address} answer={other:?}");
+                self.update(|fleet, now_ms| fleet.unanswered(id, now_ms));
+            }
+            Err(error) => {
+                log::debug!("event=peer_unanswered peer={address} error={error:?}");
+                self.update(|fleet, now_ms| fleet.unanswered(id, now_ms));
+            }
+        }
+    }
+
+    async fn read_config(self: Arc<Self>) {
+        match config_store::read(&self.platform).await {
+            Ok(current) => {
+                let config = current.map(|current| Arc::new(current.config));
+                self.update(|fleet, _| fleet.config_read(config));
+            }
+            Err(error) => {
+                log::warn!("event=config_unread error={}", process::quote(&error));
+                self.update(Fleet::config_unread);
+            }
+        }
+    }
+
+    async fn read_listing(self: Arc<Self>) {
+        match self.platform.instances().await {
+            Ok(listing) => {
+                let listing = convert_listing(listing);
+                self.update(|fleet, now_ms| fleet.listing_read(&listing, now_ms));
+            }
+            Err(error) => log::warn!("event=listing_unread error={}", process::quote(&error)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/control/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Real control programs over the stand-in platform, with scripted faults.
+
+mod config;
+mod membership;
+mod support;
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -3,12 +3,13 @@
 
 use std::sync::Arc;
 
-use model::{InstanceId, Liveness};
+use model::{InstanceId, Liveness, Region};
 
 use crate::{
     GossipFrame, NodeRumor, UpstreamRumor,
     digest::{BUCKETS, bucket_of},
     fleet::{ACROSS_TIMEOUT_MS, Action, Asked, Fleet, PROBE_TIMEOUT_MS, Question},
+    region::{FAILURES_MAX, sample_digest},
     rumor::{Audience, Reach, Subject},
 };
 
@@ -31,6 +32,8 @@
     pub(crate) id: Option<InstanceId>,
     pub(crate) address: String,
     pub(crate) reach: Reach,
+    /// Region of the peer, if it is another one.
+    pub(crate) region: Option<Region>,
 }
 
 /// What a question is for.
@@ -53,6 +56,7 @@
             id: None,
             address: address.to_owned(),
             reach: Reach::InRegion,
+            region: None,
         }
     }
 
@@ -62,6 +66,7 @@
             id: Some(rumor.id.clone()),
             address: rumor.peer_address.clone(),
             reach: Reach::InRegion,
+            region: None,
         }
     }
 }
@@ -74,8 +79,10 @@
         let their_version = frame.config_version;
         let wants_config = frame.wants_config;
         let buckets = frame.buckets.clone();
+        let region = frame.region.clone();
+        let their_digest = frame.digest;
         self.take_news(frame, now_ms);
-        let mut answer = self.frame(reach, Some(&sender));
+        let mut answer = self.frame(reach, &region, Some(&sender));
         if wants_config && their_version < self.config.version {
             answer.config = Some(Arc::clone(&self.config));
         }
@@ -83,6 +90,10 @@
             self.config_due_at_ms = now_ms + CONFIG_PATIENCE_MS;
             answer.wants_config = true;
         }
+        let is_outdated = their_digest != sample_digest(&self.summary);
+        if reach == Reach::Across && is_outdated && self.summary.made_at_ms > 0 {
+            answer.summaries.push(self.summary.clone());
+        }
         if !buckets.is_empty() && reach == Reach::InRegion {
             self.add_differing_rows(&buckets, &mut answer);
             answer.buckets = self.digest.buckets();
@@ -103,6 +114,7 @@
             id: Some(frame.sender.clone()),
             address: asked.address.clone(),
             reach,
+            region: asked.across.clone(),
         };
         let their_version = frame.config_version;
         let their_digest = frame.digest;
@@ -115,7 +127,14 @@
             self.ask(target.clone(), Ask::OfferConfig, now_ms);
         }
         self.confirm_config(their_version);
+        if let Some(region) = asked.across {
+            self.note_contact(&region, true, now_ms);
+        }
         if reach == Reach::Across {
+            if their_digest != sample_digest(&self.summary) {
+                let region = self.own.region.clone();
+                self.rumors.push(Subject::Region(region), Audience::Others);
+            }
             return;
         }
         if !their_buckets.is_empty() {
@@ -135,8 +154,12 @@
             self.confirm_config(0);
         }
         let Some(target) = asked.target else { return };
-        if asked.across {
+        if let Some(region) = asked.across {
             self.timers.across_index += 1;
+            self.note_contact(&region, false, now_ms);
+            if self.regions.failures(&region) < FAILURES_MAX {
+                self.ask_region(&region, now_ms);
+            }
             return;
         }
         let Some(row) = self.nodes.find_mut(&target) else {
@@ -162,7 +185,7 @@
         if target.address == self.own.peer_address {
             return;
         }
-        let mut frame = self.frame(target.reach, target.id.as_ref());
+        let mut frame = self.question(&target);
         match ask {
             Ask::News => {}
             Ask::Config => frame.wants_config = true,
@@ -224,8 +247,9 @@
         {
             self.config_due_at_ms = 0;
         }
+        let from_own_region = self.is_own_region(&frame.region);
         let is_rumor = frame.nodes.len() + frame.upstreams.len() <= RUMORS_MAX;
-        if self.is_own_region(&frame.region) {
+        if from_own_region {
             for rumor in frame.nodes {
                 self.merge_node(rumor, is_rumor, now_ms);
             }
@@ -237,13 +261,24 @@
         }
         for summary in frame.summaries {
             let region = summary.region.clone();
-            if !self.is_own_region(&region) && self.regions.merge(summary) {
+            if !self.is_own_region(&region) && self.regions.merge(summary, from_own_region) {
                 self.rumors.push(Subject::Region(region), Audience::Region);
                 self.revision += 1;
             }
         }
     }
 
+    /// Notes whether a question to another region was answered, and tells the
+    /// own region if that changes anything.
+    fn note_contact(&mut self, region: &Region, answered: bool, now_ms: u64) {
+        if self.regions.note_contact(region, answered, now_ms) {
+            let subject = Subject::Region(region.clone());
+            self.rumors.push(subject, Audience::Region);
+            self.news_pending = true;
+            self.revision += 1;
+        }
+    }
+
     /// Contradicts news of the own death, or of a life that had a higher
     /// incarnation.
     fn refute(&mut self, rumor: &NodeRumor, now_ms: u64) {
@@ -253,7 +288,17 @@
         }
     }
 
-    fn frame(&mut self, reach: Reach, target: Option<&InstanceId>) -> GossipFrame {
+    fn question(&mut self, target: &Target) -> GossipFrame {
+        let region = target.region.clone();
+        let region = region.unwrap_or_else(|| self.own.region.clone());
+        self.frame(target.reach, &region, target.id.as_ref())
+    }
+
+    fn frame(&mut self, reach: Reach, region: &Region, target: Option<&InstanceId>) -> GossipFrame {
+        let digest = match reach {
+            Reach::InRegion => self.digest.root(),
+            Reach::Across => self.regions.find(region).map_or(0, sample_digest),
+        };
         let mut frame = GossipFrame {
             sender: self.own.id.clone(),
             incarnation: self.own.incarnation,
@@ -261,7 +306,7 @@
             config_version: self.config.version,
             wants_config: false,
             config: None,
-            digest: self.digest.root(),
+            digest,
             buckets: Vec::new(),
             nodes: Vec::new(),
             upstreams: Vec::new(),
@@ -288,7 +333,7 @@
             }
             Subject::Upstream(id) => frame.upstreams.extend(self.upstreams.find(id).cloned()),
             Subject::Region(region) if self.is_own_region(region) => {
-                frame.summaries.push(self.own_summary());
+                frame.summaries.push(self.summary.clone());
             }
             Subject::Region(region) => frame.summaries.extend(self.regions.find(region).cloned()),
         }
@@ -305,7 +350,7 @@
             id,
             target: target.id,
             address: target.address.clone(),
-            across: target.reach == Reach::Across,
+            across: target.region,
             wants_config: ask == Ask::Config,
         });
         self.actions.push(Action::Ask(Box::new(Question {
@@ -344,7 +389,7 @@
     }
 
     fn offer_differing_rows(&mut self, theirs: &[u32], target: Target, now_ms: u64) {
-        let mut frame = self.frame(target.reach, target.id.as_ref());
+        let mut frame = self.question(&target);
         self.add_differing_rows(theirs, &mut frame);
         if !frame.nodes.is_empty() || !frame.upstreams.is_empty() {
             self.send(target, Ask::News, frame, now_ms);
--- a/crates/membership/src/fleet.rs
+++ b/crates/membership/src/fleet.rs
@@ -6,7 +6,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    GossipFrame, NodeRumor, Program, RegionSummary,
+    GossipFrame, NodeRumor, Program, RegionContact, RegionSummary,
     digest::Digest,
     exchange::{Ask, Target},
     listing::Contact,
@@ -100,7 +100,8 @@
     pub(crate) id: u64,
     pub(crate) target: Option<InstanceId>,
     pub(crate) address: String,
-    pub(crate) across: bool,
+    /// Region that was asked, if it is another one.
+    pub(crate) across: Option<Region>,
     pub(crate) wants_config: bool,
 }
 
@@ -158,6 +159,7 @@
                 live: 0,
                 other: 0,
                 sample: Vec::new(),
+                contact: RegionContact::default(),
             },
             pushed_version: 0,
             links_outdated: true,
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -23,7 +23,8 @@
     pub wants_config: bool,
     /// The configuration, if it was asked for.
     pub config: Option<Arc<FleetConfig>>,
-    /// Digest of everything that the sender knows of its region.
+    /// Within a region, digest of everything that the sender knows; towards
+    /// another region, digest of the sample that it has of that region.
     pub digest: u64,
     /// Digests of the parts of it, sent when `digest` keeps differing.
     pub buckets: Vec<u32>,
@@ -95,6 +96,17 @@
     pub other: u32,
     /// A bounded sample of the region's nodes, sorted by id.
     pub sample: Vec<NodeRumor>,
+    /// Whether the region can be reached, as seen from the sender's region.
+    pub contact: RegionContact,
+}
+
+/// Whether a region can be reached from another one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionContact {
+    /// No node of the region answers.
+    pub lost: bool,
+    /// Time of the last change, Unix milliseconds; newer replaces older.
+    pub changed_at_ms: u64,
 }
 
 /// Direct evidence about an upstream, from a program that talked to it.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,7 +19,10 @@
 
 pub use crate::{
     fleet::{Action, Fleet, Question},
-    gossip::{GossipFrame, NodeRumor, Program, RegionSummary, UpstreamEvidence, UpstreamRumor},
+    gossip::{
+        GossipFrame, NodeRumor, Program, RegionContact, RegionSummary, UpstreamEvidence,
+        UpstreamRumor,
+    },
     listing::{ListedNode, Listing},
     ownership::{batch_window_owner, key_home, order_issuer, rendezvous_weight},
 };
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -4,7 +4,7 @@
 use rand::RngExt;
 
 use crate::{
-    NodeRumor, RegionSummary,
+    NodeRumor, RegionContact, RegionSummary,
     exchange::{Ask, Target},
     fleet::{Action, Fleet, GAP_MS, PROBE_INTERVAL_MS, SUSPICION_MS, Sync, TOMBSTONE_MS},
     region::{sample, says_same},
@@ -54,11 +54,6 @@
         self.poll_platform(now_ms);
     }
 
-    /// Own summary of the region.
-    pub(crate) fn own_summary(&self) -> RegionSummary {
-        self.summary.clone()
-    }
-
     /// A time around `mean_ms`, so that nodes do not act in step.
     pub(crate) fn jitter(&mut self, mean_ms: u64) -> u64 {
         self.rng.random_range(mean_ms / 2..=mean_ms + mean_ms / 2)
@@ -127,9 +122,9 @@
             .any(|(_, id)| **id == self.own.id);
     }
 
-    /// Only delegates tell of their region; the sample is the same on each.
+    /// The sample is the same on each node of a region once all know the same.
     fn renew_summary(&mut self, now_ms: u64) {
-        if self.timers.summary_at_ms > now_ms || !self.is_delegate {
+        if self.timers.summary_at_ms > now_ms {
             return;
         }
         self.timers.summary_at_ms = now_ms + SUMMARY_INTERVAL_MS;
@@ -150,6 +145,7 @@
             live: u32::try_from(live).unwrap_or(u32::MAX),
             other: u32::try_from(total - live).unwrap_or(u32::MAX),
             sample: sample(&self.own.region, known()),
+            contact: RegionContact::default(),
         };
         let is_old = self.summary.made_at_ms + SUMMARY_MAX_AGE_MS <= now_ms;
         let step = self.summary.live / SUMMARY_STEP;
@@ -292,7 +288,7 @@
         }
     }
 
-    fn ask_region(&mut self, region: &Region, now_ms: u64) {
+    pub(crate) fn ask_region(&mut self, region: &Region, now_ms: u64) {
         let Some((id, address)) = self.contact_in(region) else {
             return;
         };
@@ -300,6 +296,7 @@
             id: Some(id),
             address,
             reach: Reach::Across,
+            region: Some(region.clone()),
         };
         self.ask(target, Ask::News, now_ms);
     }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,7 +3,8 @@
 use model::{InstanceEntry, InstanceRole, Liveness, UpstreamEntry, View};
 
 use crate::{
-    NodeRumor, UpstreamRumor, fleet::Fleet, rendezvous_weight, upstream::effective_liveness,
+    NodeRumor, RegionSummary, UpstreamRumor, fleet::Fleet, rendezvous_weight,
+    upstream::effective_liveness,
 };
 
 /// Most upstreams of one other region in a view.
@@ -15,12 +16,20 @@
     #[must_use]
     pub fn view(&self, now_ms: u64) -> View {
         let known = self.nodes.rows().iter().map(|row| &row.rumor);
-        let sampled = self.regions.rows().iter().flat_map(|row| &row.sample);
         let mut instances: Vec<InstanceEntry> = known
-            .chain(sampled)
             .filter(|rumor| rumor.liveness != Liveness::Dead)
-            .flat_map(entries)
+            .flat_map(|rumor| entries(rumor, Liveness::Live))
             .collect();
+        for region in self.regions.rows() {
+            // Nobody there can say who still lives.
+            let worst = if region.contact.lost {
+                Liveness::Suspect
+            } else {
+                Liveness::Live
+            };
+            let sampled = region.sample.iter();
+            instances.extend(sampled.flat_map(|rumor| entries(rumor, worst)));
+        }
         instances.sort_unstable_by(|a, b| (&a.id, a.role).cmp(&(&b.id, b.role)));
         View {
             revision: self.revision,
@@ -36,6 +45,21 @@
         self.revision
     }
 
+    /// Nodes of the own region, but for this one and the dead.
+    pub fn region_nodes(&self) -> impl Iterator<Item = &NodeRumor> {
+        self.nodes
+            .rows()
+            .iter()
+            .map(|row| &row.rumor)
+            .filter(|rumor| rumor.id != self.own.id && rumor.liveness != Liveness::Dead)
+    }
+
+    /// What is known of the other regions.
+    #[must_use]
+    pub fn other_region_summaries(&self) -> &[RegionSummary] {
+        self.regions.rows()
+    }
+
     fn upstream_entries(&self, now_ms: u64) -> Vec<UpstreamEntry> {
         let mut chosen: Vec<&UpstreamRumor> = Vec::new();
         let mut remote: Vec<&UpstreamRumor> = Vec::new();
@@ -78,7 +102,7 @@
     }
 }
 
-fn entries(rumor: &NodeRumor) -> Vec<InstanceEntry> {
+fn entries(rumor: &NodeRumor, at_best: Liveness) -> Vec<InstanceEntry> {
     let entry = |role: InstanceRole, address: &str, liveness: Liveness, incarnation: u64| {
         InstanceEntry {
             id: rumor.id.clone(),
@@ -87,7 +111,7 @@
             region: rumor.region.clone(),
             failure_domain: rumor.failure_domain.clone(),
             // A program takes no work on a node that takes none.
-            liveness: liveness.max(rumor.liveness),
+            liveness: liveness.max(rumor.liveness).max(at_best),
             incarnation,
         }
     };
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
     client::PeerClient,
     codec::{MESSAGE_MAX_BYTES, decode, encode},
     error::PeerError,
-    message::{PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    message::{NodeStatus, PROTOCOL_VERSION, PeerRequest, PeerResponse},
     server::{PeerHandler, serve},
     view_watch::ViewWatch,
 };
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use membership::{GossipFrame, UpstreamEvidence};
-use model::{DispatchNotice, ErrorKind, InstanceEntry, JobId, View, ViewRevision};
+use model::{
+    DispatchNotice, ErrorKind, InstanceEntry, InstanceId, JobId, Region, View, ViewRevision,
+};
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol, sent with each request; others are refused.
@@ -41,6 +43,22 @@
         /// Customer and key.
         key: Arc<str>,
     },
+    /// Between control programs: which configuration versions are in force.
+    ConfigStatus {
+        /// Whether the receiver asks the other nodes of its region too.
+        region_wide: bool,
+    },
+}
+
+/// Configuration version that a node has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The node.
+    pub id: InstanceId,
+    /// Its region.
+    pub region: Region,
+    /// The version, or `None` if the node did not answer.
+    pub config_version: Option<u64>,
 }
 
 /// The answer of a peer.
@@ -50,6 +68,8 @@
     Ack,
     /// The view asked for.
     View(Box<View>),
+    /// Versions in force, one entry per node.
+    ConfigStatus(Vec<NodeStatus>),
     /// News in return.
     Gossip(GossipFrame),
     /// Refused.
