cli: operators' commands over the control program's HTTP API

Each problem of a document is shown with file and line before anything is sent; apply names the version that it replaces and repeats a lost call under its idempotency key.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `redwingtack`: the command line for operators, callers and a first try.
 
 mod dev;
+mod operators;
 
 use std::process::ExitCode;
 
@@ -10,11 +11,13 @@
 #[derive(Debug, Clone)]
 enum Command {
     Dev(dev::DevOptions),
+    Operator(operators::OperatorCommand),
 }
 
 fn main() -> ExitCode {
     match command().run() {
         Command::Dev(options) => dev::run(&options),
+        Command::Operator(command) => operators::run(&command),
     }
 }
 
@@ -23,7 +26,8 @@
         .command("dev")
         .help("Runs the whole path in one process on built-in stand-ins")
         .map(Command::Dev);
-    construct!([dev])
+    let operator = operators::commands().map(Command::Operator);
+    construct!([dev, operator])
         .to_options()
         .descr("A serving system for online and batch inference on one fleet.")
         .version(env!("CARGO_PKG_VERSION"))
