--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -134,7 +134,7 @@
 
     pub(crate) fn adopt(self: &Arc<Self>, config: FleetConfig) {
         self.update(|fleet, now_ms| {
-            fleet.config_read(Some(Arc::new(config)));
+            fleet.config_read(Some(Arc::new(config)), now_ms);
             // The new version goes out at once and not with the next tick.
             fleet.tick(now_ms);
         });
@@ -233,7 +233,7 @@
         match config_store::read(&self.platform).await {
             Ok(current) => {
                 let config = current.map(|current| Arc::new(current.config));
-                self.update(|fleet, _| fleet.config_read(config));
+                self.update(|fleet, now_ms| fleet.config_read(config, now_ms));
             }
             Err(error) => {
                 log::warn!("event=config_unread error={}", process::quote(&error));
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::{
     GossipFrame, NodeRumor, UpstreamRumor,
     digest::{BUCKETS, bucket_of},
-    fleet::{ACROSS_TIMEOUT_MS, Action, Asked, Fleet, PROBE_TIMEOUT_MS, Question},
+    fleet::{ACROSS_TIMEOUT_MS, Action, Asked, Fleet, ISOLATION_MS, PROBE_TIMEOUT_MS, Question},
     region::{FAILURES_MAX, sample_digest},
     rumor::{Audience, Reach, Subject},
 };
@@ -81,6 +81,7 @@
         let buckets = frame.buckets.clone();
         let region = frame.region.clone();
         let their_digest = frame.digest;
+        self.note_heard(now_ms);
         self.take_news(frame, now_ms);
         let mut answer = self.frame(reach, &region, Some(&sender));
         if wants_config && their_version < self.config.version {
@@ -107,8 +108,13 @@
             return;
         };
         let reach = self.reach_of(&frame);
+        self.note_heard(now_ms);
         if let Some(row) = self.nodes.find_mut(&frame.sender) {
             row.failed_probes = 0;
+            if row.rumor.liveness == Liveness::Dead {
+                // It was not dead; neither may the next one be.
+                self.timers.outreach_at_ms = now_ms;
+            }
         }
         let target = Target {
             id: Some(frame.sender.clone()),
@@ -162,9 +168,13 @@
             }
             return;
         }
+        let is_isolated = self.is_isolated(now_ms);
         let Some(row) = self.nodes.find_mut(&target) else {
             return;
         };
+        if is_isolated {
+            return;
+        }
         row.failed_probes = row.failed_probes.saturating_add(1);
         if row.failed_probes < FAILED_PROBES_MAX {
             let target = Target::neighbor(&row.rumor);
@@ -180,6 +190,11 @@
         self.merge_node(rumor, true, now_ms);
     }
 
+    /// Whether all others are silent, so that the own links are to blame.
+    pub(crate) fn is_isolated(&self, now_ms: u64) -> bool {
+        self.timers.heard_at_ms + ISOLATION_MS < now_ms
+    }
+
     /// Sends a question.
     pub(crate) fn ask(&mut self, target: Target, ask: Ask, now_ms: u64) {
         if target.address == self.own.peer_address {
@@ -279,6 +294,15 @@
         }
     }
 
+    /// Notes that the own links work. After a silence of all, the suspects of
+    /// that time get a new chance.
+    pub(crate) fn note_heard(&mut self, now_ms: u64) {
+        if self.is_isolated(now_ms) {
+            self.nodes.restart_suspicions(now_ms);
+        }
+        self.timers.heard_at_ms = now_ms;
+    }
+
     /// Contradicts news of the own death, or of a life that had a higher
     /// incarnation.
     fn refute(&mut self, rumor: &NodeRumor, now_ms: u64) {
--- a/crates/membership/src/fleet.rs
+++ b/crates/membership/src/fleet.rs
@@ -24,6 +24,9 @@
 pub(crate) const ACROSS_TIMEOUT_MS: u64 = 1_500;
 /// Time that a suspected node has to speak up before it is held to be dead.
 pub(crate) const SUSPICION_MS: u64 = 2_000;
+/// Silence of all nodes and the platform after which a node blames its own
+/// links and holds nobody to be dead.
+pub(crate) const ISOLATION_MS: u64 = 2_500;
 /// Gap between ticks after which a node distrusts what it knows.
 pub(crate) const GAP_MS: u64 = 1_000;
 /// Time after which a program that fell silent is held to be dead.
@@ -129,6 +132,8 @@
     pub(crate) summary_at_ms: u64,
     pub(crate) resync_at_ms: u64,
     pub(crate) changed_at_ms: u64,
+    /// Last answer or question of any node or of the platform.
+    pub(crate) heard_at_ms: u64,
 }
 
 impl Fleet {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //! Time and events come in as arguments, what to do comes out as [`Action`]s.
 //! A node knows its own region in full and of each other region a summary.
 
+pub mod bench;
 mod digest;
 mod exchange;
 mod fleet;
--- a/crates/membership/src/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -51,7 +51,8 @@
 
 impl Fleet {
     /// Takes in the configuration row; `None` if the table has none.
-    pub fn config_read(&mut self, config: Option<Arc<FleetConfig>>) {
+    pub fn config_read(&mut self, config: Option<Arc<FleetConfig>>, now_ms: u64) {
+        self.note_heard(now_ms);
         if let Some(config) = config {
             self.adopt(config);
         }
@@ -74,6 +75,7 @@
 
     /// Takes in the platform's list.
     pub fn listing_read(&mut self, listing: &Listing, now_ms: u64) {
+        self.note_heard(now_ms);
         self.remember_contacts(&listing.nodes);
         let news = self.upstreams.compare_listing(&listing.upstreams, now_ms);
         // A first list is no news to the others: they read it themselves.
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -79,6 +79,9 @@
     }
 
     fn bury_suspects(&mut self, now_ms: u64) {
+        if self.is_isolated(now_ms) {
+            return;
+        }
         let dead: Vec<NodeRumor> = self
             .nodes
             .rows()
