peer: no new work after a pause until the view was confirmed

A program that finds a gap of more than 1 s between its ticks is not fresh until a poll that began after the gap was answered; the control program looks for a gap of its own before it hands out a view.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -109,6 +109,11 @@
         self.lock().other_region_summaries().to_vec()
     }
 
+    /// Ticks once.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        self.update(Fleet::tick);
+    }
+
     /// Ticks for ever.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut interval = tokio::time::interval(TICK);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod codec;
 mod error;
+mod gap;
 mod message;
 mod server;
 mod view_watch;
--- a/crates/peer/src/view_watch.rs
+++ b/crates/peer/src/view_watch.rs
@@ -8,7 +8,7 @@
 use model::{ErrorKind, InstanceEntry, Liveness, View};
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
-use crate::{PeerClient, PeerError, PeerRequest, PeerResponse};
+use crate::{PeerClient, PeerError, PeerRequest, PeerResponse, gap::GapDetector};
 
 /// Longest wait of the control program before it answers with the same view.
 const POLL_WAIT_MS: u64 = 10_000;
@@ -26,7 +26,8 @@
 pub struct ViewWatch {
     view: watch::Receiver<Arc<View>>,
     own: watch::Sender<InstanceEntry>,
-    tasks: [JoinHandle<()>; 2],
+    gaps: GapDetector,
+    tasks: [JoinHandle<()>; 3],
 }
 
 impl ViewWatch {
@@ -43,12 +44,21 @@
         let (sender, view) = watch::channel(Arc::new(View::default()));
         let (own, own_receiver) = watch::channel(own);
         let control: Arc<str> = Arc::from(control);
-        let poll = tokio::spawn(poll_view(Arc::clone(&control), client.clone(), sender));
+        let gaps = GapDetector::new();
+        let poll = Poll {
+            control: Arc::clone(&control),
+            client: client.clone(),
+            sender,
+            gaps: gaps.clone(),
+        };
+        let poll = tokio::spawn(poll.run());
+        let tick = tokio::spawn(gaps.clone().run());
         let register = tokio::spawn(register_entry(control, client, own_receiver));
         Self {
             view,
             own,
-            tasks: [poll, register],
+            gaps,
+            tasks: [poll, register, tick],
         }
     }
 
@@ -58,6 +68,13 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// Whether new work may be taken. After a pause of the process it may not
+    /// until the control program has confirmed or replaced the view.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.gaps.is_fresh()
+    }
+
     /// A receiver that sees each new view.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
@@ -86,39 +103,69 @@
     }
 }
 
-async fn poll_view(control: Arc<str>, client: PeerClient, sender: watch::Sender<Arc<View>>) {
-    let mut revision = 0;
-    let mut was_lost = false;
-    loop {
-        match fetch(&control, &client, revision).await {
-            Ok(view) => {
-                if was_lost {
-                    log::info!("event=control_back control={control}");
-                    was_lost = false;
+/// Follows the control program.
+struct Poll {
+    control: Arc<str>,
+    client: PeerClient,
+    sender: watch::Sender<Arc<View>>,
+    gaps: GapDetector,
+}
+
+/// What the control program answered.
+enum Fetched {
+    View(View),
+    /// It cannot vouch for its view at present.
+    NotReady,
+}
+
+impl Poll {
+    async fn run(self) {
+        let mut revision = 0;
+        let mut was_lost = false;
+        loop {
+            let gaps = self.gaps.look();
+            // After a pause even an unchanged view has to be confirmed at once.
+            let known = if self.gaps.is_fresh() { revision } else { 0 };
+            let fetched = tokio::select! {
+                fetched = self.fetch(known) => fetched,
+                () = self.gaps.noticed() => continue,
+            };
+            match fetched {
+                Ok(Fetched::View(view)) => {
+                    if was_lost {
+                        log::info!("event=control_back control={}", self.control);
+                        was_lost = false;
+                    }
+                    revision = view.revision;
+                    publish(&self.sender, view);
+                    self.gaps.refreshed(gaps);
                 }
-                revision = view.revision;
-                publish(&sender, view);
-            }
-            Err(error) => {
-                if !was_lost {
-                    log::warn!("event=control_lost control={control} error={error:?}");
-                    was_lost = true;
+                Ok(Fetched::NotReady) => {}
+                Err(error) => {
+                    if !was_lost {
+                        log::warn!(
+                            "event=control_lost control={} error={error:?}",
+                            self.control
+                        );
+                        was_lost = true;
+                    }
+                    tokio::time::sleep(RETRY_PAUSE).await;
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
-}
 
-async fn fetch(control: &str, client: &PeerClient, revision: u64) -> Result<View, PeerError> {
-    let request = PeerRequest::ViewSince {
-        revision,
-        wait_ms: POLL_WAIT_MS,
-    };
-    let deadline = Instant::now() + Duration::from_millis(POLL_WAIT_MS) + POLL_GRACE;
-    match client.call(control, &request, deadline).await? {
-        PeerResponse::View(view) => Ok(*view),
-        other => Err(PeerError::Malformed(format!("expected a view: {other:?}"))),
+    async fn fetch(&self, revision: u64) -> Result<Fetched, PeerError> {
+        let request = PeerRequest::ViewSince {
+            revision,
+            wait_ms: POLL_WAIT_MS,
+        };
+        let deadline = Instant::now() + Duration::from_millis(POLL_WAIT_MS) + POLL_GRACE;
+        match self.client.call(&self.control, &request, deadline).await? {
+            PeerResponse::View(view) => Ok(Fetched::View(*view)),
+            PeerResponse::Refused(ErrorKind::NotReady) => Ok(Fetched::NotReady),
+            other => Err(PeerError::Malformed(format!("expected a view: {other:?}"))),
+        }
     }
 }
 
--- a/crates/peer/tests/view_watch.rs
+++ b/crates/peer/tests/view_watch.rs
@@ -126,3 +126,34 @@
     };
     timeout(LONG, leaving).await.expect("leaving is registered");
 }
+
+#[test]
+fn view_watch_paused_process_is_not_fresh_until_confirmed() {
+    let control = tokio::runtime::Runtime::new().expect("runtime");
+    let (address, handle, _task) = control.block_on(start("127.0.0.1:0", view(1, 1)));
+    let paused = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    paused.block_on(async {
+        let watch = ViewWatch::start(&address, own(), PeerClient::new());
+        wait_for(&watch, 1).await;
+        let fresh = async {
+            while !watch.is_fresh() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(LONG, fresh).await.expect("fresh");
+        // Blocks the only thread of this runtime, as a pause of the process does.
+        std::thread::sleep(Duration::from_millis(1_300));
+        assert!(!watch.is_fresh(), "nothing was confirmed since the pause");
+        handle.view.send_replace(view(2, 2));
+        let fresh = async {
+            while !watch.is_fresh() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(LONG, fresh).await.expect("fresh again");
+        assert_eq!(watch.current().config.version, 2);
+    });
+}
