--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -21,7 +21,7 @@
 use crate::{Refusal, clock};
 
 /// Longest wait for the platform before a call is sent.
-const CLAIM_TIMEOUT_MS: u64 = 2_000;
+const CLAIM_TIMEOUT_MS: u64 = 3_000;
 /// Longest wait for the platform before the caller gets its answer.
 const STORE_TIMEOUT_MS: u64 = 1_000;
 /// Longest time that an outcome is offered to a platform that is down.
--- a/crates/entry/src/service/flow.rs
+++ b/crates/entry/src/service/flow.rs
@@ -59,6 +59,10 @@
     /// Sends the call until a service answers. A call that is not idempotent
     /// is sent again only if it certainly did not run.
     pub(crate) async fn run(mut self) -> Result<ServiceAnswer, Refusal> {
+        if self.patience.is_over() {
+            let message = "The call's deadline passed before it could be sent.";
+            return Err(Refusal::new(ErrorKind::DeadlineBeforeStart, message));
+        }
         loop {
             let view = self.shared.view()?;
             let route = self.shared.dispatcher.route(&view, &self.route_request());
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -34,6 +34,12 @@
 answer_within_ms = 2000
 idempotent = false
 
+[[class]]
+name = "brisk"
+work = "online"
+first_token_ms = 200
+between_tokens_ms = 50
+
 [[class]]
 name = "bundle"
 work = "batch"
@@ -45,6 +51,12 @@
 first_token_ms = 2000
 between_tokens_ms = 100
 
+[[class]]
+name = "instant"
+work = "online"
+first_token_ms = 1
+between_tokens_ms = 50
+
 [[class]]
 name = "limited"
 work = "online"
@@ -52,6 +64,13 @@
 between_tokens_ms = 100
 customer_requests_per_s = 1
 
+[[class]]
+name = "quick-booking"
+work = "service"
+service = "courts"
+answer_within_ms = 100
+idempotent = false
+
 [[class]]
 name = "lookup"
 work = "service"
