--- a/crates/entry/tests/chat.rs
+++ b/crates/entry/tests/chat.rs
@@ -107,7 +107,7 @@
 async fn chat_engine_dies_in_mid_stream_and_another_continues() {
     let engines = engines(2).await;
     let entry = entry_over(&engines);
-    let body = streamed(chat_body("tell me where to dig", 60));
+    let body = streamed(chat_body("tell me where to dig [[tokens=60]]", 60));
     let answer = entry.chat(&[], body);
     let kill = async {
         // The engine that runs the request goes down once it has run a while.
@@ -126,7 +126,7 @@
     };
     let (answer, ()) = tokio::join!(answer, kill);
     assert_eq!(answer.status, StatusCode::OK);
-    let expected = undisturbed("tell me where to dig", 60).await;
+    let expected = undisturbed("tell me where to dig [[tokens=60]]", 60).await;
     assert_eq!(answer.streamed_text(), expected);
 }
 
@@ -145,7 +145,7 @@
 async fn chat_caller_gone_cancels_at_the_engine() {
     let engines = engines(1).await;
     let entry = entry_over(&engines);
-    let body = streamed(chat_body("a very long hint", 100_000));
+    let body = streamed(chat_body("a very long hint [[tokens=100000]]", 100_000));
     let request = entry.chat(&[], body);
     let gone = tokio::time::timeout(std::time::Duration::from_millis(200), request).await;
     assert!(gone.is_err());
