--- /dev/null
+++ b/crates/load/src/compare.rs
@@ -0,0 +1,438 @@
+//! `compare`: this project's policy, the baselines and the oracle under one
+//! load, side by side.
+
+use std::{path::PathBuf, sync::Mutex, thread};
+
+use bpaf::{Parser, construct, long};
+use policy::{Urgency, WindowRules};
+use standin::EngineParams;
+
+use crate::{
+    FleetShape, OracleRules, Outcome, Scheduling, Workload, WorkloadParams,
+    measure::{Latency, p99, ratio},
+    plot::{self, Point},
+    run,
+};
+
+/// Largest ratio of a 99th percentile to the one alone that counts as alone.
+const RELAXED_BOUND: f64 = 1.05;
+/// Items at an engine without priorities: as many as it takes.
+const UNBOUNDED_ITEMS: u32 = 256;
+/// Most rounds of the search for the oracle's rules.
+const SEARCH_ROUNDS: usize = 5;
+/// Fixed windows of the frontier.
+const FIXED_ITEMS: [u32; 8] = [1, 2, 4, 8, 16, 32, 64, 128];
+
+/// Options of `compare`.
+#[derive(Debug, Clone)]
+pub struct CompareOptions {
+    /// First seed.
+    pub seed: u64,
+    /// Number of seeds, counted up from the first.
+    pub seeds: u64,
+    /// Runs at the same time.
+    pub threads: usize,
+    /// Virtual time of a run, seconds.
+    pub run_s: u64,
+    /// Online requests a second and engine between bursts.
+    pub steady_per_engine_s: f64,
+    /// Where to write the frontier of harm against batch share.
+    pub plot: Option<PathBuf>,
+}
+
+/// Parser of [`CompareOptions`].
+#[must_use]
+pub fn compare_options() -> impl Parser<CompareOptions> {
+    let seed = long("seed")
+        .help("First seed")
+        .argument("N")
+        .fallback(1)
+        .display_fallback();
+    let seeds = long("seeds")
+        .help("Number of seeds, counted up from the first")
+        .argument("N")
+        .fallback(3)
+        .display_fallback();
+    let threads = long("threads")
+        .help("Runs at the same time")
+        .argument("N")
+        .fallback(4)
+        .display_fallback();
+    let run_s = long("run-s")
+        .help("Virtual time of a run, seconds")
+        .argument("S")
+        .fallback(240)
+        .display_fallback();
+    let steady_per_engine_s = long("steady")
+        .help("Online requests a second and engine between bursts")
+        .argument("RATE")
+        .fallback(1.5)
+        .display_fallback();
+    let plot = long("plot")
+        .help("Write the frontier of harm against batch share as SVG")
+        .argument("PATH")
+        .optional();
+    construct!(CompareOptions {
+        seed,
+        seeds,
+        threads,
+        run_s,
+        steady_per_engine_s,
+        plot
+    })
+}
+
+/// What batch jobs ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BatchTarget {
+    /// Jobs are ahead of their targets: online must look as if alone.
+    Relaxed,
+    /// Jobs are about to miss theirs: batch may use up the online target.
+    Tight,
+}
+
+/// A policy with the figures of its runs.
+struct Entry {
+    name: String,
+    scheduling: Scheduling,
+    by_seed: Vec<Outcome>,
+    total: Outcome,
+}
+
+struct Bench {
+    shape: FleetShape,
+    params: EngineParams,
+    workloads: Vec<Workload>,
+    alone: Vec<Outcome>,
+    alone_total: Outcome,
+    assignments: Vec<Vec<Option<usize>>>,
+    threads: usize,
+}
+
+/// Runs the comparison and prints it.
+///
+/// # Errors
+///
+/// Returns an error if the plot cannot be written.
+pub fn compare(options: &CompareOptions) -> Result<(), String> {
+    let bench = Bench::new(options);
+    bench.print_parameters(options);
+    let ours = bench.run_all(ours());
+    let baselines = bench.run_all(baselines());
+    let mut points = Vec::new();
+    for target in [BatchTarget::Relaxed, BatchTarget::Tight] {
+        let oracle = bench.search_oracle(target);
+        let best_tokens = oracle.total.batch_tokens;
+        bench.print(&oracle, "oracle", target, best_tokens);
+        println!(
+            "oracle_rules batch_target={} {:?}",
+            target.name(),
+            oracle.scheduling
+        );
+        for entry in &ours {
+            if entry.name == target.name() {
+                bench.print(entry, "redwingtack", target, best_tokens);
+                points.push(bench.point(entry, &format!("redwingtack {}", entry.name)));
+            }
+        }
+        for entry in &baselines {
+            bench.print(entry, &entry.name, target, best_tokens);
+        }
+        points.push(bench.point(&oracle, &format!("oracle {}", target.name())));
+    }
+    points.extend(
+        baselines
+            .iter()
+            .map(|entry| bench.point(entry, &entry.name)),
+    );
+    let Some(path) = &options.plot else {
+        return Ok(());
+    };
+    plot::frontier(path, &points).map_err(|error| error.to_string())
+}
+
+impl BatchTarget {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Relaxed => "relaxed",
+            Self::Tight => "tight",
+        }
+    }
+}
+
+impl Bench {
+    fn new(options: &CompareOptions) -> Self {
+        let shape = FleetShape::default();
+        let params = EngineParams::default();
+        let load = WorkloadParams {
+            run_s: options.run_s,
+            steady_per_engine_s: options.steady_per_engine_s,
+            ..WorkloadParams::default()
+        };
+        let workloads: Vec<Workload> = (options.seed..options.seed + options.seeds.max(1))
+            .map(|seed| {
+                Workload::new(
+                    load.clone(),
+                    shape.regions,
+                    shape.engines,
+                    shape.entries,
+                    seed,
+                )
+            })
+            .collect();
+        let alone: Vec<_> = workloads
+            .iter()
+            .map(|workload| run(&shape, &params, workload, &Scheduling::Alone, None))
+            .collect();
+        let assignments = alone.iter().map(|run| run.assignment.clone()).collect();
+        let alone: Vec<Outcome> = alone.into_iter().map(|run| run.outcome).collect();
+        Self {
+            alone_total: total(&alone),
+            alone,
+            shape,
+            params,
+            workloads,
+            assignments,
+            threads: options.threads.max(1),
+        }
+    }
+
+    /// Runs each policy with each seed.
+    fn run_all(&self, policies: Vec<(String, Scheduling)>) -> Vec<Entry> {
+        let mut queue = Vec::new();
+        for policy in 0..policies.len() {
+            queue.extend((0..self.workloads.len()).map(|seed| (policy, seed)));
+        }
+        let queue = Mutex::new(queue);
+        let done = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for _ in 0..self.threads {
+                scope.spawn(|| {
+                    loop {
+                        let next = queue.lock().expect("no thread panicked").pop();
+                        let Some((policy, seed)) = next else {
+                            return;
+                        };
+                        let outcome = self.run_one(&policies[policy].1, seed);
+                        let mut done = done.lock().expect("no thread panicked");
+                        done.push((policy, seed, outcome));
+                    }
+                });
+            }
+        });
+        let mut done = done.into_inner().expect("no thread panicked");
+        done.sort_by_key(|row| (row.0, row.1));
+        let mut outcomes = done.into_iter().map(|row| row.2);
+        policies
+            .into_iter()
+            .map(|(name, scheduling)| {
+                let by_seed: Vec<Outcome> = outcomes.by_ref().take(self.workloads.len()).collect();
+                Entry {
+                    name,
+                    scheduling,
+                    total: total(&by_seed),
+                    by_seed,
+                }
+            })
+            .collect()
+    }
+
+    fn run_one(&self, scheduling: &Scheduling, seed: usize) -> Outcome {
+        let foreseen = matches!(scheduling, Scheduling::Oracle(_));
+        let assignment = foreseen.then(|| self.assignments[seed].as_slice());
+        let workload = &self.workloads[seed];
+        run(&self.shape, &self.params, workload, scheduling, assignment).outcome
+    }
+
+    /// Searches the oracle's rules for most batch tokens within the bound:
+    /// from the rules at hand to their best neighbour, until none is better.
+    fn search_oracle(&self, target: BatchTarget) -> Entry {
+        let start =
+            OracleRules::START.map(|rules| ("oracle".to_owned(), Scheduling::Oracle(rules)));
+        let mut best = self.best_of(self.run_all(start.to_vec()), target);
+        for _ in 0..SEARCH_ROUNDS {
+            let Scheduling::Oracle(rules) = &best.scheduling else {
+                return best;
+            };
+            let neighbours = rules.neighbours().into_iter();
+            let neighbours =
+                neighbours.map(|rules| ("oracle".to_owned(), Scheduling::Oracle(rules)));
+            let next = self.best_of(self.run_all(neighbours.collect()), target);
+            if self.score(&next, target) <= self.score(&best, target) {
+                return best;
+            }
+            best = next;
+        }
+        best
+    }
+
+    fn best_of(&self, entries: Vec<Entry>, target: BatchTarget) -> Entry {
+        entries
+            .into_iter()
+            .max_by(|a, b| self.score(a, target).total_cmp(&self.score(b, target)))
+            .expect("there is at least one entry")
+    }
+
+    /// Batch tokens within the bound; beyond it, minus the excess.
+    fn score(&self, entry: &Entry, target: BatchTarget) -> f64 {
+        let excess = match target {
+            BatchTarget::Relaxed => self.worst_ratio(&entry.total) / RELAXED_BOUND - 1.0,
+            BatchTarget::Tight => {
+                ratio(entry.total.late, 1) / ratio(self.alone_total.late, 1) - 1.0
+            }
+        };
+        if excess > 0.0 {
+            return -excess;
+        }
+        ratio(entry.total.batch_tokens, 1)
+    }
+
+    /// The largest of the ratios of both latencies in both phases.
+    fn worst_ratio(&self, outcome: &Outcome) -> f64 {
+        let steady = ratios(&outcome.steady, &self.alone_total.steady);
+        let burst = ratios(&outcome.burst, &self.alone_total.burst);
+        steady.0.max(steady.1).max(burst.0).max(burst.1)
+    }
+
+    fn point(&self, entry: &Entry, name: &str) -> Point {
+        Point {
+            name: name.to_owned(),
+            harm: self.worst_ratio(&entry.total),
+            tokens_per_s: self.tokens_per_s(&entry.total),
+        }
+    }
+
+    fn tokens_per_s(&self, outcome: &Outcome) -> f64 {
+        let params = &self.workloads[0].params;
+        let measured_s = (params.run_s - params.warmup_s) * self.workloads.len() as u64;
+        ratio(outcome.batch_tokens, measured_s)
+    }
+
+    fn print_parameters(&self, options: &CompareOptions) {
+        println!("parameters seed={} seeds={}", options.seed, options.seeds);
+        println!("parameters fleet={:?}", self.shape);
+        println!("parameters engine={:?}", self.params);
+        println!("parameters load={:?}", self.workloads[0].params);
+        for (phase, latency) in [
+            ("steady", &self.alone_total.steady),
+            ("burst", &self.alone_total.burst),
+        ] {
+            println!("alone phase={phase} {}", quantiles(latency));
+        }
+    }
+
+    fn print(&self, entry: &Entry, policy: &str, target: BatchTarget, best_tokens: u64) {
+        let total = &entry.total;
+        let all = ratios(&total.all(), &self.alone_total.all());
+        let steady = ratios(&total.steady, &self.alone_total.steady);
+        let burst = ratios(&total.burst, &self.alone_total.burst);
+        println!(
+            "policy={policy} batch_target={} online_late_share={:.5} \
+             online_late_share_alone={:.5} online_ttft_p99_ratio={:.3} \
+             online_itl_p99_ratio={:.3} batch_share={:.3} cross_region_bytes={} \
+             refused={} errors={} steady_ttft_p99_ratio={:.3} steady_itl_p99_ratio={:.3} \
+             burst_ttft_p99_ratio={:.3} burst_itl_p99_ratio={:.3} worst_ratio_by_seed={} \
+             late={} late_alone={} batch_tokens_per_s={:.0} cancels={} \
+             batch_gone_p50_ms={} batch_gone_max_ms={} batch_stayed={}",
+            target.name(),
+            total.late_share(),
+            self.alone_total.late_share(),
+            all.0,
+            all.1,
+            ratio(total.batch_tokens, best_tokens),
+            total.cross_region_bytes,
+            total.refused,
+            total.errors,
+            steady.0,
+            steady.1,
+            burst.0,
+            burst.1,
+            self.spread(entry),
+            total.late,
+            self.alone_total.late,
+            self.tokens_per_s(total),
+            total.batch_cancels,
+            total.batch_gone_us.value_at_quantile(0.5) / 1_000,
+            total.batch_gone_us.max() / 1_000,
+            total.batch_stayed,
+        );
+    }
+
+    /// Smallest and largest of the seeds' worst ratios.
+    fn spread(&self, entry: &Entry) -> String {
+        let worst = entry.by_seed.iter().zip(&self.alone).map(|(with, alone)| {
+            let steady = ratios(&with.steady, &alone.steady);
+            let burst = ratios(&with.burst, &alone.burst);
+            steady.0.max(steady.1).max(burst.0).max(burst.1)
+        });
+        let worst: Vec<f64> = worst.collect();
+        let least = worst.iter().copied().fold(f64::MAX, f64::min);
+        let most = worst.iter().copied().fold(0.0, f64::max);
+        format!("{least:.3}..{most:.3}")
+    }
+}
+
+/// First-token and inter-token 99th percentiles as multiples of those alone.
+fn ratios(with: &Latency, alone: &Latency) -> (f64, f64) {
+    (
+        ratio(p99(&with.first_token_us), p99(&alone.first_token_us)),
+        ratio(p99(&with.between_tokens_us), p99(&alone.between_tokens_us)),
+    )
+}
+
+fn quantiles(latency: &Latency) -> String {
+    let ms = |histogram: &hdrhistogram::Histogram<u64>, quantile| {
+        ratio(histogram.value_at_quantile(quantile), 1_000)
+    };
+    let (first, between) = (&latency.first_token_us, &latency.between_tokens_us);
+    format!(
+        "ttft_p50_ms={:.1} ttft_p95_ms={:.1} ttft_p99_ms={:.1} \
+         itl_p50_ms={:.1} itl_p95_ms={:.1} itl_p99_ms={:.1} requests={}",
+        ms(first, 0.5),
+        ms(first, 0.95),
+        ms(first, 0.99),
+        ms(between, 0.5),
+        ms(between, 0.95),
+        ms(between, 0.99),
+        first.len(),
+    )
+}
+
+fn total(outcomes: &[Outcome]) -> Outcome {
+    let mut total = Outcome::new();
+    for outcome in outcomes {
+        total.add(outcome);
+    }
+    total
+}
+
+fn ours() -> Vec<(String, Scheduling)> {
+    [("relaxed", Urgency::NONE), ("tight", Urgency::FULL)]
+        .into_iter()
+        .map(|(name, urgency)| {
+            let rules = WindowRules::default();
+            (name.to_owned(), Scheduling::Window { rules, urgency })
+        })
+        .collect()
+}
+
+fn baselines() -> Vec<(String, Scheduling)> {
+    let mut policies = vec![(
+        "no_priorities".to_owned(),
+        Scheduling::Fixed(UNBOUNDED_ITEMS),
+    )];
+    for batch_engines in [1, 2] {
+        let items = UNBOUNDED_ITEMS;
+        policies.push((
+            format!("static_split_{batch_engines}_of_3"),
+            Scheduling::Split {
+                batch_engines,
+                items,
+            },
+        ));
+    }
+    let fixed =
+        FIXED_ITEMS.map(|items| (format!("fixed_window_{items}"), Scheduling::Fixed(items)));
+    policies.extend(fixed);
+    policies
+}
--- /dev/null
+++ b/crates/load/src/driver.rs
@@ -0,0 +1,249 @@
+//! Owners of batch work: what keeps items at the engines under each policy.
+
+use std::collections::VecDeque;
+
+use model::DispatchNotice;
+use policy::{BatchWindow, UpstreamLoad, Urgency, WindowRules};
+use standin::SequenceRequest;
+
+use crate::{OracleRules, fleet::engine_name, workload::BatchItem};
+
+/// Tokens of a block of the engines' prefix cache.
+const BLOCK_TOKENS: u32 = 16;
+
+/// Items that an owner chooses from.
+const READY_ITEMS: usize = 32;
+
+/// How batch work is kept away from online work.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Scheduling {
+    /// No batch work at all.
+    Alone,
+    /// The batch window of this project.
+    Window {
+        /// Rules of the window.
+        rules: WindowRules,
+        /// How pressing the batch work is.
+        urgency: Urgency,
+    },
+    /// A fixed number of items at each engine.
+    Fixed(u32),
+    /// Some engines of each region for batch work only, the rest for online.
+    Split {
+        /// Engines of each region for batch work.
+        batch_engines: usize,
+        /// Items at each of them.
+        items: u32,
+    },
+    /// Knows the online load ahead.
+    Oracle(OracleRules),
+}
+
+/// The owner of the batch work at one engine.
+#[derive(Debug)]
+pub struct Owner {
+    engine: usize,
+    window: Option<BatchWindow>,
+    fixed_items: u32,
+    backlog: Vec<BatchItem>,
+    items: Vec<Item>,
+    ready: VecDeque<u64>,
+    /// Items at the engine or on the way there, in order of start.
+    in_flight: Vec<u64>,
+    /// Time of the earliest tick that is scheduled, microseconds.
+    pub tick_at_us: u64,
+}
+
+#[derive(Debug)]
+struct Item {
+    lengths: BatchItem,
+    done_tokens: u32,
+    cached_tokens: u32,
+    in_flight: bool,
+}
+
+/// What an owner sends to its engine.
+#[derive(Debug)]
+pub enum Command {
+    /// Starts or continues an item.
+    Submit(SequenceRequest),
+    /// Cancels an item.
+    Cancel(u64),
+}
+
+impl Owner {
+    /// The owner of an engine's batch work.
+    pub fn new(engine: usize, scheduling: &Scheduling, backlog: &[BatchItem]) -> Self {
+        let (window, fixed_items) = match scheduling {
+            Scheduling::Window { rules, urgency } => {
+                let mut window = BatchWindow::new(engine_name(engine)).with_rules(*rules);
+                window.set_urgency(*urgency);
+                (Some(window), 0)
+            }
+            Scheduling::Fixed(items) | Scheduling::Split { items, .. } => (None, *items),
+            Scheduling::Alone | Scheduling::Oracle(_) => (None, 0),
+        };
+        Self {
+            engine,
+            window,
+            fixed_items,
+            backlog: backlog.to_vec(),
+            items: Vec::new(),
+            ready: VecDeque::new(),
+            in_flight: Vec::new(),
+            tick_at_us: u64::MAX,
+        }
+    }
+
+    /// Takes the owner's work away.
+    pub fn stop(&mut self) {
+        self.window = None;
+        self.fixed_items = 0;
+    }
+
+    /// Takes in a notice; answers with the load of the engine.
+    pub fn on_notice(&mut self, notice: &DispatchNotice, now_us: u64) -> Option<UpstreamLoad> {
+        let window = self.window.as_mut()?;
+        window.on_notice(notice, now_us);
+        Some(window.load())
+    }
+
+    /// A token of an item came.
+    pub fn on_token(&mut self, item: u64, is_last: bool, now_us: u64) {
+        let row = &mut self.items[index(item)];
+        if !row.in_flight {
+            return;
+        }
+        row.done_tokens += 1;
+        if let Some(window) = &mut self.window {
+            window.on_batch_progress(item, now_us);
+        }
+        if is_last {
+            self.ended(item, now_us);
+        }
+    }
+
+    /// The engine confirmed that it dropped an item.
+    pub fn on_cancelled(&mut self, item: u64, now_us: u64) {
+        if self.items[index(item)].in_flight {
+            self.ended(item, now_us);
+            self.ready.push_front(item);
+        }
+    }
+
+    /// Decides what to send now.
+    pub fn tick(&mut self, now_us: u64) -> (Vec<Command>, Option<u64>) {
+        let Some(window) = &mut self.window else {
+            return (self.fill(), None);
+        };
+        let plan = window.tick(now_us);
+        let mut commands: Vec<Command> = plan.cancel.into_iter().map(Command::Cancel).collect();
+        let mut left_tokens = plan.start_prompt_tokens;
+        for _ in 0..plan.start_items {
+            let Some(item) = self.next_item(left_tokens) else {
+                break;
+            };
+            let cost = self.uncached_tokens(item);
+            left_tokens = left_tokens.saturating_sub(cost);
+            if let Some(window) = &mut self.window {
+                window.on_batch_started(item, cost, now_us);
+            }
+            commands.push(Command::Submit(self.submit(item)));
+        }
+        (commands, Some(plan.next_tick_at_us))
+    }
+
+    /// Items at the engine or on the way there.
+    pub fn in_flight(&self) -> &[u64] {
+        &self.in_flight
+    }
+
+    /// Tokens that an item still has to produce.
+    pub fn remaining_tokens(&self, item: u64) -> u32 {
+        let row = &self.items[index(item)];
+        row.lengths.output_tokens - row.done_tokens
+    }
+
+    /// Tokens that an item has produced.
+    pub fn done_tokens(&self, item: u64) -> u32 {
+        self.items[index(item)].done_tokens
+    }
+
+    /// The item to start next: the first of those ready whose prefill takes
+    /// at most `prompt_tokens`; paused ones come first.
+    pub fn next_item(&mut self, prompt_tokens: u32) -> Option<u64> {
+        while self.ready.len() < READY_ITEMS {
+            self.draw();
+        }
+        let fits = |item: &u64| self.uncached_tokens(*item) <= prompt_tokens;
+        let place = self.ready.iter().position(fits)?;
+        self.ready.remove(place)
+    }
+
+    /// Adds an item of the backlog to those ready.
+    fn draw(&mut self) {
+        let id = self.items.len();
+        let lengths = self.backlog[(id * 7 + self.engine * 131) % self.backlog.len()];
+        self.items.push(Item {
+            lengths,
+            done_tokens: 0,
+            cached_tokens: 0,
+            in_flight: false,
+        });
+        self.ready.push_back(id as u64);
+    }
+
+    /// Prompt tokens that the engine has to prefill to start an item.
+    pub fn uncached_tokens(&self, item: u64) -> u32 {
+        let row = &self.items[index(item)];
+        (row.lengths.prompt_tokens + row.done_tokens - row.cached_tokens).max(1)
+    }
+
+    /// The request that starts an item.
+    pub fn submit(&mut self, item: u64) -> SequenceRequest {
+        let engine = self.engine as u64;
+        let row = &mut self.items[index(item)];
+        let prompt_tokens = row.lengths.prompt_tokens + row.done_tokens;
+        let blocks = prompt_tokens / BLOCK_TOKENS;
+        row.in_flight = true;
+        row.cached_tokens = blocks * BLOCK_TOKENS;
+        self.in_flight.push(item);
+        SequenceRequest {
+            id: item * 2 + 1,
+            prompt_tokens,
+            blocks: block_hashes(engine << 40 | item << 1 | 1, blocks),
+            first_token_index: row.done_tokens + 1,
+            last_token_index: row.lengths.output_tokens,
+        }
+    }
+
+    fn fill(&mut self) -> Vec<Command> {
+        let mut commands = Vec::new();
+        while self.in_flight.len() < self.fixed_items as usize {
+            let Some(item) = self.next_item(u32::MAX) else {
+                break;
+            };
+            commands.push(Command::Submit(self.submit(item)));
+        }
+        commands
+    }
+
+    fn ended(&mut self, item: u64, now_us: u64) {
+        self.items[index(item)].in_flight = false;
+        self.in_flight.retain(|other| *other != item);
+        if let Some(window) = &mut self.window {
+            window.on_batch_ended(item, now_us);
+        }
+    }
+}
+
+/// Names of the leading blocks of a prompt that no other prompt shares.
+pub fn block_hashes(prompt: u64, blocks: u32) -> Vec<u64> {
+    (0..u64::from(blocks))
+        .map(|block| (prompt << 8 | block).wrapping_mul(0x9E37_79B9_7F4A_7C15))
+        .collect()
+}
+
+fn index(item: u64) -> usize {
+    usize::try_from(item).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/load/src/fleet.rs
@@ -0,0 +1,130 @@
+//! Shape of the fleet that a comparison runs: regions, links, names.
+
+use model::{
+    FailureDomain, FleetConfig, InstanceEntry, InstanceId, InstanceRole, Liveness, ModelName,
+    Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
+};
+
+/// Name of the only model.
+pub const MODEL: &str = "oraculo";
+
+/// Numbers of things and times of links.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetShape {
+    /// Regions.
+    pub regions: usize,
+    /// Engines in each region.
+    pub engines: usize,
+    /// Entries in each region.
+    pub entries: usize,
+    /// One way from client to entry, microseconds.
+    pub client_link_us: u64,
+    /// One way within a region, microseconds.
+    pub home_link_us: u64,
+    /// One way between neighbouring regions, microseconds.
+    pub region_link_us: u64,
+    /// Further one-way time for each region in between, microseconds.
+    pub region_step_us: u64,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self {
+            regions: 3,
+            engines: 3,
+            entries: 3,
+            client_link_us: 3_000,
+            home_link_us: 1_000,
+            region_link_us: 30_000,
+            region_step_us: 10_000,
+        }
+    }
+}
+
+impl FleetShape {
+    /// One-way time between two regions, microseconds.
+    #[must_use]
+    pub fn link_us(&self, from: usize, to: usize) -> u64 {
+        match from.abs_diff(to) {
+            0 => self.home_link_us,
+            apart => self.region_link_us + self.region_step_us * (apart as u64 - 1),
+        }
+    }
+
+    /// Engines in all regions.
+    #[must_use]
+    pub fn engine_count(&self) -> usize {
+        self.regions * self.engines
+    }
+
+    /// Entries in all regions.
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.regions * self.entries
+    }
+
+    /// Region of an engine.
+    #[must_use]
+    pub fn engine_region(&self, engine: usize) -> usize {
+        engine / self.engines
+    }
+
+    /// Region of an entry.
+    #[must_use]
+    pub fn entry_region(&self, entry: usize) -> usize {
+        entry / self.entries
+    }
+
+    /// The view that every entry has; `online` tells which engines it shows.
+    #[must_use]
+    pub fn view(&self, online: impl Fn(usize) -> bool) -> View {
+        let instances = (0..self.entry_count()).map(|entry| InstanceEntry {
+            id: entry_name(entry),
+            role: InstanceRole::Entry,
+            peer_address: String::new(),
+            region: region_name(self.entry_region(entry)),
+            failure_domain: FailureDomain::new("a"),
+            liveness: Liveness::Live,
+            incarnation: 1,
+        });
+        let upstreams = (0..self.engine_count())
+            .filter(|engine| online(*engine))
+            .map(|engine| UpstreamEntry {
+                id: engine_name(engine),
+                address: String::new(),
+                kind: UpstreamKind::Engine {
+                    models: vec![ModelName::new(MODEL)],
+                },
+                region: region_name(self.engine_region(engine)),
+                failure_domain: FailureDomain::new("a"),
+                liveness: Liveness::Live,
+            });
+        View {
+            revision: 1,
+            config: FleetConfig::default(),
+            instances: instances.collect(),
+            upstreams: upstreams.collect(),
+        }
+    }
+}
+
+/// Name of an entry's instance.
+pub fn entry_name(entry: usize) -> InstanceId {
+    InstanceId::from(format!("entry-{entry:04}"))
+}
+
+/// Name of an engine.
+pub fn engine_name(engine: usize) -> UpstreamId {
+    UpstreamId::from(format!("engine-{engine:04}"))
+}
+
+/// Number of an engine, from its name.
+pub fn engine_number(id: &UpstreamId) -> usize {
+    let digits = id.as_str().trim_start_matches("engine-");
+    digits.parse().unwrap_or_default()
+}
+
+/// Name of a region.
+pub fn region_name(region: usize) -> Region {
+    Region::from(format!("region-{region}"))
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,22 @@
+//! Measuring tools: load, the two measures of the product, and baselines.
+//!
+//! This crate exists so that figures in the docs come from commands that can
+//! be run again. It is not shipped.
+
+pub mod compare;
+mod driver;
+mod fleet;
+mod measure;
+mod oracle;
+mod plot;
+mod workload;
+mod world;
+
+pub use crate::{
+    driver::Scheduling,
+    fleet::FleetShape,
+    measure::{Outcome, Phase},
+    oracle::OracleRules,
+    workload::{Workload, WorkloadParams},
+    world::run,
+};
--- /dev/null
+++ b/crates/load/src/oracle.rs
@@ -0,0 +1,188 @@
+//! The oracle: a batch scheduler that knows the online load ahead.
+//!
+//! It acts at the engine itself without any delay, just before each step, and
+//! knows when the next online request will arrive there and how long each will
+//! run. It does not know the best schedule: its rules are searched for the one
+//! that yields most batch tokens within the online bound.
+
+use standin::EngineParams;
+
+/// What the oracle allows itself.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OracleRules {
+    /// Items in a step without online requests.
+    pub idle_items: usize,
+    /// Longest such step, microseconds.
+    pub idle_step_us: f64,
+    /// Items in a step with online requests.
+    pub online_items: usize,
+    /// Longest such step that batch prompts may bring about, microseconds.
+    pub online_step_us: f64,
+    /// Steps between two such steps with batch prompts.
+    pub online_prompt_every: u32,
+    /// Whether a step during which an online request arrives is left free of
+    /// batch prompts.
+    pub spare_arrivals_from_prompts: bool,
+    /// Items in a step during which an online request arrives at an engine
+    /// without others.
+    pub arrival_items: usize,
+    /// Whether the engines of a region in a burst are left free.
+    pub spare_bursts: bool,
+}
+
+/// What the oracle sees of an engine just before a step.
+#[derive(Debug, Clone, Copy)]
+pub struct Outlook {
+    /// Online requests in the next step.
+    pub online: usize,
+    /// Online prompt tokens in the next step.
+    pub online_prompt_tokens: u32,
+    /// Time from the start of the step to the next online arrival, if any,
+    /// microseconds.
+    pub next_arrival_us: Option<f64>,
+    /// Whether the region is in a burst.
+    pub in_burst: bool,
+    /// Steps since the last one with batch prompts.
+    pub steps_since_prompt: u32,
+    /// Batch items that would go on.
+    pub items: usize,
+}
+
+/// What the oracle puts into the next step.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Allowance {
+    /// Batch items in all.
+    pub items: usize,
+    /// Batch prompt tokens.
+    pub prompt_tokens: u32,
+}
+
+impl OracleRules {
+    /// Rules to start the search from.
+    pub const START: [Self; 2] = [
+        Self {
+            idle_items: 40,
+            idle_step_us: 40_000.0,
+            online_items: 40,
+            online_step_us: 20_000.0,
+            online_prompt_every: 1,
+            spare_arrivals_from_prompts: true,
+            arrival_items: 256,
+            spare_bursts: true,
+        },
+        Self {
+            idle_items: 100,
+            idle_step_us: 50_000.0,
+            online_items: 16,
+            online_step_us: 17_000.0,
+            online_prompt_every: 1,
+            spare_arrivals_from_prompts: true,
+            arrival_items: 256,
+            spare_bursts: true,
+        },
+    ];
+
+    /// Rules that differ from these in one respect.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<Self> {
+        let mut all = Vec::new();
+        for share in [1.25, 0.75, 1.5] {
+            let scaled = |items: usize| whole(share * small(items)) as usize + 1;
+            all.push(Self {
+                idle_items: scaled(self.idle_items),
+                ..*self
+            });
+            all.push(Self {
+                online_items: scaled(self.online_items),
+                ..*self
+            });
+            all.push(Self {
+                idle_step_us: self.idle_step_us * share,
+                ..*self
+            });
+        }
+        for share in [0.8, 0.93, 1.07, 1.25] {
+            all.push(Self {
+                online_step_us: self.online_step_us * share,
+                ..*self
+            });
+        }
+        for online_prompt_every in [1, 2, 3] {
+            all.push(Self {
+                online_prompt_every,
+                ..*self
+            });
+        }
+        all.push(Self {
+            spare_arrivals_from_prompts: !self.spare_arrivals_from_prompts,
+            ..*self
+        });
+        all.push(Self {
+            arrival_items: if self.arrival_items == 0 { 256 } else { 0 },
+            ..*self
+        });
+        all.push(Self {
+            spare_bursts: !self.spare_bursts,
+            ..*self
+        });
+        all
+    }
+
+    /// Decides on the next step of an engine with costs `params`.
+    #[must_use]
+    pub fn decide(&self, outlook: &Outlook, params: &EngineParams) -> Allowance {
+        if self.spare_bursts && outlook.in_burst {
+            return Allowance::default();
+        }
+        let is_online = outlook.online > 0;
+        let (mut items, longest_us) = if is_online {
+            (self.online_items, self.online_step_us)
+        } else {
+            (self.idle_items, self.idle_step_us)
+        };
+        let is_due = !is_online || outlook.steps_since_prompt >= self.online_prompt_every;
+        let bare_us = outlook.step_us(params, outlook.items.min(items) + 1, 0);
+        let mut prompt_tokens = 0;
+        if is_due && outlook.online_prompt_tokens == 0 {
+            prompt_tokens = whole((longest_us - bare_us) / params.prompt_token_us);
+        }
+        let is_met = |step_us: f64| {
+            outlook
+                .next_arrival_us
+                .is_some_and(|arrival_us| arrival_us < step_us)
+        };
+        let full_us = bare_us + params.prompt_token_us * f64::from(prompt_tokens);
+        if self.spare_arrivals_from_prompts && is_met(full_us) {
+            prompt_tokens = 0;
+        }
+        if !is_online && is_met(bare_us) {
+            items = items.min(self.arrival_items);
+        }
+        Allowance {
+            items,
+            prompt_tokens,
+        }
+    }
+}
+
+impl Outlook {
+    fn step_us(&self, params: &EngineParams, items: usize, prompt_tokens: u32) -> f64 {
+        let sequences = u32::try_from(self.online + items).unwrap_or(u32::MAX);
+        params.base_us
+            + params.per_sequence_us * f64::from(sequences)
+            + params.prompt_token_us * f64::from(self.online_prompt_tokens + prompt_tokens)
+    }
+}
+
+fn small(items: usize) -> f64 {
+    u32::try_from(items).map_or(f64::MAX, f64::from)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "negative numbers become 0"
+)]
+fn whole(tokens: f64) -> u32 {
+    tokens as u32
+}
--- /dev/null
+++ b/crates/load/src/plot.rs
@@ -0,0 +1,75 @@
+//! The frontier of harm against batch throughput as a plot.
+
+use std::{error::Error, path::Path};
+
+use plotters::prelude::{
+    BLUE, ChartBuilder, Circle, EmptyElement, IntoDrawingArea, IntoFont, LineSeries, PointSeries,
+    RED, SVGBackend, Text, WHITE,
+};
+
+/// Width and height of the plot, pixels.
+const EXTENT_PX: (u32, u32) = (900, 600);
+/// Harm beyond which points are drawn at the edge.
+const MOST_HARM: f64 = 4.0;
+
+/// One policy.
+#[derive(Debug, Clone)]
+pub struct Point {
+    /// Name.
+    pub name: String,
+    /// Worst ratio of a 99th percentile to the one alone.
+    pub harm: f64,
+    /// Batch tokens per second of the whole fleet.
+    pub tokens_per_s: f64,
+}
+
+/// Draws the points; fixed windows are joined by a line.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be written.
+pub fn frontier(path: &Path, points: &[Point]) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, EXTENT_PX).into_drawing_area();
+    area.fill(&WHITE)?;
+    let most_tokens = points.iter().map(|p| p.tokens_per_s).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .margin(20)
+        .caption(
+            "Harm to online p99 against batch throughput",
+            ("sans-serif", 20),
+        )
+        .x_label_area_size(45)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..most_tokens * 1.15, 0.9..MOST_HARM + 0.1)?;
+    chart
+        .configure_mesh()
+        .x_desc("batch tokens per second, whole fleet")
+        .y_desc("worst p99 ratio to alone (cut at 4)")
+        .draw()?;
+    let place = |point: &Point| (point.tokens_per_s, point.harm.min(MOST_HARM));
+    let (fixed, others): (Vec<&Point>, Vec<&Point>) = points
+        .iter()
+        .partition(|point| point.name.starts_with("fixed_window"));
+    let line: Vec<(f64, f64)> = fixed.iter().map(|point| place(point)).collect();
+    chart.draw_series(LineSeries::new(line, &BLUE))?;
+    for (group, colour) in [(fixed, &BLUE), (others, &RED)] {
+        let labelled: Vec<((f64, f64), &str)> = group
+            .iter()
+            .map(|point| (place(point), point.name.as_str()))
+            .collect();
+        for (at, name) in labelled {
+            chart.draw_series(PointSeries::of_element(
+                [at],
+                4,
+                colour,
+                &|at, radius, style| {
+                    EmptyElement::at(at)
+                        + Circle::new((0, 0), radius, style)
+                        + Text::new(name.to_owned(), (7, -5), ("sans-serif", 12).into_font())
+                },
+            ))?;
+        }
+    }
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/world.rs
@@ -0,0 +1,433 @@
+//! The cores of entries and owners and the engines' cores, run in virtual time
+//! from one heap of events.
+//!
+//! Every delay of a link is put in here. Nothing depends on the clock or the
+//! load of the machine, so a seed always gives the same figures.
+
+mod engines;
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use model::{DispatchNotice, ModelName};
+use policy::{AttemptId, Destination, RouteRequest, Router, UpstreamLoad};
+use standin::{Emitted, EngineCore, EngineParams, SequenceRequest};
+
+use crate::{
+    FleetShape, Outcome, Phase, Scheduling, Workload,
+    driver::{Owner, block_hashes},
+    fleet::{MODEL, engine_number, entry_name, region_name},
+    measure::record,
+};
+
+const US_PER_S: u64 = 1_000_000;
+/// Virtual time after the last arrival in which answers may end, seconds.
+const DRAIN_S: u64 = 20;
+/// Bytes of a prompt token and of a token's event on a link.
+const TOKEN_BYTES: (u64, u64) = (4, 120);
+/// Tokens of a block of the engines' prefix cache.
+const BLOCK_TOKENS: u32 = 16;
+
+/// Figures of a run and the engine that each online request went to.
+#[derive(Debug)]
+pub struct RunResult {
+    /// The figures.
+    pub outcome: Outcome,
+    /// Engines by request; none for a refused one.
+    pub assignment: Vec<Option<usize>>,
+}
+
+/// Runs a load under a policy. `assignment`, from a run alone, fixes the
+/// engines of the online requests; the oracle needs it.
+#[must_use]
+pub fn run(
+    shape: &FleetShape,
+    params: &EngineParams,
+    workload: &Workload,
+    scheduling: &Scheduling,
+    assignment: Option<&[Option<usize>]>,
+) -> RunResult {
+    let mut world = World::new(shape, params, workload, scheduling, assignment);
+    world.run();
+    world.finish()
+}
+
+#[derive(Debug)]
+enum Event {
+    /// A request reaches its entry.
+    Arrive(usize),
+    /// A sequence reaches an engine.
+    Submit(usize, SequenceRequest),
+    /// A cancellation reaches an engine.
+    Cancel(usize, u64),
+    /// A step of an engine ends.
+    Step(usize),
+    /// The oracle looks at an engine just before the end of its step.
+    Oracle(usize),
+    /// A token reaches an entry.
+    OnlineToken(usize, AttemptId, bool),
+    /// Tokens of a step reach the owner.
+    BatchTokens(usize, Vec<(u64, bool)>),
+    /// A confirmed cancellation reaches the owner.
+    Cancelled(usize, u64),
+    /// A notice reaches the owner of an engine from an entry.
+    Notice(usize, usize, DispatchNotice),
+    /// An owner's answer to a notice reaches an entry.
+    Load(usize, UpstreamLoad, u64),
+    /// An owner's tick is due.
+    Tick(usize),
+    /// An entry's notices are due.
+    Flush(usize),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at_us: u64,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_us, self.sequence).cmp(&(other.at_us, other.sequence))
+    }
+}
+
+#[derive(Debug)]
+struct Engine {
+    core: EngineCore,
+    step_ends_at_us: Option<u64>,
+    step_began_at_us: u64,
+    online: Vec<Present>,
+    batch: u32,
+    /// Known arrivals, latest first; only for the oracle.
+    arrivals: Vec<u64>,
+    steps_since_prompt: u32,
+}
+
+/// An online request at an engine.
+#[derive(Debug)]
+struct Present {
+    request: usize,
+    came_at_us: u64,
+    tokens: u32,
+}
+
+#[derive(Debug, Clone, Default)]
+struct RequestState {
+    engine: Option<usize>,
+    first_token_at_us: Option<u64>,
+    last_token_at_us: u64,
+    worst_gap_us: u64,
+    tokens: u32,
+    is_whole: bool,
+    is_refused: bool,
+}
+
+struct World<'a> {
+    shape: &'a FleetShape,
+    params: &'a EngineParams,
+    workload: &'a Workload,
+    scheduling: &'a Scheduling,
+    assignment: Option<&'a [Option<usize>]>,
+    now_us: u64,
+    next_sequence: u64,
+    heap: BinaryHeap<Reverse<Scheduled>>,
+    engines: Vec<Engine>,
+    owners: Vec<Owner>,
+    routers: Vec<Router>,
+    flush_at_us: Vec<Option<u64>>,
+    requests: Vec<RequestState>,
+    seen_bursts: Vec<(usize, u64)>,
+    waiting_bursts: Vec<(usize, u64)>,
+    emitted: Vec<Emitted>,
+    outcome: Outcome,
+}
+
+impl<'a> World<'a> {
+    fn new(
+        shape: &'a FleetShape,
+        params: &'a EngineParams,
+        workload: &'a Workload,
+        scheduling: &'a Scheduling,
+        assignment: Option<&'a [Option<usize>]>,
+    ) -> Self {
+        let is_batch_only = |engine: usize| match scheduling {
+            Scheduling::Split { batch_engines, .. } => engine % shape.engines < *batch_engines,
+            _ => false,
+        };
+        let view = shape.view(|engine| !is_batch_only(engine));
+        let routers = (0..shape.entry_count()).map(|entry| {
+            let home = shape.entry_region(entry);
+            let seed = entry as u64;
+            let mut router = Router::new(entry_name(entry), region_name(home), seed);
+            for region in 0..shape.regions {
+                router.set_link(&region_name(region), shape.link_us(home, region));
+            }
+            router.set_view(&view);
+            router
+        });
+        let engines = (0..shape.engine_count()).map(|_| Engine {
+            core: EngineCore::new(params.clone()),
+            step_ends_at_us: None,
+            step_began_at_us: 0,
+            online: Vec::new(),
+            batch: 0,
+            arrivals: Vec::new(),
+            steps_since_prompt: 0,
+        });
+        let owners = (0..shape.engine_count()).map(|engine| {
+            let mut owner = Owner::new(engine, scheduling, &workload.batch);
+            if matches!(scheduling, Scheduling::Split { .. }) && !is_batch_only(engine) {
+                owner.stop();
+            }
+            owner
+        });
+        Self {
+            routers: routers.collect(),
+            engines: engines.collect(),
+            owners: owners.collect(),
+            flush_at_us: vec![None; shape.entry_count()],
+            requests: vec![RequestState::default(); workload.online.len()],
+            seen_bursts: Vec::new(),
+            waiting_bursts: Vec::new(),
+            shape,
+            params,
+            workload,
+            scheduling,
+            assignment,
+            now_us: 0,
+            next_sequence: 0,
+            heap: BinaryHeap::new(),
+            emitted: Vec::new(),
+            outcome: Outcome::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        for (index, request) in self.workload.online.iter().enumerate() {
+            self.push(
+                request.at_us + self.shape.client_link_us,
+                Event::Arrive(index),
+            );
+        }
+        self.foresee();
+        for engine in 0..self.engines.len() {
+            match self.scheduling {
+                Scheduling::Alone => {}
+                Scheduling::Oracle(_) => self.push(0, Event::Oracle(engine)),
+                _ => self.push(0, Event::Tick(engine)),
+            }
+        }
+        let end_us = (self.workload.params.run_s + DRAIN_S) * US_PER_S;
+        while let Some(Reverse(next)) = self.heap.pop() {
+            if next.at_us > end_us {
+                return;
+            }
+            self.now_us = next.at_us;
+            self.handle(next.event);
+        }
+    }
+
+    /// Tells each engine when its online requests will come.
+    fn foresee(&mut self) {
+        let Some(assignment) = self.assignment else {
+            return;
+        };
+        for (request, engine) in self.workload.online.iter().zip(assignment).rev() {
+            if let Some(engine) = *engine {
+                let from = self.shape.entry_region(request.entry);
+                let link_us = self.shape.link_us(from, self.shape.engine_region(engine));
+                let at_us = request.at_us + self.shape.client_link_us + link_us;
+                self.engines[engine].arrivals.push(at_us);
+            }
+        }
+        for engine in &mut self.engines {
+            engine
+                .arrivals
+                .sort_unstable_by_key(|at_us| Reverse(*at_us));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Submit(engine, sequence) => self.submit(engine, sequence),
+            Event::Cancel(engine, item) => self.cancel(engine, item),
+            Event::Step(engine) => self.step(engine),
+            Event::Oracle(engine) => self.consult_oracle(engine),
+            Event::OnlineToken(request, attempt, is_last) => {
+                self.online_token(request, attempt, is_last);
+            }
+            Event::BatchTokens(engine, tokens) => self.batch_tokens(engine, &tokens),
+            Event::Cancelled(engine, item) => {
+                self.owners[engine].on_cancelled(item, self.now_us);
+                self.tick(engine);
+            }
+            Event::Notice(engine, entry, notice) => self.notice(engine, entry, &notice),
+            Event::Load(entry, load, sent_at_us) => {
+                let age_us = self.now_us - sent_at_us;
+                self.routers[entry].on_load(&load, age_us, self.now_us);
+            }
+            Event::Tick(engine) => {
+                if self.owners[engine].tick_at_us <= self.now_us {
+                    self.owners[engine].tick_at_us = u64::MAX;
+                }
+                self.tick(engine);
+            }
+            Event::Flush(entry) => {
+                self.flush_at_us[entry] = None;
+                self.flush(entry);
+            }
+        }
+    }
+
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.next_sequence += 1;
+        self.heap.push(Reverse(Scheduled {
+            at_us,
+            sequence: self.next_sequence,
+            event,
+        }));
+    }
+}
+
+/// Online requests.
+impl World<'_> {
+    fn arrive(&mut self, index: usize) {
+        let workload = self.workload;
+        let request = &workload.online[index];
+        self.watch_burst(index);
+        let (engine, attempt) = match self.assignment {
+            Some(assignment) => (assignment[index], 0),
+            None => match self.route(index) {
+                Some((engine, attempt)) => (Some(engine), attempt),
+                None => (None, 0),
+            },
+        };
+        let Some(engine) = engine else {
+            self.requests[index].is_refused = true;
+            return;
+        };
+        self.requests[index].engine = Some(engine);
+        let sequence = SequenceRequest {
+            id: (index as u64) << 32 | attempt << 1,
+            prompt_tokens: request.prompt_tokens,
+            blocks: block_hashes((index as u64) << 1, request.prompt_tokens / BLOCK_TOKENS),
+            first_token_index: 1,
+            last_token_index: request.output_tokens,
+        };
+        let link_us = self.entry_link_us(request.entry, engine);
+        self.push(self.now_us + link_us, Event::Submit(engine, sequence));
+        self.flush(request.entry);
+    }
+
+    fn route(&mut self, index: usize) -> Option<(usize, AttemptId)> {
+        let request = &self.workload.online[index];
+        let bytes = u64::from(request.prompt_tokens) * TOKEN_BYTES.0
+            + u64::from(request.output_tokens) * TOKEN_BYTES.1;
+        let asked = RouteRequest {
+            destination: Destination::Model(ModelName::new(MODEL)),
+            prompt_tokens: request.prompt_tokens,
+            prefix_hashes: Vec::new(),
+            first_token_deadline_us: request.at_us + self.workload.params.first_token_us
+                - self.shape.client_link_us,
+            excluded: Vec::new(),
+            link_bytes: bytes,
+        };
+        let router = &mut self.routers[request.entry];
+        let route = router.route(&asked, self.now_us).ok()?;
+        router.on_sent(route.attempt, self.now_us);
+        Some((engine_number(&route.upstream), route.attempt))
+    }
+
+    fn online_token(&mut self, index: usize, attempt: AttemptId, is_last: bool) {
+        let now_us = self.now_us;
+        let state = &mut self.requests[index];
+        state.tokens += 1;
+        let entry = self.workload.online[index].entry;
+        let gap_us = now_us - state.last_token_at_us;
+        state.last_token_at_us = now_us;
+        let is_first = state.first_token_at_us.is_none();
+        if is_first {
+            state.first_token_at_us = Some(now_us + self.shape.client_link_us);
+        } else {
+            state.worst_gap_us = state.worst_gap_us.max(gap_us);
+        }
+        state.is_whole = is_last;
+        if self.is_measured(index) && !is_first {
+            let phase = self.phase(index);
+            record(&mut self.outcome.phase_mut(phase).between_tokens_us, gap_us);
+        }
+        if self.assignment.is_some() {
+            return;
+        }
+        let router = &mut self.routers[entry];
+        if is_first {
+            router.on_first_token(attempt, now_us);
+        } else {
+            router.on_token(attempt, now_us);
+        }
+        if is_last {
+            router.on_ended(attempt, now_us);
+        }
+        self.flush(entry);
+    }
+
+    /// Sends an entry's notices that are due and sees to the later ones.
+    fn flush(&mut self, entry: usize) {
+        let Some(due_at_us) = self.routers[entry].notices_due_at_us() else {
+            return;
+        };
+        if due_at_us > self.now_us {
+            if self.flush_at_us[entry].is_none() {
+                self.flush_at_us[entry] = Some(due_at_us);
+                self.push(due_at_us, Event::Flush(entry));
+            }
+            return;
+        }
+        for notice in self.routers[entry].take_notices(self.now_us) {
+            let engine = engine_number(&notice.upstream);
+            let at_us = self.now_us + self.entry_link_us(entry, engine);
+            self.push(at_us, Event::Notice(engine, entry, notice));
+        }
+    }
+
+    fn notice(&mut self, engine: usize, entry: usize, notice: &DispatchNotice) {
+        if let Some(load) = self.owners[engine].on_notice(notice, self.now_us) {
+            let at_us = self.now_us + self.entry_link_us(entry, engine);
+            self.push(at_us, Event::Load(entry, load, self.now_us));
+            self.tick(engine);
+        }
+    }
+
+    fn entry_link_us(&self, entry: usize, engine: usize) -> u64 {
+        let from = self.shape.entry_region(entry);
+        self.shape.link_us(from, self.shape.engine_region(engine))
+    }
+
+    fn is_measured(&self, index: usize) -> bool {
+        self.workload.online[index].at_us >= self.workload.params.warmup_s * US_PER_S
+    }
+
+    fn phase(&self, index: usize) -> Phase {
+        if self.workload.online[index].in_burst {
+            Phase::Burst
+        } else {
+            Phase::Steady
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/world/engines.rs
@@ -0,0 +1,346 @@
+//! The engines' side of the world: steps, batch work, and what the oracle sees.
+
+use standin::SequenceRequest;
+
+use super::{Event, Present, US_PER_S, World};
+use crate::{
+    Phase, Scheduling, driver::Command, measure::record, oracle::Outlook, world::RunResult,
+};
+
+/// How often the oracle looks at an engine that does nothing, microseconds.
+const IDLE_POLL_US: u64 = 1_000;
+
+impl World<'_> {
+    pub(super) fn submit(&mut self, index: usize, sequence: SequenceRequest) {
+        self.advance(index);
+        let engine = &mut self.engines[index];
+        if is_batch(sequence.id) {
+            engine.batch += 1;
+        } else {
+            let request = request_of(sequence.id);
+            engine.online.push(Present {
+                request,
+                came_at_us: self.now_us,
+                tokens: 0,
+            });
+        }
+        engine.core.submit(sequence, self.now_us);
+        self.sync(index);
+    }
+
+    pub(super) fn cancel(&mut self, index: usize, item: u64) {
+        self.advance(index);
+        let engine = &mut self.engines[index];
+        let before = engine.core.running() + engine.core.waiting();
+        engine.core.cancel(item * 2 + 1);
+        let after = engine.core.running() + engine.core.waiting();
+        if after < before {
+            engine.batch -= 1;
+            self.outcome.batch_cancels += 1;
+        }
+        self.check_bursts();
+        if !matches!(self.scheduling, Scheduling::Oracle(_)) {
+            let at_us = self.now_us + self.shape.home_link_us;
+            self.push(at_us, Event::Cancelled(index, item));
+        }
+    }
+
+    pub(super) fn step(&mut self, index: usize) {
+        if self.engines[index].step_ends_at_us != Some(self.now_us) {
+            return;
+        }
+        self.advance(index);
+        self.sync(index);
+        self.check_bursts();
+    }
+
+    /// Runs the engine up to now and sends its tokens on.
+    fn advance(&mut self, index: usize) {
+        let mut emitted = std::mem::take(&mut self.emitted);
+        emitted.clear();
+        self.engines[index].core.advance(self.now_us, &mut emitted);
+        let mut batch = Vec::new();
+        for token in &emitted {
+            if is_batch(token.id) {
+                batch.push((token.id / 2, token.is_last));
+                continue;
+            }
+            let request = request_of(token.id);
+            let attempt = (token.id & 0xFFFF_FFFF) >> 1;
+            let online = &mut self.engines[index].online;
+            if let Some(place) = online.iter().position(|row| row.request == request) {
+                online[place].tokens += 1;
+                if token.is_last {
+                    online.swap_remove(place);
+                }
+            }
+            let entry = self.workload.online[request].entry;
+            let at_us = token.at_us + self.entry_link_us(entry, index);
+            self.push(at_us, Event::OnlineToken(request, attempt, token.is_last));
+        }
+        self.emitted = emitted;
+        if batch.is_empty() {
+            return;
+        }
+        let ended = batch.iter().filter(|token| token.1).count();
+        self.engines[index].batch -= u32::try_from(ended).unwrap_or(u32::MAX);
+        if matches!(self.scheduling, Scheduling::Oracle(_)) {
+            self.batch_tokens(index, &batch);
+        } else {
+            let at_us = self.now_us + self.shape.home_link_us;
+            self.push(at_us, Event::BatchTokens(index, batch));
+        }
+    }
+
+    /// Sees to the end of the step that began, if any.
+    fn sync(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        let ends_at_us = engine.core.next_event_us();
+        if ends_at_us == engine.step_ends_at_us {
+            return;
+        }
+        engine.step_ends_at_us = ends_at_us;
+        engine.step_began_at_us = self.now_us;
+        engine.steps_since_prompt += 1;
+        let Some(at_us) = ends_at_us else {
+            return;
+        };
+        self.push(at_us, Event::Step(index));
+        if matches!(self.scheduling, Scheduling::Oracle(_)) {
+            self.push(at_us - 1, Event::Oracle(index));
+        }
+    }
+
+    pub(super) fn batch_tokens(&mut self, index: usize, tokens: &[(u64, bool)]) {
+        for (item, is_last) in tokens {
+            self.owners[index].on_token(*item, *is_last, self.now_us);
+        }
+        self.count_batch(tokens.len() as u64);
+        if !matches!(self.scheduling, Scheduling::Oracle(_)) {
+            self.tick(index);
+        }
+    }
+
+    fn count_batch(&mut self, tokens: u64) {
+        let params = &self.workload.params;
+        if (params.warmup_s * US_PER_S..params.run_s * US_PER_S).contains(&self.now_us) {
+            self.outcome.batch_tokens += tokens;
+        }
+    }
+
+    /// Lets an owner act and carries out what it wants.
+    pub(super) fn tick(&mut self, index: usize) {
+        let (commands, next_at_us) = self.owners[index].tick(self.now_us);
+        let at_us = self.now_us + self.shape.home_link_us;
+        for command in commands {
+            let event = match command {
+                Command::Submit(sequence) => Event::Submit(index, sequence),
+                Command::Cancel(item) => Event::Cancel(index, item),
+            };
+            self.push(at_us, event);
+        }
+        let Some(next_at_us) = next_at_us else {
+            return;
+        };
+        if next_at_us < self.owners[index].tick_at_us {
+            self.owners[index].tick_at_us = next_at_us;
+            self.push(next_at_us, Event::Tick(index));
+        }
+    }
+
+    /// The oracle decides on the step that begins next at an engine.
+    pub(super) fn consult_oracle(&mut self, index: usize) {
+        let Scheduling::Oracle(rules) = self.scheduling else {
+            return;
+        };
+        let next_step_at_us = self.now_us + 1;
+        let owner = &self.owners[index];
+        let going_on: Vec<u64> = owner
+            .in_flight()
+            .iter()
+            .copied()
+            .filter(|item| owner.remaining_tokens(*item) > 1)
+            .collect();
+        let outlook = self.outlook(index, next_step_at_us, going_on.len());
+        let allowance = rules.decide(&outlook, self.params);
+        self.pause(index, &going_on, allowance.items);
+        let room = allowance.items.saturating_sub(going_on.len());
+        let is_idle = outlook.online == 0;
+        self.start(index, room, allowance.prompt_tokens, is_idle);
+        if self.engines[index].step_ends_at_us.is_none() {
+            self.push(self.now_us + IDLE_POLL_US, Event::Oracle(index));
+        }
+    }
+
+    fn outlook(&mut self, index: usize, next_step_at_us: u64, items: usize) -> Outlook {
+        let region = self.shape.engine_region(index);
+        let in_burst = self.workload.bursts.iter().any(|burst| {
+            let length_us = self.workload.params.burst_s * US_PER_S;
+            burst.0 == region && (burst.1..burst.1 + length_us).contains(&self.now_us)
+        });
+        let engine = &mut self.engines[index];
+        let mut online = 0;
+        let mut online_prompt_tokens = 0;
+        for present in &engine.online {
+            let asked = &self.workload.online[present.request];
+            let joins = present.came_at_us > engine.step_began_at_us;
+            if joins {
+                online_prompt_tokens += asked.prompt_tokens;
+            }
+            online += usize::from(joins || present.tokens + 1 < asked.output_tokens);
+        }
+        while engine
+            .arrivals
+            .last()
+            .is_some_and(|at_us| *at_us < next_step_at_us)
+        {
+            engine.arrivals.pop();
+        }
+        Outlook {
+            online,
+            online_prompt_tokens,
+            next_arrival_us: engine
+                .arrivals
+                .last()
+                .map(|at_us| small_us(*at_us - next_step_at_us)),
+            in_burst,
+            steps_since_prompt: engine.steps_since_prompt,
+            items,
+        }
+    }
+
+    /// Takes the youngest items away; what their last step made is kept.
+    fn pause(&mut self, index: usize, going_on: &[u64], keep: usize) {
+        let excess = going_on.len().saturating_sub(keep);
+        if excess == 0 {
+            return;
+        }
+        let owner = &self.owners[index];
+        let mut youngest = going_on.to_vec();
+        youngest.sort_by_key(|item| owner.done_tokens(*item));
+        for item in &youngest[..excess] {
+            self.cancel(index, *item);
+            self.owners[index].on_token(*item, false, self.now_us);
+            self.count_batch(1);
+            self.owners[index].on_cancelled(*item, self.now_us);
+        }
+    }
+
+    /// Starts items up to a number of prompt tokens; the first may exceed it
+    /// if `exceed` says so, or items with long prompts would never start.
+    fn start(&mut self, index: usize, room: usize, prompt_tokens: u32, exceed: bool) {
+        let mut left_tokens = prompt_tokens;
+        for place in 0..room {
+            let most_tokens = if exceed && place == 0 && prompt_tokens > 0 {
+                u32::MAX
+            } else {
+                left_tokens
+            };
+            let Some(item) = self.owners[index].next_item(most_tokens) else {
+                return;
+            };
+            let cost = self.owners[index].uncached_tokens(item);
+            left_tokens = left_tokens.saturating_sub(cost);
+            self.engines[index].steps_since_prompt = 0;
+            let sequence = self.owners[index].submit(item);
+            self.submit(index, sequence);
+        }
+    }
+
+    /// Remembers the first request of a burst.
+    pub(super) fn watch_burst(&mut self, request: usize) {
+        let request = &self.workload.online[request];
+        if !request.in_burst {
+            return;
+        }
+        let region = self.shape.entry_region(request.entry);
+        let bursts = &self.workload.bursts;
+        let begun = bursts
+            .iter()
+            .rev()
+            .find(|burst| burst.0 == region && burst.1 <= request.at_us)
+            .copied();
+        let Some(burst) = begun else {
+            return;
+        };
+        if self.seen_bursts.contains(&burst) {
+            return;
+        }
+        self.seen_bursts.push(burst);
+        self.waiting_bursts.push((region, request.at_us));
+        self.check_bursts();
+    }
+
+    /// Notes the bursts whose region is free of batch work by now.
+    fn check_bursts(&mut self) {
+        let mut index = 0;
+        while index < self.waiting_bursts.len() {
+            let (region, began_at_us) = self.waiting_bursts[index];
+            let took_us = self.now_us - began_at_us;
+            let is_over = took_us > self.workload.params.burst_s * US_PER_S;
+            let mut members = (0..self.engines.len())
+                .filter(|engine| self.shape.engine_region(*engine) == region);
+            if is_over {
+                self.outcome.batch_stayed += 1;
+            } else if members.all(|engine| self.engines[engine].batch == 0) {
+                record(&mut self.outcome.batch_gone_us, took_us);
+            } else {
+                index += 1;
+                continue;
+            }
+            self.waiting_bursts.swap_remove(index);
+        }
+    }
+
+    pub(super) fn finish(mut self) -> RunResult {
+        for index in 0..self.requests.len() {
+            if self.is_measured(index) {
+                self.count_request(index);
+            }
+        }
+        let bytes = self.routers.iter().map(policy::Router::cross_region_bytes);
+        self.outcome.cross_region_bytes = bytes.sum();
+        RunResult {
+            outcome: self.outcome,
+            assignment: self.requests.iter().map(|state| state.engine).collect(),
+        }
+    }
+
+    fn count_request(&mut self, index: usize) {
+        let phase: Phase = self.phase(index);
+        let request = &self.workload.online[index];
+        let params = &self.workload.params;
+        let state = &self.requests[index];
+        let outcome = &mut self.outcome;
+        outcome.requests += 1;
+        if state.is_refused {
+            outcome.refused += 1;
+            outcome.late += 1;
+            return;
+        }
+        if !state.is_whole || state.tokens != request.output_tokens {
+            outcome.errors += 1;
+        }
+        let Some(first_at_us) = state.first_token_at_us else {
+            outcome.late += 1;
+            return;
+        };
+        let first_token_us = first_at_us - request.at_us;
+        let is_late =
+            first_token_us > params.first_token_us || state.worst_gap_us > params.between_tokens_us;
+        outcome.late += u64::from(is_late);
+        record(&mut outcome.phase_mut(phase).first_token_us, first_token_us);
+    }
+}
+
+fn is_batch(id: u64) -> bool {
+    id % 2 == 1
+}
+
+fn request_of(id: u64) -> usize {
+    usize::try_from(id >> 32).unwrap_or(usize::MAX)
+}
+
+fn small_us(time_us: u64) -> f64 {
+    u32::try_from(time_us).map_or(f64::MAX, f64::from)
+}
