--- a/crates/membership/src/bench.rs
+++ b/crates/membership/src/bench.rs
@@ -4,14 +4,15 @@
 //! the platform, and lets nodes be paused, killed or cut off. It decides
 //! nothing.
 
+mod shape;
+
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
-use model::{
-    FailureDomain, FleetConfig, InstanceId, InstanceRole, Liveness, ModelName, Region,
-    UpstreamEntry, UpstreamId, UpstreamKind,
-};
+use model::{FleetConfig, Region};
 
-use crate::{Action, Fleet, GossipFrame, ListedNode, Listing, NodeRumor, Program, Question};
+pub use self::shape::Shape;
+use self::shape::{EPOCH_MS, own_rumor, region, upstream};
+use crate::{Action, Fleet, GossipFrame, ListedNode, Listing, NodeRumor, Question};
 
 /// Time between two ticks of a core.
 pub const TICK_MS: u64 = 100;
@@ -23,22 +24,6 @@
 const PLATFORM_MS: u64 = 10;
 /// Time after which an unreachable platform is given up.
 const PLATFORM_TIMEOUT_MS: u64 = 1_000;
-/// Time of the first tick; any Unix time will do.
-const EPOCH_MS: u64 = 1_700_000_000_000;
-
-/// Size of a fleet.
-#[derive(Debug, Clone, Copy)]
-pub struct Shape {
-    /// Nodes, spread evenly.
-    pub nodes: usize,
-    /// Upstreams, spread evenly.
-    pub upstreams: usize,
-    /// Regions.
-    pub regions: usize,
-    /// Failure domains in each region.
-    pub domains: usize,
-}
-
 /// What one node sent and received.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Traffic {
@@ -75,7 +60,7 @@
     traffic: Traffic,
 }
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Scheduled {
     at_ms: u64,
     number: u64,
@@ -84,6 +69,7 @@
     event: Event,
 }
 
+#[derive(Debug)]
 enum Event {
     Tick,
     Question {
@@ -125,12 +111,24 @@
     }
 }
 
+impl Node {
+    fn new(shape: Shape, index: usize) -> Self {
+        Self {
+            fleet: None,
+            own: own_rumor(shape, index),
+            paused_until_ms: 0,
+            run: 0,
+            traffic: Traffic::default(),
+        }
+    }
+}
+
 impl Cluster {
     /// Starts all nodes of `shape` within one tick.
     #[must_use]
     pub fn new(shape: Shape) -> Self {
         let nodes: Vec<Node> = (0..shape.nodes)
-            .map(|index| new_node(shape, index))
+            .map(|index| Node::new(shape, index))
             .collect();
         let mut cluster = Self {
             now_ms: EPOCH_MS,
@@ -471,48 +469,3 @@
         (index < self.nodes.len()).then_some(index)
     }
 }
-
-fn new_node(shape: Shape, index: usize) -> Node {
-    let region_number = index % shape.regions;
-    let domain = index / shape.regions % shape.domains;
-    let program = |role: InstanceRole| Program {
-        role,
-        peer_address: format!("10.20.{}.{}:7101", index / 250, index % 250),
-        liveness: Liveness::Live,
-        incarnation: EPOCH_MS,
-    };
-    Node {
-        fleet: None,
-        own: NodeRumor {
-            id: InstanceId::from(format!("instance-{index:06}")),
-            region: region(region_number),
-            failure_domain: FailureDomain::from(format!("domain-{region_number}-{domain}")),
-            peer_address: format!("node:{index:010}"),
-            incarnation: EPOCH_MS,
-            liveness: Liveness::Live,
-            programs: vec![program(InstanceRole::Entry), program(InstanceRole::Batch)],
-        },
-        paused_until_ms: 0,
-        run: 0,
-        traffic: Traffic::default(),
-    }
-}
-
-fn upstream(shape: Shape, index: usize) -> UpstreamEntry {
-    let region_number = index % shape.regions;
-    let domain = index / shape.regions % shape.domains;
-    UpstreamEntry {
-        id: UpstreamId::from(format!("engine-{index:06}")),
-        address: format!("10.30.{}.{}:8000", index / 250, index % 250),
-        kind: UpstreamKind::Engine {
-            models: vec![ModelName::from(format!("model-{}", index % 9))],
-        },
-        region: region(region_number),
-        failure_domain: FailureDomain::from(format!("domain-{region_number}-{domain}")),
-        liveness: Liveness::Live,
-    }
-}
-
-fn region(number: usize) -> Region {
-    Region::from(format!("region-{number}"))
-}
