--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,48 @@
-//! Placeholder.
+//! `redwingtack-load`: measurements of the product.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct};
+use load::overhead::{
+    ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
+};
+
+/// What to measure.
+#[derive(Debug, Clone)]
+enum Command {
+    /// What the entry adds to a direct connection.
+    Overhead(OverheadOptions),
+    /// A process that the measurement of overhead starts.
+    OverheadChild(ChildOptions),
+}
+
+fn main() -> ExitCode {
+    let result = match options().run() {
+        Command::Overhead(options) => overhead(&options),
+        Command::OverheadChild(options) => run_child(&options),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("redwingtack-load: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> OptionParser<Command> {
+    let overhead = overhead_options()
+        .map(Command::Overhead)
+        .to_options()
+        .descr("Measure what the entry adds to a direct connection to an engine")
+        .command("overhead");
+    let child = child_options()
+        .map(Command::OverheadChild)
+        .to_options()
+        .command("overhead-child")
+        .hide();
+    construct!([overhead, child])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Measure the product against baselines")
+}
--- /dev/null
+++ b/crates/load/src/overhead.rs
@@ -0,0 +1,206 @@
+//! What the entry adds to a direct connection to an engine: latency, processor
+//! time and memory, with direct and routed requests taking turns in one run.
+
+mod child;
+mod client;
+mod streams;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bpaf::{Parser, construct, long};
+use hdrhistogram::Histogram;
+use tokio::time::Instant;
+
+use self::{
+    child::{Child, EngineShape},
+    client::{LoadClient, Timing},
+};
+
+pub use self::child::{ChildOptions, child_options, run_child};
+
+/// Longest latency that the histograms hold, microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+/// Significant figures of the histograms.
+const FIGURES: u8 = 3;
+/// Request rates, per second.
+const RATES: [u32; 2] = [200, 1_000];
+/// Length of one turn, seconds.
+const TURN_S: u64 = 2;
+/// Length of the turn that opens connections and is not counted, seconds.
+const WARM_UP_S: u64 = 1;
+/// Tokens of each answer.
+const TOKENS: u32 = 8;
+const US_PER_S: u64 = 1_000_000;
+
+/// Settings of the measurement.
+#[derive(Debug, Clone)]
+pub struct OverheadOptions {
+    /// Turns per rate and path.
+    pub turns: u32,
+    /// Streams open at once.
+    pub streams: u32,
+}
+
+/// Parser of the subcommand.
+#[must_use]
+pub fn overhead_options() -> impl Parser<OverheadOptions> {
+    let turns = long("turns")
+        .help("Turns of two seconds per rate, for each of the two paths")
+        .argument("N")
+        .fallback(5)
+        .display_fallback();
+    let streams = long("streams")
+        .help("Streams open at once")
+        .argument("N")
+        .fallback(1_000)
+        .display_fallback();
+    construct!(OverheadOptions { turns, streams })
+}
+
+/// The two ways to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Path {
+    Direct,
+    Entry,
+}
+
+/// Latencies of the requests that took one path.
+#[derive(Debug)]
+struct Latencies {
+    first_token_us: Histogram<u64>,
+    total_us: Histogram<u64>,
+    requests: u64,
+    errors: u64,
+}
+
+/// Measures and prints one key=value line per result.
+///
+/// # Errors
+///
+/// Returns an error if a process cannot be started or asked.
+pub fn overhead(options: &OverheadOptions) -> Result<(), String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        for rate_per_s in RATES {
+            measure_rate(rate_per_s, options.turns).await?;
+        }
+        streams::measure(options.streams).await
+    })
+}
+
+async fn measure_rate(rate_per_s: u32, turns: u32) -> Result<(), String> {
+    let engine = Child::start_engine(EngineShape::Fast).await?;
+    let entry = Child::start_entry(engine.address()).await?;
+    let client = LoadClient::new();
+    let mut direct = Latencies::new()?;
+    let mut routed = Latencies::new()?;
+    let mut cpu_us = 0;
+    for turn in 0..=turns {
+        let length_s = if turn == 0 { WARM_UP_S } else { TURN_S };
+        let count = rate_per_s * u32::try_from(length_s).unwrap_or(1);
+        let direct_turn = run_turn(&client, engine.address(), rate_per_s, count).await;
+        let cpu_before_us = entry.cpu_us()?;
+        let routed_turn = run_turn(&client, entry.address(), rate_per_s, count).await;
+        let cpu_after_us = entry.cpu_us()?;
+        if turn > 0 {
+            direct.add(&direct_turn);
+            routed.add(&routed_turn);
+            cpu_us += cpu_after_us - cpu_before_us;
+        }
+    }
+    direct.print(rate_per_s, Path::Direct);
+    routed.print(rate_per_s, Path::Entry);
+    println!(
+        "overhead rate_per_s={rate_per_s} added_first_token_p50_us={} added_first_token_p99_us={} \
+         added_total_p50_us={} added_total_p99_us={} cpu_us_per_request={} rss_bytes={}",
+        added(&direct.first_token_us, &routed.first_token_us, 0.5),
+        added(&direct.first_token_us, &routed.first_token_us, 0.99),
+        added(&direct.total_us, &routed.total_us, 0.5),
+        added(&direct.total_us, &routed.total_us, 0.99),
+        cpu_us / routed.requests.max(1),
+        entry.rss_bytes()?,
+    );
+    Ok(())
+}
+
+/// Sends `count` requests at even times, whether or not earlier ones have been
+/// answered; latency counts from the time at which a request was due.
+async fn run_turn(
+    client: &LoadClient,
+    address: SocketAddr,
+    rate_per_s: u32,
+    count: u32,
+) -> Vec<Option<Timing>> {
+    let began_at = Instant::now();
+    let gap_us = US_PER_S / u64::from(rate_per_s);
+    let mut tasks = Vec::new();
+    for index in 0..count {
+        let due_at = began_at + Duration::from_micros(gap_us * u64::from(index));
+        tokio::time::sleep_until(due_at).await;
+        let client = client.clone();
+        let send = async move { client.chat(address, TOKENS, index, due_at).await };
+        tasks.push(tokio::spawn(send));
+    }
+    let mut timings = Vec::new();
+    for task in tasks {
+        timings.push(task.await.ok().flatten());
+    }
+    timings
+}
+
+impl Path {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::Entry => "entry",
+        }
+    }
+}
+
+impl Latencies {
+    fn new() -> Result<Self, String> {
+        Ok(Self {
+            first_token_us: histogram()?,
+            total_us: histogram()?,
+            requests: 0,
+            errors: 0,
+        })
+    }
+
+    fn add(&mut self, timings: &[Option<Timing>]) {
+        for timing in timings {
+            self.requests += 1;
+            match timing {
+                Some(timing) => {
+                    self.first_token_us.saturating_record(timing.first_token_us);
+                    self.total_us.saturating_record(timing.total_us);
+                }
+                None => self.errors += 1,
+            }
+        }
+    }
+
+    fn print(&self, rate_per_s: u32, path: Path) {
+        println!(
+            "overhead rate_per_s={rate_per_s} path={} requests={} errors={} \
+             first_token_p50_us={} first_token_p99_us={} total_p50_us={} total_p99_us={}",
+            path.as_str(),
+            self.requests,
+            self.errors,
+            self.first_token_us.value_at_quantile(0.5),
+            self.first_token_us.value_at_quantile(0.99),
+            self.total_us.value_at_quantile(0.5),
+            self.total_us.value_at_quantile(0.99),
+        );
+    }
+}
+
+fn histogram() -> Result<Histogram<u64>, String> {
+    Histogram::new_with_max(LATENCY_MAX_US, FIGURES).map_err(|error| error.to_string())
+}
+
+fn added(direct: &Histogram<u64>, routed: &Histogram<u64>, quantile: f64) -> i64 {
+    let direct_us = i64::try_from(direct.value_at_quantile(quantile)).unwrap_or(i64::MAX);
+    let routed_us = i64::try_from(routed.value_at_quantile(quantile)).unwrap_or(i64::MAX);
+    routed_us - direct_us
+}
--- /dev/null
+++ b/crates/load/src/overhead/child.rs
@@ -0,0 +1,235 @@
+//! The engine and the entry as processes of their own, and what the operating
+//! system says of them.
+
+use std::{env, fs, net::SocketAddr, process::Stdio, sync::Arc};
+
+use bpaf::{Parser, construct, long};
+use entry::{Entry, EntrySettings, Fleet};
+use model::{
+    Class, ClassName, ClassTarget, FailureDomain, FleetConfig, InstanceId, Liveness, ModelDefaults,
+    ModelName, Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
+};
+use peer::PeerClient;
+use process::{AdminState, Shutdown};
+use standin::{EngineParams, EngineSettings, start_engine};
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::Command,
+    sync::watch,
+};
+
+const MODEL: &str = "oraculo";
+const CLASS: &str = "hint";
+const REGION: &str = "local";
+/// Targets that no request of the measurement misses.
+const FIRST_TOKEN_MS: u64 = 10_000;
+const BETWEEN_TOKENS_MS: u64 = 1_000;
+const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+const BYTES_PER_KIB: u64 = 1_024;
+const NS_PER_US: u64 = 1_000;
+
+/// How the fake engine behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineShape {
+    /// Steps of a millisecond, so that little but the path itself is seen.
+    Fast,
+    /// Steps of fifty milliseconds for any number of streams.
+    Wide,
+}
+
+/// What a child process runs.
+#[derive(Debug, Clone)]
+pub struct ChildOptions {
+    /// Length of an engine's step; none for an entry.
+    step_us: Option<u32>,
+    /// Engine of the entry.
+    engine: Option<SocketAddr>,
+}
+
+/// A child process, killed when dropped.
+#[derive(Debug)]
+pub struct Child {
+    process: tokio::process::Child,
+    address: SocketAddr,
+}
+
+/// Parser of the subcommand that the measurement starts itself with.
+#[must_use]
+pub fn child_options() -> impl Parser<ChildOptions> {
+    let step_us = long("step-us").argument("US").optional();
+    let engine = long("engine").argument("IP:PORT").optional();
+    construct!(ChildOptions { step_us, engine })
+}
+
+/// Runs an engine or an entry until killed; prints its address.
+///
+/// # Errors
+///
+/// Returns an error if it cannot start.
+pub fn run_child(options: &ChildOptions) -> Result<(), String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        if let Some(step_us) = options.step_us {
+            run_engine(step_us).await
+        } else {
+            let engine = options.engine.ok_or("--engine or --step-us is required")?;
+            run_entry(engine).await
+        }
+    })
+}
+
+impl EngineShape {
+    fn step_us(self) -> u32 {
+        match self {
+            Self::Fast => 1_000,
+            Self::Wide => 50_000,
+        }
+    }
+}
+
+impl Child {
+    /// Starts a fake engine.
+    pub async fn start_engine(shape: EngineShape) -> Result<Self, String> {
+        let step_us = shape.step_us().to_string();
+        Self::start(&["--step-us", &step_us]).await
+    }
+
+    /// Starts an entry that knows one engine.
+    pub async fn start_entry(engine: SocketAddr) -> Result<Self, String> {
+        Self::start(&["--engine", &engine.to_string()]).await
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Processor time spent by all threads so far, microseconds.
+    pub fn cpu_us(&self) -> Result<u64, String> {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.id()?));
+        let mut total_ns = 0;
+        for task in tasks.map_err(|error| error.to_string())?.flatten() {
+            let statistics = fs::read_to_string(task.path().join("schedstat"));
+            // A thread may end between the listing and the reading.
+            let statistics = statistics.unwrap_or_default();
+            let first = statistics.split_whitespace().next();
+            total_ns += first.and_then(|text| text.parse().ok()).unwrap_or(0);
+        }
+        Ok(total_ns / NS_PER_US)
+    }
+
+    /// Resident memory, bytes.
+    pub fn rss_bytes(&self) -> Result<u64, String> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()?));
+        let status = status.map_err(|error| error.to_string())?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.map(|kib| kib * BYTES_PER_KIB)
+            .ok_or_else(|| "VmRSS is missing".to_owned())
+    }
+
+    async fn start(arguments: &[&str]) -> Result<Self, String> {
+        let program = env::current_exe().map_err(|error| error.to_string())?;
+        let mut process = Command::new(program)
+            .arg("overhead-child")
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| error.to_string())?;
+        let output = process.stdout.take().ok_or("the child has no output")?;
+        let line = BufReader::new(output).lines().next_line().await;
+        let line = line.map_err(|error| error.to_string())?;
+        let line = line.ok_or("the child ended before it listened")?;
+        let address = line.parse().map_err(|_| format!("no address: {line}"))?;
+        Ok(Self { process, address })
+    }
+
+    fn id(&self) -> Result<u32, String> {
+        self.process
+            .id()
+            .ok_or_else(|| "the child ended".to_owned())
+    }
+}
+
+async fn run_engine(step_us: u32) -> Result<(), String> {
+    let settings = EngineSettings {
+        models: vec![ModelName::new(MODEL)],
+        params: EngineParams {
+            base_us: f64::from(step_us),
+            per_sequence_us: 0.0,
+            prompt_token_us: 0.0,
+            running_max: usize::MAX,
+            ..EngineParams::default()
+        },
+        ..EngineSettings::default()
+    };
+    let engine = start_engine(settings).await;
+    let engine = engine.map_err(|error| error.to_string())?;
+    println!("{}", engine.address());
+    std::future::pending().await
+}
+
+async fn run_entry(engine: SocketAddr) -> Result<(), String> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = EntrySettings {
+        listen: any_port,
+        peer_listen: any_port,
+        admin_listen: any_port,
+        control: any_port,
+        platform: any_port,
+        instance_id: InstanceId::new("entry-0"),
+        region: Region::new(REGION),
+        failure_domain: FailureDomain::new("local-a"),
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        drain_ms: 0,
+        log_level: String::new(),
+    };
+    let (_sender, view) = watch::channel(Arc::new(view(engine)));
+    let admin = AdminState::new().map_err(|error| error.to_string())?;
+    let shutdown = Shutdown::new();
+    let fleet = Fleet::from_receiver(view);
+    let peers = PeerClient::new();
+    let entry = Entry::start_with_fleet(&settings, fleet, &peers, admin, &shutdown);
+    let entry = entry.map_err(|error| error.to_string())?;
+    println!("{}", entry.address());
+    entry.run_until(&shutdown).await;
+    Ok(())
+}
+
+fn view(engine: SocketAddr) -> View {
+    let class = Class {
+        name: ClassName::new(CLASS),
+        target: ClassTarget::Online {
+            first_token_ms: FIRST_TOKEN_MS,
+            between_tokens_ms: BETWEEN_TOKENS_MS,
+            percent: 95,
+        },
+        customer_requests_per_s: None,
+    };
+    let defaults = ModelDefaults {
+        model: ModelName::new(MODEL),
+        online_class: Some(class.name.clone()),
+        batch_class: None,
+    };
+    View {
+        revision: 1,
+        config: FleetConfig {
+            version: 1,
+            classes: vec![class],
+            models: vec![defaults],
+        },
+        instances: Vec::new(),
+        upstreams: vec![UpstreamEntry {
+            id: UpstreamId::new("engine-0"),
+            address: engine.to_string(),
+            kind: UpstreamKind::Engine {
+                models: vec![ModelName::new(MODEL)],
+            },
+            region: Region::new(REGION),
+            failure_domain: FailureDomain::new("local-a"),
+            liveness: Liveness::Live,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/load/src/overhead/client.rs
@@ -0,0 +1,105 @@
+//! Streamed chat requests with timings.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use tokio::time::Instant;
+
+const END_OF_STREAM: &[u8] = b"data: [DONE]";
+
+/// Client of engines and entries, which take the same request.
+#[derive(Debug, Clone)]
+pub struct LoadClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Times of one answer, counted from when its request was due.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Time to the first bytes of the answer, microseconds.
+    pub first_token_us: u64,
+    /// Time to the end mark, microseconds.
+    pub total_us: u64,
+}
+
+impl LoadClient {
+    /// Nothing is connected yet.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Sends one request; `None` unless its answer is whole.
+    pub async fn chat(
+        &self,
+        address: SocketAddr,
+        tokens: u32,
+        index: u32,
+        due_at: Instant,
+    ) -> Option<Timing> {
+        let mut on_event = |_: Instant| {};
+        self.stream(address, tokens, index, due_at, &mut on_event)
+            .await
+    }
+
+    /// As [`LoadClient::chat`]; tells when each part of the answer comes.
+    pub async fn stream(
+        &self,
+        address: SocketAddr,
+        tokens: u32,
+        index: u32,
+        due_at: Instant,
+        on_part: &mut (impl FnMut(Instant) + Send),
+    ) -> Option<Timing> {
+        let response = self.client.request(request(address, tokens, index)?).await;
+        let response = response.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let mut body = response.into_body();
+        let mut first_token_us = None;
+        let mut is_whole = false;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else {
+                continue;
+            };
+            let now = Instant::now();
+            on_part(now);
+            first_token_us.get_or_insert(micros(now, due_at));
+            is_whole |= contains(&data, END_OF_STREAM);
+        }
+        is_whole.then_some(Timing {
+            first_token_us: first_token_us?,
+            total_us: micros(Instant::now(), due_at),
+        })
+    }
+}
+
+fn request(address: SocketAddr, tokens: u32, index: u32) -> Option<Request<Full<Bytes>>> {
+    let body = format!(
+        r#"{{"model":"oraculo","stream":true,"max_tokens":{tokens},"messages":[{{"role":"user","content":"Team {index} asks where the third key lies. [[tokens={tokens}]]"}}]}}"#
+    );
+    Request::post(format!("http://{address}/v1/chat/completions"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::AUTHORIZATION, "Bearer load")
+        .body(Full::new(Bytes::from(body)))
+        .ok()
+}
+
+fn micros(later: Instant, earlier: Instant) -> u64 {
+    let elapsed = later.saturating_duration_since(earlier);
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn contains(data: &[u8], needle: &[u8]) -> bool {
+    data.windows(needle.len()).any(|window| window == needle)
+}
