--- /dev/null
+++ b/crates/job_store/src/store.rs
@@ -0,0 +1,211 @@
+//! Conditional writes carried to a certain outcome.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use jobs::{Acceptance, AcceptanceError, Accepted, Ask, NewJob, OpId, Reply, Settle, Verdict};
+use model::ErrorKind;
+use platform::{Backoff, Platform, PlatformError, Priority};
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::{CallCounts, codec, metrics::Meter};
+
+/// First pause before a call is repeated; it doubles up to the longest.
+const RETRY_FIRST_MS: u64 = 50;
+/// Longest pause before a call is repeated.
+const RETRY_LONGEST_MS: u64 = 1_000;
+
+/// Access to the rows and objects of jobs; clones share everything.
+#[derive(Debug, Clone)]
+pub struct JobStore {
+    platform: Platform,
+    last_op: Arc<Mutex<OpId>>,
+    pub(crate) meter: Meter,
+}
+
+/// Why an operation came to no certain outcome, or none at all.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// The platform could not be reached; nothing was written.
+    #[error("the platform cannot be reached")]
+    Unavailable,
+    /// A write may have taken effect or may still do so.
+    #[error("the platform did not tell whether a write took effect")]
+    Uncertain,
+    /// What was read makes no sense.
+    #[error("a row or object is malformed: {0}")]
+    Malformed(String),
+}
+
+impl StoreError {
+    /// The kind that a caller is told.
+    #[must_use]
+    pub const fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Unavailable => ErrorKind::PlatformUnavailable,
+            Self::Uncertain => ErrorKind::PlatformUncertain,
+            Self::Malformed(_) => ErrorKind::Internal,
+        }
+    }
+}
+
+impl From<PlatformError> for StoreError {
+    fn from(error: PlatformError) -> Self {
+        match error {
+            PlatformError::NotApplied(_) | PlatformError::Unknown(_) => Self::Unavailable,
+            PlatformError::Protocol(_) | PlatformError::Unconditioned(_) => {
+                Self::Malformed(error.to_string())
+            }
+        }
+    }
+}
+
+impl JobStore {
+    /// Access through `platform`, paced as that handle is. `process`
+    /// identifies this process among all that ever run and must be drawn at
+    /// random.
+    #[must_use]
+    pub fn new(platform: Platform, process: u64) -> Self {
+        Self {
+            platform,
+            last_op: Arc::new(Mutex::new(OpId::new(process))),
+            meter: Meter::new(),
+        }
+    }
+
+    /// A fresh operation id.
+    #[must_use]
+    pub fn next_op(&self) -> OpId {
+        let mut last = self.last_op.lock().unwrap_or_else(PoisonError::into_inner);
+        *last = last.next();
+        *last
+    }
+
+    /// Divides the fleet's budget of calls among this many live instances.
+    pub fn set_live_instances(&self, instances: u32) {
+        self.platform.set_live_instances(instances);
+    }
+
+    /// Calls made so far.
+    #[must_use]
+    pub fn counts(&self) -> CallCounts {
+        self.meter.counts()
+    }
+
+    /// Carries a write to a certain outcome, however long the platform is away.
+    pub async fn settle(&self, mut settle: Settle, priority: Priority) -> Verdict {
+        let mut backoff = self.backoff();
+        loop {
+            let reply = self.ask(settle.ask(), priority).await;
+            if let Some(verdict) = settle.on_reply(&reply) {
+                return verdict;
+            }
+            pause(&mut backoff, &reply).await;
+        }
+    }
+
+    /// Carries a write to a certain outcome before `deadline`, and gives up at
+    /// once if the platform is away and nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Unavailable`] if the write certainly took no
+    /// effect, [`StoreError::Uncertain`] otherwise.
+    pub async fn settle_until(
+        &self,
+        mut settle: Settle,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<Verdict, StoreError> {
+        let mut backoff = self.backoff();
+        loop {
+            let reply = self.ask(settle.ask(), priority).await;
+            if let Some(verdict) = settle.on_reply(&reply) {
+                return Ok(verdict);
+            }
+            give_up(&reply, settle.is_ambiguous(), deadline)?;
+            pause(&mut backoff, &reply).await;
+        }
+    }
+
+    /// Accepts a job before `deadline`, or finds the one that an earlier
+    /// request with the same key created.
+    ///
+    /// # Errors
+    ///
+    /// As [`JobStore::settle_until`]; the inner error tells of a conflict.
+    pub async fn accept(
+        &self,
+        job: &NewJob,
+        deadline: Instant,
+    ) -> Result<Result<Accepted, AcceptanceError>, StoreError> {
+        let mut acceptance = Acceptance::new(job, self.next_op());
+        let mut backoff = self.backoff();
+        loop {
+            let reply = self.ask(acceptance.ask(), Priority::Commit).await;
+            if let Some(result) = acceptance.on_reply(&reply) {
+                return Ok(result);
+            }
+            give_up(&reply, acceptance.is_ambiguous(), deadline)?;
+            pause(&mut backoff, &reply).await;
+        }
+    }
+
+    /// A handle whose calls have this priority.
+    pub(crate) fn platform(&self, priority: Priority) -> Platform {
+        self.platform.clone().with_priority(priority)
+    }
+
+    async fn ask(&self, ask: Ask<'_>, priority: Priority) -> Reply {
+        let platform = self.platform(priority);
+        match ask {
+            Ask::Transact(transaction) => {
+                let request = match codec::encode(transaction) {
+                    Ok(request) => request,
+                    Err(error) => {
+                        log::error!("event=encode_failed error={error:?}");
+                        return Reply::NotApplied;
+                    }
+                };
+                self.meter.on_transaction(request.mutations.len());
+                codec::transact_reply(platform.transact(&request).await)
+            }
+            Ask::Read(key) => {
+                self.meter.on_table_read();
+                codec::read_reply(platform.row(key).await)
+            }
+        }
+    }
+
+    fn backoff(&self) -> Backoff {
+        let OpId { process, number } = self.next_op();
+        Backoff::new(RETRY_FIRST_MS, RETRY_LONGEST_MS, process ^ number)
+    }
+}
+
+/// Ends an operation whose last call failed, if it is not worth repeating.
+fn give_up(reply: &Reply, is_ambiguous: bool, deadline: Instant) -> Result<(), StoreError> {
+    if !is_failed(reply) {
+        return Ok(());
+    }
+    if !is_ambiguous {
+        return Err(StoreError::Unavailable);
+    }
+    if Instant::now() >= deadline {
+        return Err(StoreError::Uncertain);
+    }
+    Ok(())
+}
+
+async fn pause(backoff: &mut Backoff, reply: &Reply) {
+    if is_failed(reply) {
+        tokio::time::sleep(Duration::from_millis(backoff.next_wait_ms())).await;
+    }
+}
+
+const fn is_failed(reply: &Reply) -> bool {
+    matches!(reply, Reply::NotApplied | Reply::Unknown)
+}
