entry: resends of chat requests share one run at the key's home entry

The home keeps the tokens of the run; other entries follow it by long polls of the peer protocol and take over from the tokens passed on if the home is lost. The home's message was a stub; it now carries the request and the news. Files and batches are mounted beside the online routes.

--- a/crates/cli/src/dev/fleet.rs
+++ b/crates/cli/src/dev/fleet.rs
@@ -11,7 +11,6 @@
     FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
     UpstreamKind, View,
 };
-use peer::PeerClient;
 use process::{AdminState, Shutdown};
 use standin::{
     EngineSettings, PlatformSettings, ServiceSettings, Standin, start_engine, start_platform,
@@ -63,8 +62,7 @@
             log_level: String::new(),
         };
         let fleet = Fleet::from_receiver(view);
-        let peers = PeerClient::new();
-        let entry = Entry::start_with_fleet(&settings, fleet, &peers, admin, shutdown)?;
+        let entry = Entry::start_with_fleet(&settings, fleet, admin, shutdown).await?;
         Ok(Self {
             platform,
             engines,
--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -2,9 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use model::{
-    DispatchNotice, InstanceRole, Liveness, UpstreamEntry, UpstreamId, UpstreamKind, View,
-};
+use model::{DispatchNotice, Liveness, UpstreamEntry, UpstreamId, UpstreamKind, View};
 use peer::{PeerClient, PeerRequest};
 use process::{AdminState, Shutdown};
 use tokio::{
@@ -26,7 +24,6 @@
 pub(crate) fn start(
     shared: &Arc<Shared>,
     fleet: &Fleet,
-    peers: &PeerClient,
     admin: &AdminState,
     shutdown: &Shutdown,
 ) -> JoinSet<()> {
@@ -38,10 +35,10 @@
         shutdown.clone(),
     ));
     tasks.spawn(poll_loads(Arc::clone(shared)));
-    tasks.spawn(send_notices(Arc::clone(shared), peers.clone()));
+    tasks.spawn(send_notices(Arc::clone(shared)));
     if let Some(control) = fleet.control_address() {
         let control = control.to_owned();
-        tasks.spawn(send_evidence(Arc::clone(shared), peers.clone(), control));
+        tasks.spawn(send_evidence(Arc::clone(shared), control));
     }
     tasks
 }
@@ -55,6 +52,14 @@
     loop {
         let current = Arc::clone(&view.borrow_and_update());
         shared.dispatcher.set_view(&current);
+        let live = current
+            .instances
+            .iter()
+            .filter(|instance| instance.liveness == Liveness::Live)
+            .count();
+        shared
+            .jobs
+            .set_live_instances(u32::try_from(live).unwrap_or(u32::MAX));
         if current.config.version > 0 && !shutdown.is_stopping() {
             admin.set_ready(true);
         }
@@ -90,7 +95,7 @@
     }
 }
 
-async fn send_notices(shared: Arc<Shared>, peers: PeerClient) {
+async fn send_notices(shared: Arc<Shared>) {
     let mut sends = JoinSet::new();
     loop {
         tokio::select! {
@@ -100,7 +105,11 @@
         let notices = shared.dispatcher.take_notices();
         let view = Arc::clone(&shared.view.borrow());
         for (owner, notices) in by_owner(&view, notices) {
-            sends.spawn(send(peers.clone(), owner, PeerRequest::Notices(notices)));
+            sends.spawn(send(
+                shared.peers.clone(),
+                owner,
+                PeerRequest::Notices(notices),
+            ));
         }
         while sends.try_join_next().is_some() {}
     }
@@ -124,23 +133,17 @@
 
 fn window_owner(view: &View, upstream: &UpstreamId) -> Option<String> {
     let upstream = find(view, upstream)?;
-    let owner = view
-        .instances
-        .iter()
-        .filter(|instance| instance.liveness == Liveness::Live)
-        .find(|instance| {
-            instance.role == InstanceRole::Batch && instance.region == upstream.region
-        })?;
+    let owner = membership::batch_window_owner(view, upstream)?;
     Some(owner.peer_address.clone())
 }
 
-async fn send_evidence(shared: Arc<Shared>, peers: PeerClient, control: String) {
+async fn send_evidence(shared: Arc<Shared>, control: String) {
     loop {
         shared.dispatcher.evidence().ready().await;
         let evidence = shared.dispatcher.evidence().take();
         if !evidence.is_empty() {
             send(
-                peers.clone(),
+                shared.peers.clone(),
                 control.clone(),
                 PeerRequest::Evidence(evidence),
             )
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,8 +1,10 @@
 //! `POST /v1/chat/completions`.
 
+mod coalesce;
 mod flow;
 mod prompt;
 mod request;
+mod source;
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -12,9 +14,14 @@
 use salvo::{Request, Response, handler};
 use uuid::Uuid;
 
+pub(crate) use self::{
+    coalesce::{Coalescer, LogReader},
+    source::join_here,
+};
 use self::{
     flow::{ChatEvent, ChatFlow},
     request::ParsedChat,
+    source::ChatSource,
 };
 use crate::{
     Refusal,
@@ -51,23 +58,30 @@
         );
         let stream = parsed.stream;
         let include_usage = parsed.include_usage;
-        let flow = ChatFlow::new(Arc::clone(&self.shared), parsed.request, &class);
+        let shared = &self.shared;
+        let source = match &caller.idempotency_key {
+            Some(key) => {
+                let key = Arc::from(format!("{}/{key}", caller.customer));
+                ChatSource::coalesced(shared, key, parsed.request, &class)?
+            }
+            None => ChatSource::own(ChatFlow::new(Arc::clone(shared), parsed.request, &class)),
+        };
         if stream {
-            stream_answer(flow, head, include_usage, res).await
+            stream_answer(source, head, include_usage, res).await
         } else {
-            whole_answer(flow, &head, res).await
+            whole_answer(source, &head, res).await
         }
     }
 }
 
 async fn whole_answer(
-    mut flow: ChatFlow,
+    mut source: ChatSource,
     head: &AnswerHead,
     res: &mut Response,
 ) -> Result<(), Refusal> {
     let mut content = String::new();
     loop {
-        match flow.next().await? {
+        match source.next().await? {
             ChatEvent::Text(text) => content.push_str(&text),
             ChatEvent::End {
                 finish_reason,
@@ -83,21 +97,21 @@
 
 /// Waits for the first event, so that a refusal still has a status of its own.
 async fn stream_answer(
-    mut flow: ChatFlow,
+    mut source: ChatSource,
     head: AnswerHead,
     include_usage: bool,
     res: &mut Response,
 ) -> Result<(), Refusal> {
-    let first = flow.next().await?;
+    let first = source.next().await?;
     set_content_type(res, "text/event-stream; charset=utf-8");
     let headers = res.headers_mut();
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    res.stream(EventStream::new(flow, head, include_usage, first).into_stream());
+    res.stream(EventStream::new(source, head, include_usage, first).into_stream());
     Ok(())
 }
 
 struct EventStream {
-    flow: ChatFlow,
+    source: ChatSource,
     head: AnswerHead,
     include_usage: bool,
     first: Option<ChatEvent>,
@@ -105,9 +119,9 @@
 }
 
 impl EventStream {
-    fn new(flow: ChatFlow, head: AnswerHead, include_usage: bool, first: ChatEvent) -> Self {
+    fn new(source: ChatSource, head: AnswerHead, include_usage: bool, first: ChatEvent) -> Self {
         Self {
-            flow,
+            source,
             head,
             include_usage,
             first: Some(first),
@@ -132,7 +146,7 @@
                 self.head.write_role(&mut out);
                 Ok(first)
             }
-            None => self.flow.next().await,
+            None => self.source.next().await,
         };
         match event {
             Ok(ChatEvent::Text(text)) => self.head.write_text(&mut out, &text),
--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Continues an answer whose leading tokens the caller has.
+    pub(crate) fn with_delivered(mut self, delivered: Vec<String>) -> Self {
+        self.delivered = delivered;
+        self
+    }
+
     /// The next event. After an error or the end there is none.
     pub(crate) async fn next(&mut self) -> Result<ChatEvent, Refusal> {
         loop {
@@ -284,7 +290,7 @@
     }
 
     fn route_request(&self) -> RouteRequest {
-        let first_token_deadline_us = if self.attempts == 0 {
+        let first_token_deadline_us = if self.attempts == 0 && self.delivered.is_empty() {
             self.patience.due_at_us
         } else {
             // A second attempt that comes late is still worth more than none.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod models;
 mod patience;
+mod peer_service;
 mod refusal;
 mod routes;
 mod server;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -30,10 +30,11 @@
     let stopping = shutdown.clone();
     tokio::spawn(async move { process::wait_for_signal(&stopping).await });
     tokio::spawn(process::serve_admin(settings.admin_listen, admin.clone()));
-    let entry = Entry::start(settings, admin, &shutdown)?;
+    let entry = Entry::start(settings, admin, &shutdown).await?;
     log::info!(
-        "event=listening program={PROGRAM} listen={}",
-        entry.address()
+        "event=listening program={PROGRAM} listen={} peer_listen={}",
+        entry.address(),
+        entry.peer_address()
     );
     entry.run_until(&shutdown).await;
     Ok(())
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -65,6 +65,15 @@
         self.ran.unwrap_or(self.kind.answer().ran)
     }
 
+    /// When to come back, seconds, if that helps.
+    #[must_use]
+    pub fn retry_after_s(&self) -> Option<u32> {
+        match self.retry.unwrap_or(self.kind.answer().retry) {
+            RetryAdvice::AfterS(seconds) => Some(seconds),
+            RetryAdvice::Never => None,
+        }
+    }
+
     /// The error object of the body.
     #[must_use]
     pub fn body(&self) -> Vec<u8> {
@@ -90,13 +99,10 @@
             HeaderValue::from_static("application/json"),
         );
         headers.insert(RAN_HEADER, HeaderValue::from_static(self.ran().as_str()));
-        match self.retry.unwrap_or(answer.retry) {
-            RetryAdvice::AfterS(seconds) => {
-                headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-            }
-            RetryAdvice::Never => {
-                headers.insert(SHOULD_RETRY_HEADER, HeaderValue::from_static("false"));
-            }
+        if let Some(seconds) = self.retry_after_s() {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        } else {
+            headers.insert(SHOULD_RETRY_HEADER, HeaderValue::from_static("false"));
         }
         res.body(self.body());
     }
@@ -111,6 +117,11 @@
     }
 }
 
+/// A defect of this program.
+pub(crate) fn internal(message: &str) -> Refusal {
+    Refusal::new(ErrorKind::Internal, message)
+}
+
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
     error: ErrorObject<'a>,
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, StatusCode, header};
+use job_api::JobApi;
 use model::ErrorKind;
 use process::Shutdown;
 use salvo::{Depot, FlowCtrl, Request, Response, Router, handler, writing::Json};
@@ -46,7 +47,14 @@
         .goal(Services {
             shared: Arc::clone(shared),
         });
-    Router::new().push(v1).push(services)
+    let jobs = JobApi::new(
+        shared.jobs.clone(),
+        shared.view.clone(),
+        shared.region.clone(),
+        shared.peers.clone(),
+    );
+    let jobs = jobs.router().hoop(measure("/v1/files, /v1/batches"));
+    Router::new().push(v1.push(jobs)).push(services)
 }
 
 /// Answers requests that no route took, in the same form as other refusals.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,15 +1,11 @@
 //! The HTTP server of an entry: start and planned stop.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use model::{ErrorKind, InstanceEntry, InstanceRole, Liveness, View};
+use job_store::JobStore;
+use model::{ErrorKind, InstanceEntry, InstanceId, InstanceRole, Liveness, Region, View};
 use peer::PeerClient;
-use platform::Platform;
+use platform::{Pacer, PacerSettings, Platform};
 use policy::Router;
 use process::{AdminState, Shutdown};
 use salvo::{
@@ -17,16 +13,17 @@
     server::ServerHandle,
 };
 use tokio::{
-    net::TcpSocket,
+    net::{TcpListener, TcpSocket},
     sync::watch,
     task::{JoinHandle, JoinSet},
 };
 use tokio_util::task::TaskTracker;
 use upstream::UpstreamClient;
+use uuid::Uuid;
 
 use crate::{
-    EntrySettings, Fleet, Refusal, background, dispatch::Dispatcher, metrics::Metrics, routes,
-    service::Claims,
+    EntrySettings, Fleet, Refusal, background, chat::Coalescer, dispatch::Dispatcher,
+    metrics::Metrics, peer_service::PeerService, routes, service::Claims,
 };
 
 const LISTEN_BACKLOG: u32 = 4_096;
@@ -40,14 +37,22 @@
     pub(crate) upstreams: UpstreamClient,
     pub(crate) metrics: Metrics,
     pub(crate) claims: Claims,
+    /// Runs that resends of chat requests share.
+    pub(crate) coalescer: Coalescer,
+    pub(crate) peers: PeerClient,
+    /// Access to jobs, for the routes of files and batches.
+    pub(crate) jobs: JobStore,
     /// Work that a planned stop waits for.
     pub(crate) tasks: TaskTracker,
+    pub(crate) instance: InstanceId,
+    pub(crate) region: Region,
     body_limit_bytes: usize,
 }
 
 /// A running entry.
 pub struct Entry {
     address: SocketAddr,
+    peer_address: SocketAddr,
     drain_ms: u64,
     fleet: Fleet,
     admin: AdminState,
@@ -103,15 +108,17 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub fn start(
+    pub async fn start(
         settings: &EntrySettings,
         admin: AdminState,
         shutdown: &Shutdown,
     ) -> Result<Self, StartError> {
+        let peer_listener = listen_for_peers(settings.peer_listen).await?;
         let peers = PeerClient::new();
         let control = settings.control.to_string();
-        let fleet = Fleet::follow(&control, own_entry(settings), peers.clone());
-        Self::start_with_fleet(settings, fleet, &peers, admin, shutdown)
+        let own = own_entry(settings, &peer_listener);
+        let fleet = Fleet::follow(&control, own, peers.clone());
+        Self::serve(settings, fleet, peers, peer_listener, admin, shutdown)
     }
 
     /// Begins to serve with another source of views.
@@ -119,10 +126,22 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub fn start_with_fleet(
+    pub async fn start_with_fleet(
         settings: &EntrySettings,
         fleet: Fleet,
-        peers: &PeerClient,
+        admin: AdminState,
+        shutdown: &Shutdown,
+    ) -> Result<Self, StartError> {
+        let peer_listener = listen_for_peers(settings.peer_listen).await?;
+        let peers = PeerClient::new();
+        Self::serve(settings, fleet, peers, peer_listener, admin, shutdown)
+    }
+
+    fn serve(
+        settings: &EntrySettings,
+        fleet: Fleet,
+        peers: PeerClient,
+        peer_listener: TcpListener,
         admin: AdminState,
         shutdown: &Shutdown,
     ) -> Result<Self, StartError> {
@@ -136,19 +155,31 @@
         let router = Router::new(
             settings.instance_id.clone(),
             settings.region.clone(),
-            seed(),
+            random(),
         );
         let tasks = TaskTracker::new();
+        let pacer = Pacer::new(PacerSettings::default(), random());
+        let platform = Platform::new(settings.platform).with_pacer(pacer);
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
             dispatcher: Arc::new(Dispatcher::new(router, metrics.clone())),
             upstreams: UpstreamClient::new(),
             metrics,
-            claims: Claims::new(Platform::new(settings.platform), tasks.clone()),
+            claims: Claims::new(platform.clone(), tasks.clone()),
+            coalescer: Coalescer::default(),
+            peers,
+            jobs: JobStore::new(platform, random()),
             tasks: tasks.clone(),
+            instance: settings.instance_id.clone(),
+            region: settings.region.clone(),
             body_limit_bytes: settings.body_limit_bytes,
         });
-        let background = background::start(&shared, &fleet, peers, &admin, shutdown);
+        let mut background = background::start(&shared, &fleet, &admin, shutdown);
+        let service = Arc::new(PeerService {
+            shared: Arc::clone(&shared),
+        });
+        let peer_address = peer_listener.local_addr().map_err(listen_error)?;
+        background.spawn(peer::serve(peer_listener, service, std::future::pending()));
         let server = Server::new(acceptor);
         let handle = server.handle();
         let service = Service::new(routes::router(&shared, shutdown))
@@ -156,6 +187,7 @@
         let serving = tokio::spawn(server.try_serve(service));
         Ok(Self {
             address,
+            peer_address,
             drain_ms: settings.drain_ms,
             fleet,
             admin,
@@ -172,6 +204,12 @@
         self.address
     }
 
+    /// Address that peers reach.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Serves until `shutdown` begins and every request has ended.
     ///
     /// New connections are still served for the drain time, until the balancer
@@ -208,11 +246,18 @@
     TcpAcceptor::try_from(socket.listen(LISTEN_BACKLOG)?)
 }
 
-fn own_entry(settings: &EntrySettings) -> InstanceEntry {
+async fn listen_for_peers(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })
+}
+
+fn own_entry(settings: &EntrySettings, peer_listener: &TcpListener) -> InstanceEntry {
+    let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_listen);
     InstanceEntry {
         id: settings.instance_id.clone(),
         role: InstanceRole::Entry,
-        peer_address: settings.peer_listen.to_string(),
+        peer_address: peer_address.to_string(),
         region: settings.region.clone(),
         failure_domain: settings.failure_domain.clone(),
         liveness: Liveness::Live,
@@ -220,11 +265,7 @@
     }
 }
 
-/// Entries that start together must not choose alike.
-fn seed() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let random = uuid::Uuid::new_v4().as_u64_pair().0;
-    u64::from(since_epoch.subsec_nanos()) ^ random
+/// Entries that start together must neither choose nor name alike.
+fn random() -> u64 {
+    Uuid::new_v4().as_u64_pair().0
 }
--- a/crates/entry/tests/chat.rs
+++ b/crates/entry/tests/chat.rs
@@ -16,13 +16,13 @@
     engines
 }
 
-fn entry_over(engines: &[Standin]) -> TestEntry {
+async fn entry_over(engines: &[Standin]) -> TestEntry {
     let upstreams = engines
         .iter()
         .enumerate()
         .map(|(index, standin)| engine(&format!("engine-{index}"), standin.address()))
         .collect();
-    TestEntry::start(upstreams, any_port())
+    TestEntry::start(upstreams, any_port()).await
 }
 
 fn streamed(mut body: Value) -> Value {
@@ -43,7 +43,7 @@
 #[tokio::test]
 async fn chat_plain_answers_in_openai_form() {
     let engines = engines(1).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let answer = entry.chat(&[], chat_body("a hint please", 5)).await;
     assert_eq!(answer.status, StatusCode::OK);
     let json = answer.json();
@@ -64,7 +64,7 @@
 #[tokio::test]
 async fn chat_streamed_gives_the_same_text() {
     let engines = engines(1).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let plain = entry.chat(&[], chat_body("a hint please", 8)).await.json();
     let body = streamed(chat_body("a hint please", 8));
     let answer = entry.chat(&[], body).await;
@@ -86,7 +86,7 @@
 #[tokio::test]
 async fn chat_streamed_includes_usage_when_asked() {
     let engines = engines(1).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let mut body = streamed(chat_body("a hint please", 3));
     body["stream_options"] = serde_json::json!({"include_usage": true});
     let events = entry.chat(&[], body).await.events();
@@ -98,7 +98,7 @@
 /// The text that one undisturbed engine gives.
 async fn undisturbed(prompt: &str, max_tokens: u32) -> String {
     let engines = engines(1).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let body = streamed(chat_body(prompt, max_tokens));
     entry.chat(&[], body).await.streamed_text()
 }
@@ -106,7 +106,7 @@
 #[tokio::test]
 async fn chat_engine_dies_in_mid_stream_and_another_continues() {
     let engines = engines(2).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let body = streamed(chat_body("tell me where to dig [[tokens=60]]", 60));
     let answer = entry.chat(&[], body);
     let kill = async {
@@ -133,7 +133,7 @@
 #[tokio::test]
 async fn chat_failing_prompt_is_an_error_after_few_runs() {
     let engines = engines(3).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let answer = entry.chat(&[], chat_body("[[fail]]", 5)).await;
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert_eq!(answer.code(), "upstream_failed");
@@ -144,7 +144,7 @@
 #[tokio::test]
 async fn chat_caller_gone_cancels_at_the_engine() {
     let engines = engines(1).await;
-    let entry = entry_over(&engines);
+    let entry = entry_over(&engines).await;
     let body = streamed(chat_body("a very long hint [[tokens=100000]]", 100_000));
     let request = entry.chat(&[], body);
     let gone = tokio::time::timeout(std::time::Duration::from_millis(200), request).await;
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -66,10 +66,12 @@
 }
 
 /// Kinds that no answer to a caller of these paths can carry.
-const ELSEWHERE: [ErrorKind; 5] = [
+const ELSEWHERE: [ErrorKind; 6] = [
     // Of operators' and peers' interfaces.
     ErrorKind::ConfigConflict,
     ErrorKind::PeerVersion,
+    // Of calls that write to the platform only: jobs and configurations.
+    ErrorKind::PlatformUncertain,
     // A stopping entry serves what it accepts, and then accepts nothing.
     ErrorKind::Stopping,
     // Nobody is there to be told.
@@ -180,7 +182,7 @@
             service("service", service_standin.address()),
         ],
     };
-    let entry = TestEntry::start(upstreams, platform);
+    let entry = TestEntry::start(upstreams, platform).await;
     let answer = call(&entry, case.call);
     let answer = match case.upstream {
         Upstream::DiesInMidStream => {
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -31,9 +31,9 @@
         }
     }
 
-    fn entry(&self) -> TestEntry {
+    async fn entry(&self) -> TestEntry {
         let upstreams = vec![service("courts-0", self.service.address())];
-        TestEntry::start(upstreams, self.platform.address())
+        TestEntry::start(upstreams, self.platform.address()).await
     }
 
     async fn add_service_fault(&self, fault: Fault) {
@@ -73,7 +73,7 @@
 #[tokio::test]
 async fn call_passes_method_path_and_answer() {
     let site = Site::start().await;
-    let entry = site.entry();
+    let entry = site.entry().await;
     let answer = entry.send(Method::PUT, PATH, &[LOOKUP], "court 4").await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.header("redwingtack-ran"), Some("yes"));
@@ -87,7 +87,7 @@
         service("courts-0", refusing_address().await),
         service("courts-1", site.service.address()),
     ];
-    let entry = TestEntry::start(upstreams, site.platform.address());
+    let entry = TestEntry::start(upstreams, site.platform.address()).await;
     for _ in 0..4 {
         let answer = entry.send(Method::GET, PATH, &[LOOKUP], "").await;
         assert_eq!(answer.status, StatusCode::OK);
@@ -103,7 +103,7 @@
         service("courts-0", site.service.address()),
         service("courts-1", second.address()),
     ];
-    let entry = TestEntry::start(upstreams, site.platform.address());
+    let entry = TestEntry::start(upstreams, site.platform.address()).await;
     let fault = Fault::new(FaultKind::ResetAfterBody).with_path("/book");
     site.add_service_fault(fault.clone()).await;
     let remote = Remote::new(second.address());
@@ -118,8 +118,8 @@
 #[tokio::test]
 async fn claim_resend_to_another_entry_gets_the_stored_answer() {
     let site = Site::start().await;
-    let first = book(&site.entry(), "k").await;
-    let again = book(&site.entry(), "k").await;
+    let first = book(&site.entry().await, "k").await;
+    let again = book(&site.entry().await, "k").await;
     assert_eq!(first.status, StatusCode::OK);
     assert_eq!(again.status, StatusCode::OK);
     assert_eq!(again.body, first.body);
@@ -129,7 +129,7 @@
 #[tokio::test]
 async fn claim_two_entries_at_once_run_it_once() {
     let site = Site::start().await;
-    let (left, right) = (site.entry(), site.entry());
+    let (left, right) = (site.entry().await, site.entry().await);
     let (first, second) = tokio::join!(book(&left, "k"), book(&right, "k"));
     assert_eq!(first.status, StatusCode::OK);
     assert_eq!(second.status, StatusCode::OK);
@@ -142,9 +142,9 @@
     let site = Site::start().await;
     let fault = Fault::new(FaultKind::ResetAfterBody).with_path("/book");
     site.add_service_fault(fault.with_times(1)).await;
-    assert_unknown(&book(&site.entry(), "k").await);
+    assert_unknown(&book(&site.entry().await, "k").await);
     for _ in 0..3 {
-        assert_unknown(&book(&site.entry(), "k").await);
+        assert_unknown(&book(&site.entry().await, "k").await);
     }
     assert_eq!(site.runs().await, 1);
 }
@@ -152,7 +152,7 @@
 #[tokio::test]
 async fn claim_refused_call_may_be_sent_again() {
     let site = Site::start().await;
-    let entry = site.entry();
+    let entry = site.entry().await;
     let fault = Fault::new(FaultKind::Refuse).with_path("/book");
     site.add_service_fault(fault.with_times(1)).await;
     let refused = book(&entry, "k").await;
@@ -175,7 +175,7 @@
 async fn claim_platform_down_is_refused_at_once() {
     let site = Site::start().await;
     site.platform.abort();
-    let answer = book(&site.entry(), "k").await;
+    let answer = book(&site.entry().await, "k").await;
     assert_eq!(answer.code(), "platform_unavailable");
     assert_eq!(answer.header("redwingtack-ran"), Some("no"));
     assert!(answer.header("retry-after").is_some());
@@ -187,7 +187,7 @@
     let site = Site::start().await;
     let fault = Fault::new(FaultKind::ResetAfterBody).with_path("/table/transact");
     site.add_platform_fault(fault.with_times(1)).await;
-    let answer = book(&site.entry(), "k").await;
+    let answer = book(&site.entry().await, "k").await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(site.runs().await, 1);
 }
@@ -201,8 +201,8 @@
         ..fault
     };
     site.add_platform_fault(fault.with_times(1)).await;
-    let first = book(&site.entry(), "k").await;
-    let again = book(&site.entry(), "k").await;
+    let first = book(&site.entry().await, "k").await;
+    let again = book(&site.entry().await, "k").await;
     assert_eq!(first.body, again.body);
     assert_eq!(site.runs().await, 1);
 }
@@ -219,7 +219,7 @@
     let killed = std::thread::spawn(move || {
         let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
         runtime.spawn(async move {
-            let entry = TestEntry::start(upstreams, platform);
+            let entry = TestEntry::start(upstreams, platform).await;
             book_quickly(&entry, "k").await;
         });
         let _ = received.recv();
@@ -233,7 +233,7 @@
     drop(sent);
     killed.join().expect("the thread ends");
     for _ in 0..2 {
-        assert_unknown(&book_quickly(&site.entry(), "k").await);
+        assert_unknown(&book_quickly(&site.entry().await, "k").await);
     }
     assert_eq!(site.runs().await, 1);
 }
@@ -241,13 +241,13 @@
 #[tokio::test]
 async fn claim_caller_gone_still_stores_the_answer() {
     let site = Site::start().await;
-    let entry = site.entry();
+    let entry = site.entry().await;
     let delay = FaultKind::Slow { delay_ms: 300 };
     let fault = Fault::new(delay).with_path("/book");
     site.add_service_fault(fault.with_times(1)).await;
     let gone = tokio::time::timeout(Duration::from_millis(100), book(&entry, "k")).await;
     assert!(gone.is_err());
-    let answer = book(&site.entry(), "k").await;
+    let answer = book(&site.entry().await, "k").await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(site.runs().await, 1);
 }
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -16,7 +16,8 @@
     let standin = start_engine(EngineSettings::default()).await;
     let standin = standin.expect("an engine starts");
     let upstreams = vec![engine("engine-0", standin.address())];
-    let entry = TestEntry::start_with(upstreams, any_port(), |settings| settings.drain_ms = 500);
+    let entry =
+        TestEntry::start_with(upstreams, any_port(), |settings| settings.drain_ms = 500).await;
     let mut body = chat_body("a long story [[tokens=100]]", 200);
     body["stream"] = true.into();
     let stream = entry.chat(&[], body);
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -17,7 +17,6 @@
     FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
     UpstreamKind, View,
 };
-use peer::PeerClient;
 use process::{AdminState, Shutdown};
 use serde_json::Value;
 use tokio::{sync::watch, task::JoinHandle};
@@ -87,6 +86,7 @@
 /// A running entry; its view can be changed.
 pub struct TestEntry {
     pub address: SocketAddr,
+    pub peer_address: SocketAddr,
     pub view: watch::Sender<Arc<View>>,
     pub shutdown: Shutdown,
     pub admin: AdminState,
@@ -143,12 +143,12 @@
 
 impl TestEntry {
     /// Starts an entry over `upstreams`, with the platform at `platform`.
-    pub fn start(upstreams: Vec<UpstreamEntry>, platform: SocketAddr) -> Self {
-        Self::start_with(upstreams, platform, |_| {})
+    pub async fn start(upstreams: Vec<UpstreamEntry>, platform: SocketAddr) -> Self {
+        Self::start_with(upstreams, platform, |_| {}).await
     }
 
     /// As [`TestEntry::start`], with changed settings.
-    pub fn start_with(
+    pub async fn start_with(
         upstreams: Vec<UpstreamEntry>,
         platform: SocketAddr,
         change: impl FnOnce(&mut EntrySettings),
@@ -171,14 +171,16 @@
         let shutdown = Shutdown::new();
         let admin = AdminState::default();
         let fleet = Fleet::from_receiver(receiver);
-        let peers = PeerClient::new();
-        let entry = Entry::start_with_fleet(&settings, fleet, &peers, admin.clone(), &shutdown)
+        let entry = Entry::start_with_fleet(&settings, fleet, admin.clone(), &shutdown)
+            .await
             .expect("the entry starts");
         let address = entry.address();
+        let peer_address = entry.peer_address();
         let stopping = shutdown.clone();
         let running = tokio::spawn(async move { entry.run_until(&stopping).await });
         Self {
             address,
+            peer_address,
             view,
             shutdown,
             admin,
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -9,7 +9,6 @@
     Class, ClassName, ClassTarget, FailureDomain, FleetConfig, InstanceId, Liveness, ModelDefaults,
     ModelName, Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
-use peer::PeerClient;
 use process::{AdminState, Shutdown};
 use standin::{EngineParams, EngineSettings, start_engine};
 use tokio::{
@@ -190,8 +189,7 @@
     let admin = AdminState::new().map_err(|error| error.to_string())?;
     let shutdown = Shutdown::new();
     let fleet = Fleet::from_receiver(view);
-    let peers = PeerClient::new();
-    let entry = Entry::start_with_fleet(&settings, fleet, &peers, admin, &shutdown);
+    let entry = Entry::start_with_fleet(&settings, fleet, admin, &shutdown).await;
     let entry = entry.map_err(|error| error.to_string())?;
     println!("{}", entry.address());
     entry.run_until(&shutdown).await;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,9 @@
     client::PeerClient,
     codec::{MESSAGE_MAX_BYTES, decode, encode},
     error::PeerError,
-    message::{NodeStatus, PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    message::{
+        ChatEnd, ChatNews, CoalesceRequest, NodeStatus, PROTOCOL_VERSION, PeerRequest, PeerResponse,
+    },
     server::{PeerHandler, serve},
     view_watch::ViewWatch,
 };
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,8 @@
 
 use membership::{GossipFrame, UpstreamEvidence};
 use model::{
-    DispatchNotice, ErrorKind, InstanceEntry, InstanceId, JobId, Region, View, ViewRevision,
+    ClassName, DispatchNotice, ErrorKind, InstanceEntry, InstanceId, JobId, Ran, Region, View,
+    ViewRevision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -38,11 +39,9 @@
     Notices(Vec<DispatchNotice>),
     /// From an entry to batch programs: a job was cancelled.
     CancelJob(JobId),
-    /// From an entry to the home entry of an idempotency key.
-    Coalesce {
-        /// Customer and key.
-        key: Arc<str>,
-    },
+    /// From an entry to the home entry of an idempotency key: answers with
+    /// [`PeerResponse::Chat`] as soon as there is news.
+    Coalesce(CoalesceRequest),
     /// Between control programs: which configuration versions are in force.
     ConfigStatus {
         /// Whether the receiver asks the other nodes of its region too.
@@ -50,6 +49,56 @@
     },
 }
 
+/// Follows the one run of a chat request that several resends share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoalesceRequest {
+    /// Customer and idempotency key.
+    pub key: Arc<str>,
+    /// Tells apart two requests under one key.
+    pub digest: u128,
+    /// Class of the request.
+    pub class: ClassName,
+    /// The request as JSON, so that the home entry can run it. `None` when the
+    /// sender follows a run that it has seen.
+    pub body: Option<String>,
+    /// Tokens that the sender has.
+    pub after: u32,
+    /// Longest wait, milliseconds.
+    pub wait_ms: u64,
+}
+
+/// News of a chat request that runs at the home entry of its key.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatNews {
+    /// Tokens after those that the receiver has.
+    pub tokens: Vec<String>,
+    /// How the request ended, once it has and all tokens are passed on.
+    pub end: Option<ChatEnd>,
+}
+
+/// How a chat request ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChatEnd {
+    /// The answer is whole.
+    Finished {
+        /// `stop` or `length`.
+        finish_reason: String,
+        /// Tokens of the prompt, of the answer and of the prompt's cached part.
+        usage: Option<[u32; 3]>,
+    },
+    /// There is no whole answer.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// Text for the caller.
+        message: String,
+        /// Whether it ran.
+        ran: Ran,
+        /// When to come back, seconds, if the table's time is not right.
+        retry_after_s: Option<u32>,
+    },
+}
+
 /// Configuration version that a node has in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -72,6 +121,8 @@
     ConfigStatus(Vec<NodeStatus>),
     /// News in return.
     Gossip(GossipFrame),
+    /// News of a chat request.
+    Chat(ChatNews),
     /// Refused.
     Refused(ErrorKind),
 }
--- a/crates/peer/tests/call.rs
+++ b/crates/peer/tests/call.rs
@@ -9,10 +9,10 @@
 };
 
 use bytes::Bytes;
-use model::{ErrorKind, JobId};
+use model::{ClassName, ErrorKind, JobId};
 use peer::{
-    MESSAGE_MAX_BYTES, PeerClient, PeerError, PeerHandler, PeerRequest, PeerResponse, decode,
-    encode, serve,
+    CoalesceRequest, MESSAGE_MAX_BYTES, PeerClient, PeerError, PeerHandler, PeerRequest,
+    PeerResponse, decode, encode, serve,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -102,12 +102,21 @@
     assert!(matches!(error, PeerError::Address(_)));
 }
 
+fn coalesce(key: &str) -> PeerRequest {
+    PeerRequest::Coalesce(CoalesceRequest {
+        key: Arc::from(key),
+        digest: 0,
+        class: ClassName::new("hint"),
+        body: None,
+        after: 0,
+        wait_ms: 0,
+    })
+}
+
 #[tokio::test]
 async fn call_deadline_cancels_the_handler() {
     let server = start("127.0.0.1:0").await;
-    let request = PeerRequest::Coalesce {
-        key: Arc::from("key"),
-    };
+    let request = coalesce("key");
     let deadline = Instant::now() + Duration::from_millis(300);
     let error = PeerClient::new()
         .call(&server.address, &request, deadline)
@@ -150,9 +159,7 @@
 #[tokio::test]
 async fn call_too_large_is_refused_before_sending() {
     let server = start("127.0.0.1:0").await;
-    let request = PeerRequest::Coalesce {
-        key: Arc::from("x".repeat(MESSAGE_MAX_BYTES + 1)),
-    };
+    let request = coalesce(&"x".repeat(MESSAGE_MAX_BYTES + 1));
     let error = PeerClient::new()
         .call(&server.address, &request, Instant::now() + LONG)
         .await
