--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -68,6 +68,7 @@
     tokio::spawn(async move { process::wait_for_signal(&signalled).await });
     let fleet = DevFleet::start(listen, &shutdown).await?;
     fleet.print_addresses();
+    fleet.ready().await?;
     println!("ready: http://{}/v1", fleet.address());
     fleet.run_until(&shutdown).await;
     println!("stopped");
--- a/crates/cli/src/dev/fleet.rs
+++ b/crates/cli/src/dev/fleet.rs
@@ -3,76 +3,102 @@
 use std::{
     error::Error,
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    time::Duration,
 };
 
-use entry::{Entry, EntrySettings, Fleet};
-use model::{
-    FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
-    UpstreamKind, View,
-};
+use batch::{Batch, BatchSettings};
+use control::{Control, ControlSettings};
+use entry::{Entry, EntrySettings};
+use http_body_util::Full;
+use hyper::{Request, body::Bytes};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName};
+use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use standin::{
-    EngineSettings, PlatformSettings, ServiceSettings, Standin, start_engine, start_platform,
-    start_service,
+    EngineSettings, PlatformSettings, Remote, ServiceSettings, Standin, start_engine,
+    start_platform, start_service,
 };
-use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::config::CONFIG;
 
 const ENGINES: usize = 3;
+const INSTANCE: &str = "dev";
 const REGION: &str = "local";
 const FAILURE_DOMAIN: &str = "local-a";
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+const MEMORY_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+const LEASE_MS: u64 = 15_000;
+/// Longest time until everything is ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// A running fleet in one process.
 pub struct DevFleet {
     platform: Standin,
     engines: Vec<Standin>,
     service: Standin,
+    control: Control,
+    batch: Batch,
     entry: Entry,
-    admin: SocketAddr,
-    _view: watch::Sender<Arc<View>>,
+    admin: AdminState,
+    admin_address: SocketAddr,
 }
 
 impl DevFleet {
-    /// Starts everything.
+    /// Starts everything; callers are served at `listen`.
     pub async fn start(listen: SocketAddr, shutdown: &Shutdown) -> Result<Self, Box<dyn Error>> {
-        let platform = start_platform(PlatformSettings::default()).await?;
+        let platform = start_platform(PlatformSettings {
+            instances_lag_ms: 0,
+            ..PlatformSettings::default()
+        })
+        .await?;
         let mut engines = Vec::new();
         for _ in 0..ENGINES {
             engines.push(start_engine(EngineSettings::default()).await?);
         }
         let service = start_service(ServiceSettings::default()).await?;
-        let (sender, view) = watch::channel(Arc::new(view(&engines, &service)?));
+        let control_settings = control_settings(platform.address());
+        let control = Control::start(&control_settings, AdminState::default()).await?;
+        let remote = Remote::new(platform.address());
+        let listing = listing(&engines, &service, control.peer_address());
+        remote.set_instances(&listing).await?;
+        apply_config(control.listen_address()).await?;
+        let batch_settings = batch_settings(platform.address(), control.peer_address());
+        let batch = Batch::start(&batch_settings).await?;
+        let entry_settings = entry_settings(listen, platform.address(), control.peer_address());
         let admin = AdminState::new()?;
-        let admin_listen = free_address()?;
-        tokio::spawn(process::serve_admin(admin_listen, admin.clone()));
-        let settings = EntrySettings {
-            listen,
-            peer_listen: free_address()?,
-            admin_listen,
-            control: free_address()?,
-            platform: platform.address(),
-            instance_id: InstanceId::new("dev"),
-            region: Region::new(REGION),
-            failure_domain: FailureDomain::new(FAILURE_DOMAIN),
-            body_limit_bytes: BODY_LIMIT_BYTES,
-            drain_ms: 0,
-            log_level: String::new(),
-        };
-        let fleet = Fleet::from_receiver(view);
-        let entry = Entry::start_with_fleet(&settings, fleet, admin, shutdown).await?;
+        let entry = Entry::start(&entry_settings, admin.clone(), shutdown).await?;
+        tokio::spawn(process::serve_admin(
+            entry_settings.admin_listen,
+            admin.clone(),
+        ));
         Ok(Self {
             platform,
             engines,
             service,
+            control,
+            batch,
             entry,
-            admin: admin_listen,
-            _view: sender,
+            admin,
+            admin_address: entry_settings.admin_listen,
         })
     }
 
+    /// Resolves once the entry takes requests and knows every upstream.
+    pub async fn ready(&self) -> Result<(), Box<dyn Error>> {
+        let give_up_at = Instant::now() + START_TIMEOUT;
+        let upstreams = self.engines.len() + 1;
+        while !self.admin.is_ready() || self.entry.upstreams() < upstreams {
+            if Instant::now() >= give_up_at {
+                return Err("the programs did not become ready".into());
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Ok(())
+    }
+
     /// Address of the callers' API.
     pub fn address(&self) -> SocketAddr {
         self.entry.address()
@@ -80,60 +106,123 @@
 
     /// Prints where everything listens.
     pub fn print_addresses(&self) {
-        println!("platform: {}", self.platform.address());
+        println!("callers: http://{}/v1", self.entry.address());
+        println!("operators: {}", self.control.listen_address());
+        println!("health and metrics: {}", self.admin_address);
+        println!("platform (stand-in): {}", self.platform.address());
         for (index, engine) in self.engines.iter().enumerate() {
-            println!("engine-{index}: {}", engine.address());
+            println!("engine-{index} (stand-in): {}", engine.address());
         }
-        println!("service courts: {}", self.service.address());
-        println!("health and metrics: {}", self.admin);
+        println!("service courts (stand-in): {}", self.service.address());
     }
 
     /// Serves until `shutdown` begins and every request has ended.
     pub async fn run_until(self, shutdown: &Shutdown) {
         self.entry.run_until(shutdown).await;
+        self.batch.stop().await;
+        self.control.run_until(shutdown).await;
     }
 }
 
-fn view(engines: &[Standin], service: &Standin) -> Result<View, Box<dyn Error>> {
-    let mut config = model::parse_config(CONFIG).map_err(|problems| format!("{problems:?}"))?;
-    config.version = 1;
-    let models = [ModelName::new("oraculo"), ModelName::new("platzbot")];
-    let mut upstreams: Vec<UpstreamEntry> = Vec::new();
-    upstreams.push(upstream(
-        "courts-0",
-        service.address(),
-        UpstreamKind::Service {
-            service: ServiceName::new("courts"),
-        },
-    ));
+fn listing(engines: &[Standin], service: &Standin, control: SocketAddr) -> InstanceListing {
+    let models = vec![ModelName::new("oraculo"), ModelName::new("platzbot")];
+    let courts = ListedRole::Service {
+        service: ServiceName::new("courts"),
+    };
+    let mut instances = vec![
+        listed("courts-0", courts, service.address()),
+        listed(INSTANCE, ListedRole::Node, control),
+    ];
     for (index, engine) in engines.iter().enumerate() {
-        let kind = UpstreamKind::Engine {
-            models: models.to_vec(),
+        let role = ListedRole::Engine {
+            models: models.clone(),
         };
-        let id = format!("engine-{index}");
-        upstreams.push(upstream(&id, engine.address(), kind));
+        instances.push(listed(&format!("engine-{index}"), role, engine.address()));
     }
-    Ok(View {
-        revision: 1,
-        config,
-        instances: Vec::new(),
-        upstreams,
-    })
+    InstanceListing { instances }
 }
 
-fn upstream(id: &str, address: SocketAddr, kind: UpstreamKind) -> UpstreamEntry {
-    UpstreamEntry {
-        id: UpstreamId::new(id),
+fn listed(id: &str, role: ListedRole, address: SocketAddr) -> ListedInstance {
+    ListedInstance {
+        id: id.to_owned(),
+        role,
         address: address.to_string(),
-        kind,
         region: Region::new(REGION),
         failure_domain: FailureDomain::new(FAILURE_DOMAIN),
-        liveness: Liveness::Live,
+        state: Liveness::Live,
+    }
+}
+
+/// Applies the first configuration as an operator would.
+async fn apply_config(control: SocketAddr) -> Result<(), Box<dyn Error>> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let give_up_at = Instant::now() + START_TIMEOUT;
+    loop {
+        let request = Request::put(format!("http://{control}/v1/config"))
+            .header("redwingtack-operator", "dev")
+            .body(Full::new(Bytes::from_static(CONFIG.as_bytes())))?;
+        let status = client.request(request).await?.status();
+        if status.is_success() {
+            return Ok(());
+        }
+        if !status.is_server_error() || Instant::now() >= give_up_at {
+            return Err(format!("the configuration was refused: {status}").into());
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn control_settings(platform: SocketAddr) -> ControlSettings {
+    ControlSettings {
+        listen: any_port(),
+        peer_listen: any_port(),
+        admin_listen: any_port(),
+        platform,
+        seeds: Vec::new(),
+        instance_id: InstanceId::new(INSTANCE),
+        region: Region::new(REGION),
+        failure_domain: FailureDomain::new(FAILURE_DOMAIN),
+        log_level: String::new(),
+    }
+}
+
+fn batch_settings(platform: SocketAddr, control: SocketAddr) -> BatchSettings {
+    BatchSettings {
+        peer_listen: any_port(),
+        admin_listen: any_port(),
+        control,
+        platform,
+        instance_id: InstanceId::new(INSTANCE),
+        region: Region::new(REGION),
+        failure_domain: FailureDomain::new(FAILURE_DOMAIN),
+        memory_limit_bytes: MEMORY_LIMIT_BYTES,
+        lease_ms: LEASE_MS,
+        log_level: String::new(),
     }
 }
 
+fn entry_settings(listen: SocketAddr, platform: SocketAddr, control: SocketAddr) -> EntrySettings {
+    EntrySettings {
+        listen,
+        peer_listen: any_port(),
+        admin_listen: free_address().unwrap_or_else(|_| any_port()),
+        control,
+        platform,
+        instance_id: InstanceId::new(INSTANCE),
+        region: Region::new(REGION),
+        failure_domain: FailureDomain::new(FAILURE_DOMAIN),
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        drain_ms: 0,
+        log_level: String::new(),
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
 /// An address with a port that was free a moment ago.
 fn free_address() -> std::io::Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let listener = std::net::TcpListener::bind(any_port())?;
     listener.local_addr()
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -54,11 +54,11 @@
     address: SocketAddr,
     peer_address: SocketAddr,
     drain_ms: u64,
+    shared: Arc<Shared>,
     fleet: Fleet,
     admin: AdminState,
     handle: ServerHandle,
     serving: JoinHandle<io::Result<()>>,
-    tasks: TaskTracker,
     background: JoinSet<()>,
 }
 
@@ -169,7 +169,7 @@
             coalescer: Coalescer::default(),
             peers,
             jobs: JobStore::new(platform, random()),
-            tasks: tasks.clone(),
+            tasks,
             instance: settings.instance_id.clone(),
             region: settings.region.clone(),
             body_limit_bytes: settings.body_limit_bytes,
@@ -189,11 +189,11 @@
             address,
             peer_address,
             drain_ms: settings.drain_ms,
+            shared,
             fleet,
             admin,
             handle,
             serving,
-            tasks,
             background,
         })
     }
@@ -210,6 +210,12 @@
         self.peer_address
     }
 
+    /// Number of upstreams that requests may go to.
+    #[must_use]
+    pub fn upstreams(&self) -> usize {
+        self.shared.dispatcher.upstreams().len()
+    }
+
     /// Serves until `shutdown` begins and every request has ended.
     ///
     /// New connections are still served for the drain time, until the balancer
@@ -226,8 +232,8 @@
             Ok(Err(error)) => log::error!("event=serve_failed error={}", process::quote(&error)),
             Err(error) => log::error!("event=serve_failed error={}", process::quote(&error)),
         }
-        self.tasks.close();
-        self.tasks.wait().await;
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
         self.background.shutdown().await;
         log::info!("event=stopped");
     }
