--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,4 +3,21 @@
 //! This crate exists so that figures in the docs come from commands that can
 //! be run again. It is not shipped.
 
+pub mod compare;
+mod driver;
+mod fleet;
+mod measure;
+mod oracle;
 pub mod overhead;
+mod plot;
+mod workload;
+mod world;
+
+pub use crate::{
+    driver::Scheduling,
+    fleet::FleetShape,
+    measure::{Outcome, Phase},
+    oracle::OracleRules,
+    workload::{Workload, WorkloadParams},
+    world::run,
+};
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,13 +3,18 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use load::overhead::{
-    ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
+use load::{
+    compare::{CompareOptions, compare, compare_options},
+    overhead::{
+        ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
+    },
 };
 
 /// What to measure.
 #[derive(Debug, Clone)]
 enum Command {
+    /// Batch policies under one online load.
+    Compare(CompareOptions),
     /// What the entry adds to a direct connection.
     Overhead(OverheadOptions),
     /// A process that the measurement of overhead starts.
@@ -18,6 +23,7 @@
 
 fn main() -> ExitCode {
     let result = match options().run() {
+        Command::Compare(options) => compare(&options),
         Command::Overhead(options) => overhead(&options),
         Command::OverheadChild(options) => run_child(&options),
     };
@@ -31,6 +37,11 @@
 }
 
 fn options() -> OptionParser<Command> {
+    let compare = compare_options()
+        .map(Command::Compare)
+        .to_options()
+        .descr("Compare batch policies under one online load, in virtual time")
+        .command("compare");
     let overhead = overhead_options()
         .map(Command::Overhead)
         .to_options()
@@ -41,7 +52,7 @@
         .to_options()
         .command("overhead-child")
         .hide();
-    construct!([overhead, child])
+    construct!([compare, overhead, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
