cli: test redwingtack dev with the bytes that OpenAI's client sends

The test found that an answer given before the request's body was read (the cancel of a batch, whose body is {}) closed the connection under the client's next request. Seen: broken pipe on the request after the cancel. The entry now reads what is left of a short body before it answers.

--- a/crates/cli/tests/dev.rs
+++ b/crates/cli/tests/dev.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{Value, json};
 
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 /// Headers of every request of the client.
 const CLIENT_HEADERS: &str = "Accept-Encoding: gzip, deflate\r\nConnection: keep-alive\r\n\
     Accept: application/json\r\nUser-Agent: OpenAI/Python 2.8.0\r\nX-Stainless-Lang: python\r\n\
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -1,8 +1,9 @@
 //! Paths of the callers' API.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::{HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
 use job_api::JobApi;
 use model::ErrorKind;
 use process::Shutdown;
@@ -13,6 +14,11 @@
     service::Services,
 };
 
+/// Longest rest of a body that is read to keep a connection.
+const DRAIN_MAX_BYTES: usize = 64 * 1024;
+/// Longest wait for the rest of a body.
+const DRAIN_MS: u64 = 100;
+
 /// Every route of the callers' API.
 pub(crate) fn router(shared: &Arc<Shared>, shutdown: &Shutdown) -> Router {
     let chat = Chat {
@@ -94,6 +100,7 @@
         let began_us = clock::now_us();
         let active = self.shared.metrics.begin_request();
         ctrl.call_next(req, depot, res).await;
+        drain(req).await;
         let status = res.status_code.unwrap_or(StatusCode::OK).as_u16();
         let took_us = clock::now_us().saturating_sub(began_us);
         self.shared.metrics.on_answer(self.route, status, took_us);
@@ -106,6 +113,18 @@
     }
 }
 
+/// Reads what a handler left of a short body. Otherwise the connection would be
+/// closed behind the answer, and the client's next request with it.
+async fn drain(req: &mut Request) {
+    let body = req.take_body();
+    if body.is_none() {
+        return;
+    }
+    let rest = Limited::new(body, DRAIN_MAX_BYTES).collect();
+    // What does not come in time costs the connection and nothing else.
+    let _ = tokio::time::timeout(Duration::from_millis(DRAIN_MS), rest).await;
+}
+
 struct Models {
     shared: Arc<Shared>,
 }
