--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -1,8 +1,10 @@
 //! Paths of the callers' API.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::{HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use job_api::JobApi;
 use model::ErrorKind;
 use process::Shutdown;
 use salvo::{Depot, FlowCtrl, Request, Response, Router, handler, writing::Json};
@@ -12,6 +14,11 @@
     service::Services,
 };
 
+/// Longest rest of a body that is read to keep a connection.
+const DRAIN_MAX_BYTES: usize = 64 * 1024;
+/// Longest wait for the rest of a body.
+const DRAIN_MS: u64 = 100;
+
 /// Every route of the callers' API.
 pub(crate) fn router(shared: &Arc<Shared>, shutdown: &Shutdown) -> Router {
     let chat = Chat {
@@ -46,7 +53,14 @@
         .goal(Services {
             shared: Arc::clone(shared),
         });
-    Router::new().push(v1).push(services)
+    let jobs = JobApi::new(
+        shared.jobs.clone(),
+        shared.view.clone(),
+        shared.region.clone(),
+        shared.peers.clone(),
+    );
+    let jobs = jobs.router().hoop(measure("/v1/files, /v1/batches"));
+    Router::new().push(v1.push(jobs)).push(services)
 }
 
 /// Answers requests that no route took, in the same form as other refusals.
@@ -86,6 +100,7 @@
         let began_us = clock::now_us();
         let active = self.shared.metrics.begin_request();
         ctrl.call_next(req, depot, res).await;
+        drain(req).await;
         let status = res.status_code.unwrap_or(StatusCode::OK).as_u16();
         let took_us = clock::now_us().saturating_sub(began_us);
         self.shared.metrics.on_answer(self.route, status, took_us);
@@ -98,6 +113,18 @@
     }
 }
 
+/// Reads what a handler left of a short body. Otherwise the connection would be
+/// closed behind the answer, and the client's next request with it.
+async fn drain(req: &mut Request) {
+    let body = req.take_body();
+    if body.is_none() {
+        return;
+    }
+    let rest = Limited::new(body, DRAIN_MAX_BYTES).collect();
+    // What does not come in time costs the connection and nothing else.
+    let _ = tokio::time::timeout(Duration::from_millis(DRAIN_MS), rest).await;
+}
+
 struct Models {
     shared: Arc<Shared>,
 }
