--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -161,8 +161,8 @@
     Repeats { at_most: u32 },
     /// `quiet for=2s [after=1s]`: no start at any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
-    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C]` sends streamed
-    /// chats in the background to the instances that are ready.
+    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]` sends
+    /// streamed chats in the background to the instances that are ready.
     Load {
         name: String,
         instances: Vec<String>,
@@ -170,6 +170,7 @@
         rate_per_s: u32,
         for_ms: u64,
         tokens: u32,
+        marker: String,
     },
     /// `load_end NAME [cut=N] [failed=N] [refused=N] [within=30s]`: at most so
     /// many ended like this, every other got its own whole answer.
@@ -192,12 +193,14 @@
         ran: Option<String>,
         in_background: bool,
     },
-    /// `calls SERVICE id=ID at_most=N [at_least=N]`
+    /// `calls SERVICE id=ID [at_least=N] [at_most=N] [within=30s]` waits until
+    /// the call ran so often; more than `at_most` fails.
     Calls {
         service: String,
         id: String,
         at_least: u32,
         at_most: u32,
+        within_ms: u64,
     },
     /// `idle UPSTREAM for=2s [after=2s]`: no start at this engine.
     Idle {
@@ -207,6 +210,8 @@
     },
     /// `leaving UPSTREAM` makes an engine refuse new work.
     Leaving { upstream: String },
+    /// `include FILE` runs the commands of another file.
+    Include { file: String },
     /// `wait 3s`
     Wait { span_ms: u64 },
 }
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -33,6 +33,8 @@
     pub(crate) rate_per_s: u32,
     pub(crate) for_ms: u64,
     pub(crate) tokens: u32,
+    /// Text for the engine's stand-in in each prompt.
+    pub(crate) marker: String,
 }
 
 /// An entry behind the balancer.
@@ -151,7 +153,13 @@
     let Some(entry) = entry else {
         return CallEnd::Refused("no entry is ready".to_owned());
     };
-    let prompt = format!("[[tokens={}]] load {} {number}", plan.tokens, plan.name);
+    let LoadPlan {
+        name,
+        tokens,
+        marker,
+        ..
+    } = &plan;
+    let prompt = format!("{marker}[[tokens={tokens}]] load {name} {number}");
     let request = json!({
         "model": "oraculo",
         "messages": [{ "role": "user", "content": prompt }],
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -101,6 +101,9 @@
             code: a.number("code")?.unwrap_or(0),
             within_ms: within_ms(a)?,
         },
+        "include" => Command::Include {
+            file: a.word("a file")?,
+        },
         "wait" => Command::Wait {
             span_ms: parse_span_ms(&a.word("a span of time")?)?,
         },
@@ -193,6 +196,7 @@
             rate_per_s: a.number("rate")?.ok_or("rate= is missing")?,
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
             tokens: a.number("tokens")?.unwrap_or(20),
+            marker: a.text("marker").unwrap_or_default(),
         },
         "load_end" => Command::LoadEnd {
             name: a.word("a load")?,
@@ -215,6 +219,7 @@
             id: a.required("id")?,
             at_least: a.number("at_least")?.unwrap_or(0),
             at_most: a.number("at_most")?.unwrap_or(u32::MAX),
+            within_ms: within_ms(a)?,
         },
         _ => return Err(format!("unknown command {verb:?}")),
     })
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -5,7 +5,7 @@
 mod job;
 mod traffic;
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use platform::InstanceListing;
 use standin::Remote;
@@ -18,6 +18,7 @@
     fleet::Fleet,
     jobs::Job,
     load::{self, LoadOutcome},
+    parser::parse_script,
     process::{ProcessTable, within},
 };
 
@@ -95,6 +96,7 @@
             Command::Load { .. } | Command::LoadEnd { .. } | Command::Call { .. } => {
                 self.run_traffic_command(command).await
             }
+            Command::Include { file } => self.include(&file).await,
             Command::Wait { span_ms } => {
                 tokio::time::sleep(Duration::from_millis(span_ms)).await;
                 Ok(())
@@ -102,6 +104,18 @@
         }
     }
 
+    async fn include(&mut self, file: &str) -> Result<(), String> {
+        let path = self.folder.join(file);
+        let text = fs::read_to_string(&path).map_err(|error| format!("{file}: {error}"))?;
+        let script = parse_script(&text).map_err(|error| format!("{file}: {error}"))?;
+        for (line, command) in script.commands {
+            Box::pin(self.run(command))
+                .await
+                .map_err(|error| format!("{file}: line {line}: {error}"))?;
+        }
+        Ok(())
+    }
+
     async fn declare(&mut self, command: Command) -> Result<(), String> {
         match command {
             Command::Platform { lag_ms } => {
--- a/crates/scenario/src/runner/count.rs
+++ b/crates/scenario/src/runner/count.rs
@@ -46,12 +46,20 @@
                 id,
                 at_least,
                 at_most,
+                within_ms,
             } => {
-                let count = upstreams::count_calls(self.fleet.services(&service), &id).await?;
-                if (at_least..=at_most).contains(&count) {
-                    return Ok(());
+                let deadline = within(within_ms);
+                loop {
+                    let services = self.fleet.services(&service);
+                    let count = upstreams::count_calls(services, &id).await?;
+                    if count > at_most {
+                        return Err(format!("call {id} ran {count} times"));
+                    }
+                    if count >= at_least {
+                        return Ok(());
+                    }
+                    pause_until(deadline, &format!("call {id} ran {count} times")).await?;
                 }
-                Err(format!("call {id} ran {count} times"))
             }
             other => Err(format!("{other:?} counts nothing")),
         }
--- a/crates/scenario/src/runner/traffic.rs
+++ b/crates/scenario/src/runner/traffic.rs
@@ -20,6 +20,7 @@
                 rate_per_s,
                 for_ms,
                 tokens,
+                marker,
             } => {
                 let targets = instances.iter().map(|instance| self.load_target(instance));
                 let plan = LoadPlan {
@@ -29,6 +30,7 @@
                     rate_per_s,
                     for_ms,
                     tokens,
+                    marker,
                 };
                 let load = load::start_load(self.caller.clone(), plan);
                 self.loads.insert(name, load);
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -45,5 +45,29 @@
 }
 
 scenarios! {
+    batch_killed_after_commit
+    batch_killed_after_result_object
+    batch_killed_before_commit
+    batch_killed_during_result_object
+    batch_killed_while_items_run
+    batch_paused_past_its_lease
+    call_refused_while_platform_down
+    config_answer_lost
+    config_with_platform_down_after_write
+    control_paused_across_two_versions
+    control_restarted_during_outage
+    engine_cuts_streams
+    engine_killed_under_load
+    engine_leaving_with_list_late
+    engine_leaving_with_platform_down
+    entry_killed_after_dispatch
+    job_cancelled_while_items_run
+    job_sent_to_two_entries
+    operators_race
+    planned_stop_under_load
+    planned_stop_with_platform_down
+    platform_answers_lost
+    platform_down_while_items_run
+    rack_killed
     standin_faults
 }
