--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -79,6 +79,12 @@
         instance: String,
         within_ms: u64,
     },
+    /// `up control|entry|batch INSTANCE [within=30s]` waits for `/healthz`.
+    Up {
+        role: Role,
+        instance: String,
+        within_ms: u64,
+    },
     /// `apply INSTANCE file=F [operator=O] [replaces=N] [expect=STATUS]` applies
     /// a configuration file that lies beside the scenario.
     Apply {
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -127,7 +127,7 @@
         while !sender.is_closed() {
             let mut ready = Vec::new();
             for target in targets.iter() {
-                if is_ready(&caller, target.admin).await {
+                if answers(&caller, target.admin, "/readyz").await {
                     ready.push(target.entry);
                 }
             }
@@ -138,9 +138,9 @@
     receiver
 }
 
-/// Whether a program takes new work.
-pub(crate) async fn is_ready(caller: &Caller, admin: SocketAddr) -> bool {
-    let reply = caller.send(Call::get(admin, "/readyz")).await;
+/// Whether a health check succeeds.
+pub(crate) async fn answers(caller: &Caller, admin: SocketAddr, path: &str) -> bool {
+    let reply = caller.send(Call::get(admin, path)).await;
     reply.is_ok_and(|reply| reply.status.is_success())
 }
 
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -74,6 +74,11 @@
             instance: a.word("an instance")?,
             within_ms: within_ms(a)?,
         },
+        "up" => Command::Up {
+            role: role(a)?,
+            instance: a.word("an instance")?,
+            within_ms: within_ms(a)?,
+        },
         "apply" => Command::Apply {
             instance: a.word("an instance")?,
             file: a.required("file")?,
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -6,6 +6,7 @@
     fs::{self, File},
     path::{Path, PathBuf},
     process::Stdio,
+    thread,
     time::Duration,
 };
 
@@ -20,6 +21,9 @@
 /// Lines of each log that a failed scenario shows.
 const LOG_TAIL_LINES: usize = 12;
 
+/// Wait between two looks at a process that was killed.
+const REAP_MS: u64 = 2;
+
 /// Processes by role and name. Dropping it kills those that are left.
 #[derive(Debug)]
 pub(crate) struct ProcessTable {
@@ -145,6 +149,21 @@
     }
 }
 
+impl Drop for ProcessTable {
+    /// Returns once all have ended, so that their addresses are free.
+    fn drop(&mut self) {
+        for child in self.running.values_mut() {
+            // One that has ended already needs no signal.
+            let _ = child.start_kill();
+        }
+        for child in self.running.values_mut() {
+            while matches!(child.try_wait(), Ok(None)) {
+                thread::sleep(Duration::from_millis(REAP_MS));
+            }
+        }
+    }
+}
+
 /// Time limit as an instant.
 pub(crate) fn within(limit_ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(limit_ms)
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -47,8 +47,9 @@
 
 struct Runner {
     folder: PathBuf,
-    fleet: Fleet,
+    // Dropped before the fleet, which holds the addresses that they listen at.
     processes: ProcessTable,
+    fleet: Fleet,
     caller: Caller,
     jobs: BTreeMap<String, Job>,
     loads: BTreeMap<String, JoinHandle<LoadOutcome>>,
@@ -75,6 +76,7 @@
             | Command::Publish { .. }
             | Command::Leaving { .. } => self.declare(command).await,
             Command::Start { .. }
+            | Command::Up { .. }
             | Command::Ready { .. }
             | Command::Signal { .. }
             | Command::Exited { .. } => self.run_process_command(command).await,
@@ -199,19 +201,16 @@
                 arguments.extend(flags.split_whitespace().map(str::to_owned));
                 self.processes.start(role, &instance, program, &arguments)
             }
+            Command::Up {
+                role,
+                instance,
+                within_ms,
+            } => self.wait_for(role, &instance, "/healthz", within_ms).await,
             Command::Ready {
                 role,
                 instance,
                 within_ms,
-            } => {
-                let admin = self.fleet.admin(role, &instance)?;
-                let deadline = within(within_ms);
-                while !load::is_ready(&self.caller, admin).await {
-                    self.processes.check_alive(role, &instance)?;
-                    pause_until(deadline, "not ready in time").await?;
-                }
-                Ok(())
-            }
+            } => self.wait_for(role, &instance, "/readyz", within_ms).await,
             Command::Signal { signal, role, name } => {
                 self.processes.signal(role, &name, signal)?;
                 if signal == ProcessSignal::Kill {
@@ -236,6 +235,23 @@
         }
     }
 
+    /// Waits until a health check of a program succeeds.
+    async fn wait_for(
+        &mut self,
+        role: Role,
+        instance: &str,
+        path: &str,
+        within_ms: u64,
+    ) -> Result<(), String> {
+        let admin = self.fleet.admin(role, instance)?;
+        let deadline = within(within_ms);
+        while !load::answers(&self.caller, admin, path).await {
+            self.processes.check_alive(role, instance)?;
+            pause_until(deadline, &format!("no success from {path} in time")).await?;
+        }
+        Ok(())
+    }
+
     async fn run_fault_command(&mut self, command: Command) -> Result<(), String> {
         match command {
             Command::Fault { target, fault } => {
