--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -328,6 +328,7 @@
         result.models = models.split(',').map(ModelName::new).collect();
     }
     set_params(&mut checked, flags, &mut result.params);
+    check_params(&mut checked, &result.params);
     let mut times = [
         (
             "report-lag-ms",
@@ -353,6 +354,29 @@
     result
 }
 
+fn check_params(checked: &mut Settings, params: &EngineParams) {
+    let costs = [
+        ("base-us", params.base_us),
+        ("per-sequence-us", params.per_sequence_us),
+        ("prompt-token-us", params.prompt_token_us),
+    ];
+    for (name, cost_us) in costs {
+        if !cost_us.is_finite() || cost_us < 0.0 {
+            checked.push(name, "must not be negative".to_owned());
+        }
+    }
+    let limits = [
+        ("running-max", params.running_max == 0),
+        ("block-tokens", params.block_tokens == 0),
+        ("prefill-chunk-tokens", params.prefill_chunk_tokens == 0),
+    ];
+    for (name, is_zero) in limits {
+        if is_zero {
+            checked.push(name, "must be at least 1".to_owned());
+        }
+    }
+}
+
 fn set_params(checked: &mut Settings, flags: &EngineFlags, params: &mut EngineParams) {
     let mut costs = [
         ("base-us", &flags.base_us, &mut params.base_us),
