--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -165,10 +165,16 @@
     Runs { at_least: u32, within_ms: u64 },
     /// `repeats at_most=N`: starts of prompts beyond the first, at all engines.
     Repeats { at_most: u32 },
+    /// `repeated at_least=N within=3s` waits for such starts.
+    Repeated { at_least: u32, within_ms: u64 },
+    /// `costs [writes=N] [reads=N]`: at most so many operations on the
+    /// platform's table since the start.
+    Costs { writes: u64, reads: u64 },
     /// `quiet for=2s [after=1s]`: no start at any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
-    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]` sends
-    /// streamed chats in the background to the instances that are ready.
+    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]
+    /// [prompts=N]` sends streamed chats in the background to the instances
+    /// that are ready; every N of them share a prompt.
     Load {
         name: String,
         instances: Vec<String>,
@@ -177,6 +183,7 @@
         for_ms: u64,
         tokens: u32,
         marker: String,
+        prompts: Option<u64>,
     },
     /// `load_end NAME [cut=N] [failed=N] [refused=N] [within=30s]`: at most so
     /// many ended like this, every other got its own whole answer.
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -35,6 +35,8 @@
     pub(crate) tokens: u32,
     /// Text for the engine's stand-in in each prompt.
     pub(crate) marker: String,
+    /// Number of different prompts; none makes each call's own.
+    pub(crate) prompts: Option<u64>,
 }
 
 /// An entry behind the balancer.
@@ -159,6 +161,7 @@
         marker,
         ..
     } = &plan;
+    let number = plan.prompts.map_or(number, |prompts| number % prompts);
     let prompt = format!("{marker}[[tokens={tokens}]] load {name} {number}");
     let request = json!({
         "model": "oraculo",
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -182,6 +182,14 @@
         "repeats" => Command::Repeats {
             at_most: a.number("at_most")?.ok_or("at_most= is missing")?,
         },
+        "repeated" => Command::Repeated {
+            at_least: a.number("at_least")?.ok_or("at_least= is missing")?,
+            within_ms: within_ms(a)?,
+        },
+        "costs" => Command::Costs {
+            writes: a.number("writes")?.unwrap_or(u64::MAX),
+            reads: a.number("reads")?.unwrap_or(u64::MAX),
+        },
         "quiet" => Command::Quiet {
             after_ms: a.span_ms("after")?.unwrap_or(0),
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
@@ -202,6 +210,7 @@
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
             tokens: a.number("tokens")?.unwrap_or(20),
             marker: a.text("marker").unwrap_or_default(),
+            prompts: a.number("prompts")?,
         },
         "load_end" => Command::LoadEnd {
             name: a.word("a load")?,
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -92,6 +92,8 @@
             | Command::Cancel { .. } => self.run_job_command(command).await,
             Command::Runs { .. }
             | Command::Repeats { .. }
+            | Command::Repeated { .. }
+            | Command::Costs { .. }
             | Command::Quiet { .. }
             | Command::Idle { .. }
             | Command::Calls { .. } => self.run_count_command(command).await,
--- a/crates/scenario/src/runner/count.rs
+++ b/crates/scenario/src/runner/count.rs
@@ -2,6 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use standin::Remote;
+use tokio::time::Instant;
+
 use super::{Runner, pause_until};
 use crate::{
     command::Command,
@@ -29,6 +32,28 @@
                 }
                 Err(format!("{starts:?}, expected at most {at_most} repeated"))
             }
+            Command::Repeated {
+                at_least,
+                within_ms,
+            } => {
+                let started_at = Instant::now();
+                let deadline = within(within_ms);
+                while self.starts().await.repeated < at_least {
+                    pause_until(deadline, "too few prompts started again in time").await?;
+                }
+                println!("repeated after {} ms", started_at.elapsed().as_millis());
+                Ok(())
+            }
+            Command::Costs { writes, reads } => {
+                let platform = Remote::new(self.fleet.platform());
+                let counts = platform.counts().await;
+                let counts = counts.map_err(|error| error.to_string())?;
+                println!("{counts:?}");
+                if counts.table_writes <= writes && counts.table_reads <= reads {
+                    return Ok(());
+                }
+                Err(format!("{counts:?}"))
+            }
             Command::Quiet { after_ms, for_ms } => {
                 let engines: Vec<_> = self.fleet.engines().collect();
                 expect_no_start(&engines, after_ms, for_ms).await
--- a/crates/scenario/src/runner/traffic.rs
+++ b/crates/scenario/src/runner/traffic.rs
@@ -21,6 +21,7 @@
                 for_ms,
                 tokens,
                 marker,
+                prompts,
             } => {
                 let targets = instances.iter().map(|instance| self.load_target(instance));
                 let plan = LoadPlan {
@@ -31,6 +32,7 @@
                     for_ms,
                     tokens,
                     marker,
+                    prompts,
                 };
                 let load = load::start_load(self.caller.clone(), plan);
                 self.loads.insert(name, load);
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -49,9 +49,11 @@
     batch_killed_after_result_object
     batch_killed_before_commit
     batch_killed_during_result_object
+    batch_killed_twice
     batch_killed_while_items_run
     batch_paused_past_its_lease
     call_refused_while_platform_down
+    callers_share_a_prompt
     config_answer_lost
     config_with_platform_down_after_write
     control_paused_across_two_versions
@@ -61,13 +63,23 @@
     engine_leaving_with_list_late
     engine_leaving_with_platform_down
     entry_killed_after_dispatch
+    entry_restarted_during_outage
+    holder_paused_at_its_commit
+    instance_lost_after_acknowledgement
     job_cancelled_while_items_run
+    job_cancelled_with_commit_in_flight
+    job_costs_few_writes
     job_sent_to_two_entries
     operators_race
+    operators_race_with_answers_lost
     planned_stop_under_load
     planned_stop_with_platform_down
     platform_answers_lost
     platform_down_while_items_run
+    platform_limited_while_items_run
+    platform_slow_while_items_run
     rack_killed
+    second_signal_ends_at_once
+    service_breaks_connection
     standin_faults
 }
