--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod measure;
 mod oracle;
+pub mod overhead;
 mod plot;
 mod workload;
 mod world;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,18 +3,29 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
-use load::compare::{CompareOptions, compare, compare_options};
+use load::{
+    compare::{CompareOptions, compare, compare_options},
+    overhead::{
+        ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
+    },
+};
 
 /// What to measure.
 #[derive(Debug, Clone)]
 enum Command {
     /// Batch policies under one online load.
     Compare(CompareOptions),
+    /// What the entry adds to a direct connection.
+    Overhead(OverheadOptions),
+    /// A process that the measurement of overhead starts.
+    OverheadChild(ChildOptions),
 }
 
 fn main() -> ExitCode {
     let result = match options().run() {
         Command::Compare(options) => compare(&options),
+        Command::Overhead(options) => overhead(&options),
+        Command::OverheadChild(options) => run_child(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -31,7 +42,17 @@
         .to_options()
         .descr("Compare batch policies under one online load, in virtual time")
         .command("compare");
-    construct!([compare])
+    let overhead = overhead_options()
+        .map(Command::Overhead)
+        .to_options()
+        .descr("Measure what the entry adds to a direct connection to an engine")
+        .command("overhead");
+    let child = child_options()
+        .map(Command::OverheadChild)
+        .to_options()
+        .command("overhead-child")
+        .hide();
+    construct!([compare, overhead, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
