--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -74,6 +74,11 @@
             instance: a.word("an instance")?,
             within_ms: within_ms(a)?,
         },
+        "up" => Command::Up {
+            role: role(a)?,
+            instance: a.word("an instance")?,
+            within_ms: within_ms(a)?,
+        },
         "apply" => Command::Apply {
             instance: a.word("an instance")?,
             file: a.required("file")?,
@@ -101,6 +106,9 @@
             code: a.number("code")?.unwrap_or(0),
             within_ms: within_ms(a)?,
         },
+        "include" => Command::Include {
+            file: a.word("a file")?,
+        },
         "wait" => Command::Wait {
             span_ms: parse_span_ms(&a.word("a span of time")?)?,
         },
@@ -174,6 +182,14 @@
         "repeats" => Command::Repeats {
             at_most: a.number("at_most")?.ok_or("at_most= is missing")?,
         },
+        "repeated" => Command::Repeated {
+            at_least: a.number("at_least")?.ok_or("at_least= is missing")?,
+            within_ms: within_ms(a)?,
+        },
+        "costs" => Command::Costs {
+            writes: a.number("writes")?.unwrap_or(u64::MAX),
+            reads: a.number("reads")?.unwrap_or(u64::MAX),
+        },
         "quiet" => Command::Quiet {
             after_ms: a.span_ms("after")?.unwrap_or(0),
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
@@ -193,6 +209,8 @@
             rate_per_s: a.number("rate")?.ok_or("rate= is missing")?,
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
             tokens: a.number("tokens")?.unwrap_or(20),
+            marker: a.text("marker").unwrap_or_default(),
+            prompts: a.number("prompts")?,
         },
         "load_end" => Command::LoadEnd {
             name: a.word("a load")?,
@@ -215,6 +233,7 @@
             id: a.required("id")?,
             at_least: a.number("at_least")?.unwrap_or(0),
             at_most: a.number("at_most")?.unwrap_or(u32::MAX),
+            within_ms: within_ms(a)?,
         },
         _ => return Err(format!("unknown command {verb:?}")),
     })
