--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod codec;
 mod error;
+mod gap;
 mod message;
 mod server;
 mod view_watch;
@@ -16,7 +17,9 @@
     client::PeerClient,
     codec::{MESSAGE_MAX_BYTES, decode, encode},
     error::PeerError,
-    message::{PROTOCOL_VERSION, PeerRequest, PeerResponse},
+    message::{
+        ChatEnd, ChatNews, CoalesceRequest, NodeStatus, PROTOCOL_VERSION, PeerRequest, PeerResponse,
+    },
     server::{PeerHandler, serve},
     view_watch::ViewWatch,
 };
