--- /dev/null
+++ b/crates/batch/benches/jobs.rs
@@ -0,0 +1,275 @@
+//! Figures of batch jobs on stand-ins, one key=value line each:
+//! `cargo bench -p batch --bench jobs [-- accept|budget|kill|memory]`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{
+    env, fs,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use standin::{EngineParams, PlatformCounts};
+use support::{Client, Fleet, client::custom_ids, line};
+
+/// Items of the largest job.
+const LARGEST_ITEMS: usize = 160_000;
+/// Items of the job that measures the table budget.
+const BUDGET_ITEMS: usize = 18_000;
+/// Chunks that they make.
+const CHUNK_ITEMS: usize = 200;
+/// Items of the job whose holder is killed.
+const KILL_ITEMS: usize = 4_000;
+/// Length of a lease, milliseconds, as shipped.
+const LEASE_MS: u64 = 15_000;
+/// Time for which the largest job runs while memory is observed.
+const MEMORY_RUN: Duration = Duration::from_secs(25);
+/// Limit of one measurement.
+const LIMIT: Duration = Duration::from_mins(3);
+/// Time between two looks at a batch.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+const ENTRY_CHILD: &str = "entry-child";
+const BYTES_PER_KIB: u64 = 1_024;
+
+#[tokio::main]
+async fn main() {
+    let args: Vec<String> = env::args().skip(1).collect();
+    if args.first().is_some_and(|first| first == ENTRY_CHILD) {
+        return run_entry(&args[1], &args[2]).await;
+    }
+    let wanted = |name: &str| {
+        let named: Vec<_> = args.iter().filter(|arg| !arg.starts_with('-')).collect();
+        named.is_empty() || named.iter().any(|arg| *arg == name)
+    };
+    if wanted("accept") {
+        accept().await;
+    }
+    if wanted("budget") {
+        budget().await;
+    }
+    if wanted("kill") {
+        kill().await;
+    }
+    if wanted("memory") {
+        memory().await;
+    }
+}
+
+/// Time and memory of accepting the largest job, with the entry in a process
+/// of its own.
+async fn accept() {
+    let fleet = Fleet::start(0).await;
+    let entry = EntryChild::start(&fleet).await;
+    let client = Client::new(entry.address);
+    // The first upload opens connections and warms the allocator.
+    client.submit(&line("warm-up", "p", 1)).await;
+    let rest_bytes = memory_bytes(entry.child.id(), "VmRSS");
+    let began_at = Instant::now();
+    let file = client.upload_parts(parts(LARGEST_ITEMS, 2)).await;
+    let batch = client.create(&file.id(), &[]).await;
+    let took_ms = began_at.elapsed().as_millis();
+    let total = &batch.json()["request_counts"]["total"];
+    let peak_bytes = memory_bytes(entry.child.id(), "VmHWM");
+    println!(
+        "accept items={total} took_ms={took_ms} rest_bytes={rest_bytes} peak_bytes={peak_bytes} \
+         growth_bytes={}",
+        peak_bytes - rest_bytes
+    );
+}
+
+/// Table calls of a fleet at about 300 items a second.
+async fn budget() {
+    let fleet = Fleet::start_with(4, engine(25_000.0)).await;
+    let _batches: Vec<_> = (0..4)
+        .map(|index| fleet.batch_with(&format!("b-{index}"), LEASE_MS, &[]))
+        .collect();
+    let client = fleet.client();
+    let file = client.upload_parts(parts(BUDGET_ITEMS, 8)).await.id();
+    let before = counts(&fleet).await;
+    let id = client.create(&file, &[]).await.id();
+    let began_at = Instant::now();
+    let batch = ended(&client, &id).await;
+    let took = began_at.elapsed();
+    let after = counts(&fleet).await;
+    let writes = after.table_writes - before.table_writes;
+    // A fresh claim writes two rows, acceptance three and the end two.
+    let rows = writes + (BUDGET_ITEMS / CHUNK_ITEMS) as u64 + 3;
+    let reads = after.table_reads - before.table_reads;
+    println!(
+        "budget items={} took_ms={} items_per_s={:.0} transactions={writes} \
+         transactions_per_s={:.2} rows_written={rows} rows_per_s={:.2} \
+         rows_per_thousand_items={:.1} reads={reads} reads_per_thousand_items={:.1} \
+         object_writes={} object_reads={}",
+        batch["request_counts"]["completed"],
+        took.as_millis(),
+        per_s(BUDGET_ITEMS as u64, took),
+        per_s(writes, took),
+        per_s(rows, took),
+        per(rows * 1_000, BUDGET_ITEMS),
+        per(reads * 1_000, BUDGET_ITEMS),
+        after.object_writes - before.object_writes,
+        after.object_reads - before.object_reads,
+    );
+}
+
+/// Kills one of two holders and waits until its items run again.
+async fn kill() {
+    let fleet = Fleet::start_with(2, engine(25_000.0)).await;
+    let mut batches: Vec<_> = (0..2)
+        .map(|index| fleet.batch_with(&format!("b-{index}"), LEASE_MS, &[]))
+        .collect();
+    let client = fleet.client();
+    let file = client.upload_parts(parts(KILL_ITEMS, 8)).await.id();
+    let id = client.create(&file, &[]).await.id();
+    while fleet.starts().await < 1_000 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    batches[0].kill();
+    let killed_at = Instant::now();
+    let repeated = |runs: &[(String, u32)]| runs.iter().filter(|(_, runs)| *runs > 1).count();
+    while repeated(&fleet.prompt_runs().await) == 0 {
+        assert!(killed_at.elapsed() < LIMIT, "nothing ran again");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let again_ms = killed_at.elapsed().as_millis();
+    let batch = ended(&client, &id).await;
+    let ids = custom_ids(&client.results(&id, "output").await);
+    let mut unique = ids.clone();
+    unique.dedup();
+    let starts = fleet.starts().await;
+    let twice = u64::from(starts) - KILL_ITEMS as u64;
+    println!(
+        "kill items={KILL_ITEMS} completed={} lease_ms={LEASE_MS} again_after_ms={again_ms} \
+         lost={} doubled={} starts={starts} run_twice={twice} run_twice_share={:.4}",
+        batch["request_counts"]["completed"],
+        KILL_ITEMS - unique.len(),
+        ids.len() - unique.len(),
+        per(twice, KILL_ITEMS),
+    );
+}
+
+/// Memory of a batch process that works on the largest job.
+async fn memory() {
+    let fleet = Fleet::start_with(4, engine(1_000.0)).await;
+    let batch = fleet.batch_with("b-0", LEASE_MS, &[]);
+    let client = fleet.client();
+    let file = client.upload_parts(parts(LARGEST_ITEMS, 4)).await.id();
+    let id = client.create(&file, &[]).await.id();
+    tokio::time::sleep(MEMORY_RUN).await;
+    let peak_bytes = memory_bytes(batch.pid(), "VmHWM");
+    let done = client.batch(&id).await["request_counts"]["completed"].clone();
+    println!(
+        "memory job_items={LARGEST_ITEMS} ran_s={} committed={done} peak_bytes={peak_bytes}",
+        MEMORY_RUN.as_secs()
+    );
+    client.cancel(&id).await;
+}
+
+/// An entry in a process of its own, killed when dropped.
+struct EntryChild {
+    child: Child,
+    address: std::net::SocketAddr,
+}
+
+impl EntryChild {
+    async fn start(fleet: &Fleet) -> Self {
+        let port = std::net::TcpListener::bind("127.0.0.1:0")
+            .and_then(|listener| listener.local_addr())
+            .unwrap();
+        let child = Command::new(env::current_exe().unwrap())
+            .args([ENTRY_CHILD, &port.to_string()])
+            .arg(fleet.platform.address().to_string())
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        support::eventually(async || tokio::net::TcpStream::connect(port).await.ok()).await;
+        Self {
+            child,
+            address: port,
+        }
+    }
+}
+
+impl Drop for EntryChild {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn run_entry(listen: &str, platform: &str) {
+    let view = support::view(&[], None);
+    let view = tokio::sync::watch::Sender::new(std::sync::Arc::new(view));
+    let platform = platform.parse().unwrap();
+    support::serve_entry(listen, platform, view.subscribe()).await;
+}
+
+fn engine(base_us: f64) -> EngineParams {
+    EngineParams {
+        base_us,
+        ..EngineParams::default()
+    }
+}
+
+/// A file of `items` lines, made as it is sent.
+fn parts(items: usize, max_tokens: u32) -> impl Iterator<Item = Bytes> + Send + Sync + 'static {
+    (0..items.div_ceil(100)).map(move |part| {
+        let mut text = String::new();
+        for index in part * 100..items.min((part + 1) * 100) {
+            text.push_str(&line(
+                &format!("i{index}"),
+                &format!("p{index}"),
+                max_tokens,
+            ));
+            text.push('\n');
+        }
+        Bytes::from(text)
+    })
+}
+
+async fn counts(fleet: &Fleet) -> PlatformCounts {
+    fleet.platform_remote().counts().await.unwrap()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a measurement are far below 2^52"
+)]
+fn per(count: u64, unit: usize) -> f64 {
+    count as f64 / unit as f64
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a measurement are far below 2^52"
+)]
+fn per_s(count: u64, took: Duration) -> f64 {
+    count as f64 / took.as_secs_f64()
+}
+
+/// Waits for the end of a batch and rarely asks, since each look costs reads.
+async fn ended(client: &Client, id: &str) -> serde_json::Value {
+    let began_at = Instant::now();
+    loop {
+        let batch = client.batch(id).await;
+        if batch["status"] == "completed" {
+            return batch;
+        }
+        assert!(
+            began_at.elapsed() < LIMIT,
+            "the batch takes too long: {batch}"
+        );
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// A line of `/proc/PID/status`, bytes.
+fn memory_bytes(pid: u32, name: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with(name)).unwrap();
+    let kib: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kib * BYTES_PER_KIB
+}
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -45,7 +45,7 @@
     /// Looks for open jobs and claims work if there is room.
     pub(crate) fn look_for_work(&mut self, now_ms: u64) {
         let view = Arc::clone(&self.view.borrow());
-        let peers = windows::batch_peers(&view, &self.context.instance, None);
+        let peers = windows::batch_peers(&view, &self.context.instance);
         self.observe_rate(peers.len(), now_ms);
         if now_ms >= self.schedule.poll_at_ms && !self.schedule.is_polling {
             self.poll(peers.len(), now_ms);
--- a/crates/batch/src/windows.rs
+++ b/crates/batch/src/windows.rs
@@ -1,14 +1,14 @@
 //! The batch windows of the upstreams that this process owns.
 //!
-//! Each upstream has one owner among the batch processes of its region, by
-//! rendezvous hash. While two views differ an upstream may have two owners,
+//! Each upstream has one owner among the batch processes, by rendezvous hash. While two views differ an upstream may have two owners,
 //! which costs online latency for a moment and never correctness.
 
 use std::{net::SocketAddr, sync::Arc};
 
-use jobs::rendezvous_rank;
-use model::{InstanceId, InstanceRole, Liveness, Region, UpstreamEntry, UpstreamId, UpstreamKind};
-use model::{ModelName, View};
+use membership::batch_window_owner;
+use model::{
+    InstanceId, InstanceRole, Liveness, ModelName, UpstreamEntry, UpstreamId, UpstreamKind, View,
+};
 use peer::DispatchNotice;
 use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
 
@@ -41,15 +41,18 @@
 
     /// Takes a new view. Windows of upstreams that are no longer owned stay
     /// until their items have ended.
-    pub(crate) fn on_view(&mut self, view: &View, instance: &InstanceId, region: &Region) {
+    pub(crate) fn on_view(&mut self, view: &View, instance: &InstanceId) {
         for owned in &mut self.owned {
             owned.is_leaving = true;
         }
-        let peers = batch_peers(view, instance, Some(region));
-        for entry in &view.upstreams {
-            let is_usable = entry.region == *region && entry.liveness == Liveness::Live;
-            let key = format!("window/{}", entry.id);
-            if is_usable && rendezvous_rank(instance, &peers, &key) == 0 {
+        let live = view
+            .upstreams
+            .iter()
+            .filter(|entry| entry.liveness == Liveness::Live);
+        for entry in live {
+            // Entries send their notices to the owner by the same rule.
+            let owner = batch_window_owner(view, entry);
+            if owner.is_some_and(|owner| owner.id == *instance) {
                 self.own(entry);
             }
         }
@@ -168,16 +171,11 @@
 }
 
 /// Batch processes that take work, sorted, with this one among them.
-pub(crate) fn batch_peers(
-    view: &View,
-    instance: &InstanceId,
-    region: Option<&Region>,
-) -> Arc<[InstanceId]> {
-    let live = view.instances.iter().filter(|entry| {
-        entry.role == InstanceRole::Batch
-            && entry.liveness == Liveness::Live
-            && region.is_none_or(|region| entry.region == *region)
-    });
+pub(crate) fn batch_peers(view: &View, instance: &InstanceId) -> Arc<[InstanceId]> {
+    let live = view
+        .instances
+        .iter()
+        .filter(|entry| entry.role == InstanceRole::Batch && entry.liveness == Liveness::Live);
     let mut peers: Vec<_> = live.map(|entry| entry.id.clone()).collect();
     if let Err(index) = peers.binary_search(instance) {
         peers.insert(index, instance.clone());
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -156,8 +156,7 @@
     fn on_view(&mut self) {
         let view = Arc::clone(&self.view.borrow_and_update());
         let context = &self.context;
-        self.windows
-            .on_view(&view, &context.instance, &context.region);
+        self.windows.on_view(&view, &context.instance);
         let live = view
             .instances
             .iter()
--- a/crates/batch/tests/support/client.rs
+++ b/crates/batch/tests/support/client.rs
@@ -1,6 +1,6 @@
 //! A caller that speaks `OpenAI`'s form.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -12,7 +12,7 @@
 };
 use serde_json::{Value, json};
 
-use super::eventually;
+use super::{PATIENCE, eventually_within};
 
 const BOUNDARY: &str = "test-boundary";
 type Body = BoxBody<Bytes, Infallible>;
@@ -153,11 +153,16 @@
 
     /// Waits until a batch is completed.
     pub async fn completed(&self, id: &str) -> Value {
-        eventually(async || {
+        self.completed_within(id, PATIENCE).await
+    }
+
+    /// Waits until a batch is completed, at most for `patience`.
+    pub async fn completed_within(&self, id: &str, patience: Duration) -> Value {
+        let probe = async || {
             let batch = self.batch(id).await;
             (batch["status"] == "completed").then_some(batch)
-        })
-        .await
+        };
+        eventually_within(patience, probe).await
     }
 
     /// Lines of a result file: `output` or `errors`.
--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::{
     net::SocketAddr,
     process::{Child, Command, Stdio},
+    sync::Arc,
     time::Duration,
 };
 
@@ -27,6 +28,8 @@
     start_platform, start_service,
 };
 
+use tokio::sync::watch;
+
 pub use client::Client;
 use control::Control;
 
@@ -104,7 +107,7 @@
             };
             running.push(start_engine(settings).await.unwrap());
         }
-        let control = Control::start(view(&running, &service)).await;
+        let control = Control::start(view(&running, Some(&service))).await;
         let mut entries = Vec::new();
         for _ in 0..2 {
             entries.push(start_entry(platform.address(), &control).await);
@@ -234,18 +237,31 @@
 }
 
 async fn start_entry(platform: SocketAddr, control: &Control) -> SocketAddr {
-    let process = uuid::Uuid::new_v4().as_u64_pair().0;
-    let store = JobStore::new(Platform::new(platform), process);
-    let region = Region::new(REGION);
-    let api = JobApi::new(store, control.subscribe(), region, PeerClient::new());
-    let router = Router::new().push(Router::with_path("v1").push(api.router()));
     let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
     let address = acceptor.local_addr().unwrap();
-    tokio::spawn(Server::new(acceptor).serve(router));
+    let service = job_routes(platform, control.subscribe());
+    tokio::spawn(Server::new(acceptor).serve(service));
     address
 }
 
-fn view(engines: &[Standin], service: &Standin) -> View {
+/// Serves the job routes at `listen` until the process ends.
+pub async fn serve_entry(listen: &str, platform: SocketAddr, view: watch::Receiver<Arc<View>>) {
+    let acceptor = TcpListener::new(listen.to_owned()).bind().await;
+    Server::new(acceptor)
+        .serve(job_routes(platform, view))
+        .await;
+}
+
+fn job_routes(platform: SocketAddr, view: watch::Receiver<Arc<View>>) -> Router {
+    let process = uuid::Uuid::new_v4().as_u64_pair().0;
+    let store = JobStore::new(Platform::new(platform), process);
+    let region = Region::new(REGION);
+    let api = JobApi::new(store, view, region, PeerClient::new());
+    Router::new().push(Router::with_path("v1").push(api.router()))
+}
+
+/// A view of these upstreams, without instances.
+pub fn view(engines: &[Standin], service: Option<&Standin>) -> View {
     let mut config = parse_config(CONFIG).unwrap();
     config.version = 1;
     let engine_entries = engines.iter().enumerate().map(|(index, engine)| {
@@ -255,10 +271,12 @@
         upstream(&format!("engine-{index}"), engine.address(), kind)
     });
     let mut upstreams: Vec<_> = engine_entries.collect();
-    let kind = UpstreamKind::Service {
-        service: ServiceName::new("courts"),
-    };
-    upstreams.push(upstream("service-courts", service.address(), kind));
+    if let Some(service) = service {
+        let kind = UpstreamKind::Service {
+            service: ServiceName::new("courts"),
+        };
+        upstreams.push(upstream("service-courts", service.address(), kind));
+    }
     View {
         revision: 1,
         config,
@@ -280,6 +298,14 @@
 
 /// Polls `probe` until it gives a value.
 pub async fn eventually<T, F: Future<Output = Option<T>>>(probe: impl Fn() -> F) -> T {
+    eventually_within(PATIENCE, probe).await
+}
+
+/// Polls `probe` until it gives a value, at most for `patience`.
+pub async fn eventually_within<T, F: Future<Output = Option<T>>>(
+    patience: Duration,
+    probe: impl Fn() -> F,
+) -> T {
     let poll = async {
         loop {
             if let Some(value) = probe().await {
@@ -288,6 +314,6 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    let value = tokio::time::timeout(PATIENCE, poll).await;
+    let value = tokio::time::timeout(patience, poll).await;
     value.expect("nothing came of it in time")
 }
--- /dev/null
+++ b/crates/jobs/tests/choose.rs
@@ -0,0 +1,137 @@
+//! Which work a batch process takes next.
+
+use std::sync::Arc;
+
+use jobs::{
+    ActiveChunk, Chooser, ChunkName, Deferral, OpId, OpenJob, OpenRow, WorkKind, choose_work,
+    open_key,
+};
+use model::{CustomerId, InstanceId, JobId, Region};
+
+const HOUR_MS: u64 = 3_600_000;
+
+fn job(name: &str, customer: &str, deadline_ms: u64) -> OpenJob {
+    let id = JobId::new(name);
+    OpenJob {
+        key: open_key(&Region::new("r"), deadline_ms, &id),
+        version: 1,
+        row: OpenRow {
+            job: id,
+            job_version: 1,
+            customer: CustomerId::new(customer),
+            endpoint: String::new(),
+            input_file: Arc::from("f"),
+            models: Vec::new(),
+            items: 1_000,
+            chunks: 5,
+            cursor: 0,
+            active: Vec::new(),
+            created_at_ms: 0,
+            deadline_ms,
+            op: OpId::new(1),
+        },
+    }
+}
+
+fn with_active(mut job: OpenJob, lease_until_ms: u64) -> OpenJob {
+    job.row.cursor += 1;
+    job.row.active.push(ActiveChunk {
+        chunk: ChunkName::whole(0),
+        holder: Some(InstanceId::new("other")),
+        lease_until_ms,
+    });
+    job
+}
+
+fn choose(jobs: &[OpenJob], deferrals: &[Deferral], now_ms: u64) -> Option<(String, WorkKind)> {
+    let instance = InstanceId::new("me");
+    let chooser = Chooser {
+        instance: &instance,
+        peers: std::slice::from_ref(&instance),
+        deferrals,
+        runnable: &vec![true; jobs.len()],
+        has_room: true,
+        held: &[],
+        item_us: 1_000_000,
+        now_ms,
+    };
+    let work = choose_work(jobs, &chooser)?;
+    Some((jobs[work.job].row.job.to_string(), work.kind))
+}
+
+#[track_caller]
+fn check(jobs: &[OpenJob], now_ms: u64, expected: &str, kind: WorkKind) {
+    assert_eq!(choose(jobs, &[], now_ms), Some((expected.to_owned(), kind)));
+}
+
+#[test]
+fn choose_least_slack_first() {
+    let jobs = [job("late", "a", 9 * HOUR_MS), job("soon", "a", 5 * HOUR_MS)];
+    check(&jobs, 0, "soon", WorkKind::Fresh);
+}
+
+#[test]
+fn choose_at_risk_before_calm_of_idle_customer() {
+    let busy = with_active(job("risk", "busy", HOUR_MS / 5), HOUR_MS);
+    let jobs = [busy, job("calm", "idle", 9 * HOUR_MS)];
+    check(&jobs, 0, "risk", WorkKind::Fresh);
+}
+
+#[test]
+fn choose_customer_with_fewest_chunks_first() {
+    let busy = with_active(job("soon", "busy", 5 * HOUR_MS), HOUR_MS);
+    let jobs = [busy, job("late", "idle", 9 * HOUR_MS)];
+    check(&jobs, 0, "late", WorkKind::Fresh);
+}
+
+#[test]
+fn choose_lapsed_lease_before_fresh_chunks() {
+    let lapsed = with_active(job("lapsed", "a", 9 * HOUR_MS), 1_000);
+    let jobs = [job("fresh", "b", 5 * HOUR_MS), lapsed];
+    let kind = WorkKind::Takeover(ChunkName::whole(0));
+    check(&jobs, 2_000, "lapsed", kind);
+}
+
+#[test]
+fn choose_leaves_deferred_chunk_alone() {
+    let mut only = with_active(job("only", "a", 9 * HOUR_MS), 1_000);
+    only.row.cursor = only.row.chunks;
+    let deferral = Deferral {
+        job: only.row.job.clone(),
+        chunk: Some(ChunkName::whole(0)),
+        until_ms: 5_000,
+    };
+    assert_eq!(
+        choose(
+            std::slice::from_ref(&only),
+            std::slice::from_ref(&deferral),
+            2_000
+        ),
+        None
+    );
+    assert!(choose(&[only], &[deferral], 6_000).is_some());
+}
+
+#[test]
+fn choose_finish_once_every_chunk_is_done() {
+    let mut only = with_active(job("only", "a", 9 * HOUR_MS), 1_000);
+    only.row.cursor = only.row.chunks;
+    let done = Deferral {
+        job: only.row.job.clone(),
+        chunk: Some(ChunkName::whole(0)),
+        until_ms: u64::MAX,
+    };
+    let expected = Some(("only".to_owned(), WorkKind::Finish));
+    assert_eq!(choose(&[only], &[done], 2_000), expected);
+}
+
+#[test]
+fn watchers_of_a_lease_are_few() {
+    let peers: Vec<_> = (0..1_000)
+        .map(|index| InstanceId::from(format!("i{index:04}")))
+        .collect();
+    let watchers = peers
+        .iter()
+        .filter(|peer| jobs::is_watcher(peer, &peers, "chunk/x/000001"));
+    assert_eq!(watchers.count(), 3);
+}
--- /dev/null
+++ b/crates/jobs/tests/input.rs
@@ -0,0 +1,78 @@
+//! Cutting and checking of uploaded files.
+
+use jobs::{CHUNK_MAX_ITEMS, FileSummary, InputError, Segment, Splitter};
+use proptest::prelude::*;
+
+fn line(index: usize, padding: usize) -> String {
+    let padding = "x".repeat(padding);
+    format!(r#"{{"custom_id":"i{index}","body":{{"model":"m","padding":"{padding}"}}}}"#)
+}
+
+/// Splits `content`, pushed in pieces of `piece` bytes.
+fn split(content: &str, piece: usize) -> Result<(Vec<Segment>, FileSummary), InputError> {
+    let mut splitter = Splitter::new(7);
+    let mut segments = Vec::new();
+    for part in content.as_bytes().chunks(piece.max(1)) {
+        splitter.push(part)?;
+        segments.extend(splitter.take_segments());
+    }
+    let mut summary = splitter.finish()?;
+    segments.extend(summary.last.take());
+    Ok((segments, summary))
+}
+
+#[track_caller]
+fn check(content: &str, expected: &str) {
+    let error = split(content, 16).unwrap_err();
+    assert_eq!(error.to_string(), expected);
+}
+
+#[test]
+fn splitter_refuses_by_line() {
+    let (one, two) = (line(1, 0), line(2, 0));
+    check("", "the file holds no item");
+    check(" \n\n", "the file holds no item");
+    check(
+        &format!("{one}\n{two}\n{one}"),
+        "lines 1 and 3 have the same custom_id",
+    );
+    check(&format!("{one}\n{{}}"), "line 2: custom_id is missing");
+}
+
+#[test]
+fn splitter_bounds_chunks_and_segments() {
+    let lines: Vec<_> = (0..2_000).map(|index| line(index, 3_000)).collect();
+    let (segments, summary) = split(&lines.join("\n"), 65_536).unwrap();
+    assert_eq!(summary.items, 2_000);
+    assert!(segments.len() > 1);
+    for chunk in &summary.manifest.chunks {
+        assert!((1..=CHUNK_MAX_ITEMS).contains(&chunk.items));
+    }
+    let longest = segments.iter().map(|segment| segment.content.len()).max();
+    assert!(longest < Some(4 << 20));
+}
+
+proptest! {
+    #[test]
+    fn splitter_keeps_every_byte_and_item(
+        paddings in prop::collection::vec(0_usize..40_000, 1..150),
+        piece in 1_usize..70_000,
+        blank_lines in any::<bool>(),
+    ) {
+        let lines: Vec<_> = paddings.iter().enumerate().map(|(i, p)| line(i, *p)).collect();
+        let content = lines.join(if blank_lines { "\n\n" } else { "\n" });
+        let (segments, summary) = split(&content, piece).unwrap();
+        let whole: Vec<u8> = segments.iter().flat_map(|s| s.content.clone()).collect();
+        prop_assert!(whole == content.as_bytes());
+        let mut found = Vec::new();
+        for chunk in &summary.manifest.chunks {
+            let segment = &segments[chunk.segment as usize].content;
+            let bytes = &segment[chunk.start_byte as usize..chunk.end_byte as usize];
+            let text = std::str::from_utf8(bytes).unwrap();
+            let of_chunk: Vec<_> = text.lines().filter(|l| !l.is_empty()).map(str::to_owned).collect();
+            prop_assert_eq!(of_chunk.len(), chunk.items as usize);
+            found.extend(of_chunk);
+        }
+        prop_assert_eq!(found, lines);
+    }
+}
