--- a/crates/jobs/tests/input.rs
+++ b/crates/jobs/tests/input.rs
@@ -53,6 +53,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
     #[test]
     fn splitter_keeps_every_byte_and_item(
         paddings in prop::collection::vec(0_usize..40_000, 1..150),
