--- a/crates/batch/src/claims.rs
+++ b/crates/batch/src/claims.rs
@@ -26,10 +26,18 @@
 }
 
 /// Reads a page of the open jobs.
-pub(crate) async fn poll(context: &Context, after: Option<String>) -> Result<OpenPage, StoreError> {
-    let store = &context.store;
-    let (jobs, next) = store.open_jobs(&context.region, after.as_deref()).await?;
-    Ok(OpenPage { after, jobs, next })
+pub(crate) async fn poll(
+    context: &Context,
+    prefix: String,
+    after: Option<String>,
+) -> Result<OpenPage, StoreError> {
+    let (jobs, next) = context.store.open_jobs(&prefix, after.as_deref()).await?;
+    Ok(OpenPage {
+        prefix,
+        after,
+        jobs,
+        next,
+    })
 }
 
 /// Tries to claim work on a job.
--- a/crates/batch/src/context.rs
+++ b/crates/batch/src/context.rs
@@ -5,6 +5,7 @@
 use job_store::{JobStore, StoreError};
 use jobs::{ChunkName, ChunkSpan, Claimant, Manifest};
 use model::{InstanceId, Region};
+use peer::PeerClient;
 use upstream::UpstreamClient;
 
 /// Manifests kept in memory.
@@ -15,6 +16,9 @@
 pub(crate) struct Context {
     pub(crate) store: JobStore,
     pub(crate) upstreams: UpstreamClient,
+    pub(crate) peers: PeerClient,
+    /// Peer address of the control program on this instance.
+    pub(crate) control: Arc<str>,
     pub(crate) instance: InstanceId,
     pub(crate) region: Region,
     pub(crate) lease_ms: u64,
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -99,6 +99,10 @@
         stream: &mut ChatStream,
         generated: &mut Generated,
     ) -> Result<(), UpstreamError> {
+        if stream.is_leaving() {
+            // The worker may have ended.
+            let _ = self.events.send(Event::LeavingSeen(self.batch_item));
+        }
         let mut received = 0;
         while let Some(chunk) = stream.next().await? {
             if chunk.finish_reason.is_some() {
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -30,6 +30,8 @@
     },
     /// The first tokens of an item came, or some more.
     ItemProgressed(BatchItemId),
+    /// The engine that runs an item said that it is leaving.
+    LeavingSeen(BatchItemId),
     /// An attempt at an item ended.
     ItemEnded(ItemEnded),
     /// A write of a held chunk came to its outcome.
@@ -61,6 +63,8 @@
 /// A page of open jobs.
 #[derive(Debug)]
 pub(crate) struct OpenPage {
+    /// Prefix of the keys of the page.
+    pub(crate) prefix: String,
     /// Key that the page begins after.
     pub(crate) after: Option<String>,
     /// The jobs.
--- a/crates/batch/src/open_table.rs
+++ b/crates/batch/src/open_table.rs
@@ -19,7 +19,8 @@
     /// Replaces the jobs between the ends of a page.
     pub(crate) fn merge(&mut self, page: OpenPage) {
         let is_in_page = |key: &str| {
-            page.after.as_deref().is_none_or(|after| key > after)
+            key.starts_with(&page.prefix)
+                && page.after.as_deref().is_none_or(|after| key > after)
                 && page.next.as_deref().is_none_or(|next| key <= next)
         };
         let known = std::mem::take(&mut self.jobs);
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -63,13 +63,16 @@
             incarnation: 0,
         };
         let control = settings.control.to_string();
-        let view = ViewWatch::start(&control, own, PeerClient::new());
+        let peers = PeerClient::new();
+        let view = ViewWatch::start(&control, own, peers.clone());
         let pacer = Pacer::new(PacerSettings::default(), random());
         let platform = Platform::new(settings.platform).with_pacer(pacer);
         let store = JobStore::new(platform, random());
         let context = Context {
             store: store.clone(),
             upstreams: UpstreamClient::new(),
+            peers,
+            control: Arc::from(control),
             instance: settings.instance_id.clone(),
             region: settings.region.clone(),
             lease_ms: settings.lease_ms,
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -4,9 +4,10 @@
 
 use job_store::unix_ms;
 use jobs::{
-    Chooser, ChunkName, Deferral, ItemRequest, ItemStart, OpenJob, Work, WorkKind, choose_work,
+    ALL_OPEN_PREFIX, Chooser, ChunkName, Deferral, ItemRequest, ItemStart, OpenJob, Work, WorkKind,
+    choose_work, open_prefix, region_of_open_key,
 };
-use model::{InstanceId, JobId, ModelName, UpstreamKind};
+use model::{InstanceId, InstanceRole, JobId, Liveness, ModelName, UpstreamKind};
 use policy::{BatchItemId, Urgency};
 use tokio::sync::oneshot;
 
@@ -25,6 +26,9 @@
 const POLL_MIN_MS: u64 = 500;
 /// Longest time between two looks for jobs, milliseconds.
 const POLL_MAX_MS: u64 = 20_000;
+/// Looks of which one is at the open jobs of all regions, so that those of a
+/// region without batch processes are found.
+const POLLS_PER_GLOBAL: u64 = 8;
 /// Items that wait, per owned upstream, below which another chunk is claimed.
 const WAITING_PER_UPSTREAM: usize = 100;
 /// Most chunks held at once, for each owned upstream.
@@ -150,14 +154,18 @@
         self.schedule.poll_at_ms = now_ms + interval_ms;
         self.schedule.is_polling = true;
         self.schedule.polls += 1;
-        // Every other page begins with the most urgent jobs.
-        let after = if self.schedule.polls.is_multiple_of(2) {
-            self.schedule.next_page.take()
+        let context = self.context.clone();
+        let own = open_prefix(&context.region);
+        let (prefix, after) = if self.schedule.polls.is_multiple_of(POLLS_PER_GLOBAL) {
+            let after = self.schedule.next_global_page.take();
+            (ALL_OPEN_PREFIX.to_owned(), after)
+        } else if self.schedule.polls.is_multiple_of(2) {
+            (own, self.schedule.next_page.take())
         } else {
-            None
+            // Every other page begins with the most urgent jobs.
+            (own, None)
         };
-        let context = self.context.clone();
-        self.spawn(async move { Event::Polled(claims::poll(&context, after).await) });
+        self.spawn(async move { Event::Polled(claims::poll(&context, prefix, after).await) });
     }
 
     fn choose(&self, peers: &[InstanceId], now_ms: u64) -> Option<Work> {
@@ -211,7 +219,19 @@
 
     fn can_run(&self, job: &OpenJob) -> bool {
         let service = service_of(&job.row.endpoint);
-        self.windows.can_run(&job.row.models, service)
+        self.is_ours(job) && self.windows.can_run(&job.row.models, service)
+    }
+
+    /// Whether a job belongs to this region, or to one without a batch process.
+    fn is_ours(&self, job: &OpenJob) -> bool {
+        let region = region_of_open_key(&job.key).unwrap_or_default();
+        let view = self.view.borrow();
+        region == self.context.region.as_str()
+            || !view.instances.iter().any(|entry| {
+                entry.role == InstanceRole::Batch
+                    && entry.liveness == Liveness::Live
+                    && entry.region.as_str() == region
+            })
     }
 
     fn has_room(&self) -> bool {
--- a/crates/batch/src/windows.rs
+++ b/crates/batch/src/windows.rs
@@ -7,7 +7,8 @@
 
 use membership::batch_window_owner;
 use model::{
-    InstanceId, InstanceRole, Liveness, ModelName, UpstreamEntry, UpstreamId, UpstreamKind, View,
+    ErrorKind, InstanceId, InstanceRole, Liveness, ModelName, UpstreamEntry, UpstreamId,
+    UpstreamKind, View,
 };
 use peer::DispatchNotice;
 use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
@@ -15,6 +16,13 @@
 /// Calls in flight at a plain service.
 const SERVICE_CALLS_MAX: u32 = 4;
 
+/// Time for which an upstream that is leaving gets no work, microseconds. The
+/// view says so before it is over.
+const AVOID_LEAVING_US: u64 = 10_000_000;
+/// Time for which an upstream that could not be reached gets no work,
+/// microseconds.
+const AVOID_UNREACHABLE_US: u64 = 1_000_000;
+
 /// Windows of the owned upstreams, sorted by upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Windows {
@@ -31,6 +39,8 @@
     items: Vec<BatchItemId>,
     /// It takes no new work; its window ends with its last item.
     is_leaving: bool,
+    /// It refused work lately and gets none before this time.
+    avoid_until_us: u64,
 }
 
 impl Windows {
@@ -87,7 +97,7 @@
             plan.start_items = SERVICE_CALLS_MAX.saturating_sub(in_flight);
             plan.cancel.clear();
         }
-        if owned.is_leaving {
+        if owned.is_leaving || now_us < owned.avoid_until_us {
             plan.start_items = 0;
         }
         plan
@@ -118,6 +128,24 @@
         }
     }
 
+    /// Sends nothing for a while to the upstream of an item that did not run,
+    /// and returns what that tells of the upstream.
+    pub(crate) fn on_refused(
+        &mut self,
+        item: BatchItemId,
+        kind: ErrorKind,
+        now_us: u64,
+    ) -> Option<(UpstreamId, Liveness)> {
+        let (avoid_us, liveness) = match kind {
+            ErrorKind::UpstreamLeaving => (AVOID_LEAVING_US, Liveness::Leaving),
+            ErrorKind::ConnectRefused => (AVOID_UNREACHABLE_US, Liveness::Suspect),
+            _ => return None,
+        };
+        let owned = self.of_item(item)?;
+        owned.avoid_until_us = now_us + avoid_us;
+        Some((owned.upstream.clone(), liveness))
+    }
+
     pub(crate) fn on_notices(&mut self, notices: &[DispatchNotice], now_us: u64) {
         for notice in notices {
             let owned = self
@@ -158,6 +186,7 @@
                     window: BatchWindow::new(entry.id.clone()),
                     items: Vec::new(),
                     is_leaving: false,
+                    avoid_until_us: 0,
                 },
             ),
         }
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -3,8 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use job_store::{StoreError, unix_ms};
-use jobs::{ChunkName, Deferral, HeldChunk, Verdict};
-use model::{JobId, Liveness, View};
+use jobs::{ALL_OPEN_PREFIX, ChunkName, Deferral, HeldChunk, ItemEnd, Verdict};
+use membership::UpstreamEvidence;
+use model::{ErrorKind, JobId, Liveness, View};
+use peer::PeerRequest;
+use policy::BatchItemId;
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -25,6 +28,8 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time for which running items may go on after a planned stop began.
 const STOP_GRACE: Duration = Duration::from_secs(30);
+/// Time limit of telling the control program of an upstream.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before items are read again after a failure, milliseconds.
 pub(crate) const RELOAD_MS: u64 = 500;
 
@@ -53,8 +58,10 @@
     pub(crate) poll_at_ms: u64,
     pub(crate) is_polling: bool,
     pub(crate) polls: u64,
-    /// Key after which the next page begins.
+    /// Key after which the next page of the own region begins.
     pub(crate) next_page: Option<String>,
+    /// Key after which the next page of all regions begins.
+    pub(crate) next_global_page: Option<String>,
     pub(crate) is_claiming: bool,
     pub(crate) claim_at_ms: u64,
     /// Claims nothing until it holds nothing, to run a chunk alone.
@@ -172,6 +179,9 @@
             Event::Claimed { key, result } => self.on_claimed(&key, result, now_ms),
             Event::Loaded { held, result } => self.on_loaded(held, result, now_ms),
             Event::ItemProgressed(item) => self.windows.on_progress(item, self.now_us()),
+            Event::LeavingSeen(item) => {
+                self.report_refusal(item, ErrorKind::UpstreamLeaving, now_ms);
+            }
             Event::ItemEnded(ended) => self.on_item_ended(ended, now_ms),
             Event::Written {
                 held,
@@ -199,7 +209,11 @@
         self.schedule.is_polling = false;
         match result {
             Ok(page) => {
-                self.schedule.next_page.clone_from(&page.next);
+                if page.prefix == ALL_OPEN_PREFIX {
+                    self.schedule.next_global_page.clone_from(&page.next);
+                } else {
+                    self.schedule.next_page.clone_from(&page.next);
+                }
                 self.open.merge(page);
                 self.forget_old(now_ms);
             }
@@ -280,7 +294,31 @@
         }
     }
 
+    /// Avoids an upstream that refused an item and tells the control program.
+    fn report_refusal(&mut self, item: BatchItemId, kind: ErrorKind, now_ms: u64) {
+        let refused = self.windows.on_refused(item, kind, self.now_us());
+        let Some((id, liveness)) = refused else {
+            return;
+        };
+        let request = PeerRequest::Evidence(vec![UpstreamEvidence {
+            id,
+            liveness,
+            seen_at_ms: now_ms,
+        }]);
+        let context = self.context.clone();
+        tokio::spawn(async move {
+            let deadline = Instant::now() + EVIDENCE_TIMEOUT;
+            let call = context.peers.call(&context.control, &request, deadline);
+            if let Err(error) = call.await {
+                log::debug!("event=evidence_lost error={error:?}");
+            }
+        });
+    }
+
     fn on_item_ended(&mut self, ended: ItemEnded, now_ms: u64) {
+        if let ItemEnd::NotRun(kind) = &ended.end {
+            self.report_refusal(ended.batch_item, *kind, now_ms);
+        }
         self.windows.on_ended(ended.batch_item, self.now_us());
         self.schedule.ended_items += 1;
         let Some(held) = self.held.iter_mut().find(|held| held.id == ended.held) else {
--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use model::{Liveness, View};
 use serde_json::Value;
 use standin::{EngineParams, Fault, FaultKind, Remote};
 use support::{Client, Fleet, LEASE_MS, client::custom_ids, eventually, line, lines};
@@ -209,3 +210,33 @@
     check_each_once(&client, &id, 150).await;
     assert_eq!(fleet.starts().await, 150, "no item ran twice");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn job_of_a_region_without_batch_processes_is_taken_over() {
+    let fleet = Fleet::start(1).await;
+    let client = fleet.client();
+    let id = client.submit(&lines(10, 2)).await;
+    let _elsewhere = fleet.batch_in("alps", "b-1", LEASE_MS, &[]);
+    check_each_once(&client, &id, 10).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream_gets_no_new_items() {
+    let fleet = Fleet::start_with(2, slow_engine()).await;
+    let _batch = fleet.batch("b-1");
+    let client = fleet.client();
+    let id = client.submit(&lines(3_000, 8)).await;
+    eventually(async || (fleet.starts_at(0).await > 20).then_some(())).await;
+    // The engine itself would go on to take work.
+    let leave = |view: &mut View| view.upstreams[0].liveness = Liveness::Leaving;
+    fleet.control.change(leave);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (left, stayed) = (fleet.starts_at(0).await, fleet.starts_at(1).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.starts_at(0).await, left);
+    assert!(
+        fleet.starts_at(1).await > stayed,
+        "the other engine goes on"
+    );
+    client.cancel(&id).await;
+}
--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -138,6 +138,17 @@
 
     /// Starts a batch program with further flags.
     pub fn batch_with(&self, instance: &str, lease_ms: u64, flags: &[&str]) -> BatchProcess {
+        self.batch_in(REGION, instance, lease_ms, flags)
+    }
+
+    /// Starts a batch program in a region.
+    pub fn batch_in(
+        &self,
+        region: &str,
+        instance: &str,
+        lease_ms: u64,
+        flags: &[&str],
+    ) -> BatchProcess {
         let mut command = Command::new(env!("CARGO_BIN_EXE_redwingtack-batch"));
         command
             .args(["--peer-listen", "127.0.0.1:0"])
@@ -145,7 +156,7 @@
             .args(["--control", &self.control.address.to_string()])
             .args(["--platform", &self.platform.address().to_string()])
             .args(["--instance-id", instance])
-            .args(["--region", REGION])
+            .args(["--region", region])
             .args(["--failure-domain", "lima-a"])
             .args(["--lease-ms", &lease_ms.to_string()])
             .args(["--log-level", "info"])
@@ -170,6 +181,13 @@
         runs
     }
 
+    /// Number of starts at one engine.
+    pub async fn starts_at(&self, engine: usize) -> u32 {
+        let remote = Remote::new(self.engines[engine].address());
+        let counts = remote.runs().await.unwrap();
+        counts.prompts.iter().map(|count| count.runs).sum()
+    }
+
     /// Number of starts at the engines.
     pub async fn starts(&self) -> u32 {
         self.prompt_runs().await.iter().map(|(_, runs)| runs).sum()
--- a/crates/job_store/src/rows.rs
+++ b/crates/job_store/src/rows.rs
@@ -2,9 +2,9 @@
 
 use jobs::{
     ChunkName, ChunkRow, FileRow, JobRow, OpenJob, RowValue, chunk_key, chunk_prefix, file_key,
-    job_key, open_prefix,
+    job_key,
 };
-use model::{JobId, Region};
+use model::JobId;
 use platform::{Priority, Row, RowPage};
 
 use crate::{JobStore, StoreError};
@@ -83,20 +83,19 @@
         }
     }
 
-    /// Reads a page of the open jobs of a region by deadline, with the key to
-    /// go on after if more follow.
+    /// Reads a page of the open jobs whose keys begin with `prefix`, with the
+    /// key to go on after if more follow.
     ///
     /// # Errors
     ///
     /// Returns an error if the platform cannot be reached.
     pub async fn open_jobs(
         &self,
-        region: &Region,
+        prefix: &str,
         after: Option<&str>,
     ) -> Result<(Vec<OpenJob>, Option<String>), StoreError> {
-        let prefix = open_prefix(region);
         let page = self
-            .page(&prefix, after, OPEN_PAGE_ROWS, Priority::Poll)
+            .page(prefix, after, OPEN_PAGE_ROWS, Priority::Poll)
             .await?;
         let last = page.rows.last().map(|row| row.key.clone());
         let mut jobs = Vec::new();
--- a/crates/jobs/src/key.rs
+++ b/crates/jobs/src/key.rs
@@ -126,6 +126,15 @@
     format!("open/{region}/{deadline_ms:016}/{job}")
 }
 
+/// Prefix of the open jobs of all regions.
+pub const ALL_OPEN_PREFIX: &str = "open/";
+
+/// Region whose open jobs the row at `key` belongs to.
+#[must_use]
+pub fn region_of_open_key(key: &str) -> Option<&str> {
+    key.strip_prefix(ALL_OPEN_PREFIX)?.split('/').next()
+}
+
 /// Prefix of the open jobs of a region.
 #[must_use]
 pub fn open_prefix(region: &Region) -> String {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -34,8 +34,8 @@
         ITEMS_MAX, InputError, Manifest, Segment, Splitter,
     },
     key::{
-        ChunkName, chunk_key, chunk_prefix, file_key, job_key, listed_key, listed_prefix, open_key,
-        open_prefix,
+        ALL_OPEN_PREFIX, ChunkName, chunk_key, chunk_prefix, file_key, job_key, listed_key,
+        listed_prefix, open_key, open_prefix, region_of_open_key,
     },
     lease::{ChunkResult, HeldChunk, LEASE_MS, LeaseWrite, Progress, renewal_due_ms},
     record::{BadItem, ItemEnd, ItemRecord, ItemRequest, parse_request},
