entry, upstream: drop and count answers of other attempts and late ones

An engine names the attempt in its answer; an answer that names another one is dropped, counted as crossed, and the attempt fails as connection_lost. An attempt given up by its deadline is counted as late. A test keeps the callers' page in step with the table.

--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -215,7 +215,7 @@
         );
         self.ran = refusal::worse(self.ran, error.ran());
         self.excluded.push(ticket.upstream().clone());
-        ticket.fail(error.kind);
+        ticket.fail(error);
         if self.delivered.is_empty() && error.ran() != Ran::No {
             self.failed_runs += 1;
         }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -12,6 +12,7 @@
 };
 use policy::{AttemptId, CustomerLimits, RetryBudget, Route, RouteRequest, Router};
 use tokio::sync::Notify;
+use upstream::UpstreamError;
 
 use crate::{Refusal, clock, evidence::EvidenceLog, metrics::Metrics};
 
@@ -201,10 +202,16 @@
     }
 
     /// The attempt failed.
-    pub(crate) fn fail(mut self, kind: ErrorKind) {
+    pub(crate) fn fail(mut self, error: &UpstreamError) {
         self.is_over = true;
+        let kind = error.kind;
         let now_us = clock::now_us();
         let dispatcher = &self.dispatcher;
+        if error.crossed {
+            dispatcher.metrics.on_answer_dropped("crossed");
+        } else if kind == ErrorKind::DeadlineExceeded {
+            dispatcher.metrics.on_answer_dropped("late");
+        }
         dispatcher.metrics.on_attempt_failed(kind);
         dispatcher
             .policy()
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,7 @@
     attempts: Counter<u64>,
     attempt_failures: Counter<u64>,
     retries: Counter<u64>,
+    answers_dropped: Counter<u64>,
 }
 
 impl Metrics {
@@ -59,6 +60,10 @@
                 .u64_counter("redwingtack.upstream.retries")
                 .with_description("Retries, granted by the budget or not")
                 .build(),
+            answers_dropped: meter
+                .u64_counter("redwingtack.upstream.answers_dropped")
+                .with_description("Attempts whose answer is dropped: late or crossed")
+                .build(),
         }
     }
 
@@ -96,6 +101,12 @@
         self.attempt_failures.add(1, &labels);
     }
 
+    /// The answer of an attempt is dropped, should it still come.
+    pub(crate) fn on_answer_dropped(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.answers_dropped.add(1, &labels);
+    }
+
     /// A retry was asked of the budget.
     pub(crate) fn on_retry(&self, granted: bool) {
         self.retries.add(1, &[KeyValue::new("granted", granted)]);
--- a/crates/entry/src/service/flow.rs
+++ b/crates/entry/src/service/flow.rs
@@ -94,7 +94,7 @@
             );
             self.ran = refusal::worse(self.ran, error.ran());
             self.excluded.push(ticket.upstream().clone());
-            ticket.fail(error.kind);
+            ticket.fail(&error);
             let refusal = self.refusal(&error);
             if !self.may_retry(error.kind) {
                 return Err(refusal);
--- /dev/null
+++ b/crates/entry/tests/callers_page.rs
@@ -0,0 +1,31 @@
+//! The callers' page keeps step with the table of error kinds.
+
+use model::ErrorKind;
+
+const PAGE: &str = include_str!("../../../docs/callers.md");
+/// Kinds that no caller is answered.
+const UNSEEN: [ErrorKind; 4] = [
+    ErrorKind::ConfigConflict,
+    ErrorKind::PeerVersion,
+    ErrorKind::Cancelled,
+    ErrorKind::Stopping,
+];
+
+#[test]
+fn callers_page_has_every_code_with_its_status_and_ran() {
+    for kind in ErrorKind::ALL {
+        if UNSEEN.contains(&kind) {
+            continue;
+        }
+        let answer = kind.answer();
+        let code = format!("`{}`", answer.code);
+        let row = PAGE
+            .lines()
+            .find(|line| line.starts_with('|') && line.contains(&code));
+        let row = row.unwrap_or_else(|| panic!("{code} is missing"));
+        let status = answer.status.to_string();
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        assert!(cells[2].starts_with(&status), "{row}");
+        assert_eq!(cells[3], answer.ran.as_str(), "{row}");
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -368,6 +368,7 @@
 }
 
 fn event_stream(reader: Reader) -> Response<Body> {
+    let attempt_id = HeaderValue::from_str(&reader.answer.attempt_id);
     let events = futures::stream::unfold(reader, async |mut reader| {
         let event = reader.event().await?;
         Some((event, reader))
@@ -375,5 +376,8 @@
     let mut response = Response::new(server::streamed(events));
     let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    if let Ok(attempt_id) = attempt_id {
+        response.headers_mut().insert(headers::ATTEMPT, attempt_id);
+    }
     response
 }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -179,6 +179,9 @@
         if !response.status().is_success() && transport::is_refusal(&response) {
             return Err(transport::error_answer(response).await);
         }
+        if transport::is_crossed(response.headers(), attempt_id) {
+            return Err(transport::crossed());
+        }
         read_answer(response, deadline).await
     }
 
@@ -191,6 +194,9 @@
     ) -> Result<ChatStream, UpstreamError> {
         let mut guard = CancelGuard::new(self.clone(), address, attempt_id);
         match self.send_checked(request, deadline).await {
+            Ok(response) if transport::is_crossed(response.headers(), attempt_id) => {
+                Err(transport::crossed())
+            }
             Ok(response) => {
                 let leaving = transport::is_leaving(response.headers());
                 let stream = ChatStream::new(response.into_body(), guard, deadline);
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -17,6 +17,8 @@
     pub retry_after_s: Option<u32>,
     /// Whether the upstream said that it is leaving.
     pub leaving: bool,
+    /// Whether the answer belonged to another attempt and was dropped.
+    pub crossed: bool,
 }
 
 impl UpstreamError {
@@ -29,6 +31,7 @@
             status: None,
             retry_after_s: None,
             leaving: false,
+            crossed: false,
         }
     }
 
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -67,6 +67,22 @@
     headers.contains_key(headers::LEAVING)
 }
 
+/// Whether an answer names an attempt other than `attempt_id`. An answer that
+/// names none counts as the right one.
+pub(crate) fn is_crossed(answer: &HeaderMap, attempt_id: &str) -> bool {
+    let named = answer.get(headers::ATTEMPT);
+    named.is_some_and(|named| named.as_bytes() != attempt_id.as_bytes())
+}
+
+/// The error of a dropped answer. Whether the attempt itself ran is not known.
+pub(crate) fn crossed() -> UpstreamError {
+    let message = "the answer belongs to another attempt";
+    UpstreamError {
+        crossed: true,
+        ..UpstreamError::new(ErrorKind::ConnectionLost, message)
+    }
+}
+
 /// Turns an error answer into a typed error.
 pub(crate) async fn error_answer(response: Response<Incoming>) -> UpstreamError {
     let status = response.status();
