--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -39,6 +39,8 @@
     pub turns: u32,
     /// Streams open at once.
     pub streams: u32,
+    /// Worker threads of the entry; its own choice if absent.
+    pub entry_threads: Option<u32>,
 }
 
 /// Parser of the subcommand.
@@ -54,7 +56,15 @@
         .argument("N")
         .fallback(1_000)
         .display_fallback();
-    construct!(OverheadOptions { turns, streams })
+    let entry_threads = long("entry-threads")
+        .help("Worker threads of the entry, in place of its own choice")
+        .argument("N")
+        .optional();
+    construct!(OverheadOptions {
+        turns,
+        streams,
+        entry_threads,
+    })
 }
 
 /// The two ways to an engine.
@@ -82,20 +92,20 @@
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     runtime.block_on(async {
         for rate_per_s in RATES {
-            measure_rate(rate_per_s, options.turns).await?;
+            measure_rate(rate_per_s, options).await?;
         }
-        streams::measure(options.streams).await
+        streams::measure(options).await
     })
 }
 
-async fn measure_rate(rate_per_s: u32, turns: u32) -> Result<(), String> {
+async fn measure_rate(rate_per_s: u32, options: &OverheadOptions) -> Result<(), String> {
     let engine = Child::start_engine(EngineShape::Fast).await?;
-    let entry = Child::start_entry(engine.address()).await?;
+    let entry = Child::start_entry(engine.address(), options.entry_threads).await?;
     let client = LoadClient::new();
     let mut direct = Latencies::new()?;
     let mut routed = Latencies::new()?;
     let mut cpu_us = 0;
-    for turn in 0..=turns {
+    for turn in 0..=options.turns {
         let length_s = if turn == 0 { WARM_UP_S } else { TURN_S };
         let count = rate_per_s * u32::try_from(length_s).unwrap_or(1);
         let direct_turn = run_turn(&client, engine.address(), rate_per_s, count).await;
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -43,6 +43,8 @@
     step_us: Option<u32>,
     /// Engine of the entry.
     engine: Option<SocketAddr>,
+    /// Worker threads.
+    threads: Option<usize>,
 }
 
 /// A child process, killed when dropped.
@@ -57,7 +59,12 @@
 pub fn child_options() -> impl Parser<ChildOptions> {
     let step_us = long("step-us").argument("US").optional();
     let engine = long("engine").argument("IP:PORT").optional();
-    construct!(ChildOptions { step_us, engine })
+    let threads = long("threads").argument("N").optional();
+    construct!(ChildOptions {
+        step_us,
+        engine,
+        threads,
+    })
 }
 
 /// Runs an engine or an entry until killed; prints its address.
@@ -66,7 +73,12 @@
 ///
 /// Returns an error if it cannot start.
 pub fn run_child(options: &ChildOptions) -> Result<(), String> {
-    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.enable_all();
+    if let Some(threads) = options.threads {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder.build().map_err(|error| error.to_string())?;
     runtime.block_on(async {
         if let Some(step_us) = options.step_us {
             run_engine(step_us).await
@@ -90,12 +102,16 @@
     /// Starts a fake engine.
     pub async fn start_engine(shape: EngineShape) -> Result<Self, String> {
         let step_us = shape.step_us().to_string();
-        Self::start(&["--step-us", &step_us]).await
+        Self::start(&["--step-us".to_owned(), step_us]).await
     }
 
     /// Starts an entry that knows one engine.
-    pub async fn start_entry(engine: SocketAddr) -> Result<Self, String> {
-        Self::start(&["--engine", &engine.to_string()]).await
+    pub async fn start_entry(engine: SocketAddr, threads: Option<u32>) -> Result<Self, String> {
+        let mut arguments = vec!["--engine".to_owned(), engine.to_string()];
+        if let Some(threads) = threads {
+            arguments.extend(["--threads".to_owned(), threads.to_string()]);
+        }
+        Self::start(&arguments).await
     }
 
     /// Where it listens.
@@ -127,7 +143,7 @@
             .ok_or_else(|| "VmRSS is missing".to_owned())
     }
 
-    async fn start(arguments: &[&str]) -> Result<Self, String> {
+    async fn start(arguments: &[String]) -> Result<Self, String> {
         let program = env::current_exe().map_err(|error| error.to_string())?;
         let mut process = Command::new(program)
             .arg("overhead-child")
--- a/crates/load/src/overhead/streams.rs
+++ b/crates/load/src/overhead/streams.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    Path,
+    OverheadOptions, Path,
     child::{Child, EngineShape},
     client::LoadClient,
     histogram,
@@ -28,9 +28,10 @@
 }
 
 /// Opens the streams directly and then through an entry, and prints both.
-pub async fn measure(streams: u32) -> Result<(), String> {
+pub async fn measure(options: &OverheadOptions) -> Result<(), String> {
+    let streams = options.streams;
     let engine = Child::start_engine(EngineShape::Wide).await?;
-    let entry = Child::start_entry(engine.address()).await?;
+    let entry = Child::start_entry(engine.address(), options.entry_threads).await?;
     let rest_bytes = entry.rss_bytes()?;
     let direct = run(engine.address(), streams).await?;
     direct.print(streams, Path::Direct);
