--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -109,6 +109,11 @@
         self.lock().other_region_summaries().to_vec()
     }
 
+    /// Ticks once.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        self.update(Fleet::tick);
+    }
+
     /// Ticks for ever.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut interval = tokio::time::interval(TICK);
@@ -134,7 +139,7 @@
 
     pub(crate) fn adopt(self: &Arc<Self>, config: FleetConfig) {
         self.update(|fleet, now_ms| {
-            fleet.config_read(Some(Arc::new(config)));
+            fleet.config_read(Some(Arc::new(config)), now_ms);
             // The new version goes out at once and not with the next tick.
             fleet.tick(now_ms);
         });
@@ -233,7 +238,7 @@
         match config_store::read(&self.platform).await {
             Ok(current) => {
                 let config = current.map(|current| Arc::new(current.config));
-                self.update(|fleet, _| fleet.config_read(config));
+                self.update(|fleet, now_ms| fleet.config_read(config, now_ms));
             }
             Err(error) => {
                 log::warn!("event=config_unread error={}", process::quote(&error));
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -79,6 +79,12 @@
         instance: String,
         within_ms: u64,
     },
+    /// `up control|entry|batch INSTANCE [within=30s]` waits for `/healthz`.
+    Up {
+        role: Role,
+        instance: String,
+        within_ms: u64,
+    },
     /// `apply INSTANCE file=F [operator=O] [replaces=N] [expect=STATUS]` applies
     /// a configuration file that lies beside the scenario.
     Apply {
@@ -159,10 +165,16 @@
     Runs { at_least: u32, within_ms: u64 },
     /// `repeats at_most=N`: starts of prompts beyond the first, at all engines.
     Repeats { at_most: u32 },
+    /// `repeated at_least=N within=3s` waits for such starts.
+    Repeated { at_least: u32, within_ms: u64 },
+    /// `costs [writes=N] [reads=N]`: at most so many operations on the
+    /// platform's table since the start.
+    Costs { writes: u64, reads: u64 },
     /// `quiet for=2s [after=1s]`: no start at any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
-    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C]` sends streamed
-    /// chats in the background to the instances that are ready.
+    /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]
+    /// [prompts=N]` sends streamed chats in the background to the instances
+    /// that are ready; every N of them share a prompt.
     Load {
         name: String,
         instances: Vec<String>,
@@ -170,6 +182,8 @@
         rate_per_s: u32,
         for_ms: u64,
         tokens: u32,
+        marker: String,
+        prompts: Option<u64>,
     },
     /// `load_end NAME [cut=N] [failed=N] [refused=N] [within=30s]`: at most so
     /// many ended like this, every other got its own whole answer.
@@ -192,12 +206,14 @@
         ran: Option<String>,
         in_background: bool,
     },
-    /// `calls SERVICE id=ID at_most=N [at_least=N]`
+    /// `calls SERVICE id=ID [at_least=N] [at_most=N] [within=30s]` waits until
+    /// the call ran so often; more than `at_most` fails.
     Calls {
         service: String,
         id: String,
         at_least: u32,
         at_most: u32,
+        within_ms: u64,
     },
     /// `idle UPSTREAM for=2s [after=2s]`: no start at this engine.
     Idle {
@@ -207,6 +223,8 @@
     },
     /// `leaving UPSTREAM` makes an engine refuse new work.
     Leaving { upstream: String },
+    /// `include FILE` runs the commands of another file.
+    Include { file: String },
     /// `wait 3s`
     Wait { span_ms: u64 },
 }
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -33,6 +33,10 @@
     pub(crate) rate_per_s: u32,
     pub(crate) for_ms: u64,
     pub(crate) tokens: u32,
+    /// Text for the engine's stand-in in each prompt.
+    pub(crate) marker: String,
+    /// Number of different prompts; none makes each call's own.
+    pub(crate) prompts: Option<u64>,
 }
 
 /// An entry behind the balancer.
@@ -125,7 +129,7 @@
         while !sender.is_closed() {
             let mut ready = Vec::new();
             for target in targets.iter() {
-                if is_ready(&caller, target.admin).await {
+                if answers(&caller, target.admin, "/readyz").await {
                     ready.push(target.entry);
                 }
             }
@@ -136,9 +140,9 @@
     receiver
 }
 
-/// Whether a program takes new work.
-pub(crate) async fn is_ready(caller: &Caller, admin: SocketAddr) -> bool {
-    let reply = caller.send(Call::get(admin, "/readyz")).await;
+/// Whether a health check succeeds.
+pub(crate) async fn answers(caller: &Caller, admin: SocketAddr, path: &str) -> bool {
+    let reply = caller.send(Call::get(admin, path)).await;
     reply.is_ok_and(|reply| reply.status.is_success())
 }
 
@@ -151,7 +155,14 @@
     let Some(entry) = entry else {
         return CallEnd::Refused("no entry is ready".to_owned());
     };
-    let prompt = format!("[[tokens={}]] load {} {number}", plan.tokens, plan.name);
+    let LoadPlan {
+        name,
+        tokens,
+        marker,
+        ..
+    } = &plan;
+    let number = plan.prompts.map_or(number, |prompts| number % prompts);
+    let prompt = format!("{marker}[[tokens={tokens}]] load {name} {number}");
     let request = json!({
         "model": "oraculo",
         "messages": [{ "role": "user", "content": prompt }],
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -5,7 +5,7 @@
 mod job;
 mod traffic;
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use platform::InstanceListing;
 use standin::Remote;
@@ -18,6 +18,7 @@
     fleet::Fleet,
     jobs::Job,
     load::{self, LoadOutcome},
+    parser::parse_script,
     process::{ProcessTable, within},
 };
 
@@ -46,8 +47,9 @@
 
 struct Runner {
     folder: PathBuf,
-    fleet: Fleet,
+    // Dropped before the fleet, which holds the addresses that they listen at.
     processes: ProcessTable,
+    fleet: Fleet,
     caller: Caller,
     jobs: BTreeMap<String, Job>,
     loads: BTreeMap<String, JoinHandle<LoadOutcome>>,
@@ -74,6 +76,7 @@
             | Command::Publish { .. }
             | Command::Leaving { .. } => self.declare(command).await,
             Command::Start { .. }
+            | Command::Up { .. }
             | Command::Ready { .. }
             | Command::Signal { .. }
             | Command::Exited { .. } => self.run_process_command(command).await,
@@ -89,12 +92,15 @@
             | Command::Cancel { .. } => self.run_job_command(command).await,
             Command::Runs { .. }
             | Command::Repeats { .. }
+            | Command::Repeated { .. }
+            | Command::Costs { .. }
             | Command::Quiet { .. }
             | Command::Idle { .. }
             | Command::Calls { .. } => self.run_count_command(command).await,
             Command::Load { .. } | Command::LoadEnd { .. } | Command::Call { .. } => {
                 self.run_traffic_command(command).await
             }
+            Command::Include { file } => self.include(&file).await,
             Command::Wait { span_ms } => {
                 tokio::time::sleep(Duration::from_millis(span_ms)).await;
                 Ok(())
@@ -102,6 +108,18 @@
         }
     }
 
+    async fn include(&mut self, file: &str) -> Result<(), String> {
+        let path = self.folder.join(file);
+        let text = fs::read_to_string(&path).map_err(|error| format!("{file}: {error}"))?;
+        let script = parse_script(&text).map_err(|error| format!("{file}: {error}"))?;
+        for (line, command) in script.commands {
+            Box::pin(self.run(command))
+                .await
+                .map_err(|error| format!("{file}: line {line}: {error}"))?;
+        }
+        Ok(())
+    }
+
     async fn declare(&mut self, command: Command) -> Result<(), String> {
         match command {
             Command::Platform { lag_ms } => {
@@ -185,19 +203,16 @@
                 arguments.extend(flags.split_whitespace().map(str::to_owned));
                 self.processes.start(role, &instance, program, &arguments)
             }
+            Command::Up {
+                role,
+                instance,
+                within_ms,
+            } => self.wait_for(role, &instance, "/healthz", within_ms).await,
             Command::Ready {
                 role,
                 instance,
                 within_ms,
-            } => {
-                let admin = self.fleet.admin(role, &instance)?;
-                let deadline = within(within_ms);
-                while !load::is_ready(&self.caller, admin).await {
-                    self.processes.check_alive(role, &instance)?;
-                    pause_until(deadline, "not ready in time").await?;
-                }
-                Ok(())
-            }
+            } => self.wait_for(role, &instance, "/readyz", within_ms).await,
             Command::Signal { signal, role, name } => {
                 self.processes.signal(role, &name, signal)?;
                 if signal == ProcessSignal::Kill {
@@ -222,6 +237,23 @@
         }
     }
 
+    /// Waits until a health check of a program succeeds.
+    async fn wait_for(
+        &mut self,
+        role: Role,
+        instance: &str,
+        path: &str,
+        within_ms: u64,
+    ) -> Result<(), String> {
+        let admin = self.fleet.admin(role, instance)?;
+        let deadline = within(within_ms);
+        while !load::answers(&self.caller, admin, path).await {
+            self.processes.check_alive(role, instance)?;
+            pause_until(deadline, &format!("no success from {path} in time")).await?;
+        }
+        Ok(())
+    }
+
     async fn run_fault_command(&mut self, command: Command) -> Result<(), String> {
         match command {
             Command::Fault { target, fault } => {
