batch: end planned stops without the platform, keep calls known over a stop

Cause: a planned stop waited for the platform for ever, and items of a service that may not repeat which were announced but never sent ended as unknown after a planned stop. A first partial result could leave out records made while the chunk was read.

Change: after the last running item a planned stop tries 5 s to hand chunks back, then leaves the leases to lapse. A hand-back drops the announcements: nothing runs, and what ran has its record in the partial result, which now holds every record.

--- a/crates/batch/src/chunks.rs
+++ b/crates/batch/src/chunks.rs
@@ -138,6 +138,11 @@
         let held = &mut self.held[index];
         let row = &held.chunk.row;
         let progress = match &held.run {
+            // Nothing runs, and what ran has its record in the partial result.
+            Some(run) if lease_until_ms.is_none() => jobs::Progress {
+                intents: Vec::new(),
+                ..run.progress(row, intents)
+            },
             Some(run) => run.progress(row, intents),
             None => jobs::Progress {
                 attempts: row.attempts.clone(),
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -28,6 +28,9 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time for which running items may go on after a planned stop began.
 const STOP_GRACE: Duration = Duration::from_secs(30);
+/// Time after the last running item in which a planned stop tries to hand its
+/// chunks back; leases that could not be handed back lapse.
+const HAND_BACK_LIMIT: Duration = Duration::from_secs(5);
 /// Time limit of telling the control program of an upstream.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before items are read again after a failure, milliseconds.
@@ -50,6 +53,8 @@
     /// Committed chunks that the open rows may still list.
     pub(crate) done: Vec<(JobId, ChunkName)>,
     stop_by: Option<Instant>,
+    /// Latest end of a planned stop, once no item runs.
+    end_by: Option<Instant>,
 }
 
 /// When the worker looks for work next, and what it is looking for.
@@ -93,6 +98,7 @@
             started_at: Instant::now(),
             done: Vec::new(),
             stop_by: None,
+            end_by: None,
         }
     }
 
@@ -144,6 +150,10 @@
     }
 
     fn is_stopped(&self) -> bool {
+        if self.end_by.is_some_and(|end_by| Instant::now() >= end_by) {
+            log::warn!("event=leases_left chunks={}", self.held.len());
+            return true;
+        }
         self.is_stopping() && self.held.is_empty() && !self.schedule.is_claiming
     }
 
@@ -280,7 +290,6 @@
         held.is_loading = false;
         match result {
             Ok((run, line_bytes)) => {
-                held.recorded = run.records().count();
                 held.run = Some(run);
                 held.line_bytes = line_bytes;
             }
@@ -392,6 +401,9 @@
 
     /// Lets running items end, or takes them back once the grace is over.
     fn stop_items(&mut self) {
+        if self.end_by.is_none() && self.held.iter().all(|held| held.running.is_empty()) {
+            self.end_by = Some(Instant::now() + HAND_BACK_LIMIT);
+        }
         if self.stop_by.is_none_or(|stop_by| Instant::now() < stop_by) {
             return;
         }
