--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -16,6 +16,7 @@
 
 const PROGRAM: &str = "redwingtack dev";
 const PORT: u16 = 8080;
+const LOG_LEVEL: &str = "warn";
 
 /// Unchecked settings of `redwingtack dev`.
 #[derive(Debug, Clone)]
@@ -46,19 +47,15 @@
     let mut settings = Settings::new();
     let default = SocketAddr::from((Ipv4Addr::LOCALHOST, PORT));
     let listen = settings.or_default("listen", options.listen.as_deref(), default);
-    let problems = settings.into_problems();
-    if !problems.is_empty() {
-        process::exit_with_problems(PROGRAM, &problems);
-    }
-    let level = options.log_level.as_deref().unwrap_or("warn");
-    let _logs = process::init_logs(level).ok();
-    match serve(listen) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{PROGRAM}: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let level = options.log_level.as_deref().unwrap_or(LOG_LEVEL);
+    let level = process::check_log_level(&mut settings, Some(level));
+    let checked = settings.finish(Some((listen, level)));
+    process::run_program(
+        PROGRAM,
+        checked,
+        |settings| &settings.1,
+        |settings| serve(settings.0),
+    )
 }
 
 #[tokio::main]
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,35 +1,19 @@
 //! `redwingtack-entry`: the callers' API on one instance.
 
-use std::process::ExitCode;
+use std::{error::Error, process::ExitCode};
 
 use entry::{Entry, EntrySettings};
-use process::{AdminState, Shutdown};
 
 const PROGRAM: &str = "redwingtack-entry";
 
 fn main() -> ExitCode {
-    let options = entry::options().run();
-    let settings = match options.check() {
-        Ok(settings) => settings,
-        Err(problems) => process::exit_with_problems(PROGRAM, &problems),
-    };
-    let _logs = process::init_logs(&settings.log_level).ok();
-    match run(&settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=exit error={}", process::quote(&error));
-            ExitCode::FAILURE
-        }
-    }
+    let checked = entry::options().run().check();
+    process::run_program(PROGRAM, checked, |settings| &settings.log_level, run)
 }
 
 #[tokio::main]
-async fn run(settings: &EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
-    let admin = AdminState::new()?;
-    let shutdown = Shutdown::new();
-    let stopping = shutdown.clone();
-    tokio::spawn(async move { process::wait_for_signal(&stopping).await });
-    tokio::spawn(process::serve_admin(settings.admin_listen, admin.clone()));
+async fn run(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
+    let (admin, shutdown) = process::begin_program(settings.admin_listen)?;
     let entry = Entry::start(settings, admin, &shutdown).await?;
     log::info!(
         "event=listening program={PROGRAM} listen={} peer_listen={}",
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -57,6 +57,8 @@
         "soon",
         "--region",
         "",
+        "--log-level",
+        "info,x=loudly",
     ];
     let variables = [("REDWINGTACK_CONTROL", "nowhere")];
     let output = run(&arguments, &variables);
@@ -68,6 +70,7 @@
         "--admin-listen (REDWINGTACK_ADMIN_LISTEN): is required",
         "--control (REDWINGTACK_CONTROL): \"nowhere\"",
         "--platform (REDWINGTACK_PLATFORM): is required",
+        "--log-level (REDWINGTACK_LOG_LEVEL): \"info,x=loudly\"",
         "--instance-id (REDWINGTACK_INSTANCE_ID): is required",
         "--region (REDWINGTACK_REGION): must not be empty",
         "--failure-domain (REDWINGTACK_FAILURE_DOMAIN): is required",
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,12 +5,19 @@
 
 mod admin;
 mod event;
+mod node;
+mod program;
 mod settings;
 mod shutdown;
 
 pub use crate::{
     admin::{AdminState, serve_admin},
     event::{init_logs, quote},
+    node::{
+        HELP_FOOTER, NodeOptions, NodeSettings, check_log_level, control_option, log_level_option,
+        node_options,
+    },
+    program::{begin_program, run_program},
     settings::{SettingProblem, Settings, exit_with_problems},
     shutdown::{Shutdown, wait_for_signal},
 };
--- /dev/null
+++ b/crates/process/src/program.rs
@@ -0,0 +1,53 @@
+//! The frame of a program: settings, logs, signals and exit codes.
+
+use std::{error::Error, process::ExitCode};
+
+use crate::{AdminState, SettingProblem, Shutdown, exit_with_problems, init_logs, quote};
+
+/// Starts logging and calls `run`; the exit code tells whether it succeeded.
+/// Settings with problems end the process with code 2.
+pub fn run_program<S>(
+    program: &str,
+    checked: Result<S, Vec<SettingProblem>>,
+    log_level: fn(&S) -> &str,
+    run: fn(&S) -> Result<(), Box<dyn Error>>,
+) -> ExitCode {
+    let settings = match checked {
+        Ok(settings) => settings,
+        Err(problems) => exit_with_problems(program, &problems),
+    };
+    let _logs = match init_logs(log_level(&settings)) {
+        Ok(logs) => logs,
+        Err(error) => {
+            let problem = SettingProblem {
+                flag: "log-level",
+                message: error.to_string(),
+            };
+            exit_with_problems(program, &[problem])
+        }
+    };
+    match run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=exit program={program} error={}", quote(&error));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves the health endpoints at `admin_listen` and begins the returned
+/// shutdown at the first signal. Call within a runtime.
+///
+/// # Errors
+///
+/// Returns an error if the metrics exporter cannot be built.
+pub fn begin_program(
+    admin_listen: std::net::SocketAddr,
+) -> Result<(AdminState, Shutdown), Box<dyn Error>> {
+    let admin = AdminState::new()?;
+    let shutdown = Shutdown::new();
+    let stopping = shutdown.clone();
+    tokio::spawn(async move { crate::wait_for_signal(&stopping).await });
+    tokio::spawn(crate::serve_admin(admin_listen, admin.clone()));
+    Ok((admin, shutdown))
+}
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -59,6 +59,18 @@
         self.problems.push(SettingProblem { flag, message });
     }
 
+    /// The checked settings, if no problem was found.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems found.
+    pub fn finish<T>(self, checked: Option<T>) -> Result<T, Vec<SettingProblem>> {
+        match checked {
+            Some(checked) if self.problems.is_empty() => Ok(checked),
+            _ => Err(self.problems),
+        }
+    }
+
     /// The problems found, in the order of checking.
     #[must_use]
     pub fn into_problems(self) -> Vec<SettingProblem> {
