--- /dev/null
+++ b/crates/load/src/capacity.rs
@@ -0,0 +1,71 @@
+//! Slopes for the capacity page: what one node costs at several sizes of the
+//! fleet, with the real cores, codecs and connections.
+
+mod cluster;
+mod cost;
+mod live;
+mod view;
+mod wire;
+
+use bpaf::{Parser, construct, long};
+
+use self::wire::WireCost;
+
+/// Sizes of the fleet: nodes and upstreams, in the proportion of the design.
+const SIZES: [(usize, usize); 4] = [(140, 389), (350, 972), (700, 1_944), (1_400, 3_889)];
+/// The size of the design. It takes several GB and minutes.
+const FULL_SIZE: (usize, usize) = (3_600, 10_000);
+
+/// Options of `capacity`.
+#[derive(Debug, Clone)]
+pub struct CapacityOptions {
+    full: bool,
+    runs: u32,
+}
+
+/// Parser of the options.
+#[must_use]
+pub fn capacity_options() -> impl Parser<CapacityOptions> {
+    let full = long("full")
+        .help("Step 3,600 cores with 10,000 upstreams too")
+        .switch();
+    let runs = long("runs")
+        .help("Runs of each measurement; 3 unless set")
+        .argument("N")
+        .fallback(3);
+    construct!(CapacityOptions { full, runs })
+}
+
+/// Measures and prints one line of key=value pairs per figure.
+///
+/// # Errors
+///
+/// Returns a message if a measurement cannot be made.
+pub fn capacity(options: &CapacityOptions) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    let mut wire = WireCost::default();
+    for run in 0..options.runs {
+        wire = runtime.block_on(wire::measure())?;
+        println!(
+            "capacity part=wire run={run} overhead_bytes_per_frame={:.1} cpu_us_per_exchange={:.1}",
+            wire.overhead_bytes, wire.cpu_us
+        );
+    }
+    view::measure(options.runs)?;
+    for run in 0..options.runs {
+        runtime.block_on(live::measure(run))?;
+    }
+    for (nodes, upstreams) in SIZES {
+        for run in 0..options.runs {
+            cluster::measure(nodes, upstreams, run, wire)?;
+        }
+    }
+    if options.full {
+        cluster::measure(FULL_SIZE.0, FULL_SIZE.1, 0, wire)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/capacity/cluster.rs
@@ -0,0 +1,296 @@
+//! Bytes, processor time and memory of a node's core in a fleet of some size,
+//! and the times in which the fleet learns of things. Cores and codecs are the
+//! real ones, time and network are virtual.
+
+use membership::{
+    GossipFrame, UpstreamEvidence,
+    bench::{Cluster, Shape},
+};
+use model::{
+    Class, ClassName, ClassTarget, FleetConfig, Liveness, ModelDefaults, ModelName, UpstreamId,
+};
+use peer::{PeerRequest, decode, encode};
+
+use super::{
+    cost::{cpu_s, float, median_and_max, resident_bytes},
+    wire::WireCost,
+};
+
+const REGIONS: usize = 7;
+const DOMAINS: usize = 3;
+const SETTLE_MS: u64 = 30_000;
+const PHASE_MS: u64 = 60_000;
+const MS_PER_S: u64 = 1_000;
+/// Time between changes: 36,000 a day.
+const CHANGE_INTERVAL_MS: u64 = 2_400;
+/// Time between restarts of a node: 3,330 a day in the whole fleet.
+const RESTART_INTERVAL_MS: u64 = 26_000;
+/// Time between leavings of an upstream, in proportion to the nodes' restarts.
+const LEAVING_INTERVAL_MS: u64 = 9_300;
+const CLASSES: usize = 30;
+const MODELS: usize = 9;
+const KILLS: usize = 12;
+const PAUSE_MS: u64 = 100;
+const PAUSES: usize = 300;
+
+/// Measures one size and prints a line for each phase.
+///
+/// # Errors
+///
+/// Returns a message if the accounting cannot be read.
+pub fn measure(nodes: usize, upstreams: usize, run: u32, wire: WireCost) -> Result<(), String> {
+    let before_bytes = resident_bytes()?;
+    let shape = Shape {
+        nodes,
+        upstreams,
+        regions: REGIONS,
+        domains: DOMAINS,
+    };
+    let mut bench = Bench {
+        cluster: Cluster::new(shape).with_measure(coded_len),
+        shape,
+        wire,
+        version: 0,
+        label: format!("run={run} nodes={nodes} upstreams={upstreams}"),
+    };
+    bench.cluster.run(SETTLE_MS);
+    let grown_bytes = resident_bytes()?.saturating_sub(before_bytes);
+    println!(
+        "capacity part=memory {} core_bytes_per_node={}",
+        bench.label,
+        grown_bytes / u64::try_from(nodes).unwrap_or(1)
+    );
+    bench.change(0);
+    bench.phase("rest", Load::Rest)?;
+    bench.phase("changes", Load::Changes)?;
+    bench.phase("changes_and_churn", Load::ChangesAndChurn)?;
+    bench.detect_leaving();
+    bench.detect_deaths();
+    bench.count_false_suspicions();
+    Ok(())
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    Rest,
+    Changes,
+    ChangesAndChurn,
+}
+
+struct Bench {
+    cluster: Cluster,
+    shape: Shape,
+    wire: WireCost,
+    version: u64,
+    label: String,
+}
+
+impl Bench {
+    fn phase(&mut self, name: &str, load: Load) -> Result<(), String> {
+        self.cluster.reset_traffic();
+        let cpu_before_s = cpu_s()?;
+        let started_ms = self.cluster.now_ms();
+        let mut in_force_ms = Vec::new();
+        let mut next_change_ms = started_ms;
+        let mut next_restart_ms = started_ms + RESTART_INTERVAL_MS / 2;
+        let mut next_leaving_ms = started_ms + LEAVING_INTERVAL_MS / 2;
+        while self.cluster.now_ms() < started_ms + PHASE_MS {
+            let now_ms = self.cluster.now_ms();
+            if load != Load::Rest && now_ms >= next_change_ms {
+                next_change_ms += CHANGE_INTERVAL_MS;
+                in_force_ms.extend(self.change(usize::try_from(now_ms).unwrap_or(0)));
+            }
+            if load == Load::ChangesAndChurn && now_ms >= next_restart_ms {
+                next_restart_ms += RESTART_INTERVAL_MS;
+                let node = usize::try_from(now_ms / 7).unwrap_or(0) % self.shape.nodes;
+                self.cluster.kill(node);
+                self.cluster.start(node);
+            }
+            if load == Load::ChangesAndChurn && now_ms >= next_leaving_ms {
+                next_leaving_ms += LEAVING_INTERVAL_MS;
+                self.report_leaving(usize::try_from(now_ms / 11).unwrap_or(0));
+            }
+            self.cluster.run(100);
+        }
+        self.print_phase(name, cpu_s()? - cpu_before_s, in_force_ms);
+        Ok(())
+    }
+
+    fn print_phase(&self, name: &str, cpu_s: f64, in_force_ms: Vec<u64>) {
+        let seconds = float(PHASE_MS / MS_PER_S);
+        let node_seconds = seconds * float(u64::try_from(self.shape.nodes).unwrap_or(1));
+        let mut all_bytes = 0.0;
+        let mut most_bytes: f64 = 0.0;
+        let mut frames = 0;
+        for node in 0..self.shape.nodes {
+            let traffic = self.cluster.traffic(node);
+            let both = traffic.frames_sent + traffic.frames_received;
+            let bodies = float(traffic.bytes_sent + traffic.bytes_received);
+            let bytes = bodies + float(both) * self.wire.overhead_bytes;
+            all_bytes += bytes;
+            most_bytes = most_bytes.max(bytes);
+            frames += both;
+        }
+        // Each exchange has two frames, each of which is sent and received.
+        let exchanges_per_node_s = float(frames) / 4.0 / node_seconds;
+        let core_us = cpu_s * 1e6 / node_seconds;
+        let wire_us = exchanges_per_node_s * self.wire.cpu_us;
+        let (p50, max) = median_and_max(in_force_ms);
+        println!(
+            "capacity part=control phase={name} {} bytes_per_node_s={:.0} \
+             bytes_per_node_s_max={:.0} exchanges_per_node_s={exchanges_per_node_s:.2} \
+             core_and_codec_us_per_node_s={core_us:.0} wire_us_per_node_s={wire_us:.0} \
+             cpu_percent={:.3} platform_reads_per_s={:.1} in_force_ms_p50={p50} \
+             in_force_ms_max={max}",
+            self.label,
+            all_bytes / node_seconds,
+            most_bytes / seconds,
+            (core_us + wire_us) / 1e4,
+            float(self.cluster.platform_reads()) / seconds,
+        );
+    }
+
+    /// Applies a configuration and returns the time until all nodes have it,
+    /// or nothing if that took longer than the time between changes.
+    fn change(&mut self, origin: usize) -> Option<u64> {
+        self.version += 1;
+        let version = self.version;
+        let origin = origin % self.shape.nodes;
+        self.cluster.apply(origin, config(version));
+        self.cluster.run_until(CHANGE_INTERVAL_MS - 100, |cluster| {
+            let mut fleets = cluster.fleets();
+            fleets.all(|(_, fleet)| fleet.config().version >= version)
+        })
+    }
+
+    fn report_leaving(&mut self, number: usize) -> UpstreamId {
+        let id = UpstreamId::from(format!("engine-{:06}", number % self.shape.upstreams));
+        let evidence = UpstreamEvidence {
+            id: id.clone(),
+            liveness: Liveness::Leaving,
+            seen_at_ms: self.cluster.now_ms(),
+        };
+        let node = number % self.shape.nodes;
+        self.cluster.with_fleet(node, |fleet, now_ms| {
+            fleet.evidence(&[evidence], now_ms);
+            fleet.tick(now_ms);
+        });
+        id
+    }
+
+    fn detect_leaving(&mut self) {
+        let mut times_ms = Vec::new();
+        let mut missed = 0;
+        for number in 0..KILLS {
+            let id = self.report_leaving(number * 13 + 5);
+            let known = self.cluster.run_until(10_000, |cluster| {
+                let mut fleets = cluster.fleets();
+                fleets.all(|(_, fleet)| fleet.upstream_liveness(&id) == Some(Liveness::Leaving))
+            });
+            match known {
+                Some(took) => times_ms.push(took),
+                None => missed += 1,
+            }
+        }
+        let (p50, max) = median_and_max(times_ms);
+        println!(
+            "capacity part=leaving {} cases={KILLS} known_everywhere_ms_p50={p50} \
+             known_everywhere_ms_max={max} missed={missed}",
+            self.label
+        );
+    }
+
+    fn detect_deaths(&mut self) {
+        let mut suspected_ms = Vec::new();
+        let mut dead_ms = Vec::new();
+        let mut missed = 0;
+        for number in 0..KILLS {
+            let victim = (number * 29 + 3) % self.shape.nodes;
+            let id = self
+                .cluster
+                .fleet(victim)
+                .map(|fleet| fleet.own().id.clone());
+            let Some(id) = id else { continue };
+            self.cluster.kill(victim);
+            let region = victim % REGIONS;
+            let worst = |cluster: &Cluster, below: Liveness| {
+                let neighbors = cluster
+                    .fleets()
+                    .filter(|(index, _)| index % REGIONS == region);
+                let mut rumors = neighbors.flat_map(|(_, fleet)| fleet.region_nodes());
+                !rumors.any(|rumor| rumor.id == id && rumor.liveness < below)
+            };
+            let began_ms = self.cluster.now_ms();
+            let is_suspect = |cluster: &Cluster| worst(cluster, Liveness::Suspect);
+            let is_dead = |cluster: &Cluster| worst(cluster, Liveness::Dead);
+            let suspect = self.cluster.run_until(15_000, is_suspect);
+            suspected_ms.extend(suspect);
+            match self.cluster.run_until(15_000, is_dead) {
+                Some(_) => dead_ms.push(self.cluster.now_ms() - began_ms),
+                None => missed += 1,
+            }
+            self.cluster.start(victim);
+            self.cluster.run(10_000);
+        }
+        let (suspect_p50, suspect_max) = median_and_max(suspected_ms);
+        let (dead_p50, dead_max) = median_and_max(dead_ms);
+        println!(
+            "capacity part=death {} cases={KILLS} suspected_by_all_ms_p50={suspect_p50} \
+             suspected_by_all_ms_max={suspect_max} dead_for_all_ms_p50={dead_p50} \
+             dead_for_all_ms_max={dead_max} missed={missed}",
+            self.label
+        );
+    }
+
+    fn count_false_suspicions(&mut self) {
+        let mut false_suspicions = 0;
+        for number in 0..PAUSES {
+            self.cluster.pause(number * 31 % self.shape.nodes, PAUSE_MS);
+            self.cluster.run(PAUSE_MS);
+            let fleets = self.cluster.fleets();
+            false_suspicions += fleets
+                .flat_map(|(_, fleet)| fleet.region_nodes())
+                .filter(|rumor| rumor.liveness == Liveness::Suspect)
+                .count();
+        }
+        println!(
+            "capacity part=pauses {} pauses={PAUSES} pause_ms={PAUSE_MS} \
+             false_suspicions={false_suspicions}",
+            self.label
+        );
+    }
+}
+
+/// Codes a frame as the peer protocol does and gives its length. It is decoded
+/// again so that the processor time covers both ends.
+fn coded_len(frame: &GossipFrame) -> u64 {
+    let Ok(body) = encode(&PeerRequest::Gossip(frame.clone())) else {
+        return 0;
+    };
+    let decoded: Result<PeerRequest, _> = decode(&body);
+    assert!(decoded.is_ok(), "a frame that was coded can be decoded");
+    u64::try_from(body.len()).unwrap_or(0)
+}
+
+/// A configuration of a large site.
+fn config(version: u64) -> FleetConfig {
+    let class = |number: usize| Class {
+        name: ClassName::from(format!("class-of-work-{number:03}")),
+        target: ClassTarget::Online {
+            first_token_ms: 430,
+            between_tokens_ms: 64,
+            percent: 95,
+        },
+        customer_requests_per_s: Some(50),
+    };
+    let model = |number: usize| ModelDefaults {
+        model: ModelName::from(format!("model-{number}")),
+        online_class: Some(ClassName::from(format!("class-of-work-{number:03}"))),
+        batch_class: None,
+    };
+    FleetConfig {
+        version,
+        classes: (0..CLASSES).map(class).collect(),
+        models: (0..MODELS).map(model).collect(),
+    }
+}
--- /dev/null
+++ b/crates/load/src/capacity/live.rs
@@ -0,0 +1,190 @@
+//! Real control programs over the stand-in platform in one process: time until
+//! a configuration is in force, and processor time at rest.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use control::{Control, ControlSettings};
+use model::{FailureDomain, FleetConfig, InstanceId, Liveness, Region, View, ViewRevision};
+use peer::{PeerClient, PeerRequest, PeerResponse};
+use platform::{InstanceListing, ListedInstance, ListedRole, Mutation, Platform, TransactRequest};
+use process::{AdminState, Shutdown};
+use standin::{PlatformSettings, Remote, Standin, start_platform};
+use tokio::{task::JoinSet, time::Instant};
+
+use super::cost::{cpu_s, median_and_max, resident_bytes};
+
+/// Sizes: entry instances of today's sites, and more.
+const SIZES: [u32; 2] = [11, 33];
+const REGIONS: [&str; 3] = ["bern", "freiburg", "seeland"];
+const CHANGES: u64 = 20;
+const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+const REST: Duration = Duration::from_secs(10);
+const LONG: Duration = Duration::from_secs(30);
+
+/// Prints the times and costs of each size.
+///
+/// # Errors
+///
+/// Returns a message if a program cannot be started.
+pub async fn measure(run: u32) -> Result<(), String> {
+    for size in SIZES {
+        let running = Site::start(size).await?;
+        let before_s = cpu_s()?;
+        tokio::time::sleep(REST).await;
+        let rest_percent = (cpu_s()? - before_s) / REST.as_secs_f64() * 100.0;
+        let in_force_ms = running.apply_changes().await?;
+        let cases = in_force_ms.len();
+        let (p50, max) = median_and_max(in_force_ms);
+        println!(
+            "capacity part=live run={run} nodes={size} cpu_percent_per_node_at_rest={:.3} \
+             resident_bytes_of_all={} changes={cases} in_force_ms_p50={p50} in_force_ms_max={max}",
+            rest_percent / f64::from(size),
+            resident_bytes()?
+        );
+        running.stop().await;
+    }
+    Ok(())
+}
+
+struct Site {
+    platform: Standin,
+    peers: Vec<SocketAddr>,
+    shutdown: Shutdown,
+    programs: JoinSet<()>,
+}
+
+impl Site {
+    async fn start(size: u32) -> Result<Self, String> {
+        let platform = start_platform(PlatformSettings::default())
+            .await
+            .map_err(|error| error.to_string())?;
+        let mut site = Self {
+            platform,
+            peers: Vec::new(),
+            shutdown: Shutdown::new(),
+            programs: JoinSet::new(),
+        };
+        let mut instances = Vec::new();
+        for index in 0..size {
+            let listed = site.start_node(index).await?;
+            instances.push(listed);
+        }
+        let remote = Remote::new(site.platform.address());
+        remote
+            .set_instances(&InstanceListing { instances })
+            .await
+            .map_err(|error| error.to_string())?;
+        for peer in site.peers.clone() {
+            let expected = usize::try_from(size).unwrap_or(0);
+            wait_for(peer, |view| live(view) == expected).await?;
+        }
+        Ok(site)
+    }
+
+    async fn start_node(&mut self, index: u32) -> Result<ListedInstance, String> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let region = REGIONS[usize::try_from(index).unwrap_or(0) % REGIONS.len()];
+        let id = format!("instance-{index:03}");
+        let settings = ControlSettings {
+            listen: any,
+            peer_listen: any,
+            admin_listen: any,
+            platform: self.platform.address(),
+            seeds: Vec::new(),
+            instance_id: InstanceId::new(&id),
+            region: Region::new(region),
+            failure_domain: FailureDomain::new(region),
+            log_level: "info".to_owned(),
+        };
+        let control = Control::start(&settings, AdminState::default())
+            .await
+            .map_err(|error| error.to_string())?;
+        let peer = control.peer_address();
+        let shutdown = self.shutdown.clone();
+        self.peers.push(peer);
+        self.programs
+            .spawn(async move { control.run_until(&shutdown).await });
+        Ok(ListedInstance {
+            id,
+            role: ListedRole::Node,
+            address: peer.to_string(),
+            region: Region::new(region),
+            failure_domain: FailureDomain::new(region),
+            state: Liveness::Live,
+        })
+    }
+
+    /// Writes versions into the table, so that each spreads from the node that
+    /// happens to read it, and takes the time until the last node has it.
+    async fn apply_changes(&self) -> Result<Vec<u64>, String> {
+        let platform = Platform::new(self.platform.address());
+        let mut times_ms = Vec::new();
+        for version in 1..=CHANGES {
+            tokio::time::sleep(CHANGE_PAUSE).await;
+            let started = Instant::now();
+            commit(&platform, version).await?;
+            let mut waits = JoinSet::new();
+            for peer in self.peers.clone() {
+                waits.spawn(wait_for(peer, move |view| view.config.version >= version));
+            }
+            while let Some(joined) = waits.join_next().await {
+                joined.map_err(|error| error.to_string())??;
+            }
+            times_ms.push(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+        }
+        Ok(times_ms)
+    }
+
+    async fn stop(mut self) {
+        self.shutdown.begin();
+        while self.programs.join_next().await.is_some() {}
+    }
+}
+
+async fn commit(platform: &Platform, version: u64) -> Result<(), String> {
+    let config = FleetConfig {
+        version,
+        ..FleetConfig::default()
+    };
+    let value = serde_json::to_string(&config).map_err(|error| error.to_string())?;
+    let request = TransactRequest {
+        conditions: Vec::new(),
+        mutations: vec![Mutation::Put {
+            key: "config/current".to_owned(),
+            value,
+        }],
+    };
+    let outcome = platform.transact(&request).await;
+    outcome.map(|_| ()).map_err(|error| error.to_string())
+}
+
+async fn wait_for(
+    peer: SocketAddr,
+    condition: impl Fn(&View) -> bool + Send,
+) -> Result<(), String> {
+    let client = PeerClient::new();
+    let address: Arc<str> = Arc::from(peer.to_string());
+    let give_up_at = Instant::now() + LONG;
+    let mut revision: ViewRevision = 0;
+    while Instant::now() < give_up_at {
+        let request = PeerRequest::ViewSince {
+            revision,
+            wait_ms: 1_000,
+        };
+        let answer = client.call(&address, &request, Instant::now() + LONG).await;
+        if let Ok(PeerResponse::View(view)) = answer {
+            if condition(&view) {
+                return Ok(());
+            }
+            revision = view.revision;
+        }
+    }
+    Err(format!("{peer} has not reached the condition"))
+}
+
+fn live(view: &View) -> usize {
+    let entries = view.instances.iter();
+    entries
+        .filter(|entry| entry.liveness == Liveness::Live)
+        .count()
+}
--- /dev/null
+++ b/crates/load/src/capacity/view.rs
@@ -0,0 +1,99 @@
+//! What the view and the choice of an upstream cost the programs beside a
+//! control program.
+
+use std::hint::black_box;
+
+use membership::bench::{Cluster, Shape};
+use model::{InstanceId, ModelName, Region, View};
+use peer::{PeerResponse, decode, encode};
+use policy::{Destination, RouteRequest, Router};
+
+use super::cost::{cpu_s, float};
+
+/// Upstreams in the fleet.
+const SIZES: [usize; 4] = [280, 1_400, 5_000, 10_000];
+const ROUTES: u64 = 20_000;
+const CODINGS: u64 = 100;
+const US_PER_S: f64 = 1_000_000.0;
+
+/// Prints size and processor time of a view, and the time of a route, at
+/// several numbers of upstreams.
+///
+/// # Errors
+///
+/// Returns a message if a message cannot be coded or the time be read.
+pub fn measure(runs: u32) -> Result<(), String> {
+    for upstreams in SIZES {
+        let view = view(upstreams);
+        for run in 0..runs {
+            let (bytes, coding_us) = code(&view)?;
+            let (rebuild_us, route_us) = route(&view)?;
+            println!(
+                "capacity part=view run={run} fleet_upstreams={upstreams} view_upstreams={} \
+                 view_instances={} view_bytes={bytes} encode_and_decode_us={coding_us:.0} \
+                 router_rebuild_us={rebuild_us:.0} route_us={route_us:.2}",
+                view.upstreams.len(),
+                view.instances.len()
+            );
+        }
+    }
+    Ok(())
+}
+
+/// The view of one node in a fleet of the design's proportions.
+fn view(upstreams: usize) -> View {
+    let mut cluster = Cluster::new(Shape {
+        nodes: 70,
+        upstreams,
+        regions: 7,
+        domains: 3,
+    });
+    cluster.run(10_000);
+    cluster
+        .fleet(0)
+        .map(|fleet| fleet.view(cluster.now_ms()))
+        .unwrap_or_default()
+}
+
+fn code(view: &View) -> Result<(usize, f64), String> {
+    let message = PeerResponse::View(Box::new(view.clone()));
+    let mut bytes = 0;
+    let started_s = cpu_s()?;
+    for _ in 0..CODINGS {
+        let body = encode(&message).map_err(|error| error.to_string())?;
+        let decoded: PeerResponse = decode(&body).map_err(|error| error.to_string())?;
+        bytes = body.len();
+        black_box(decoded);
+    }
+    Ok((bytes, (cpu_s()? - started_s) * US_PER_S / float(CODINGS)))
+}
+
+fn route(view: &View) -> Result<(f64, f64), String> {
+    let mut router = Router::new(InstanceId::new("instance"), Region::new("region-0"), 1);
+    let started_s = cpu_s()?;
+    for _ in 0..CODINGS {
+        router.set_view(view);
+    }
+    let rebuild_us = (cpu_s()? - started_s) * US_PER_S / float(CODINGS);
+    let started_s = cpu_s()?;
+    for number in 0..ROUTES {
+        let now_us = number * 100;
+        let request = RouteRequest {
+            destination: Destination::Model(ModelName::from(format!("model-{}", number % 9))),
+            prompt_tokens: 300,
+            prefix_hashes: (0..18).map(|block| number % 50 * 100 + block).collect(),
+            first_token_deadline_us: now_us + 430_000,
+            excluded: Vec::new(),
+            link_bytes: 2_000,
+        };
+        if let Ok(route) = router.route(&request, now_us) {
+            router.on_sent(route.attempt, now_us);
+            router.on_first_token(route.attempt, now_us + 50);
+            router.on_ended(route.attempt, now_us + 60);
+        }
+    }
+    Ok((
+        rebuild_us,
+        (cpu_s()? - started_s) * US_PER_S / float(ROUTES),
+    ))
+}
--- /dev/null
+++ b/crates/load/src/capacity/wire.rs
@@ -0,0 +1,141 @@
+//! What an exchange costs beside its message: bytes of h2 around it and
+//! processor time of both ends.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use model::JobId;
+use peer::{PeerClient, PeerHandler, PeerRequest, PeerResponse, encode, serve};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::Instant,
+};
+
+use super::cost::{cpu_s, float};
+
+const EXCHANGES: u64 = 20_000;
+/// Exchanges that warm the header tables of h2.
+const WARM_UP: u64 = 100;
+const US_PER_S: f64 = 1_000_000.0;
+/// Headers of IP (20 bytes) and TCP with time stamps (32 bytes) of a segment.
+/// They are counted and not measured, as is an acknowledgement per exchange.
+const SEGMENT_HEADER_BYTES: f64 = 52.0;
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Costs around a message.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WireCost {
+    /// Bytes beside the message, for each of the two frames of an exchange.
+    pub overhead_bytes: f64,
+    /// Processor time of caller and callee together, microseconds.
+    pub cpu_us: f64,
+}
+
+struct Acknowledge;
+
+impl PeerHandler for Acknowledge {
+    async fn handle(&self, _: PeerRequest) -> PeerResponse {
+        PeerResponse::Ack
+    }
+}
+
+/// Measures both.
+///
+/// # Errors
+///
+/// Returns a message if a connection fails.
+pub async fn measure() -> Result<WireCost, String> {
+    let server = start_server().await?;
+    let bytes = Arc::new(AtomicU64::new(0));
+    let proxy = start_proxy(server, Arc::clone(&bytes)).await?;
+    let request = PeerRequest::CancelJob(JobId::new("job"));
+    let body_bytes = encoded_len(&request)? + encoded_len(&PeerResponse::Ack)?;
+    let client = PeerClient::new();
+    exchange(&client, proxy, &request, WARM_UP).await?;
+    let before = bytes.load(Ordering::SeqCst);
+    exchange(&client, proxy, &request, EXCHANGES).await?;
+    let on_wire = float(bytes.load(Ordering::SeqCst) - before) / float(EXCHANGES);
+    let overhead = (on_wire - float(body_bytes)) / 2.0;
+    exchange(&client, server, &request, WARM_UP).await?;
+    let started_s = cpu_s()?;
+    exchange(&client, server, &request, EXCHANGES).await?;
+    let cpu_us = (cpu_s()? - started_s) * US_PER_S / float(EXCHANGES);
+    Ok(WireCost {
+        // Two segments and half an acknowledgement for each frame.
+        overhead_bytes: overhead + SEGMENT_HEADER_BYTES * 1.5,
+        cpu_us,
+    })
+}
+
+async fn exchange(
+    client: &PeerClient,
+    address: SocketAddr,
+    request: &PeerRequest,
+    count: u64,
+) -> Result<(), String> {
+    let address = address.to_string();
+    for _ in 0..count {
+        let deadline = Instant::now() + DEADLINE;
+        let answer = client.call(&address, request, deadline).await;
+        answer.map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
+async fn start_server() -> Result<SocketAddr, String> {
+    let listener = bind().await?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    let handler = Arc::new(Acknowledge);
+    tokio::spawn(serve(listener, handler, std::future::pending()));
+    Ok(address)
+}
+
+/// Passes one connection on and counts its bytes in both directions.
+async fn start_proxy(server: SocketAddr, bytes: Arc<AtomicU64>) -> Result<SocketAddr, String> {
+    let listener = bind().await?;
+    let address = listener.local_addr().map_err(|error| error.to_string())?;
+    tokio::spawn(async move {
+        let Ok((near, _)) = listener.accept().await else {
+            return;
+        };
+        let Ok(far) = TcpStream::connect(server).await else {
+            return;
+        };
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        tokio::spawn(copy(near_in, far_out, Arc::clone(&bytes)));
+        copy(far_in, near_out, bytes).await;
+    });
+    Ok(address)
+}
+
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, bytes: Arc<AtomicU64>) {
+    let mut buffer = vec![0; 16 * 1_024];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+        bytes.fetch_add(u64::try_from(count).unwrap_or(0), Ordering::SeqCst);
+    }
+}
+
+async fn bind() -> Result<TcpListener, String> {
+    TcpListener::bind("127.0.0.1:0")
+        .await
+        .map_err(|error| error.to_string())
+}
+
+fn encoded_len(message: &impl serde::Serialize) -> Result<u64, String> {
+    let body = encode(message).map_err(|error| error.to_string())?;
+    u64::try_from(body.len()).map_err(|error| error.to_string())
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate exists so that figures in the docs come from commands that can
 //! be run again. It is not shipped.
 
+pub mod capacity;
 pub mod compare;
 mod driver;
 mod fleet;
--- a/crates/membership/src/bench.rs
+++ b/crates/membership/src/bench.rs
@@ -29,6 +29,8 @@
 pub struct Traffic {
     /// Questions and answers sent.
     pub frames_sent: u64,
+    /// Questions and answers received.
+    pub frames_received: u64,
     /// Bytes sent, as the cluster's measure counts them.
     pub bytes_sent: u64,
     /// Bytes received.
@@ -443,7 +445,9 @@
         let sender = &mut self.nodes[from].traffic;
         sender.frames_sent += 1;
         sender.bytes_sent += bytes;
-        self.nodes[to].traffic.bytes_received += bytes;
+        let receiver = &mut self.nodes[to].traffic;
+        receiver.frames_received += 1;
+        receiver.bytes_received += bytes;
     }
 
     fn is_cut(&self, a: usize, b: usize) -> bool {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,6 @@
 //! The view that the programs beside a control program get.
 
-use model::{InstanceEntry, InstanceRole, Liveness, UpstreamEntry, View};
+use model::{InstanceEntry, InstanceRole, Liveness, UpstreamEntry, UpstreamId, View};
 
 use crate::{
     NodeRumor, RegionSummary, UpstreamRumor, fleet::Fleet, rendezvous_weight,
@@ -60,6 +60,12 @@
         self.regions.rows()
     }
 
+    /// Liveness of an upstream, whether or not it is part of the view.
+    #[must_use]
+    pub fn upstream_liveness(&self, id: &UpstreamId) -> Option<Liveness> {
+        self.upstreams.find(id).map(|row| row.entry.liveness)
+    }
+
     fn upstream_entries(&self, now_ms: u64) -> Vec<UpstreamEntry> {
         let mut chosen: Vec<&UpstreamRumor> = Vec::new();
         let mut remote: Vec<&UpstreamRumor> = Vec::new();
