control: orders to engines by one fenced issuer per region

Cause: a configured model that no engine has, or whose engines are too busy for its class's target, needs somebody to load it, and only one at a time. The lease row is won by compare-and-set; nobody compares clocks: the holder counts from before its write, a challenger from when it first saw the row, and it waits out the longest flight of an order besides, for engines that ignore fencing numbers. Desired state follows from configured models, their targets and the engines' reports; each region's issuer starts at most one order per 5 s and region, which is how the weight store's rate is shared. Ruled out: settling an unknown lease write by reading back (a lapse costs 15 s of issuing and nothing else). Two views that name two issuers cost the loser nothing but reads: issuer_two_views_name_two_issuers_and_one_gets_the_lease.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod config_store;
 mod listing;
 mod node;
+mod orders;
 mod peer_service;
 mod server;
 mod settings;
@@ -17,6 +18,9 @@
 pub use crate::{
     config_status::{ConfigStatus, NodeConfig},
     config_store::{AuditOutcome, AuditRecord, FleetSummary},
+    orders::{
+        EngineState, Issuer, IssuerTimes, LeaseRow, Permission, TableOp, WriteOutcome, plan_order,
+    },
     server::{Control, StartError},
     settings::{ControlOptions, ControlSettings, options},
 };
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,11 +9,14 @@
 use membership::{
     Action, Fleet, GossipFrame, NodeRumor, Program, Question, RegionSummary, UpstreamEvidence,
 };
-use model::{FleetConfig, InstanceEntry, InstanceRole, Liveness, View};
+use model::{FleetConfig, InstanceEntry, InstanceRole, Liveness, ModelName, UpstreamId, View};
 use peer::{NodeStatus, PeerClient, PeerRequest, PeerResponse};
 use platform::Platform;
 use process::AdminState;
-use tokio::{sync::watch, time::MissedTickBehavior};
+use tokio::{
+    sync::watch,
+    time::{Instant, MissedTickBehavior},
+};
 
 use crate::{ControlSettings, clock::Clock, config_store, listing::convert_listing};
 
@@ -80,6 +83,11 @@
         self.clock.now_ms()
     }
 
+    /// The moment at which the core's clock shows `at_ms`.
+    pub(crate) fn instant(&self, at_ms: u64) -> Instant {
+        self.clock.instant(at_ms)
+    }
+
     pub(crate) fn published(&self) -> watch::Receiver<Published> {
         self.view.subscribe()
     }
@@ -165,6 +173,10 @@
         });
     }
 
+    pub(crate) fn models_reported(self: &Arc<Self>, id: &UpstreamId, models: Vec<ModelName>) {
+        self.update(|fleet, now_ms| fleet.models_reported(id, models, now_ms));
+    }
+
     /// Gives the core an event, starts what it asks for and publishes the view
     /// if it changed.
     fn update<T>(self: &Arc<Self>, event: impl FnOnce(&mut Fleet, u64) -> T) -> T {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -10,7 +10,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{ControlSettings, api, node::Node, peer_service::PeerService};
+use crate::{ControlSettings, api, node::Node, orders::Orders, peer_service::PeerService};
 
 /// A running control program.
 pub struct Control {
@@ -51,6 +51,7 @@
         let node = Arc::new(Node::new(settings, peer_address, admin.clone()));
         let mut background = JoinSet::new();
         background.spawn(Arc::clone(&node).run());
+        background.spawn(Orders::new(settings, &node).run());
         let service = Arc::new(PeerService::new(Arc::clone(&node)));
         background.spawn(peer::serve(peers, service, std::future::pending()));
         let acceptor = TcpAcceptor::try_from(operators).map_err(|source| StartError::Listen {
--- a/crates/control/tests/fleet/main.rs
+++ b/crates/control/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod config;
 mod membership;
+mod orders;
 mod support;
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -58,7 +58,7 @@
         let platform = start_platform(PlatformSettings::default())
             .await
             .map_err(|error| error.to_string())?;
-        let mut site = Self {
+        let mut started = Self {
             platform,
             peers: Vec::new(),
             shutdown: Shutdown::new(),
@@ -66,19 +66,19 @@
         };
         let mut instances = Vec::new();
         for index in 0..size {
-            let listed = site.start_node(index).await?;
+            let listed = started.start_node(index).await?;
             instances.push(listed);
         }
-        let remote = Remote::new(site.platform.address());
+        let remote = Remote::new(started.platform.address());
         remote
             .set_instances(&InstanceListing { instances })
             .await
             .map_err(|error| error.to_string())?;
-        for peer in site.peers.clone() {
+        for peer in started.peers.clone() {
             let expected = usize::try_from(size).unwrap_or(0);
             wait_for(peer, |view| live(view) == expected).await?;
         }
-        Ok(site)
+        Ok(started)
     }
 
     async fn start_node(&mut self, index: u32) -> Result<ListedInstance, String> {
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -25,11 +25,11 @@
     owner_in_region(view, InstanceRole::Entry, region, key)
 }
 
-/// The control program that should issue orders to engines. A fenced lease in
-/// the table decides; this only keeps most candidates from trying.
+/// The control program that should issue orders to the engines of `region`. A
+/// fenced lease in the table decides; this only keeps the others from trying.
 #[must_use]
-pub fn order_issuer(view: &View) -> Option<&InstanceEntry> {
-    owner(view, InstanceRole::Control, "orders")
+pub fn order_issuer<'a>(view: &'a View, region: &Region) -> Option<&'a InstanceEntry> {
+    owner_in_region(view, InstanceRole::Control, region, "orders")
 }
 
 /// Weight of `candidate` for `key`; the highest weight owns the key.
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -91,5 +91,5 @@
         key_home(&view, &region, "customer/7").expect("home").id,
         home
     );
-    assert!(order_issuer(&view).is_some());
+    assert!(order_issuer(&view, &region).is_some_and(|entry| entry.region == region));
 }
