--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -6,6 +6,9 @@
 use load::{
     capacity::{CapacityOptions, capacity, capacity_options},
     compare::{CompareOptions, compare, compare_options},
+    overhead::{
+        ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
+    },
 };
 
 /// What to measure.
@@ -15,12 +18,18 @@
     Capacity(CapacityOptions),
     /// Batch policies under one online load.
     Compare(CompareOptions),
+    /// What the entry adds to a direct connection.
+    Overhead(OverheadOptions),
+    /// A process that the measurement of overhead starts.
+    OverheadChild(ChildOptions),
 }
 
 fn main() -> ExitCode {
     let result = match options().run() {
         Command::Capacity(options) => capacity(&options),
         Command::Compare(options) => compare(&options),
+        Command::Overhead(options) => overhead(&options),
+        Command::OverheadChild(options) => run_child(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -42,7 +51,17 @@
         .to_options()
         .descr("Measure what a node costs at several sizes of the fleet")
         .command("capacity");
-    construct!([capacity, compare])
+    let overhead = overhead_options()
+        .map(Command::Overhead)
+        .to_options()
+        .descr("Measure what the entry adds to a direct connection to an engine")
+        .command("overhead");
+    let child = child_options()
+        .map(Command::OverheadChild)
+        .to_options()
+        .command("overhead-child")
+        .hide();
+    construct!([capacity, compare, overhead, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
--- a/crates/scenario/src/runner/traffic.rs
+++ b/crates/scenario/src/runner/traffic.rs
@@ -20,6 +20,8 @@
                 rate_per_s,
                 for_ms,
                 tokens,
+                marker,
+                prompts,
             } => {
                 let targets = instances.iter().map(|instance| self.load_target(instance));
                 let plan = LoadPlan {
@@ -29,6 +31,8 @@
                     rate_per_s,
                     for_ms,
                     tokens,
+                    marker,
+                    prompts,
                 };
                 let load = load::start_load(self.caller.clone(), plan);
                 self.loads.insert(name, load);
