scenario: results must never change, refused requests count, versions must not go back

Cause: three checks could not fail: a late commit that replaces a result with an equal one, requests sent to a leaving engine that it refuses, and a version that goes back after it was seen. Change: result files must stay the same bytes (each completion carries its time), engines count what they refuse, a new command watches versions.

--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -107,6 +107,12 @@
         instances: Vec<String>,
         within_ms: u64,
     },
+    /// `keeps VERSION at=A,B for=3s`: no lower version shows in this time.
+    Keeps {
+        version: u64,
+        instances: Vec<String>,
+        for_ms: u64,
+    },
     /// `kill|stop|pause|wake control|entry|batch|upstream NAME`
     Signal {
         signal: ProcessSignal,
@@ -170,7 +176,7 @@
     /// `costs [writes=N] [reads=N]`: at most so many operations on the
     /// platform's table since the start.
     Costs { writes: u64, reads: u64 },
-    /// `quiet for=2s [after=1s]`: no start at any engine in this time.
+    /// `quiet for=2s [after=1s]`: no request reaches any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
     /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]
     /// [prompts=N]` sends streamed chats in the background to the instances
@@ -215,7 +221,7 @@
         at_most: u32,
         within_ms: u64,
     },
-    /// `idle UPSTREAM for=2s [after=2s]`: no start at this engine.
+    /// `idle UPSTREAM for=2s [after=2s]`: no request reaches this engine.
     Idle {
         upstream: String,
         after_ms: u64,
--- a/crates/scenario/src/jobs.rs
+++ b/crates/scenario/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use serde_json::{Value, json};
 use standin::answer_tokens;
 use tokio::time::Instant;
@@ -29,6 +30,8 @@
     pub(crate) items: JobItems,
     /// Id that the service gave, once known.
     pub(crate) id: String,
+    /// Result files as they were read first; they must never change.
+    pub(crate) files: Vec<Bytes>,
 }
 
 /// How one item must end.
@@ -167,21 +170,30 @@
     }
 }
 
-/// Checks that each item has one result, the right one.
+/// Checks that each item has one result, the right one, and that the result
+/// files are the same as at the check before.
 pub(crate) async fn check_results(
     caller: &Caller,
-    job: &Job,
+    job: &mut Job,
     entry: SocketAddr,
     completed: usize,
     failed: usize,
 ) -> Result<(), String> {
     let batch = read_batch(caller, job, entry).await?;
+    let mut files = Vec::new();
     let mut results = Vec::new();
-    for file in ["output_file_id", "error_file_id"] {
-        if let Some(id) = batch[file].as_str() {
-            read_results(caller, job, entry, id, &mut results).await?;
+    for name in ["output_file_id", "error_file_id"] {
+        if let Some(id) = batch[name].as_str() {
+            let path = format!("/v1/files/{id}/content");
+            let content = read(caller, job, entry, &path).await?.body;
+            parse_results(&content, &mut results)?;
+            files.push(content);
         }
     }
+    if !job.files.is_empty() && job.files != files {
+        return Err(format!("the results of job {} have changed", job.name));
+    }
+    job.files = files;
     let mut by_id = BTreeMap::new();
     for (id, result) in results {
         by_id.entry(id).or_insert_with(Vec::new).push(result);
@@ -246,16 +258,8 @@
     }
 }
 
-async fn read_results(
-    caller: &Caller,
-    job: &Job,
-    entry: SocketAddr,
-    file_id: &str,
-    results: &mut Vec<(String, ItemResult)>,
-) -> Result<(), String> {
-    let path = format!("/v1/files/{file_id}/content");
-    let reply = read(caller, job, entry, &path).await?;
-    let content = String::from_utf8_lossy(&reply.body).into_owned();
+fn parse_results(content: &[u8], results: &mut Vec<(String, ItemResult)>) -> Result<(), String> {
+    let content = String::from_utf8_lossy(content).into_owned();
     for line in content.lines().filter(|line| !line.is_empty()) {
         let line: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
         let id = line["custom_id"].as_str().unwrap_or_default().to_owned();
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -96,6 +96,11 @@
             instances: a.names("at"),
             within_ms: a.span_ms("within")?.unwrap_or(4_000),
         },
+        "keeps" => Command::Keeps {
+            version: word_number(a, "a version")?,
+            instances: a.names("at"),
+            for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
+        },
         "kill" => signal(a, ProcessSignal::Kill)?,
         "stop" => signal(a, ProcessSignal::Stop)?,
         "pause" => signal(a, ProcessSignal::Pause)?,
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -80,9 +80,10 @@
             | Command::Ready { .. }
             | Command::Signal { .. }
             | Command::Exited { .. } => self.run_process_command(command).await,
-            Command::Apply { .. } | Command::Race { .. } | Command::InForce { .. } => {
-                self.run_config_command(command).await
-            }
+            Command::Apply { .. }
+            | Command::Race { .. }
+            | Command::InForce { .. }
+            | Command::Keeps { .. } => self.run_config_command(command).await,
             Command::Fault { .. } | Command::Clear { .. } | Command::Met { .. } => {
                 self.run_fault_command(command).await
             }
--- a/crates/scenario/src/runner/config.rs
+++ b/crates/scenario/src/runner/config.rs
@@ -1,11 +1,11 @@
 //! Commands that concern the configuration.
 
-use std::fs;
+use std::{fs, time::Duration};
 
 use http::Method;
 use tokio::time::Instant;
 
-use super::{Runner, pause_until};
+use super::{POLL_MS, Runner, pause_until};
 use crate::{
     caller::{Call, Reply},
     command::Command,
@@ -56,6 +56,20 @@
                 }
                 Ok(())
             }
+            Command::Keeps {
+                version,
+                instances,
+                for_ms,
+            } => {
+                let deadline = within(for_ms);
+                while Instant::now() < deadline {
+                    for instance in &instances {
+                        self.expect_version(instance, version).await?;
+                    }
+                    tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+                }
+                Ok(())
+            }
             other => Err(format!("{other:?} concerns no configuration")),
         }
     }
@@ -85,11 +99,8 @@
         version: u64,
         deadline: Instant,
     ) -> Result<(), String> {
-        let address = self.fleet.control(instance)?;
         loop {
-            let reply = self.caller.send(Call::get(address, "/v1/config")).await;
-            let seen = reply.ok().and_then(|reply| reply.json().ok());
-            let seen = seen.and_then(|config| config["version"].as_u64());
+            let seen = self.version(instance).await?;
             if seen.is_some_and(|seen| seen >= version) {
                 return Ok(());
             }
@@ -97,4 +108,19 @@
             pause_until(deadline, &message).await?;
         }
     }
+
+    async fn expect_version(&self, instance: &str, version: u64) -> Result<(), String> {
+        match self.version(instance).await? {
+            Some(seen) if seen < version => Err(format!("{instance} went back to version {seen}")),
+            _ => Ok(()),
+        }
+    }
+
+    /// The version in force at an instance, if it answers.
+    async fn version(&self, instance: &str) -> Result<Option<u64>, String> {
+        let address = self.fleet.control(instance)?;
+        let reply = self.caller.send(Call::get(address, "/v1/config")).await;
+        let config = reply.ok().and_then(|reply| reply.json().ok());
+        Ok(config.and_then(|config| config["version"].as_u64()))
+    }
 }
--- a/crates/scenario/src/runner/count.rs
+++ b/crates/scenario/src/runner/count.rs
@@ -56,7 +56,7 @@
             }
             Command::Quiet { after_ms, for_ms } => {
                 let engines: Vec<_> = self.fleet.engines().collect();
-                expect_no_start(&engines, after_ms, for_ms).await
+                expect_no_request(&engines, after_ms, for_ms).await
             }
             Command::Idle {
                 upstream,
@@ -64,7 +64,7 @@
                 for_ms,
             } => {
                 let address = self.fleet.upstream(&upstream)?.address;
-                expect_no_start(&[address], after_ms, for_ms).await
+                expect_no_request(&[address], after_ms, for_ms).await
             }
             Command::Calls {
                 service,
@@ -95,13 +95,18 @@
     }
 }
 
-async fn expect_no_start(engines: &[SocketAddr], after_ms: u64, for_ms: u64) -> Result<(), String> {
+async fn expect_no_request(
+    engines: &[SocketAddr],
+    after_ms: u64,
+    for_ms: u64,
+) -> Result<(), String> {
     tokio::time::sleep(Duration::from_millis(after_ms)).await;
     let before = upstreams::count_starts(engines.iter().copied()).await;
     tokio::time::sleep(Duration::from_millis(for_ms)).await;
     let after = upstreams::count_starts(engines.iter().copied()).await;
-    if after.all == before.all {
+    let count = after.received - before.received;
+    if count == 0 {
         return Ok(());
     }
-    Err(format!("{} starts in {for_ms} ms", after.all - before.all))
+    Err(format!("{count} requests in {for_ms} ms"))
 }
--- a/crates/scenario/src/runner/job.rs
+++ b/crates/scenario/src/runner/job.rs
@@ -29,6 +29,7 @@
                     customer,
                     items,
                     id: String::new(),
+                    files: Vec::new(),
                 };
                 jobs::submit_everywhere(&self.caller, &mut job, &entries, end, resend_within_ms)
                     .await?;
@@ -52,7 +53,8 @@
                 failed,
             } => {
                 let entry = self.fleet.entry(&instance)?;
-                jobs::check_results(&self.caller, self.job(&job)?, entry, completed, failed).await
+                let job = self.jobs.get_mut(&job).ok_or("no such job")?;
+                jobs::check_results(&self.caller, job, entry, completed, failed).await
             }
             Command::Cancel { job, instance } => {
                 let entry = self.fleet.entry(&instance)?;
--- a/crates/scenario/src/upstreams.rs
+++ b/crates/scenario/src/upstreams.rs
@@ -9,24 +9,32 @@
 pub(crate) struct Starts {
     /// All of them.
     pub(crate) all: u32,
+    /// Requests that came, refused ones included.
+    pub(crate) received: u32,
     /// Starts of a prompt beyond its first one.
     pub(crate) repeated: u32,
 }
 
 /// Counts the starts at engines. Those that are gone count as zero.
 pub(crate) async fn count_starts(engines: impl Iterator<Item = SocketAddr>) -> Starts {
+    let mut received = 0;
     let mut by_prompt: BTreeMap<String, u32> = BTreeMap::new();
     for engine in engines {
         let Ok(runs) = Remote::new(engine).runs().await else {
             continue;
         };
+        received += runs.received;
         for prompt in runs.prompts {
             *by_prompt.entry(prompt.id).or_default() += prompt.runs;
         }
     }
     let all = by_prompt.values().sum();
     let repeated = by_prompt.values().map(|runs| runs.saturating_sub(1)).sum();
-    Starts { all, repeated }
+    Starts {
+        all,
+        received,
+        repeated,
+    }
 }
 
 /// Counts the runs of one call at the services.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -55,6 +55,8 @@
     pub attempts: Vec<RunCount>,
     /// By text of the prompt, sorted.
     pub prompts: Vec<RunCount>,
+    /// Chat requests received, refused ones included.
+    pub received: u32,
 }
 
 /// How often one request ran.
@@ -190,6 +192,7 @@
         };
         let answer = {
             let mut state = self.0.lock();
+            state.received += 1;
             if state.leaving {
                 return Ok(server::refused(StatusCode::SERVICE_UNAVAILABLE));
             }
--- a/crates/standin/src/engine_state.rs
+++ b/crates/standin/src/engine_state.rs
@@ -17,6 +17,8 @@
 
 pub(crate) struct EngineState {
     pub(crate) leaving: bool,
+    /// Chat requests, refused ones included.
+    pub(crate) received: u32,
     settings: EngineSettings,
     started_at: Instant,
     core: EngineCore,
@@ -45,6 +47,7 @@
     pub(crate) fn new(settings: EngineSettings) -> Self {
         Self {
             leaving: false,
+            received: 0,
             started_at: Instant::now(),
             core: EngineCore::new(settings.params.clone()),
             emitted: Vec::new(),
@@ -80,6 +83,7 @@
         RunCounts {
             attempts: self.attempt_runs.values().cloned().collect(),
             prompts: self.prompt_runs.values().cloned().collect(),
+            received: self.received,
         }
     }
 
