scenario: a chunk's result pointer is put once

Cause: with the fence removed from the commit no scenario failed: the job had ended before the late holder woke, and its end guards it too.

--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -176,6 +176,15 @@
     /// `costs [writes=N] [reads=N]`: at most so many operations on the
     /// platform's table since the start.
     Costs { writes: u64, reads: u64 },
+    /// `puts contains=T [at_least=N] [at_most=N] [within=30s]`: waits until so
+    /// many keys of the table were put with a value that contains T; none of
+    /// them more often than `at_most`.
+    Puts {
+        contains: String,
+        at_least: usize,
+        at_most: u32,
+        within_ms: u64,
+    },
     /// `quiet for=2s [after=1s]`: no request reaches any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
     /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -195,6 +195,12 @@
             writes: a.number("writes")?.unwrap_or(u64::MAX),
             reads: a.number("reads")?.unwrap_or(u64::MAX),
         },
+        "puts" => Command::Puts {
+            contains: a.required("contains")?,
+            at_least: a.number("at_least")?.unwrap_or(0),
+            at_most: a.number("at_most")?.unwrap_or(u32::MAX),
+            within_ms: within_ms(a)?,
+        },
         "quiet" => Command::Quiet {
             after_ms: a.span_ms("after")?.unwrap_or(0),
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -95,6 +95,7 @@
             | Command::Repeats { .. }
             | Command::Repeated { .. }
             | Command::Costs { .. }
+            | Command::Puts { .. }
             | Command::Quiet { .. }
             | Command::Idle { .. }
             | Command::Calls { .. } => self.run_count_command(command).await,
--- a/crates/scenario/src/runner/count.rs
+++ b/crates/scenario/src/runner/count.rs
@@ -54,6 +54,26 @@
                 }
                 Err(format!("{counts:?}"))
             }
+            Command::Puts {
+                contains,
+                at_least,
+                at_most,
+                within_ms,
+            } => {
+                let platform = Remote::new(self.fleet.platform());
+                let deadline = within(within_ms);
+                loop {
+                    let counts = platform.put_counts(&contains).await;
+                    let counts = counts.map_err(|error| error.to_string())?;
+                    if let Some(entry) = counts.iter().find(|(_, count)| **count > at_most) {
+                        return Err(format!("put too often: {entry:?}"));
+                    }
+                    if counts.len() >= at_least {
+                        return Ok(());
+                    }
+                    pause_until(deadline, &format!("too few puts: {counts:?}")).await?;
+                }
+            }
             Command::Quiet { after_ms, for_ms } => {
                 let engines: Vec<_> = self.fleet.engines().collect();
                 expect_no_request(&engines, after_ms, for_ms).await
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -93,6 +93,10 @@
     fn control(&self, request: Request<Bytes>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/standin/counts") => server::json(&self.lock().counts),
+            (&Method::GET, "/standin/puts") => {
+                let text = server::query(&request, "contains").unwrap_or_default();
+                server::json(&self.lock().table.put_counts(&text))
+            }
             (&Method::PUT, "/standin/instances") => self.set_instances(&request),
             _ => server::text(StatusCode::NOT_FOUND, "no such path\n"),
         }
--- a/crates/standin/src/remote.rs
+++ b/crates/standin/src/remote.rs
@@ -1,6 +1,6 @@
 //! Client of the `/standin/` paths, for tests and scenarios.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request};
@@ -112,6 +112,16 @@
         self.read("/standin/counts").await
     }
 
+    /// How often each key of the table was put with a value that contains
+    /// `text`, which must need no escaping.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no valid answer came.
+    pub async fn put_counts(&self, text: &str) -> io::Result<BTreeMap<String, u32>> {
+        self.read(&format!("/standin/puts?contains={text}")).await
+    }
+
     async fn read<T: DeserializeOwned>(&self, path: &str) -> io::Result<T> {
         let body = self.send(Method::GET, path, &()).await?;
         Ok(serde_json::from_slice(&body)?)
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     rows: BTreeMap<String, Row>,
+    /// Every put that took effect.
+    journal: Vec<(String, String)>,
 }
 
 impl Table {
@@ -56,6 +58,17 @@
         RowPage { rows, more }
     }
 
+    /// How often each key was put with a value that contains `text`.
+    pub(crate) fn put_counts(&self, text: &str) -> BTreeMap<&str, u32> {
+        let mut counts = BTreeMap::new();
+        for (key, value) in &self.journal {
+            if value.contains(text) {
+                *counts.entry(key.as_str()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn holds(&self, condition: &Condition) -> bool {
         let version = self.rows.get(&condition.key).map(|row| row.version);
         match condition.expected {
@@ -66,6 +79,7 @@
 
     fn put(&mut self, key: String, value: String) -> u64 {
         let version = self.rows.get(&key).map_or(0, |row| row.version) + 1;
+        self.journal.push((key.clone(), value.clone()));
         let row = Row {
             key: key.clone(),
             version,
