--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -113,6 +113,13 @@
         instances: Vec<String>,
         for_ms: u64,
     },
+    /// `memory control|entry|batch NAME at_most_mb=N`: highest resident memory
+    /// since its start.
+    Memory {
+        role: Role,
+        name: String,
+        at_most_mb: u64,
+    },
     /// `kill|stop|pause|wake control|entry|batch|upstream NAME`
     Signal {
         signal: ProcessSignal,
@@ -200,13 +207,15 @@
         marker: String,
         prompts: Option<u64>,
     },
-    /// `load_end NAME [cut=N] [failed=N] [refused=N] [within=30s]`: at most so
-    /// many ended like this, every other got its own whole answer.
+    /// `load_end NAME [cut=N] [failed=N] [refused=N] [slowest=10s]
+    /// [within=30s]`: at most so many ended like this, every other got its own
+    /// whole answer, none later than `slowest`.
     LoadEnd {
         name: String,
         cut: usize,
         failed: usize,
         refused: usize,
+        slowest_ms: u64,
         within_ms: u64,
     },
     /// `call at=INSTANCE service=S id=ID [key=K] [status=200] [ran=no]`
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -59,6 +59,8 @@
     pub(crate) refused: usize,
     /// Failed in another way.
     pub(crate) failed: usize,
+    /// Time of the slowest whole answer, milliseconds.
+    pub(crate) slowest_ms: u64,
     /// One example of what went wrong.
     pub(crate) example: Option<String>,
 }
@@ -87,20 +89,29 @@
         let due_at = Duration::from_millis(number * MS_PER_S / u64::from(plan.rate_per_s));
         tokio::time::sleep_until(started_at + due_at).await;
         let entry = pick(&ready.borrow(), &turn);
-        calls.spawn(one_call(caller.clone(), plan.clone(), entry, number));
+        let call = one_call(caller.clone(), plan.clone(), entry, number);
+        calls.spawn(async move {
+            let sent_at = Instant::now();
+            (call.await, sent_at.elapsed())
+        });
     }
     let mut outcome = LoadOutcome::default();
     while let Some(end) = calls.join_next().await {
-        outcome.add(end.unwrap_or_else(|error| CallEnd::Failed(error.to_string())));
+        match end {
+            Ok((end, took)) => outcome.add(end, took),
+            Err(error) => outcome.add(CallEnd::Failed(error.to_string()), Duration::ZERO),
+        }
     }
     outcome
 }
 
 impl LoadOutcome {
-    fn add(&mut self, end: CallEnd) {
+    fn add(&mut self, end: CallEnd, took: Duration) {
         let (count, example) = match end {
             CallEnd::Whole => {
                 self.whole += 1;
+                let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+                self.slowest_ms = self.slowest_ms.max(took_ms);
                 return;
             }
             CallEnd::Wrong(text) => (&mut self.wrong, text),
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -101,6 +101,11 @@
             instances: a.names("at"),
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
         },
+        "memory" => Command::Memory {
+            role: role(a)?,
+            name: a.word("a name")?,
+            at_most_mb: a.number("at_most_mb")?.ok_or("at_most_mb= is missing")?,
+        },
         "kill" => signal(a, ProcessSignal::Kill)?,
         "stop" => signal(a, ProcessSignal::Stop)?,
         "pause" => signal(a, ProcessSignal::Pause)?,
@@ -228,6 +233,7 @@
             cut: a.number("cut")?.unwrap_or(0),
             failed: a.number("failed")?.unwrap_or(0),
             refused: a.number("refused")?.unwrap_or(0),
+            slowest_ms: a.span_ms("slowest")?.unwrap_or(u64::MAX),
             within_ms: within_ms(a)?,
         },
         "call" | "call_in_background" => Command::Call {
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -21,6 +21,7 @@
 /// Lines of each log that a failed scenario shows.
 const LOG_TAIL_LINES: usize = 12;
 
+const KB_PER_MB: u64 = 1_024;
 /// Wait between two looks at a process that was killed.
 const REAP_MS: u64 = 2;
 
@@ -95,6 +96,20 @@
         kill(Pid::from_raw(id), number).map_err(|error| error.to_string())
     }
 
+    /// Highest resident memory of a process since its start.
+    pub(crate) fn memory_peak_mb(&mut self, role: Role, name: &str) -> Result<u64, String> {
+        let id = self
+            .child(role, name)?
+            .id()
+            .ok_or("the process has ended")?;
+        let path = format!("/proc/{id}/status");
+        let status = fs::read_to_string(path).map_err(|error| error.to_string())?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse().ok());
+        let kilobytes: u64 = kilobytes.ok_or("the system does not tell the memory")?;
+        Ok(kilobytes.div_ceil(KB_PER_MB))
+    }
+
     /// Waits for a process to end and returns its exit code; none if a signal
     /// ended it. The name is free again afterwards.
     pub(crate) async fn wait(
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -78,6 +78,7 @@
             Command::Start { .. }
             | Command::Up { .. }
             | Command::Ready { .. }
+            | Command::Memory { .. }
             | Command::Signal { .. }
             | Command::Exited { .. } => self.run_process_command(command).await,
             Command::Apply { .. }
@@ -223,6 +224,20 @@
                 }
                 Ok(())
             }
+            Command::Memory {
+                role,
+                name,
+                at_most_mb,
+            } => {
+                let peak_mb = self.processes.memory_peak_mb(role, &name)?;
+                println!("memory of {role:?} {name}: peak {peak_mb} MB");
+                if peak_mb <= at_most_mb {
+                    return Ok(());
+                }
+                Err(format!(
+                    "peak of {peak_mb} MB, at most {at_most_mb} MB expected"
+                ))
+            }
             Command::Exited {
                 role,
                 name,
--- a/crates/scenario/src/runner/traffic.rs
+++ b/crates/scenario/src/runner/traffic.rs
@@ -43,6 +43,7 @@
                 cut,
                 failed,
                 refused,
+                slowest_ms,
                 within_ms,
             } => {
                 let load = self.loads.remove(&name);
@@ -55,6 +56,7 @@
                     && outcome.cut <= cut
                     && outcome.failed <= failed
                     && outcome.refused <= refused
+                    && outcome.slowest_ms <= slowest_ms
                     && outcome.whole > 0;
                 is_good.then_some(()).ok_or(format!("{outcome:?}"))
             }
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -52,6 +52,7 @@
     batch_killed_twice
     batch_killed_while_items_run
     batch_paused_past_its_lease
+    burst_over_backlog
     call_refused_while_platform_down
     callers_share_a_prompt
     config_answer_lost
@@ -70,6 +71,7 @@
     job_cancelled_with_commit_in_flight
     job_costs_few_writes
     job_sent_to_two_entries
+    large_job_in_little_memory
     operators_race
     operators_race_with_answers_lost
     planned_stop_under_load
