--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -68,7 +68,8 @@
         let urgency = self.urgency(now_ms);
         self.held.sort_by_key(|held| held.deadline_ms);
         let used: usize = self.held.iter().map(Held::memory_bytes).sum();
-        let has_memory = used < self.context.memory_limit_bytes;
+        // One chunk may always run, or nothing would ever leave the memory.
+        let has_memory = used < self.context.memory_limit_bytes || self.held.len() == 1;
         for index in 0..self.windows.owned().len() {
             let plan = self.windows.plan(index, urgency, self.now_us());
             for item in &plan.cancel {
--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -277,3 +277,24 @@
     let _second = fleet.batch("b-2");
     check_each_once(&client, &id, 200).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_limit_bounds_work_during_an_outage() {
+    /// Items of one chunk: all that the limit lets be held.
+    const CHUNK_ITEMS: u32 = 200;
+    let fleet = Fleet::start(1).await;
+    let flags = ["--memory-limit-bytes", "1000"];
+    let _batch = fleet.batch_with("b-1", LEASE_MS, &flags);
+    let client = fleet.client();
+    let id = client.submit(&lines(600, 1)).await;
+    started(&fleet, 1).await;
+    let remote = fleet.platform_remote();
+    let outage = Fault::new(FaultKind::Refuse);
+    remote.add_fault(&outage).await.unwrap();
+    started(&fleet, CHUNK_ITEMS).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let during = fleet.starts().await;
+    assert!(during <= 2 * CHUNK_ITEMS, "{during} items started");
+    remote.clear_faults().await.unwrap();
+    check_each_once(&client, &id, 600).await;
+}
--- a/crates/jobs/src/choose.rs
+++ b/crates/jobs/src/choose.rs
@@ -48,11 +48,10 @@
 
 /// Chunks in work for one customer, as far as the open rows tell.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CustomerLoad {
-    /// The customer.
-    pub customer: CustomerId,
+struct CustomerLoad {
+    customer: CustomerId,
     /// Chunks that are leased.
-    pub chunks: usize,
+    chunks: usize,
 }
 
 /// What a choice depends on besides the open jobs.
@@ -62,7 +61,7 @@
     pub instance: &'a InstanceId,
     /// Batch processes that take work, sorted; holds this one.
     pub peers: &'a [InstanceId],
-    /// Looks that are not due, sorted by nothing in particular.
+    /// Looks that are not due yet, in no order.
     pub deferrals: &'a [Deferral],
     /// For each open job, whether this process can run its items.
     pub runnable: &'a [bool],
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,9 +21,7 @@
 
 pub use crate::{
     accept::{Acceptance, AcceptanceError, Accepted, NewJob, job_id_for},
-    choose::{
-        Chooser, CustomerLoad, Deferral, Work, WorkKind, choose_work, is_watcher, rendezvous_rank,
-    },
+    choose::{Chooser, Deferral, Work, WorkKind, choose_work, is_watcher, rendezvous_rank},
     claim::{
         ClaimPlan, Claimant, OpenJob, Takeover, Terms, plan_fresh, plan_release, plan_takeover,
         takeover_terms,
@@ -43,7 +41,7 @@
         ActiveChunk, Attempts, ChunkRow, ChunkState, FileRow, JobRow, JobState, ObjectRef, OpenRow,
         PartialRef, RowValue,
     },
-    run::{ChunkRun, ITEM_ATTEMPTS_MAX, ItemStart, RunItem},
+    run::{ChunkRun, ITEM_ATTEMPTS_MAX, ItemStart},
     settle::{Ask, Reply, Settle, Verdict},
     transaction::{Check, Expect, OpId, Transaction, Write},
 };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -27,15 +27,15 @@
 
 /// One item.
 #[derive(Debug, Clone)]
-pub struct RunItem {
+struct RunItem {
     /// Index in the chunk.
-    pub item: u32,
+    item: u32,
     /// Identifier shown in its record.
-    pub id: String,
+    id: String,
     /// The caller's name for it.
-    pub custom_id: String,
-    /// What to send.
-    pub request: Option<ItemRequest>,
+    custom_id: String,
+    /// What to send; absent once the item has ended.
+    request: Option<ItemRequest>,
     state: ItemState,
     failed: u16,
     tokens: Vec<String>,
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone)]
 enum ItemState {
     Waiting { not_before_ms: u64 },
-    Running { attempt: u64, started_at_ms: u64 },
+    Running { attempt: u64 },
     Ended(ItemRecord),
 }
 
@@ -101,12 +101,6 @@
         }
     }
 
-    /// The items.
-    #[must_use]
-    pub fn items(&self) -> &[RunItem] {
-        &self.items
-    }
-
     /// The next items that need an intent row before they are sent, at most
     /// `count`; none if items are repeatable.
     #[must_use]
@@ -141,10 +135,7 @@
         let attempt = self.next_attempt;
         let item = &mut self.items[index];
         let request = item.request.clone()?;
-        item.state = ItemState::Running {
-            attempt,
-            started_at_ms: now_ms,
-        };
+        item.state = ItemState::Running { attempt };
         Some(ItemStart {
             item: item.item,
             attempt,
@@ -161,19 +152,12 @@
             return;
         };
         let is_current =
-            matches!(item.state, ItemState::Running { attempt: current, .. } if current == attempt);
+            matches!(item.state, ItemState::Running { attempt: current } if current == attempt);
         if is_current {
             item.on_end(end, is_repeatable, now_ms);
         }
     }
 
-    /// Number of items that run.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        let running = |item: &&RunItem| matches!(item.state, ItemState::Running { .. });
-        self.items.iter().filter(running).count()
-    }
-
     /// Whether every item has its record.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -219,26 +203,13 @@
 
 impl RunItem {
     /// Record of the item, once it ended.
-    #[must_use]
-    pub const fn record(&self) -> Option<&ItemRecord> {
+    const fn record(&self) -> Option<&ItemRecord> {
         match &self.state {
             ItemState::Ended(record) => Some(record),
             ItemState::Waiting { .. } | ItemState::Running { .. } => None,
         }
     }
 
-    /// Attempt that runs and the time of its start.
-    #[must_use]
-    pub const fn running_since_ms(&self) -> Option<(u64, u64)> {
-        match self.state {
-            ItemState::Running {
-                attempt,
-                started_at_ms,
-            } => Some((attempt, started_at_ms)),
-            ItemState::Waiting { .. } | ItemState::Ended(_) => None,
-        }
-    }
-
     const fn is_ended(&self) -> bool {
         matches!(self.state, ItemState::Ended(_))
     }
