entry: keep work from an engine whose load report says that it leaves; worker threads as a setting

Cause: the report reached control as evidence, but the entry's own router waited for the view. Router::on_leaving (added to policy) acts at once.

--- a/crates/cli/src/dev/fleet.rs
+++ b/crates/cli/src/dev/fleet.rs
@@ -213,6 +213,7 @@
         failure_domain: FailureDomain::new(FAILURE_DOMAIN),
         body_limit_bytes: BODY_LIMIT_BYTES,
         drain_ms: 0,
+        worker_threads: 2,
         log_level: String::new(),
     }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -128,10 +128,17 @@
             clock::now_us(),
         );
         if report.leaving {
-            self.evidence.push(upstream, Liveness::Leaving);
+            self.on_leaving(upstream);
         }
     }
 
+    /// Sends nothing new to an upstream that says it is leaving, before the
+    /// fleet agrees.
+    fn on_leaving(&self, upstream: &UpstreamId) {
+        self.policy().router.on_leaving(upstream, clock::now_us());
+        self.evidence.push(upstream, Liveness::Leaving);
+    }
+
     /// Upstreams that this entry may talk to.
     pub(crate) fn upstreams(&self) -> Vec<UpstreamId> {
         self.policy().router.upstreams()
@@ -197,8 +204,7 @@
 
     /// The upstream said that it is leaving.
     pub(crate) fn on_leaving(&self) {
-        let evidence = &self.dispatcher.evidence;
-        evidence.push(&self.upstream, Liveness::Leaving);
+        self.dispatcher.on_leaving(&self.upstream);
     }
 
     /// The attempt failed.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -14,7 +14,15 @@
         Err(problems) => process::exit_with_problems(PROGRAM, &problems),
     };
     let _logs = process::init_logs(&settings.log_level).ok();
-    match run(&settings) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads)
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run(&settings)),
+        Err(error) => Err(error.into()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=exit error={}", process::quote(&error));
@@ -23,7 +31,6 @@
     }
 }
 
-#[tokio::main]
 async fn run(settings: &EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
     let admin = AdminState::new()?;
     let shutdown = Shutdown::new();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,6 +8,7 @@
 
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 const DRAIN_MS: u64 = 5_000;
+const WORKER_THREADS: usize = 2;
 
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
@@ -32,6 +33,8 @@
     pub body_limit_bytes: usize,
     /// Time for which a stopping entry still accepts connections, milliseconds.
     pub drain_ms: u64,
+    /// Threads that serve requests.
+    pub worker_threads: usize,
     /// Specification for the logger.
     pub log_level: String,
 }
@@ -49,6 +52,7 @@
     failure_domain: Option<String>,
     body_limit_bytes: Option<String>,
     drain_ms: Option<String>,
+    worker_threads: Option<String>,
     log_level: Option<String>,
 }
 
@@ -105,6 +109,11 @@
         .help("Time for which a stopping entry still accepts connections, so that the balancer notices; 5000 unless set")
         .argument("MS")
         .optional();
+    let worker_threads = long("worker-threads")
+        .env("REDWINGTACK_WORKER_THREADS")
+        .help("Threads that serve requests; 2 unless set")
+        .argument("N")
+        .optional();
     let log_level = long("log-level")
         .env("REDWINGTACK_LOG_LEVEL")
         .help("error, warn, info, debug or trace; info unless set")
@@ -121,6 +130,7 @@
         failure_domain,
         body_limit_bytes,
         drain_ms,
+        worker_threads,
         log_level,
     })
     .to_options()
@@ -155,6 +165,14 @@
             BODY_LIMIT_BYTES,
         );
         let drain_ms = settings.or_default("drain-ms", self.drain_ms.as_deref(), DRAIN_MS);
+        let worker_threads = settings.or_default(
+            "worker-threads",
+            self.worker_threads.as_deref(),
+            WORKER_THREADS,
+        );
+        if worker_threads == 0 {
+            settings.push("worker-threads", "must be at least 1".to_owned());
+        }
         let checked = || {
             Some(EntrySettings {
                 listen: listen?,
@@ -167,6 +185,7 @@
                 failure_domain: FailureDomain::from(failure_domain?),
                 body_limit_bytes,
                 drain_ms,
+                worker_threads,
                 log_level: self.log_level.clone().unwrap_or_else(|| "info".to_owned()),
             })
         };
--- a/crates/entry/tests/crossed.rs
+++ b/crates/entry/tests/crossed.rs
@@ -1,4 +1,4 @@
-//! Answers that are late or belong to another attempt.
+//! Engines that cross answers, stall, or leave without refusing.
 
 mod support;
 
@@ -21,6 +21,8 @@
 
 const BRISK: (&str, &str) = ("redwingtack-class", "brisk");
 
+/// Time after which a leaving upstream gets no new work.
+const LEAVING_TARGET: Duration = Duration::from_secs(2);
 const REQUESTS_MAX: u32 = 200;
 
 /// How an engine misbehaves.
@@ -30,6 +32,8 @@
     Crosses,
     /// Sends two tokens, falls silent, and sends more when it is too late.
     Stalls,
+    /// Says in its load reports that it is leaving, and goes on to serve.
+    Leaves,
 }
 
 /// Starts an engine that serves connections by hand, and counts its requests.
@@ -50,6 +54,12 @@
     met: Arc<AtomicU32>,
 ) -> std::io::Result<()> {
     let head = read_head(&mut stream).await?;
+    if head.contains(" /load ") && matches!(misbehaviour, Misbehaviour::Leaves) {
+        let report = r#"{"age_ms":0,"running":0,"waiting_prompt_tokens":0,"models":["oraculo"],"leaving":true,"fence":0}"#;
+        let length = report.len();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{report}");
+        return stream.write_all(answer.as_bytes()).await;
+    }
     if !head.starts_with("POST /v1/chat/completions") {
         // Load reports, cancels and resumed streams are not known here.
         stream
@@ -61,7 +71,7 @@
     let own = header(&head, "x-attempt-id");
     let attempt = match misbehaviour {
         Misbehaviour::Crosses => "another-attempt",
-        Misbehaviour::Stalls => own,
+        Misbehaviour::Stalls | Misbehaviour::Leaves => own,
     };
     let answer = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: {attempt}\r\n\r\n"
@@ -134,3 +144,20 @@
     let rest: String = expected.split_inclusive(' ').skip(2).collect();
     assert_eq!(text, format!("wrong wrong {rest}"));
 }
+
+#[tokio::test]
+async fn upstream_that_leaves_gets_nothing_two_seconds_later() {
+    let good = start_engine(EngineSettings::default()).await;
+    let good = good.expect("an engine starts");
+    let met = Arc::new(AtomicU32::new(0));
+    let bad = misbehaving_engine(Misbehaviour::Leaves, Arc::clone(&met)).await;
+    let upstreams = vec![engine("bad", bad), engine("good", good.address())];
+    let entry = TestEntry::start(upstreams, any_port()).await;
+    tokio::time::sleep(LEAVING_TARGET).await;
+    let before = met.load(Ordering::SeqCst);
+    let requests = (0..40).map(|_| entry.chat(&[], chat_body("which way", 2)));
+    for answer in futures::future::join_all(requests).await {
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(met.load(Ordering::SeqCst), before);
+}
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -65,6 +65,9 @@
     expected: ErrorKind,
 }
 
+/// Enough entries for each order of two engines to occur.
+const ROUNDS: u32 = 30;
+
 /// Kinds that no answer to a caller of these paths can carry.
 const ELSEWHERE: [ErrorKind; 6] = [
     // Of operators' and peers' interfaces.
@@ -318,3 +321,25 @@
         assert!(began.elapsed() < PATIENCE, "the engine never began");
     }
 }
+
+/// Whichever engine is tried last, an earlier attempt may have run.
+#[tokio::test]
+async fn refusal_ran_covers_every_attempt() {
+    let resetting = start_engine(EngineSettings::default()).await;
+    let resetting = resetting.expect("an engine starts");
+    prepare(Upstream::Faulty(FaultKind::ResetAfterHeaders), &resetting).await;
+    let refusing = refusing_address().await;
+    let mut kinds = BTreeSet::new();
+    // The choice between two idle engines is random.
+    for _ in 0..ROUNDS {
+        let upstreams = vec![
+            engine("engine-0", resetting.address()),
+            engine("engine-1", refusing),
+        ];
+        let entry = TestEntry::start(upstreams, support::any_port()).await;
+        let answer = entry.chat(&[], chat_body("which way", 1)).await;
+        assert_eq!(answer.header("redwingtack-ran"), Some("unknown"));
+        kinds.insert(answer.code());
+    }
+    assert!(kinds.contains("connect_refused"), "{kinds:?}");
+}
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -33,6 +33,7 @@
         "--log-level",
         "--drain-ms",
         "--body-limit-bytes",
+        "--worker-threads",
         "--version",
     ];
     for flag in flags {
@@ -55,6 +56,8 @@
         "localhost:80",
         "--drain-ms",
         "soon",
+        "--worker-threads",
+        "0",
         "--region",
         "",
     ];
@@ -72,6 +75,7 @@
         "--region (REDWINGTACK_REGION): must not be empty",
         "--failure-domain (REDWINGTACK_FAILURE_DOMAIN): is required",
         "--drain-ms (REDWINGTACK_DRAIN_MS): \"soon\"",
+        "--worker-threads (REDWINGTACK_WORKER_THREADS): must be at least 1",
     ];
     for line in expected {
         assert!(report.contains(line), "{line} is missing in:\n{report}");
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -165,6 +165,7 @@
             failure_domain: FailureDomain::new("lima-a"),
             body_limit_bytes: 64 * 1024,
             drain_ms: 0,
+            worker_threads: 2,
             log_level: String::new(),
         };
         change(&mut settings);
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -254,6 +254,13 @@
         }
     }
 
+    /// The upstream said, outside a failed attempt, that it is leaving.
+    pub fn on_leaving(&mut self, upstream: &UpstreamId, now_us: u64) {
+        if let Some(row) = self.table.row_mut(upstream) {
+            row.left_at_us = Some(now_us);
+        }
+    }
+
     /// Takes over the news of an upstream's owner, `age_us` old.
     pub fn on_load(&mut self, load: &UpstreamLoad, age_us: u64, now_us: u64) {
         if let Some(row) = self.table.row_mut(&load.upstream) {
