--- a/crates/process/src/shutdown.rs
+++ b/crates/process/src/shutdown.rs
@@ -56,11 +56,24 @@
 ///
 /// Returns an error if signal handlers cannot be installed.
 pub async fn wait_for_signal(shutdown: &Shutdown) -> io::Result<()> {
+    begin_at_signal(shutdown)?;
+    shutdown.stopped().await;
+    Ok(())
+}
+
+/// As [`wait_for_signal`], in the background. The handlers are in place when
+/// this returns: a signal that comes next is not lost. Call within a runtime.
+///
+/// # Errors
+///
+/// Returns an error if signal handlers cannot be installed.
+pub fn begin_at_signal(shutdown: &Shutdown) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    either(&mut terminate, &mut interrupt).await;
-    shutdown.begin();
+    let shutdown = shutdown.clone();
     tokio::spawn(async move {
+        either(&mut terminate, &mut interrupt).await;
+        shutdown.begin();
         either(&mut terminate, &mut interrupt).await;
         process::exit(EXIT_FORCED);
     });
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -107,6 +107,19 @@
         instances: Vec<String>,
         within_ms: u64,
     },
+    /// `keeps VERSION at=A,B for=3s`: no lower version shows in this time.
+    Keeps {
+        version: u64,
+        instances: Vec<String>,
+        for_ms: u64,
+    },
+    /// `memory control|entry|batch NAME at_most_mb=N`: highest resident memory
+    /// since its start.
+    Memory {
+        role: Role,
+        name: String,
+        at_most_mb: u64,
+    },
     /// `kill|stop|pause|wake control|entry|batch|upstream NAME`
     Signal {
         signal: ProcessSignal,
@@ -170,7 +183,16 @@
     /// `costs [writes=N] [reads=N]`: at most so many operations on the
     /// platform's table since the start.
     Costs { writes: u64, reads: u64 },
-    /// `quiet for=2s [after=1s]`: no start at any engine in this time.
+    /// `puts contains=T [at_least=N] [at_most=N] [within=30s]`: waits until so
+    /// many keys of the table were put with a value that contains T; none of
+    /// them more often than `at_most`.
+    Puts {
+        contains: String,
+        at_least: usize,
+        at_most: u32,
+        within_ms: u64,
+    },
+    /// `quiet for=2s [after=1s]`: no request reaches any engine in this time.
     Quiet { after_ms: u64, for_ms: u64 },
     /// `load NAME at=A,B rate=N for=5s [tokens=N] [class=C] [marker=M]
     /// [prompts=N]` sends streamed chats in the background to the instances
@@ -185,13 +207,15 @@
         marker: String,
         prompts: Option<u64>,
     },
-    /// `load_end NAME [cut=N] [failed=N] [refused=N] [within=30s]`: at most so
-    /// many ended like this, every other got its own whole answer.
+    /// `load_end NAME [cut=N] [failed=N] [refused=N] [slowest=10s]
+    /// [within=30s]`: at most so many ended like this, every other got its own
+    /// whole answer, none later than `slowest`.
     LoadEnd {
         name: String,
         cut: usize,
         failed: usize,
         refused: usize,
+        slowest_ms: u64,
         within_ms: u64,
     },
     /// `call at=INSTANCE service=S id=ID [key=K] [status=200] [ran=no]`
@@ -215,7 +239,7 @@
         at_most: u32,
         within_ms: u64,
     },
-    /// `idle UPSTREAM for=2s [after=2s]`: no start at this engine.
+    /// `idle UPSTREAM for=2s [after=2s]`: no request reaches this engine.
     Idle {
         upstream: String,
         after_ms: u64,
