--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -61,8 +61,7 @@
 #[tokio::main]
 async fn serve(listen: SocketAddr) -> Result<(), Box<dyn Error>> {
     let shutdown = Shutdown::new();
-    let signalled = shutdown.clone();
-    tokio::spawn(async move { process::wait_for_signal(&signalled).await });
+    process::begin_at_signal(&shutdown)?;
     let fleet = DevFleet::start(listen, &shutdown).await?;
     fleet.print_addresses();
     fleet.ready().await?;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -11,8 +11,15 @@
     process::run_program(PROGRAM, checked, |settings| &settings.log_level, run)
 }
 
-#[tokio::main]
-async fn run(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
+fn run(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
     let (admin, shutdown) = process::begin_program(settings.admin_listen)?;
     let entry = Entry::start(settings, admin, &shutdown).await?;
     log::info!(
