--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -4,9 +4,12 @@
 mod cluster;
 mod cost;
 mod live;
+mod memory;
 mod view;
 mod wire;
 
+use std::str::FromStr;
+
 use bpaf::{Parser, construct, long};
 
 use self::wire::WireCost;
@@ -19,13 +22,28 @@
 /// Options of `capacity`.
 #[derive(Debug, Clone)]
 pub struct CapacityOptions {
+    part: Option<Part>,
     full: bool,
     runs: u32,
 }
 
+/// A group of measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Wire,
+    View,
+    Live,
+    Cluster,
+    Memory,
+}
+
 /// Parser of the options.
 #[must_use]
 pub fn capacity_options() -> impl Parser<CapacityOptions> {
+    let part = long("part")
+        .help("Only one of wire, view, live, cluster, memory")
+        .argument("PART")
+        .optional();
     let full = long("full")
         .help("Step 3,600 cores with 10,000 upstreams too")
         .switch();
@@ -33,7 +51,7 @@
         .help("Runs of each measurement; 3 unless set")
         .argument("N")
         .fallback(3);
-    construct!(CapacityOptions { full, runs })
+    construct!(CapacityOptions { part, full, runs })
 }
 
 /// Measures and prints one line of key=value pairs per figure.
@@ -47,18 +65,41 @@
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
+    let wants = |part: Part| options.part.is_none_or(|chosen| chosen == part);
+    // Memory comes first: what other parts free stays resident.
+    if wants(Part::Memory) {
+        runtime.block_on(memory::measure())?;
+    }
+    if wants(Part::View) {
+        view::measure(options.runs)?;
+    }
+    if wants(Part::Live) {
+        for run in 0..options.runs {
+            runtime.block_on(live::measure(run))?;
+        }
+    }
+    if wants(Part::Wire) || wants(Part::Cluster) {
+        let wire = measure_wire(&runtime, options.runs)?;
+        if wants(Part::Cluster) {
+            measure_clusters(options, wire)?;
+        }
+    }
+    Ok(())
+}
+
+fn measure_wire(runtime: &tokio::runtime::Runtime, runs: u32) -> Result<WireCost, String> {
     let mut wire = WireCost::default();
-    for run in 0..options.runs {
+    for run in 0..runs {
         wire = runtime.block_on(wire::measure())?;
         println!(
             "capacity part=wire run={run} overhead_bytes_per_frame={:.1} cpu_us_per_exchange={:.1}",
             wire.overhead_bytes, wire.cpu_us
         );
     }
-    view::measure(options.runs)?;
-    for run in 0..options.runs {
-        runtime.block_on(live::measure(run))?;
-    }
+    Ok(wire)
+}
+
+fn measure_clusters(options: &CapacityOptions, wire: WireCost) -> Result<(), String> {
     for (nodes, upstreams) in SIZES {
         for run in 0..options.runs {
             cluster::measure(nodes, upstreams, run, wire)?;
@@ -69,3 +110,18 @@
     }
     Ok(())
 }
+
+impl FromStr for Part {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "wire" => Ok(Self::Wire),
+            "view" => Ok(Self::View),
+            "live" => Ok(Self::Live),
+            "cluster" => Ok(Self::Cluster),
+            "memory" => Ok(Self::Memory),
+            _ => Err(format!("there is no part {text:?}")),
+        }
+    }
+}
--- a/crates/load/src/capacity/cluster.rs
+++ b/crates/load/src/capacity/cluster.rs
@@ -12,7 +12,7 @@
 use peer::{PeerRequest, decode, encode};
 
 use super::{
-    cost::{cpu_s, float, median_and_max, resident_bytes},
+    cost::{cpu_s, float, median_and_max},
     wire::WireCost,
 };
 
@@ -39,7 +39,6 @@
 ///
 /// Returns a message if the accounting cannot be read.
 pub fn measure(nodes: usize, upstreams: usize, run: u32, wire: WireCost) -> Result<(), String> {
-    let before_bytes = resident_bytes()?;
     let shape = Shape {
         nodes,
         upstreams,
@@ -54,12 +53,6 @@
         label: format!("run={run} nodes={nodes} upstreams={upstreams}"),
     };
     bench.cluster.run(SETTLE_MS);
-    let grown_bytes = resident_bytes()?.saturating_sub(before_bytes);
-    println!(
-        "capacity part=memory {} core_bytes_per_node={}",
-        bench.label,
-        grown_bytes / u64::try_from(nodes).unwrap_or(1)
-    );
     bench.change(0);
     bench.phase("rest", Load::Rest)?;
     bench.phase("changes", Load::Changes)?;
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -1,7 +1,7 @@
 //! Real control programs over the stand-in platform in one process: time until
 //! a configuration is in force, and processor time at rest.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use control::{Control, ControlSettings};
 use model::{FailureDomain, FleetConfig, InstanceId, Liveness, Region, View, ViewRevision};
@@ -9,9 +9,14 @@
 use platform::{InstanceListing, ListedInstance, ListedRole, Mutation, Platform, TransactRequest};
 use process::{AdminState, Shutdown};
 use standin::{PlatformSettings, Remote, Standin, start_platform};
-use tokio::{task::JoinSet, time::Instant};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+    time::Instant,
+};
 
-use super::cost::{cpu_s, median_and_max, resident_bytes};
+use super::cost::{cpu_s, median_and_max};
 
 /// Sizes: entry instances of today's sites, and more.
 const SIZES: [u32; 2] = [11, 33];
@@ -19,6 +24,8 @@
 const CHANGES: u64 = 20;
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 const REST: Duration = Duration::from_secs(10);
+const DOCUMENT: &str =
+    "[[class]]\nname = \"clue-bundles\"\nwork = \"batch\"\ncomplete_within_s = 60\n";
 const LONG: Duration = Duration::from_secs(30);
 
 /// Prints the times and costs of each size.
@@ -32,23 +39,37 @@
         let before_s = cpu_s()?;
         tokio::time::sleep(REST).await;
         let rest_percent = (cpu_s()? - before_s) / REST.as_secs_f64() * 100.0;
-        let in_force_ms = running.apply_changes().await?;
-        let cases = in_force_ms.len();
-        let (p50, max) = median_and_max(in_force_ms);
         println!(
-            "capacity part=live run={run} nodes={size} cpu_percent_per_node_at_rest={:.3} \
-             resident_bytes_of_all={} changes={cases} in_force_ms_p50={p50} in_force_ms_max={max}",
-            rest_percent / f64::from(size),
-            resident_bytes()?
+            "capacity part=live run={run} nodes={size} cpu_percent_per_node_at_rest={:.3}",
+            rest_percent / f64::from(size)
         );
+        for way in [Way::Operator, Way::Table] {
+            let in_force_ms = running.apply_changes(way).await?;
+            let cases = in_force_ms.len();
+            let (p50, max) = median_and_max(in_force_ms);
+            println!(
+                "capacity part=live run={run} nodes={size} way={way:?} changes={cases} \
+                 in_force_ms_p50={p50} in_force_ms_max={max}"
+            );
+        }
         running.stop().await;
     }
     Ok(())
 }
 
+/// How a change reaches the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// By the operators' API of one of the nodes.
+    Operator,
+    /// By the table alone, as if the accepting node had died at once.
+    Table,
+}
+
 struct Site {
     platform: Standin,
     peers: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
     shutdown: Shutdown,
     programs: JoinSet<()>,
 }
@@ -61,6 +82,7 @@
         let mut started = Self {
             platform,
             peers: Vec::new(),
+            operators: Vec::new(),
             shutdown: Shutdown::new(),
             programs: JoinSet::new(),
         };
@@ -102,6 +124,7 @@
         let peer = control.peer_address();
         let shutdown = self.shutdown.clone();
         self.peers.push(peer);
+        self.operators.push(control.listen_address());
         self.programs
             .spawn(async move { control.run_until(&shutdown).await });
         Ok(ListedInstance {
@@ -114,15 +137,24 @@
         })
     }
 
-    /// Writes versions into the table, so that each spreads from the node that
-    /// happens to read it, and takes the time until the last node has it.
-    async fn apply_changes(&self) -> Result<Vec<u64>, String> {
+    /// Makes changes and takes the time from each until the last node has it.
+    async fn apply_changes(&self, way: Way) -> Result<Vec<u64>, String> {
         let platform = Platform::new(self.platform.address());
+        let first = match way {
+            Way::Operator => 1,
+            Way::Table => CHANGES + 1,
+        };
         let mut times_ms = Vec::new();
-        for version in 1..=CHANGES {
+        for version in first..first + CHANGES {
             tokio::time::sleep(CHANGE_PAUSE).await;
             let started = Instant::now();
-            commit(&platform, version).await?;
+            match way {
+                Way::Operator => {
+                    let index = usize::try_from(version).unwrap_or(0) % self.operators.len();
+                    apply(self.operators[index]).await?;
+                }
+                Way::Table => commit(&platform, version).await?,
+            }
             let mut waits = JoinSet::new();
             for peer in self.peers.clone() {
                 waits.spawn(wait_for(peer, move |view| view.config.version >= version));
@@ -141,6 +173,30 @@
     }
 }
 
+/// Applies a document as `redwingtack classes apply` does.
+async fn apply(operators: SocketAddr) -> Result<(), String> {
+    let answer = put_document(operators).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    if answer.starts_with("HTTP/1.1 200") {
+        return Ok(());
+    }
+    Err(format!("the change was refused: {answer}"))
+}
+
+async fn put_document(operators: SocketAddr) -> io::Result<String> {
+    let head = format!(
+        "PUT /v1/config HTTP/1.1\r\nhost: {operators}\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n",
+        DOCUMENT.len()
+    );
+    let mut stream = TcpStream::connect(operators).await?;
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(DOCUMENT.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
 async fn commit(platform: &Platform, version: u64) -> Result<(), String> {
     let config = FleetConfig {
         version,
