--- a/crates/batch/src/windows.rs
+++ b/crates/batch/src/windows.rs
@@ -1,20 +1,28 @@
 //! The batch windows of the upstreams that this process owns.
 //!
-//! Each upstream has one owner among the batch processes of its region, by
-//! rendezvous hash. While two views differ an upstream may have two owners,
+//! Each upstream has one owner among the batch processes, by rendezvous hash. While two views differ an upstream may have two owners,
 //! which costs online latency for a moment and never correctness.
 
 use std::{net::SocketAddr, sync::Arc};
 
-use jobs::rendezvous_rank;
-use model::{InstanceId, InstanceRole, Liveness, Region, UpstreamEntry, UpstreamId, UpstreamKind};
-use model::{ModelName, View};
+use membership::batch_window_owner;
+use model::{
+    ErrorKind, InstanceId, InstanceRole, Liveness, ModelName, UpstreamEntry, UpstreamId,
+    UpstreamKind, View,
+};
 use peer::DispatchNotice;
 use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
 
 /// Calls in flight at a plain service.
 const SERVICE_CALLS_MAX: u32 = 4;
 
+/// Time for which an upstream that is leaving gets no work, microseconds. The
+/// view says so before it is over.
+const AVOID_LEAVING_US: u64 = 10_000_000;
+/// Time for which an upstream that could not be reached gets no work,
+/// microseconds.
+const AVOID_UNREACHABLE_US: u64 = 1_000_000;
+
 /// Windows of the owned upstreams, sorted by upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Windows {
@@ -31,6 +39,8 @@
     items: Vec<BatchItemId>,
     /// It takes no new work; its window ends with its last item.
     is_leaving: bool,
+    /// It refused work lately and gets none before this time.
+    avoid_until_us: u64,
 }
 
 impl Windows {
@@ -41,15 +51,18 @@
 
     /// Takes a new view. Windows of upstreams that are no longer owned stay
     /// until their items have ended.
-    pub(crate) fn on_view(&mut self, view: &View, instance: &InstanceId, region: &Region) {
+    pub(crate) fn on_view(&mut self, view: &View, instance: &InstanceId) {
         for owned in &mut self.owned {
             owned.is_leaving = true;
         }
-        let peers = batch_peers(view, instance, Some(region));
-        for entry in &view.upstreams {
-            let is_usable = entry.region == *region && entry.liveness == Liveness::Live;
-            let key = format!("window/{}", entry.id);
-            if is_usable && rendezvous_rank(instance, &peers, &key) == 0 {
+        let live = view
+            .upstreams
+            .iter()
+            .filter(|entry| entry.liveness == Liveness::Live);
+        for entry in live {
+            // Entries send their notices to the owner by the same rule.
+            let owner = batch_window_owner(view, entry);
+            if owner.is_some_and(|owner| owner.id == *instance) {
                 self.own(entry);
             }
         }
@@ -84,7 +97,7 @@
             plan.start_items = SERVICE_CALLS_MAX.saturating_sub(in_flight);
             plan.cancel.clear();
         }
-        if owned.is_leaving {
+        if owned.is_leaving || now_us < owned.avoid_until_us {
             plan.start_items = 0;
         }
         plan
@@ -115,6 +128,24 @@
         }
     }
 
+    /// Sends nothing for a while to the upstream of an item that did not run,
+    /// and returns what that tells of the upstream.
+    pub(crate) fn on_refused(
+        &mut self,
+        item: BatchItemId,
+        kind: ErrorKind,
+        now_us: u64,
+    ) -> Option<(UpstreamId, Liveness)> {
+        let (avoid_us, liveness) = match kind {
+            ErrorKind::UpstreamLeaving => (AVOID_LEAVING_US, Liveness::Leaving),
+            ErrorKind::ConnectRefused => (AVOID_UNREACHABLE_US, Liveness::Suspect),
+            _ => return None,
+        };
+        let owned = self.of_item(item)?;
+        owned.avoid_until_us = now_us + avoid_us;
+        Some((owned.upstream.clone(), liveness))
+    }
+
     pub(crate) fn on_notices(&mut self, notices: &[DispatchNotice], now_us: u64) {
         for notice in notices {
             let owned = self
@@ -155,6 +186,7 @@
                     window: BatchWindow::new(entry.id.clone()),
                     items: Vec::new(),
                     is_leaving: false,
+                    avoid_until_us: 0,
                 },
             ),
         }
@@ -168,16 +200,11 @@
 }
 
 /// Batch processes that take work, sorted, with this one among them.
-pub(crate) fn batch_peers(
-    view: &View,
-    instance: &InstanceId,
-    region: Option<&Region>,
-) -> Arc<[InstanceId]> {
-    let live = view.instances.iter().filter(|entry| {
-        entry.role == InstanceRole::Batch
-            && entry.liveness == Liveness::Live
-            && region.is_none_or(|region| entry.region == *region)
-    });
+pub(crate) fn batch_peers(view: &View, instance: &InstanceId) -> Arc<[InstanceId]> {
+    let live = view
+        .instances
+        .iter()
+        .filter(|entry| entry.role == InstanceRole::Batch && entry.liveness == Liveness::Live);
     let mut peers: Vec<_> = live.map(|entry| entry.id.clone()).collect();
     if let Err(index) = peers.binary_search(instance) {
         peers.insert(index, instance.clone());
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -96,6 +96,16 @@
             instances: a.names("at"),
             within_ms: a.span_ms("within")?.unwrap_or(4_000),
         },
+        "keeps" => Command::Keeps {
+            version: word_number(a, "a version")?,
+            instances: a.names("at"),
+            for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
+        },
+        "memory" => Command::Memory {
+            role: role(a)?,
+            name: a.word("a name")?,
+            at_most_mb: a.number("at_most_mb")?.ok_or("at_most_mb= is missing")?,
+        },
         "kill" => signal(a, ProcessSignal::Kill)?,
         "stop" => signal(a, ProcessSignal::Stop)?,
         "pause" => signal(a, ProcessSignal::Pause)?,
@@ -190,6 +200,12 @@
             writes: a.number("writes")?.unwrap_or(u64::MAX),
             reads: a.number("reads")?.unwrap_or(u64::MAX),
         },
+        "puts" => Command::Puts {
+            contains: a.required("contains")?,
+            at_least: a.number("at_least")?.unwrap_or(0),
+            at_most: a.number("at_most")?.unwrap_or(u32::MAX),
+            within_ms: within_ms(a)?,
+        },
         "quiet" => Command::Quiet {
             after_ms: a.span_ms("after")?.unwrap_or(0),
             for_ms: a.span_ms("for")?.ok_or("for= is missing")?,
@@ -217,6 +233,7 @@
             cut: a.number("cut")?.unwrap_or(0),
             failed: a.number("failed")?.unwrap_or(0),
             refused: a.number("refused")?.unwrap_or(0),
+            slowest_ms: a.span_ms("slowest")?.unwrap_or(u64::MAX),
             within_ms: within_ms(a)?,
         },
         "call" | "call_in_background" => Command::Call {
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -78,11 +78,13 @@
             Command::Start { .. }
             | Command::Up { .. }
             | Command::Ready { .. }
+            | Command::Memory { .. }
             | Command::Signal { .. }
             | Command::Exited { .. } => self.run_process_command(command).await,
-            Command::Apply { .. } | Command::Race { .. } | Command::InForce { .. } => {
-                self.run_config_command(command).await
-            }
+            Command::Apply { .. }
+            | Command::Race { .. }
+            | Command::InForce { .. }
+            | Command::Keeps { .. } => self.run_config_command(command).await,
             Command::Fault { .. } | Command::Clear { .. } | Command::Met { .. } => {
                 self.run_fault_command(command).await
             }
@@ -94,6 +96,7 @@
             | Command::Repeats { .. }
             | Command::Repeated { .. }
             | Command::Costs { .. }
+            | Command::Puts { .. }
             | Command::Quiet { .. }
             | Command::Idle { .. }
             | Command::Calls { .. } => self.run_count_command(command).await,
@@ -221,6 +224,20 @@
                 }
                 Ok(())
             }
+            Command::Memory {
+                role,
+                name,
+                at_most_mb,
+            } => {
+                let peak_mb = self.processes.memory_peak_mb(role, &name)?;
+                println!("memory of {role:?} {name}: peak {peak_mb} MB");
+                if peak_mb <= at_most_mb {
+                    return Ok(());
+                }
+                Err(format!(
+                    "peak of {peak_mb} MB, at most {at_most_mb} MB expected"
+                ))
+            }
             Command::Exited {
                 role,
                 name,
