membership: a list carries no time, so that restarts cause no news

A node that started read the list and stamped every row with its own time; the rows were newer than everybody's, and the region exchanged all of them. Ruled out: summaries of regions (their share falls as regions grow). Change: a first listing has time zero, and the age of a row is kept locally.

--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -241,7 +241,7 @@
             Liveness::Live => was_suspect,
             Liveness::Leaving | Liveness::Dead => false,
         };
-        if !self.upstreams.merge(rumor, &mut self.digest) {
+        if !self.upstreams.merge(rumor, now_ms, &mut self.digest) {
             return;
         }
         self.note_change(now_ms);
@@ -421,7 +421,7 @@
     }
 
     fn add_differing_rows(&self, theirs: &[u32], frame: &mut GossipFrame) {
-        let rows = self.nodes.rows().len() + self.upstreams.rows().len();
+        let rows = self.nodes.rows().len() + self.upstreams.len();
         // Whole buckets only: one sent in part would differ again next time.
         let buckets_max = (SYNC_ROWS_MAX / (rows / BUCKETS + 1)).max(1);
         let differing = self.digest.differing(theirs, buckets_max);
@@ -435,8 +435,7 @@
         frame.nodes.extend(nodes.cloned());
         let upstreams = self
             .upstreams
-            .rows()
-            .iter()
+            .rumors()
             .filter(|rumor| rumor.entry.liveness != Liveness::Dead)
             .filter(|rumor| differing[bucket_of(rumor.entry.id.as_str())]);
         frame.upstreams.extend(upstreams.cloned());
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -263,7 +263,7 @@
                 self.actions.push(Action::ReadConfig);
             }
         }
-        let shift = (self.upstreams.rows().len() / LISTING_DOUBLES_AT).min(LISTING_SHIFT_MAX);
+        let shift = (self.upstreams.len() / LISTING_DOUBLES_AT).min(LISTING_SHIFT_MAX);
         let slot = now_ms / (LISTING_POLL_MS << shift);
         if slot != self.timers.listing_slot {
             self.timers.listing_slot = slot;
--- a/crates/membership/src/upstream.rs
+++ b/crates/membership/src/upstream.rs
@@ -15,38 +15,55 @@
 /// Time after which an upstream that said it was leaving can say that it stays.
 const DIRECT_RETURN_MS: u64 = 10_000;
 
+/// An upstream as this node knows it.
+#[derive(Debug, Clone)]
+struct UpstreamRow {
+    rumor: UpstreamRumor,
+    /// Time at which the present state became known here.
+    changed_at_ms: u64,
+}
+
 /// Rows sorted by id.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
-    rows: Vec<UpstreamRumor>,
+    rows: Vec<UpstreamRow>,
 }
 
 impl UpstreamTable {
-    pub(crate) fn rows(&self) -> &[UpstreamRumor] {
-        &self.rows
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub(crate) fn rumors(&self) -> impl Iterator<Item = &UpstreamRumor> {
+        self.rows.iter().map(|row| &row.rumor)
     }
 
     pub(crate) fn find(&self, id: &UpstreamId) -> Option<&UpstreamRumor> {
         let index = self.position(id).ok()?;
-        Some(&self.rows[index])
+        Some(&self.rows[index].rumor)
     }
 
     /// Takes in news; returns whether it replaced what was known. News of a
     /// dead upstream that is not known is no news.
-    pub(crate) fn merge(&mut self, rumor: UpstreamRumor, digest: &mut Digest) -> bool {
-        match self.position(&rumor.entry.id) {
+    pub(crate) fn merge(&mut self, rumor: UpstreamRumor, now_ms: u64, digest: &mut Digest) -> bool {
+        let position = self.position(&rumor.entry.id);
+        let row = UpstreamRow {
+            rumor,
+            changed_at_ms: now_ms,
+        };
+        match position {
             Ok(index) => {
-                let row = &mut self.rows[index];
-                if compare(&rumor, row) != Ordering::Greater {
+                let known = &mut self.rows[index];
+                if compare(&row.rumor, &known.rumor) != Ordering::Greater {
                     return false;
                 }
-                digest.replace_upstream(Some(row), Some(&rumor));
-                *row = rumor;
+                digest.replace_upstream(Some(&known.rumor), Some(&row.rumor));
+                *known = row;
             }
-            Err(_) if rumor.entry.liveness == Liveness::Dead => return false,
+            Err(_) if row.rumor.entry.liveness == Liveness::Dead => return false,
             Err(index) => {
-                digest.replace_upstream(None, Some(&rumor));
-                self.rows.insert(index, rumor);
+                digest.replace_upstream(None, Some(&row.rumor));
+                self.rows.insert(index, row);
             }
         }
         true
@@ -54,8 +71,9 @@
 
     /// Forgets upstreams that died before `before_ms`.
     pub(crate) fn forget_dead(&mut self, before_ms: u64) {
-        self.rows
-            .retain(|row| row.entry.liveness != Liveness::Dead || row.seen_at_ms >= before_ms);
+        self.rows.retain(|row| {
+            row.rumor.entry.liveness != Liveness::Dead || row.changed_at_ms >= before_ms
+        });
     }
 
     /// What a listing at `now_ms` changes: one rumor for each upstream that
@@ -67,17 +85,17 @@
     ) -> Vec<UpstreamRumor> {
         let mut news: Vec<UpstreamRumor> = listed
             .iter()
-            .filter_map(|entry| match self.find(&entry.id) {
-                Some(row) => after_listing(row, entry, now_ms),
-                None => Some(first_life(entry, now_ms)),
+            .filter_map(|entry| match self.position(&entry.id) {
+                Ok(index) => after_listing(&self.rows[index], entry, now_ms),
+                Err(_) => Some(first_life(entry)),
             })
             .collect();
         for row in &self.rows {
             let is_listed = listed
-                .binary_search_by(|entry| entry.id.cmp(&row.entry.id))
+                .binary_search_by(|entry| entry.id.cmp(&row.rumor.entry.id))
                 .is_ok();
             if !is_listed && is_gone(row, now_ms) {
-                news.push(with_liveness(row, Liveness::Dead, now_ms));
+                news.push(with_liveness(&row.rumor, Liveness::Dead, now_ms));
             }
         }
         news
@@ -132,7 +150,7 @@
     }
 
     fn position(&self, id: &UpstreamId) -> Result<usize, usize> {
-        self.rows.binary_search_by(|row| row.entry.id.cmp(id))
+        self.rows.binary_search_by(|row| row.rumor.entry.id.cmp(id))
     }
 }
 
@@ -172,26 +190,23 @@
     }
 }
 
-fn after_listing(
-    row: &UpstreamRumor,
-    listed: &UpstreamEntry,
-    now_ms: u64,
-) -> Option<UpstreamRumor> {
-    let is_moved = row.entry.address != listed.address;
-    match (row.entry.liveness, listed.liveness) {
+fn after_listing(row: &UpstreamRow, listed: &UpstreamEntry, now_ms: u64) -> Option<UpstreamRumor> {
+    let rumor = &row.rumor;
+    let is_moved = rumor.entry.address != listed.address;
+    match (rumor.entry.liveness, listed.liveness) {
         (Liveness::Live | Liveness::Suspect, Liveness::Leaving) => {
-            Some(with_liveness(row, Liveness::Leaving, now_ms))
+            Some(with_liveness(rumor, Liveness::Leaving, now_ms))
         }
-        (Liveness::Dead, Liveness::Live) => Some(next_life(row, listed, now_ms)),
-        (_, Liveness::Live) if is_moved => Some(next_life(row, listed, now_ms)),
-        (Liveness::Leaving, Liveness::Live) if row.seen_at_ms + LIST_LAG_MAX_MS <= now_ms => {
-            Some(next_life(row, listed, now_ms))
+        (Liveness::Dead, Liveness::Live) => Some(next_life(rumor, listed, now_ms)),
+        (_, Liveness::Live) if is_moved => Some(next_life(rumor, listed, now_ms)),
+        (Liveness::Leaving, Liveness::Live) if rumor.seen_at_ms + LIST_LAG_MAX_MS <= now_ms => {
+            Some(next_life(rumor, listed, now_ms))
         }
         // The list lags behind what an engine said of its models itself.
         (Liveness::Live, Liveness::Live)
-            if row.entry.kind != listed.kind && row.seen_at_ms + ABSENCE_MS <= now_ms =>
+            if rumor.entry.kind != listed.kind && row.changed_at_ms + ABSENCE_MS <= now_ms =>
         {
-            let mut rumor = row.clone();
+            let mut rumor = rumor.clone();
             rumor.entry.kind = listed.kind.clone();
             rumor.seen_at_ms = now_ms;
             Some(rumor)
@@ -200,19 +215,21 @@
     }
 }
 
-fn is_gone(row: &UpstreamRumor, now_ms: u64) -> bool {
-    match row.entry.liveness {
+fn is_gone(row: &UpstreamRow, now_ms: u64) -> bool {
+    match row.rumor.entry.liveness {
         Liveness::Dead => false,
         Liveness::Leaving => true,
-        Liveness::Live | Liveness::Suspect => row.seen_at_ms + ABSENCE_MS <= now_ms,
+        Liveness::Live | Liveness::Suspect => row.changed_at_ms + ABSENCE_MS <= now_ms,
     }
 }
 
-fn first_life(entry: &UpstreamEntry, now_ms: u64) -> UpstreamRumor {
+/// Carries no time, so that all nodes that read the list name the same state
+/// and no evidence is older than it.
+fn first_life(entry: &UpstreamEntry) -> UpstreamRumor {
     UpstreamRumor {
         entry: entry.clone(),
         incarnation: 1,
-        seen_at_ms: now_ms,
+        seen_at_ms: 0,
         born_at_ms: 0,
     }
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -69,7 +69,7 @@
     fn upstream_entries(&self, now_ms: u64) -> Vec<UpstreamEntry> {
         let mut chosen: Vec<&UpstreamRumor> = Vec::new();
         let mut remote: Vec<&UpstreamRumor> = Vec::new();
-        for row in self.upstreams.rows() {
+        for row in self.upstreams.rumors() {
             match row.entry.liveness {
                 Liveness::Dead => {}
                 _ if self.is_own_region(&row.entry.region) => chosen.push(row),
