membership: tests that fail without finality and without the gap check

Planted: ordering upstreams' news by time before finality passed all tests, as did a gap that is never noticed; both are caught now by evidence_of_leaving_beats_later_contacts_elsewhere and pause_across_two_versions_refreshes_before_new_work (which looks at the very moment of waking).

--- a/crates/membership/tests/cluster.rs
+++ b/crates/membership/tests/cluster.rs
@@ -160,15 +160,12 @@
     cluster.apply(0, config(2));
     cluster.run(3_000);
     cluster.apply(1, config(3));
-    cluster.run(6_900);
+    // The very moment of waking: what it knew is old and must not be trusted.
+    cluster.run(7_000);
     assert_eq!(cluster.fleet(9).expect("runs").config().version, 1);
-    let woken = cluster.run_until(3_000, |cluster| {
-        let fleet = cluster.fleet(9).expect("runs");
-        // Whoever trusts the node's view must find the newest version in it.
-        let is_first_tick_over = !fleet.is_synced() || fleet.config().version != 1;
-        is_first_tick_over && fleet.is_synced()
-    });
-    assert!(woken.is_some());
+    assert!(!cluster.fleet(9).expect("runs").is_synced());
+    let synced = |cluster: &Cluster| cluster.fleet(9).expect("runs").is_synced();
+    assert!(cluster.run_until(3_000, synced).is_some());
     assert_eq!(cluster.fleet(9).expect("runs").config().version, 3);
 }
 
@@ -285,10 +282,14 @@
 }
 
 fn leaving(cluster: &mut Cluster, reporter: usize, upstream: &str) {
+    report(cluster, reporter, upstream, Liveness::Leaving);
+}
+
+fn report(cluster: &mut Cluster, reporter: usize, upstream: &str, liveness: Liveness) {
     let seen_at_ms = cluster.now_ms();
     let evidence = UpstreamEvidence {
         id: UpstreamId::new(upstream),
-        liveness: Liveness::Leaving,
+        liveness,
         seen_at_ms,
     };
     cluster.with_fleet(reporter, |fleet, now_ms| {
@@ -321,6 +322,25 @@
     }
 }
 
+#[test]
+fn evidence_of_leaving_beats_later_contacts_elsewhere() {
+    let mut cluster = settled(LARGE);
+    let upstream = "engine-000011";
+    cluster.set_platform_down(true);
+    cluster.set_isolated(4, true);
+    // The cut-off node hears that it leaves; others meet it later and again.
+    leaving(&mut cluster, 4, upstream);
+    cluster.run(100);
+    report(&mut cluster, 11, upstream, Liveness::Suspect);
+    cluster.run(100);
+    report(&mut cluster, 11, upstream, Liveness::Live);
+    cluster.run(2_000);
+    assert!(takes_work(&cluster, upstream));
+    cluster.set_isolated(4, false);
+    let done = |cluster: &Cluster| !takes_work(cluster, upstream);
+    assert!(cluster.run_until(SETTLE_MS, done).is_some());
+}
+
 #[test]
 fn listing_that_shows_a_replacement_revives() {
     let mut cluster = settled(LARGE);
