--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -100,10 +100,8 @@
     check_each_once(&client, &id, 500).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn cancel_starts_nothing_later_than_a_second() {
-    let fleet = Fleet::start_with(1, slow_engine()).await;
-    let _first = fleet.batch("b-1");
+/// Cancels a job in the middle and checks that it stops.
+async fn check_cancel(fleet: &Fleet) {
     let client = fleet.client();
     let id = client.submit(&lines(2_000, 8)).await;
     let committed = |batch: &Value| batch["request_counts"]["completed"].as_u64() > Some(0);
@@ -122,6 +120,21 @@
     assert_eq!(batch["output_file_id"], format!("{id}_output"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_starts_nothing_later_than_a_second() {
+    let fleet = Fleet::start_with(1, slow_engine()).await;
+    let _first = fleet.batch("b-1");
+    check_cancel(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_whose_notice_reaches_nobody_starts_nothing_later_than_a_second() {
+    let fleet = Fleet::start_with(1, slow_engine()).await;
+    fleet.control.hide_addresses();
+    let _first = fleet.batch("b-1");
+    check_cancel(&fleet).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killer_item_ends_alone() {
     let fleet = Fleet::start(1).await;
--- a/crates/batch/tests/support/control.rs
+++ b/crates/batch/tests/support/control.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -23,6 +26,8 @@
 struct State {
     view: watch::Sender<Arc<View>>,
     heard: Mutex<Vec<(InstanceId, Instant)>>,
+    /// Instances are listed with an address at which nobody answers.
+    hides_addresses: AtomicBool,
 }
 
 impl Control {
@@ -32,6 +37,7 @@
         let state = Arc::new(State {
             view: watch::Sender::new(Arc::new(view)),
             heard: Mutex::default(),
+            hides_addresses: AtomicBool::new(false),
         });
         tokio::spawn(peer::serve(
             listener,
@@ -52,6 +58,11 @@
         self.state.view.subscribe()
     }
 
+    /// From now on nobody can reach the instances that register.
+    pub fn hide_addresses(&self) {
+        self.state.hides_addresses.store(true, Ordering::Relaxed);
+    }
+
     /// Changes the view.
     pub fn change(&self, change: impl FnOnce(&mut View)) {
         self.state.change(change);
@@ -89,7 +100,10 @@
                 let view = (**self.view.borrow()).clone();
                 PeerResponse::View(Box::new(view))
             }
-            PeerRequest::Register(entry) => {
+            PeerRequest::Register(mut entry) => {
+                if self.hides_addresses.load(Ordering::Relaxed) {
+                    entry.peer_address = "127.0.0.1:1".to_owned();
+                }
                 let mut heard = self.heard.lock().unwrap();
                 heard.retain(|(id, _)| *id != entry.id);
                 heard.push((entry.id.clone(), Instant::now()));
