Make the test of a cancellation without notice depend on the job checks

Cause: with leases of 1.5 s the refused renewal alone stopped the holder within a second, so the test passed also with the checks of the job's row switched off (trial: interval 9 s, age 20 s).

Change: the test leases for a minute. Trial with the checks off: 224 items started later than a second after the acknowledgement; with them: none.

--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -131,7 +131,8 @@
 async fn cancel_whose_notice_reaches_nobody_starts_nothing_later_than_a_second() {
     let fleet = Fleet::start_with(1, slow_engine()).await;
     fleet.control.hide_addresses();
-    let _first = fleet.batch("b-1");
+    // With a long lease no renewal meets the cancellation.
+    let _first = fleet.batch_with("b-1", 60_000, &[]);
     check_cancel(&fleet).await;
 }
 
