--- a/crates/batch/tests/support/control.rs
+++ b/crates/batch/tests/support/control.rs
@@ -102,7 +102,7 @@
             }
             PeerRequest::Register(mut entry) => {
                 if self.hides_addresses.load(Ordering::Relaxed) {
-                    entry.peer_address = "127.0.0.1:1".to_owned();
+                    "127.0.0.1:1".clone_into(&mut entry.peer_address);
                 }
                 let mut heard = self.heard.lock().unwrap();
                 heard.retain(|(id, _)| *id != entry.id);
