--- a/crates/batch/src/chunks.rs
+++ b/crates/batch/src/chunks.rs
@@ -6,6 +6,7 @@
     claims,
     event::{Event, WriteKind},
     held::Held,
+    schedule::service_of,
     worker::Worker,
     writes,
 };
@@ -26,6 +27,7 @@
             id: self.last_id,
             open_key: open.key.clone(),
             endpoint: open.row.endpoint.clone(),
+            models: open.row.models.clone(),
             deadline_ms: open.row.deadline_ms,
             is_repeatable: self.is_repeatable(&open.row.endpoint),
             is_alone,
@@ -96,7 +98,7 @@
             let due_ms = renewal_due_ms(held.leased_at_ms, self.context.lease_ms);
             if held.is_complete() {
                 self.commit(index);
-            } else if self.is_stopping() && held.running.is_empty() {
+            } else if held.running.is_empty() && (self.is_stopping() || self.is_stranded(held)) {
                 self.hand_back(index);
             } else if due_ms <= now_ms || self.needs_intents(index, now_ms) {
                 self.renew(index, now_ms);
@@ -104,6 +106,16 @@
         }
     }
 
+    /// Whether no owned upstream can run the items of a chunk, such as after
+    /// another process joined and owns the upstream now.
+    fn is_stranded(&self, held: &Held) -> bool {
+        let is_running = held.run.is_some();
+        is_running
+            && !self
+                .windows
+                .can_run(&held.models, service_of(&held.endpoint))
+    }
+
     fn needs_intents(&self, index: usize, now_ms: u64) -> bool {
         !self.is_stopping() && !self.missing_intents(index, now_ms).is_empty()
     }
--- a/crates/batch/src/held.rs
+++ b/crates/batch/src/held.rs
@@ -1,6 +1,7 @@
 //! The table of held chunks.
 
 use jobs::{ChunkRun, HeldChunk, ItemRecord};
+use model::ModelName;
 use policy::BatchItemId;
 use tokio::sync::oneshot;
 
@@ -14,6 +15,8 @@
     /// Key of the job's open row.
     pub(crate) open_key: String,
     pub(crate) endpoint: String,
+    /// Models that the job's items name.
+    pub(crate) models: Vec<ModelName>,
     pub(crate) deadline_ms: u64,
     pub(crate) is_repeatable: bool,
     /// It may not be run beside any other chunk.
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -33,6 +33,8 @@
 const HAND_BACK_LIMIT: Duration = Duration::from_secs(5);
 /// Time limit of telling the control program of an upstream.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two looks whether a job is complete, milliseconds.
+const FINISH_RECHECK_MS: u64 = 3_000;
 /// Delay before items are read again after a failure, milliseconds.
 pub(crate) const RELOAD_MS: u64 = 500;
 
@@ -274,7 +276,7 @@
         self.defer(Deferral {
             job: id,
             chunk: None,
-            until_ms: now_ms + RELOAD_MS,
+            until_ms: now_ms + FINISH_RECHECK_MS,
         });
     }
 
--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -312,3 +312,15 @@
     remote.clear_faults().await.unwrap();
     check_each_once(&client, &id, 600).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_that_join_take_over_what_others_cannot_run_any_more() {
+    let fleet = Fleet::start_with(1, slow_engine()).await;
+    let _first = fleet.batch_with("b-1", 60_000, &[]);
+    let client = fleet.client();
+    let id = client.submit(&lines(500, 8)).await;
+    started(&fleet, 20).await;
+    // One of them owns the only engine from now on, and the leases are long.
+    let _others = ["b-2", "b-3", "b-4", "b-5"].map(|name| fleet.batch_with(name, 60_000, &[]));
+    check_each_once(&client, &id, 500).await;
+}
--- a/crates/jobs/src/choose.rs
+++ b/crates/jobs/src/choose.rs
@@ -114,15 +114,12 @@
             _ if has_fresh => return None,
             _ => {}
         }
-        let all_done = job.row.active.iter().all(|entry| {
-            let deferral = self.deferral(&job.row.job, Some(entry.chunk));
-            deferral == Some(u64::MAX)
-        });
-        let is_deferred = self
-            .deferral(&job.row.job, None)
-            .is_some_and(|until_ms| until_ms > self.now_ms);
-        let watches = is_watcher(self.instance, self.peers, &job_key(&job.row.job));
-        (all_done && watches && !is_deferred).then_some(WorkKind::Finish)
+        let is_finish_due = match self.deferral(&job.row.job, None) {
+            // Also asks for a look, such as after a commit.
+            Some(until_ms) => until_ms <= self.now_ms,
+            None => is_watcher(self.instance, self.peers, &job_key(&job.row.job)),
+        };
+        is_finish_due.then_some(WorkKind::Finish)
     }
 
     fn is_due(&self, job: &OpenJob, entry: &ActiveChunk) -> bool {
