--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -170,12 +170,8 @@
     }
 
     fn choose(&self, peers: &[InstanceId], now_ms: u64) -> Option<Work> {
-        let runnable: Vec<bool> = self
-            .open
-            .jobs()
-            .iter()
-            .map(|job| self.can_run(job))
-            .collect();
+        let jobs = self.open.jobs().iter();
+        let capable: Vec<_> = jobs.map(|job| self.capable(job)).collect();
         let held: Vec<(JobId, ChunkName)> = self
             .held
             .iter()
@@ -185,7 +181,7 @@
             instance: &self.context.instance,
             peers,
             deferrals: &self.deferrals,
-            runnable: &runnable,
+            capable: &capable,
             has_room: self.has_room(),
             held: &held,
             item_us: self.schedule.item_us,
@@ -218,9 +214,13 @@
         });
     }
 
-    fn can_run(&self, job: &OpenJob) -> bool {
+    /// Processes that can run the items of a job, if it is for this region.
+    fn capable(&self, job: &OpenJob) -> Vec<InstanceId> {
+        if !self.is_ours(job) {
+            return Vec::new();
+        }
         let service = service_of(&job.row.endpoint);
-        self.is_ours(job) && self.windows.can_run(&job.row.models, service)
+        self.windows.capable(&job.row.models, service)
     }
 
     /// Whether a job belongs to this region, or to one without a batch process.
--- a/crates/batch/src/windows.rs
+++ b/crates/batch/src/windows.rs
@@ -7,8 +7,8 @@
 
 use membership::batch_window_owner;
 use model::{
-    ErrorKind, InstanceId, InstanceRole, Liveness, ModelName, UpstreamEntry, UpstreamId,
-    UpstreamKind, View,
+    ErrorKind, InstanceId, InstanceRole, Liveness, ModelName, ServiceName, UpstreamEntry,
+    UpstreamId, UpstreamKind, View,
 };
 use peer::DispatchNotice;
 use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
@@ -27,6 +27,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Windows {
     owned: Vec<Owned>,
+    /// Owners of the live upstreams, by what those serve, sorted by both.
+    owners: Vec<(Served, InstanceId)>,
+}
+
+/// What an upstream serves.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Served {
+    Model(ModelName),
+    Service(ServiceName),
 }
 
 /// An owned upstream.
@@ -55,17 +64,26 @@
         for owned in &mut self.owned {
             owned.is_leaving = true;
         }
+        let mut owners = Vec::new();
         let live = view
             .upstreams
             .iter()
             .filter(|entry| entry.liveness == Liveness::Live);
         for entry in live {
             // Entries send their notices to the owner by the same rule.
-            let owner = batch_window_owner(view, entry);
-            if owner.is_some_and(|owner| owner.id == *instance) {
+            let Some(owner) = batch_window_owner(view, entry) else {
+                continue;
+            };
+            for served in served_by(entry) {
+                owners.push((served, owner.id.clone()));
+            }
+            if owner.id == *instance {
                 self.own(entry);
             }
         }
+        owners.sort_unstable();
+        owners.dedup();
+        self.owners = owners;
         self.owned
             .retain(|owned| !owned.is_leaving || !owned.items.is_empty());
     }
@@ -87,6 +105,21 @@
         })
     }
 
+    /// Processes that own an upstream for one of these models, or of this
+    /// service, sorted.
+    pub(crate) fn capable(&self, models: &[ModelName], service: Option<&str>) -> Vec<InstanceId> {
+        let fits = |served: &Served| match (served, service) {
+            (Served::Service(name), Some(service)) => name.as_str() == service,
+            (Served::Model(model), None) => models.is_empty() || models.contains(model),
+            _ => false,
+        };
+        let owners = self.owners.iter().filter(|(served, _)| fits(served));
+        let mut capable: Vec<_> = owners.map(|(_, owner)| owner.clone()).collect();
+        capable.sort_unstable();
+        capable.dedup();
+        capable
+    }
+
     /// Decides what to start and cancel at the upstream with this index.
     pub(crate) fn plan(&mut self, index: usize, urgency: Urgency, now_us: u64) -> WindowPlan {
         let owned = &mut self.owned[index];
@@ -199,6 +232,13 @@
     }
 }
 
+fn served_by(entry: &UpstreamEntry) -> Vec<Served> {
+    match &entry.kind {
+        UpstreamKind::Engine { models } => models.iter().cloned().map(Served::Model).collect(),
+        UpstreamKind::Service { service } => vec![Served::Service(service.clone())],
+    }
+}
+
 /// Batch processes that take work, sorted, with this one among them.
 pub(crate) fn batch_peers(view: &View, instance: &InstanceId) -> Arc<[InstanceId]> {
     let live = view
--- a/crates/jobs/src/choose.rs
+++ b/crates/jobs/src/choose.rs
@@ -63,8 +63,8 @@
     pub peers: &'a [InstanceId],
     /// Looks that are not due yet, in no order.
     pub deferrals: &'a [Deferral],
-    /// For each open job, whether this process can run its items.
-    pub runnable: &'a [bool],
+    /// For each open job, the processes that can run its items, sorted.
+    pub capable: &'a [Vec<InstanceId>],
     /// Whether this process has room for another chunk.
     pub has_room: bool,
     /// Chunks that this process holds.
@@ -80,8 +80,7 @@
 pub fn choose_work(jobs: &[OpenJob], chooser: &Chooser<'_>) -> Option<Work> {
     let loads = customer_loads(jobs, chooser.now_ms);
     let candidates = jobs.iter().enumerate().filter_map(|(index, job)| {
-        let can_claim = chooser.has_room && chooser.runnable.get(index) == Some(&true);
-        let kind = chooser.due(job, can_claim)?;
+        let kind = chooser.due(job, chooser.capable.get(index)?)?;
         Some((chooser.rank(job, kind, &loads), Work { job: index, kind }))
     });
     candidates
@@ -105,8 +104,10 @@
 }
 
 impl Chooser<'_> {
-    fn due(&self, job: &OpenJob, can_claim: bool) -> Option<WorkKind> {
-        let lapsed = job.row.active.iter().find(|entry| self.is_due(job, entry));
+    fn due(&self, job: &OpenJob, capable: &[InstanceId]) -> Option<WorkKind> {
+        let can_claim = self.has_room && capable.binary_search(self.instance).is_ok();
+        let mut active = job.row.active.iter();
+        let lapsed = active.find(|entry| self.is_due(job, entry, capable));
         let has_fresh = job.row.cursor < job.row.chunks;
         match lapsed {
             Some(entry) if can_claim => return Some(WorkKind::Takeover(entry.chunk)),
@@ -122,7 +123,7 @@
         is_finish_due.then_some(WorkKind::Finish)
     }
 
-    fn is_due(&self, job: &OpenJob, entry: &ActiveChunk) -> bool {
+    fn is_due(&self, job: &OpenJob, entry: &ActiveChunk, capable: &[InstanceId]) -> bool {
         let id = &job.row.job;
         let is_held = self
             .held
@@ -136,7 +137,7 @@
             return false;
         }
         let key = chunk_key(id, entry.chunk);
-        let rank = rendezvous_rank(self.instance, self.peers, &key);
+        let rank = rendezvous_rank(self.instance, capable, &key);
         let lapsed_at_ms = entry.lease_until_ms.max(deferred_until_ms);
         rank < WATCHERS && self.now_ms >= lapsed_at_ms + WATCHER_STEP_MS * rank as u64
     }
--- a/crates/jobs/tests/choose.rs
+++ b/crates/jobs/tests/choose.rs
@@ -49,7 +49,7 @@
         instance: &instance,
         peers: std::slice::from_ref(&instance),
         deferrals,
-        runnable: &vec![true; jobs.len()],
+        capable: &vec![vec![instance.clone()]; jobs.len()],
         has_room: true,
         held: &[],
         item_us: 1_000_000,
