--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::{
     net::SocketAddr,
     process::{Child, Command, Stdio},
+    sync::Arc,
     time::Duration,
 };
 
@@ -27,6 +28,8 @@
     start_platform, start_service,
 };
 
+use tokio::sync::watch;
+
 pub use client::Client;
 use control::Control;
 
@@ -104,7 +107,7 @@
             };
             running.push(start_engine(settings).await.unwrap());
         }
-        let control = Control::start(view(&running, &service)).await;
+        let control = Control::start(view(&running, Some(&service))).await;
         let mut entries = Vec::new();
         for _ in 0..2 {
             entries.push(start_entry(platform.address(), &control).await);
@@ -135,6 +138,17 @@
 
     /// Starts a batch program with further flags.
     pub fn batch_with(&self, instance: &str, lease_ms: u64, flags: &[&str]) -> BatchProcess {
+        self.batch_in(REGION, instance, lease_ms, flags)
+    }
+
+    /// Starts a batch program in a region.
+    pub fn batch_in(
+        &self,
+        region: &str,
+        instance: &str,
+        lease_ms: u64,
+        flags: &[&str],
+    ) -> BatchProcess {
         let mut command = Command::new(env!("CARGO_BIN_EXE_redwingtack-batch"));
         command
             .args(["--peer-listen", "127.0.0.1:0"])
@@ -142,7 +156,7 @@
             .args(["--control", &self.control.address.to_string()])
             .args(["--platform", &self.platform.address().to_string()])
             .args(["--instance-id", instance])
-            .args(["--region", REGION])
+            .args(["--region", region])
             .args(["--failure-domain", "lima-a"])
             .args(["--lease-ms", &lease_ms.to_string()])
             .args(["--log-level", "info"])
@@ -167,6 +181,13 @@
         runs
     }
 
+    /// Number of starts at one engine.
+    pub async fn starts_at(&self, engine: usize) -> u32 {
+        let remote = Remote::new(self.engines[engine].address());
+        let counts = remote.runs().await.unwrap();
+        counts.prompts.iter().map(|count| count.runs).sum()
+    }
+
     /// Number of starts at the engines.
     pub async fn starts(&self) -> u32 {
         self.prompt_runs().await.iter().map(|(_, runs)| runs).sum()
@@ -234,18 +255,31 @@
 }
 
 async fn start_entry(platform: SocketAddr, control: &Control) -> SocketAddr {
-    let process = uuid::Uuid::new_v4().as_u64_pair().0;
-    let store = JobStore::new(Platform::new(platform), process);
-    let region = Region::new(REGION);
-    let api = JobApi::new(store, control.subscribe(), region, PeerClient::new());
-    let router = Router::new().push(Router::with_path("v1").push(api.router()));
     let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
     let address = acceptor.local_addr().unwrap();
-    tokio::spawn(Server::new(acceptor).serve(router));
+    let service = job_routes(platform, control.subscribe());
+    tokio::spawn(Server::new(acceptor).serve(service));
     address
 }
 
-fn view(engines: &[Standin], service: &Standin) -> View {
+/// Serves the job routes at `listen` until the process ends.
+pub async fn serve_entry(listen: &str, platform: SocketAddr, view: watch::Receiver<Arc<View>>) {
+    let acceptor = TcpListener::new(listen.to_owned()).bind().await;
+    Server::new(acceptor)
+        .serve(job_routes(platform, view))
+        .await;
+}
+
+fn job_routes(platform: SocketAddr, view: watch::Receiver<Arc<View>>) -> Router {
+    let process = uuid::Uuid::new_v4().as_u64_pair().0;
+    let store = JobStore::new(Platform::new(platform), process);
+    let region = Region::new(REGION);
+    let api = JobApi::new(store, view, region, PeerClient::new());
+    Router::new().push(Router::with_path("v1").push(api.router()))
+}
+
+/// A view of these upstreams, without instances.
+pub fn view(engines: &[Standin], service: Option<&Standin>) -> View {
     let mut config = parse_config(CONFIG).unwrap();
     config.version = 1;
     let engine_entries = engines.iter().enumerate().map(|(index, engine)| {
@@ -255,10 +289,12 @@
         upstream(&format!("engine-{index}"), engine.address(), kind)
     });
     let mut upstreams: Vec<_> = engine_entries.collect();
-    let kind = UpstreamKind::Service {
-        service: ServiceName::new("courts"),
-    };
-    upstreams.push(upstream("service-courts", service.address(), kind));
+    if let Some(service) = service {
+        let kind = UpstreamKind::Service {
+            service: ServiceName::new("courts"),
+        };
+        upstreams.push(upstream("service-courts", service.address(), kind));
+    }
     View {
         revision: 1,
         config,
@@ -280,6 +316,14 @@
 
 /// Polls `probe` until it gives a value.
 pub async fn eventually<T, F: Future<Output = Option<T>>>(probe: impl Fn() -> F) -> T {
+    eventually_within(PATIENCE, probe).await
+}
+
+/// Polls `probe` until it gives a value, at most for `patience`.
+pub async fn eventually_within<T, F: Future<Output = Option<T>>>(
+    patience: Duration,
+    probe: impl Fn() -> F,
+) -> T {
     let poll = async {
         loop {
             if let Some(value) = probe().await {
@@ -288,6 +332,6 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    let value = tokio::time::timeout(PATIENCE, poll).await;
+    let value = tokio::time::timeout(patience, poll).await;
     value.expect("nothing came of it in time")
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::{OptionParser, Parser, construct};
 use load::{
+    capacity::{CapacityOptions, capacity, capacity_options},
     compare::{CompareOptions, compare, compare_options},
     overhead::{
         ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
@@ -13,6 +14,8 @@
 /// What to measure.
 #[derive(Debug, Clone)]
 enum Command {
+    /// Cost of a node by size of the fleet.
+    Capacity(CapacityOptions),
     /// Batch policies under one online load.
     Compare(CompareOptions),
     /// What the entry adds to a direct connection.
@@ -23,6 +26,7 @@
 
 fn main() -> ExitCode {
     let result = match options().run() {
+        Command::Capacity(options) => capacity(&options),
         Command::Compare(options) => compare(&options),
         Command::Overhead(options) => overhead(&options),
         Command::OverheadChild(options) => run_child(&options),
@@ -42,6 +46,11 @@
         .to_options()
         .descr("Compare batch policies under one online load, in virtual time")
         .command("compare");
+    let capacity = capacity_options()
+        .map(Command::Capacity)
+        .to_options()
+        .descr("Measure what a node costs at several sizes of the fleet")
+        .command("capacity");
     let overhead = overhead_options()
         .map(Command::Overhead)
         .to_options()
@@ -52,7 +61,7 @@
         .to_options()
         .command("overhead-child")
         .hide();
-    construct!([compare, overhead, child])
+    construct!([capacity, compare, overhead, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
