--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -65,6 +65,7 @@
     engine_leaving_with_platform_down
     entry_killed_after_dispatch
     entry_restarted_during_outage
+    holder_loses_its_windows
     holder_paused_at_its_commit
     instance_lost_after_acknowledgement
     job_cancelled_while_items_run
