--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -19,5 +19,5 @@
     },
     program::{begin_program, run_program},
     settings::{SettingProblem, Settings, exit_with_problems},
-    shutdown::{Shutdown, wait_for_signal},
+    shutdown::{Shutdown, begin_at_signal, wait_for_signal},
 };
--- a/crates/process/src/program.rs
+++ b/crates/process/src/program.rs
@@ -40,14 +40,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the metrics exporter cannot be built.
+/// Returns an error if the metrics exporter cannot be built or signal handlers
+/// cannot be installed.
 pub fn begin_program(
     admin_listen: std::net::SocketAddr,
 ) -> Result<(AdminState, Shutdown), Box<dyn Error>> {
     let admin = AdminState::new()?;
     let shutdown = Shutdown::new();
-    let stopping = shutdown.clone();
-    tokio::spawn(async move { crate::wait_for_signal(&stopping).await });
+    crate::begin_at_signal(&shutdown)?;
     tokio::spawn(crate::serve_admin(admin_listen, admin.clone()));
     Ok((admin, shutdown))
 }
