batch: hand back chunks that no owned engine can run

Cause: a process that held a chunk and then lost its windows, because another batch process came up and owns the engines by rendezvous hash, renewed the lease for ever and ran nothing; the job stood still. Read from the table: the chunk's row grew a version with each renewal, engines had no start. Ruled out: lost answers of the table (the claim had been settled), the start of both processes at once (holder_loses_its_windows starts them in order). Change: a chunk with waiting items, none running and no owned upstream that could run them is handed back with its partial results, as at a planned stop.

--- a/crates/batch/src/chunks.rs
+++ b/crates/batch/src/chunks.rs
@@ -6,6 +6,7 @@
     claims,
     event::{Event, WriteKind},
     held::Held,
+    schedule::service_of,
     worker::Worker,
     writes,
 };
@@ -96,7 +97,7 @@
             let due_ms = renewal_due_ms(held.leased_at_ms, self.context.lease_ms);
             if held.is_complete() {
                 self.commit(index);
-            } else if self.is_stopping() && held.running.is_empty() {
+            } else if held.running.is_empty() && (self.is_stopping() || self.is_stranded(held)) {
                 self.hand_back(index);
             } else if due_ms <= now_ms || self.needs_intents(index, now_ms) {
                 self.renew(index, now_ms);
@@ -104,6 +105,12 @@
         }
     }
 
+    /// Whether no owned upstream can run what is left of a chunk, such as after
+    /// another process took over its windows.
+    fn is_stranded(&self, held: &Held) -> bool {
+        held.waiting() > 0 && !self.windows.can_run(&[], service_of(&held.endpoint))
+    }
+
     fn needs_intents(&self, index: usize, now_ms: u64) -> bool {
         !self.is_stopping() && !self.missing_intents(index, now_ms).is_empty()
     }
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -358,7 +358,7 @@
 }
 
 /// Service that an endpoint belongs to.
-fn service_of(endpoint: &str) -> Option<&str> {
+pub(crate) fn service_of(endpoint: &str) -> Option<&str> {
     endpoint.strip_prefix(SERVICE_PREFIX)?.split('/').next()
 }
 
