--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -220,7 +220,7 @@
     },
     /// `call at=INSTANCE service=S id=ID [key=K] [status=200] [ran=no]`
     /// calls a plain service; `status=lost` expects the connection to break and
-    /// `status=any` expects nothing.
+    /// `status=any` expects nothing. `call_in_background` does not wait.
     Call {
         instance: String,
         service: String,
