membership: not synced before the upstreams are known

Ruled out: waiting a fixed time, which is wrong in both directions. Change: a frame tells whether its sender knows its region; a node that starts asks for rows until an answer changes nothing or digests agree, or the list was read. A lone node of a region may ask another region.

--- a/crates/membership/src/bench.rs
+++ b/crates/membership/src/bench.rs
@@ -48,6 +48,7 @@
     isolated: Vec<usize>,
     config: Option<Arc<FleetConfig>>,
     listing: Arc<Listing>,
+    seeds: Vec<String>,
     platform_down: bool,
     platform_reads: u64,
     measure: fn(&GossipFrame) -> u64,
@@ -142,6 +143,7 @@
             isolated: Vec::new(),
             config: None,
             listing: Arc::new(Listing::default()),
+            seeds: Vec::new(),
             platform_down: false,
             platform_reads: 0,
             measure: |_| 0,
@@ -239,6 +241,15 @@
         });
     }
 
+    /// Gives the nodes that start from now on the addresses of some others.
+    pub fn set_seeds(&mut self, indices: &[usize]) {
+        let addresses = indices.iter().map(|index| {
+            let node = &self.nodes[*index];
+            node.own.peer_address.clone()
+        });
+        self.seeds = addresses.collect();
+    }
+
     /// Cuts or restores the links between two regions.
     pub fn set_cut(&mut self, a: usize, b: usize, cut: bool) {
         let pair = (region(a), region(b));
@@ -275,7 +286,12 @@
         node.paused_until_ms = 0;
         node.run += 1;
         let seed = u64::try_from(index).unwrap_or(0);
-        node.fleet = Some(Fleet::new(node.own.clone(), Vec::new(), seed, now_ms));
+        node.fleet = Some(Fleet::new(
+            node.own.clone(),
+            self.seeds.clone(),
+            seed,
+            now_ms,
+        ));
         self.perform(index);
         // Ticks of different nodes fall on different moments.
         let offset_ms = seed * 37 % TICK_MS;
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -95,7 +95,8 @@
         if reach == Reach::Across && is_outdated && self.summary.made_at_ms > 0 {
             answer.summaries.push(self.summary.clone());
         }
-        if !buckets.is_empty() && reach == Reach::InRegion {
+        // A node that knows nobody in its region may ask another one.
+        if !buckets.is_empty() {
             self.add_differing_rows(&buckets, &mut answer);
             answer.buckets = self.digest.buckets();
         }
@@ -126,7 +127,14 @@
         let their_digest = frame.digest;
         let their_buckets = frame.buckets.clone();
         let wants_config = frame.wants_config;
+        let knows_region = frame.knows_region;
+        let revision = self.revision;
         self.take_news(frame, now_ms);
+        if knows_region && !self.confirmed.region {
+            let is_same = reach == Reach::InRegion && their_digest == self.digest.root();
+            let is_complete = !their_buckets.is_empty() && self.revision == revision;
+            self.learn_region(is_same || is_complete, target.clone(), now_ms);
+        }
         if their_version > self.config.version {
             self.pull_config(target.clone(), now_ms);
         } else if wants_config && their_version < self.config.version {
@@ -328,6 +336,7 @@
             incarnation: self.own.incarnation,
             region: self.own.region.clone(),
             config_version: self.config.version,
+            knows_region: self.confirmed.region,
             wants_config: false,
             config: None,
             digest,
@@ -399,14 +408,22 @@
         self.heard_version = self.heard_version.max(their_version);
         let is_waiting = self.asked.iter().any(|asked| asked.wants_config);
         if !is_waiting && self.heard_version > 0 && self.config.version >= self.heard_version {
-            self.mark_synced();
+            self.mark_config_confirmed();
+        }
+    }
+
+    /// A node that starts asks until nothing new comes.
+    fn learn_region(&mut self, is_over: bool, target: Target, now_ms: u64) {
+        if is_over {
+            self.mark_region_known();
+        } else {
+            self.ask(target, Ask::Buckets, now_ms);
         }
     }
 
     fn compare_buckets(&mut self, target: Target, now_ms: u64) {
-        let is_new = self.nodes.rows().len() <= 1;
         let is_quiet = self.timers.changed_at_ms + QUIET_MS <= now_ms;
-        if is_new || (is_quiet && self.timers.resync_at_ms <= now_ms) {
+        if self.confirmed.region && is_quiet && self.timers.resync_at_ms <= now_ms {
             self.timers.resync_at_ms = now_ms + RESYNC_INTERVAL_MS;
             self.ask(target, Ask::Buckets, now_ms);
         }
--- a/crates/membership/src/fleet.rs
+++ b/crates/membership/src/fleet.rs
@@ -84,6 +84,7 @@
     pub(crate) is_delegate: bool,
     /// Configuration whose arrival from a peer is awaited until then.
     pub(crate) config_due_at_ms: u64,
+    pub(crate) confirmed: Confirmed,
     /// Highest version that a peer named since the last start or gap.
     pub(crate) heard_version: u64,
     /// Summary of the own region, kept by delegates.
@@ -97,6 +98,15 @@
     pub(crate) revision: u64,
 }
 
+/// What somebody else has confirmed.
+#[derive(Debug, Default)]
+pub(crate) struct Confirmed {
+    /// The configuration, since the last start or gap.
+    pub(crate) config: bool,
+    /// The upstreams, from the list or from a peer, since the start.
+    pub(crate) region: bool,
+}
+
 /// A question that has not been answered.
 #[derive(Debug)]
 pub(crate) struct Asked {
@@ -157,6 +167,7 @@
             neighbors: Vec::new(),
             is_delegate: false,
             config_due_at_ms: 0,
+            confirmed: Confirmed::default(),
             heard_version: 0,
             summary: RegionSummary {
                 region: own.region.clone(),
@@ -197,8 +208,9 @@
         &self.config
     }
 
-    /// Whether this node may let programs take new work: it has heard from the
-    /// table or a peer since it started and since it was last paused.
+    /// Whether this node may let programs take new work: the table or a peer has
+    /// confirmed its configuration since it started and since it was last paused,
+    /// and it has got to know the upstreams, from the list or from a peer.
     #[must_use]
     pub fn is_synced(&self) -> bool {
         self.sync == Sync::Done
@@ -244,8 +256,19 @@
     }
 
     /// Marks that the configuration was confirmed by somebody else.
-    pub(crate) fn mark_synced(&mut self) {
-        if self.sync != Sync::Done {
+    pub(crate) fn mark_config_confirmed(&mut self) {
+        self.confirmed.config = true;
+        self.finish_sync();
+    }
+
+    /// Marks that the upstreams are known.
+    pub(crate) fn mark_region_known(&mut self) {
+        self.confirmed.region = true;
+        self.finish_sync();
+    }
+
+    fn finish_sync(&mut self) {
+        if self.confirmed.config && self.confirmed.region && self.sync != Sync::Done {
             self.sync = Sync::Done;
             self.revision += 1;
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -19,6 +19,8 @@
     pub region: Region,
     /// Highest configuration version that the sender has in force.
     pub config_version: u64,
+    /// Whether the sender knows the nodes and upstreams of its region.
+    pub knows_region: bool,
     /// Whether the answer should carry the configuration.
     pub wants_config: bool,
     /// The configuration, if it was asked for.
--- a/crates/membership/src/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -58,7 +58,7 @@
         }
         // A peer may have named a version that this read was too early for.
         if self.config.version >= self.heard_version {
-            self.mark_synced();
+            self.mark_config_confirmed();
         }
     }
 
@@ -76,6 +76,7 @@
     /// Takes in the platform's list.
     pub fn listing_read(&mut self, listing: &Listing, now_ms: u64) {
         self.note_heard(now_ms);
+        self.mark_region_known();
         self.remember_contacts(&listing.nodes);
         let news = self.upstreams.compare_listing(&listing.upstreams, now_ms);
         // A first list is no news to the others: they read it themselves.
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -67,6 +67,7 @@
             failures: 0,
         };
         self.heard_version = 0;
+        self.confirmed.config = false;
         self.asked.clear();
         for (_, seen_at_ms) in &mut self.programs_seen {
             *seen_at_ms = now_ms;
--- a/crates/membership/tests/cluster.rs
+++ b/crates/membership/tests/cluster.rs
@@ -435,6 +435,7 @@
         incarnation: 1,
         region: Region::new("region-0"),
         config_version: 1,
+        knows_region: true,
         wants_config: false,
         config: Some(Arc::new(config(1))),
         digest: 0,
@@ -448,3 +449,21 @@
     });
     assert_eq!(cluster.fleet(3).expect("runs").config().version, 2);
 }
+
+#[test]
+fn restart_during_an_outage_is_not_synced_before_it_knows_the_upstreams() {
+    for shape in [SMALL, LARGE] {
+        let mut cluster = settled(shape);
+        cluster.run(SETTLE_MS);
+        cluster.set_platform_down(true);
+        let known = view(&cluster, 10).upstreams;
+        assert!(known.len() >= shape.upstreams / shape.regions);
+        cluster.kill(10);
+        cluster.run(2_000);
+        cluster.set_seeds(&[0, 1, 2]);
+        cluster.start(10);
+        let synced = |cluster: &Cluster| cluster.fleet(10).expect("runs").is_synced();
+        assert!(cluster.run_until(60_000, synced).is_some());
+        assert_eq!(view(&cluster, 10).upstreams, known);
+    }
+}
