--- a/crates/membership/tests/cluster.rs
+++ b/crates/membership/tests/cluster.rs
@@ -467,3 +467,24 @@
         assert_eq!(view(&cluster, 10).upstreams, known);
     }
 }
+
+#[test]
+fn digests_agree_at_rest() {
+    for upstreams in [500, 4_500] {
+        let shape = Shape {
+            nodes: 40,
+            upstreams,
+            regions: 1,
+            domains: 3,
+        };
+        let mut cluster =
+            Cluster::new(shape).with_measure(|frame| u64::from(!frame.buckets.is_empty()));
+        cluster.run(2 * SETTLE_MS);
+        cluster.reset_traffic();
+        cluster.run(5_000);
+        let comparisons: u64 = (0..shape.nodes)
+            .map(|index| cluster.traffic(index).bytes_sent)
+            .sum();
+        assert_eq!(comparisons, 0, "{upstreams} upstreams");
+    }
+}
