--- a/crates/batch/src/chunks.rs
+++ b/crates/batch/src/chunks.rs
@@ -106,14 +106,11 @@
         }
     }
 
-    /// Whether no owned upstream can run the items of a chunk, such as after
+    /// Whether no owned upstream can run what is left of a chunk, such as after
     /// another process joined and owns the upstream now.
     fn is_stranded(&self, held: &Held) -> bool {
-        let is_running = held.run.is_some();
-        is_running
-            && !self
-                .windows
-                .can_run(&held.models, service_of(&held.endpoint))
+        let service = service_of(&held.endpoint);
+        held.waiting() > 0 && !self.windows.can_run(&held.models, service)
     }
 
     fn needs_intents(&self, index: usize, now_ms: u64) -> bool {
