batch: look again at a chunk that was handed back after a look

A process that looked at a released chunk while another one had just taken it over put the next look off until that one's lease ends; when that one handed the chunk back, the look stayed put off.

Change: when an open row was written since it was read last, the looks that were put off are due again for the chunks that it shows as released.

--- a/crates/batch/src/open_table.rs
+++ b/crates/batch/src/open_table.rs
@@ -38,6 +38,12 @@
         self.jobs = fresh;
     }
 
+    /// Version of the row at `key`, if the job is known.
+    pub(crate) fn version(&self, key: &str) -> Option<u64> {
+        let index = self.find(key).ok()?;
+        Some(self.jobs[index].version)
+    }
+
     /// Replaces one job, unless a later version of it is known.
     pub(crate) fn put(&mut self, job: OpenJob) {
         match self.find(&job.key) {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -226,6 +226,7 @@
                 } else {
                     self.schedule.next_page.clone_from(&page.next);
                 }
+                self.forget_released(&page);
                 self.open.merge(page);
                 self.forget_old(now_ms);
             }
@@ -233,6 +234,26 @@
         }
     }
 
+    /// Looks again at chunks that open rows show as released since they were
+    /// read last: whoever held them then may have handed them back.
+    fn forget_released(&mut self, page: &OpenPage) {
+        for job in &page.jobs {
+            if self.open.version(&job.key) == Some(job.version) {
+                continue;
+            }
+            let active = &job.row.active;
+            let is_released = |chunk: ChunkName| {
+                let mut entries = active.iter();
+                entries.any(|entry| entry.chunk == chunk && entry.holder.is_none())
+            };
+            self.deferrals.retain(|deferral| {
+                deferral.job != job.row.job
+                    || deferral.until_ms == u64::MAX
+                    || !deferral.chunk.is_some_and(is_released)
+            });
+        }
+    }
+
     fn on_claimed(&mut self, key: &str, result: Result<ClaimOutcome, StoreError>, now_ms: u64) {
         self.schedule.is_claiming = false;
         match result {
