Bound batch prompts by the step they bring about, and take back waiting ones

Cause: the first window paced batch prompts by tokens a second and looked only at counts. Change: starts are bounded by the length of the step that they bring about; one group of starts is under way at a time; starts that still wait are taken back when an online request comes; the router compares engines as if they held no batch work; step costs are learned from batch tokens; a missed online target closes an urgent window; long prompts can be started in parts. Owners answer notices with the load also when they hold no batch work, which makes the comparison with alone stricter. Added: route, the processor time of a decision. The batch program does not send prompts in parts yet; compare prints the policy without parts as redwingtack_whole_prompts.

--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -19,9 +19,9 @@
 /// Items at an engine without priorities: as many as it takes.
 const UNBOUNDED_ITEMS: u32 = 256;
 /// Most rounds of the search for the oracle's rules.
-const SEARCH_ROUNDS: usize = 5;
+const SEARCH_ROUNDS: usize = 3;
 /// Fixed windows of the frontier.
-const FIXED_ITEMS: [u32; 8] = [1, 2, 4, 8, 16, 32, 64, 128];
+const FIXED_ITEMS: [u32; 5] = [1, 4, 8, 16, 64];
 
 /// Options of `compare`.
 #[derive(Debug, Clone)]
@@ -54,14 +54,13 @@
         .fallback(3)
         .display_fallback();
     let threads = long("threads")
-        .help("Runs at the same time")
+        .help("Runs at the same time; as many as there are processors if not given")
         .argument("N")
-        .fallback(4)
-        .display_fallback();
+        .fallback_with(|| thread::available_parallelism().map(usize::from));
     let run_s = long("run-s")
         .help("Virtual time of a run, seconds")
         .argument("S")
-        .fallback(240)
+        .fallback(120)
         .display_fallback();
     let steady_per_engine_s = long("steady")
         .help("Online requests a second and engine between bursts")
@@ -130,9 +129,10 @@
             oracle.scheduling
         );
         for entry in &ours {
-            if entry.name == target.name() {
-                bench.print(entry, "redwingtack", target, best_tokens);
-                points.push(bench.point(entry, &format!("redwingtack {}", entry.name)));
+            let (policy, of_target) = entry.name.split_once(' ').unwrap_or_default();
+            if of_target == target.name() {
+                bench.print(entry, policy, target, best_tokens);
+                points.push(bench.point(entry, &entry.name));
             }
         }
         for entry in &baselines {
@@ -407,13 +407,18 @@
 }
 
 fn ours() -> Vec<(String, Scheduling)> {
-    [("relaxed", Urgency::NONE), ("tight", Urgency::FULL)]
-        .into_iter()
-        .map(|(name, urgency)| {
-            let rules = WindowRules::default();
-            (name.to_owned(), Scheduling::Window { rules, urgency })
-        })
-        .collect()
+    let mut policies = Vec::new();
+    for (target, urgency) in [("relaxed", Urgency::NONE), ("tight", Urgency::FULL)] {
+        for (name, in_parts) in [("redwingtack", true), ("redwingtack_whole_prompts", false)] {
+            let scheduling = Scheduling::Window {
+                rules: WindowRules::default(),
+                urgency,
+                in_parts,
+            };
+            policies.push((format!("{name} {target}"), scheduling));
+        }
+    }
+    policies
 }
 
 fn baselines() -> Vec<(String, Scheduling)> {
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -3,14 +3,20 @@
 use std::collections::VecDeque;
 
 use model::DispatchNotice;
-use policy::{BatchWindow, UpstreamLoad, Urgency, WindowRules};
+use policy::{BatchWindow, OnlineTarget, UpstreamLoad, Urgency, WindowRules};
 use standin::SequenceRequest;
 
-use crate::{OracleRules, fleet::engine_name, workload::BatchItem};
+use crate::{
+    OracleRules,
+    fleet::engine_name,
+    workload::{BatchItem, Workload},
+};
 
 /// Tokens of a block of the engines' prefix cache.
 const BLOCK_TOKENS: u32 = 16;
 
+/// Fewest prompt tokens of a part.
+const PART_TOKENS: u32 = 32;
 /// Items that an owner chooses from.
 const READY_ITEMS: usize = 32;
 
@@ -25,6 +31,8 @@
         rules: WindowRules,
         /// How pressing the batch work is.
         urgency: Urgency,
+        /// Whether long prompts are started in parts.
+        in_parts: bool,
     },
     /// A fixed number of items at each engine.
     Fixed(u32),
@@ -43,7 +51,10 @@
 #[derive(Debug)]
 pub struct Owner {
     engine: usize,
-    window: Option<BatchWindow>,
+    /// Counts the online work at the engine; under our policy it decides.
+    window: BatchWindow,
+    is_deciding: bool,
+    in_parts: bool,
     fixed_items: u32,
     backlog: Vec<BatchItem>,
     items: Vec<Item>,
@@ -58,8 +69,11 @@
 struct Item {
     lengths: BatchItem,
     done_tokens: u32,
+    /// Leading tokens that the engine was sent before.
     cached_tokens: u32,
     in_flight: bool,
+    /// Whether only a part of its prompt is at the engine.
+    is_part: bool,
 }
 
 /// What an owner sends to its engine.
@@ -73,21 +87,31 @@
 
 impl Owner {
     /// The owner of an engine's batch work.
-    pub fn new(engine: usize, scheduling: &Scheduling, backlog: &[BatchItem]) -> Self {
-        let (window, fixed_items) = match scheduling {
-            Scheduling::Window { rules, urgency } => {
-                let mut window = BatchWindow::new(engine_name(engine)).with_rules(*rules);
+    pub fn new(engine: usize, scheduling: &Scheduling, workload: &Workload) -> Self {
+        let mut window = BatchWindow::new(engine_name(engine));
+        window.set_online_target(OnlineTarget {
+            first_token_us: saturated(workload.params.first_token_us),
+            between_tokens_us: saturated(workload.params.between_tokens_us),
+        });
+        let mut fixed_items = 0;
+        match scheduling {
+            Scheduling::Window { rules, urgency, .. } => {
+                window = window.with_rules(*rules);
                 window.set_urgency(*urgency);
-                (Some(window), 0)
             }
-            Scheduling::Fixed(items) | Scheduling::Split { items, .. } => (None, *items),
-            Scheduling::Alone | Scheduling::Oracle(_) => (None, 0),
-        };
+            Scheduling::Fixed(items) | Scheduling::Split { items, .. } => fixed_items = *items,
+            Scheduling::Alone | Scheduling::Oracle(_) => {}
+        }
         Self {
             engine,
             window,
+            is_deciding: matches!(scheduling, Scheduling::Window { .. }),
+            in_parts: match scheduling {
+                Scheduling::Window { in_parts, .. } => *in_parts,
+                _ => matches!(scheduling, Scheduling::Oracle(_)),
+            },
             fixed_items,
-            backlog: backlog.to_vec(),
+            backlog: workload.batch.clone(),
             items: Vec::new(),
             ready: VecDeque::new(),
             in_flight: Vec::new(),
@@ -97,35 +121,42 @@
 
     /// Takes the owner's work away.
     pub fn stop(&mut self) {
-        self.window = None;
+        self.is_deciding = false;
         self.fixed_items = 0;
     }
 
     /// Takes in a notice; answers with the load of the engine.
-    pub fn on_notice(&mut self, notice: &DispatchNotice, now_us: u64) -> Option<UpstreamLoad> {
-        let window = self.window.as_mut()?;
-        window.on_notice(notice, now_us);
-        Some(window.load())
+    pub fn on_notice(&mut self, notice: &DispatchNotice, now_us: u64) -> UpstreamLoad {
+        self.window.on_notice(notice, now_us);
+        self.window.load()
     }
 
-    /// A token of an item came.
-    pub fn on_token(&mut self, item: u64, is_last: bool, now_us: u64) {
+    /// A token of an item came; tells whether it belongs to the answer.
+    pub fn on_token(&mut self, item: u64, is_last: bool, now_us: u64) -> bool {
         let row = &mut self.items[index(item)];
         if !row.in_flight {
-            return;
+            return false;
         }
-        row.done_tokens += 1;
-        if let Some(window) = &mut self.window {
-            window.on_batch_progress(item, now_us);
+        let was_part = std::mem::take(&mut row.is_part);
+        if !was_part {
+            row.done_tokens += 1;
         }
-        if is_last {
+        if self.is_deciding {
+            self.window.on_batch_progress(item, now_us);
+        }
+        if is_last || was_part {
             self.ended(item, now_us);
         }
+        if was_part {
+            self.ready.push_front(item);
+        }
+        !was_part
     }
 
     /// The engine confirmed that it dropped an item.
     pub fn on_cancelled(&mut self, item: u64, now_us: u64) {
         if self.items[index(item)].in_flight {
+            self.items[index(item)].is_part = false;
             self.ended(item, now_us);
             self.ready.push_front(item);
         }
@@ -133,24 +164,49 @@
 
     /// Decides what to send now.
     pub fn tick(&mut self, now_us: u64) -> (Vec<Command>, Option<u64>) {
-        let Some(window) = &mut self.window else {
+        if !self.is_deciding {
             return (self.fill(), None);
-        };
-        let plan = window.tick(now_us);
+        }
+        let plan = self.window.tick(now_us);
         let mut commands: Vec<Command> = plan.cancel.into_iter().map(Command::Cancel).collect();
         let mut left_tokens = plan.start_prompt_tokens;
-        for _ in 0..plan.start_items {
-            let Some(item) = self.next_item(left_tokens) else {
+        for place in 0..plan.start_items {
+            let may_exceed = place == 0 && plan.first_may_exceed && !self.in_parts;
+            let Some((sequence, tokens)) = self.start_next(left_tokens, may_exceed) else {
                 break;
             };
+            left_tokens = left_tokens.saturating_sub(tokens);
+            self.window
+                .on_batch_started(sequence.id / 2, tokens, now_us);
+            commands.push(Command::Submit(sequence));
+        }
+        (commands, Some(plan.next_tick_at_us))
+    }
+
+    /// Starts the next item, or a part of its prompt, within a number of
+    /// prompt tokens; returns the tokens that it takes.
+    pub fn start_next(
+        &mut self,
+        prompt_tokens: u32,
+        may_exceed: bool,
+    ) -> Option<(SequenceRequest, u32)> {
+        if self.in_parts {
+            let item = self.next_item(u32::MAX)?;
             let cost = self.uncached_tokens(item);
-            left_tokens = left_tokens.saturating_sub(cost);
-            if let Some(window) = &mut self.window {
-                window.on_batch_started(item, cost, now_us);
+            if cost <= prompt_tokens {
+                return Some((self.submit(item), cost));
+            }
+            let part = prompt_tokens / BLOCK_TOKENS * BLOCK_TOKENS;
+            if part < PART_TOKENS {
+                self.ready.push_front(item);
+                return None;
             }
-            commands.push(Command::Submit(self.submit(item)));
+            return Some((self.submit_part(item, part), part));
         }
-        (commands, Some(plan.next_tick_at_us))
+        let most_tokens = if may_exceed { u32::MAX } else { prompt_tokens };
+        let item = self.next_item(most_tokens)?;
+        let cost = self.uncached_tokens(item);
+        Some((self.submit(item), cost))
     }
 
     /// Items at the engine or on the way there.
@@ -164,6 +220,11 @@
         row.lengths.output_tokens - row.done_tokens
     }
 
+    /// Whether only a part of an item's prompt is at the engine.
+    pub fn is_part(&self, item: u64) -> bool {
+        self.items[index(item)].is_part
+    }
+
     /// Tokens that an item has produced.
     pub fn done_tokens(&self, item: u64) -> u32 {
         self.items[index(item)].done_tokens
@@ -171,7 +232,7 @@
 
     /// The item to start next: the first of those ready whose prefill takes
     /// at most `prompt_tokens`; paused ones come first.
-    pub fn next_item(&mut self, prompt_tokens: u32) -> Option<u64> {
+    fn next_item(&mut self, prompt_tokens: u32) -> Option<u64> {
         while self.ready.len() < READY_ITEMS {
             self.draw();
         }
@@ -189,18 +250,39 @@
             done_tokens: 0,
             cached_tokens: 0,
             in_flight: false,
+            is_part: false,
         });
         self.ready.push_back(id as u64);
     }
 
     /// Prompt tokens that the engine has to prefill to start an item.
-    pub fn uncached_tokens(&self, item: u64) -> u32 {
+    fn uncached_tokens(&self, item: u64) -> u32 {
         let row = &self.items[index(item)];
         (row.lengths.prompt_tokens + row.done_tokens - row.cached_tokens).max(1)
     }
 
+    /// The request that has the engine cache the next tokens of a prompt; its
+    /// only token is thrown away.
+    fn submit_part(&mut self, item: u64, part_tokens: u32) -> SequenceRequest {
+        let engine = self.engine as u64;
+        let row = &mut self.items[index(item)];
+        let blocks = (row.cached_tokens + part_tokens) / BLOCK_TOKENS;
+        row.cached_tokens = blocks * BLOCK_TOKENS;
+        row.in_flight = true;
+        row.is_part = true;
+        self.in_flight.push(item);
+        let token_index = row.done_tokens + 1;
+        SequenceRequest {
+            id: item * 2 + 1,
+            prompt_tokens: blocks * BLOCK_TOKENS,
+            blocks: block_hashes(engine << 40 | item << 1 | 1, blocks),
+            first_token_index: token_index,
+            last_token_index: token_index,
+        }
+    }
+
     /// The request that starts an item.
-    pub fn submit(&mut self, item: u64) -> SequenceRequest {
+    fn submit(&mut self, item: u64) -> SequenceRequest {
         let engine = self.engine as u64;
         let row = &mut self.items[index(item)];
         let prompt_tokens = row.lengths.prompt_tokens + row.done_tokens;
@@ -220,10 +302,10 @@
     fn fill(&mut self) -> Vec<Command> {
         let mut commands = Vec::new();
         while self.in_flight.len() < self.fixed_items as usize {
-            let Some(item) = self.next_item(u32::MAX) else {
+            let Some((sequence, _)) = self.start_next(u32::MAX, true) else {
                 break;
             };
-            commands.push(Command::Submit(self.submit(item)));
+            commands.push(Command::Submit(sequence));
         }
         commands
     }
@@ -231,8 +313,8 @@
     fn ended(&mut self, item: u64, now_us: u64) {
         self.items[index(item)].in_flight = false;
         self.in_flight.retain(|other| *other != item);
-        if let Some(window) = &mut self.window {
-            window.on_batch_ended(item, now_us);
+        if self.is_deciding {
+            self.window.on_batch_ended(item, now_us);
         }
     }
 }
@@ -247,3 +329,7 @@
 fn index(item: u64) -> usize {
     usize::try_from(item).unwrap_or(usize::MAX)
 }
+
+fn saturated(time_us: u64) -> u32 {
+    u32::try_from(time_us).unwrap_or(u32::MAX)
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,13 +2,14 @@
 
 use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct};
+use bpaf::{OptionParser, Parser, construct, pure};
 use load::{
     capacity::{CapacityOptions, capacity, capacity_options},
     compare::{CompareOptions, compare, compare_options},
     overhead::{
         ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
     },
+    route::route,
 };
 
 /// What to measure.
@@ -20,6 +21,8 @@
     Compare(CompareOptions),
     /// What the entry adds to a direct connection.
     Overhead(OverheadOptions),
+    /// Processor time of a routing decision.
+    Route,
     /// A process that the measurement of overhead starts.
     OverheadChild(ChildOptions),
 }
@@ -30,6 +33,10 @@
         Command::Compare(options) => compare(&options),
         Command::Overhead(options) => overhead(&options),
         Command::OverheadChild(options) => run_child(&options),
+        Command::Route => {
+            route();
+            Ok(())
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -56,12 +63,16 @@
         .to_options()
         .descr("Measure what the entry adds to a direct connection to an engine")
         .command("overhead");
+    let route = pure(Command::Route)
+        .to_options()
+        .descr("Measure the processor time of a routing decision at several sizes")
+        .command("route");
     let child = child_options()
         .map(Command::OverheadChild)
         .to_options()
         .command("overhead-child")
         .hide();
-    construct!([capacity, compare, overhead, child])
+    construct!([capacity, compare, overhead, route, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,9 +10,11 @@
 mod engine;
 mod health;
 mod notices;
+mod online;
 mod prefix;
 mod retry;
 mod router;
+mod rules;
 mod subset;
 mod table;
 mod urgency;
@@ -24,7 +26,8 @@
     prefix::prefix_hashes,
     retry::{RetryBudget, retry_is_safe},
     router::{AttemptId, Destination, Refusal, Route, RouteRequest, Router},
+    rules::{WindowLimits, WindowRules},
     subset::{subset, subset_order},
     urgency::Urgency,
-    window::{BatchItemId, BatchWindow, WindowLimits, WindowPlan, WindowRules},
+    window::{BatchItemId, BatchWindow, OnlineTarget, WindowPlan},
 };
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -321,6 +321,12 @@
 struct Candidate {
     row: usize,
     first_token_us: f64,
+    /// Time to the first token if the upstream held no batch work.
+    ///
+    /// Candidates are compared by it: batch items make a busy upstream look
+    /// like an idle one, so that online requests would meet each other more
+    /// often than alone. The owner of the batch work takes it back instead.
+    score_us: f64,
     prompt_tokens: u32,
 }
 
@@ -354,9 +360,12 @@
             .saturating_mul(BLOCK_TOKENS);
         let prompt_tokens = request.prompt_tokens.saturating_sub(cached);
         let link_us = 2.0 * us(self.link_us(&row.region));
+        let first_token_us = link_us + row.first_token_us(&self.cost, prompt_tokens, now_us);
+        let alone_us = row.first_token_alone_us(&self.cost, prompt_tokens, now_us);
         Candidate {
             row: index,
-            first_token_us: link_us + row.first_token_us(&self.cost, prompt_tokens, now_us),
+            first_token_us,
+            score_us: link_us + alone_us,
             prompt_tokens,
         }
     }
@@ -365,11 +374,11 @@
     fn pick(&mut self, candidates: &[Candidate]) -> Option<Candidate> {
         let best_us = candidates
             .iter()
-            .map(|candidate| candidate.first_token_us)
+            .map(|candidate| candidate.score_us)
             .min_by(f64::total_cmp)?;
         let ties: Vec<&Candidate> = candidates
             .iter()
-            .filter(|candidate| candidate.first_token_us <= best_us + TIE_US)
+            .filter(|candidate| candidate.score_us <= best_us + TIE_US)
             .collect();
         let index = self.rng.random_range(0..ties.len());
         Some(*ties[index])
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -19,7 +19,7 @@
 /// Bounds of the learned correction of predictions.
 const CORRECTION_RANGE: (f64, f64) = (0.25, 16.0);
 /// Weight of the newest observation in the correction.
-const CORRECTION_WEIGHT: f64 = 0.1;
+const CORRECTION_WEIGHT: f64 = 0.02;
 
 /// Requests of one entry at one upstream, or its news of others' there.
 #[derive(Debug, Clone, Copy, Default)]
@@ -113,23 +113,30 @@
     /// Predicted time from arrival at the upstream to the first token,
     /// microseconds.
     pub fn first_token_us(&self, cost: &EngineCost, prompt_tokens: u32, now_us: u64) -> f64 {
-        let running = f64::from(self.own.running)
-            + aged(self.others, now_us, LOAD_FORGET_US, |work| work.running)
-            + aged(self.batch, now_us, LOAD_FORGET_US, |work| work.running);
-        let waiting = f64::from(self.own.prompt_tokens)
-            + aged(self.others, now_us, WAITING_FORGET_US, |work| {
-                work.prompt_tokens
-            })
-            + aged(self.batch, now_us, WAITING_FORGET_US, |work| {
-                work.prompt_tokens
-            });
-        let step_us = cost.step_with(running, waiting + f64::from(prompt_tokens));
-        let residual_us = if running > 0.0 {
-            cost.step_with(running, 0.0) / 2.0
-        } else {
-            0.0
-        };
-        (step_us + residual_us) * self.correction
+        let batch_running = aged(self.batch, now_us, LOAD_FORGET_US, |work| work.running);
+        let batch_waiting = aged(self.batch, now_us, WAITING_FORGET_US, |work| {
+            work.prompt_tokens
+        });
+        let running = self.online_running(now_us) + batch_running;
+        let waiting = self.online_waiting(now_us) + batch_waiting + f64::from(prompt_tokens);
+        first_token(cost, running, waiting) * self.correction
+    }
+
+    /// The same if the upstream held no batch work.
+    pub fn first_token_alone_us(&self, cost: &EngineCost, prompt_tokens: u32, now_us: u64) -> f64 {
+        let waiting = self.online_waiting(now_us) + f64::from(prompt_tokens);
+        first_token(cost, self.online_running(now_us), waiting) * self.correction
+    }
+
+    fn online_running(&self, now_us: u64) -> f64 {
+        f64::from(self.own.running) + aged(self.others, now_us, LOAD_FORGET_US, |work| work.running)
+    }
+
+    fn online_waiting(&self, now_us: u64) -> f64 {
+        let others = aged(self.others, now_us, WAITING_FORGET_US, |work| {
+            work.prompt_tokens
+        });
+        f64::from(self.own.prompt_tokens) + others
     }
 
     /// Compares a prediction with what came.
@@ -169,6 +176,16 @@
     }
 }
 
+/// Half a step until the next begins, if one is under way, then that step.
+fn first_token(cost: &EngineCost, running: f64, waiting_tokens: f64) -> f64 {
+    let residual_us = if running > 0.0 {
+        cost.step_with(running, 0.0) / 2.0
+    } else {
+        0.0
+    };
+    residual_us + cost.step_with(running, waiting_tokens)
+}
+
 fn aged(
     news: Option<(Work, u64)>,
     now_us: u64,
