--- a/crates/entry/tests/chat.rs
+++ b/crates/entry/tests/chat.rs
@@ -143,7 +143,12 @@
 
 #[tokio::test]
 async fn chat_caller_gone_cancels_at_the_engine() {
-    let engines = engines(1).await;
+    // Without a cancel this engine generates unread tokens to the end.
+    let settings = EngineSettings {
+        resume_keep_ms: u64::MAX / 2,
+        ..EngineSettings::default()
+    };
+    let engines = vec![start_engine(settings).await.expect("an engine starts")];
     let entry = entry_over(&engines).await;
     let body = streamed(chat_body("a very long hint [[tokens=100000]]", 100_000));
     let request = entry.chat(&[], body);
