entry: bound what load reports and idle notices cost

Load reports were polled from every engine of the subset twice a second, which grows with the engines known (9 models with 16 engines each: 288 calls a second, past the 6 KB/s that control may cost a node). They are now spaced at least 125 ms apart, one engine after the other: up to 4 engines each is asked twice a second, 12 engines each within the 2 s that a leaving engine allows; beyond that the evidence of the other entries has to do. The notice loop no longer wakes 50 times a second while nothing is in flight.

--- a/crates/entry/src/background.rs
+++ b/crates/entry/src/background.rs
@@ -5,16 +5,15 @@
 use model::{DispatchNotice, Liveness, UpstreamEntry, UpstreamId, UpstreamKind, View};
 use peer::{PeerClient, PeerRequest};
 use process::{AdminState, Shutdown};
-use tokio::{
-    sync::watch,
-    task::JoinSet,
-    time::{Instant, MissedTickBehavior},
-};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 use crate::{fleet::Fleet, server::Shared};
 
-/// Time between load reports of one engine.
-const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two load reports of one engine, if few are known.
+const LOAD_INTERVAL_MS: u64 = 500;
+/// Shortest time between two load reports of any engines, which bounds what
+/// reports cost however many engines are known.
+const LOAD_GAP_MIN_MS: u64 = 125;
 /// Longest time that notices are held back to be coalesced.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which a message to a peer is given up.
@@ -69,22 +68,34 @@
     }
 }
 
+/// Asks the engines for their load, one after the other.
 async fn poll_loads(shared: Arc<Shared>) {
-    let mut interval = tokio::time::interval(LOAD_INTERVAL);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut polls = JoinSet::new();
     loop {
-        interval.tick().await;
         let view = Arc::clone(&shared.view.borrow());
-        for id in shared.dispatcher.upstreams() {
-            if let Some(address) = engine_address(&view, &id) {
-                polls.spawn(poll_load(Arc::clone(&shared), id, address));
-            }
+        let engines: Vec<_> = shared
+            .dispatcher
+            .upstreams()
+            .into_iter()
+            .filter_map(|id| Some((engine_address(&view, &id)?, id)))
+            .collect();
+        let gap = load_gap(engines.len());
+        for (address, id) in engines {
+            polls.spawn(poll_load(Arc::clone(&shared), id, address));
+            tokio::time::sleep(gap).await;
+            while polls.try_join_next().is_some() {}
+        }
+        if polls.is_empty() {
+            tokio::time::sleep(gap).await;
         }
-        while polls.join_next().await.is_some() {}
     }
 }
 
+fn load_gap(engines: usize) -> Duration {
+    let engines = u64::try_from(engines).unwrap_or(u64::MAX).max(1);
+    Duration::from_millis((LOAD_INTERVAL_MS / engines).max(LOAD_GAP_MIN_MS))
+}
+
 async fn poll_load(shared: Arc<Shared>, id: UpstreamId, address: SocketAddr) {
     match shared.upstreams.load(address).await {
         Ok(report) => shared.dispatcher.on_report(&id, &report),
@@ -98,9 +109,13 @@
 async fn send_notices(shared: Arc<Shared>) {
     let mut sends = JoinSet::new();
     loop {
-        tokio::select! {
-            () = shared.dispatcher.notices_ready() => {}
-            () = tokio::time::sleep(NOTICE_INTERVAL) => {}
+        if shared.dispatcher.is_idle() {
+            shared.dispatcher.notices_ready().await;
+        } else {
+            tokio::select! {
+                () = shared.dispatcher.notices_ready() => {}
+                () = tokio::time::sleep(NOTICE_INTERVAL) => {}
+            }
         }
         let notices = shared.dispatcher.take_notices();
         let view = Arc::clone(&shared.view.borrow());
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -149,6 +149,12 @@
         self.policy().router.take_notices(clock::now_us())
     }
 
+    /// Whether nothing is in flight and no notice waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        let policy = self.policy();
+        policy.router.in_flight() == 0 && policy.router.notices_due_at_us().is_none()
+    }
+
     /// Direct evidence about upstreams.
     pub(crate) fn evidence(&self) -> &EvidenceLog {
         &self.evidence
