--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use self::{
-    child::{Child, EngineShape},
+    child::{Child, EngineShape, Scheduling},
     client::{LoadClient, Timing},
 };
 
@@ -104,30 +104,33 @@
     let client = LoadClient::new();
     let mut direct = Latencies::new()?;
     let mut routed = Latencies::new()?;
-    let mut cpu_us = 0;
+    let mut spent = Scheduling::default();
     for turn in 0..=options.turns {
         let length_s = if turn == 0 { WARM_UP_S } else { TURN_S };
         let count = rate_per_s * u32::try_from(length_s).unwrap_or(1);
         let direct_turn = run_turn(&client, engine.address(), rate_per_s, count).await;
-        let cpu_before_us = entry.cpu_us()?;
+        let before = entry.scheduling()?;
         let routed_turn = run_turn(&client, entry.address(), rate_per_s, count).await;
-        let cpu_after_us = entry.cpu_us()?;
+        let turn_spent = entry.scheduling()?.since(before);
         if turn > 0 {
             direct.add(&direct_turn);
             routed.add(&routed_turn);
-            cpu_us += cpu_after_us - cpu_before_us;
+            spent.cpu_us += turn_spent.cpu_us;
+            spent.run_delay_us += turn_spent.run_delay_us;
         }
     }
     direct.print(rate_per_s, Path::Direct);
     routed.print(rate_per_s, Path::Entry);
     println!(
         "overhead rate_per_s={rate_per_s} added_first_token_p50_us={} added_first_token_p99_us={} \
-         added_total_p50_us={} added_total_p99_us={} cpu_us_per_request={} rss_bytes={}",
+         added_total_p50_us={} added_total_p99_us={} cpu_us_per_request={} \
+         run_delay_us_per_request={} rss_bytes={}",
         added(&direct.first_token_us, &routed.first_token_us, 0.5),
         added(&direct.first_token_us, &routed.first_token_us, 0.99),
         added(&direct.total_us, &routed.total_us, 0.5),
         added(&direct.total_us, &routed.total_us, 0.99),
-        cpu_us / routed.requests.max(1),
+        spent.cpu_us / routed.requests.max(1),
+        spent.run_delay_us / routed.requests.max(1),
         entry.rss_bytes()?,
     );
     Ok(())
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -56,6 +56,26 @@
     address: SocketAddr,
 }
 
+/// Time that the threads of a process spent on a processor and in line for
+/// one. The second is what other processes on the machine cost.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Scheduling {
+    /// On a processor, microseconds.
+    pub cpu_us: u64,
+    /// Ready to run, waiting for a processor, microseconds.
+    pub run_delay_us: u64,
+}
+
+impl Scheduling {
+    /// What was spent since an earlier reading.
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            cpu_us: self.cpu_us.saturating_sub(earlier.cpu_us),
+            run_delay_us: self.run_delay_us.saturating_sub(earlier.run_delay_us),
+        }
+    }
+}
+
 /// Parser of the subcommand that the measurement starts itself with.
 #[must_use]
 pub fn child_options() -> impl Parser<ChildOptions> {
@@ -123,18 +143,20 @@
         self.address
     }
 
-    /// Processor time spent by all threads so far, microseconds.
-    pub fn cpu_us(&self) -> Result<u64, String> {
+    /// What the scheduler says of all threads so far.
+    pub fn scheduling(&self) -> Result<Scheduling, String> {
         let tasks = fs::read_dir(format!("/proc/{}/task", self.id()?));
-        let mut total_ns = 0;
+        let mut total = Scheduling::default();
         for task in tasks.map_err(|error| error.to_string())?.flatten() {
             let statistics = fs::read_to_string(task.path().join("schedstat"));
             // A thread may end between the listing and the reading.
             let statistics = statistics.unwrap_or_default();
-            let first = statistics.split_whitespace().next();
-            total_ns += first.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let mut fields = statistics.split_whitespace().map(str::parse);
+            let mut next_us = || fields.next().and_then(Result::ok).unwrap_or(0) / NS_PER_US;
+            total.cpu_us += next_us();
+            total.run_delay_us += next_us();
         }
-        Ok(total_ns / NS_PER_US)
+        Ok(total)
     }
 
     /// Resident memory, bytes.
--- a/crates/load/src/overhead/streams.rs
+++ b/crates/load/src/overhead/streams.rs
@@ -35,7 +35,7 @@
     let rest_bytes = entry.rss_bytes()?;
     let direct = run(engine.address(), streams).await?;
     direct.print(streams, Path::Direct);
-    let cpu_before_us = entry.cpu_us()?;
+    let before = entry.scheduling()?;
     let began_at = Instant::now();
     let routed = tokio::spawn(run(entry.address(), streams));
     let all_open_ms = u64::from(streams) * START_GAP_US / 1_000 + SETTLE_MS;
@@ -43,12 +43,15 @@
     let open_bytes = entry.rss_bytes()?;
     let routed = routed.await.map_err(|error| error.to_string())??;
     let took_ms = began_at.elapsed().as_millis();
-    let cpu_us = entry.cpu_us()? - cpu_before_us;
+    let spent = entry.scheduling()?.since(before);
+    let tokens = (u64::from(streams) * u64::from(TOKENS)).max(1);
     routed.print(streams, Path::Entry);
     println!(
         "overhead streams={streams} rss_at_rest_bytes={rest_bytes} rss_open_bytes={open_bytes} \
-         cpu_us={cpu_us} cpu_us_per_token={} took_ms={took_ms}",
-        cpu_us / (u64::from(streams) * u64::from(TOKENS)).max(1),
+         cpu_us={} cpu_us_per_token={} run_delay_us_per_token={} took_ms={took_ms}",
+        spent.cpu_us,
+        spent.cpu_us / tokens,
+        spent.run_delay_us / tokens,
     );
     Ok(())
 }
