--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,7 +8,6 @@
 
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 const DRAIN_MS: u64 = 5_000;
-const WORKER_THREADS: usize = 2;
 
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
@@ -72,7 +71,7 @@
         .optional();
     let worker_threads = long("worker-threads")
         .env("REDWINGTACK_WORKER_THREADS")
-        .help("Threads that serve requests; 2 unless set")
+        .help("Threads that serve requests; one per processor unless set")
         .argument("N")
         .optional();
     construct!(EntryOptions {
@@ -109,7 +108,7 @@
         let worker_threads = settings.or_default(
             "worker-threads",
             self.worker_threads.as_deref(),
-            WORKER_THREADS,
+            processors(),
         );
         if worker_threads == 0 {
             settings.push("worker-threads", "must be at least 1".to_owned());
@@ -135,3 +134,7 @@
         settings.finish(checked)
     }
 }
+
+fn processors() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -24,8 +24,6 @@
 const FIRST_TOKEN_MS: u64 = 10_000;
 const BETWEEN_TOKENS_MS: u64 = 1_000;
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-/// Worker threads of an entry unless set, as in `redwingtack-entry`.
-const ENTRY_THREADS: usize = 2;
 const BYTES_PER_KIB: u64 = 1_024;
 const NS_PER_US: u64 = 1_000;
 
@@ -99,8 +97,6 @@
     builder.enable_all();
     if let Some(threads) = options.threads {
         builder.worker_threads(threads);
-    } else if options.engine.is_some() {
-        builder.worker_threads(ENTRY_THREADS);
     }
     let runtime = builder.build().map_err(|error| error.to_string())?;
     runtime.block_on(async {
@@ -225,7 +221,8 @@
         failure_domain: FailureDomain::new("local-a"),
         body_limit_bytes: BODY_LIMIT_BYTES,
         drain_ms: 0,
-        worker_threads: ENTRY_THREADS,
+        // Only the program itself reads it.
+        worker_threads: 1,
         log_level: String::new(),
     };
     let (_sender, view) = watch::channel(Arc::new(view(engine)));
