--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -100,6 +100,7 @@
             self.add_differing_rows(&buckets, &mut answer);
             answer.buckets = self.digest.buckets();
         }
+        self.push_news(now_ms);
         answer
     }
 
@@ -141,6 +142,7 @@
             self.ask(target.clone(), Ask::OfferConfig, now_ms);
         }
         self.confirm_config(their_version);
+        self.push_news(now_ms);
         if let Some(region) = asked.across {
             self.note_contact(&region, true, now_ms);
         }
--- a/crates/membership/src/fleet.rs
+++ b/crates/membership/src/fleet.rs
@@ -137,6 +137,7 @@
     pub(crate) across_turn: usize,
     pub(crate) across_index: usize,
     pub(crate) outreach_at_ms: u64,
+    pub(crate) push_at_ms: u64,
     pub(crate) config_slot: u64,
     pub(crate) listing_slot: u64,
     pub(crate) summary_at_ms: u64,
--- a/crates/membership/src/tick.rs
+++ b/crates/membership/src/tick.rs
@@ -12,6 +12,8 @@
     rumor::{Audience, Reach, Subject},
 };
 
+/// Shortest time between two pushes, in which news is gathered.
+const PUSH_INTERVAL_MS: u64 = 100;
 /// Neighbours that news is pushed to at once.
 const PUSH_FAN_OUT: usize = 3;
 /// Nodes of a region that talk to other regions.
@@ -163,13 +165,17 @@
         }
     }
 
-    fn push_news(&mut self, now_ms: u64) {
+    /// Passes news on. The first after a while goes at once, what follows waits
+    /// for the next tick, so that a burst costs no more than its ticks.
+    pub(crate) fn push_news(&mut self, now_ms: u64) {
         if !self.is_delegate {
             self.rumors.forget_across();
         }
-        if !std::mem::take(&mut self.news_pending) {
+        if !self.news_pending || now_ms < self.timers.push_at_ms {
             return;
         }
+        self.news_pending = false;
+        self.timers.push_at_ms = now_ms + PUSH_INTERVAL_MS;
         let mut left = self.neighbors.clone();
         for _ in 0..PUSH_FAN_OUT.min(left.len()) {
             let index = self.rng.random_range(0..left.len());
