--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -14,6 +14,10 @@
     service::Services,
 };
 
+/// Label of the routes of batches.
+const JOBS_ROUTE: &str = "/v1/batches";
+/// Label of the routes of files.
+const FILES_ROUTE: &str = "/v1/files";
 /// Longest rest of a body that is read to keep a connection.
 const DRAIN_MAX_BYTES: usize = 64 * 1024;
 /// Longest wait for the rest of a body.
@@ -59,7 +63,7 @@
         shared.region.clone(),
         shared.peers.clone(),
     );
-    let jobs = jobs.router().hoop(measure("/v1/files, /v1/batches"));
+    let jobs = jobs.router().hoop(measure(JOBS_ROUTE));
     Router::new().push(v1.push(jobs)).push(services)
 }
 
@@ -103,7 +107,8 @@
         drain(req).await;
         let status = res.status_code.unwrap_or(StatusCode::OK).as_u16();
         let took_us = clock::now_us().saturating_sub(began_us);
-        self.shared.metrics.on_answer(self.route, status, took_us);
+        let route = self.route_of(req);
+        self.shared.metrics.on_answer(route, status, took_us);
         drop(active);
         if self.shutdown.is_stopping() {
             // The client's next request then goes to another instance.
@@ -113,6 +118,16 @@
     }
 }
 
+impl Measure {
+    /// The routes of jobs are mounted as one.
+    fn route_of(&self, req: &Request) -> &'static str {
+        if self.route == JOBS_ROUTE && req.uri().path().starts_with(FILES_ROUTE) {
+            return FILES_ROUTE;
+        }
+        self.route
+    }
+}
+
 /// Reads what a handler left of a short body. Otherwise the connection would be
 /// closed behind the answer, and the client's next request with it.
 async fn drain(req: &mut Request) {
