--- a/crates/load/src/oracle.rs
+++ b/crates/load/src/oracle.rs
@@ -60,37 +60,29 @@
 impl OracleRules {
     /// Rules to start the search from.
     pub const START: [Self; 3] = [
+        Self::spare(136, 67_500.0, 16, 20_400.0),
+        Self::spare(100, 50_000.0, 52, 21_250.0),
+        Self::spare(100, 30_000.0, 100, 26_000.0),
+    ];
+
+    /// Rules that spare arrivals and bursts.
+    const fn spare(
+        idle_items: usize,
+        idle_step_us: f64,
+        online_items: usize,
+        online_step_us: f64,
+    ) -> Self {
         Self {
-            idle_items: 40,
-            idle_step_us: 40_000.0,
-            online_items: 40,
-            online_step_us: 20_000.0,
-            online_prompt_every: 1,
-            spare_arrivals_from_prompts: true,
-            arrival_items: 256,
-            spare_bursts: true,
-        },
-        Self {
-            idle_items: 100,
-            idle_step_us: 30_000.0,
-            online_items: 100,
-            online_step_us: 26_000.0,
-            online_prompt_every: 1,
-            spare_arrivals_from_prompts: true,
-            arrival_items: 256,
-            spare_bursts: true,
-        },
-        Self {
-            idle_items: 100,
-            idle_step_us: 50_000.0,
-            online_items: 16,
-            online_step_us: 17_000.0,
+            idle_items,
+            idle_step_us,
+            online_items,
+            online_step_us,
             online_prompt_every: 1,
             spare_arrivals_from_prompts: true,
             arrival_items: 256,
             spare_bursts: true,
-        },
-    ];
+        }
+    }
 
     /// Rules that differ from these in one respect.
     #[must_use]
