--- a/crates/load/src/oracle.rs
+++ b/crates/load/src/oracle.rs
@@ -59,34 +59,36 @@
 
 impl OracleRules {
     /// Rules to start the search from.
-    pub const START: [Self; 2] = [
-        Self {
-            idle_items: 40,
-            idle_step_us: 40_000.0,
-            online_items: 40,
-            online_step_us: 20_000.0,
-            online_prompt_every: 1,
-            spare_arrivals_from_prompts: true,
-            arrival_items: 256,
-            spare_bursts: true,
-        },
+    pub const START: [Self; 3] = [
+        Self::spare(136, 67_500.0, 16, 20_400.0),
+        Self::spare(100, 50_000.0, 52, 21_250.0),
+        Self::spare(100, 30_000.0, 100, 26_000.0),
+    ];
+
+    /// Rules that spare arrivals and bursts.
+    const fn spare(
+        idle_items: usize,
+        idle_step_us: f64,
+        online_items: usize,
+        online_step_us: f64,
+    ) -> Self {
         Self {
-            idle_items: 100,
-            idle_step_us: 50_000.0,
-            online_items: 16,
-            online_step_us: 17_000.0,
+            idle_items,
+            idle_step_us,
+            online_items,
+            online_step_us,
             online_prompt_every: 1,
             spare_arrivals_from_prompts: true,
             arrival_items: 256,
             spare_bursts: true,
-        },
-    ];
+        }
+    }
 
     /// Rules that differ from these in one respect.
     #[must_use]
     pub fn neighbours(&self) -> Vec<Self> {
         let mut all = Vec::new();
-        for share in [1.25, 0.75, 1.5] {
+        for share in [1.35, 0.75] {
             let scaled = |items: usize| whole(share * small(items)) as usize + 1;
             all.push(Self {
                 idle_items: scaled(self.idle_items),
@@ -101,18 +103,16 @@
                 ..*self
             });
         }
-        for share in [0.8, 0.93, 1.07, 1.25] {
+        for share in [0.85, 0.95, 1.07, 1.2] {
             all.push(Self {
                 online_step_us: self.online_step_us * share,
                 ..*self
             });
         }
-        for online_prompt_every in [1, 2, 3] {
-            all.push(Self {
-                online_prompt_every,
-                ..*self
-            });
-        }
+        all.push(Self {
+            online_prompt_every: if self.online_prompt_every == 1 { 2 } else { 1 },
+            ..*self
+        });
         all.push(Self {
             spare_arrivals_from_prompts: !self.spare_arrivals_from_prompts,
             ..*self
