batch: send long prompts in parts, and feed the window what it decides by

Cause: the comparison of docs/load.md feeds the window a token's time for every token, the online target, and prompts in parts. The program reported each sixteenth token, set no target, and started at least one item of any length in each tick, even while online requests ran and the plan said that the first item must not exceed its tokens. What was measured was not what ran.

Ruled out: holding long prompts back until no online request runs. Under steady online work they would never start.

Change: a prompt longer than the plan's tokens is sent as its leading tokens with an output limit of one; the item then waits with what that engine holds of it, and other engines take it last. Each token is reported. The target is the strictest of all online classes. The observed rate counts items that ended, not withdrawn attempts.

Before/after: long_prompt_is_sent_in_parts_and_answered_whole fails without parts (the prompt of 2,000 tokens is sent at once) and passes with them. No latency was measured through the programs.

--- a/crates/batch/src/chunks.rs
+++ b/crates/batch/src/chunks.rs
@@ -39,6 +39,7 @@
             recorded: 0,
             write: None,
             running: Vec::new(),
+            warmed: Vec::new(),
             chunk,
         });
     }
--- a/crates/batch/src/dispatch.rs
+++ b/crates/batch/src/dispatch.rs
@@ -15,14 +15,13 @@
 use upstream::{ChatRequest, ChatStream, ServiceCall, UpstreamClient, UpstreamError};
 use uuid::Uuid;
 
-use crate::event::Event;
+use crate::{
+    event::Event,
+    prompt::{self, Share},
+};
 
 /// Time limit of an attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_mins(5);
-/// Tokens between two reports of progress.
-const PROGRESS_TOKENS: usize = 16;
-/// Characters of a prompt that make about one token.
-const CHARS_PER_TOKEN: usize = 4;
 
 /// An attempt at an item.
 #[derive(Debug)]
@@ -31,6 +30,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) start: ItemStart,
     pub(crate) batch_item: BatchItemId,
+    /// How much of the prompt is sent; a part's answer is thrown away.
+    pub(crate) share: Share,
     /// Path at the service, for items that no engine runs.
     pub(crate) service_path: Option<String>,
     /// Whether a service call may be repeated after a failure.
@@ -47,11 +48,13 @@
 }
 
 impl Attempt {
-    /// Runs the attempt to its end, or until `withdraw` resolves.
-    pub(crate) async fn run(self, withdraw: oneshot::Receiver<()>) -> ItemEnd {
+    /// Runs the attempt to its end, or until `withdraw` resolves. Also returns
+    /// how many leading tokens of the prompt the engine now holds, if a part
+    /// was sent.
+    pub(crate) async fn run(self, withdraw: oneshot::Receiver<()>) -> (ItemEnd, Option<u32>) {
         let attempt_id = Uuid::new_v4().to_string();
         match &self.service_path {
-            Some(path) => self.call_service(&attempt_id, path).await,
+            Some(path) => (self.call_service(&attempt_id, path).await, None),
             None => self.complete_chat(&attempt_id, withdraw).await,
         }
     }
@@ -60,10 +63,10 @@
         &self,
         attempt_id: &str,
         mut withdraw: oneshot::Receiver<()>,
-    ) -> ItemEnd {
-        let request = match chat_request(&self.start) {
+    ) -> (ItemEnd, Option<u32>) {
+        let request = match chat_request(&self.start, self.share) {
             Ok(request) => request,
-            Err(message) => return bad_request(&message),
+            Err(message) => return (bad_request(&message), None),
         };
         let mut generated = Generated {
             tokens: self.start.tokens.clone(),
@@ -82,7 +85,10 @@
             result = run => Some(result),
             _ = &mut withdraw => None,
         };
-        match result {
+        if let Share::Part { leading_tokens, .. } = self.share {
+            return self.end_part(result, leading_tokens);
+        }
+        let end = match result {
             None => ItemEnd::Withdrawn {
                 tokens: generated.tokens,
             },
@@ -91,6 +97,22 @@
                 body: completion(attempt_id, &request.model, &generated),
             },
             Some(Err(error)) => failed(&error, generated.tokens),
+        };
+        (end, None)
+    }
+
+    /// The item goes on with the tokens that it had; what the part generated is
+    /// thrown away.
+    fn end_part(
+        &self,
+        result: Option<Result<(), UpstreamError>>,
+        leading_tokens: u32,
+    ) -> (ItemEnd, Option<u32>) {
+        let tokens = self.start.tokens.clone();
+        match result {
+            None => (ItemEnd::Withdrawn { tokens }, None),
+            Some(Ok(())) => (ItemEnd::Withdrawn { tokens }, Some(leading_tokens)),
+            Some(Err(error)) => (failed(&error, tokens), None),
         }
     }
 
@@ -103,7 +125,6 @@
             // The worker may have ended.
             let _ = self.events.send(Event::LeavingSeen(self.batch_item));
         }
-        let mut received = 0;
         while let Some(chunk) = stream.next().await? {
             if chunk.finish_reason.is_some() {
                 generated.finish_reason = chunk.finish_reason;
@@ -111,11 +132,9 @@
                 continue;
             }
             generated.tokens.push(chunk.text);
-            if received % PROGRESS_TOKENS == 0 {
-                // The worker may have ended.
-                let _ = self.events.send(Event::ItemProgressed(self.batch_item));
-            }
-            received += 1;
+            // The window reads the engine's steps from each token. The worker
+            // may have ended.
+            let _ = self.events.send(Event::ItemProgressed(self.batch_item));
         }
         Ok(())
     }
@@ -158,26 +177,30 @@
     }
 }
 
-/// A rough count of the tokens of a prompt.
-pub(crate) fn prompt_tokens(request: &ItemRequest) -> u32 {
-    let chars = request
-        .body
-        .get("messages")
-        .map_or(0, |messages| messages.to_string().len());
-    u32::try_from(chars / CHARS_PER_TOKEN).unwrap_or(u32::MAX)
-}
-
 /// Model that an item names.
 pub(crate) fn model_of(request: &ItemRequest) -> Option<&str> {
     request.body.get("model").and_then(Value::as_str)
 }
 
-fn chat_request(start: &ItemStart) -> Result<ChatRequest, String> {
+fn chat_request(start: &ItemStart, share: Share) -> Result<ChatRequest, String> {
     let mut body: Map<String, Value> = start.request.body.clone();
     body.insert("stream".to_owned(), Value::Bool(true));
+    let part = match share {
+        Share::Part { leading_tokens, .. } => prompt::cut(&start.request, leading_tokens),
+        Share::Whole { .. } => None,
+    };
+    let is_part = part.is_some();
+    if let Some(messages) = part {
+        body.insert("messages".to_owned(), messages);
+    }
     let mut request: ChatRequest =
         serde_json::from_value(Value::Object(body)).map_err(|error| error.to_string())?;
-    request.continue_from_tokens.clone_from(&start.tokens);
+    if is_part {
+        request.max_tokens = Some(1);
+        request.max_completion_tokens = None;
+    } else {
+        request.continue_from_tokens.clone_from(&start.tokens);
+    }
     Ok(request)
 }
 
--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -124,4 +124,7 @@
     pub(crate) batch_item: BatchItemId,
     /// How it ended.
     pub(crate) end: ItemEnd,
+    /// Leading tokens of its prompt that the engine now holds, if a part was
+    /// sent.
+    pub(crate) warmed_tokens: Option<u32>,
 }
--- a/crates/batch/src/held.rs
+++ b/crates/batch/src/held.rs
@@ -1,7 +1,7 @@
 //! The table of held chunks.
 
 use jobs::{ChunkRun, HeldChunk, ItemRecord};
-use model::ModelName;
+use model::{ModelName, UpstreamId};
 use policy::BatchItemId;
 use tokio::sync::oneshot;
 
@@ -33,6 +33,16 @@
     /// The write under way.
     pub(crate) write: Option<WriteKind>,
     pub(crate) running: Vec<Running>,
+    /// Prompts sent in part, sorted by item.
+    pub(crate) warmed: Vec<Warmed>,
+}
+
+/// What an engine holds of the prompt of an item that waits.
+#[derive(Debug)]
+pub(crate) struct Warmed {
+    pub(crate) item: u32,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) leading_tokens: u32,
 }
 
 /// An attempt under way. Dropping it withdraws the item.
@@ -74,6 +84,26 @@
         run.flat_map(ChunkRun::records).count()
     }
 
+    /// Remembers what an engine holds of an item's prompt.
+    pub(crate) fn set_warmed(&mut self, warmed: Warmed) {
+        match self.find_warmed(warmed.item) {
+            Ok(index) => self.warmed[index] = warmed,
+            Err(index) => self.warmed.insert(index, warmed),
+        }
+    }
+
+    /// Forgets what an engine held of an item's prompt.
+    pub(crate) fn forget_warmed(&mut self, item: u32) {
+        if let Ok(index) = self.find_warmed(item) {
+            self.warmed.remove(index);
+        }
+    }
+
+    fn find_warmed(&self, item: u32) -> Result<usize, usize> {
+        self.warmed
+            .binary_search_by_key(&item, |warmed| warmed.item)
+    }
+
     /// Number of items that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.run.as_ref().map_or(0, ChunkRun::waiting)
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod held;
 mod open_table;
 mod program;
+mod prompt;
 mod schedule;
 mod settings;
 mod watch_list;
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -7,7 +7,7 @@
     ALL_OPEN_PREFIX, Chooser, ChunkName, Deferral, ItemRequest, ItemStart, OpenJob, Work, WorkKind,
     choose_work, open_prefix, region_of_open_key,
 };
-use model::{InstanceId, InstanceRole, JobId, Liveness, ModelName, UpstreamKind};
+use model::{InstanceId, InstanceRole, JobId, Liveness, ModelName, UpstreamId, UpstreamKind};
 use policy::{BatchItemId, Urgency};
 use tokio::sync::oneshot;
 
@@ -16,6 +16,7 @@
     dispatch::{self, Attempt},
     event::{Event, HeldId, ItemEnded},
     held::{Held, Running},
+    prompt::{Allowance, Share},
     windows,
     worker::Worker,
 };
@@ -78,13 +79,14 @@
             if !has_memory {
                 continue;
             }
-            let mut prompt_tokens = 0;
+            let mut left_tokens = plan.start_prompt_tokens;
             for started in 0..plan.start_items {
-                if started > 0 && prompt_tokens >= plan.start_prompt_tokens {
-                    break;
-                }
-                match self.start_one(index, now_ms) {
-                    Some(tokens) => prompt_tokens += tokens,
+                let allowance = Allowance {
+                    prompt_tokens: left_tokens,
+                    may_exceed: started == 0 && plan.first_may_exceed,
+                };
+                match self.start_one(index, allowance, now_ms) {
+                    Some(tokens) => left_tokens = left_tokens.saturating_sub(tokens),
                     None => break,
                 }
             }
@@ -249,44 +251,76 @@
             && memory_bytes < self.context.memory_limit_bytes / 2
     }
 
-    /// Starts an item at an upstream and returns its prompt tokens.
-    fn start_one(&mut self, index: usize, now_ms: u64) -> Option<u32> {
-        let kind = self.windows.owned()[index].kind.clone();
-        let (held, start) = self.take_item(&kind, now_ms)?;
-        let prompt_tokens = dispatch::prompt_tokens(&start.request);
+    /// Starts an item, or a part of its prompt, at an upstream and returns the
+    /// prompt tokens that the upstream has to prefill.
+    fn start_one(&mut self, index: usize, allowance: Allowance, now_ms: u64) -> Option<u32> {
+        let owned = &self.windows.owned()[index];
+        let (upstream, kind) = (owned.upstream.clone(), owned.kind.clone());
+        let (held, start, share) = self.take_item(&upstream, &kind, allowance, now_ms)?;
+        let prompt_tokens = share.uncached_tokens();
         let started_at_us = self.now_us();
         self.last_id += 1;
         let batch_item: BatchItemId = self.last_id;
         self.windows
             .on_started(index, batch_item, prompt_tokens, started_at_us);
-        self.send(index, held, start, batch_item);
+        self.send(index, held, start, batch_item, share);
         Some(prompt_tokens)
     }
 
-    /// Finds the next item that an upstream of this kind can run.
-    fn take_item(&mut self, kind: &UpstreamKind, now_ms: u64) -> Option<(HeldId, ItemStart)> {
-        for index in 0..self.held.len() {
-            if !self.may_start(&self.held[index], now_ms) {
-                continue;
-            }
-            let held = &mut self.held[index];
-            let service = service_of(&held.endpoint);
-            let fits = |request: &ItemRequest| match (kind, service) {
-                (UpstreamKind::Service { service: name }, Some(service)) => {
-                    name.as_str() == service
+    /// Finds the next item that an upstream can run and whose prompt, or a part
+    /// of it, is allowed. Items whose prompt another upstream holds in part come
+    /// last.
+    fn take_item(
+        &mut self,
+        upstream: &UpstreamId,
+        kind: &UpstreamKind,
+        allowance: Allowance,
+        now_ms: u64,
+    ) -> Option<(HeldId, ItemStart, Share)> {
+        for others_too in [false, true] {
+            for index in 0..self.held.len() {
+                if !self.may_start(&self.held[index], now_ms) {
+                    continue;
+                }
+                let held = &mut self.held[index];
+                let service = service_of(&held.endpoint);
+                let share = |item: u32, request: &ItemRequest| {
+                    let warmed = held.warmed.iter().find(|warmed| warmed.item == item);
+                    let own = warmed.filter(|warmed| warmed.upstream == *upstream);
+                    if warmed.is_some() && own.is_none() && !others_too {
+                        return None;
+                    }
+                    let warmed_tokens = own.map_or(0, |warmed| warmed.leading_tokens);
+                    Share::choose(request, warmed_tokens, allowance)
+                };
+                let fits = |item: u32, request: &ItemRequest| match (kind, service) {
+                    (UpstreamKind::Service { service: name }, Some(service)) => {
+                        name.as_str() == service
+                    }
+                    (UpstreamKind::Engine { models }, None) => {
+                        serves(models, request) && share(item, request).is_some()
+                    }
+                    _ => false,
+                };
+                let Some(run) = &mut held.run else { continue };
+                if let Some(start) = run.start_next(&held.chunk.row, now_ms, fits) {
+                    let share = share(start.item, &start.request);
+                    let share = share.unwrap_or(Share::Whole { uncached_tokens: 0 });
+                    return Some((held.id, start, share));
                 }
-                (UpstreamKind::Engine { models }, None) => serves(models, request),
-                _ => false,
-            };
-            let Some(run) = &mut held.run else { continue };
-            if let Some(start) = run.start_next(&held.chunk.row, now_ms, fits) {
-                return Some((held.id, start));
             }
         }
         None
     }
 
-    fn send(&mut self, index: usize, id: HeldId, start: ItemStart, batch_item: BatchItemId) {
+    fn send(
+        &mut self,
+        index: usize,
+        id: HeldId,
+        start: ItemStart,
+        batch_item: BatchItemId,
+        share: Share,
+    ) {
         let Some(held) = self.held.iter_mut().find(|held| held.id == id) else {
             return;
         };
@@ -298,18 +332,20 @@
             address: self.windows.owned()[index].address,
             start,
             batch_item,
+            share,
             service_path: service_path(&held.endpoint),
             is_repeatable: held.is_repeatable,
             events: self.events.clone(),
         };
         self.spawn(async move {
-            let end = attempt_to_run.run(withdrawn).await;
+            let (end, warmed_tokens) = attempt_to_run.run(withdrawn).await;
             Event::ItemEnded(ItemEnded {
                 held: id,
                 item,
                 attempt,
                 batch_item,
                 end,
+                warmed_tokens,
             })
         });
     }
--- a/crates/batch/src/windows.rs
+++ b/crates/batch/src/windows.rs
@@ -7,11 +7,11 @@
 
 use membership::batch_window_owner;
 use model::{
-    ErrorKind, InstanceId, InstanceRole, Liveness, ModelName, ServiceName, UpstreamEntry,
-    UpstreamId, UpstreamKind, View,
+    ClassTarget, ErrorKind, FleetConfig, InstanceId, InstanceRole, Liveness, ModelName,
+    ServiceName, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
 use peer::DispatchNotice;
-use policy::{BatchItemId, BatchWindow, Urgency, WindowPlan};
+use policy::{BatchItemId, BatchWindow, OnlineTarget, Urgency, WindowPlan};
 
 /// Calls in flight at a plain service.
 const SERVICE_CALLS_MAX: u32 = 4;
@@ -23,6 +23,8 @@
 /// microseconds.
 const AVOID_UNREACHABLE_US: u64 = 1_000_000;
 
+const US_PER_MS: u64 = 1_000;
+
 /// Windows of the owned upstreams, sorted by upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Windows {
@@ -86,6 +88,11 @@
         self.owners = owners;
         self.owned
             .retain(|owned| !owned.is_leaving || !owned.items.is_empty());
+        if let Some(target) = online_target(&view.config) {
+            for owned in &mut self.owned {
+                owned.window.set_online_target(target);
+            }
+        }
     }
 
     /// Whether an owned upstream can run items with one of these models, or of
@@ -154,11 +161,12 @@
         }
     }
 
-    pub(crate) fn on_ended(&mut self, item: BatchItemId, now_us: u64) {
-        if let Some(owned) = self.of_item(item) {
-            owned.window.on_batch_ended(item, now_us);
-            owned.items.retain(|other| *other != item);
-        }
+    /// An attempt ended; returns the upstream that it ran at.
+    pub(crate) fn on_ended(&mut self, item: BatchItemId, now_us: u64) -> Option<UpstreamId> {
+        let owned = self.of_item(item)?;
+        owned.window.on_batch_ended(item, now_us);
+        owned.items.retain(|other| *other != item);
+        Some(owned.upstream.clone())
     }
 
     /// Sends nothing for a while to the upstream of an item that did not run,
@@ -251,3 +259,25 @@
     }
     Arc::from(peers)
 }
+
+/// The strictest target of all online classes; any of them may be met at any
+/// engine.
+fn online_target(config: &FleetConfig) -> Option<OnlineTarget> {
+    let targets = config
+        .classes
+        .iter()
+        .filter_map(|class| match class.target {
+            ClassTarget::Online {
+                first_token_ms,
+                between_tokens_ms,
+                ..
+            } => Some((first_token_ms, between_tokens_ms)),
+            ClassTarget::Batch { .. } | ClassTarget::Service(_) => None,
+        });
+    let strictest = targets.reduce(|a, b| (a.0.min(b.0), a.1.min(b.1)));
+    let us = |ms: u64| u32::try_from(ms.saturating_mul(US_PER_MS)).unwrap_or(u32::MAX);
+    strictest.map(|(first_token_ms, between_tokens_ms)| OnlineTarget {
+        first_token_us: us(first_token_ms),
+        between_tokens_us: us(between_tokens_ms),
+    })
+}
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -16,7 +16,7 @@
 use crate::{
     context::Context,
     event::{ClaimOutcome, Event, HeldId, ItemEnded, OpenPage, WriteKind},
-    held::Held,
+    held::{Held, Warmed},
     open_table::OpenTable,
     watch_list::WatchList,
     windows::Windows,
@@ -351,13 +351,23 @@
         if let ItemEnd::NotRun(kind) = &ended.end {
             self.report_refusal(ended.batch_item, *kind, now_ms);
         }
-        self.windows.on_ended(ended.batch_item, self.now_us());
-        self.schedule.ended_items += 1;
+        let upstream = self.windows.on_ended(ended.batch_item, self.now_us());
+        if matches!(ended.end, ItemEnd::Answered { .. } | ItemEnd::Failed { .. }) {
+            self.schedule.ended_items += 1;
+        }
         let Some(held) = self.held.iter_mut().find(|held| held.id == ended.held) else {
             return;
         };
         held.running
             .retain(|running| running.batch_item != ended.batch_item);
+        match (ended.warmed_tokens, upstream) {
+            (Some(leading_tokens), Some(upstream)) => held.set_warmed(Warmed {
+                item: ended.item,
+                upstream,
+                leading_tokens,
+            }),
+            _ => held.forget_warmed(ended.item),
+        }
         if let Some(run) = &mut held.run {
             run.on_end(ended.item, ended.attempt, ended.end, now_ms);
         }
--- /dev/null
+++ b/crates/batch/tests/prompts.rs
@@ -0,0 +1,71 @@
+//! Long prompts reach an engine in parts.
+
+mod support;
+
+use std::fmt::Write;
+
+use policy::WindowRules;
+use serde_json::json;
+use standin::{EngineParams, answer_tokens};
+use support::{Fleet, line};
+use upstream::ChatRequest;
+
+/// Words of the prompt; the stand-in counts each as a token.
+const PROMPT_WORDS: usize = 2_000;
+/// Characters of each word with its blank.
+const WORD_CHARS: usize = 4;
+const ITEM: &str = "long";
+
+fn long_prompt() -> String {
+    (0..PROMPT_WORDS).fold(String::new(), |mut prompt, word| {
+        let _ = write!(prompt, "{:03} ", word % 1_000);
+        prompt
+    })
+}
+
+/// Most characters of a part while no online request runs.
+fn part_max_chars() -> f64 {
+    let params = EngineParams::default();
+    let step_us = f64::from(u32::try_from(WindowRules::default().relaxed.idle_step_us).unwrap());
+    let tokens = (step_us - params.base_us) / params.prompt_token_us;
+    tokens * f64::from(u32::try_from(WORD_CHARS).unwrap())
+}
+
+#[tokio::test]
+async fn long_prompt_is_sent_in_parts_and_answered_whole() {
+    let fleet = Fleet::start_with(1, EngineParams::default()).await;
+    let _batch = fleet.batch("b-1");
+    let client = fleet.client();
+    let prompt = long_prompt();
+    let id = client.submit(&line(ITEM, &prompt, 6)).await;
+    client.completed(&id).await;
+    let mut sent: Vec<String> = fleet
+        .prompt_runs()
+        .await
+        .into_iter()
+        .map(|run| run.0)
+        .collect();
+    sent.sort_by_key(String::len);
+    assert!(sent.len() > 1, "the prompt was sent at once");
+    let whole = sent.last().unwrap().clone();
+    let mut before = 0;
+    for part in &sent {
+        assert!(whole.starts_with(part.trim_end()));
+        let added = f64::from(u32::try_from(part.len() - before).unwrap());
+        assert!(added <= part_max_chars(), "{added} characters at once");
+        before = part.len();
+    }
+    // The answer is that of the whole prompt, asked in one piece.
+    let output = client.results(&id, "output").await;
+    let content = &output[0]["response"]["body"]["choices"][0]["message"]["content"];
+    let request = json!({
+        "model": "oraculo",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": 6,
+    });
+    let request: ChatRequest = serde_json::from_value(request).unwrap();
+    assert_eq!(
+        content.as_str(),
+        Some(answer_tokens(&request).concat().as_str())
+    );
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -120,16 +120,19 @@
         self.items.iter().filter(waiting).count()
     }
 
-    /// Starts the next item that is ready and `fits`. `row` is the chunk's row
-    /// as this holder wrote it last.
+    /// Starts the next item that is ready and `fits`, which is given its index
+    /// in the chunk and its request. `row` is the chunk's row as this holder
+    /// wrote it last.
     pub fn start_next(
         &mut self,
         row: &ChunkRow,
         now_ms: u64,
-        fits: impl Fn(&ItemRequest) -> bool,
+        fits: impl Fn(u32, &ItemRequest) -> bool,
     ) -> Option<ItemStart> {
         let index = self.items.iter().position(|item| {
-            self.may_start(item, row, now_ms) && item.request.as_ref().is_some_and(&fits)
+            let request = item.request.as_ref();
+            self.may_start(item, row, now_ms)
+                && request.is_some_and(|request| fits(item.item, request))
         })?;
         self.next_attempt += 1;
         let attempt = self.next_attempt;
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -33,7 +33,7 @@
 }
 
 fn fail(run: &mut ChunkRun, row: &ChunkRow, now_ms: u64) -> bool {
-    let Some(start) = run.start_next(row, now_ms, |_| true) else {
+    let Some(start) = run.start_next(row, now_ms, |_, _| true) else {
         return false;
     };
     let end = ItemEnd::Failed {
@@ -66,7 +66,7 @@
     let row = row();
     let mut run = run(&row);
     for turn in 1..=20 {
-        let start = run.start_next(&row, LATER_MS * turn, |_| true).unwrap();
+        let start = run.start_next(&row, LATER_MS * turn, |_, _| true).unwrap();
         let end = ItemEnd::NotRun(ErrorKind::ConnectRefused);
         run.on_end(start.item, start.attempt, end, LATER_MS * turn);
     }
@@ -77,12 +77,12 @@
 fn end_of_an_attempt_that_is_not_current_is_dropped() {
     let row = row();
     let mut run = run(&row);
-    let old = run.start_next(&row, 0, |_| true).unwrap();
+    let old = run.start_next(&row, 0, |_, _| true).unwrap();
     let withdrawn = ItemEnd::Withdrawn {
         tokens: vec!["t".to_owned()],
     };
     run.on_end(old.item, old.attempt, withdrawn, 0);
-    let new = run.start_next(&row, 0, |_| true).unwrap();
+    let new = run.start_next(&row, 0, |_, _| true).unwrap();
     assert_eq!((new.item, new.tokens.len()), (old.item, 1));
     let late = ItemEnd::Answered {
         status: 200,
@@ -96,12 +96,12 @@
 fn call_that_may_not_repeat_needs_its_intent_and_ends_unknown_after_a_crash() {
     let mut row = row();
     let mut first = run(&row).with_repeatable(false);
-    assert!(first.start_next(&row, 0, |_| true).is_none());
+    assert!(first.start_next(&row, 0, |_, _| true).is_none());
     assert_eq!(first.missing_intents(&row, 0, 1), [0]);
     row.intents = vec![0];
-    let start = first.start_next(&row, 0, |_| true).unwrap();
+    let start = first.start_next(&row, 0, |_, _| true).unwrap();
     assert_eq!(start.item, 0);
-    assert!(first.start_next(&row, 0, |_| true).is_none());
+    assert!(first.start_next(&row, 0, |_, _| true).is_none());
     let second = run(&row).with_repeatable(false);
     let ended: Vec<_> = second.records().collect();
     assert_eq!(ended.len(), 1);
