process: one refusal for the entry and the job routes

Cause: entry and job_api each rendered refusals (status, headers, OpenAI's error object), so that a change of one would have been missed in the other; the second copy already ignored a better time to come back.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,10 +1,11 @@
 //! Chat completions in `OpenAI`'s form, whole and as server-sent events.
 
 use bytes::{BufMut, Bytes, BytesMut};
+use process::Refusal;
 use serde::Serialize;
 use upstream::Usage;
 
-use crate::{Refusal, clock};
+use crate::clock;
 
 /// Final event of a complete stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -2,8 +2,7 @@
 
 use http::{HeaderMap, header};
 use model::{CustomerId, ErrorKind};
-
-use crate::Refusal;
+use process::Refusal;
 
 /// Header that names the class of a request.
 pub(crate) const CLASS_HEADER: &str = "redwingtack-class";
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -11,12 +11,13 @@
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, stream};
 use http::{HeaderValue, header};
+use process::Refusal;
 use salvo::{Request, Response, handler};
 use uuid::Uuid;
 
 pub(crate) use self::{
     coalesce::{Coalescer, LogReader},
-    source::join_here,
+    source::{join_here, refused},
 };
 use self::{
     flow::{ChatEvent, ChatFlow},
@@ -24,7 +25,6 @@
     source::ChatSource,
 };
 use crate::{
-    Refusal,
     answer::{self, AnswerHead},
     caller::Caller,
     server::Shared,
--- a/crates/entry/src/chat/coalesce.rs
+++ b/crates/entry/src/chat/coalesce.rs
@@ -9,10 +9,14 @@
 
 use model::ErrorKind;
 use peer::{ChatEnd, ChatNews};
+use process::Refusal;
 use tokio::sync::watch;
 
-use super::flow::{ChatEvent, ChatFlow};
-use crate::{Refusal, clock, refusal};
+use super::{
+    flow::{ChatEvent, ChatFlow},
+    source::refused,
+};
+use crate::{clock, refusal};
 
 /// Logs kept at most.
 const LOGS_MAX: usize = 4_096;
@@ -144,7 +148,7 @@
                     }
                 }
                 // A refusal is not kept: a resend is a new try.
-                Err(refusal) => refusal.into(),
+                Err(refusal) => refused(refusal),
             };
             self.log.send_modify(|log| log.end = Some(end));
             return;
@@ -182,7 +186,7 @@
             // The run ended without a word, such as by a panic.
             Err(_) => ChatNews {
                 tokens: Vec::new(),
-                end: Some(refusal::internal("The request's run ended.").into()),
+                end: Some(refused(refusal::internal("The request's run ended."))),
             },
         }
     }
--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -4,12 +4,13 @@
 
 use model::{Class, ErrorKind, Ran, RetryAdvice, UpstreamId};
 use policy::{Destination, RouteRequest};
+use process::Refusal;
 use tokio::time::Instant;
 use upstream::{ChatChunk, ChatRequest, ChatStream, UpstreamError, Usage};
 use uuid::Uuid;
 
 use super::prompt::Prompt;
-use crate::{Refusal, clock, dispatch::Ticket, patience::Patience, refusal, server::Shared};
+use crate::{clock, dispatch::Ticket, patience::Patience, refusal, server::Shared};
 
 /// Attempts of one request at most, the first included.
 const ATTEMPTS_MAX: u32 = 4;
--- a/crates/entry/src/chat/request.rs
+++ b/crates/entry/src/chat/request.rs
@@ -1,10 +1,11 @@
 //! Checks a chat request and finds its class.
 
 use model::{Class, ClassTarget, ErrorKind, FleetConfig};
+use process::Refusal;
 use serde_json::Value;
 use upstream::ChatRequest;
 
-use crate::{Refusal, caller::Caller};
+use crate::caller::Caller;
 
 const STREAM_OPTIONS: &str = "stream_options";
 
--- a/crates/entry/src/chat/source.rs
+++ b/crates/entry/src/chat/source.rs
@@ -5,6 +5,7 @@
 
 use model::{Class, InstanceId, InstanceRole};
 use peer::{ChatEnd, ChatNews, CoalesceRequest, PeerRequest, PeerResponse};
+use process::Refusal;
 use tokio::time::Instant;
 use upstream::{ChatRequest, Usage};
 use xxhash_rust::xxh3::xxh3_128;
@@ -13,7 +14,7 @@
     coalesce::{Joined, LogReader},
     flow::{ChatEvent, ChatFlow},
 };
-use crate::{Refusal, server::Shared};
+use crate::server::Shared;
 
 /// Longest wait of the home entry before it answers without news.
 const POLL_WAIT_MS: u64 = 5_000;
@@ -202,14 +203,13 @@
         .map(|home| home.peer_address.clone()))
 }
 
-impl From<Refusal> for ChatEnd {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused {
-            kind: refusal.kind,
-            ran: refusal.ran(),
-            retry_after_s: refusal.retry_after_s(),
-            message: refusal.message,
-        }
+/// A refusal as the peer protocol carries it.
+pub(crate) fn refused(refusal: Refusal) -> ChatEnd {
+    ChatEnd::Refused {
+        kind: refusal.kind,
+        ran: refusal.ran(),
+        retry_after_s: refusal.retry_after_s(),
+        message: refusal.message,
     }
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,10 +11,11 @@
     View,
 };
 use policy::{AttemptId, CustomerLimits, RetryBudget, Route, RouteRequest, Router};
+use process::Refusal;
 use tokio::sync::Notify;
 use upstream::UpstreamError;
 
-use crate::{Refusal, clock, evidence::EvidenceLog, metrics::Metrics};
+use crate::{clock, evidence::EvidenceLog, metrics::Metrics};
 
 const MS_PER_S: u64 = 1_000;
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,6 @@
 
 pub use crate::{
     fleet::Fleet,
-    refusal::Refusal,
     server::{Entry, StartError},
     settings::{EntryOptions, EntrySettings, options},
 };
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -4,8 +4,9 @@
 
 use model::ErrorKind;
 use peer::{ChatNews, CoalesceRequest, PeerHandler, PeerRequest, PeerResponse};
+use process::Refusal;
 
-use crate::{Refusal, chat, server::Shared};
+use crate::{chat, server::Shared};
 
 /// Longest wait that a peer may ask for, milliseconds.
 const WAIT_MAX_MS: u64 = 10_000;
@@ -34,7 +35,7 @@
             Err(refusal) => {
                 return PeerResponse::Chat(ChatNews {
                     tokens: Vec::new(),
-                    end: Some(refusal.into()),
+                    end: Some(chat::refused(refusal)),
                 });
             }
         };
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -6,12 +6,12 @@
 use http_body_util::{BodyExt, Limited};
 use job_api::JobApi;
 use model::ErrorKind;
+use process::Refusal;
 use process::Shutdown;
 use salvo::{Depot, FlowCtrl, Request, Response, Router, handler, writing::Json};
 
 use crate::{
-    Refusal, caller::Caller, chat::Chat, clock, models::ModelList, server::Shared,
-    service::Services,
+    caller::Caller, chat::Chat, clock, models::ModelList, server::Shared, service::Services,
 };
 
 /// Label of the routes of batches.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,6 +7,7 @@
 use peer::PeerClient;
 use platform::{Pacer, PacerSettings, Platform};
 use policy::Router;
+use process::Refusal;
 use process::{AdminState, Shutdown};
 use salvo::{
     Request, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor, http::ParseError,
@@ -22,8 +23,8 @@
 use uuid::Uuid;
 
 use crate::{
-    EntrySettings, Fleet, Refusal, background, chat::Coalescer, dispatch::Dispatcher,
-    metrics::Metrics, peer_service::PeerService, routes, service::Claims,
+    EntrySettings, Fleet, background, chat::Coalescer, dispatch::Dispatcher, metrics::Metrics,
+    peer_service::PeerService, routes, service::Claims,
 };
 
 const LISTEN_BACKLOG: u32 = 4_096;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use model::{Class, ClassTarget, CustomerId, ErrorKind, FleetConfig, Ran, ServiceTarget};
+use process::Refusal;
 use salvo::{Request, Response, handler};
 use upstream::{ServiceAnswer, ServiceCall};
 use xxhash_rust::xxh3::Xxh3;
@@ -16,9 +17,7 @@
 pub(crate) use self::claim::Claims;
 use self::flow::ServiceFlow;
 use crate::{
-    Refusal,
     caller::{self, Caller},
-    refusal,
     server::Shared,
 };
 
@@ -147,7 +146,7 @@
     res.status_code(answer.status);
     *res.headers_mut() = forwarded(&answer.headers);
     let ran = HeaderValue::from_static(Ran::Yes.as_str());
-    res.headers_mut().insert(refusal::RAN_HEADER, ran);
+    res.headers_mut().insert(process::RAN_HEADER, ran);
     res.body(answer.body);
 }
 
--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -11,6 +11,7 @@
 use platform::{
     Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
 };
+use process::Refusal;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
@@ -18,7 +19,7 @@
 use uuid::Uuid;
 
 use super::{flow::ServiceFlow, stored::StoredAnswer};
-use crate::{Refusal, clock};
+use crate::clock;
 
 /// Longest wait for the platform before a call is sent.
 const CLAIM_TIMEOUT_MS: u64 = 3_000;
--- a/crates/entry/src/service/flow.rs
+++ b/crates/entry/src/service/flow.rs
@@ -4,10 +4,11 @@
 
 use model::{Class, ErrorKind, Ran, RetryAdvice, ServiceName, ServiceTarget, UpstreamId};
 use policy::{Destination, RouteRequest};
+use process::Refusal;
 use upstream::{ServiceAnswer, ServiceCall, UpstreamError};
 use uuid::Uuid;
 
-use crate::{Refusal, patience::Patience, refusal, server::Shared};
+use crate::{patience::Patience, refusal, server::Shared};
 
 /// Attempts of one call at most, the first included.
 const ATTEMPTS_MAX: u32 = 4;
--- a/crates/job_api/src/routes.rs
+++ b/crates/job_api/src/routes.rs
@@ -105,8 +105,8 @@
             Err(refusal) => {
                 log::info!(
                     "event=job_request_refused code={} message={:?}",
-                    refusal.kind.answer().code,
-                    refusal.message
+                    refusal.kind().answer().code,
+                    refusal.to_string()
                 );
                 refusal.render(res);
             }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,6 +7,7 @@
 mod event;
 mod node;
 mod program;
+mod refusal;
 mod settings;
 mod shutdown;
 
@@ -18,6 +19,7 @@
         node_options,
     },
     program::{begin_program, run_program},
+    refusal::{RAN_HEADER, Refusal},
     settings::{SettingProblem, Settings, exit_with_problems},
     shutdown::{Shutdown, begin_at_signal, wait_for_signal},
 };
