entry, batch: take no new work after a pause until the view is confirmed

An entry that was paused while operators removed a class served its first request by the old version.

Ruled out: refusing at once. The control program answers within milliseconds, so the entry waits up to 0.5 s, then refuses with ran = no and the time to come back. Requests under way are not held up.

Before/after: chat_after_a_pause_follows_the_configuration_of_now fails without the wait (status 200 by the removed class) and passes with it. The same check in the batch program's tick has no test of its own.

--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -85,7 +85,7 @@
         });
         tokio::spawn(peer::serve(listener, handler, std::future::pending()));
         let shutdown = Shutdown::new();
-        let worker = Worker::new(context, view.subscribe(), events);
+        let worker = Worker::new(context, view.subscribe(), view.freshness(), events);
         let worker = tokio::spawn(worker.run(received, shutdown.clone()));
         Ok(Self {
             peer_address,
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -6,7 +6,7 @@
 use jobs::{ALL_OPEN_PREFIX, ChunkName, Deferral, HeldChunk, ItemEnd, Verdict};
 use membership::UpstreamEvidence;
 use model::{ErrorKind, JobId, Liveness, View};
-use peer::PeerRequest;
+use peer::{Freshness, PeerRequest};
 use policy::BatchItemId;
 use tokio::{
     sync::{mpsc, watch},
@@ -43,6 +43,7 @@
 pub(crate) struct Worker {
     pub(crate) context: Context,
     pub(crate) view: watch::Receiver<Arc<View>>,
+    freshness: Freshness,
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) open: OpenTable,
     pub(crate) deferrals: Vec<Deferral>,
@@ -84,11 +85,13 @@
     pub(crate) fn new(
         context: Context,
         view: watch::Receiver<Arc<View>>,
+        freshness: Freshness,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
         Self {
             context,
             view,
+            freshness,
             events,
             open: OpenTable::default(),
             deferrals: Vec::new(),
@@ -163,7 +166,7 @@
         let now_ms = unix_ms();
         if self.is_stopping() {
             self.stop_items();
-        } else {
+        } else if self.freshness.is_fresh() {
             self.look_for_work(now_ms);
             self.start_items(now_ms);
         }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -49,7 +49,7 @@
         let caller = Caller::from_headers(req.headers())?;
         let body = self.shared.read_body(req).await?;
         let parsed = ParsedChat::parse(&body)?;
-        let view = self.shared.view()?;
+        let view = self.shared.confirmed_view().await?;
         let class = request::online_class(&view.config, &caller, &parsed)?;
         self.shared.dispatcher.admit(&caller.customer, &class)?;
         let head = AnswerHead::new(
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use model::{InstanceEntry, Liveness, View};
-use peer::{PeerClient, ViewWatch};
+use peer::{Freshness, PeerClient, ViewWatch};
 use tokio::sync::watch;
 
 /// Source of the view that requests are routed by.
@@ -48,6 +48,13 @@
         self.view.clone()
     }
 
+    /// Tells whether the view may be acted on after a pause.
+    pub(crate) fn freshness(&self) -> Option<Freshness> {
+        self.control
+            .as_ref()
+            .map(|control| control.watch.freshness())
+    }
+
     /// Peer address of the control program.
     pub(crate) fn control_address(&self) -> Option<&str> {
         self.control
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,11 +4,10 @@
 
 use job_store::JobStore;
 use model::{ErrorKind, InstanceEntry, InstanceId, InstanceRole, Liveness, Region, View};
-use peer::PeerClient;
+use peer::{Freshness, PeerClient};
 use platform::{Pacer, PacerSettings, Platform};
 use policy::Router;
-use process::Refusal;
-use process::{AdminState, Shutdown};
+use process::{AdminState, Refusal, Shutdown};
 use salvo::{
     Request, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor, http::ParseError,
     server::ServerHandle,
@@ -17,6 +16,7 @@
     net::{TcpListener, TcpSocket},
     sync::watch,
     task::{JoinHandle, JoinSet},
+    time::Instant,
 };
 use tokio_util::task::TaskTracker;
 use upstream::UpstreamClient;
@@ -28,12 +28,15 @@
 };
 
 const LISTEN_BACKLOG: u32 = 4_096;
+/// Longest wait for a confirmed view after a pause.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
 
 /// What every request handler shares.
 #[derive(Debug)]
 pub(crate) struct Shared {
     /// The view that requests are routed by.
     pub(crate) view: watch::Receiver<Arc<View>>,
+    freshness: Option<Freshness>,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) upstreams: UpstreamClient,
     pub(crate) metrics: Metrics,
@@ -87,6 +90,20 @@
         Ok(view)
     }
 
+    /// The current view for new work. After a pause of the process this waits
+    /// for the control program to confirm it, as the configuration may have
+    /// changed meanwhile.
+    pub(crate) async fn confirmed_view(&self) -> Result<Arc<View>, Refusal> {
+        let deadline = Instant::now() + CONFIRM_LIMIT;
+        if let Some(freshness) = &self.freshness
+            && !freshness.confirmed_by(deadline).await
+        {
+            let message = "This instance was paused and has not confirmed its configuration.";
+            return Err(Refusal::new(ErrorKind::NotReady, message));
+        }
+        self.view()
+    }
+
     /// Reads a whole body within the limit.
     pub(crate) async fn read_body(&self, req: &mut Request) -> Result<bytes::Bytes, Refusal> {
         match req.payload_with_max_size(self.body_limit_bytes).await {
@@ -163,6 +180,7 @@
         let platform = Platform::new(settings.platform).with_pacer(pacer);
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
+            freshness: fleet.freshness(),
             dispatcher: Arc::new(Dispatcher::new(router, metrics.clone())),
             upstreams: UpstreamClient::new(),
             metrics,
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -55,7 +55,7 @@
     async fn answer(&self, req: &mut Request) -> Result<ServiceAnswer, Refusal> {
         let caller = Caller::from_headers(req.headers())?;
         let name: String = req.param("name").unwrap_or_default();
-        let view = self.shared.view()?;
+        let view = self.shared.confirmed_view().await?;
         let class = service_class(&view.config, &caller, &name)?;
         let ClassTarget::Service(target) = class.target.clone() else {
             return Err(unknown_service(&name));
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -14,8 +14,8 @@
     rt::TokioExecutor,
 };
 use model::{
-    FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName, UpstreamEntry, UpstreamId,
-    UpstreamKind, View,
+    FailureDomain, InstanceEntry, InstanceId, InstanceRole, Liveness, ModelName, Region,
+    ServiceName, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
 use process::{AdminState, Shutdown};
 use serde_json::Value;
@@ -154,6 +154,21 @@
         change: impl FnOnce(&mut EntrySettings),
     ) -> Self {
         let (view, receiver) = watch::channel(Arc::new(view_of(upstreams)));
+        Self::start_over(Fleet::from_receiver(receiver), view, platform, change).await
+    }
+
+    /// Starts an entry that follows `fleet`; its view cannot be changed here.
+    pub async fn start_with_fleet(fleet: Fleet, platform: SocketAddr) -> Self {
+        let (view, _) = watch::channel(Arc::new(View::default()));
+        Self::start_over(fleet, view, platform, |_| {}).await
+    }
+
+    async fn start_over(
+        fleet: Fleet,
+        view: watch::Sender<Arc<View>>,
+        platform: SocketAddr,
+        change: impl FnOnce(&mut EntrySettings),
+    ) -> Self {
         let mut settings = EntrySettings {
             listen: any_port(),
             peer_listen: any_port(),
@@ -171,7 +186,6 @@
         change(&mut settings);
         let shutdown = Shutdown::new();
         let admin = AdminState::default();
-        let fleet = Fleet::from_receiver(receiver);
         let entry = Entry::start_with_fleet(&settings, fleet, admin.clone(), &shutdown)
             .await
             .expect("the entry starts");
@@ -309,3 +323,16 @@
         liveness: Liveness::Live,
     }
 }
+
+/// The entry of this instance as the control program is told of it.
+pub fn own_entry(role: InstanceRole, liveness: Liveness) -> InstanceEntry {
+    InstanceEntry {
+        id: InstanceId::new("entry-0"),
+        role,
+        peer_address: "127.0.0.1:1".to_owned(),
+        region: Region::new("lima"),
+        failure_domain: FailureDomain::new("lima-a"),
+        liveness,
+        incarnation: 0,
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod codec;
 mod error;
+mod freshness;
 mod gap;
 mod message;
 mod server;
@@ -17,6 +18,7 @@
     client::PeerClient,
     codec::{MESSAGE_MAX_BYTES, decode, encode},
     error::PeerError,
+    freshness::Freshness,
     message::{
         ChatEnd, ChatNews, CoalesceRequest, NodeStatus, PROTOCOL_VERSION, PeerRequest, PeerResponse,
     },
--- a/crates/peer/src/view_watch.rs
+++ b/crates/peer/src/view_watch.rs
@@ -8,7 +8,7 @@
 use model::{ErrorKind, InstanceEntry, Liveness, View};
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
-use crate::{PeerClient, PeerError, PeerRequest, PeerResponse, gap::GapDetector};
+use crate::{Freshness, PeerClient, PeerError, PeerRequest, PeerResponse, gap::GapDetector};
 
 /// Longest wait of the control program before it answers with the same view.
 const POLL_WAIT_MS: u64 = 10_000;
@@ -75,6 +75,12 @@
         self.gaps.is_fresh()
     }
 
+    /// Tells the same to tasks that do not hold the watch.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        Freshness::new(self.gaps.clone())
+    }
+
     /// A receiver that sees each new view.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Arc<View>> {
