model: refuse a customer limit on batch classes, which nothing enforced

Cause: customer_requests_per_s was accepted on any class and promised for any, but the job routes and the batch program never looked at it.

Ruled out: enforcing it for items at acceptance, which would refuse a job of many items that is due much later; shares of batch work follow deadlines and customers.

Before/after: parse_config_customer_limit_of_batch_class fails without the check (the document was accepted) and passes with it.

--- a/crates/model/src/class.rs
+++ b/crates/model/src/class.rs
@@ -11,7 +11,7 @@
     pub name: ClassName,
     /// What the class must reach.
     pub target: ClassTarget,
-    /// Limit of accepted requests (or batch items) per second and customer.
+    /// Limit of accepted requests per second and customer; none for batch work.
     pub customer_requests_per_s: Option<u32>,
 }
 
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -162,15 +162,7 @@
                 None
             }
         };
-        let limit = table.customer_requests_per_s.map(|limit| {
-            if *limit.get_ref() == 0 {
-                self.push(
-                    limit.span().start,
-                    "customer_requests_per_s must be at least 1",
-                );
-            }
-            limit.into_inner()
-        });
+        let limit = self.customer_limit(&table);
         Some(Class {
             name: ClassName::from(table.name.into_inner()),
             target: target?,
@@ -178,6 +170,20 @@
         })
     }
 
+    fn customer_limit(&mut self, table: &ClassTable) -> Option<u32> {
+        let limit = table.customer_requests_per_s.as_ref()?;
+        let at = limit.span().start;
+        if *limit.get_ref() == 0 {
+            self.push(at, "customer_requests_per_s must be at least 1");
+        }
+        // Items of jobs share the fleet by their deadlines and by customer.
+        if table.work.get_ref() == "batch" {
+            let message = "customer_requests_per_s does not apply to work = \"batch\"";
+            self.push(at, message);
+        }
+        Some(*limit.get_ref())
+    }
+
     fn online(&mut self, table: &ClassTable, span: &Range<usize>) -> Option<ClassTarget> {
         let first_token_ms = self.positive(table.first_token_ms.as_ref(), "first_token_ms", span);
         let between_tokens_ms =
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -79,3 +79,11 @@
     let problems = parse_config(text).expect_err("weights do not exist");
     assert_eq!(problems[0].line, 4);
 }
+
+#[test]
+fn parse_config_customer_limit_of_batch_class() {
+    let text = "[[class]]\nname = \"a\"\nwork = \"batch\"\ncomplete_within_s = 1\n\
+                customer_requests_per_s = 5\n";
+    let message = "customer_requests_per_s does not apply to work = \"batch\"";
+    check_problems(text, &[(5, message)]);
+}
