--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Published {
     pub(crate) view: Arc<View>,
-    /// Whether the control program can vouch for it.
+    /// Whether the control program can confirm it.
     pub(crate) synced: bool,
 }
 
--- a/crates/control/src/peer_service.rs
+++ b/crates/control/src/peer_service.rs
@@ -22,7 +22,7 @@
     }
 
     /// Waits for a view that the caller does not have. A view that this
-    /// program cannot vouch for is not handed out.
+    /// program cannot confirm is not handed out.
     async fn view_since(&self, revision: u64, wait_ms: u64) -> PeerResponse {
         // Notices a pause of this program before its view is handed out.
         self.node.tick();
--- a/crates/entry/src/chat/flow.rs
+++ b/crates/entry/src/chat/flow.rs
@@ -10,7 +10,7 @@
 use uuid::Uuid;
 
 use super::prompt::Prompt;
-use crate::{clock, dispatch::Ticket, patience::Patience, refusal, server::Shared};
+use crate::{clock, deadlines::Deadlines, dispatch::Ticket, refusal, server::Shared};
 
 /// Attempts of one request at most, the first included.
 const ATTEMPTS_MAX: u32 = 4;
@@ -39,7 +39,7 @@
     request: ChatRequest,
     prompt: Prompt,
     arrived_at_us: u64,
-    patience: Patience,
+    deadlines: Deadlines,
     delivered: Vec<String>,
     attempts: u32,
     failed_runs: u32,
@@ -66,7 +66,7 @@
             prompt: Prompt::new(&request),
             request,
             arrived_at_us: clock::now_us(),
-            patience: Patience::new(&class.target),
+            deadlines: Deadlines::new(&class.target),
             delivered: Vec::new(),
             attempts: 0,
             failed_runs: 0,
@@ -239,7 +239,7 @@
             ErrorKind::DeadlineExceeded => !self.delivered.is_empty(),
             kind => policy::retry_is_safe(kind, true, 0),
         };
-        let in_time = !self.delivered.is_empty() || !self.patience.is_over();
+        let in_time = !self.delivered.is_empty() || !self.deadlines.is_over();
         is_safe && in_time && self.shared.dispatcher.try_retry()
     }
 
@@ -273,7 +273,7 @@
             } else {
                 attempt.ticket.on_token();
             }
-            attempt.stream.set_deadline(self.patience.stalls_at());
+            attempt.stream.set_deadline(self.deadlines.stalls_at());
         }
         self.delivered.push(chunk.text.clone());
         ChatEvent::Text(chunk.text)
@@ -292,7 +292,7 @@
 
     fn route_request(&self) -> RouteRequest {
         let first_token_deadline_us = if self.attempts == 0 && self.delivered.is_empty() {
-            self.patience.due_at_us
+            self.deadlines.due_at_us
         } else {
             // A second attempt that comes late is still worth more than none.
             u64::MAX
@@ -309,9 +309,9 @@
 
     fn deadline(&self) -> Instant {
         if self.delivered.is_empty() {
-            return self.patience.give_up_at;
+            return self.deadlines.give_up_at;
         }
-        self.patience.stalls_at()
+        self.deadlines.stalls_at()
     }
 
     fn delivered_count(&self) -> u32 {
--- a/crates/entry/src/patience.rs
+++ b/crates/entry/src/deadlines.rs
@@ -19,7 +19,7 @@
 
 /// When a request is due and when it is given up.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Patience {
+pub(crate) struct Deadlines {
     /// When the first token or the answer is due, monotonic microseconds.
     pub(crate) due_at_us: u64,
     /// When it is given up without a first token or an answer.
@@ -28,7 +28,7 @@
     pub(crate) stall_ms: u64,
 }
 
-impl Patience {
+impl Deadlines {
     /// Deadlines of a request that arrives now.
     pub(crate) fn new(target: &ClassTarget) -> Self {
         let (due_ms, between_ms) = match target {
--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -87,7 +87,7 @@
             operation: Uuid::new_v4().simple().to_string(),
             digest,
             state: ClaimState::Claimed {
-                answer_by_ms: clock::unix_ms() + flow.patience().left_ms(),
+                answer_by_ms: clock::unix_ms() + flow.deadlines().left_ms(),
             },
         };
         match self.insert(&key, &claim).await {
--- a/crates/entry/src/service/flow.rs
+++ b/crates/entry/src/service/flow.rs
@@ -8,7 +8,7 @@
 use upstream::{ServiceAnswer, ServiceCall, UpstreamError};
 use uuid::Uuid;
 
-use crate::{patience::Patience, refusal, server::Shared};
+use crate::{deadlines::Deadlines, refusal, server::Shared};
 
 /// Attempts of one call at most, the first included.
 const ATTEMPTS_MAX: u32 = 4;
@@ -19,7 +19,7 @@
     call: ServiceCall,
     service: ServiceName,
     idempotent: bool,
-    patience: Patience,
+    deadlines: Deadlines,
     attempts: u32,
     excluded: Vec<UpstreamId>,
     ran: Ran,
@@ -39,7 +39,7 @@
             call,
             service: target.service.clone(),
             idempotent: target.idempotent,
-            patience: Patience::new(&class.target),
+            deadlines: Deadlines::new(&class.target),
             attempts: 0,
             excluded: Vec::new(),
             ran: Ran::No,
@@ -53,14 +53,14 @@
     }
 
     /// Deadlines of the call.
-    pub(crate) fn patience(&self) -> &Patience {
-        &self.patience
+    pub(crate) fn deadlines(&self) -> &Deadlines {
+        &self.deadlines
     }
 
     /// Sends the call until a service answers. A call that is not idempotent
     /// is sent again only if it certainly did not run.
     pub(crate) async fn run(mut self) -> Result<ServiceAnswer, Refusal> {
-        if self.patience.is_over() {
+        if self.deadlines.is_over() {
             let message = "The call's deadline passed before it could be sent.";
             return Err(Refusal::new(ErrorKind::DeadlineBeforeStart, message));
         }
@@ -77,7 +77,7 @@
                     ticket.address(),
                     &attempt_id,
                     self.call.clone(),
-                    self.patience.give_up_at,
+                    self.deadlines.give_up_at,
                 )
                 .await;
             let error = match answer {
@@ -107,7 +107,7 @@
     fn may_retry(&self, kind: ErrorKind) -> bool {
         self.attempts < ATTEMPTS_MAX
             && policy::retry_is_safe(kind, self.idempotent, 0)
-            && !self.patience.is_over()
+            && !self.deadlines.is_over()
             && self.shared.dispatcher.try_retry()
     }
 
@@ -129,7 +129,7 @@
             destination: Destination::Service(self.service.clone()),
             prompt_tokens: 0,
             prefix_hashes: Vec::new(),
-            first_token_deadline_us: self.patience.due_at_us,
+            first_token_deadline_us: self.deadlines.due_at_us,
             excluded: self.excluded.clone(),
             link_bytes: u64::try_from(self.call.body.len()).unwrap_or(u64::MAX),
         }
--- a/crates/membership/src/fleet.rs
+++ b/crates/membership/src/fleet.rs
@@ -118,7 +118,7 @@
     pub(crate) wants_config: bool,
 }
 
-/// Whether the node can vouch for its configuration.
+/// Whether the node can confirm its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Sync {
     /// Heard from the table or from a peer since start and since the last gap.
--- a/crates/peer/src/view_watch.rs
+++ b/crates/peer/src/view_watch.rs
@@ -120,7 +120,7 @@
 /// What the control program answered.
 enum Fetched {
     View(View),
-    /// It cannot vouch for its view at present.
+    /// It cannot confirm its view at present.
     NotReady,
 }
 
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -40,10 +40,10 @@
 /// microseconds.
 const START_PATIENCE_US: u64 = 1_000_000;
 
-/// Share of the heeded urgency that is left after a miss of an online target.
-const HEEDED_AFTER_MISS: f64 = 0.8;
-/// Time after which urgency is heeded in full again, microseconds.
-const HEEDED_RECOVERY_US: f64 = 20_000_000.0;
+/// Share of the urgency that still counts after a miss of an online target.
+const URGENCY_SHARE_AFTER_MISS: f64 = 0.8;
+/// Time after which urgency counts in full again, microseconds.
+const URGENCY_RECOVERY_US: f64 = 20_000_000.0;
 
 /// Target of online requests at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,10 +83,10 @@
     scale: f64,
     urgency: Urgency,
     target: Option<OnlineTarget>,
-    /// Share of the urgency that is heeded; falls when online targets are
+    /// Share of the urgency that counts; falls when online targets are
     /// missed.
-    heeded: f64,
-    heeded_at_us: u64,
+    urgency_share: f64,
+    urgency_share_at_us: u64,
     items: Vec<Item>,
     online: Online,
     step_at_us: u64,
@@ -115,8 +115,8 @@
             scale: 1.0,
             urgency: Urgency::NONE,
             target: None,
-            heeded: 1.0,
-            heeded_at_us: 0,
+            urgency_share: 1.0,
+            urgency_share_at_us: 0,
             items: Vec::new(),
             online: Online::default(),
             step_at_us: 0,
@@ -162,7 +162,7 @@
         });
         if is_missed {
             self.recover(now_us);
-            self.heeded *= HEEDED_AFTER_MISS;
+            self.urgency_share *= URGENCY_SHARE_AFTER_MISS;
         }
     }
 
@@ -265,13 +265,13 @@
 
 impl BatchWindow {
     fn limits(&self) -> WindowLimits {
-        self.rules.limits(self.urgency.scaled(self.heeded))
+        self.rules.limits(self.urgency.scaled(self.urgency_share))
     }
 
     fn recover(&mut self, now_us: u64) {
-        let elapsed_us = us(now_us.saturating_sub(self.heeded_at_us));
-        self.heeded_at_us = self.heeded_at_us.max(now_us);
-        self.heeded = (self.heeded + elapsed_us / HEEDED_RECOVERY_US).min(1.0);
+        let elapsed_us = us(now_us.saturating_sub(self.urgency_share_at_us));
+        self.urgency_share_at_us = self.urgency_share_at_us.max(now_us);
+        self.urgency_share = (self.urgency_share + elapsed_us / URGENCY_RECOVERY_US).min(1.0);
     }
 
     fn is_burst(&mut self, limits: &WindowLimits, now_us: u64) -> bool {
