--- a/crates/cli/src/operators/output.rs
+++ b/crates/cli/src/operators/output.rs
@@ -84,10 +84,7 @@
 /// Upstreams.
 pub fn upstreams(rows: &Value) -> String {
     let rows = list(rows).iter().map(|row| {
-        let serves = match &row["kind"] {
-            Value::Object(kind) => kind.values().map(Value::to_string).collect(),
-            _ => String::new(),
-        };
+        let serves = serves(&row["kind"]);
         let fields = [
             &row["id"],
             &row["liveness"],
@@ -103,6 +100,15 @@
     table(&head, rows)
 }
 
+/// Models of an engine or name of a service.
+fn serves(kind: &Value) -> String {
+    let models = list(&kind["Engine"]["models"]);
+    match &kind["Service"]["service"] {
+        Value::Null => models.iter().map(plain).collect::<Vec<_>>().join(","),
+        service => plain(service),
+    }
+}
+
 /// Programs of the fleet.
 pub fn instances(rows: &Value) -> String {
     let rows = list(rows).iter().map(|row| {
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -5,13 +5,18 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output},
+    time::{Duration, Instant},
 };
 
 use control::{Control, ControlSettings};
-use model::{FailureDomain, InstanceId, Region};
+use model::{FailureDomain, InstanceId, Liveness, Region};
+use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
 
+/// Longest time that a test waits for the list to be read.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 struct Site {
     platform: Standin,
     control: SocketAddr,
@@ -175,3 +180,48 @@
     )
     .await;
 }
+
+#[tokio::test]
+async fn upstreams_name_what_they_serve() {
+    let site = start().await;
+    let listed = |id: &str, role: ListedRole| ListedInstance {
+        id: id.to_owned(),
+        role,
+        address: "127.0.0.1:1".to_owned(),
+        region: Region::new("lima"),
+        failure_domain: FailureDomain::new("lima-a"),
+        state: Liveness::Live,
+    };
+    let models = vec!["oraculo".into(), "platzbot".into()];
+    let listing = InstanceListing {
+        instances: vec![
+            listed(
+                "courts-0",
+                ListedRole::Service {
+                    service: "courts".into(),
+                },
+            ),
+            listed("engine-0", ListedRole::Engine { models }),
+        ],
+    };
+    let remote = Remote::new(site.platform.address());
+    remote
+        .set_instances(&listing)
+        .await
+        .expect("the list is set");
+    let began = Instant::now();
+    let text = loop {
+        let output = site.run(&["upstreams"]).await;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if text.contains("engine-0") && text.contains("courts-0") {
+            break text;
+        }
+        assert!(began.elapsed() < PATIENCE, "{text}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    };
+    let serves: Vec<_> = text
+        .lines()
+        .filter_map(|line| line.split_whitespace().last())
+        .collect();
+    assert_eq!(serves, ["SERVES", "courts", "oraculo,platzbot"]);
+}
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -404,7 +404,7 @@
         self.ask(target, Ask::Config, now_ms);
     }
 
-    /// A node vouches for its configuration once nobody it asked at the start
+    /// A node confirms its configuration once nobody it asked at the start
     /// is left to answer and somebody named a version that it has.
     fn confirm_config(&mut self, their_version: u64) {
         self.heard_version = self.heard_version.max(their_version);
