--- a/crates/scenario/src/runner/count.rs
+++ b/crates/scenario/src/runner/count.rs
@@ -27,6 +27,7 @@
             }
             Command::Repeats { at_most } => {
                 let starts = self.starts().await;
+                println!("{starts:?}");
                 if starts.repeated <= at_most {
                     return Ok(());
                 }
