batch: judge a cut of a prompt without copying the prompt

Cause: for each waiting item and tick the choice of what to send cloned all messages of a long prompt, only to learn that they can be cut. The place of the cut is now found by itself, and the copy made once, when a part is sent. A clamp that could not act is gone. The cost before and after was not measured.

--- a/crates/batch/src/prompt.rs
+++ b/crates/batch/src/prompt.rs
@@ -58,12 +58,13 @@
         allowance: Allowance,
     ) -> Option<Self> {
         let tokens = prompt_tokens(request);
-        let uncached_tokens = tokens.saturating_sub(warmed_tokens).min(tokens);
+        let uncached_tokens = tokens.saturating_sub(warmed_tokens);
         if uncached_tokens <= allowance.prompt_tokens {
             return Some(Self::Whole { uncached_tokens });
         }
         let leading_tokens = warmed_tokens + allowance.prompt_tokens;
-        if allowance.prompt_tokens >= PART_MIN_TOKENS && cut(request, leading_tokens).is_some() {
+        if allowance.prompt_tokens >= PART_MIN_TOKENS && cut_end(request, leading_tokens).is_some()
+        {
             return Some(Self::Part {
                 leading_tokens,
                 uncached_tokens: allowance.prompt_tokens,
@@ -84,18 +85,21 @@
 /// The messages of a prompt cut to about its leading tokens; nothing if its
 /// last message is not text or is too short to be cut that far.
 pub(crate) fn cut(request: &ItemRequest, leading_tokens: u32) -> Option<Value> {
+    let end = cut_end(request, leading_tokens)?;
+    let mut messages = request.body.get("messages")?.clone();
+    let content = messages.as_array_mut()?.last_mut()?.get_mut("content")?;
+    *content = Value::from(&content.as_str()?[..end]);
+    Some(messages)
+}
+
+/// Where the text of the last message ends in such a cut, bytes.
+fn cut_end(request: &ItemRequest, leading_tokens: u32) -> Option<usize> {
     let messages = request.body.get("messages")?;
     let kept_bytes = usize::try_from(leading_tokens).ok()? * CHARS_PER_TOKEN;
     let drop_bytes = text_bytes(messages).checked_sub(kept_bytes)?;
-    let mut messages = messages.clone();
-    let content = messages.as_array_mut()?.last_mut()?.get_mut("content")?;
-    let text = content.as_str()?;
+    let text = messages.as_array()?.last()?.get("content")?.as_str()?;
     let end = text.len().checked_sub(drop_bytes)?;
-    if end == 0 {
-        return None;
-    }
-    *content = Value::from(&text[..text.floor_char_boundary(end)]);
-    Some(messages)
+    (end > 0).then(|| text.floor_char_boundary(end))
 }
 
 /// Length of all texts in a value, bytes.
