--- a/crates/batch/src/claims.rs
+++ b/crates/batch/src/claims.rs
@@ -6,7 +6,7 @@
     Verdict, WorkKind, plan_finish, plan_fresh, plan_takeover, takeover_terms, tally,
 };
 use model::ErrorKind;
-use platform::Priority;
+use store::Priority;
 
 use crate::{
     context::Context,
--- a/crates/batch/src/writes.rs
+++ b/crates/batch/src/writes.rs
@@ -9,7 +9,7 @@
     ChunkResult, HeldChunk, ItemRecord, LeaseWrite, OpId, PartialRef, Progress, Verdict,
     plan_release,
 };
-use platform::Priority;
+use store::Priority;
 use tokio::time::Instant;
 
 use crate::context::Context;
--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -21,12 +21,12 @@
     UpstreamKind, View, parse_config,
 };
 use peer::PeerClient;
-use platform::Platform;
 use salvo::{Router, Server, conn::TcpListener, prelude::Listener};
 use standin::{
     EngineParams, EngineSettings, PlatformSettings, Remote, ServiceSettings, Standin, start_engine,
     start_platform, start_service,
 };
+use store::Platform;
 
 use tokio::sync::watch;
 
--- a/crates/cli/src/dev/fleet.rs
+++ b/crates/cli/src/dev/fleet.rs
@@ -13,12 +13,12 @@
 use hyper::{Request, body::Bytes};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName};
-use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use standin::{
     EngineSettings, PlatformSettings, Remote, ServiceSettings, Standin, start_engine,
     start_platform, start_service,
 };
+use store::{InstanceListing, ListedInstance, ListedRole};
 use tokio::time::Instant;
 
 use super::config::CONFIG;
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -10,9 +10,9 @@
 
 use control::{Control, ControlSettings};
 use model::{FailureDomain, InstanceId, Liveness, Region};
-use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
+use store::{InstanceListing, ListedInstance, ListedRole};
 
 /// Longest time that a test waits for the list to be read.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/control/src/api/listings.rs
+++ b/crates/control/src/api/listings.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use model::ErrorKind;
-use platform::{PlatformError, Row};
 use salvo::{Request, Response, handler, writing::Json};
 use serde::Serialize;
 use serde_json::Value;
+use store::{PlatformError, Row};
 
 use super::refusal::Refusal;
 use crate::{config_store, node::Node};
--- a/crates/control/src/config_store.rs
+++ b/crates/control/src/config_store.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use model::FleetConfig;
-use platform::{
+use serde::{Deserialize, Serialize};
+use store::{
     Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
 };
-use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::time::Instant;
 
--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -2,7 +2,7 @@
 
 use membership::{ListedNode, Listing};
 use model::{InstanceId, Liveness, UpstreamEntry, UpstreamId, UpstreamKind};
-use platform::{InstanceListing, ListedInstance, ListedRole};
+use store::{InstanceListing, ListedInstance, ListedRole};
 
 /// Parts nodes from upstreams and sorts both.
 pub(crate) fn convert_listing(listing: InstanceListing) -> Listing {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,8 +11,8 @@
 };
 use model::{FleetConfig, InstanceEntry, InstanceRole, Liveness, ModelName, UpstreamId, View};
 use peer::{NodeStatus, PeerClient, PeerRequest, PeerResponse};
-use platform::Platform;
 use process::AdminState;
+use store::Platform;
 use tokio::{
     sync::watch,
     time::{Instant, MissedTickBehavior},
--- a/crates/control/src/orders/driver.rs
+++ b/crates/control/src/orders/driver.rs
@@ -6,7 +6,7 @@
 use model::{
     InstanceId, Liveness, ModelName, Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
-use platform::{Condition, Expected, Mutation, TransactOutcome, TransactRequest};
+use store::{Condition, Expected, Mutation, TransactOutcome, TransactRequest};
 use tokio::time::{Instant, MissedTickBehavior, timeout_at};
 use upstream::{LoadReport, Order, OrderAction, UpstreamClient};
 
--- a/crates/control/src/orders/issuer.rs
+++ b/crates/control/src/orders/issuer.rs
@@ -8,8 +8,8 @@
 //! the clock and the write to the socket.
 
 use model::InstanceId;
-use platform::Expected;
 use serde::{Deserialize, Serialize};
+use store::Expected;
 
 /// Durations of the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/control/tests/fleet/support.rs
+++ b/crates/control/tests/fleet/support.rs
@@ -11,10 +11,10 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, View};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use serde_json::Value;
 use standin::{PlatformSettings, Remote, Standin, start_platform};
+use store::{InstanceListing, ListedInstance, ListedRole};
 use tokio::{task::JoinHandle, time::Instant};
 
 /// Longest wait for something that must come.
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -2,7 +2,7 @@
 
 use control::{EngineState, Issuer, IssuerTimes, LeaseRow, TableOp, WriteOutcome, plan_order};
 use model::{FleetConfig, InstanceId, ModelName, UpstreamId, parse_config};
-use platform::Expected;
+use store::Expected;
 use upstream::OrderAction;
 
 const TIMES: IssuerTimes = IssuerTimes {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,13 +5,13 @@
 use job_store::JobStore;
 use model::{ErrorKind, InstanceEntry, InstanceId, InstanceRole, Liveness, Region, View};
 use peer::{Freshness, PeerClient};
-use platform::{Pacer, PacerSettings, Platform};
 use policy::Router;
 use process::{AdminState, Refusal, Shutdown};
 use salvo::{
     Request, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor, http::ParseError,
     server::ServerHandle,
 };
+use store::{Pacer, PacerSettings, Platform};
 use tokio::{
     net::{TcpListener, TcpSocket},
     sync::watch,
--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use model::{CustomerId, ErrorKind, Ran};
-use platform::{
-    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
-};
 use process::Refusal;
 use serde::{Deserialize, Serialize};
+use store::{
+    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
+};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use upstream::ServiceAnswer;
--- a/crates/entry/src/service/stored.rs
+++ b/crates/entry/src/service/stored.rs
@@ -3,8 +3,8 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use platform::{Platform, PlatformError};
 use serde::{Deserialize, Serialize};
+use store::{Platform, PlatformError};
 use upstream::ServiceAnswer;
 use uuid::Uuid;
 
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,69 @@
+//! Whole events, however the bytes are cut.
+
+use gateway::{EventError, EventSplitter};
+use proptest::prelude::*;
+
+fn stream(first: u64, count: u64) -> Vec<u8> {
+    (first..first + count)
+        .flat_map(|id| format!("id: {id}\ndata: piece {id}\n\n").into_bytes())
+        .collect()
+}
+
+fn take_all(splitter: &mut EventSplitter) -> Vec<u64> {
+    std::iter::from_fn(|| splitter.take().unwrap())
+        .map(|event| event.id)
+        .collect()
+}
+
+proptest! {
+    #[test]
+    fn take_whole_events_however_cut(cuts in prop::collection::vec(0_usize..200, 0..8)) {
+        let bytes = stream(1, 6);
+        let mut ends: Vec<_> = cuts.into_iter().map(|cut| cut.min(bytes.len())).collect();
+        ends.push(bytes.len());
+        ends.sort_unstable();
+        let mut splitter = EventSplitter::new();
+        let mut ids = Vec::new();
+        let mut start = 0;
+        for end in ends {
+            splitter.push(&bytes[start..end]);
+            ids.extend(take_all(&mut splitter));
+            start = end;
+        }
+        prop_assert_eq!(ids, vec![1, 2, 3, 4, 5, 6]);
+        prop_assert!(!splitter.has_partial_event());
+    }
+}
+
+#[test]
+fn take_partial_event_is_kept_back() {
+    let mut splitter = EventSplitter::new();
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    assert_eq!(take_all(&mut splitter), [1]);
+    assert!(splitter.has_partial_event());
+}
+
+#[test]
+fn take_gap_is_an_error_that_stays() {
+    let mut splitter = EventSplitter::new().with_last_id(Some(4));
+    splitter.push(&stream(6, 2));
+    let expected = Err(EventError::OutOfOrder { previous: 4, id: 6 });
+    assert_eq!(splitter.take(), expected);
+    assert_eq!(splitter.take(), expected);
+}
+
+#[test]
+fn take_event_without_id_is_an_error() {
+    let mut splitter = EventSplitter::new();
+    splitter.push(b"data: noise\n\n");
+    assert_eq!(splitter.take(), Err(EventError::NoId));
+}
+
+#[test]
+fn data_joins_lines_and_skips_others() {
+    let mut splitter = EventSplitter::new();
+    splitter.push(b"redwingtack-weight-versions: 3\nid: 9\ndata: a\ndata:b\n\n");
+    let event = splitter.take().unwrap().unwrap();
+    assert_eq!(event.data(), "a\nb");
+    assert!(event.bytes.starts_with(b"redwingtack-weight"));
+}
--- /dev/null
+++ b/crates/gateway/tests/placement.rs
@@ -0,0 +1,154 @@
+//! Placement of online requests under the load patterns it answers.
+
+mod support;
+
+use gateway::{Placement, RefusalReason, UpstreamState, WorkKind};
+use model::UpstreamId;
+use support::{SLOTS, entry, fleet, notice, place, place_without, target_of};
+
+/// Time that a request holds its place, milliseconds.
+const HOLD_MS: u64 = 800;
+const NEAR: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "north-a")];
+const SPREAD: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "south-a")];
+
+#[test]
+fn place_burst_fills_home_before_another_region() {
+    let mut fleet = fleet("me", &SPREAD);
+    let first = place(&mut fleet, 0);
+    fleet.finished(target_of(&first), WorkKind::Online, HOLD_MS);
+    for index in 0..SLOTS {
+        let placement = place(&mut fleet, 0);
+        let target = target_of(&placement).clone();
+        assert_eq!(target.upstream.as_str(), "u1", "request {index}");
+        fleet.started(&target, WorkKind::Online, 0);
+    }
+    let placement = place(&mut fleet, 0);
+    assert_eq!(target_of(&placement).upstream.as_str(), "u2");
+}
+
+#[test]
+fn place_burst_beyond_all_places_is_refused_with_spread_returns() {
+    let mut fleet = fleet("me", &NEAR);
+    let mut returns = Vec::new();
+    for _ in 0..SLOTS * 6 {
+        match place(&mut fleet, 0) {
+            Placement::Send { target, .. } => fleet.started(&target, WorkKind::Online, 0),
+            Placement::Refuse {
+                reason,
+                retry_after_ms,
+                ..
+            } => {
+                assert_eq!(reason, RefusalReason::Saturated);
+                returns.push(retry_after_ms);
+            }
+        }
+    }
+    let sent = (SLOTS * 6) as usize - returns.len();
+    assert!(sent >= 2 * SLOTS as usize, "sent only {sent}");
+    returns.sort_unstable();
+    returns.dedup();
+    assert!(returns.len() > 8, "returns come together: {returns:?}");
+}
+
+#[test]
+fn place_counts_what_peers_have_in_flight() {
+    let mut fleet = fleet("me", &NEAR);
+    fleet.receive_notice(notice("peer", 1, &[("u1", 8, 0)]), 0);
+    for _ in 0..4 {
+        assert_eq!(target_of(&place(&mut fleet, 0)).upstream.as_str(), "u2");
+    }
+    // A peer that died has nothing in flight any more.
+    fleet.receive_notice(notice("other", 1, &[("u2", 8, 0)]), 10_000);
+    fleet.expire(10_000);
+    assert_eq!(
+        target_of(&place(&mut fleet, 10_000)).upstream.as_str(),
+        "u1"
+    );
+}
+
+#[test]
+fn receive_notice_older_one_is_ignored() {
+    let mut fleet = fleet("me", &NEAR);
+    fleet.receive_notice(notice("peer", 2, &[("u1", 8, 0)]), 0);
+    fleet.receive_notice(notice("peer", 1, &[("u2", 8, 0)]), 0);
+    assert_eq!(target_of(&place(&mut fleet, 0)).upstream.as_str(), "u2");
+}
+
+#[test]
+fn place_draining_or_changed_upstream_gets_nothing() {
+    let mut fleet = fleet("me", &NEAR);
+    let mut draining = entry("u1", "north-a");
+    draining.state = UpstreamState::Draining;
+    fleet.list(draining, 0);
+    for _ in 0..8 {
+        assert_eq!(target_of(&place(&mut fleet, 0)).upstream.as_str(), "u2");
+    }
+}
+
+#[test]
+fn failed_upstream_is_left_out_and_then_tried_by_one_request() {
+    let mut fleet = fleet("me", &NEAR);
+    let placement = place_without(&mut fleet, &[UpstreamId::new("u2")], true, 0);
+    let target = target_of(&placement).clone();
+    fleet.failed(&target, 0);
+    let only_u2 = place(&mut fleet, 10);
+    assert_eq!(target_of(&only_u2).upstream.as_str(), "u2");
+    let excluded = [UpstreamId::new("u2")];
+    let trial = place_without(&mut fleet, &excluded, true, 5_000);
+    fleet.started(target_of(&trial), WorkKind::Online, 5_000);
+    let second = place_without(&mut fleet, &excluded, true, 5_000);
+    assert!(matches!(second, Placement::Refuse { .. }), "{second:?}");
+}
+
+#[test]
+fn list_same_id_started_anew_knows_nothing_of_before() {
+    let mut fleet = fleet("me", &[("u1", "north-a")]);
+    let placement = place(&mut fleet, 0);
+    let target = target_of(&placement).clone();
+    fleet.started(&target, WorkKind::Online, 0);
+    fleet.failed(&target, 0);
+    let mut restarted = entry("u1", "north-a");
+    restarted.started_unix_ms = 2;
+    fleet.list(restarted, 10);
+    let again = place(&mut fleet, 10);
+    assert_eq!(target_of(&again).started_unix_ms, 2);
+    // The end of the old request does not count for the new incarnation.
+    fleet.started(target_of(&again), WorkKind::Online, 10);
+    fleet.ended(&target, WorkKind::Online);
+    assert_eq!(fleet.own_loads()[0].online, 1);
+}
+
+#[test]
+fn unlist_lapsed_entry_stays_for_a_while() {
+    let id = UpstreamId::new("u1");
+    let mut fleet = fleet("me", &[("u1", "north-a")]);
+    fleet.unlist(&id, true, 1_000);
+    fleet.expire(2_900);
+    assert!(matches!(place(&mut fleet, 2_900), Placement::Send { .. }));
+    fleet.expire(3_000);
+    assert!(matches!(place(&mut fleet, 3_000), Placement::Refuse { .. }));
+}
+
+#[test]
+fn unlist_without_an_outage_is_at_once() {
+    let mut fleet = fleet("me", &[("u1", "north-a")]);
+    fleet.unlist(&UpstreamId::new("u1"), false, 1_000);
+    let refused = place(&mut fleet, 1_000);
+    assert!(
+        matches!(
+            refused,
+            Placement::Refuse {
+                reason: RefusalReason::NoUpstream,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn retain_listed_takes_out_what_is_missing() {
+    let mut fleet = fleet("me", &NEAR);
+    fleet.retain_listed(&[UpstreamId::new("u2")], false, 0);
+    assert_eq!(fleet.ready_count(), 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,128 @@
+//! Upstreams, routes and notices for the tests.
+
+#![allow(dead_code, reason = "each test file uses some of them")]
+
+use std::sync::Arc;
+
+use gateway::{
+    CallerLimits, Fleet, Home, LoadNotice, Placement, PlacementRequest, Route, RouteKind,
+    ServiceShare, Target, UpstreamEntry, UpstreamLoad, UpstreamState, upstream_hash,
+};
+use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
+
+pub const SLOTS: u32 = 8;
+pub const GOAL_MS: u64 = 300;
+
+pub fn home(instance: &str) -> Home {
+    Home {
+        instance: InstanceId::new(instance),
+        failure_domain: FailureDomain::new("north-a"),
+        region: Region::new("north"),
+        regions: Arc::from([
+            (FailureDomain::new("north-a"), Region::new("north")),
+            (FailureDomain::new("north-b"), Region::new("north")),
+            (FailureDomain::new("south-a"), Region::new("south")),
+        ]),
+    }
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("hints")
+}
+
+pub fn entry(id: &str, domain: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::new(id),
+        service: service(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        failure_domain: FailureDomain::new(domain),
+        slots: SLOTS,
+        state: UpstreamState::Ready,
+        warm_up_left_ms: 0,
+        started_unix_ms: 1,
+    }
+}
+
+/// A fleet of upstreams with these ids and failure domains.
+pub fn fleet(instance: &str, upstreams: &[(&str, &str)]) -> Fleet {
+    let mut fleet = Fleet::new(home(instance), 7);
+    for (id, domain) in upstreams {
+        fleet.list(entry(id, domain), 0);
+    }
+    fleet
+}
+
+pub fn place(fleet: &mut Fleet, now_ms: u64) -> Placement {
+    place_without(fleet, &[], true, now_ms)
+}
+
+pub fn place_without(
+    fleet: &mut Fleet,
+    excluded: &[UpstreamId],
+    may_refuse: bool,
+    now_ms: u64,
+) -> Placement {
+    let service = service();
+    let request = PlacementRequest {
+        service: &service,
+        excluded,
+        goal_left_ms: GOAL_MS,
+        may_refuse,
+    };
+    fleet.place(&request, now_ms)
+}
+
+pub fn target_of(placement: &Placement) -> &Target {
+    match placement {
+        Placement::Send { target, .. } => target,
+        Placement::Refuse { .. } => panic!("refused: {placement:?}"),
+    }
+}
+
+/// Notice of a peer with loads as (upstream, online, batch).
+pub fn notice(instance: &str, sequence: u64, loads: &[(&str, u16, u16)]) -> LoadNotice {
+    let mut loads: Vec<_> = loads
+        .iter()
+        .map(|(id, online, batch)| UpstreamLoad {
+            upstream: upstream_hash(&UpstreamId::new(id)),
+            online: *online,
+            batch: *batch,
+        })
+        .collect();
+    loads.sort_by_key(|load| load.upstream);
+    LoadNotice {
+        instance: InstanceId::new(instance),
+        started_unix_ms: 1,
+        sequence,
+        batch_waiting: 0,
+        batch_due_unix_ms: 0,
+        loads,
+    }
+}
+
+pub fn route(kind: RouteKind) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h.example".into(),
+        path_prefix: "/a/".into(),
+        kind,
+        timeout_ms: 5_000,
+        goal_ms: GOAL_MS,
+        pause_goal_ms: 300,
+        rank: 0,
+        attempts_max: 2,
+        services: vec![ServiceShare {
+            service: service(),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn limits() -> CallerLimits {
+    CallerLimits {
+        header_max_bytes: 16_384,
+        body_max_bytes: 1_000_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    }
+}
--- a/crates/job_api/src/batch.rs
+++ b/crates/job_api/src/batch.rs
@@ -9,11 +9,11 @@
 };
 use model::{CustomerId, ErrorKind, InstanceId, InstanceRole, JobId, View};
 use peer::PeerRequest;
-use platform::Priority;
 use salvo::Request;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use store::Priority;
 use tokio::time::Instant;
 use uuid::Uuid;
 
--- a/crates/job_store/src/codec.rs
+++ b/crates/job_store/src/codec.rs
@@ -1,9 +1,7 @@
 //! Between the transactions of crate `jobs` and the platform's messages.
 
 use jobs::{Expect, Reply, RowValue, Transaction, Write};
-use platform::{
-    Condition, Expected, Mutation, PlatformError, Row, TransactOutcome, TransactRequest,
-};
+use store::{Condition, Expected, Mutation, PlatformError, Row, TransactOutcome, TransactRequest};
 
 pub(crate) fn encode(transaction: &Transaction) -> Result<TransactRequest, serde_json::Error> {
     let conditions = transaction.checks.iter().map(|check| Condition {
--- a/crates/job_store/src/objects.rs
+++ b/crates/job_store/src/objects.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use jobs::{ChunkSpan, ItemRecord, Manifest, ObjectRef};
-use platform::{ByteStream, Priority};
+use store::{ByteStream, Priority};
 
 use crate::{JobStore, StoreError};
 
--- a/crates/job_store/src/rows.rs
+++ b/crates/job_store/src/rows.rs
@@ -5,7 +5,7 @@
     job_key,
 };
 use model::JobId;
-use platform::{Priority, Row, RowPage};
+use store::{Priority, Row, RowPage};
 
 use crate::{JobStore, StoreError};
 
--- a/crates/job_store/src/store.rs
+++ b/crates/job_store/src/store.rs
@@ -7,7 +7,7 @@
 
 use jobs::{Acceptance, AcceptanceError, Accepted, Ask, NewJob, OpId, Reply, Settle, Verdict};
 use model::ErrorKind;
-use platform::{Backoff, Platform, PlatformError, Priority};
+use store::{Backoff, Platform, PlatformError, Priority};
 use thiserror::Error;
 use tokio::time::Instant;
 
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -17,6 +17,9 @@
 const BEAT_SLACK_MS: u64 = 500;
 /// Time between the tries of two instances to take over a job, milliseconds.
 const TAKEOVER_STEP_MS: u64 = 500;
+/// News of an owner may come this much later than news of its jobs,
+/// milliseconds.
+const OWNER_NEWS_MS: u64 = 1_000;
 /// Lifetimes of a lease after which a silent instance is forgotten.
 const FORGET_LEASES: u64 = 10;
 
@@ -177,13 +180,13 @@
     /// Open jobs that this instance should try to take over now.
     pub fn takeovers(&mut self, now_ms: u64) -> Vec<JobId> {
         for index in 0..self.jobs.len() {
-            let is_orphan = self.is_orphan(&self.jobs[index].job.record, now_ms);
+            let grace_ms = self.orphan_grace_ms(&self.jobs[index].job.record, now_ms);
             let row = &mut self.jobs[index];
-            if is_orphan {
-                row.orphaned_at_ms.get_or_insert(now_ms);
-            } else {
-                row.orphaned_at_ms = None;
-            }
+            row.orphaned_at_ms = match (grace_ms, row.orphaned_at_ms) {
+                (Some(_), Some(since_ms)) => Some(since_ms),
+                (Some(grace_ms), None) => Some(now_ms + grace_ms),
+                (None, _) => None,
+            };
         }
         self.jobs
             .iter()
@@ -196,25 +199,26 @@
             .collect()
     }
 
-    fn is_orphan(&self, record: &JobRecord, now_ms: u64) -> bool {
+    /// Whether a job has no live owner; if so, how long to wait for news that
+    /// it has one after all.
+    fn orphan_grace_ms(&self, record: &JobRecord, now_ms: u64) -> Option<u64> {
         if !record.is_open() {
-            return false;
+            return None;
         }
         let Some(owner) = &record.owner else {
-            return true;
+            return Some(0);
         };
         if *owner == self.me {
-            return false;
+            return None;
         }
         if owner.instance == self.me.instance {
-            return true;
+            return Some(0);
         }
         match self.find_node(&owner.instance) {
-            Ok(index) => {
-                let node = &self.nodes[index];
-                !node.is_live(now_ms) || node.beat.owner != *owner
+            Ok(index) if self.nodes[index].beat.owner == *owner => {
+                (!self.nodes[index].is_live(now_ms)).then_some(0)
             }
-            Err(_) => true,
+            Ok(_) | Err(_) => Some(OWNER_NEWS_MS),
         }
     }
 
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -6,9 +6,9 @@
 use control::{Control, ControlSettings};
 use model::{FailureDomain, FleetConfig, InstanceId, Liveness, Region, View, ViewRevision};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use platform::{InstanceListing, ListedInstance, ListedRole, Mutation, Platform, TransactRequest};
 use process::{AdminState, Shutdown};
 use standin::{PlatformSettings, Remote, Standin, start_platform};
+use store::{InstanceListing, ListedInstance, ListedRole, Mutation, Platform, TransactRequest};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
--- a/crates/load/src/capacity/memory.rs
+++ b/crates/load/src/capacity/memory.rs
@@ -10,9 +10,9 @@
 use control::{Control, ControlSettings};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, View};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use platform::{InstanceListing, ListedInstance, ListedRole};
 use process::{AdminState, Shutdown};
 use standin::{PlatformSettings, Remote, start_platform};
+use store::{InstanceListing, ListedInstance, ListedRole};
 use tokio::time::Instant;
 
 use super::cost::resident_bytes;
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -6,7 +6,7 @@
 };
 
 use model::Liveness;
-use platform::{InstanceListing, ListedInstance, ListedRole};
+use store::{InstanceListing, ListedInstance, ListedRole};
 
 use crate::{address::AddressBlock, command::Role};
 
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -7,8 +7,8 @@
 
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 
-use platform::InstanceListing;
 use standin::Remote;
+use store::InstanceListing;
 use tokio::{task::JoinHandle, time::Instant};
 
 use crate::{
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
-use platform::{InstanceListing, TransactRequest, paths};
 use serde::{Deserialize, Serialize};
+use store::{InstanceListing, TransactRequest, paths};
 use tokio::time::Instant;
 
 use crate::{
--- a/crates/standin/src/remote.rs
+++ b/crates/standin/src/remote.rs
@@ -9,8 +9,8 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use platform::InstanceListing;
 use serde::{Serialize, de::DeserializeOwned};
+use store::InstanceListing;
 
 use crate::{Fault, PlatformCounts, RunCounts, ServiceCounts};
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, ops::Bound};
 
-use platform::{Condition, Expected, Mutation, Row, RowPage, TransactOutcome, TransactRequest};
+use store::{Condition, Expected, Mutation, Row, RowPage, TransactOutcome, TransactRequest};
 
 /// Rows by key.
 #[derive(Debug, Default)]
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use platform::{
+use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
+use store::{
     Condition, Expected, InstanceListing, ListedInstance, ListedRole, Mutation, Pacer,
     PacerSettings, Platform, PlatformError, TransactOutcome, TransactRequest, paths,
 };
-use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
 use tokio::{net::TcpListener, time::Instant};
 
 const SHORT_TIMEOUT_MS: u64 = 300;
@@ -42,7 +42,7 @@
     request: &TransactRequest,
     operation_id: &str,
 ) -> Result<TransactOutcome, PlatformError> {
-    let is_own = |row: &platform::Row| row.value == operation_id;
+    let is_own = |row: &store::Row| row.value == operation_id;
     platform
         .transact_settled(request, "k", is_own, settle_deadline())
         .await
--- a/crates/store/tests/pacing.rs
+++ b/crates/store/tests/pacing.rs
@@ -1,7 +1,7 @@
 //! The pacing core, for any sequence of calls and outcomes.
 
-use platform::{Admission, Backoff, CallOutcome, Operation, Pacer, PacerSettings, Priority};
 use proptest::prelude::*;
+use store::{Admission, Backoff, CallOutcome, Operation, Pacer, PacerSettings, Priority};
 
 const WRITES_PER_S: u64 = 20;
 const BURST: u64 = 20;
