node, gateway: batch items share places by one plan, most urgent first

Change: notices go to every instance in the store and to those heard lately; every instance works out the same plan from what waits everywhere; outputs are saved every 2 s; a submission goes on when its caller leaves, and owned jobs that are not running are looked for.

--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -1,12 +1,15 @@
 //! How much batch work an upstream holds, and which instance may add to it.
 //!
 //! Load pattern: idle capacity lasts seconds, and several instances want to
-//! fill it at the same moment. Batch items take places that online requests
-//! leave over, less a reserve; instances with waiting items share them by a
-//! rule that each can work out alone. When online requests have to wait at an
-//! upstream, items there make room.
+//! fill it at the same moment. Batch items take the places that online requests
+//! leave over. Every instance knows what waits at the others and works out the
+//! same plan, most urgent items first, and carries out its own part of it. When
+//! online requests have to wait at an upstream, the least urgent items there
+//! make room.
 
-use model::{ServiceName, UpstreamId};
+use model::{InstanceId, Region, ServiceName, UpstreamId};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     fleet::{Fleet, Row},
@@ -19,35 +22,58 @@
 /// Online requests count as coming for this long after the last, milliseconds.
 const ONLINE_MEMORY_MS: u64 = 5_000;
 
-/// Batch work of one instance that waits for an upstream.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// Batch items of one instance that wait for an upstream of one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchDemand {
-    /// Items that wait.
-    pub waiting: u32,
-    /// When the most urgent of them is due, Unix milliseconds.
+    /// Hash of the service, from [`service_hash`].
+    pub service: u64,
+    /// When they are due, Unix milliseconds.
     pub due_unix_ms: u64,
+    /// Number of items.
+    pub waiting: u32,
+}
+
+/// Short name of a service in notices.
+#[must_use]
+pub fn service_hash(service: &ServiceName) -> u64 {
+    xxh3_64(service.as_str().as_bytes())
+}
+
+/// Demand of one instance in the plan.
+#[derive(Debug)]
+struct Claim<'a> {
+    instance: &'a InstanceId,
+    region: &'a Region,
+    demand: BatchDemand,
+}
+
+/// Free places of one upstream in the plan.
+#[derive(Debug)]
+struct Room<'a> {
+    row: &'a Row,
+    region: Option<&'a Region>,
+    places: u32,
 }
 
 impl Fleet {
-    /// An upstream at which this instance may start one more batch item.
+    /// Upstreams at which this instance starts its most urgent waiting items of
+    /// a service, one entry for each item.
     #[must_use]
-    pub fn batch_place(
-        &self,
-        service: &ServiceName,
-        excluded: &[UpstreamId],
-        now_ms: u64,
-    ) -> Option<Target> {
-        let owners = self.waiting_owners();
-        let reserve = self.online_reserve(service, now_ms);
-        let best = self
-            .rows
-            .iter()
-            .filter(|row| row.entry.service == *service && !excluded.contains(&row.entry.id))
-            .filter(|row| row.is_ready() && row.health.is_usable(now_ms))
-            .filter(|row| row.load() + reserve < row.entry.slots)
-            .filter(|row| u32::from(row.own.batch) < self.fair_share(row, &owners, reserve))
-            .min_by(|a, b| self.batch_cost(a).total_cmp(&self.batch_cost(b)))?;
-        Some(Target::new(&best.entry))
+    pub fn batch_plan(&self, service: &ServiceName, now_ms: u64) -> Vec<Target> {
+        let mut rooms = self.rooms(service, now_ms);
+        let mut own = Vec::new();
+        for claim in self.claims(service_hash(service)) {
+            for _ in 0..claim.demand.waiting {
+                let Some(room) = best_room(&mut rooms, &claim) else {
+                    return own;
+                };
+                room.places -= 1;
+                if *claim.instance == self.home.instance {
+                    own.push(Target::new(&room.row.entry));
+                }
+            }
+        }
+        own
     }
 
     /// Upstreams at which items of this instance have to make room, with their
@@ -63,24 +89,28 @@
             .collect()
     }
 
-    /// The owners with the most items at the upstream make room first; all
-    /// instances work out the same order.
+    /// The owners with the least urgent items at the upstream make room first;
+    /// all instances work out the same order.
     fn own_yields(&self, row: &Row) -> u32 {
         let over = row.load().saturating_sub(row.entry.slots);
-        if over == 0 || row.own.batch == 0 || row.online() == 0 {
+        let own = row.own_load();
+        if over == 0 || own.batch == 0 || row.online() == 0 {
             return 0;
         }
         let home = &self.home.instance;
         let mut owners: Vec<_> = self
             .peers
             .notices()
-            .map(|notice| (notice.load(row.hash).batch, &notice.instance))
+            .map(|notice| (notice.load(row.hash), &notice.instance))
             .collect();
-        owners.push((row.own.batch, home));
-        owners.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(b.1)));
+        owners.push((own, home));
+        owners.sort_by(|a, b| {
+            let by_due = b.0.batch_due_unix_ms.cmp(&a.0.batch_due_unix_ms);
+            by_due.then_with(|| a.1.cmp(b.1))
+        });
         let mut left = over;
-        for (batch, instance) in owners {
-            let count = left.min(u32::from(batch));
+        for (load, instance) in owners {
+            let count = left.min(u32::from(load.batch));
             if instance == home {
                 return count;
             }
@@ -89,39 +119,40 @@
         0
     }
 
-    /// Instances with waiting items, this one included, sorted.
-    fn waiting_owners(&self) -> Vec<&model::InstanceId> {
-        let mut owners: Vec<_> = self
-            .peers
-            .notices()
-            .filter(|notice| notice.batch_waiting > 0)
-            .map(|notice| &notice.instance)
+    /// What all instances want, most urgent first.
+    fn claims(&self, service: u64) -> Vec<Claim<'_>> {
+        let own = self.batch_queue.iter().map(|demand| Claim {
+            instance: &self.home.instance,
+            region: &self.home.region,
+            demand: *demand,
+        });
+        let of_peers = self.peers.notices().flat_map(|notice| {
+            notice.batch_queue.iter().map(|demand| Claim {
+                instance: &notice.instance,
+                region: &notice.region,
+                demand: *demand,
+            })
+        });
+        let mut claims: Vec<_> = own
+            .chain(of_peers)
+            .filter(|claim| claim.demand.service == service)
             .collect();
-        owners.push(&self.home.instance);
-        owners.sort();
-        owners
+        claims.sort_by_key(|claim| (claim.demand.due_unix_ms, claim.instance));
+        claims
     }
 
-    /// Items that this instance may have at an upstream.
-    fn fair_share(&self, row: &Row, owners: &[&model::InstanceId], reserve: u32) -> u32 {
-        let of_others: u32 = self
-            .peers
-            .notices()
-            .filter(|notice| notice.batch_waiting == 0)
-            .map(|notice| u32::from(notice.load(row.hash).batch))
-            .sum();
-        let places = row
-            .entry
-            .slots
-            .saturating_sub(reserve + row.online() + of_others);
-        let count = u32::try_from(owners.len()).unwrap_or(u32::MAX);
-        let index = owners
+    fn rooms(&self, service: &ServiceName, now_ms: u64) -> Vec<Room<'_>> {
+        let reserve = self.online_reserve(service, now_ms);
+        self.rows
             .iter()
-            .position(|owner| **owner == self.home.instance)
-            .unwrap_or(0);
-        let turn = (row.hash % u64::from(count) + index as u64) % u64::from(count);
-        let extra = u32::from(turn < u64::from(places % count));
-        places / count + extra
+            .filter(|row| row.entry.service == *service)
+            .filter(|row| row.is_ready() && row.health.is_usable(now_ms))
+            .map(|row| Room {
+                row,
+                region: self.region_of(&row.entry.failure_domain),
+                places: row.entry.slots.saturating_sub(row.load() + reserve),
+            })
+            .collect()
     }
 
     fn online_reserve(&self, service: &ServiceName, now_ms: u64) -> u32 {
@@ -138,9 +169,17 @@
             0
         }
     }
+}
 
-    fn batch_cost(&self, row: &Row) -> f64 {
-        let load_share = f64::from(row.load()) / f64::from(row.entry.slots);
-        load_share + row.health.failure_share() + self.round_trip_ms(row) / 1_000.0
-    }
+/// The room for an item of a claim: in its own region if possible, where most
+/// places are free.
+fn best_room<'a, 'b>(rooms: &'a mut [Room<'b>], claim: &Claim<'_>) -> Option<&'a mut Room<'b>> {
+    rooms
+        .iter_mut()
+        .filter(|room| room.places > 0)
+        .min_by_key(|room| {
+            let is_away = room.region != Some(claim.region);
+            let tie = room.row.hash ^ xxh3_64(claim.instance.as_str().as_bytes());
+            (is_away, std::cmp::Reverse(room.places), tie)
+        })
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -42,7 +42,10 @@
     /// A request that a caller waits for.
     Online,
     /// An item of a job.
-    Batch,
+    Batch {
+        /// When its job is due, Unix milliseconds.
+        due_unix_ms: u64,
+    },
 }
 
 /// The upstreams.
@@ -53,7 +56,8 @@
     pub(crate) rows: Vec<Row>,
     pub(crate) peers: Peers,
     pub(crate) services: Vec<ServiceRow>,
-    pub(crate) batch_demand: BatchDemand,
+    /// Own batch items that wait, most urgent first.
+    pub(crate) batch_queue: Vec<BatchDemand>,
     pub(crate) rng: SmallRng,
 }
 
@@ -66,7 +70,9 @@
     pub(crate) lapses_at_ms: Option<u64>,
     pub(crate) warm_at_ms: u64,
     pub(crate) health: Health,
-    pub(crate) own: UpstreamLoad,
+    own_online: u16,
+    /// When the own batch items there are due, Unix milliseconds.
+    batch_dues: Vec<u64>,
     pub(crate) peers: UpstreamLoad,
     round_trip_ms: Mean,
     delay_ms: Mean,
@@ -90,7 +96,7 @@
             rows: Vec::new(),
             peers: Peers::default(),
             services: Vec::new(),
-            batch_demand: BatchDemand::default(),
+            batch_queue: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -158,22 +164,22 @@
         let mut loads: Vec<_> = self
             .rows
             .iter()
-            .map(|row| row.own)
+            .map(Row::own_load)
             .filter(|load| load.online > 0 || load.batch > 0)
             .collect();
         loads.sort_by_key(|load| load.upstream);
         loads
     }
 
-    /// Sets the batch work of this instance that waits.
-    pub fn set_batch_demand(&mut self, demand: BatchDemand) {
-        self.batch_demand = demand;
+    /// Sets the batch items of this instance that wait, most urgent first.
+    pub fn set_batch_queue(&mut self, queue: Vec<BatchDemand>) {
+        self.batch_queue = queue;
     }
 
-    /// Batch work of this instance that waits.
+    /// Batch items of this instance that wait, most urgent first.
     #[must_use]
-    pub fn batch_demand(&self) -> BatchDemand {
-        self.batch_demand
+    pub fn batch_queue(&self) -> &[BatchDemand] {
+        &self.batch_queue
     }
 
     /// Records that a request was sent to an upstream.
@@ -186,8 +192,8 @@
         };
         row.health.sent();
         match kind {
-            WorkKind::Online => row.own.online += 1,
-            WorkKind::Batch => row.own.batch += 1,
+            WorkKind::Online => row.own_online += 1,
+            WorkKind::Batch { due_unix_ms } => row.batch_dues.push(due_unix_ms),
         }
     }
 
@@ -198,8 +204,8 @@
         };
         row.health.undecided();
         match kind {
-            WorkKind::Online => row.own.online = row.own.online.saturating_sub(1),
-            WorkKind::Batch => row.own.batch = row.own.batch.saturating_sub(1),
+            WorkKind::Online => row.own_online = row.own_online.saturating_sub(1),
+            WorkKind::Batch { due_unix_ms } => row.remove_batch(due_unix_ms),
         }
     }
 
@@ -289,7 +295,7 @@
         row.round_trip_ms.or(default_ms)
     }
 
-    fn region_of(&self, domain: &FailureDomain) -> Option<&Region> {
+    pub(crate) fn region_of(&self, domain: &FailureDomain) -> Option<&Region> {
         let regions = &self.home.regions;
         let index = regions
             .binary_search_by(|(name, _)| name.cmp(domain))
@@ -346,7 +352,8 @@
             hash,
             lapses_at_ms: None,
             health: Health::default(),
-            own: load,
+            own_online: 0,
+            batch_dues: Vec::new(),
             peers: load,
             round_trip_ms: Mean::default(),
             delay_ms: Mean::default(),
@@ -363,14 +370,31 @@
         self.entry.state == UpstreamState::Ready
     }
 
+    /// What this instance has there.
+    pub(crate) fn own_load(&self) -> UpstreamLoad {
+        UpstreamLoad {
+            upstream: self.hash,
+            online: self.own_online,
+            batch: u16::try_from(self.batch_dues.len()).unwrap_or(u16::MAX),
+            batch_due_unix_ms: self.batch_dues.iter().copied().max().unwrap_or(0),
+        }
+    }
+
+    fn remove_batch(&mut self, due_unix_ms: u64) {
+        let found = self.batch_dues.iter().position(|due| *due == due_unix_ms);
+        if let Some(index) = found {
+            self.batch_dues.swap_remove(index);
+        }
+    }
+
     /// Online requests of all instances.
     pub(crate) fn online(&self) -> u32 {
-        u32::from(self.own.online) + u32::from(self.peers.online)
+        u32::from(self.own_online) + u32::from(self.peers.online)
     }
 
     /// Batch items of all instances.
     pub(crate) fn batch(&self) -> u32 {
-        u32::from(self.own.batch) + u32::from(self.peers.batch)
+        u32::from(self.own_load().batch) + u32::from(self.peers.batch)
     }
 
     /// Requests of all instances.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use crate::{
     attempts::{AttemptEnd, Effort, FinalAnswer, NextStep},
-    batch_share::BatchDemand,
+    batch_share::{BatchDemand, service_hash},
     events::{Event, EventError, EventSplitter},
     fleet::{Fleet, Home, WorkKind},
     peers::{LoadNotice, UpstreamLoad, upstream_hash},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,10 +3,12 @@
 //! Each instance tells its peers how many requests it has at each upstream.
 //! A notice carries the whole state, so a lost one is made good by the next.
 
-use model::{InstanceId, UpstreamId};
+use model::{InstanceId, Region, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::BatchDemand;
+
 /// A peer that was silent for this long has nothing in flight, milliseconds.
 const NOTICE_LIFETIME_MS: u64 = 1_500;
 
@@ -19,10 +21,10 @@
     pub started_unix_ms: u64,
     /// Number of the notice; grows.
     pub sequence: u64,
-    /// Batch items that wait for an upstream.
-    pub batch_waiting: u32,
-    /// When the most urgent of them is due, Unix milliseconds.
-    pub batch_due_unix_ms: u64,
+    /// Its region.
+    pub region: Region,
+    /// Batch items that wait for an upstream, most urgent first.
+    pub batch_queue: Vec<BatchDemand>,
     /// Load by upstream, sorted by [`upstream_hash`]; only what is not zero.
     pub loads: Vec<UpstreamLoad>,
 }
@@ -36,6 +38,8 @@
     pub online: u16,
     /// Batch items.
     pub batch: u16,
+    /// When the least urgent of the batch items is due, Unix milliseconds.
+    pub batch_due_unix_ms: u64,
 }
 
 /// Short name of an upstream in notices.
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -159,6 +159,15 @@
             .map(|node| &node.beat)
     }
 
+    /// Where the other instances receive load notices, whether or not their
+    /// leases run.
+    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.nodes
+            .iter()
+            .filter(|node| node.beat.owner.instance != self.me.instance)
+            .map(|node| node.beat.peer_address)
+    }
+
     /// Instances that have been silent for so long that their rows can be
     /// removed, with the versions of the rows.
     #[must_use]
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -35,6 +35,8 @@
     item: JobItem,
     state: ItemState,
     partial: Partial,
+    /// Last event of the output that was handed out for saving.
+    saved_event: Option<u64>,
     failures_in_row: u32,
 }
 
@@ -130,6 +132,7 @@
                 item,
                 state: ItemState::Waiting { not_before_ms: 0 },
                 partial: Partial::new(index),
+                saved_event: None,
                 failures_in_row: 0,
             })
             .collect();
@@ -140,6 +143,7 @@
         }
         for partial in partials {
             if let Some(row) = rows.get_mut(partial.item_index as usize) {
+                row.saved_event = partial.last_event;
                 row.partial = partial;
             }
         }
@@ -188,46 +192,15 @@
             .find(|item| *item.id == *id)
     }
 
-    /// The next item that may start.
-    #[must_use]
-    pub fn next_waiting(&self, now_ms: u64) -> Option<u32> {
-        if !self.is_active() {
-            return None;
-        }
+    /// Indices of the items that may start.
+    pub fn waiting(&self, now_ms: u64) -> impl Iterator<Item = u32> {
+        let is_active = self.is_active();
         (0..)
             .zip(&self.items)
-            .find(|(_, row)| row.is_startable(now_ms))
+            .filter(move |(_, row)| is_active && row.is_startable(now_ms))
             .map(|(index, _)| index)
     }
 
-    /// Items that may start.
-    #[must_use]
-    pub fn waiting_count(&self, now_ms: u64) -> u32 {
-        if !self.is_active() {
-            return 0;
-        }
-        let count = self
-            .items
-            .iter()
-            .filter(|row| row.is_startable(now_ms))
-            .count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
-    /// When a waiting item that may not start yet may do so.
-    #[must_use]
-    pub fn next_start_ms(&self, now_ms: u64) -> Option<u64> {
-        self.items
-            .iter()
-            .filter_map(|row| match row.state {
-                ItemState::Waiting { not_before_ms } if not_before_ms > now_ms => {
-                    Some(not_before_ms)
-                }
-                _ => None,
-            })
-            .min()
-    }
-
     /// Path that an item's requests go to.
     #[must_use]
     pub fn path(&self, item_index: u32) -> Option<&str> {
@@ -372,6 +345,26 @@
             .collect()
     }
 
+    /// Outputs that have grown since they were last handed out for saving, up
+    /// to `max_bytes` in all.
+    pub fn unsaved_partials(&mut self, max_bytes: usize) -> Vec<Partial> {
+        let mut bytes = 0;
+        let mut unsaved = Vec::new();
+        for row in &mut self.items {
+            let is_open = matches!(row.state, ItemState::Waiting { .. } | ItemState::Running);
+            if !is_open || row.partial.last_event <= row.saved_event {
+                continue;
+            }
+            bytes += row.partial.output.len();
+            if bytes > max_bytes {
+                break;
+            }
+            row.saved_event = row.partial.last_event;
+            unsaved.push(row.partial.clone());
+        }
+        unsaved
+    }
+
     fn end_item(&mut self, index: u32, outcome: ItemOutcome) {
         self.items[index as usize].state = ItemState::Ended(outcome);
         self.unlisted.push(index);
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -125,7 +125,7 @@
     let conflict = CommitOutcome::Conflict(Some((taken, 11)));
     assert_eq!(job.commit_ended(conflict), CommitStep::Stop);
     assert!(!job.is_active());
-    assert_eq!(job.next_waiting(0), None);
+    assert_eq!(job.waiting(0).next(), None);
     assert!(job.next_commit().is_none());
 }
 
@@ -146,8 +146,8 @@
     let mut ended = record(2);
     ended.phase = JobPhase::Ended;
     job.observe(&ended, 11);
-    assert_eq!(job.next_waiting(0), None);
-    assert_eq!(job.waiting_count(0), 0);
+    assert_eq!(job.waiting(0).next(), None);
+    assert_eq!(job.waiting(0).count(), 0);
 }
 
 #[test]
@@ -177,8 +177,8 @@
         let start = job.start(0).unwrap();
         job.run_ended(start.partial, RunEnd::Error, ERRORS_MAX, 0);
         assert!(job.next_commit().is_none(), "dead after {run_number} runs");
-        assert_eq!(job.next_waiting(0), None, "no pause before the next run");
-        assert_eq!(job.next_waiting(60_000), Some(0));
+        assert_eq!(job.waiting(0).next(), None, "no pause before the next run");
+        assert_eq!(job.waiting(60_000).next(), Some(0));
     }
     let start = job.start(0).unwrap();
     job.run_ended(start.partial, RunEnd::Error, ERRORS_MAX, 0);
@@ -238,7 +238,7 @@
         items(3),
         vec![partial],
     );
-    assert_eq!(job.waiting_count(0), 2);
+    assert_eq!(job.waiting(0).count(), 2);
     let start = job.start(2).unwrap();
     assert_eq!(start.partial.output, "a\nb");
     assert_eq!(start.partial.last_event, Some(2));
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -8,7 +8,7 @@
 use ledger::{JobItem, JobPhase, JobRecord, OwnedJob};
 use model::JobId;
 use platform::{RequestFacts, StoreError};
-use tokio::time::sleep;
+use tokio::{task::spawn_local, time::sleep};
 
 use super::{
     runner,
@@ -30,8 +30,8 @@
 
 /// A job on its way into the store.
 #[derive(Debug)]
-struct Submission<'a> {
-    node: &'a Rc<Node>,
+struct Submission {
+    node: Rc<Node>,
     id: JobId,
     record: JobRecord,
     items: Vec<JobItem>,
@@ -75,17 +75,34 @@
     };
     let time_left_ms = facts.time_left_ms.unwrap_or(route.timeout_ms);
     let submission = Submission {
-        node,
+        node: Rc::clone(node),
         record: new_record(node, route, terms, parts, &items),
         id,
         items,
         retry_until_ms: arrived_ms + route.goal_ms.min(time_left_ms),
         settle_until_ms: (arrived_ms + time_left_ms).saturating_sub(ANSWER_MS),
     };
-    submission.store().await
+    // Goes on when the caller leaves: what may be stored has to be settled.
+    spawn_local(submission.run()).await.unwrap_or_else(|error| {
+        log::error!("event=submission_failed error={}", process::quote(&error));
+        answer::plain(StatusCode::GATEWAY_TIMEOUT, "the outcome is not known")
+    })
 }
 
-impl Submission<'_> {
+impl Submission {
+    async fn run(self) -> Response<AnswerBody> {
+        // The feed may bring the job before the answer to the write.
+        let node = Rc::clone(&self.node);
+        let id = self.id.clone();
+        node.runner.borrow_mut().loading.push(id.clone());
+        let response = self.store().await;
+        node.runner
+            .borrow_mut()
+            .loading
+            .retain(|other| *other != id);
+        response
+    }
+
     async fn store(self) -> Response<AnswerBody> {
         let row_max_bytes = self.node.settings().store_limits.row_max_bytes;
         let rows = JobRows::new(&self.node.store, row_max_bytes);
@@ -132,7 +149,7 @@
         if self.record.owner.is_some() {
             let owner = self.node.me.clone();
             let job = OwnedJob::new(self.id, owner, self.record, version, self.items, Vec::new());
-            runner::adopt(self.node, job);
+            runner::adopt(&self.node, job);
         }
         accepted()
     }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -27,6 +27,7 @@
     pub(super) node: Rc<Node>,
     pub(super) job: JobId,
     pub(super) host: Arc<str>,
+    pub(super) due_unix_ms: u64,
     pub(super) give_up_unix_ms: u64,
     pub(super) run: ItemRun,
     pub(super) target: Target,
@@ -51,9 +52,15 @@
 }
 
 impl Start {
+    fn kind(&self) -> WorkKind {
+        WorkKind::Batch {
+            due_unix_ms: self.due_unix_ms,
+        }
+    }
+
     /// Counts the item at its upstream.
     pub(super) fn begin(self) -> Started {
-        let in_flight = InFlight::new(&self.node, self.target.clone(), WorkKind::Batch);
+        let in_flight = InFlight::new(&self.node, self.target.clone(), self.kind());
         Started {
             partial: self.run.partial.clone(),
             start: self,
@@ -100,7 +107,7 @@
     let now_ms = start.node.now_ms();
     let time_left_ms = start.give_up_unix_ms.saturating_sub(unix_ms());
     let terms = AttemptTerms {
-        kind: WorkKind::Batch,
+        kind: start.kind(),
         deadline_ms: now_ms + time_left_ms,
         head_deadline_ms: now_ms + HEAD_GOALS * start.route.goal_ms,
         expected_at_ms: now_ms,
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -62,10 +62,24 @@
     node.runner.borrow_mut().observe(id, &record, version);
     node.jobs_changed.send_modify(|count| *count += 1);
     node.batch_changed.notify_one();
-    let is_mine = record.owner.as_ref() == Some(&node.me) && record.is_open();
-    if is_mine && node.stage() == Stage::Serving && !node.runner.borrow().has(id) {
-        // The acknowledgement of a write was lost, but it took effect.
-        load(node, id.clone(), JobRecord::clone(&record), version);
+}
+
+/// Loads jobs that this instance owns without running them: the answer to the
+/// write that gave them to it was lost.
+fn load_missing(node: &Rc<Node>) {
+    let missing: Vec<_> = {
+        let directory = node.directory.borrow();
+        let runner = node.runner.borrow();
+        directory
+            .jobs()
+            .filter(|job| job.record.is_open() && job.record.owner.as_ref() == Some(&node.me))
+            .filter(|job| !runner.has(&job.id))
+            .cloned()
+            .collect()
+    };
+    for job in missing {
+        log::info!("event=job_found job={} version={}", job.id, job.version);
+        load(node, job.id, JobRecord::clone(&job.record), job.version);
     }
 }
 
@@ -80,6 +94,7 @@
         if !is_informed || node.store_health.is_away() || node.stage() != Stage::Serving {
             continue;
         }
+        load_missing(&node);
         let orphans = node.directory.borrow_mut().takeovers(now_ms);
         for id in orphans {
             if !node.runner.borrow().has(&id) {
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -1,12 +1,12 @@
 //! Runs the items of the jobs that this instance owns.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use gateway::{BatchDemand, Route};
+use gateway::{BatchDemand, RouteTable, Target, service_hash};
 use ledger::{CommitOutcome, CommitStep, JobRecord, OwnedJob, Partial, RunEnd};
-use model::{JobId, UpstreamId};
-use platform::StoreError;
+use model::{JobId, ServiceName, UpstreamId};
+use platform::{StoreError, TransactOutcome};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
@@ -23,6 +23,12 @@
 const BUSY_TICK: Duration = Duration::from_millis(100);
 /// Time between looks while nothing waits.
 const IDLE_TICK: Duration = Duration::from_secs(1);
+/// Time between two saves of the outputs of running items.
+const SAVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Bytes of outputs that one save takes.
+const SAVE_MAX_BYTES: usize = 256 * 1024;
+/// Entries of the queue that other instances are told of.
+const QUEUE_MAX_ENTRIES: usize = 16;
 /// Wait before a write of results is repeated, milliseconds.
 const COMMIT_RETRY_MS: u64 = 100;
 const COMMIT_RETRY_MAX_MS: u64 = 1_000;
@@ -152,7 +158,7 @@
 /// Starts items wherever there is room for them.
 pub(super) async fn schedule(node: Rc<Node>) {
     loop {
-        let has_waiting = node.fleet.borrow().batch_demand().waiting > 0;
+        let has_waiting = !node.fleet.borrow().batch_queue().is_empty();
         let tick = if has_waiting { BUSY_TICK } else { IDLE_TICK };
         // Time passing is as good a reason to look as a change.
         let _ = timeout(tick, node.batch_changed.notified()).await;
@@ -167,9 +173,11 @@
     }
     give_up_items(node);
     if node.stage() == Stage::Serving {
-        while start_next(node) {}
+        // The plan rests on what waits here as well.
+        update_queue(node);
+        start_items(node);
     }
-    update_demand(node);
+    update_queue(node);
     start_commits(node);
 }
 
@@ -186,27 +194,66 @@
     }
 }
 
-/// Starts the most urgent item that has a place. Returns whether one started.
-fn start_next(node: &Rc<Node>) -> bool {
-    let Some(routes) = node.routes() else {
-        return false;
-    };
+/// Starts waiting items at the places that the plan gives this instance.
+fn start_items(node: &Rc<Node>) {
+    let Some(routes) = node.routes() else { return };
+    let now_ms = node.now_ms();
+    let services = waiting_services(node, &routes);
+    for service in services {
+        let plan = node.fleet.borrow().batch_plan(&service, now_ms);
+        for target in plan {
+            if !start_next(node, &routes, target) {
+                break;
+            }
+        }
+    }
+}
+
+/// Services for which items of this instance wait.
+fn waiting_services(node: &Node, routes: &RouteTable) -> Vec<ServiceName> {
+    let now_ms = node.now_ms();
+    let runner = node.runner.borrow();
+    let mut services: Vec<_> = runner
+        .jobs
+        .iter()
+        .flat_map(|job| waiting_routes(job, routes, now_ms))
+        .map(|(_, service)| service)
+        .collect();
+    services.sort();
+    services.dedup();
+    services
+}
+
+/// Indices of a job's waiting items with the services that they go to.
+fn waiting_routes(
+    job: &OwnedJob,
+    routes: &RouteTable,
+    now_ms: u64,
+) -> impl Iterator<Item = (u32, ServiceName)> {
+    let host = Arc::clone(&job.record().host);
+    job.waiting(now_ms).filter_map(move |item_index| {
+        let route = routes.find(&host, job.path(item_index)?)?;
+        let service = route.service_for(&format!("{}/{item_index}", job.id()))?;
+        Some((item_index, service.clone()))
+    })
+}
+
+/// Starts the most urgent waiting item of the target's service. Returns whether
+/// there was one.
+fn start_next(node: &Rc<Node>, routes: &RouteTable, target: Target) -> bool {
     let now_ms = node.now_ms();
     let mut runner = node.runner.borrow_mut();
     for index in runner.by_due() {
         let job = &mut runner.jobs[index];
-        let Some(item_index) = job.next_waiting(now_ms) else {
-            continue;
-        };
-        let host = job.record().host.clone();
-        let path = job.path(item_index).unwrap_or_default();
-        let Some(route) = routes.find(&host, path).cloned() else {
-            continue;
+        let of_service = |(item_index, service): (u32, ServiceName)| {
+            (service == target.service).then_some(item_index)
         };
-        let Some(target) = place(node, &route, job.id(), item_index, now_ms) else {
+        let Some(item_index) = waiting_routes(job, routes, now_ms).find_map(of_service) else {
             continue;
         };
-        let Some(run) = job.start(item_index) else {
+        let host = Arc::clone(&job.record().host);
+        let route = routes.find(&host, job.path(item_index).unwrap_or_default());
+        let (Some(route), Some(run)) = (route.cloned(), job.start(item_index)) else {
             continue;
         };
         let due_unix_ms = job.record().due_unix_ms;
@@ -217,13 +264,14 @@
             node: Rc::clone(node),
             job: id.clone(),
             host,
+            due_unix_ms,
             give_up_unix_ms: job.record().give_up_unix_ms,
             run,
             target,
             route,
             make_room: Rc::clone(&make_room),
         };
-        // Counts the item at its upstream before the next one is placed.
+        // Counts the item at its upstream before the next plan is made.
         let started = start.begin();
         let task = spawn_local(started.run()).abort_handle();
         runner.runs.push(Run {
@@ -239,38 +287,83 @@
     false
 }
 
-fn place(
-    node: &Node,
-    route: &Route,
-    job: &JobId,
-    item_index: u32,
-    now_ms: u64,
-) -> Option<gateway::Target> {
-    let service = route.service_for(&format!("{job}/{item_index}"))?;
-    node.fleet.borrow().batch_place(service, &[], now_ms)
-}
-
-fn update_demand(node: &Node) {
+/// Tells the other instances what waits here.
+fn update_queue(node: &Node) {
+    let Some(routes) = node.routes() else { return };
     let now_ms = node.now_ms();
     let runner = node.runner.borrow();
-    let waiting = |job: &OwnedJob| job.waiting_count(now_ms);
-    let demand = BatchDemand {
-        waiting: runner.jobs.iter().map(waiting).sum(),
-        due_unix_ms: runner
-            .jobs
-            .iter()
-            .filter(|job| waiting(job) > 0)
-            .map(|job| job.record().due_unix_ms)
-            .min()
-            .unwrap_or(0),
-    };
+    let mut queue: Vec<BatchDemand> = Vec::new();
+    for index in runner.by_due() {
+        let job = &runner.jobs[index];
+        for (_, service) in waiting_routes(job, &routes, now_ms) {
+            add_demand(&mut queue, service_hash(&service), job.record().due_unix_ms);
+        }
+    }
     let mut fleet = node.fleet.borrow_mut();
-    if fleet.batch_demand() != demand {
-        fleet.set_batch_demand(demand);
+    if *fleet.batch_queue() != *queue {
+        fleet.set_batch_queue(queue);
         node.load_changed.notify_one();
     }
 }
 
+/// Adds one item to the demand of its service and due time.
+fn add_demand(queue: &mut Vec<BatchDemand>, service: u64, due_unix_ms: u64) {
+    let is_same =
+        |demand: &BatchDemand| demand.service == service && demand.due_unix_ms == due_unix_ms;
+    if let Some(demand) = queue.iter_mut().find(|demand| is_same(demand)) {
+        demand.waiting += 1;
+    } else if queue.len() < QUEUE_MAX_ENTRIES {
+        queue.push(BatchDemand {
+            service,
+            due_unix_ms,
+            waiting: 1,
+        });
+    }
+}
+
+/// Saves the outputs of running items from time to time, so that another
+/// instance can go on with them if this one is lost.
+pub(super) async fn save_outputs(node: Rc<Node>) {
+    loop {
+        sleep(SAVE_INTERVAL).await;
+        if node.store_health.is_away() {
+            continue;
+        }
+        let unsaved: Vec<_> = {
+            let mut runner = node.runner.borrow_mut();
+            let jobs = runner.jobs.iter_mut();
+            jobs.map(|job| {
+                (
+                    job.id().clone(),
+                    job.version(),
+                    job.unsaved_partials(SAVE_MAX_BYTES),
+                )
+            })
+            .filter(|(_, _, partials)| !partials.is_empty())
+            .collect()
+        };
+        for (id, version, partials) in unsaved {
+            save(&node, &id, version, &partials).await;
+        }
+    }
+}
+
+async fn save(node: &Node, id: &JobId, version: u64, partials: &[Partial]) {
+    let row_max_bytes = node.settings().store_limits.row_max_bytes;
+    let rows = JobRows::new(&node.store, row_max_bytes);
+    match rows.save_partials(id, version, partials).await {
+        Ok(outcome) => log::debug!(
+            "event=outputs_saved job={id} items={} stored={}",
+            partials.len(),
+            matches!(outcome, TransactOutcome::Committed { .. })
+        ),
+        Err(error) => log::warn!(
+            "event=outputs_not_saved job={id} error={}",
+            process::quote(&error)
+        ),
+    }
+}
+
 /// Records the end of a run.
 pub(super) fn run_ended(
     node: &Rc<Node>,
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -115,6 +115,12 @@
         version: u64,
         partials: &[Partial],
     ) -> Result<CommitOutcome, StoreError> {
+        let puts = self.partial_entries(id, partials)?;
+        self.conditional(id, record, version, puts).await
+    }
+
+    /// Rows of as many outputs as one transaction holds.
+    fn partial_entries(&self, id: &JobId, partials: &[Partial]) -> Result<Vec<Entry>, StoreError> {
         let mut puts = Vec::new();
         for partial in partials {
             let suffix = format!("{:06}/", partial.item_index);
@@ -130,7 +136,22 @@
             }
             puts.extend(rows);
         }
-        self.conditional(id, record, version, puts).await
+        Ok(puts)
+    }
+
+    /// Saves outputs of items while the record has `version`.
+    pub(crate) async fn save_partials(
+        &self,
+        id: &JobId,
+        version: u64,
+        partials: &[Partial],
+    ) -> Result<TransactOutcome, StoreError> {
+        let transaction = Transaction {
+            conditions: vec![record_condition(id, version)],
+            puts: self.partial_entries(id, partials)?,
+            removals: Vec::new(),
+        };
+        self.store.transact(&transaction).await
     }
 
     /// Writes results.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -28,6 +28,15 @@
     splitter: Option<EventSplitter>,
     first_bytes_ms: Option<u64>,
     resumed: u32,
+    has_ended: bool,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.log("abandoned", "the caller left");
+        }
+    }
 }
 
 /// What came from the upstream.
@@ -49,6 +58,7 @@
             splitter,
             first_bytes_ms: None,
             resumed: 0,
+            has_ended: false,
         }
     }
 
@@ -181,16 +191,21 @@
         let Some(answer) = self.answer.take() else {
             return;
         };
-        self.log("complete", &answer.head.status.to_string());
+        self.log_end("complete", &answer.head.status.to_string());
         answer.complete(&self.journey.node);
     }
 
     fn cut(&mut self, reason: &str) -> Result<Frame<Bytes>, Cut> {
         self.answer = None;
-        self.log("cut", reason);
+        self.log_end("cut", reason);
         Err(Cut)
     }
 
+    fn log_end(&mut self, outcome: &str, reason: &str) {
+        self.has_ended = true;
+        self.log(outcome, reason);
+    }
+
     fn log(&self, outcome: &str, reason: &str) {
         let journey = &self.journey;
         let now_ms = journey.node.now_ms();
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -41,7 +41,7 @@
 pub fn check_tree(root: &Path) -> Vec<Finding> {
     let mut files = Vec::new();
     let mut findings = Vec::new();
-    for folder in ["crates", "xtask"] {
+    for folder in ["crates", "platform", "xtask"] {
         if let Err(error) = collect(&root.join(folder), &mut files) {
             let message = format!("cannot be read: {error}");
             findings.push(Finding {
