gateway: items that can still be in time go first, tight ones keep their places

Cause: in overload, order by due time made every item late in turn, and items close to their end yielded like others. Change: pace of runs is measured; items that cannot be in time go last and make room first; items with less than a second to spare do not yield.

--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -27,8 +27,8 @@
 pub struct BatchDemand {
     /// Hash of the service, from [`service_hash`].
     pub service: u64,
-    /// When they are due, Unix milliseconds.
-    pub due_unix_ms: u64,
+    /// Their urgency key, from [`crate::Urgency`].
+    pub key: u64,
     /// Number of items.
     pub waiting: u32,
 }
@@ -93,8 +93,7 @@
     /// all instances work out the same order.
     fn own_yields(&self, row: &Row) -> u32 {
         let over = row.load().saturating_sub(row.entry.slots);
-        let own = row.own_load();
-        if over == 0 || own.batch == 0 || row.online() == 0 {
+        if over == 0 || row.own.yielding == 0 || row.online() == 0 {
             return 0;
         }
         let home = &self.home.instance;
@@ -103,14 +102,14 @@
             .notices()
             .map(|notice| (notice.load(row.hash), &notice.instance))
             .collect();
-        owners.push((own, home));
+        owners.push((row.own, home));
         owners.sort_by(|a, b| {
-            let by_due = b.0.batch_due_unix_ms.cmp(&a.0.batch_due_unix_ms);
-            by_due.then_with(|| a.1.cmp(b.1))
+            let least_urgent_first = b.0.yield_key.cmp(&a.0.yield_key);
+            least_urgent_first.then_with(|| a.1.cmp(b.1))
         });
         let mut left = over;
         for (load, instance) in owners {
-            let count = left.min(u32::from(load.batch));
+            let count = left.min(u32::from(load.yielding));
             if instance == home {
                 return count;
             }
@@ -137,7 +136,7 @@
             .chain(of_peers)
             .filter(|claim| claim.demand.service == service)
             .collect();
-        claims.sort_by_key(|claim| (claim.demand.due_unix_ms, claim.instance));
+        claims.sort_by_key(|claim| (claim.demand.key, claim.instance));
         claims
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    BatchDemand, LoadNotice, UpstreamEntry, UpstreamLoad, UpstreamState,
+    BatchDemand, LoadNotice, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
     estimate::Mean,
     health::Health,
     peers::{Peers, upstream_hash},
@@ -42,10 +42,16 @@
     /// A request that a caller waits for.
     Online,
     /// An item of a job.
-    Batch {
-        /// When its job is due, Unix milliseconds.
-        due_unix_ms: u64,
-    },
+    Batch,
+}
+
+/// A batch item of this instance at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchRun {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// How urgent the item is.
+    pub urgency: Urgency,
 }
 
 /// The upstreams.
@@ -70,9 +76,7 @@
     pub(crate) lapses_at_ms: Option<u64>,
     pub(crate) warm_at_ms: u64,
     pub(crate) health: Health,
-    own_online: u16,
-    /// When the own batch items there are due, Unix milliseconds.
-    batch_dues: Vec<u64>,
+    pub(crate) own: UpstreamLoad,
     pub(crate) peers: UpstreamLoad,
     round_trip_ms: Mean,
     delay_ms: Mean,
@@ -164,7 +168,7 @@
         let mut loads: Vec<_> = self
             .rows
             .iter()
-            .map(Row::own_load)
+            .map(|row| row.own)
             .filter(|load| load.online > 0 || load.batch > 0)
             .collect();
         loads.sort_by_key(|load| load.upstream);
@@ -182,6 +186,18 @@
         &self.batch_queue
     }
 
+    /// Sets which batch items of this instance run where.
+    pub fn set_batch_runs(&mut self, runs: &[BatchRun]) {
+        for row in &mut self.rows {
+            let there = runs
+                .iter()
+                .filter(|run| run.upstream == row.entry.id && !run.urgency.is_tight);
+            let keys: Vec<_> = there.map(|run| run.urgency.key).collect();
+            row.own.yielding = u16::try_from(keys.len()).unwrap_or(u16::MAX);
+            row.own.yield_key = keys.into_iter().max().unwrap_or(0);
+        }
+    }
+
     /// Records that a request was sent to an upstream.
     pub fn started(&mut self, target: &Target, kind: WorkKind, now_ms: u64) {
         if kind == WorkKind::Online {
@@ -192,8 +208,8 @@
         };
         row.health.sent();
         match kind {
-            WorkKind::Online => row.own_online += 1,
-            WorkKind::Batch { due_unix_ms } => row.batch_dues.push(due_unix_ms),
+            WorkKind::Online => row.own.online += 1,
+            WorkKind::Batch => row.own.batch += 1,
         }
     }
 
@@ -204,8 +220,8 @@
         };
         row.health.undecided();
         match kind {
-            WorkKind::Online => row.own_online = row.own_online.saturating_sub(1),
-            WorkKind::Batch { due_unix_ms } => row.remove_batch(due_unix_ms),
+            WorkKind::Online => row.own.online = row.own.online.saturating_sub(1),
+            WorkKind::Batch => row.own.batch = row.own.batch.saturating_sub(1),
         }
     }
 
@@ -352,8 +368,7 @@
             hash,
             lapses_at_ms: None,
             health: Health::default(),
-            own_online: 0,
-            batch_dues: Vec::new(),
+            own: load,
             peers: load,
             round_trip_ms: Mean::default(),
             delay_ms: Mean::default(),
@@ -370,31 +385,19 @@
         self.entry.state == UpstreamState::Ready
     }
 
-    /// What this instance has there.
-    pub(crate) fn own_load(&self) -> UpstreamLoad {
-        UpstreamLoad {
-            upstream: self.hash,
-            online: self.own_online,
-            batch: u16::try_from(self.batch_dues.len()).unwrap_or(u16::MAX),
-            batch_due_unix_ms: self.batch_dues.iter().copied().max().unwrap_or(0),
-        }
-    }
-
-    fn remove_batch(&mut self, due_unix_ms: u64) {
-        let found = self.batch_dues.iter().position(|due| *due == due_unix_ms);
-        if let Some(index) = found {
-            self.batch_dues.swap_remove(index);
-        }
-    }
-
     /// Online requests of all instances.
     pub(crate) fn online(&self) -> u32 {
-        u32::from(self.own_online) + u32::from(self.peers.online)
+        u32::from(self.own.online) + u32::from(self.peers.online)
     }
 
     /// Batch items of all instances.
     pub(crate) fn batch(&self) -> u32 {
-        u32::from(self.own_load().batch) + u32::from(self.peers.batch)
+        u32::from(self.own.batch) + u32::from(self.peers.batch)
+    }
+
+    /// Batch items of all instances that can make room.
+    pub(crate) fn yielding(&self) -> u32 {
+        u32::from(self.own.yielding) + u32::from(self.peers.yielding)
     }
 
     /// Requests of all instances.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod estimate;
 mod events;
 mod fleet;
+mod forecast;
 mod health;
 mod peers;
 mod placement;
@@ -21,7 +22,8 @@
     attempts::{AttemptEnd, Effort, FinalAnswer, NextStep},
     batch_share::{BatchDemand, service_hash},
     events::{Event, EventError, EventSplitter},
-    fleet::{Fleet, Home, WorkKind},
+    fleet::{BatchRun, Fleet, Home, WorkKind},
+    forecast::{RunForecast, Urgency},
     peers::{LoadNotice, UpstreamLoad, upstream_hash},
     placement::{Placement, PlacementRequest, RefusalReason, Target},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,8 +38,10 @@
     pub online: u16,
     /// Batch items.
     pub batch: u16,
-    /// When the least urgent of the batch items is due, Unix milliseconds.
-    pub batch_due_unix_ms: u64,
+    /// Batch items that can make room.
+    pub yielding: u16,
+    /// Urgency key of the least urgent of these.
+    pub yield_key: u64,
 }
 
 /// Short name of an upstream in notices.
@@ -107,6 +109,7 @@
             let load = notice.load(upstream);
             sum.online = sum.online.saturating_add(load.online);
             sum.batch = sum.batch.saturating_add(load.batch);
+            sum.yielding = sum.yielding.saturating_add(load.yielding);
         }
         sum
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -213,7 +213,7 @@
         }
         let ahead = load - slots + 1;
         let wait_ms = f64::from(ahead) * hold_ms / f64::from(slots);
-        if self.batch() >= ahead {
+        if self.yielding() >= ahead {
             wait_ms.min(YIELD_MS)
         } else {
             wait_ms
--- a/crates/ledger/src/item.rs
+++ b/crates/ledger/src/item.rs
@@ -15,8 +15,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of its requests.
     pub body: Arc<[u8]>,
-    /// Tokens of the prompt and the most output tokens, summed.
-    pub tokens: u32,
+    /// Expected tokens of the output.
+    pub output_tokens: u32,
 }
 
 /// Result of an item.
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -201,6 +201,13 @@
             .map(|(index, _)| index)
     }
 
+    /// Expected output tokens of an item, and events that came so far.
+    #[must_use]
+    pub fn extent(&self, item_index: u32) -> (u32, u64) {
+        let extent = |row: &ItemRow| (row.item.output_tokens, row.partial.last_event.unwrap_or(0));
+        self.items.get(item_index as usize).map_or((0, 0), extent)
+    }
+
     /// Path that an item's requests go to.
     #[must_use]
     pub fn path(&self, item_index: u32) -> Option<&str> {
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -38,7 +38,7 @@
         path: "/b/x".to_owned(),
         headers: Vec::new(),
         body: Arc::from(*b"body"),
-        tokens: 10,
+        output_tokens: 10,
     };
     (0..count).map(item).collect()
 }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -27,7 +27,6 @@
     pub(super) node: Rc<Node>,
     pub(super) job: JobId,
     pub(super) host: Arc<str>,
-    pub(super) due_unix_ms: u64,
     pub(super) give_up_unix_ms: u64,
     pub(super) run: ItemRun,
     pub(super) target: Target,
@@ -52,15 +51,9 @@
 }
 
 impl Start {
-    fn kind(&self) -> WorkKind {
-        WorkKind::Batch {
-            due_unix_ms: self.due_unix_ms,
-        }
-    }
-
     /// Counts the item at its upstream.
     pub(super) fn begin(self) -> Started {
-        let in_flight = InFlight::new(&self.node, self.target.clone(), self.kind());
+        let in_flight = InFlight::new(&self.node, self.target.clone(), WorkKind::Batch);
         Started {
             partial: self.run.partial.clone(),
             start: self,
@@ -78,6 +71,8 @@
             mut partial,
         } = self;
         let make_room = Rc::clone(&start.make_room);
+        let started_ms = start.node.now_ms();
+        let first_event = partial.last_event.unwrap_or(0);
         let (end, reason) = tokio::select! {
             ended = run_once(&start, in_flight, &mut partial) => ended,
             () = make_room.notified() => (RunEnd::Yielded, "made room".to_owned()),
@@ -90,13 +85,13 @@
             process::quote(&reason),
             partial.last_event.unwrap_or(0)
         );
-        runner::run_ended(
-            &start.node,
-            &start.job,
-            partial,
+        let run = runner::EndedRun {
             end,
-            start.route.attempts_max,
-        );
+            errors_max: start.route.attempts_max,
+            run_ms: start.node.now_ms().saturating_sub(started_ms),
+            events: partial.last_event.unwrap_or(0).saturating_sub(first_event),
+        };
+        runner::run_ended(&start.node, &start.job, partial, run);
     }
 }
 
@@ -107,7 +102,7 @@
     let now_ms = start.node.now_ms();
     let time_left_ms = start.give_up_unix_ms.saturating_sub(unix_ms());
     let terms = AttemptTerms {
-        kind: start.kind(),
+        kind: WorkKind::Batch,
         deadline_ms: now_ms + time_left_ms,
         head_deadline_ms: now_ms + HEAD_GOALS * start.route.goal_ms,
         expected_at_ms: now_ms,
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use gateway::{BatchDemand, RouteTable, Target, service_hash};
+use gateway::{
+    BatchDemand, BatchRun, Route, RouteTable, RunForecast, Target, Urgency, service_hash,
+};
 use ledger::{CommitOutcome, CommitStep, JobRecord, OwnedJob, Partial, RunEnd};
 use model::{JobId, ServiceName, UpstreamId};
 use platform::{StoreError, TransactOutcome};
@@ -43,6 +45,7 @@
     committing: Vec<JobId>,
     /// Jobs whose items are being read.
     pub(super) loading: Vec<JobId>,
+    forecast: RunForecast,
 }
 
 #[derive(Debug)]
@@ -50,11 +53,32 @@
     job: JobId,
     item_index: u32,
     upstream: UpstreamId,
-    due_unix_ms: u64,
     make_room: Rc<Notify>,
     task: AbortHandle,
 }
 
+/// An item that may start.
+#[derive(Debug)]
+struct WaitingItem {
+    urgency: Urgency,
+    job_index: usize,
+    item_index: u32,
+    route: Arc<Route>,
+    service: ServiceName,
+}
+
+/// A run that has ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndedRun {
+    pub(super) end: RunEnd,
+    /// Server errors that end an item.
+    pub(super) errors_max: u32,
+    /// How long it ran, milliseconds.
+    pub(super) run_ms: u64,
+    /// Events that it brought.
+    pub(super) events: u64,
+}
+
 impl Runner {
     /// Body of an item of an owned job.
     pub(crate) fn item_body(&self, id: &JobId, item: &str) -> Option<Bytes> {
@@ -119,15 +143,21 @@
         });
     }
 
-    /// The runs that make room at an upstream: those that are due last.
+    /// Lets the least urgent runs at an upstream make room.
     fn make_room(&self, upstream: &UpstreamId, count: u32) {
+        let now_unix_ms = unix_ms();
         let mut there: Vec<_> = self
             .runs
             .iter()
             .filter(|run| run.upstream == *upstream)
+            .filter_map(|run| {
+                let job = &self.jobs[self.find(&run.job).ok()?];
+                Some((self.urgency(job, run.item_index, now_unix_ms), run))
+            })
+            .filter(|(urgency, _)| !urgency.is_tight)
             .collect();
-        there.sort_by_key(|run| std::cmp::Reverse(run.due_unix_ms));
-        for run in there.iter().take(count as usize) {
+        there.sort_by_key(|(urgency, _)| std::cmp::Reverse(*urgency));
+        for (_, run) in there.iter().take(count as usize) {
             log::info!(
                 "event=item_makes_room job={} item_index={} upstream={upstream}",
                 run.job,
@@ -137,11 +167,48 @@
         }
     }
 
-    /// Owned jobs, most urgent first.
-    fn by_due(&self) -> Vec<usize> {
-        let mut order: Vec<_> = (0..self.jobs.len()).collect();
-        order.sort_by_key(|index| self.jobs[*index].record().due_unix_ms);
-        order
+    /// Items that may start and have a route, most urgent first.
+    fn waiting(&self, routes: &RouteTable, now_ms: u64) -> Vec<WaitingItem> {
+        let now_unix_ms = unix_ms();
+        let mut waiting = Vec::new();
+        for (job_index, job) in self.jobs.iter().enumerate() {
+            for item_index in job.waiting(now_ms) {
+                let Some(route) = item_route(job, item_index, routes) else {
+                    continue;
+                };
+                let Some(service) = item_service(job, item_index, route) else {
+                    continue;
+                };
+                waiting.push(WaitingItem {
+                    urgency: self.urgency(job, item_index, now_unix_ms),
+                    job_index,
+                    item_index,
+                    route: Arc::clone(route),
+                    service: service.clone(),
+                });
+            }
+        }
+        waiting.sort_by_key(|item| (item.urgency, item.job_index, item.item_index));
+        waiting
+    }
+
+    fn urgency(&self, job: &OwnedJob, item_index: u32, now_unix_ms: u64) -> Urgency {
+        let (tokens, events) = job.extent(item_index);
+        let remaining_ms = self.forecast.remaining_ms(tokens, events);
+        Urgency::new(job.record().due_unix_ms, remaining_ms, now_unix_ms)
+    }
+
+    /// Where items run and how urgent they are.
+    fn batch_runs(&self) -> Vec<BatchRun> {
+        let now_unix_ms = unix_ms();
+        let runs = self.runs.iter().filter_map(|run| {
+            let job = &self.jobs[self.find(&run.job).ok()?];
+            Some(BatchRun {
+                upstream: run.upstream.clone(),
+                urgency: self.urgency(job, run.item_index, now_unix_ms),
+            })
+        });
+        runs.collect()
     }
 }
 
@@ -198,124 +265,88 @@
 fn start_items(node: &Rc<Node>) {
     let Some(routes) = node.routes() else { return };
     let now_ms = node.now_ms();
-    let services = waiting_services(node, &routes);
+    let waiting = node.runner.borrow().waiting(&routes, now_ms);
+    let mut services: Vec<_> = waiting.iter().map(|item| &item.service).collect();
+    services.sort();
+    services.dedup();
     for service in services {
-        let plan = node.fleet.borrow().batch_plan(&service, now_ms);
-        for target in plan {
-            if !start_next(node, &routes, target) {
-                break;
-            }
+        let plan = node.fleet.borrow().batch_plan(service, now_ms);
+        let of_service = waiting.iter().filter(|item| item.service == *service);
+        for (item, target) in of_service.zip(plan) {
+            start_item(node, item, target);
         }
     }
 }
 
-/// Services for which items of this instance wait.
-fn waiting_services(node: &Node, routes: &RouteTable) -> Vec<ServiceName> {
-    let now_ms = node.now_ms();
-    let runner = node.runner.borrow();
-    let mut services: Vec<_> = runner
-        .jobs
-        .iter()
-        .flat_map(|job| waiting_routes(job, routes, now_ms))
-        .map(|(_, service)| service)
-        .collect();
-    services.sort();
-    services.dedup();
-    services
+fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
+    let mut runner = node.runner.borrow_mut();
+    let job = &mut runner.jobs[item.job_index];
+    let Some(run) = job.start(item.item_index) else {
+        return;
+    };
+    let id = job.id().clone();
+    let make_room = Rc::new(Notify::new());
+    let upstream = target.upstream.clone();
+    let start = item_run::Start {
+        node: Rc::clone(node),
+        job: id.clone(),
+        host: Arc::clone(&job.record().host),
+        give_up_unix_ms: job.record().give_up_unix_ms,
+        run,
+        target,
+        route: Arc::clone(&item.route),
+        make_room: Rc::clone(&make_room),
+    };
+    // Counts the item at its upstream before the next plan is made.
+    let started = start.begin();
+    let task = spawn_local(started.run()).abort_handle();
+    runner.runs.push(Run {
+        job: id,
+        item_index: item.item_index,
+        upstream,
+        make_room,
+        task,
+    });
 }
 
-/// Indices of a job's waiting items with the services that they go to.
-fn waiting_routes(
+fn item_route<'a>(
     job: &OwnedJob,
-    routes: &RouteTable,
-    now_ms: u64,
-) -> impl Iterator<Item = (u32, ServiceName)> {
-    let host = Arc::clone(&job.record().host);
-    job.waiting(now_ms).filter_map(move |item_index| {
-        let route = routes.find(&host, job.path(item_index)?)?;
-        let service = route.service_for(&format!("{}/{item_index}", job.id()))?;
-        Some((item_index, service.clone()))
-    })
+    item_index: u32,
+    routes: &'a RouteTable,
+) -> Option<&'a Arc<Route>> {
+    routes.find(&job.record().host, job.path(item_index)?)
 }
 
-/// Starts the most urgent waiting item of the target's service. Returns whether
-/// there was one.
-fn start_next(node: &Rc<Node>, routes: &RouteTable, target: Target) -> bool {
-    let now_ms = node.now_ms();
-    let mut runner = node.runner.borrow_mut();
-    for index in runner.by_due() {
-        let job = &mut runner.jobs[index];
-        let of_service = |(item_index, service): (u32, ServiceName)| {
-            (service == target.service).then_some(item_index)
-        };
-        let Some(item_index) = waiting_routes(job, routes, now_ms).find_map(of_service) else {
-            continue;
-        };
-        let host = Arc::clone(&job.record().host);
-        let route = routes.find(&host, job.path(item_index).unwrap_or_default());
-        let (Some(route), Some(run)) = (route.cloned(), job.start(item_index)) else {
-            continue;
-        };
-        let due_unix_ms = job.record().due_unix_ms;
-        let id = job.id().clone();
-        let make_room = Rc::new(Notify::new());
-        let upstream = target.upstream.clone();
-        let start = item_run::Start {
-            node: Rc::clone(node),
-            job: id.clone(),
-            host,
-            due_unix_ms,
-            give_up_unix_ms: job.record().give_up_unix_ms,
-            run,
-            target,
-            route,
-            make_room: Rc::clone(&make_room),
-        };
-        // Counts the item at its upstream before the next plan is made.
-        let started = start.begin();
-        let task = spawn_local(started.run()).abort_handle();
-        runner.runs.push(Run {
-            job: id,
-            item_index,
-            upstream,
-            due_unix_ms,
-            make_room,
-            task,
-        });
-        return true;
-    }
-    false
+fn item_service<'a>(job: &OwnedJob, item_index: u32, route: &'a Route) -> Option<&'a ServiceName> {
+    route.service_for(&format!("{}/{item_index}", job.id()))
 }
 
-/// Tells the other instances what waits here.
+/// Tells the other instances what waits and runs here.
 fn update_queue(node: &Node) {
     let Some(routes) = node.routes() else { return };
-    let now_ms = node.now_ms();
     let runner = node.runner.borrow();
     let mut queue: Vec<BatchDemand> = Vec::new();
-    for index in runner.by_due() {
-        let job = &runner.jobs[index];
-        for (_, service) in waiting_routes(job, &routes, now_ms) {
-            add_demand(&mut queue, service_hash(&service), job.record().due_unix_ms);
-        }
+    for item in runner.waiting(&routes, node.now_ms()) {
+        add_demand(&mut queue, service_hash(&item.service), item.urgency.key);
     }
+    let runs = runner.batch_runs();
     let mut fleet = node.fleet.borrow_mut();
+    fleet.set_batch_runs(&runs);
     if *fleet.batch_queue() != *queue {
         fleet.set_batch_queue(queue);
         node.load_changed.notify_one();
     }
 }
 
-/// Adds one item to the demand of its service and due time.
-fn add_demand(queue: &mut Vec<BatchDemand>, service: u64, due_unix_ms: u64) {
-    let is_same =
-        |demand: &BatchDemand| demand.service == service && demand.due_unix_ms == due_unix_ms;
-    if let Some(demand) = queue.iter_mut().find(|demand| is_same(demand)) {
+/// Adds one item to the demand of its service and urgency.
+fn add_demand(queue: &mut Vec<BatchDemand>, service: u64, key: u64) {
+    let is_same = |demand: &&mut BatchDemand| demand.service == service && demand.key == key;
+    if let Some(demand) = queue.iter_mut().find(is_same) {
         demand.waiting += 1;
     } else if queue.len() < QUEUE_MAX_ENTRIES {
         queue.push(BatchDemand {
             service,
-            due_unix_ms,
+            key,
             waiting: 1,
         });
     }
@@ -365,21 +396,22 @@
 }
 
 /// Records the end of a run.
-pub(super) fn run_ended(
-    node: &Rc<Node>,
-    id: &JobId,
-    partial: Partial,
-    end: RunEnd,
-    errors_max: u32,
-) {
+pub(super) fn run_ended(node: &Rc<Node>, id: &JobId, partial: Partial, run: EndedRun) {
     let now_ms = node.now_ms();
     let mut runner = node.runner.borrow_mut();
     let item_index = partial.item_index;
     runner
         .runs
-        .retain(|run| run.job != *id || run.item_index != item_index);
+        .retain(|other| other.job != *id || other.item_index != item_index);
+    runner.forecast.run_ended(run.run_ms, run.events);
     if let Ok(index) = runner.find(id) {
-        runner.jobs[index].run_ended(partial, end, errors_max, now_ms);
+        let events = partial.last_event.unwrap_or(0);
+        let job = &mut runner.jobs[index];
+        job.run_ended(partial, run.end, run.errors_max, now_ms);
+        let (tokens, _) = job.extent(item_index);
+        if run.end == RunEnd::Done {
+            runner.forecast.item_done(tokens, events);
+        }
     }
     drop(runner);
     node.batch_changed.notify_one();
