--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -6,7 +6,7 @@
 use gateway::{AttemptEnd, EventSplitter};
 use http::StatusCode;
 use http_body_util::{BodyExt, Either, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use tokio::time::timeout_at;
 
 use crate::{
@@ -80,6 +80,7 @@
                     Ok(ready) => {
                         self.first_bytes_ms
                             .get_or_insert(self.journey.node.now_ms());
+                        self.complete_known_length();
                         return Some(Ok(Frame::data(ready)));
                     }
                     Err(reason) => (AttemptEnd::Broken, reason),
@@ -187,6 +188,15 @@
         true
     }
 
+    /// A body of known length is complete with its last byte; the server
+    /// library does not ask for more.
+    fn complete_known_length(&mut self) {
+        let is_at_end = |answer: &Answer| answer.body.is_end_stream();
+        if self.splitter.is_none() && self.answer.as_ref().is_some_and(is_at_end) {
+            self.complete();
+        }
+    }
+
     fn complete(&mut self) {
         let Some(answer) = self.answer.take() else {
             return;
