node: refuse jobs at once where another instance can store them; stop without a gap

Change: a job is written on a new connection, which shows whether the store can be reached, and refused at once if a peer reaches it; connections are given up after three round trips; a late refusal is made only when the wait is longer than a goal; the listener is closed before the last look, and the row of a stopping instance goes as soon as its jobs are handed back.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,6 +20,12 @@
 const NEAR_ROUND_TRIP_MS: f64 = 1.0;
 const HOME_ROUND_TRIP_MS: f64 = 4.0;
 const AWAY_ROUND_TRIP_MS: f64 = 60.0;
+/// A connection is given up after this many round trips and some slack.
+const CONNECT_ROUND_TRIPS: f64 = 3.0;
+const CONNECT_SLACK_MS: u64 = 40;
+/// An instance reaches the store if it had an answer within this time,
+/// milliseconds; at rest, feeds are answered a little more seldom.
+const STORE_REACHED_MS: u64 = 3_000;
 /// A measured delay that is older says nothing any more, milliseconds.
 const DELAY_LIFETIME_MS: u64 = 5_000;
 
@@ -87,10 +93,18 @@
 #[derive(Debug)]
 pub(crate) struct ServiceRow {
     service: ServiceName,
-    hold_ms: Mean,
+    online_hold_ms: Mean,
+    batch_hold_ms: Mean,
     last_online_ms: u64,
 }
 
+/// Expected times that requests hold their places at a service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Holds {
+    pub(crate) online_ms: f64,
+    pub(crate) batch_ms: f64,
+}
+
 impl Fleet {
     /// An empty fleet, as seen from `home`.
     #[must_use]
@@ -225,13 +239,12 @@
         }
     }
 
-    /// Records how long an upstream worked on an online request that it
-    /// finished.
+    /// Records how long an upstream worked on a request that it finished.
     pub fn finished(&mut self, target: &Target, kind: WorkKind, held_ms: u64) {
-        if kind == WorkKind::Online {
-            self.service_row(&target.service)
-                .hold_ms
-                .add(as_f64(held_ms));
+        let service = self.service_row(&target.service);
+        match kind {
+            WorkKind::Online => service.online_hold_ms.add(as_f64(held_ms)),
+            WorkKind::Batch => service.batch_hold_ms.add(as_f64(held_ms)),
         }
         if let Some(row) = self.incarnation(target) {
             row.health.succeeded();
@@ -281,13 +294,41 @@
         self.rows.iter().filter(|row| row.is_ready()).count()
     }
 
-    /// Expected time that an online request holds its place, milliseconds.
-    pub(crate) fn hold_ms(&self, service: &ServiceName, default_ms: f64) -> f64 {
-        self.services
-            .binary_search_by(|row| row.service.cmp(service))
-            .map_or(default_ms, |index| {
-                self.services[index].hold_ms.or(default_ms)
-            })
+    /// Expected times that requests hold their places, `default_ms` before any
+    /// was measured.
+    pub(crate) fn holds(&self, service: &ServiceName, default_ms: f64) -> Holds {
+        let found = self
+            .services
+            .binary_search_by(|row| row.service.cmp(service));
+        let (online, batch) = found.map_or((Mean::default(), Mean::default()), |index| {
+            let row = &self.services[index];
+            (row.online_hold_ms, row.batch_hold_ms)
+        });
+        let online_ms = online.or(default_ms);
+        Holds {
+            online_ms,
+            batch_ms: batch.or(online_ms),
+        }
+    }
+
+    /// Longest time that setting up a connection to an upstream should take,
+    /// milliseconds.
+    #[must_use]
+    pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
+        let round_trip_ms = self
+            .find(&target.upstream)
+            .map_or(AWAY_ROUND_TRIP_MS, |index| {
+                self.round_trip_ms(&self.rows[index])
+            });
+        round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
+    }
+
+    /// Whether some peer reached the store lately.
+    #[must_use]
+    pub fn peers_reach_store(&self) -> bool {
+        self.peers
+            .notices()
+            .any(|notice| notice.store_age_ms < STORE_REACHED_MS)
     }
 
     /// When this instance last sent an online request to a service.
@@ -338,7 +379,8 @@
             Err(index) => {
                 let row = ServiceRow {
                     service: service.clone(),
-                    hold_ms: Mean::default(),
+                    online_hold_ms: Mean::default(),
+                    batch_hold_ms: Mean::default(),
                     last_online_ms: 0,
                 };
                 self.services.insert(index, row);
@@ -419,3 +461,12 @@
 pub(crate) fn as_f64(ms: u64) -> f64 {
     ms as f64
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates"
+)]
+pub(crate) fn round_ms(ms: f64) -> u64 {
+    ms.round() as u64
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,8 @@
     pub sequence: u64,
     /// Its region.
     pub region: Region,
+    /// Time since it last had an answer of the store, milliseconds.
+    pub store_age_ms: u64,
     /// Batch items that wait for an upstream, most urgent first.
     pub batch_queue: Vec<BatchDemand>,
     /// Load by upstream, sorted by [`upstream_hash`]; only what is not zero.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 
 use crate::{
-    fleet::{Fleet, Row, as_f64},
+    fleet::{Fleet, Holds, Row, as_f64, round_ms},
     upstream::UpstreamEntry,
 };
 
@@ -25,6 +25,8 @@
 const YIELD_MS: f64 = 60.0;
 /// Cost of an upstream that is still warming up, milliseconds.
 const WARM_UP_MS: f64 = 30.0;
+/// A refusal is early within one goal divided by this.
+const EARLY_GOAL_SHARE: u64 = 4;
 /// When to come back if no upstream is known, milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
 /// Shortest time after which a refused request comes back, milliseconds.
@@ -37,9 +39,11 @@
     pub service: &'a ServiceName,
     /// Upstreams that it was sent to before.
     pub excluded: &'a [UpstreamId],
-    /// How much of its goal is left, milliseconds.
-    pub goal_left_ms: u64,
-    /// Whether it may be refused; a request that was sent before is not.
+    /// Time from its arrival within which its answer should begin, milliseconds.
+    pub goal_ms: u64,
+    /// Time since its arrival, milliseconds.
+    pub waited_ms: u64,
+    /// Whether it may be refused; a request that may have run is not.
     pub may_refuse: bool,
 }
 
@@ -113,8 +117,8 @@
 impl Fleet {
     /// Decides where an online request goes.
     pub fn place(&mut self, request: &PlacementRequest<'_>, now_ms: u64) -> Placement {
-        let hold_ms = self.hold_ms(request.service, as_f64(request.goal_left_ms));
-        let candidates = self.candidates(request, hold_ms, now_ms);
+        let holds = self.holds(request.service, as_f64(request.goal_ms));
+        let candidates = self.candidates(request, holds, now_ms);
         let Some(best) = candidates
             .iter()
             .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
@@ -125,10 +129,10 @@
                 expected_ms: 0,
             };
         };
-        if request.may_refuse && best.expected_ms > as_f64(request.goal_left_ms) {
+        if request.may_refuse && best.expected_ms > as_f64(request.patience_ms()) {
             return Placement::Refuse {
                 reason: RefusalReason::Saturated,
-                retry_after_ms: self.retry_after_ms(hold_ms),
+                retry_after_ms: self.retry_after_ms(holds.online_ms),
                 expected_ms: round_ms(best.expected_ms),
             };
         }
@@ -149,7 +153,7 @@
     fn candidates(
         &self,
         request: &PlacementRequest<'_>,
-        hold_ms: f64,
+        holds: Holds,
         now_ms: u64,
     ) -> Vec<Candidate> {
         let of_service = |row: &Row| {
@@ -161,7 +165,7 @@
             .iter()
             .enumerate()
             .filter(|(_, row)| of_service(row) && row.health.is_usable(now_ms))
-            .map(|(index, row)| self.candidate(index, row, hold_ms, request, now_ms))
+            .map(|(index, row)| self.candidate(index, row, holds, request, now_ms))
             .collect()
     }
 
@@ -169,13 +173,13 @@
         &self,
         index: usize,
         row: &Row,
-        hold_ms: f64,
+        holds: Holds,
         request: &PlacementRequest<'_>,
         now_ms: u64,
     ) -> Candidate {
-        let expected_ms = self.round_trip_ms(row) + row.wait_ms(hold_ms) + row.delay_ms(now_ms);
+        let expected_ms = self.round_trip_ms(row) + row.wait_ms(holds) + row.delay_ms(now_ms);
         let load_share = f64::from(row.load()) / f64::from(row.entry.slots);
-        let failure_ms = row.health.failure_share() * as_f64(request.goal_left_ms);
+        let failure_ms = row.health.failure_share() * as_f64(request.goal_ms);
         let warm_up_ms = if now_ms < row.warm_at_ms {
             WARM_UP_MS
         } else {
@@ -205,14 +209,17 @@
 
 impl Row {
     /// Expected wait for a place, milliseconds.
-    fn wait_ms(&self, hold_ms: f64) -> f64 {
-        let slots = self.entry.slots;
+    fn wait_ms(&self, holds: Holds) -> f64 {
         let load = self.load();
-        if load < slots {
+        if load < self.entry.slots {
             return 0.0;
         }
-        let ahead = load - slots + 1;
-        let wait_ms = f64::from(ahead) * hold_ms / f64::from(slots);
+        let ahead = load - self.entry.slots + 1;
+        let freed_per_ms =
+            f64::from(self.online()) / holds.online_ms + f64::from(self.batch()) / holds.batch_ms;
+        // Requests that wait free no place, so the rate counts those that run.
+        let running_share = f64::from(self.entry.slots) / f64::from(load);
+        let wait_ms = f64::from(ahead) / (freed_per_ms * running_share);
         if self.yielding() >= ahead {
             wait_ms.min(YIELD_MS)
         } else {
@@ -221,11 +228,15 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float cast saturates"
-)]
-fn round_ms(ms: f64) -> u64 {
-    ms.round() as u64
+impl PlacementRequest<'_> {
+    /// Longest wait with which the request is still sent, milliseconds. A
+    /// caller that is told soon after its arrival can come back in time; later,
+    /// a late answer is better for it than a refusal.
+    fn patience_ms(&self) -> u64 {
+        if self.waited_ms <= self.goal_ms / EARLY_GOAL_SHARE {
+            self.goal_ms - self.waited_ms
+        } else {
+            self.goal_ms
+        }
+    }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -66,7 +66,8 @@
     let request = PlacementRequest {
         service: &service,
         excluded,
-        goal_left_ms: GOAL_MS,
+        goal_ms: GOAL_MS,
+        waited_ms: 0,
         may_refuse,
     };
     fleet.place(&request, now_ms)
@@ -87,6 +88,8 @@
             upstream: upstream_hash(&UpstreamId::new(id)),
             online: *online,
             batch: *batch,
+            yielding: *batch,
+            yield_key: 1,
         })
         .collect();
     loads.sort_by_key(|load| load.upstream);
@@ -94,8 +97,9 @@
         instance: InstanceId::new(instance),
         started_unix_ms: 1,
         sequence,
-        batch_waiting: 0,
-        batch_due_unix_ms: 0,
+        region: Region::new("north"),
+        store_age_ms: 0,
+        batch_queue: Vec::new(),
         loads,
     }
 }
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -8,9 +8,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-/// Limit of setting up a connection: a few round trips between regions,
-/// milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Longest idle time of a connection that is used again if the upstream does
 /// not say how long it keeps one, milliseconds.
 const IDLE_DEFAULT_MS: u64 = 400;
@@ -113,8 +110,8 @@
 /// # Errors
 ///
 /// Returns an error if the upstream cannot be reached in time.
-pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+pub(crate) async fn connect(address: SocketAddr, timeout_ms: u64) -> std::io::Result<Connection> {
+    let limit = Duration::from_millis(timeout_ms);
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (sender, connection) = Builder::new()
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at an upstream, from the connection to the head of the answer.
 
-use std::rc::Rc;
+use std::{io::ErrorKind, rc::Rc};
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, Fleet, Target, WorkKind};
@@ -191,10 +191,18 @@
         return Ok(idle);
     }
     let started = std::time::Instant::now();
-    let connection = connect(target.address).await?;
-    let round_trip_ms = started.elapsed().as_secs_f64() * 1_000.0;
-    node.fleet.borrow_mut().connected(target, round_trip_ms);
-    Ok(connection)
+    let timeout_ms = node.fleet.borrow().connect_timeout_ms(target);
+    let connected = connect(target.address, timeout_ms).await;
+    let took_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    // A time-out counts too, so that a longer way than expected is learnt.
+    let is_round_trip = connected
+        .as_ref()
+        .err()
+        .is_none_or(|error| error.kind() == ErrorKind::TimedOut);
+    if is_round_trip {
+        node.fleet.borrow_mut().connected(target, took_ms);
+    }
+    connected
 }
 
 fn build_request(
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     jobs::{self, JOBS_TABLE, PARTITIONS},
-    node::Node,
+    node::{Node, Stage},
 };
 
 /// Table of the instances' heartbeats.
@@ -80,10 +80,21 @@
     }
 }
 
+/// Tells the other instances that this one takes over no more jobs.
+pub(crate) async fn announce_stop(node: Rc<Node>) {
+    let put = Transaction {
+        puts: vec![beat_entry(&node, Some(beat_interval_ms(&node)))],
+        ..Transaction::default()
+    };
+    if let Err(error) = node.store.transact(&put).await {
+        log::warn!("event=announce_failed error={}", process::quote(&error));
+    }
+}
+
 /// Takes this instance's row out, so that nobody waits for its lease.
-pub(crate) async fn leave(node: &Node) {
+pub(crate) async fn leave(node: Rc<Node>) {
     let removal = Transaction {
-        removals: vec![beat_entry(node, None)],
+        removals: vec![beat_entry(&node, None)],
         ..Transaction::default()
     };
     if let Err(error) = node.store.transact(&removal).await {
@@ -297,7 +308,7 @@
 /// Tells the other instances that this one lives.
 async fn beat(node: Rc<Node>) {
     let mut next = Instant::now();
-    loop {
+    while node.stage() == Stage::Serving {
         let interval_ms = beat_interval_ms(&node);
         let put = Transaction {
             puts: vec![beat_entry(&node, Some(interval_ms))],
@@ -356,7 +367,7 @@
         peer_address: settings.peer_listen,
         region: settings.region.as_str().into(),
         interval_ms,
-        is_stopping: node.stage() != crate::node::Stage::Serving,
+        is_stopping: node.stage() != Stage::Serving,
     });
     // Serializing texts and numbers cannot fail.
     let value = content.map(|beat| Bytes::from(serde_json::to_vec(&beat).unwrap_or_default()));
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -145,11 +145,12 @@
 
     fn place(&mut self) -> Result<(Target, u64), NoAnswer> {
         let now_ms = self.node.now_ms();
-        let goal_at_ms = self.arrived_ms + self.route.goal_ms;
+        let waited_ms = now_ms.saturating_sub(self.arrived_ms);
         let request = PlacementRequest {
             service: &self.service,
             excluded: self.effort.tried(),
-            goal_left_ms: goal_at_ms.saturating_sub(now_ms),
+            goal_ms: self.route.goal_ms,
+            waited_ms,
             may_refuse: !self.effort.may_have_run(),
         };
         let placement = self.node.fleet.borrow_mut().place(&request, now_ms);
@@ -175,11 +176,11 @@
                 expected_ms,
             } => {
                 log::warn!(
-                    "event=request_not_placed request={} route={} reason={} expected_ms={expected_ms} goal_left_ms={} retry_after_ms={retry_after_ms}",
+                    "event=request_not_placed request={} route={} reason={} expected_ms={expected_ms} goal_ms={} waited_ms={waited_ms} retry_after_ms={retry_after_ms}",
                     self.outgoing.request_id,
                     self.route.name,
                     reason.as_str(),
-                    goal_at_ms.saturating_sub(now_ms)
+                    self.route.goal_ms
                 );
                 Err(if self.effort.may_have_run() {
                     NoAnswer::Failed(self.effort.give_up())
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -24,7 +24,7 @@
 const RETRY_MS: u64 = 50;
 /// When to come back, at another instance, if the store did nothing,
 /// milliseconds.
-const NOT_STORED_RETRY_MS: u64 = 200;
+const NOT_STORED_RETRY_MS: u64 = 10;
 /// Time kept for the answer itself, milliseconds.
 const ANSWER_MS: u64 = 50;
 
@@ -35,10 +35,8 @@
     id: JobId,
     record: JobRecord,
     items: Vec<JobItem>,
-    /// Until when a store that did nothing is asked again.
+    /// Until when the store is asked again.
     retry_until_ms: u64,
-    /// Until when an unknown outcome is looked into.
-    settle_until_ms: u64,
 }
 
 /// Accepts a job, once however often it is sent.
@@ -79,8 +77,7 @@
         record: new_record(node, route, terms, parts, &items),
         id,
         items,
-        retry_until_ms: arrived_ms + route.goal_ms.min(time_left_ms),
-        settle_until_ms: (arrived_ms + time_left_ms).saturating_sub(ANSWER_MS),
+        retry_until_ms: (arrived_ms + time_left_ms).saturating_sub(ANSWER_MS),
     };
     // Goes on when the caller leaves: what may be stored has to be settled.
     spawn_local(submission.run()).await.unwrap_or_else(|error| {
@@ -127,12 +124,12 @@
                     );
                 }
             }
-            let until_ms = if may_be_stored {
-                self.settle_until_ms
-            } else {
-                self.retry_until_ms
-            };
-            if self.node.now_ms() + RETRY_MS >= until_ms {
+            // Another instance can store the job now, which is better for the
+            // caller than waiting here.
+            let is_better_elsewhere =
+                !may_be_stored && self.node.fleet.borrow().peers_reach_store();
+            let is_time_up = self.node.now_ms() + RETRY_MS >= self.retry_until_ms;
+            if is_better_elsewhere || is_time_up {
                 return self.not_accepted(may_be_stored);
             }
             sleep(Duration::from_millis(RETRY_MS)).await;
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -84,7 +84,7 @@
             puts,
             removals: Vec::new(),
         };
-        match self.store.transact(&transaction).await? {
+        match self.store.transact_anew(&transaction).await? {
             TransactOutcome::Committed { version } => Ok(InsertOutcome::Inserted { version }),
             TransactOutcome::Conflict { rows } => {
                 let (record, version) = conflicting_record(&rows)?
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -56,9 +56,15 @@
 }
 
 async fn accept_callers(node: Rc<Node>, listener: TcpListener) {
+    let mut stage = node.stage.subscribe();
     loop {
-        let stream = accept(&listener).await;
-        spawn_local(serve_caller(Rc::clone(&node), stream));
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+        };
+        // Counted before anybody can find that no connection is open.
+        let open = OpenConnection::new(Rc::clone(&node));
+        spawn_local(serve_caller(open, stream));
     }
 }
 
@@ -85,16 +91,15 @@
     }
 }
 
-async fn serve_caller(node: Rc<Node>, stream: TcpStream) {
-    let count = &node.open_connections;
-    count.set(count.get() + 1);
+async fn serve_caller(open: OpenConnection, stream: TcpStream) {
+    let node = Rc::clone(&open.node);
     let service = service_fn(|request| front::serve(Rc::clone(&node), request));
     let builder = caller_builder(&node);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut stage = node.stage.subscribe();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {
+        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -105,7 +110,26 @@
             process::quote(&error)
         );
     }
-    count.set(count.get() - 1);
+}
+
+/// Counts a connection of a caller until it is dropped.
+#[derive(Debug)]
+struct OpenConnection {
+    node: Rc<Node>,
+}
+
+impl OpenConnection {
+    fn new(node: Rc<Node>) -> Self {
+        node.open_connections.set(node.open_connections.get() + 1);
+        Self { node }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let count = &self.node.open_connections;
+        count.set(count.get() - 1);
+    }
 }
 
 fn caller_builder(node: &Node) -> http1::Builder {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -56,8 +56,10 @@
     Serving,
     /// Still accepts callers, but tells the platform to send no more.
     Draining,
-    /// Takes no new requests.
+    /// Ends connections after the request that they carry.
     Closing,
+    /// Accepts no connection.
+    Closed,
 }
 
 /// When the store last answered.
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -4,6 +4,7 @@
 
 use tokio::{
     signal::unix::{SignalKind, signal},
+    task::spawn_local,
     time::{Instant, sleep, sleep_until},
 };
 
@@ -17,6 +18,8 @@
 const OUT_OF_ROTATION: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace period the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time for requests that come just before connections are refused.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
 /// How often to look whether all work is done.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -40,14 +43,16 @@
     let exit_by = Instant::now() + grace.saturating_sub(EXIT_MARGIN);
     log::info!("event=stopping grace_ms={}", grace.as_millis());
     node.stage.send_replace(Stage::Draining);
-    let out_of_rotation = Instant::now() + OUT_OF_ROTATION;
-    jobs::hand_back(node, out_of_rotation.min(exit_by)).await;
-    sleep_until(out_of_rotation.min(exit_by)).await;
+    let out_of_rotation = exit_by.min(Instant::now() + OUT_OF_ROTATION);
+    spawn_local(feeds::announce_stop(Rc::clone(node)));
+    jobs::hand_back(node, out_of_rotation).await;
+    // Jobs wait for the lease no longer, and the store may be slow.
+    spawn_local(feeds::leave(Rc::clone(node)));
+    sleep_until(out_of_rotation).await;
     node.stage.send_replace(Stage::Closing);
-    while node.open_connections.get() > 0 && Instant::now() < exit_by {
-        sleep(POLL).await;
-    }
-    feeds::leave(node).await;
+    until_no_connections(node, exit_by - LAST_REQUESTS).await;
+    node.stage.send_replace(Stage::Closed);
+    until_no_connections(node, exit_by).await;
     log::info!(
         "event=stopped open_requests={} open_connections={}",
         node.open_requests.get(),
@@ -55,3 +60,9 @@
     );
     Ok(())
 }
+
+async fn until_no_connections(node: &Node, deadline: Instant) {
+    while node.open_connections.get() > 0 && Instant::now() < deadline {
+        sleep(POLL).await;
+    }
+}
