--- a/crates/gateway/tests/batch_share.rs
+++ b/crates/gateway/tests/batch_share.rs
@@ -2,87 +2,137 @@
 
 mod support;
 
-use gateway::{BatchDemand, Fleet, WorkKind};
+use gateway::{BatchDemand, BatchRun, Fleet, LoadNotice, Urgency, WorkKind, service_hash};
+use model::UpstreamId;
 use support::{SLOTS, fleet, notice, service};
 
 const UPSTREAMS: [(&str, &str); 3] = [("u1", "north-a"), ("u2", "north-b"), ("u3", "south-a")];
+const DUE_MS: u64 = 1_000_000;
 
-/// Starts items until there is no place; returns their number.
-fn fill(fleet: &mut Fleet, now_ms: u64) -> u32 {
-    let mut started = 0;
-    while let Some(target) = fleet.batch_place(&service(), &[], now_ms) {
-        fleet.started(&target, WorkKind::Batch, now_ms);
-        started += 1;
-        assert!(started <= SLOTS * 3, "more items than places");
+fn demand(key: u64, waiting: u32) -> BatchDemand {
+    BatchDemand {
+        service: service_hash(&service()),
+        key,
+        waiting,
     }
-    started
 }
 
-fn waiting(instance: &str, loads: &[(&str, u16, u16)]) -> gateway::LoadNotice {
-    let mut notice = notice(instance, 1, loads);
-    notice.batch_waiting = 10;
+/// Starts what the plan gives this instance; returns the number of items.
+fn start_plan(fleet: &mut Fleet) -> usize {
+    let plan = fleet.batch_plan(&service(), 0);
+    for target in &plan {
+        fleet.started(target, WorkKind::Batch, 0);
+    }
+    plan.len()
+}
+
+fn waiting(instance: &str, key: u64, count: u32) -> LoadNotice {
+    let mut notice = notice(instance, 1, &[]);
+    notice.batch_queue = vec![demand(key, count)];
     notice
 }
 
+fn runs(upstream: &str, count: usize, is_tight: bool) -> Vec<BatchRun> {
+    let run = BatchRun {
+        upstream: UpstreamId::new(upstream),
+        // As the notices of the tests say.
+        urgency: Urgency { key: 1, is_tight },
+    };
+    vec![run; count]
+}
+
 #[test]
-fn batch_place_alone_takes_every_place_while_nothing_is_online() {
+fn batch_plan_alone_takes_every_place_while_nothing_is_online() {
     let mut fleet = fleet("me", &UPSTREAMS);
-    assert_eq!(fill(&mut fleet, 0), SLOTS * 3);
+    fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
+    assert_eq!(start_plan(&mut fleet), (SLOTS * 3) as usize);
+    assert!(fleet.batch_plan(&service(), 0).is_empty());
 }
 
 #[test]
-fn batch_place_leaves_a_reserve_while_online_requests_come() {
+fn batch_plan_starts_no_more_than_waits() {
+    let mut fleet = fleet("me", &UPSTREAMS);
+    fleet.set_batch_queue(vec![demand(DUE_MS, 5)]);
+    assert_eq!(start_plan(&mut fleet), 5);
+}
+
+#[test]
+fn batch_plan_leaves_a_reserve_while_online_requests_come() {
     let mut fleet = fleet("me", &UPSTREAMS);
     fleet.receive_notice(notice("peer", 1, &[("u1", 2, 0)]), 0);
-    assert_eq!(fill(&mut fleet, 0), 3 * (SLOTS - 1) - 2);
+    fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
+    assert_eq!(start_plan(&mut fleet), (3 * (SLOTS - 1) - 2) as usize);
 }
 
-/// Idle capacity appears at once for all: together the owners fill it, and do
-/// not start more than there are places.
+/// Idle capacity appears at once for all: together the instances fill it, and
+/// do not start more than there are places.
 #[test]
-fn batch_place_many_owners_at_once_share_what_is_free() {
+fn batch_plan_many_instances_fill_the_places_once() {
     let names = ["a", "b", "c", "d", "e"];
     let mut total = 0;
     for me in names {
         let mut fleet = fleet(me, &UPSTREAMS);
         for peer in names.iter().filter(|peer| **peer != me) {
-            fleet.receive_notice(waiting(peer, &[]), 0);
+            fleet.receive_notice(waiting(peer, DUE_MS, 10), 0);
         }
-        fleet.set_batch_demand(BatchDemand {
-            waiting: 10,
-            due_unix_ms: 1,
-        });
-        total += fill(&mut fleet, 0);
+        fleet.set_batch_queue(vec![demand(DUE_MS, 10)]);
+        total += start_plan(&mut fleet);
     }
-    assert_eq!(total, SLOTS * 3);
+    assert_eq!(total, (SLOTS * 3) as usize);
 }
 
 #[test]
-fn batch_place_owners_with_nothing_waiting_keep_what_they_run() {
+fn batch_plan_most_urgent_items_of_all_instances_first() {
+    let plan = |me: &str, own: u64, peer: &str, of_peer: u64| {
+        let mut fleet = fleet(me, &UPSTREAMS[..1]);
+        fleet.receive_notice(waiting(peer, of_peer, 6), 0);
+        fleet.set_batch_queue(vec![demand(own, 6)]);
+        start_plan(&mut fleet)
+    };
+    assert_eq!(plan("a", 2, "b", 1), 2);
+    assert_eq!(plan("b", 1, "a", 2), 6);
+}
+
+#[test]
+fn batch_plan_ignores_what_waits_for_other_services() {
     let mut fleet = fleet("me", &UPSTREAMS[..1]);
-    fleet.receive_notice(notice("peer", 1, &[("u1", 0, 3)]), 0);
-    assert_eq!(fill(&mut fleet, 0), SLOTS - 3);
+    let mut other = waiting("peer", 1, 10);
+    other.batch_queue[0].service += 1;
+    fleet.receive_notice(other, 0);
+    fleet.set_batch_queue(vec![demand(2, 10)]);
+    assert_eq!(start_plan(&mut fleet), SLOTS as usize);
 }
 
 #[test]
 fn yields_only_when_online_requests_wait() {
     let mut fleet = fleet("me", &UPSTREAMS[..1]);
-    assert_eq!(fill(&mut fleet, 0), SLOTS);
+    fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
+    start_plan(&mut fleet);
+    fleet.set_batch_runs(&runs("u1", SLOTS as usize, false));
     assert!(fleet.yields().is_empty(), "nothing online");
     fleet.receive_notice(notice("peer", 1, &[("u1", 2, 0)]), 0);
     let yields: Vec<_> = fleet.yields().into_iter().map(|(_, count)| count).collect();
     assert_eq!(yields, [2]);
 }
 
+#[test]
+fn yields_of_tight_items_are_none() {
+    let mut fleet = fleet("me", &UPSTREAMS[..1]);
+    fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
+    start_plan(&mut fleet);
+    fleet.set_batch_runs(&runs("u1", SLOTS as usize, true));
+    fleet.receive_notice(notice("peer", 1, &[("u1", 2, 0)]), 0);
+    assert!(fleet.yields().is_empty());
+}
+
 /// Two owners see the same overload; only as many items as needed make room.
 #[test]
 fn yields_of_two_owners_add_up_to_the_need() {
     let yields_of = |me: &str, own: u32, peer: &str, peers: u16| {
         let mut fleet = fleet(me, &UPSTREAMS[..1]);
-        let target = fleet.batch_place(&service(), &[], 0).unwrap();
-        for _ in 0..own {
-            fleet.started(&target, WorkKind::Batch, 0);
-        }
+        fleet.set_batch_queue(vec![demand(DUE_MS, own)]);
+        start_plan(&mut fleet);
+        fleet.set_batch_runs(&runs("u1", own as usize, false));
         fleet.receive_notice(notice(peer, 1, &[("u1", 0, peers)]), 0);
         fleet.receive_notice(notice("online", 1, &[("u1", 4, 0)]), 0);
         fleet.yields().iter().map(|(_, count)| count).sum::<u32>()
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use gateway::{Placement, RefusalReason, UpstreamState, WorkKind};
+use gateway::{Placement, PlacementRequest, RefusalReason, UpstreamState, WorkKind};
 use model::UpstreamId;
-use support::{SLOTS, entry, fleet, notice, place, place_without, target_of};
+use support::{GOAL_MS, SLOTS, entry, fleet, notice, place, place_without, service, target_of};
 
 /// Time that a request holds its place, milliseconds.
 const HOLD_MS: u64 = 800;
@@ -152,3 +152,51 @@
     fleet.retain_listed(&[UpstreamId::new("u2")], false, 0);
     assert_eq!(fleet.ready_count(), 1);
 }
+
+/// A request whose first connection failed has used up its goal: a place now is
+/// better for it than a refusal.
+#[test]
+fn place_late_request_is_sent_while_the_wait_is_short() {
+    let service = service();
+    let request = |waited_ms| PlacementRequest {
+        service: &service,
+        excluded: &[],
+        goal_ms: GOAL_MS,
+        waited_ms,
+        may_refuse: true,
+    };
+    let mut fleet = fleet("me", &NEAR);
+    let sent = fleet.place(&request(GOAL_MS + 100), 0);
+    assert!(matches!(sent, Placement::Send { .. }), "{sent:?}");
+}
+
+/// A batch item at a full upstream makes room within a notice; other requests
+/// have to end first.
+#[test]
+fn place_full_upstream_with_batch_items_is_expected_to_make_room() {
+    let expected = |loads: &[(&str, u16, u16)]| {
+        let mut fleet = fleet("me", &NEAR[..1]);
+        let first = place(&mut fleet, 0);
+        fleet.finished(target_of(&first), WorkKind::Online, HOLD_MS);
+        fleet.receive_notice(notice("peer", 1, loads), 0);
+        match place(&mut fleet, 0) {
+            Placement::Send { expected_ms, .. } | Placement::Refuse { expected_ms, .. } => {
+                expected_ms
+            }
+        }
+    };
+    assert!(expected(&[("u1", 4, 4)]) < expected(&[("u1", 8, 0)]));
+    assert!(expected(&[("u1", 8, 0)]) < expected(&[("u1", 12, 0)]));
+}
+
+#[test]
+fn connect_timeout_ms_follows_the_measured_way() {
+    let mut fleet = fleet("me", &SPREAD);
+    let near = target_of(&place(&mut fleet, 0)).clone();
+    let before_ms = fleet.connect_timeout_ms(&near);
+    for _ in 0..40 {
+        fleet.connected(&near, 100.0);
+    }
+    assert!(before_ms < 100, "{before_ms}");
+    assert!(fleet.connect_timeout_ms(&near) > 250);
+}
