standin, node: the platform's store and servers as stand-ins, scenarios on real processes

The stand-ins speak the platform's protocol, with the scripted faults of the others; redwingtack-node runs before them as separate processes. The first run found that a stream whose servers had all failed once was cut although attempts were left: upstreams that were tried or failed are now a last resort.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -262,14 +262,14 @@
     /// gets nothing until its entry changes.
     pub fn leaving(&mut self, target: &Target) {
         if let Some(row) = self.incarnation(target) {
-            row.health.eject_until(u64::MAX);
+            row.health.closed_until(u64::MAX);
         }
     }
 
     /// Records that an upstream had no room for a request.
     pub fn was_full(&mut self, target: &Target, until_ms: u64) {
         if let Some(row) = self.incarnation(target) {
-            row.health.eject_until(until_ms);
+            row.health.closed_until(until_ms);
         }
     }
 
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -18,7 +18,10 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Health {
     failures_in_row: u32,
+    /// Left out because of failures.
     ejected_until_ms: u64,
+    /// Left out because it says that it cannot take work.
+    closed_until_ms: u64,
     is_on_trial: bool,
     failure_share: Mean,
 }
@@ -44,9 +47,9 @@
         }
     }
 
-    /// Leaves the upstream out until a moment.
-    pub(crate) fn eject_until(&mut self, until_ms: u64) {
-        self.ejected_until_ms = self.ejected_until_ms.max(until_ms);
+    /// The upstream takes no work until a moment.
+    pub(crate) fn closed_until(&mut self, until_ms: u64) {
+        self.closed_until_ms = self.closed_until_ms.max(until_ms);
     }
 
     /// Records that a request was sent.
@@ -63,7 +66,12 @@
 
     /// Whether requests may be sent.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
-        now_ms >= self.ejected_until_ms && !self.is_on_trial
+        now_ms >= self.ejected_until_ms && self.is_last_resort(now_ms)
+    }
+
+    /// Whether requests may be sent if there is no better upstream.
+    pub(crate) fn is_last_resort(&self, now_ms: u64) -> bool {
+        now_ms >= self.closed_until_ms && !self.is_on_trial
     }
 
     /// Share of recent requests that failed.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -37,7 +37,7 @@
 pub struct PlacementRequest<'a> {
     /// Service that serves it.
     pub service: &'a ServiceName,
-    /// Upstreams that it was sent to before.
+    /// Upstreams that it was sent to before; others go first.
     pub excluded: &'a [UpstreamId],
     /// Time from its arrival within which its answer should begin, milliseconds.
     pub goal_ms: u64,
@@ -150,23 +150,39 @@
         }
     }
 
+    /// Upstreams that were not tried and are well; failing that, any that are
+    /// well; failing that, any that may be.
     fn candidates(
         &self,
         request: &PlacementRequest<'_>,
         holds: Holds,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let of_service = |row: &Row| {
-            row.entry.service == *request.service
-                && row.is_ready()
-                && !request.excluded.contains(&row.entry.id)
-        };
-        self.rows
+        let of_service: Vec<_> = self
+            .rows
             .iter()
             .enumerate()
-            .filter(|(_, row)| of_service(row) && row.health.is_usable(now_ms))
-            .map(|(index, row)| self.candidate(index, row, holds, request, now_ms))
-            .collect()
+            .filter(|(_, row)| row.entry.service == *request.service && row.is_ready())
+            .filter(|(_, row)| row.health.is_last_resort(now_ms))
+            .collect();
+        let is_usable = |row: &Row| row.health.is_usable(now_ms);
+        let is_untried = |row: &Row| !request.excluded.contains(&row.entry.id);
+        let choices: [&dyn Fn(&Row) -> bool; 4] = [
+            &|row| is_usable(row) && is_untried(row),
+            &is_usable,
+            &is_untried,
+            &|_| true,
+        ];
+        choices
+            .iter()
+            .map(|is_chosen| {
+                let chosen = of_service.iter().filter(|(_, row)| is_chosen(row));
+                chosen
+                    .map(|(index, row)| self.candidate(*index, row, holds, request, now_ms))
+                    .collect::<Vec<_>>()
+            })
+            .find(|candidates| !candidates.is_empty())
+            .unwrap_or_default()
     }
 
     fn candidate(
--- /dev/null
+++ b/crates/node/tests/streams.rs
@@ -0,0 +1,196 @@
+//! Streams of callers through the real process.
+
+mod support;
+
+use std::{process::Stdio, time::Duration};
+
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use support::{EVENTS, HOST, World, call, wait_until, whole_stream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_forwarded_whole() {
+    let world = World::start(&[4, 4], 1).await;
+    let answer = world.nodes[0].ask("/long/a?b=c", "r1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.headers["redwingtack-server-stamp"], "stamp");
+    assert_eq!(answer.headers["redwingtack-request-id"], "r1");
+    assert_eq!(answer.body, whole_stream("r1"));
+    assert!(answer.is_whole);
+    let runs = &world.runs().await["r1"];
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].body, "prompt");
+    assert!(runs[0].time_left_ms.unwrap() <= 4_000);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_without_configuration_is_refused_and_not_ready() {
+    let world = World::start_without_config(&[4], 1).await;
+    let node = &world.nodes[0];
+    let path = "/long/a";
+    wait_until("listening", async || {
+        call(node.front, "POST", path, &[("host", HOST)], Vec::new())
+            .await
+            .is_ok()
+    })
+    .await;
+    assert!(!node.is_ready().await);
+    let answer = node.ask(path, "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    world.put_config(1).await;
+    node.wait_ready().await;
+    assert_eq!(
+        node.ask("/nowhere/", "r2").await.status,
+        StatusCode::NOT_FOUND
+    );
+}
+
+/// A server breaks off in the middle; another one goes on after the last whole
+/// event, and the caller notices nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_breaks_goes_on_elsewhere() {
+    let world = World::start(&[4, 4], 1).await;
+    for server in &world.servers {
+        let address = server.standin.address();
+        call(address, "POST", "/standin/cut?after=3", &[], Vec::new())
+            .await
+            .unwrap();
+    }
+    let answer = world.nodes[0].ask("/long/a", "r1").await;
+    assert_eq!(answer.body, whole_stream("r1"));
+    assert!(answer.is_whole);
+    let runs = &world.runs().await["r1"];
+    let resumed: Vec<_> = runs.iter().map(|run| run.after_event).collect();
+    assert!(resumed.contains(&Some(3)), "{resumed:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_may_not_be_resumed_is_cut_visibly() {
+    let world = World::start(&[4, 4], 1).await;
+    for server in &world.servers {
+        let address = server.standin.address();
+        call(address, "POST", "/standin/cut?after=3", &[], Vec::new())
+            .await
+            .unwrap();
+    }
+    let answer = world.nodes[0].ask("/once/a", "r1").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(!answer.is_whole);
+    assert_eq!(world.runs().await["r1"].len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_have_run_is_not_called_not_run() {
+    let world = World::start(&[4], 1).await;
+    let address = world.servers[0].standin.address();
+    let fault = json!({"kind": "reset_after_body", "path": "/once/"});
+    world.fault(address, fault).await;
+    let answer = world.nodes[0].ask("/once/a", "r1").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(world.runs().await["r1"].len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused_by_full_servers_is_refused_at_once() {
+    let world = World::start(&[0, 0], 1).await;
+    let started = std::time::Instant::now();
+    let answer = world.nodes[0].ask("/once/a", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(started.elapsed() < Duration::from_secs(1));
+    assert!(world.runs().await.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_nothing_more() {
+    let world = World::start(&[4, 4], 1).await;
+    world.register(0, "draining").await;
+    sleep(Duration::from_millis(300)).await;
+    for index in 0..20 {
+        world.nodes[0].ask("/long/a", &format!("r{index}")).await;
+    }
+    let address = world.servers[0].standin.address();
+    let runs = call(address, "GET", "/standin/runs", &[], Vec::new()).await;
+    assert_eq!(runs.unwrap().body, "{}");
+}
+
+/// When the caller leaves, the server stops working for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_caller_that_left_ends_at_the_server() {
+    let world = World::start(&[4], 1).await;
+    let address = world.servers[0].standin.address();
+    let slow = json!({"kind": {"slow": {"delay_ms": 50}}});
+    world.fault(address, slow).await;
+    let mut stream = TcpStream::connect(world.nodes[0].front).await.unwrap();
+    let head = format!("POST /long/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    wait_until("running", async || world.running(0).await == 1).await;
+    drop(stream);
+    wait_until("ended", async || world.running(0).await == 0).await;
+    sleep(Duration::from_millis(u64::from(EVENTS as u8) * 10)).await;
+    assert_eq!(world.running(0).await, 0);
+}
+
+/// A planned stop is told to the platform at once and cuts no stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_finishes_streams() {
+    let mut world = World::start(&[8], 1).await;
+    let address = world.servers[0].standin.address();
+    let slow = json!({"kind": {"slow": {"delay_ms": 500}}});
+    world.fault(address, slow).await;
+    let node = &world.nodes[0];
+    let ask = node.ask("/long/a", "r1");
+    let stop = async {
+        sleep(Duration::from_millis(100)).await;
+        node.signal(Signal::SIGTERM);
+        wait_until("not ready", async || !node.is_ready().await).await;
+        // Callers still come until the platform has noticed.
+        node.ask("/long/a", "r2").await
+    };
+    let (first, second) = tokio::join!(ask, stop);
+    assert_eq!(first.body, whole_stream("r1"));
+    assert_eq!(second.body, whole_stream("r2"));
+    assert_eq!(second.headers["connection"], "close");
+    assert!(world.nodes[0].wait_end().await);
+}
+
+/// Nobody reads standard output: lines are left out, requests are not held up.
+#[tokio::test(flavor = "multi_thread")]
+async fn standard_output_that_nobody_reads_holds_nothing_up() {
+    let mut world = World::start(&[8], 0).await;
+    world.add_node("node-0", Stdio::piped());
+    world.nodes[0].wait_ready().await;
+    for index in 0..400 {
+        let answer = world.nodes[0].ask("/nowhere/a", &format!("r{index}")).await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    }
+    let answer = world.nodes[0].ask("/long/a", "last").await;
+    assert_eq!(answer.body, whole_stream("last"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_that_is_away_stops_no_request() {
+    let world = World::start(&[4], 1).await;
+    let store = world.store.address();
+    world
+        .fault(store, json!({"kind": "down", "for_ms": 3_000}))
+        .await;
+    sleep(Duration::from_millis(200)).await;
+    let answer = world.nodes[0].ask("/long/a", "r1").await;
+    assert_eq!(answer.body, whole_stream("r1"));
+}
+
+/// A settings file that is wrong is refused; the old settings stay in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn reload_of_a_wrong_file_changes_nothing() {
+    let world = World::start(&[4], 1).await;
+    let node = &world.nodes[0];
+    std::fs::write(node.settings_path(), "{}").unwrap();
+    node.signal(Signal::SIGHUP);
+    sleep(Duration::from_millis(200)).await;
+    assert!(node.is_ready().await);
+    assert_eq!(node.ask("/long/a", "r1").await.body, whole_stream("r1"));
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,396 @@
+//! Runs `redwingtack-node` as separate processes before stand-ins of the store
+//! and of model servers.
+
+#![allow(dead_code, reason = "each test file uses some of it")]
+
+use std::{
+    env, fs, io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use standin::{EventRuns, EventServerSettings, Standin, start_event_server, start_row_store};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+/// Host of the routes.
+pub const HOST: &str = "hints.example";
+/// Events of a stream.
+pub const EVENTS: u64 = 8;
+/// Time between events, milliseconds.
+pub const INTERVAL_MS: u64 = 10;
+/// Limit of anything that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Stand-ins and processes of one test.
+pub struct World {
+    pub store: Standin,
+    pub servers: Vec<Server>,
+    pub nodes: Vec<NodeProcess>,
+}
+
+pub struct Server {
+    pub id: String,
+    pub standin: Standin,
+}
+
+/// One process; dropping it kills it.
+pub struct NodeProcess {
+    pub front: SocketAddr,
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl World {
+    /// Servers with these numbers of slots, a configuration, and `nodes`
+    /// processes that are ready.
+    pub async fn start(slots: &[u32], nodes: usize) -> Self {
+        let mut world = Self::start_without_config(slots, nodes).await;
+        world.put_config(1).await;
+        for node in &mut world.nodes {
+            node.wait_ready().await;
+        }
+        world
+    }
+
+    pub async fn start_without_config(slots: &[u32], nodes: usize) -> Self {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let store = start_row_store(any).await.unwrap();
+        let mut servers = Vec::new();
+        for (index, slots) in slots.iter().enumerate() {
+            let id = format!("s{index}");
+            let settings = EventServerSettings {
+                listen: any,
+                id: id.clone(),
+                slots: *slots,
+                events: EVENTS,
+                interval_ms: INTERVAL_MS,
+            };
+            let standin = start_event_server(settings).await.unwrap();
+            servers.push(Server { id, standin });
+        }
+        let mut world = Self {
+            store,
+            servers,
+            nodes: Vec::new(),
+        };
+        for index in 0..world.servers.len() {
+            world.register(index, "ready").await;
+        }
+        for index in 0..nodes {
+            world.add_node(&format!("node-{index}"), Stdio::null());
+        }
+        world
+    }
+
+    pub fn add_node(&mut self, name: &str, stdout: Stdio) {
+        let node = NodeProcess::start(name, self.store.address(), stdout);
+        self.nodes.push(node);
+    }
+
+    pub async fn put_config(&self, version: u64) {
+        self.put_row("op", "config", &config(version)).await;
+    }
+
+    pub async fn put_row(&self, table: &str, key: &str, value: &Value) {
+        let entry = json!({"table": table, "key": key, "value": BASE64.encode(value.to_string())});
+        let body = json!({"puts": [entry]}).to_string();
+        let answer = call(
+            self.store.address(),
+            "POST",
+            "/standin/rows",
+            &[],
+            body.into_bytes(),
+        );
+        assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+    }
+
+    /// Registers a server as `state`.
+    pub async fn register(&self, index: usize, state: &str) {
+        let server = &self.servers[index];
+        let entry = json!({
+            "service": "oracle", "addr": server.standin.address().to_string(), "zone": "a",
+            "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1
+        });
+        self.put_row("servers", &server.id, &entry).await;
+    }
+
+    pub async fn fault(&self, address: SocketAddr, fault: Value) {
+        let body = fault.to_string().into_bytes();
+        let answer = call(address, "POST", "/standin/faults", &[], body).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
+    pub async fn clear_faults(&self, address: SocketAddr) {
+        let answer = call(address, "DELETE", "/standin/faults", &[], Vec::new()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
+    /// Runs at all servers by request id.
+    pub async fn runs(&self) -> EventRuns {
+        let mut all = EventRuns::new();
+        for server in &self.servers {
+            let address = server.standin.address();
+            let answer = call(address, "GET", "/standin/runs", &[], Vec::new()).await;
+            let runs: EventRuns = serde_json::from_str(&answer.unwrap().body).unwrap();
+            for (id, runs) in runs {
+                all.entry(id).or_default().extend(runs);
+            }
+        }
+        all
+    }
+
+    /// Streams that run at a server.
+    pub async fn running(&self, index: usize) -> u32 {
+        let address = self.servers[index].standin.address();
+        let answer = call(address, "GET", "/standin/running", &[], Vec::new()).await;
+        answer.unwrap().body.parse().unwrap()
+    }
+}
+
+impl NodeProcess {
+    fn start(name: &str, store: SocketAddr, stdout: Stdio) -> Self {
+        let front = free_address();
+        let readiness = free_address();
+        let document = json!({
+            "node_name": name, "zone": "a", "region": "north", "zones": {"a": "north"},
+            "listen": {"front": front.to_string(), "ready_addr": readiness.to_string()},
+            "port_range": [free_address().port(), 65535],
+            "bounds": {"grace_s": 4, "status_s": 120},
+            "platform": {"addr": store.to_string(), "writes_per_s": 800, "reads_per_s": 2000,
+                         "row_bytes": 4096}
+        });
+        let settings = env::temp_dir().join(format!("redwingtack-{}.json", front.port()));
+        fs::write(&settings, document.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_redwingtack-node"))
+            .env("REDWINGTACK_CONFIG", &settings)
+            .stdout(stdout)
+            .spawn()
+            .unwrap();
+        Self {
+            front,
+            readiness,
+            settings,
+            child,
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+
+    pub fn settings_path(&self) -> &PathBuf {
+        &self.settings
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = call(self.readiness, "GET", "/ready", &[], Vec::new()).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    pub async fn wait_ready(&self) {
+        wait_until("ready", async || self.is_ready().await).await;
+    }
+
+    /// Waits for the end of the process; returns whether it ended well.
+    pub async fn wait_end(&mut self) -> bool {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(Instant::now() < deadline, "the process does not end");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request for a stream.
+    pub async fn ask(&self, path: &str, id: &str) -> Answer {
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", id),
+            ("redwingtack-deadline-ms", "4000"),
+        ];
+        call(self.front, "POST", path, &headers, b"prompt".to_vec())
+            .await
+            .unwrap()
+    }
+
+    pub async fn submit(&self, id: &str, items: &[(&str, &str)]) -> Answer {
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", id),
+            ("redwingtack-deadline-ms", "4000"),
+        ];
+        let items: Vec<_> = items
+            .iter()
+            .map(|(id, path)| {
+                json!({"id": id, "path": path, "headers": {"X-A": "b"},
+                       "body": BASE64.encode(format!("body of {id}")), "tokens": 9})
+            })
+            .collect();
+        let body = json!({"items": items}).to_string().into_bytes();
+        call(self.front, "POST", "/batch/x", &headers, body)
+            .await
+            .unwrap()
+    }
+
+    pub async fn results(&self, job: &str, after: usize) -> Answer {
+        let path = format!("/lots/{job}?after={after}");
+        self.job_call("GET", &path).await
+    }
+
+    pub async fn job_call(&self, method: &str, path: &str) -> Answer {
+        let headers = [("host", HOST), ("redwingtack-wait-ms", "300")];
+        call(self.front, method, path, &headers, Vec::new())
+            .await
+            .unwrap()
+    }
+
+    /// Waits until every item of a job has a result; returns the results.
+    pub async fn wait_results(&self, job: &str) -> Vec<Value> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.results(job, 0).await;
+            if answer.status == StatusCode::OK {
+                let page: Value = serde_json::from_str(&answer.body).unwrap();
+                let results = page["results"].as_array().unwrap().clone();
+                if Some(results.len() as u64) == page["total"].as_u64() {
+                    return results;
+                }
+            }
+            assert!(
+                Instant::now() < deadline,
+                "job {job} is not done: {answer:?}"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+) -> io::Result<Answer> {
+    let exchange = async {
+        let stream = TcpStream::connect(address).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        let mut request = Request::builder().method(method).uri(path);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body))).unwrap();
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(io::Error::other)?;
+        let (head, mut body) = response.into_parts();
+        let mut text = Vec::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Err(_) => is_whole = false,
+            }
+        }
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: String::from_utf8(text).unwrap(),
+            is_whole,
+        })
+    };
+    timeout(PATIENCE, exchange).await?
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_until(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The whole stream of a request.
+pub fn whole_stream(id: &str) -> String {
+    (1..=EVENTS)
+        .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
+        .collect()
+}
+
+/// The whole output of an item.
+pub fn whole_output(id: &str) -> String {
+    let lines: Vec<_> = (1..=EVENTS).map(|event| format!("{id} {event}")).collect();
+    lines.join("\n")
+}
+
+fn config(version: u64) -> Value {
+    let stream = |name: &str, resumable: bool| {
+        json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": "stream",
+               "timeout_ms": 5000, "goal_ms": 300, "gap_aim_ms": 300, "priority": 0,
+               "max_attempts": if resumable { 3 } else { 1 }, "resumable": resumable,
+               "service": "oracle"})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            stream("long", true),
+            stream("once", false),
+            {"name": "batch", "host": HOST, "path_prefix": "/batch/", "kind": "batch",
+             "timeout_ms": 15000, "goal_ms": 500, "due_ms": 18000, "max_wait_s": 60,
+             "priority": 2, "max_attempts": 2, "service": "oracle"}
+        ],
+        "services": [{"name": "oracle"}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_000_000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    })
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,11 +9,13 @@
 mod engine_core;
 mod engine_state;
 mod engine_streams;
+mod event_server;
 mod fault;
 mod http;
 mod platform;
 mod prefix_cache;
 mod remote;
+mod row_store;
 mod service;
 mod table;
 
@@ -21,9 +23,11 @@
     answer::{answer_tokens, output_limit, prompt_blocks, prompt_text},
     engine::{EngineSettings, RunCount, RunCounts, start_engine},
     engine_core::{Emitted, EngineCore, EngineParams, SequenceRequest},
+    event_server::{EventRun, EventRuns, EventServerSettings, start_event_server},
     fault::{Fault, FaultKind, FaultScript},
     http::Standin,
     platform::{PlatformCounts, PlatformSettings, start_platform},
     remote::Remote,
+    row_store::start_row_store,
     service::{ServiceCallCount, ServiceCounts, ServiceSettings, start_service},
 };
