--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -78,6 +78,7 @@
         let started_ms = node.now_ms();
         node.fleet.borrow_mut().started(&target, kind, started_ms);
         node.load_changed.notify_one();
+        node.metrics.on_attempt();
         Self {
             node: Rc::clone(node),
             target,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -123,6 +123,7 @@
         reason: &str,
     ) -> Result<(), NoAnswer> {
         let now_ms = self.node.now_ms();
+        self.node.metrics.on_attempt_failed(end);
         let next = self.effort.attempt_ended(&target.upstream, end, now_ms);
         log::warn!(
             "event=attempt_failed request={} upstream={} end={} reason={} attempt={} left_ms={} next={}",
@@ -182,6 +183,9 @@
                     reason.as_str(),
                     self.route.goal_ms
                 );
+                self.node
+                    .metrics
+                    .on_refusal(reason.as_str(), retry_after_ms);
                 Err(if self.effort.may_have_run() {
                     NoAnswer::Failed(self.effort.give_up())
                 } else {
@@ -231,13 +235,16 @@
     }
 
     pub(crate) fn log_end(&self, no_answer: NoAnswer) {
+        let total_ms = self.node.now_ms().saturating_sub(self.arrived_ms);
+        let outcome = no_answer.as_str();
+        self.node
+            .metrics
+            .on_request_end(&self.route, outcome, total_ms);
         log::warn!(
-            "event=request_unanswered request={} route={} outcome={} attempts={} total_ms={}",
+            "event=request_unanswered request={} route={} outcome={outcome} attempts={} total_ms={total_ms}",
             self.outgoing.request_id,
             self.route.name,
-            no_answer.as_str(),
-            self.effort.attempts(),
-            self.node.now_ms().saturating_sub(self.arrived_ms)
+            self.effort.attempts()
         );
     }
 }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -137,6 +137,7 @@
     }
 
     fn inserted(self, version: u64) -> Response<AnswerBody> {
+        self.node.metrics.on_job_accepted();
         log::info!(
             "event=job_accepted job={} items={} version={version} due_unix_ms={}",
             self.id,
@@ -153,6 +154,7 @@
 
     /// A refusal promises that nothing runs, so it needs certainty.
     fn not_accepted(&self, may_be_stored: bool) -> Response<AnswerBody> {
+        self.node.metrics.on_job_refused();
         log::warn!(
             "event=job_refused job={} reason=store may_be_stored={may_be_stored}",
             self.id
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -90,6 +90,7 @@
         let now_ms = node.now_ms();
         node.fleet.borrow_mut().expire(now_ms);
         node.connections.expire(now_ms);
+        node.metrics.on_tick(&node);
         let is_informed = node.has_nodes.get() && node.has_jobs.get();
         if !is_informed || node.store_health.is_away() || node.stage() != Stage::Serving {
             continue;
@@ -129,6 +130,7 @@
         .await;
     match outcome {
         Ok(CommitOutcome::Committed { version }) => {
+            node.metrics.on_job_taken_over();
             log::info!(
                 "event=job_taken_over job={} version={version} previous_owner={}",
                 job.id,
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -397,6 +397,7 @@
 
 /// Records the end of a run.
 pub(super) fn run_ended(node: &Rc<Node>, id: &JobId, partial: Partial, run: EndedRun) {
+    node.metrics.on_item_run(run.end);
     let now_ms = node.now_ms();
     let mut runner = node.runner.borrow_mut();
     let item_index = partial.item_index;
@@ -455,6 +456,7 @@
         let outcome = rows.commit(&id, &due).await;
         log_commit(&id, due.first_position, due.results.len(), &outcome);
         let outcome = outcome.unwrap_or(CommitOutcome::Unsettled);
+        let is_stored = matches!(outcome, CommitOutcome::Committed { .. });
         let step = {
             let mut runner = node.runner.borrow_mut();
             let found = runner.find(&id);
@@ -462,6 +464,11 @@
                 .ok()
                 .map(|index| runner.jobs[index].commit_ended(outcome))
         };
+        if is_stored {
+            for result in &due.results {
+                node.metrics.on_item_listed(result.outcome);
+            }
+        }
         match step {
             Some(CommitStep::Stored | CommitStep::Rebuild) => retry_ms = COMMIT_RETRY_MS,
             Some(CommitStep::Repeat) => {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -13,15 +13,20 @@
 mod front;
 mod jobs;
 mod listener;
+mod metrics;
 mod node;
 mod options;
 mod peers;
 mod relay;
 mod stop;
 
-use std::{process::ExitCode, rc::Rc};
+use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
-use tokio::{runtime::Builder, task::LocalSet};
+use process::AdminState;
+use tokio::{
+    runtime::Builder,
+    task::{LocalSet, spawn_local},
+};
 
 use crate::{node::Node, options::Options};
 
@@ -60,7 +65,7 @@
         }
     };
     let tasks = LocalSet::new();
-    match tasks.block_on(&runtime, run(Rc::new(Node::new(settings)))) {
+    match tasks.block_on(&runtime, run(settings, options.metrics_port)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=exit error={}", process::quote(&error));
@@ -69,7 +74,16 @@
     }
 }
 
-async fn run(node: Rc<Node>) -> std::io::Result<()> {
+async fn run(
+    settings: platform::Settings,
+    metrics_port: Option<u16>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let admin = AdminState::new()?;
+    let node = Rc::new(Node::new(settings));
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(node.settings().front_listen.ip(), port);
+        spawn_local(metrics::serve(address, admin));
+    }
     log::info!(
         "event=started instance={} region={} store={}",
         node.me.instance,
@@ -80,5 +94,6 @@
     peers::start(&node).await?;
     feeds::start(&node);
     jobs::start(&node);
-    stop::until_stopped(&node).await
+    stop::until_stopped(&node).await?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,296 @@
+//! Counters and histograms, with labels from closed sets only.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use gateway::{AttemptEnd, Route, RouteKind};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{server::conn::http1::Builder, service::service_fn};
+use hyper_util::rt::TokioIo;
+use ledger::{ItemOutcome, RunEnd};
+use opentelemetry::{
+    KeyValue, global,
+    metrics::{Counter, Gauge, Histogram, Meter},
+};
+use platform::{CallCounts, CallKind, CallResult};
+use process::AdminState;
+use tokio::{net::TcpListener, task::spawn_local};
+
+use crate::node::Node;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+const MS_PER_S: f64 = 1_000.0;
+/// Bounds of the histograms of time, seconds.
+const TIME_BOUNDS_S: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Instruments of the process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    request_duration: Histogram<f64>,
+    first_event: Histogram<f64>,
+    longest_pause: Histogram<f64>,
+    refusals: Counter<u64>,
+    retry_after: Histogram<f64>,
+    attempts: Counter<u64>,
+    attempt_failures: Counter<u64>,
+    streams_resumed: Counter<u64>,
+    jobs_accepted: Counter<u64>,
+    jobs_refused: Counter<u64>,
+    jobs_taken_over: Counter<u64>,
+    items: Counter<u64>,
+    item_runs: Counter<u64>,
+    in_flight: Gauge<u64>,
+    waiting_items: Gauge<u64>,
+    config_version: Gauge<u64>,
+    store_age: Gauge<f64>,
+    ready_upstreams: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments of the global meter.
+    pub(crate) fn new(store_calls: Arc<CallCounts>) -> Self {
+        let meter = global::meter("redwingtack.node");
+        observe_store_calls(&meter, store_calls);
+        observe_log_lines(&meter);
+        let histogram = |name: &'static str, description: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(description)
+                .with_boundaries(TIME_BOUNDS_S.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        Self {
+            request_duration: histogram(
+                "http.server.request.duration",
+                "Time from a request to the end of its answer",
+            ),
+            first_event: histogram(
+                "redwingtack.stream.first_event",
+                "Time from a request to the first bytes of its answer",
+            ),
+            longest_pause: histogram(
+                "redwingtack.stream.longest_pause",
+                "Longest pause between the events of an answer",
+            ),
+            refusals: counter("redwingtack.refusals", "Requests refused, by reason"),
+            retry_after: histogram(
+                "redwingtack.retry_after",
+                "Time after which refused requests were told to come back",
+            ),
+            attempts: counter("redwingtack.upstream.attempts", "Attempts at upstreams"),
+            attempt_failures: counter(
+                "redwingtack.upstream.attempt_failures",
+                "Attempts that failed, by kind",
+            ),
+            streams_resumed: counter(
+                "redwingtack.streams_resumed",
+                "Streams that went on at another upstream",
+            ),
+            jobs_accepted: counter("redwingtack.jobs.accepted", "Jobs accepted"),
+            jobs_refused: counter("redwingtack.jobs.refused", "Submissions refused"),
+            jobs_taken_over: counter("redwingtack.jobs.taken_over", "Jobs taken over"),
+            items: counter("redwingtack.items", "Items that ended, by outcome"),
+            item_runs: counter("redwingtack.item_runs", "Runs of items, by end"),
+            in_flight: gauge("redwingtack.in_flight", "Own requests at upstreams"),
+            waiting_items: gauge("redwingtack.items_waiting", "Own items that wait"),
+            config_version: gauge("redwingtack.config_version", "Version in force"),
+            store_age: meter
+                .f64_gauge("redwingtack.store_age")
+                .with_unit("s")
+                .with_description("Time since the store last answered")
+                .build(),
+            ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
+        }
+    }
+
+    pub(crate) fn on_request_end(&self, route: &Route, outcome: &'static str, took_ms: u64) {
+        let labels = [kind_label(route), KeyValue::new("outcome", outcome)];
+        self.request_duration.record(seconds(took_ms), &labels);
+    }
+
+    pub(crate) fn on_first_event(&self, route: &Route, took_ms: u64) {
+        self.first_event
+            .record(seconds(took_ms), &[kind_label(route)]);
+    }
+
+    pub(crate) fn on_longest_pause(&self, route: &Route, pause_ms: u64) {
+        self.longest_pause
+            .record(seconds(pause_ms), &[kind_label(route)]);
+    }
+
+    pub(crate) fn on_refusal(&self, reason: &'static str, retry_after_ms: u64) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+        self.retry_after.record(seconds(retry_after_ms), &[]);
+    }
+
+    pub(crate) fn on_attempt(&self) {
+        self.attempts.add(1, &[]);
+    }
+
+    pub(crate) fn on_attempt_failed(&self, end: AttemptEnd) {
+        self.attempt_failures
+            .add(1, &[KeyValue::new("end", end.as_str())]);
+    }
+
+    pub(crate) fn on_stream_resumed(&self) {
+        self.streams_resumed.add(1, &[]);
+    }
+
+    pub(crate) fn on_job_accepted(&self) {
+        self.jobs_accepted.add(1, &[]);
+    }
+
+    pub(crate) fn on_job_refused(&self) {
+        self.jobs_refused.add(1, &[]);
+    }
+
+    pub(crate) fn on_job_taken_over(&self) {
+        self.jobs_taken_over.add(1, &[]);
+    }
+
+    pub(crate) fn on_item_listed(&self, outcome: ItemOutcome) {
+        let name = match outcome {
+            ItemOutcome::Done => "done",
+            ItemOutcome::Failed => "failed",
+        };
+        self.items.add(1, &[KeyValue::new("outcome", name)]);
+    }
+
+    pub(crate) fn on_item_run(&self, end: RunEnd) {
+        let name = match end {
+            RunEnd::Done => "done",
+            RunEnd::Error => "error",
+            RunEnd::Impossible => "impossible",
+            RunEnd::Interrupted => "interrupted",
+            RunEnd::Yielded => "yielded",
+        };
+        self.item_runs.add(1, &[KeyValue::new("end", name)]);
+    }
+
+    /// Records what is known at this moment.
+    pub(crate) fn on_tick(&self, node: &Node) {
+        let fleet = node.fleet.borrow();
+        let loads = fleet.own_loads();
+        let online: u64 = loads.iter().map(|load| u64::from(load.online)).sum();
+        let batch: u64 = loads.iter().map(|load| u64::from(load.batch)).sum();
+        self.in_flight
+            .record(online, &[KeyValue::new("work", "online")]);
+        self.in_flight
+            .record(batch, &[KeyValue::new("work", "batch")]);
+        let waiting = fleet
+            .batch_queue()
+            .iter()
+            .map(|demand| u64::from(demand.waiting));
+        self.waiting_items.record(waiting.sum(), &[]);
+        self.ready_upstreams.record(fleet.ready_count() as u64, &[]);
+        let version = node.routes().map_or(0, |routes| routes.version);
+        self.config_version.record(version, &[]);
+        let age_ms = node.store_health.age_ms(node.now_ms());
+        self.store_age.record(seconds(age_ms), &[]);
+    }
+}
+
+/// Serves the metrics at `address` until the process ends.
+pub(crate) async fn serve(address: SocketAddr, admin: AdminState) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(
+                "event=metrics_not_served address={address} error={}",
+                process::quote(&error)
+            );
+            return;
+        }
+    };
+    let admin = Rc::new(admin);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let admin = Rc::clone(&admin);
+        spawn_local(async move {
+            let service = service_fn(async |request: http::Request<hyper::body::Incoming>| {
+                Ok::<_, Infallible>(render(&admin, request.uri().path()))
+            });
+            let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(
+                    "event=metrics_connection_ended error={}",
+                    process::quote(&error)
+                );
+            }
+        });
+    }
+}
+
+fn render(admin: &AdminState, path: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if path == METRICS_PATH {
+        *response.body_mut() = Full::from(admin.render());
+        let media_type = HeaderValue::from_static("text/plain; version=0.0.4");
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, media_type);
+    } else {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
+
+fn observe_store_calls(meter: &Meter, calls: Arc<CallCounts>) {
+    meter
+        .u64_observable_counter("redwingtack.store.calls")
+        .with_description("Calls to the store, by kind and result")
+        .with_callback(move |observer| {
+            for kind in CallKind::ALL {
+                for result in CallResult::ALL {
+                    let labels = [
+                        KeyValue::new("call", kind.as_str()),
+                        KeyValue::new("result", result.as_str()),
+                    ];
+                    observer.observe(calls.count(kind, result), &labels);
+                }
+            }
+        })
+        .build();
+}
+
+fn observe_log_lines(meter: &Meter) {
+    meter
+        .u64_observable_counter("redwingtack.log_lines_left_out")
+        .with_description("Log lines left out because nobody read them in time")
+        .with_callback(|observer| observer.observe(process::log_lines_left_out(), &[]))
+        .build();
+}
+
+fn kind_label(route: &Route) -> KeyValue {
+    let name = match route.kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Stream { is_resumable: true } => "stream_resumable",
+        RouteKind::Stream {
+            is_resumable: false,
+        } => "stream",
+        RouteKind::Batch(_) => "batch",
+    };
+    KeyValue::new("route_kind", name)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times are short")]
+fn seconds(ms: u64) -> f64 {
+    ms as f64 / MS_PER_S
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,6 +15,7 @@
     clock::{Clock, unix_ms},
     connections::Connections,
     jobs::Runner,
+    metrics::Metrics,
 };
 
 /// Shared state.
@@ -26,6 +27,7 @@
     pub(crate) clock: Clock,
     pub(crate) store: Store,
     pub(crate) store_health: StoreHealth,
+    pub(crate) metrics: Metrics,
     /// `None` until the configuration was read.
     routes: RefCell<Option<Arc<RouteTable>>>,
     pub(crate) fleet: RefCell<Fleet>,
@@ -85,8 +87,10 @@
             region: settings.region.clone(),
             regions: Arc::clone(&settings.regions),
         };
+        let store = Store::new(settings.store_address);
         Self {
-            store: Store::new(settings.store_address),
+            metrics: Metrics::new(store.call_counts()),
+            store,
             store_health: StoreHealth::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock: Clock::new(),
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Options {
     /// Specification for the logger.
     pub(crate) log_level: String,
+    /// Port of the metrics, at the address for callers; `None` serves none.
+    pub(crate) metrics_port: Option<u16>,
     /// Whether to check the settings file and exit.
     pub(crate) check_settings: bool,
 }
@@ -24,8 +26,14 @@
         let check_settings = long("check-settings")
             .help("Check the settings file that REDWINGTACK_CONFIG names and exit")
             .switch();
+        let metrics_port = long("metrics-port")
+            .env("REDWINGTACK_METRICS_PORT")
+            .help("Port of /metrics, at the address for callers")
+            .argument("PORT")
+            .optional();
         construct!(Options {
             log_level,
+            metrics_port,
             check_settings,
         })
         .to_options()
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -27,6 +27,8 @@
     answer: Option<Answer>,
     splitter: Option<EventSplitter>,
     first_bytes_ms: Option<u64>,
+    last_bytes_ms: u64,
+    longest_pause_ms: u64,
     resumed: u32,
     has_ended: bool,
 }
@@ -57,6 +59,8 @@
             answer: Some(answer),
             splitter,
             first_bytes_ms: None,
+            last_bytes_ms: 0,
+            longest_pause_ms: 0,
             resumed: 0,
             has_ended: false,
         }
@@ -78,8 +82,7 @@
                 Piece::Bytes(bytes) => match self.whole_events(bytes) {
                     Ok(ready) if ready.is_empty() => continue,
                     Ok(ready) => {
-                        self.first_bytes_ms
-                            .get_or_insert(self.journey.node.now_ms());
+                        self.note_bytes();
                         self.complete_known_length();
                         return Some(Ok(Frame::data(ready)));
                     }
@@ -184,10 +187,21 @@
         );
         self.splitter = Some(EventSplitter::new().with_last_id(last_event));
         self.answer = Some(answer);
+        self.journey.node.metrics.on_stream_resumed();
         self.resumed += 1;
         true
     }
 
+    fn note_bytes(&mut self) {
+        let now_ms = self.journey.node.now_ms();
+        if self.first_bytes_ms.is_some() {
+            let pause_ms = now_ms.saturating_sub(self.last_bytes_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.first_bytes_ms.get_or_insert(now_ms);
+        self.last_bytes_ms = now_ms;
+    }
+
     /// A body of known length is complete with its last byte; the server
     /// library does not ask for more.
     fn complete_known_length(&mut self) {
@@ -211,22 +225,29 @@
         Err(Cut)
     }
 
-    fn log_end(&mut self, outcome: &str, reason: &str) {
+    fn log_end(&mut self, outcome: &'static str, reason: &str) {
         self.has_ended = true;
         self.log(outcome, reason);
     }
 
-    fn log(&self, outcome: &str, reason: &str) {
+    fn log(&self, outcome: &'static str, reason: &str) {
         let journey = &self.journey;
         let now_ms = journey.node.now_ms();
         let since_arrival = |at_ms: u64| at_ms.saturating_sub(journey.arrived_ms);
+        let metrics = &journey.node.metrics;
+        metrics.on_request_end(&journey.route, outcome, since_arrival(now_ms));
+        if let Some(first_ms) = self.first_bytes_ms {
+            metrics.on_first_event(&journey.route, since_arrival(first_ms));
+            metrics.on_longest_pause(&journey.route, self.longest_pause_ms);
+        }
         log::info!(
-            "event=request_answered request={} route={} outcome={outcome} reason={} first_bytes_ms={} total_ms={} resumed={}",
+            "event=request_answered request={} route={} outcome={outcome} reason={} first_bytes_ms={} total_ms={} longest_pause_ms={} resumed={}",
             journey.outgoing.request_id,
             journey.route.name,
             process::quote(&reason),
             self.first_bytes_ms.map_or(0, since_arrival),
             since_arrival(now_ms),
+            self.longest_pause_ms,
             self.resumed
         );
     }
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -130,7 +130,7 @@
     wait_until("running", async || world.running(0).await == 1).await;
     drop(stream);
     wait_until("ended", async || world.running(0).await == 0).await;
-    sleep(Duration::from_millis(u64::from(EVENTS as u8) * 10)).await;
+    sleep(Duration::from_millis(EVENTS * 10)).await;
     assert_eq!(world.running(0).await, 0);
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -357,9 +357,10 @@
 
 /// The whole stream of a request.
 pub fn whole_stream(id: &str) -> String {
-    (1..=EVENTS)
+    let events: Vec<_> = (1..=EVENTS)
         .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
 
 /// The whole output of an item.
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -58,7 +58,9 @@
             }))
     }
 
-    fn render(&self) -> String {
+    /// All metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_default()
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     admin::{AdminState, serve_admin},
     event::{init_logs, quote},
-    log_queue::{LogQueue, init_decision_logs},
+    log_queue::{LogQueue, init_decision_logs, log_lines_left_out},
     node::{
         HELP_FOOTER, NodeOptions, NodeSettings, check_log_level, control_option, log_level_option,
         node_options,
--- a/crates/process/src/log_queue.rs
+++ b/crates/process/src/log_queue.rs
@@ -18,6 +18,8 @@
 
 use crate::event::write_line;
 
+/// Lines that were left out since the process started.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4_096;
 
@@ -34,6 +36,12 @@
         .start()
 }
 
+/// Number of log lines that were left out since the process started.
+#[must_use]
+pub fn log_lines_left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
 /// Queue of lines with a thread that writes them.
 #[derive(Debug)]
 pub struct LogQueue {
@@ -64,6 +72,7 @@
         }
         if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
             self.left_out.fetch_add(1, Ordering::Relaxed);
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
