--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -60,6 +60,11 @@
     arrived_ms: u64,
 ) -> Response<AnswerBody> {
     let Some(service) = route.service_for(&facts.request_id).cloned() else {
+        log::warn!(
+            "event=request_refused request={} route={} reason=no_service",
+            facts.request_id,
+            route.name
+        );
         return answer::not_run(NOT_RUN_RETRY_MS, "the route has no service");
     };
     let time_left_ms = facts.time_left_ms.unwrap_or(route.timeout_ms);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -32,7 +32,7 @@
     let (parts, body) = request.into_parts();
     let mut response = match node.routes() {
         Some(routes) => answer_request(&node, &routes, parts, body, arrived_ms).await,
-        None => answer::not_run(NOT_CONFIGURED_RETRY_MS, "no configuration yet"),
+        None => not_configured(&parts),
     };
     if node.stage() != Stage::Serving {
         let close = HeaderValue::from_static("close");
@@ -41,6 +41,14 @@
     Ok(response)
 }
 
+fn not_configured(parts: &request::Parts) -> Response<AnswerBody> {
+    log::warn!(
+        "event=request_refused request={} reason=no_configuration retry_after_ms={NOT_CONFIGURED_RETRY_MS}",
+        platform::decode_request(&parts.headers).request_id
+    );
+    answer::not_run(NOT_CONFIGURED_RETRY_MS, "no configuration yet")
+}
+
 async fn answer_request(
     node: &Rc<Node>,
     routes: &RouteTable,
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -6,6 +6,7 @@
 mod query;
 mod runner;
 mod storage;
+mod writes;
 
 use std::rc::Rc;
 
@@ -23,6 +24,6 @@
 /// Starts running items and looking after orphaned jobs.
 pub(crate) fn start(node: &Rc<Node>) {
     spawn_local(runner::schedule(Rc::clone(node)));
-    spawn_local(runner::save_outputs(Rc::clone(node)));
+    spawn_local(writes::save_outputs(Rc::clone(node)));
     spawn_local(ownership::look_after(Rc::clone(node)));
 }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -6,16 +6,15 @@
 use gateway::{
     BatchDemand, BatchRun, Route, RouteTable, RunForecast, Target, Urgency, service_hash,
 };
-use ledger::{CommitOutcome, CommitStep, JobRecord, OwnedJob, Partial, RunEnd};
+use ledger::{JobRecord, OwnedJob, Partial, RunEnd};
 use model::{JobId, ServiceName, UpstreamId};
-use platform::{StoreError, TransactOutcome};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
-    time::{sleep, timeout},
+    time::timeout,
 };
 
-use super::{item_run, storage::JobRows};
+use super::{item_run, writes};
 use crate::{
     clock::unix_ms,
     node::{Node, Stage},
@@ -25,24 +24,17 @@
 const BUSY_TICK: Duration = Duration::from_millis(100);
 /// Time between looks while nothing waits.
 const IDLE_TICK: Duration = Duration::from_secs(1);
-/// Time between two saves of the outputs of running items.
-const SAVE_INTERVAL: Duration = Duration::from_secs(2);
-/// Bytes of outputs that one save takes.
-const SAVE_MAX_BYTES: usize = 256 * 1024;
 /// Entries of the queue that other instances are told of.
 const QUEUE_MAX_ENTRIES: usize = 16;
-/// Wait before a write of results is repeated, milliseconds.
-const COMMIT_RETRY_MS: u64 = 100;
-const COMMIT_RETRY_MAX_MS: u64 = 1_000;
 
 /// Jobs that this instance owns and the runs of their items.
 #[derive(Debug, Default)]
 pub(crate) struct Runner {
     /// Sorted by id.
-    jobs: Vec<OwnedJob>,
+    pub(super) jobs: Vec<OwnedJob>,
     runs: Vec<Run>,
     /// Jobs whose results are being written.
-    committing: Vec<JobId>,
+    pub(super) committing: Vec<JobId>,
     /// Jobs whose items are being read.
     pub(super) loading: Vec<JobId>,
     forecast: RunForecast,
@@ -116,7 +108,7 @@
         std::mem::take(&mut self.jobs)
     }
 
-    fn find(&self, id: &JobId) -> Result<usize, usize> {
+    pub(super) fn find(&self, id: &JobId) -> Result<usize, usize> {
         self.jobs.binary_search_by(|job| job.id().cmp(id))
     }
 
@@ -245,7 +237,7 @@
         start_items(node);
     }
     update_queue(node);
-    start_commits(node);
+    writes::start_commits(node);
 }
 
 /// Gives up items whose time is over or whose route is gone.
@@ -352,49 +344,6 @@
     }
 }
 
-/// Saves the outputs of running items from time to time, so that another
-/// instance can go on with them if this one is lost.
-pub(super) async fn save_outputs(node: Rc<Node>) {
-    loop {
-        sleep(SAVE_INTERVAL).await;
-        if node.store_health.is_away() {
-            continue;
-        }
-        let unsaved: Vec<_> = {
-            let mut runner = node.runner.borrow_mut();
-            let jobs = runner.jobs.iter_mut();
-            jobs.map(|job| {
-                (
-                    job.id().clone(),
-                    job.version(),
-                    job.unsaved_partials(SAVE_MAX_BYTES),
-                )
-            })
-            .filter(|(_, _, partials)| !partials.is_empty())
-            .collect()
-        };
-        for (id, version, partials) in unsaved {
-            save(&node, &id, version, &partials).await;
-        }
-    }
-}
-
-async fn save(node: &Node, id: &JobId, version: u64, partials: &[Partial]) {
-    let row_max_bytes = node.settings().store_limits.row_max_bytes;
-    let rows = JobRows::new(&node.store, row_max_bytes);
-    match rows.save_partials(id, version, partials).await {
-        Ok(outcome) => log::debug!(
-            "event=outputs_saved job={id} items={} stored={}",
-            partials.len(),
-            matches!(outcome, TransactOutcome::Committed { .. })
-        ),
-        Err(error) => log::warn!(
-            "event=outputs_not_saved job={id} error={}",
-            process::quote(&error)
-        ),
-    }
-}
-
 /// Records the end of a run.
 pub(super) fn run_ended(node: &Rc<Node>, id: &JobId, partial: Partial, run: EndedRun) {
     node.metrics.on_item_run(run.end);
@@ -425,83 +374,3 @@
         runner.jobs[index].progress(partial);
     }
 }
-
-fn start_commits(node: &Rc<Node>) {
-    let mut runner = node.runner.borrow_mut();
-    let Runner {
-        jobs, committing, ..
-    } = &mut *runner;
-    for job in jobs {
-        if !committing.contains(job.id()) && job.next_commit().is_some() {
-            committing.push(job.id().clone());
-            spawn_local(commit(Rc::clone(node), job.id().clone()));
-        }
-    }
-}
-
-/// Writes the results of a job until none waits.
-async fn commit(node: Rc<Node>, id: JobId) {
-    let mut retry_ms = COMMIT_RETRY_MS;
-    loop {
-        let due = {
-            let mut runner = node.runner.borrow_mut();
-            let found = runner.find(&id);
-            found
-                .ok()
-                .and_then(|index| runner.jobs[index].next_commit().cloned())
-        };
-        let Some(due) = due else { break };
-        let row_max_bytes = node.settings().store_limits.row_max_bytes;
-        let rows = JobRows::new(&node.store, row_max_bytes);
-        let outcome = rows.commit(&id, &due).await;
-        log_commit(&id, due.first_position, due.results.len(), &outcome);
-        let outcome = outcome.unwrap_or(CommitOutcome::Unsettled);
-        let is_stored = matches!(outcome, CommitOutcome::Committed { .. });
-        let step = {
-            let mut runner = node.runner.borrow_mut();
-            let found = runner.find(&id);
-            found
-                .ok()
-                .map(|index| runner.jobs[index].commit_ended(outcome))
-        };
-        if is_stored {
-            for result in &due.results {
-                node.metrics.on_item_listed(result.outcome);
-            }
-        }
-        match step {
-            Some(CommitStep::Stored | CommitStep::Rebuild) => retry_ms = COMMIT_RETRY_MS,
-            Some(CommitStep::Repeat) => {
-                sleep(Duration::from_millis(retry_ms)).await;
-                retry_ms = (retry_ms * 2).min(COMMIT_RETRY_MAX_MS);
-            }
-            Some(CommitStep::Stop) | None => break,
-        }
-    }
-    node.runner
-        .borrow_mut()
-        .committing
-        .retain(|other| *other != id);
-    node.batch_changed.notify_one();
-}
-
-fn log_commit(
-    id: &JobId,
-    first_position: u64,
-    results: usize,
-    outcome: &Result<CommitOutcome, StoreError>,
-) {
-    match outcome {
-        Ok(CommitOutcome::Committed { version }) => log::info!(
-            "event=results_stored job={id} first_position={first_position} results={results} version={version}"
-        ),
-        Ok(other) => log::warn!(
-            "event=results_not_stored job={id} first_position={first_position} outcome={}",
-            process::quote(&format!("{other:?}"))
-        ),
-        Err(error) => log::warn!(
-            "event=results_not_stored job={id} first_position={first_position} error={}",
-            process::quote(error)
-        ),
-    }
-}
--- a/crates/process/src/log_queue.rs
+++ b/crates/process/src/log_queue.rs
@@ -7,14 +7,15 @@
 use std::{
     io::{self, Write},
     sync::{
-        atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
 };
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, writers::LogWriter};
-use log::Record;
+use log::{Level, Record};
 
 use crate::event::write_line;
 
@@ -22,6 +23,9 @@
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4_096;
+/// Calm lines are left out when this many wait; the rest of the queue is for
+/// warnings and errors.
+const CALM_LINES: usize = QUEUE_LINES / 4 * 3;
 
 /// Starts logging to standard output without ever blocking. `level` is a
 /// `flexi_logger` specification such as `info`. Keep the handle alive as long
@@ -46,6 +50,7 @@
 #[derive(Debug)]
 pub struct LogQueue {
     lines: SyncSender<Vec<u8>>,
+    waiting: Arc<AtomicUsize>,
     left_out: AtomicU64,
 }
 
@@ -54,27 +59,50 @@
     #[must_use]
     pub fn new(output: impl Write + Send + 'static) -> Self {
         let (lines, queue) = sync_channel(QUEUE_LINES);
-        thread::spawn(move || write_lines(&queue, output));
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let written = Arc::clone(&waiting);
+        thread::spawn(move || write_lines(&queue, &written, output));
         Self {
             lines,
+            waiting,
             left_out: AtomicU64::new(0),
         }
     }
 
-    /// Puts a line into the queue, or leaves it out if the queue is full.
-    pub fn push(&self, line: Vec<u8>) {
+    /// Puts a line into the queue, or leaves it out if there is no room for
+    /// lines of its kind.
+    pub fn push(&self, line: Vec<u8>, is_calm: bool) {
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        if is_calm && waiting >= CALM_LINES {
+            self.leave_out();
+            return;
+        }
         let left_out = self.left_out.load(Ordering::Relaxed);
-        if left_out > 0 {
+        if left_out > 0 && waiting < CALM_LINES {
             let note = format!("level=warn event=log_lines_left_out count={left_out}\n");
-            if self.lines.try_send(note.into_bytes()).is_ok() {
+            if self.send(note.into_bytes()) {
                 self.left_out.fetch_sub(left_out, Ordering::Relaxed);
             }
         }
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
-            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        if !self.send(line) {
+            self.leave_out();
         }
     }
+
+    fn send(&self, line: Vec<u8>) -> bool {
+        // Counted first, so that the thread never takes away what is missing.
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let is_sent = self.lines.try_send(line).is_ok();
+        if !is_sent {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+        is_sent
+    }
+
+    fn leave_out(&self) {
+        self.left_out.fetch_add(1, Ordering::Relaxed);
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 impl LogWriter for LogQueue {
@@ -82,7 +110,7 @@
         let mut line = Vec::with_capacity(160);
         write_line(&mut line, now, record)?;
         line.push(b'\n');
-        self.push(line);
+        self.push(line, record.level() >= Level::Info);
         Ok(())
     }
 
@@ -92,11 +120,14 @@
 }
 
 /// Writes what has gathered in one go.
-fn write_lines(queue: &Receiver<Vec<u8>>, mut output: impl Write) {
+fn write_lines(queue: &Receiver<Vec<u8>>, waiting: &AtomicUsize, mut output: impl Write) {
     while let Ok(mut text) = queue.recv() {
+        let mut taken = 1;
         for line in queue.try_iter() {
             text.extend_from_slice(&line);
+            taken += 1;
         }
+        waiting.fetch_sub(taken, Ordering::Relaxed);
         // Nobody can be told that standard output is closed.
         if output
             .write_all(&text)
