node: refuse jobs at once while the store is known to be out of reach

Change: an instance that knows it, and whose peers reach the store, refuses without trying; an instance that hears no peer at all counts as cut off. Notices are repeated every half second at rest too.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -323,12 +323,16 @@
         round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
     }
 
-    /// Whether some peer reached the store lately.
+    /// Whether another instance probably reaches the store while this one does
+    /// not: a peer says so, or `has_peers` and none is heard, which means that
+    /// this instance is cut off.
     #[must_use]
-    pub fn peers_reach_store(&self) -> bool {
-        self.peers
-            .notices()
-            .any(|notice| notice.store_age_ms < STORE_REACHED_MS)
+    pub fn store_is_better_elsewhere(&self, has_peers: bool) -> bool {
+        let mut notices = self.peers.notices().peekable();
+        if notices.peek().is_none() {
+            return has_peers;
+        }
+        notices.any(|notice| notice.store_age_ms < STORE_REACHED_MS)
     }
 
     /// When this instance last sent an online request to a service.
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -60,6 +60,11 @@
         log::warn!("event=job_refused job={id} reason=no_lease");
         return answer::not_run(NOT_STORED_RETRY_MS, "the store has not answered yet");
     }
+    if node.store_health.is_away() && is_better_elsewhere(node) {
+        log::warn!("event=job_refused job={id} reason=store_away");
+        node.metrics.on_job_refused();
+        return answer::not_run(NOT_STORED_RETRY_MS, "the store is out of reach here");
+    }
     let items = match platform::decode_job(body) {
         Ok(items) if !items.is_empty() => items,
         Ok(_) => return answer::plain(StatusCode::BAD_REQUEST, "the job has no items"),
@@ -124,10 +129,7 @@
                     );
                 }
             }
-            // Another instance can store the job now, which is better for the
-            // caller than waiting here.
-            let is_better_elsewhere =
-                !may_be_stored && self.node.fleet.borrow().peers_reach_store();
+            let is_better_elsewhere = !may_be_stored && is_better_elsewhere(&self.node);
             let is_time_up = self.node.now_ms() + RETRY_MS >= self.retry_until_ms;
             if is_better_elsewhere || is_time_up {
                 return self.not_accepted(may_be_stored);
@@ -167,6 +169,13 @@
     }
 }
 
+/// Whether another instance can store a job now, which is better for the caller
+/// than waiting here.
+fn is_better_elsewhere(node: &Node) -> bool {
+    let has_peers = node.directory.borrow().peer_addresses().next().is_some();
+    node.fleet.borrow().store_is_better_elsewhere(has_peers)
+}
+
 fn new_record(
     node: &Node,
     route: &Route,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,7 +14,7 @@
 
 /// Shortest time between two notices, milliseconds.
 const NOTICE_INTERVAL_MS: u64 = 20;
-/// A notice is repeated after this time while something is in flight.
+/// A notice is repeated after this time, so that peers know who is cut off.
 const NOTICE_REPEAT: Duration = Duration::from_millis(500);
 /// Datagrams that one instance may send a second.
 const DATAGRAMS_PER_S: u64 = 500;
@@ -68,20 +68,13 @@
 
 async fn send(node: Rc<Node>, socket: Rc<UdpSocket>, heard: Rc<RefCell<Heard>>) {
     let mut sequence = 0;
-    let mut was_idle = true;
     loop {
-        if was_idle {
-            node.load_changed.notified().await;
-        } else {
-            // Time passing means that the last notice is due again.
-            let _ = timeout(NOTICE_REPEAT, node.load_changed.notified()).await;
-        }
+        // Time passing means that the last notice is due again.
+        let _ = timeout(NOTICE_REPEAT, node.load_changed.notified()).await;
         sequence += 1;
         let notice = notice(&node, sequence);
-        let is_idle = notice.loads.is_empty() && notice.batch_queue.is_empty();
         let addresses = peer_addresses(&node, &heard);
         send_to(&socket, &addresses, &notice).await;
-        was_idle = is_idle;
         let interval_ms =
             (addresses.len() as u64 * 1_000 / DATAGRAMS_PER_S).max(NOTICE_INTERVAL_MS);
         sleep(Duration::from_millis(interval_ms)).await;
