node: an owner that the store turns away hears of takeovers from its peers

Change: notices name the jobs that their sender took over in the last 30 s, with the version; an owner with an older version drops the job.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,7 @@
     events::{Event, EventError, EventSplitter},
     fleet::{BatchRun, Fleet, Home, WorkKind},
     forecast::{RunForecast, Urgency},
-    peers::{LoadNotice, UpstreamLoad, upstream_hash},
+    peers::{LoadNotice, TakenOver, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, RefusalReason, Target},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     upstream::{PromptPart, UpstreamEntry, UpstreamState},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 //! Each instance tells its peers how many requests it has at each upstream.
 //! A notice carries the whole state, so a lost one is made good by the next.
 
-use model::{InstanceId, Region, UpstreamId};
+use model::{InstanceId, JobId, Region, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,12 +25,30 @@
     pub region: Region,
     /// Time since it last had an answer of the store, milliseconds.
     pub store_age_ms: u64,
+    /// Jobs that the instance took over lately.
+    pub taken_over: Vec<TakenOver>,
     /// Batch items that wait for an upstream, most urgent first.
     pub batch_queue: Vec<BatchDemand>,
     /// Load by upstream, sorted by [`upstream_hash`]; only what is not zero.
     pub loads: Vec<UpstreamLoad>,
 }
 
+/// A job that changed its owner. An owner that cannot reach the store learns in
+/// this way that the job is no longer its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenOver {
+    /// Hash of the job's id, from [`job_hash`].
+    pub job: u64,
+    /// Version of the record since which it has the new owner.
+    pub version: u64,
+}
+
+/// Short name of a job in notices.
+#[must_use]
+pub fn job_hash(id: &JobId) -> u64 {
+    xxh3_64(id.as_str().as_bytes())
+}
+
 /// What one instance has in flight at one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamLoad {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -99,6 +99,7 @@
         sequence,
         region: Region::new("north"),
         store_age_ms: 0,
+        taken_over: Vec::new(),
         batch_queue: Vec::new(),
         loads,
     }
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -327,6 +327,14 @@
         }
     }
 
+    /// Takes in that another instance owns the job since `version`. Returns
+    /// whether that is news.
+    pub fn fence(&mut self, version: u64) -> bool {
+        let is_news = !self.has_lost_ownership && version > self.version;
+        self.has_lost_ownership |= is_news;
+        is_news
+    }
+
     /// Takes in news of the record from elsewhere.
     pub fn observe(&mut self, record: &JobRecord, version: u64) {
         if version <= self.version {
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -257,3 +257,15 @@
         .collect();
     assert_eq!(saved, [1]);
 }
+
+/// An owner that the store turns away hears from a peer that the job was taken
+/// over; what it still runs would be run twice.
+#[test]
+fn fence_newer_owner_ends_the_work() {
+    let mut job = job(2);
+    assert!(!job.fence(10), "its own version");
+    assert!(job.is_active());
+    assert!(job.fence(11));
+    assert!(!job.is_active());
+    assert!(!job.fence(12), "no news any more");
+}
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -118,6 +118,9 @@
         .loading
         .retain(|other| *other != id);
     if let Some((record, version)) = taken {
+        let now_ms = node.now_ms();
+        node.runner.borrow_mut().note_takeover(&id, version, now_ms);
+        node.load_changed.notify_one();
         load(&node, id, record, version);
     }
 }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, Route, RouteTable, RunForecast, Target, Urgency, service_hash,
+    BatchDemand, BatchRun, Route, RouteTable, RunForecast, TakenOver, Target, Urgency, job_hash,
+    service_hash,
 };
 use ledger::{JobRecord, OwnedJob, Partial, RunEnd};
 use model::{JobId, ServiceName, UpstreamId};
@@ -24,6 +25,9 @@
 const BUSY_TICK: Duration = Duration::from_millis(100);
 /// Time between looks while nothing waits.
 const IDLE_TICK: Duration = Duration::from_secs(1);
+/// How long peers are told of a job that was taken over, milliseconds: longer
+/// than the store turns an instance away as a rule.
+const TAKEOVER_NEWS_MS: u64 = 30_000;
 /// Entries of the queue that other instances are told of.
 const QUEUE_MAX_ENTRIES: usize = 16;
 
@@ -38,6 +42,14 @@
     /// Jobs whose items are being read.
     pub(super) loading: Vec<JobId>,
     forecast: RunForecast,
+    taken_over: Vec<RecentTakeover>,
+}
+
+/// A job that this instance took over, told to its peers for a while.
+#[derive(Debug, Clone, Copy)]
+struct RecentTakeover {
+    taken_over: TakenOver,
+    until_ms: u64,
 }
 
 #[derive(Debug)]
@@ -85,6 +97,40 @@
         }
     }
 
+    /// Tells peers of a job that was taken over.
+    pub(super) fn note_takeover(&mut self, id: &JobId, version: u64, now_ms: u64) {
+        let taken_over = TakenOver {
+            job: job_hash(id),
+            version,
+        };
+        let until_ms = now_ms + TAKEOVER_NEWS_MS;
+        self.taken_over.push(RecentTakeover {
+            taken_over,
+            until_ms,
+        });
+    }
+
+    /// Jobs taken over lately.
+    pub(crate) fn recent_takeovers(&mut self, now_ms: u64) -> Vec<TakenOver> {
+        self.taken_over.retain(|recent| now_ms < recent.until_ms);
+        self.taken_over
+            .iter()
+            .map(|recent| recent.taken_over)
+            .collect()
+    }
+
+    /// Gives up jobs that a peer took over.
+    pub(crate) fn fence(&mut self, taken_over: &[TakenOver]) {
+        for job in &mut self.jobs {
+            let hash = job_hash(job.id());
+            for other in taken_over.iter().filter(|other| other.job == hash) {
+                if job.fence(other.version) {
+                    log::warn!("event=job_lost job={} version={}", job.id(), other.version);
+                }
+            }
+        }
+    }
+
     /// Whether a job is owned or about to be.
     pub(super) fn has(&self, id: &JobId) -> bool {
         self.find(id).is_ok() || self.loading.contains(id)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -58,6 +58,7 @@
             Ok((notice, _)) => {
                 let now_ms = node.now_ms();
                 heard.borrow_mut().note(sender, now_ms);
+                node.runner.borrow_mut().fence(&notice.taken_over);
                 node.fleet.borrow_mut().receive_notice(notice, now_ms);
                 node.batch_changed.notify_one();
             }
@@ -89,6 +90,7 @@
         sequence,
         region: node.settings().region.clone(),
         store_age_ms: node.store_health.age_ms(node.now_ms()),
+        taken_over: node.runner.borrow_mut().recent_takeovers(node.now_ms()),
         batch_queue: fleet.batch_queue().to_vec(),
         loads: fleet.own_loads(),
     }
