--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -227,6 +227,8 @@
             Ok(index) if self.nodes[index].beat.owner == *owner => {
                 (!self.nodes[index].is_live(now_ms)).then_some(0)
             }
+            // A later incarnation is there, so this one has ended.
+            Ok(index) if self.nodes[index].beat.owner > *owner => Some(0),
             Ok(_) | Err(_) => Some(OWNER_NEWS_MS),
         }
     }
