--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -36,6 +36,8 @@
 /// Share of the store's writing calls that heartbeats may take: one in this
 /// many.
 const BEAT_WRITE_SHARE: u64 = 10;
+/// Time between two looks at the settings file.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
 /// First wait after a failed call, milliseconds.
 const RETRY_MS: u64 = 100;
 /// Longest wait after failed calls, milliseconds.
@@ -59,6 +61,25 @@
         spawn_local(feed.follow(Rc::clone(node)));
     }
     spawn_local(beat(Rc::clone(node)));
+    spawn_local(watch_settings(Rc::clone(node)));
+}
+
+/// Reads the settings file again when it was changed without a signal.
+async fn watch_settings(node: Rc<Node>) {
+    let mut read = platform::settings_changed_at().ok();
+    loop {
+        sleep(SETTINGS_CHECK).await;
+        match platform::settings_changed_at() {
+            Ok(changed) if read != Some(changed) => {
+                read = Some(changed);
+                reload_settings(&node);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!("event=settings_refused problem={}", process::quote(&error));
+            }
+        }
+    }
 }
 
 /// Reads the settings file again. A wrong one is refused.
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -190,7 +190,8 @@
     let node = &world.nodes[0];
     std::fs::write(node.settings_path(), "{}").unwrap();
     node.signal(Signal::SIGHUP);
-    sleep(Duration::from_millis(200)).await;
+    // Also without a signal, the process finds the file changed.
+    sleep(Duration::from_millis(2_300)).await;
     assert!(node.is_ready().await);
     assert_eq!(node.ask("/long/a", "r1").await.body, whole_stream("r1"));
 }
