node: restart silent feeds when the store is back; wait for the first reads

Change: the first answer after an outage makes all feeds begin anew; a request waits up to 200 ms for the first reads.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -142,6 +142,7 @@
 
     async fn follow(self, node: Rc<Node>) {
         let failures = Failures::default();
+        let mut returns = node.store_health.returns();
         loop {
             let mut version = match self.snapshot(&node).await {
                 Ok(version) => version,
@@ -153,7 +154,12 @@
             };
             loop {
                 let wait_ms = feed_wait_ms(&node);
-                match node.store.feed(self.table(), version, wait_ms).await {
+                let call = node.store.feed(self.table(), version, wait_ms);
+                let changes = tokio::select! {
+                    changes = call => changes,
+                    _ = returns.changed() => continue,
+                };
+                match changes {
                     Ok(page) => {
                         self.note_answer(&node);
                         failures.reset();
@@ -217,6 +223,7 @@
                 let mut fleet = node.fleet.borrow_mut();
                 fleet.retain_listed(&listed, may_have_lapsed, now_ms);
                 node.has_servers.set(true);
+                node.note_read();
                 log::info!("event=servers_read count={}", fleet.ready_count());
             }
             Self::Nodes => node.has_nodes.set(true),
@@ -261,6 +268,7 @@
             let version = table.version;
             let routes = table.routes().len();
             if node.apply_routes(table) {
+                node.note_read();
                 log::info!("event=config_applied config_version={version} routes={routes}");
                 node.batch_changed.notify_one();
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,12 +4,16 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use gateway::{Fleet, Home, RouteTable};
 use ledger::{Directory, OwnerId};
 use platform::{Settings, Store};
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 
 use crate::{
     clock::{Clock, unix_ms},
@@ -18,6 +22,12 @@
     metrics::Metrics,
 };
 
+/// How long a request waits for the first reads after the start.
+const START_WAIT: Duration = Duration::from_millis(200);
+/// After an outage of this length, calls that began before it are made anew,
+/// milliseconds.
+const STALE_CALLS_MS: u64 = 500;
+
 /// Shared state.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -31,6 +41,8 @@
     /// `None` until the configuration was read.
     routes: RefCell<Option<Arc<RouteTable>>>,
     pub(crate) fleet: RefCell<Fleet>,
+    /// Whether configuration and servers were read.
+    has_basics: watch::Sender<bool>,
     pub(crate) has_servers: Cell<bool>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_nodes: Cell<bool>,
@@ -68,10 +80,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     answered_ms: Cell<u64>,
-    failed_ms: Cell<u64>,
     /// When the store came back after it had been away.
     returned_ms: Cell<Option<u64>>,
-    is_away: Cell<bool>,
+    away_since_ms: Cell<Option<u64>>,
+    /// Counts returns after which calls in flight cannot be trusted.
+    returns: watch::Sender<u64>,
 }
 
 impl Node {
@@ -96,6 +109,7 @@
             clock: Clock::new(),
             routes: RefCell::default(),
             fleet: RefCell::new(Fleet::new(home, rand::random())),
+            has_basics: watch::Sender::new(false),
             has_servers: Cell::default(),
             directory: RefCell::new(Directory::new(me.clone())),
             has_nodes: Cell::default(),
@@ -143,7 +157,21 @@
 
     /// Whether callers may come.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving && self.has_servers.get() && self.routes.borrow().is_some()
+        self.stage() == Stage::Serving && *self.has_basics.borrow()
+    }
+
+    /// Notes that something was read without which no request can be placed.
+    pub(crate) fn note_read(&self) {
+        let is_complete = self.has_servers.get() && self.routes.borrow().is_some();
+        self.has_basics.send_replace(is_complete);
+    }
+
+    /// Waits a little for the first reads after the start.
+    pub(crate) async fn wait_for_basics(&self) {
+        let mut has_basics = self.has_basics.subscribe();
+        let complete = has_basics.wait_for(|is_complete| *is_complete);
+        // A request that waited in vain is refused by who needs what is missing.
+        let _ = timeout(START_WAIT, complete).await;
     }
 
     /// Stage of the process.
@@ -161,27 +189,39 @@
     /// Records an answer. Returns whether the store had been away.
     pub(crate) fn answered(&self, now_ms: u64) -> bool {
         self.answered_ms.set(now_ms);
-        let was_away = self.is_away.replace(false);
-        if was_away {
-            self.returned_ms.set(Some(now_ms));
+        let Some(since_ms) = self.away_since_ms.take() else {
+            return false;
+        };
+        self.returned_ms.set(Some(now_ms));
+        if now_ms >= since_ms + STALE_CALLS_MS {
+            self.returns.send_modify(|count| *count += 1);
         }
-        was_away
+        true
+    }
+
+    /// Changes when the store is back after a time in which connections may
+    /// have gone silent.
+    pub(crate) fn returns(&self) -> watch::Receiver<u64> {
+        self.returns.subscribe()
     }
 
     /// Records a failed call. Returns whether the store had been there.
     pub(crate) fn failed(&self, now_ms: u64) -> bool {
-        self.failed_ms.set(now_ms);
-        !self.is_away.replace(true)
+        if self.is_away() {
+            return false;
+        }
+        self.away_since_ms.set(Some(now_ms));
+        true
     }
 
     /// Whether the last call failed.
     pub(crate) fn is_away(&self) -> bool {
-        self.is_away.get()
+        self.away_since_ms.get().is_some()
     }
 
     /// Whether the store was away at some time since `since_ms`.
     pub(crate) fn was_away_since(&self, since_ms: u64) -> bool {
-        self.is_away.get()
+        self.is_away()
             || self
                 .returned_ms
                 .get()
