--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -202,11 +202,11 @@
 async fn feeds_that_went_silent_begin_anew_when_the_store_is_back() {
     let world = World::start(&[4], 1).await;
     let store = world.store.address();
-    let silent = json!({"kind": "hang", "path": "/rows-feed", "times": 4});
+    let silent = json!({"kind": "hang", "path": "/rows-feed", "for_ms": 600});
     world.fault(store, silent).await;
     // Ends the present wait; the next one meets the silence.
     world.put_config(2).await;
-    sleep(Duration::from_millis(300)).await;
+    sleep(Duration::from_millis(620)).await;
     let away = json!({"kind": "refuse", "path": "/rows-tx", "for_ms": 1_400});
     world.fault(store, away).await;
     sleep(Duration::from_millis(1_500)).await;
@@ -218,7 +218,7 @@
     })
     .await;
     assert!(
-        started.elapsed() < Duration::from_millis(1_600),
+        started.elapsed() < Duration::from_millis(1_150),
         "{:?}",
         started.elapsed()
     );
