node: a stopping process no longer locks itself up

Change: the wait drops the value; the log is flushed before the process ends. Test: planned_stop_finishes_a_stream_that_ends_late fails without the change.

--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::spawn_local,
     time::sleep,
 };
@@ -60,7 +61,7 @@
     loop {
         let stream = tokio::select! {
             stream = accept(&listener) => stream,
-            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+            () = reached(&mut stage, Stage::Closed) => return,
         };
         // Counted before anybody can find that no connection is open.
         let open = OpenConnection::new(Rc::clone(&node));
@@ -99,7 +100,7 @@
     let mut stage = node.stage.subscribe();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => {
+        () = reached(&mut stage, Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -112,6 +113,13 @@
     }
 }
 
+/// Waits for a stage. Returns nothing: what `wait_for` returns holds a lock, and
+/// the next stage could not be set while it lives.
+async fn reached(stage: &mut watch::Receiver<Stage>, at: Stage) {
+    // An error means that the process is ending.
+    drop(stage.wait_for(|stage| *stage >= at).await);
+}
+
 /// Counts a connection of a caller until it is dropped.
 #[derive(Debug)]
 struct OpenConnection {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -50,7 +50,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    let _logs = match process::init_decision_logs(&options.log_level) {
+    let logs = match process::init_decision_logs(&options.log_level) {
         Ok(logs) => logs,
         Err(error) => {
             eprintln!("{PROGRAM}: --log-level: {error}");
@@ -65,12 +65,14 @@
         }
     };
     let tasks = LocalSet::new();
-    match tasks.block_on(&runtime, run(settings, options.metrics_port)) {
+    let ended = tasks.block_on(&runtime, run(settings, options.metrics_port));
+    if let Err(error) = &ended {
+        log::error!("event=exit error={}", process::quote(error));
+    }
+    logs.flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=exit error={}", process::quote(&error));
-            ExitCode::FAILURE
-        }
+        Err(_) => ExitCode::FAILURE,
     }
 }
 
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -223,3 +223,18 @@
         started.elapsed()
     );
 }
+
+/// A stream that is still open when connections are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_finishes_a_stream_that_ends_late() {
+    let mut world = World::start(&[8], 1).await;
+    let address = world.servers[0].standin.address();
+    let slow = json!({"kind": {"slow": {"delay_ms": 3_500}}, "path": "/once/"});
+    world.fault(address, slow).await;
+    let node = &world.nodes[0];
+    node.signal(Signal::SIGTERM);
+    sleep(Duration::from_secs(1)).await;
+    let answer = node.ask("/once/a", "r1").await;
+    assert_eq!(answer.body, whole_stream("r1"));
+    assert!(world.nodes[0].wait_end().await);
+}
--- a/crates/process/src/log_queue.rs
+++ b/crates/process/src/log_queue.rs
@@ -12,6 +12,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, writers::LogWriter};
@@ -23,6 +24,9 @@
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4_096;
+/// Longest wait for the queue to be written at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(100);
+const FLUSH_POLL: Duration = Duration::from_millis(1);
 /// Calm lines are left out when this many wait; the rest of the queue is for
 /// warnings and errors.
 const CALM_LINES: usize = QUEUE_LINES / 4 * 3;
@@ -114,7 +118,12 @@
         Ok(())
     }
 
+    /// Waits a little until everything is written, for the end of the process.
     fn flush(&self) -> io::Result<()> {
+        let deadline = Instant::now() + FLUSH_LIMIT;
+        while self.waiting.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+            thread::sleep(FLUSH_POLL);
+        }
         Ok(())
     }
 }
@@ -127,13 +136,10 @@
             text.extend_from_slice(&line);
             taken += 1;
         }
+        let written = output.write_all(&text).and_then(|()| output.flush());
         waiting.fetch_sub(taken, Ordering::Relaxed);
         // Nobody can be told that standard output is closed.
-        if output
-            .write_all(&text)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
+        if written.is_err() {
             return;
         }
     }
