--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -6,8 +6,8 @@
 use ledger::NodeBeat;
 use model::{InstanceId, UpstreamId};
 use platform::{
-    CONFIG_KEY, CONFIG_TABLE, Entry, Row, RowCondition, RowRange, SERVERS_TABLE, ServerRow,
-    StoreError, Transaction, decode_config, decode_server,
+    CONFIG_KEY, CONFIG_TABLE, Entry, Row, RowId, RowRange, SERVERS_TABLE, ServerRow, StoreError,
+    Transaction, decode_config, decode_server,
 };
 use tokio::{
     task::spawn_local,
@@ -104,7 +104,7 @@
 /// Tells the other instances that this one takes over no more jobs.
 pub(crate) async fn announce_stop(node: Rc<Node>) {
     let put = Transaction {
-        puts: vec![beat_entry(&node, Some(beat_interval_ms(&node)))],
+        puts: vec![beat_entry(&node, beat_interval_ms(&node))],
         ..Transaction::default()
     };
     if let Err(error) = node.store.transact(&put).await {
@@ -115,7 +115,7 @@
 /// Takes this instance's row out, so that nobody waits for its lease.
 pub(crate) async fn leave(node: Rc<Node>) {
     let removal = Transaction {
-        removals: vec![beat_entry(&node, None)],
+        removals: vec![node_row(&node.me.instance).removed()],
         ..Transaction::default()
     };
     if let Err(error) = node.store.transact(&removal).await {
@@ -340,7 +340,7 @@
     while node.stage() == Stage::Serving {
         let interval_ms = beat_interval_ms(&node);
         let put = Transaction {
-            puts: vec![beat_entry(&node, Some(interval_ms))],
+            puts: vec![beat_entry(&node, interval_ms)],
             ..Transaction::default()
         };
         let delay_ms = match node.store.transact(&put).await {
@@ -367,15 +367,10 @@
     }
     let forgotten = node.directory.borrow().forgotten_nodes(node.now_ms());
     for (instance, version) in forgotten {
-        let key = instance.as_str();
+        let row = node_row(&instance);
         let removal = Transaction {
-            conditions: vec![RowCondition {
-                table: NODES_TABLE.into(),
-                partition: "".into(),
-                key: key.into(),
-                version,
-            }],
-            removals: vec![node_entry(key, None)],
+            conditions: vec![row.clone().at_version(version)],
+            removals: vec![row.removed()],
             ..Transaction::default()
         };
         match node.store.transact(&removal).await {
@@ -390,28 +385,22 @@
     }
 }
 
-/// The row of this instance; `None` as interval leaves the content out.
-fn beat_entry(node: &Node, interval_ms: Option<u64>) -> Entry {
+fn beat_entry(node: &Node, interval_ms: u64) -> Entry {
     let settings = node.settings();
-    let content = interval_ms.map(|interval_ms| NodeBeat {
+    let beat = NodeBeat {
         owner: node.me.clone(),
         peer_address: settings.peer_listen,
         region: settings.region.as_str().into(),
         interval_ms,
         is_stopping: node.stage() != Stage::Serving,
-    });
+    };
     // Serializing texts and numbers cannot fail.
-    let value = content.map(|beat| Bytes::from(serde_json::to_vec(&beat).unwrap_or_default()));
-    node_entry(node.me.instance.as_str(), value)
+    let value = serde_json::to_vec(&beat).unwrap_or_default();
+    node_row(&node.me.instance).with_value(Bytes::from(value))
 }
 
-fn node_entry(key: &str, value: Option<Bytes>) -> Entry {
-    Entry {
-        table: NODES_TABLE.into(),
-        partition: "".into(),
-        key: key.into(),
-        value,
-    }
+fn node_row(instance: &InstanceId) -> RowId {
+    RowId::new(NODES_TABLE, "", instance.as_str())
 }
 
 fn live_instances(node: &Node) -> u64 {
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -10,7 +10,7 @@
 use ledger::{Commit, CommitOutcome, ItemResult, JobItem, JobRecord, Partial};
 use model::JobId;
 use platform::{
-    Entry, Row, RowCondition, RowRange, Store, StoreError, TransactOutcome, Transaction,
+    Entry, Row, RowCondition, RowId, RowRange, Store, StoreError, TransactOutcome, Transaction,
 };
 use serde_json::{from_slice, to_vec};
 
@@ -222,7 +222,7 @@
                 for chunk in keys.chunks(TRANSACTION_MAX_ROWS) {
                     let removals = chunk
                         .iter()
-                        .map(|key| entry(table, id, key, None))
+                        .map(|key| row_id(table, id, key).removed())
                         .collect();
                     let transaction = Transaction {
                         removals,
@@ -234,7 +234,7 @@
         }
         let transaction = Transaction {
             conditions: vec![record_condition(id, version)],
-            removals: vec![entry(JOBS_TABLE, id, id.as_str(), None)],
+            removals: vec![row_id(JOBS_TABLE, id, id.as_str()).removed()],
             ..Transaction::default()
         };
         self.store.transact(&transaction).await.map(|_| ())
@@ -307,7 +307,7 @@
             value.push(if index == last { LAST } else { NOT_LAST });
             value.extend_from_slice(part);
             let key = format!("{id}/{suffix}{index:04}");
-            entry(table, id, &key, Some(Bytes::from(value)))
+            row_id(table, id, &key).with_value(Bytes::from(value))
         };
         parts.iter().enumerate().map(row).collect()
     }
@@ -344,26 +344,16 @@
 }
 
 fn record_condition(id: &JobId, version: u64) -> RowCondition {
-    RowCondition {
-        table: JOBS_TABLE.into(),
-        partition: partition(id).into(),
-        key: id.as_str().into(),
-        version,
-    }
+    row_id(JOBS_TABLE, id, id.as_str()).at_version(version)
 }
 
 fn record_entry(id: &JobId, record: &JobRecord) -> Result<Entry, StoreError> {
     let value = to_vec(record).map_err(|error| StoreError::Protocol(error.to_string()))?;
-    Ok(entry(JOBS_TABLE, id, id.as_str(), Some(Bytes::from(value))))
+    Ok(row_id(JOBS_TABLE, id, id.as_str()).with_value(Bytes::from(value)))
 }
 
-fn entry(table: &'static str, id: &JobId, key: &str, value: Option<Bytes>) -> Entry {
-    Entry {
-        table: table.into(),
-        partition: partition(id).into(),
-        key: key.into(),
-        value,
-    }
+fn row_id(table: &'static str, id: &JobId, key: &str) -> RowId {
+    RowId::new(table, partition(id), key)
 }
 
 fn first_batch(puts: &[Entry]) -> usize {
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -53,12 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_breaks_goes_on_elsewhere() {
     let world = World::start(&[4, 4], 1).await;
-    for server in &world.servers {
-        let address = server.standin.address();
-        call(address, "POST", "/standin/cut?after=3", &[], Vec::new())
-            .await
-            .unwrap();
-    }
+    world.cut_next_streams(3).await;
     let answer = world.nodes[0].ask("/long/a", "r1").await;
     assert_eq!(answer.body, whole_stream("r1"));
     assert!(answer.is_whole);
@@ -70,12 +65,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_may_not_be_resumed_is_cut_visibly() {
     let world = World::start(&[4, 4], 1).await;
-    for server in &world.servers {
-        let address = server.standin.address();
-        call(address, "POST", "/standin/cut?after=3", &[], Vec::new())
-            .await
-            .unwrap();
-    }
+    world.cut_next_streams(3).await;
     let answer = world.nodes[0].ask("/once/a", "r1").await;
     assert_eq!(answer.status, StatusCode::OK);
     assert!(!answer.is_whole);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -166,6 +166,15 @@
         all
     }
 
+    /// Every server breaks its next stream off after some events.
+    pub async fn cut_next_streams(&self, after: u64) {
+        let path = format!("/standin/cut?after={after}");
+        for server in &self.servers {
+            let answer = call(server.standin.address(), "POST", &path, &[], Vec::new());
+            assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+        }
+    }
+
     /// Streams that run at a server.
     pub async fn running(&self, index: usize) -> u32 {
         let address = self.servers[index].standin.address();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,5 @@
-//! Client of the platform: the transactional table, the object store and the
-//! list of instances.
+//! Client of the table, the object store and the instance list that the own
+//! interface's programs use. The users' platform is met by `platform` instead.
 //!
 //! This crate exists so that one place knows the platform's protocol and its
 //! failures. Decisions about what to store live in the cores.
