node: followed tables are asked no more often than the store bears

Cause: each heartbeat woke the feed of every instance, so calls grew with the square of the fleet: 8.5 a second an instance with nine, beyond the store's 2,000 a second with fifty. Change: changes gather between two calls of a feed, for as long as keeps the calls of all instances within a share of the store's reads, a second at least for heartbeats and a tenth for jobs.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -31,6 +31,13 @@
 /// Share of the store's reading calls that feeds at rest may take: one in this
 /// many.
 const FEED_READ_SHARE: u64 = 4;
+/// The same for changes of the configuration, which must be in force soon.
+const CONFIG_READ_SHARE: u64 = 2;
+/// Shortest time between two looks at heartbeats, milliseconds: each instance
+/// writes about once in this time.
+const NODES_POLL_MS: u64 = 1_000;
+/// Shortest time between two looks at jobs, milliseconds.
+const JOBS_POLL_MS: u64 = 100;
 /// Shortest time between heartbeats, milliseconds.
 const BEAT_INTERVAL_MS: u64 = 1_000;
 /// Share of the store's writing calls that heartbeats may take: one in this
@@ -167,6 +174,9 @@
                         for row in &page.rows {
                             self.apply(&node, row);
                         }
+                        if !page.rows.is_empty() {
+                            sleep(self.poll_interval(&node)).await;
+                        }
                     }
                     Err(StoreError::HistoryGone) => {
                         log::warn!(
@@ -184,6 +194,21 @@
         }
     }
 
+    /// Shortest time between two calls that bring changes. Changes gather
+    /// meanwhile, so that the calls of all instances stay within a share of what
+    /// the store bears, however many instances and changes there are.
+    fn poll_interval(self, node: &Node) -> Duration {
+        let (shortest_ms, read_share) = match self {
+            Self::Config => (0, CONFIG_READ_SHARE),
+            Self::Servers => (0, FEED_READ_SHARE),
+            Self::Nodes => (NODES_POLL_MS, FEED_READ_SHARE),
+            Self::Jobs => (JOBS_POLL_MS, FEED_READ_SHARE),
+        };
+        let budget = (node.settings().store_limits.reads_per_s / read_share).max(1);
+        let fair_ms = live_instances(node) * 1_000 / budget;
+        Duration::from_millis(fair_ms.max(shortest_ms))
+    }
+
     /// Reads the whole table. Returns the version from which changes follow.
     async fn snapshot(self, node: &Rc<Node>) -> Result<u64, StoreError> {
         let mut first_version = None;
