node: the shares of the feeds leave room for other reads of the store

With half of the reads for changes of the configuration and an eighth for each other table, feeds take seven eighths at most; with the quarters of before they could take more than the store bears.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -31,7 +31,9 @@
 /// Share of the store's reading calls that feeds at rest may take: one in this
 /// many.
 const FEED_READ_SHARE: u64 = 4;
-/// The same for changes of the configuration, which must be in force soon.
+/// Share that calls which bring changes of one table may take: one in this many.
+const CHANGE_READ_SHARE: u64 = 8;
+/// The same for the configuration, which must be in force soon.
 const CONFIG_READ_SHARE: u64 = 2;
 /// Shortest time between two looks at heartbeats, milliseconds: each instance
 /// writes about once in this time.
@@ -200,9 +202,9 @@
     fn poll_interval(self, node: &Node) -> Duration {
         let (shortest_ms, read_share) = match self {
             Self::Config => (0, CONFIG_READ_SHARE),
-            Self::Servers => (0, FEED_READ_SHARE),
-            Self::Nodes => (NODES_POLL_MS, FEED_READ_SHARE),
-            Self::Jobs => (JOBS_POLL_MS, FEED_READ_SHARE),
+            Self::Servers => (0, CHANGE_READ_SHARE),
+            Self::Nodes => (NODES_POLL_MS, CHANGE_READ_SHARE),
+            Self::Jobs => (JOBS_POLL_MS, CHANGE_READ_SHARE),
         };
         let budget = (node.settings().store_limits.reads_per_s / read_share).max(1);
         let fair_ms = live_instances(node) * 1_000 / budget;
