--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -52,7 +52,7 @@
 
 /// What was spent on one request of a caller.
 #[derive(Debug, Clone)]
-pub struct Effort {
+pub struct RetryState {
     route: Arc<Route>,
     deadline_ms: u64,
     may_have_run: u32,
@@ -74,7 +74,7 @@
     }
 }
 
-impl Effort {
+impl RetryState {
     /// Nothing spent yet. The final answer is due at `deadline_ms`.
     #[must_use]
     pub fn new(route: Arc<Route>, deadline_ms: u64) -> Self {
--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -1,11 +1,11 @@
 //! How much batch work an upstream holds, and which instance may add to it.
 //!
 //! Load pattern: idle capacity lasts seconds, and several instances want to
-//! fill it at the same moment. Batch items take the places that online requests
+//! fill it at the same moment. Batch items take the slots that online requests
 //! leave over. Every instance knows what waits at the others and works out the
 //! same plan, most urgent items first, and carries out its own part of it. When
 //! online requests have to wait at an upstream, the least urgent items there
-//! make room.
+//! are preempted.
 
 use model::{InstanceId, Region, ServiceName, UpstreamId};
 use serde::{Deserialize, Serialize};
@@ -47,12 +47,12 @@
     demand: BatchDemand,
 }
 
-/// Free places of one upstream in the plan.
+/// Free slots of one upstream in the plan.
 #[derive(Debug)]
-struct Room<'a> {
+struct FreeSlots<'a> {
     row: &'a Row,
     region: Option<&'a Region>,
-    places: u32,
+    slots: u32,
 }
 
 impl Fleet {
@@ -60,40 +60,40 @@
     /// a service, one entry for each item.
     #[must_use]
     pub fn batch_plan(&self, service: &ServiceName, now_ms: u64) -> Vec<Target> {
-        let mut rooms = self.rooms(service, now_ms);
+        let mut free_slots = self.free_slots(service, now_ms);
         let mut own = Vec::new();
         for claim in self.claims(service_hash(service)) {
             for _ in 0..claim.demand.waiting {
-                let Some(room) = best_room(&mut rooms, &claim) else {
+                let Some(upstream) = best_slots(&mut free_slots, &claim) else {
                     return own;
                 };
-                room.places -= 1;
+                upstream.slots -= 1;
                 if *claim.instance == self.home.instance {
-                    own.push(Target::new(&room.row.entry));
+                    own.push(Target::new(&upstream.row.entry));
                 }
             }
         }
         own
     }
 
-    /// Upstreams at which items of this instance have to make room, with their
+    /// Upstreams at which items of this instance have to be preempted, with their
     /// number.
     #[must_use]
-    pub fn yields(&self) -> Vec<(UpstreamId, u32)> {
+    pub fn preemptions(&self) -> Vec<(UpstreamId, u32)> {
         self.rows
             .iter()
             .filter_map(|row| {
-                let count = self.own_yields(row);
+                let count = self.own_preemptions(row);
                 (count > 0).then(|| (row.entry.id.clone(), count))
             })
             .collect()
     }
 
-    /// The owners with the least urgent items at the upstream make room first;
+    /// The least urgent items at the upstream are preempted first;
     /// all instances work out the same order.
-    fn own_yields(&self, row: &Row) -> u32 {
+    fn own_preemptions(&self, row: &Row) -> u32 {
         let over = row.load().saturating_sub(row.entry.slots);
-        if over == 0 || row.own.yielding == 0 || row.online() == 0 {
+        if over == 0 || row.own.preemptible == 0 || row.online() == 0 {
             return 0;
         }
         let home = &self.home.instance;
@@ -104,12 +104,12 @@
             .collect();
         owners.push((row.own, home));
         owners.sort_by(|a, b| {
-            let least_urgent_first = b.0.yield_key.cmp(&a.0.yield_key);
+            let least_urgent_first = b.0.preempt_key.cmp(&a.0.preempt_key);
             least_urgent_first.then_with(|| a.1.cmp(b.1))
         });
         let mut left = over;
         for (load, instance) in owners {
-            let count = left.min(u32::from(load.yielding));
+            let count = left.min(u32::from(load.preemptible));
             if instance == home {
                 return count;
             }
@@ -140,16 +140,16 @@
         claims
     }
 
-    fn rooms(&self, service: &ServiceName, now_ms: u64) -> Vec<Room<'_>> {
+    fn free_slots(&self, service: &ServiceName, now_ms: u64) -> Vec<FreeSlots<'_>> {
         let reserve = self.online_reserve(service, now_ms);
         self.rows
             .iter()
             .filter(|row| row.entry.service == *service)
             .filter(|row| row.is_ready() && row.health.is_usable(now_ms))
-            .map(|row| Room {
+            .map(|row| FreeSlots {
                 row,
                 region: self.region_of(&row.entry.failure_domain),
-                places: row.entry.slots.saturating_sub(row.load() + reserve),
+                slots: row.entry.slots.saturating_sub(row.load() + reserve),
             })
             .collect()
     }
@@ -170,15 +170,18 @@
     }
 }
 
-/// The room for an item of a claim: in its own region if possible, where most
-/// places are free.
-fn best_room<'a, 'b>(rooms: &'a mut [Room<'b>], claim: &Claim<'_>) -> Option<&'a mut Room<'b>> {
-    rooms
+/// The upstream for an item of a claim: in its own region if possible, where most
+/// slots are free.
+fn best_slots<'a, 'b>(
+    free_slots: &'a mut [FreeSlots<'b>],
+    claim: &Claim<'_>,
+) -> Option<&'a mut FreeSlots<'b>> {
+    free_slots
         .iter_mut()
-        .filter(|room| room.places > 0)
-        .min_by_key(|room| {
-            let is_away = room.region != Some(claim.region);
-            let tie = room.row.hash ^ xxh3_64(claim.instance.as_str().as_bytes());
-            (is_away, std::cmp::Reverse(room.places), tie)
+        .filter(|upstream| upstream.slots > 0)
+        .min_by_key(|upstream| {
+            let is_away = upstream.region != Some(claim.region);
+            let tie = upstream.row.hash ^ xxh3_64(claim.instance.as_str().as_bytes());
+            (is_away, std::cmp::Reverse(upstream.slots), tie)
         })
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -98,7 +98,7 @@
     last_online_ms: u64,
 }
 
-/// Expected times that requests hold their places at a service.
+/// Expected times that requests hold their slots at a service.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Holds {
     pub(crate) online_ms: f64,
@@ -207,8 +207,8 @@
                 .iter()
                 .filter(|run| run.upstream == row.entry.id && !run.urgency.is_tight);
             let keys: Vec<_> = there.map(|run| run.urgency.key).collect();
-            row.own.yielding = u16::try_from(keys.len()).unwrap_or(u16::MAX);
-            row.own.yield_key = keys.into_iter().max().unwrap_or(0);
+            row.own.preemptible = u16::try_from(keys.len()).unwrap_or(u16::MAX);
+            row.own.preempt_key = keys.into_iter().max().unwrap_or(0);
         }
     }
 
@@ -294,7 +294,7 @@
         self.rows.iter().filter(|row| row.is_ready()).count()
     }
 
-    /// Expected times that requests hold their places, `default_ms` before any
+    /// Expected times that requests hold their slots, `default_ms` before any
     /// was measured.
     pub(crate) fn holds(&self, service: &ServiceName, default_ms: f64) -> Holds {
         let found = self
@@ -441,9 +441,9 @@
         u32::from(self.own.batch) + u32::from(self.peers.batch)
     }
 
-    /// Batch items of all instances that can make room.
-    pub(crate) fn yielding(&self) -> u32 {
-        u32::from(self.own.yielding) + u32::from(self.peers.yielding)
+    /// Batch items of all instances that can be preempted.
+    pub(crate) fn preemptible(&self) -> u32 {
+        u32::from(self.own.preemptible) + u32::from(self.peers.preemptible)
     }
 
     /// Requests of all instances.
--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -6,7 +6,7 @@
 
 use crate::estimate::Mean;
 
-/// An item with less time to spare keeps its place, milliseconds.
+/// An item with less time to spare keeps its slot, milliseconds.
 const TIGHT_MS: u64 = 1_000;
 /// Added to the due time of items that cannot be in time, milliseconds.
 const LATE_MS: u64 = 1 << 42;
@@ -23,7 +23,7 @@
 pub struct Urgency {
     /// Items with smaller keys go first.
     pub key: u64,
-    /// Whether the item would be late if it lost its place.
+    /// Whether the item would be late if it lost its slot.
     pub is_tight: bool,
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod upstream;
 
 pub use crate::{
-    attempts::{AttemptEnd, Effort, FinalAnswer, NextStep},
+    attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_share::{BatchDemand, service_hash},
     events::{Event, EventError, EventSplitter},
     fleet::{BatchRun, Fleet, Home, WorkKind},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,10 +58,10 @@
     pub online: u16,
     /// Batch items.
     pub batch: u16,
-    /// Batch items that can make room.
-    pub yielding: u16,
+    /// Batch items that can be preempted.
+    pub preemptible: u16,
     /// Urgency key of the least urgent of these.
-    pub yield_key: u64,
+    pub preempt_key: u64,
 }
 
 /// Short name of an upstream in notices.
@@ -129,7 +129,7 @@
             let load = notice.load(upstream);
             sum.online = sum.online.saturating_add(load.online);
             sum.batch = sum.batch.saturating_add(load.batch);
-            sum.yielding = sum.yielding.saturating_add(load.yielding);
+            sum.preemptible = sum.preemptible.saturating_add(load.preemptible);
         }
         sum
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: bursts fill every upstream. A request goes where its answer is
 //! expected to begin first; if that is later than its goal everywhere, it is
-//! refused at once and told when a place is expected, with the returns spread
+//! refused at once and told when a slot is expected, with the returns spread
 //! so that those refused together do not come back together.
 
 use std::net::SocketAddr;
@@ -20,9 +20,9 @@
 /// Cost of a full upstream over an empty one, milliseconds. It spreads requests
 /// that no peer has told of yet.
 const SPREAD_MS: f64 = 10.0;
-/// Time in which a batch item makes room, milliseconds: a notice to its owner
+/// Time in which a batch item is preempted, milliseconds: a notice to its owner
 /// and the end of its connection.
-const YIELD_MS: f64 = 60.0;
+const PREEMPTION_MS: f64 = 60.0;
 /// Cost of an upstream that is still warming up, milliseconds.
 const WARM_UP_MS: f64 = 30.0;
 /// A refusal is early within one goal divided by this.
@@ -224,7 +224,7 @@
 }
 
 impl Row {
-    /// Expected wait for a place, milliseconds.
+    /// Expected wait for a slot, milliseconds.
     fn wait_ms(&self, holds: Holds) -> f64 {
         let load = self.load();
         if load < self.entry.slots {
@@ -236,8 +236,8 @@
         // Requests that wait free no place, so the rate counts those that run.
         let running_share = f64::from(self.entry.slots) / f64::from(load);
         let wait_ms = f64::from(ahead) / (freed_per_ms * running_share);
-        if self.yielding() >= ahead {
-            wait_ms.min(YIELD_MS)
+        if self.preemptible() >= ahead {
+            wait_ms.min(PREEMPTION_MS)
         } else {
             wait_ms
         }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use gateway::{AttemptEnd, Effort, FinalAnswer, NextStep, RouteKind};
+use gateway::{AttemptEnd, FinalAnswer, NextStep, RetryState, RouteKind};
 use model::UpstreamId;
 use support::route;
 
@@ -18,12 +18,12 @@
 const RESUMABLE: RouteKind = RouteKind::Stream { is_resumable: true };
 
 fn play(kind: RouteKind, ends: &[(AttemptEnd, u64)]) -> NextStep {
-    let mut effort = Effort::new(Arc::new(route(kind)), DEADLINE_MS);
+    let mut retries = RetryState::new(Arc::new(route(kind)), DEADLINE_MS);
     let mut last = NextStep::TryAgain;
     for (index, (end, now_ms)) in ends.iter().enumerate() {
         assert_eq!(last, NextStep::TryAgain, "an attempt after the answer");
         let upstream = UpstreamId::new(&format!("u{index}"));
-        last = effort.attempt_ended(&upstream, *end, *now_ms);
+        last = retries.attempt_ended(&upstream, *end, *now_ms);
     }
     last
 }
@@ -61,10 +61,10 @@
 
 #[test]
 fn has_spare_attempt_only_where_a_repeat_is_allowed() {
-    let spare = |kind| Effort::new(Arc::new(route(kind)), DEADLINE_MS).has_spare_attempt();
+    let spare = |kind| RetryState::new(Arc::new(route(kind)), DEADLINE_MS).has_spare_attempt();
     assert!(spare(RESUMABLE));
     assert!(!spare(ONCE));
     let mut single = route(RESUMABLE);
     single.attempts_max = 1;
-    assert!(!Effort::new(Arc::new(single), DEADLINE_MS).has_spare_attempt());
+    assert!(!RetryState::new(Arc::new(single), DEADLINE_MS).has_spare_attempt());
 }
--- a/crates/gateway/tests/batch_share.rs
+++ b/crates/gateway/tests/batch_share.rs
@@ -1,4 +1,4 @@
-//! Places of batch items, worked out by each instance alone.
+//! Slots of batch items, worked out by each instance alone.
 
 mod support;
 
@@ -109,10 +109,14 @@
     fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
     start_plan(&mut fleet);
     fleet.set_batch_runs(&runs("u1", SLOTS as usize, false));
-    assert!(fleet.yields().is_empty(), "nothing online");
+    assert!(fleet.preemptions().is_empty(), "nothing online");
     fleet.receive_notice(notice("peer", 1, &[("u1", 2, 0)]), 0);
-    let yields: Vec<_> = fleet.yields().into_iter().map(|(_, count)| count).collect();
-    assert_eq!(yields, [2]);
+    let preemptions: Vec<_> = fleet
+        .preemptions()
+        .into_iter()
+        .map(|(_, count)| count)
+        .collect();
+    assert_eq!(preemptions, [2]);
 }
 
 #[test]
@@ -122,10 +126,10 @@
     start_plan(&mut fleet);
     fleet.set_batch_runs(&runs("u1", SLOTS as usize, true));
     fleet.receive_notice(notice("peer", 1, &[("u1", 2, 0)]), 0);
-    assert!(fleet.yields().is_empty());
+    assert!(fleet.preemptions().is_empty());
 }
 
-/// Two owners see the same overload; only as many items as needed make room.
+/// Two owners see the same overload; only as many items as needed are preempted.
 #[test]
 fn yields_of_two_owners_add_up_to_the_need() {
     let yields_of = |me: &str, own: u32, peer: &str, peers: u16| {
@@ -135,7 +139,11 @@
         fleet.set_batch_runs(&runs("u1", own as usize, false));
         fleet.receive_notice(notice(peer, 1, &[("u1", 0, peers)]), 0);
         fleet.receive_notice(notice("online", 1, &[("u1", 4, 0)]), 0);
-        fleet.yields().iter().map(|(_, count)| count).sum::<u32>()
+        fleet
+            .preemptions()
+            .iter()
+            .map(|(_, count)| count)
+            .sum::<u32>()
     };
     assert_eq!(yields_of("a", 5, "b", 2) + yields_of("b", 2, "a", 5), 3);
     assert_eq!(yields_of("a", 3, "b", 3) + yields_of("b", 3, "a", 3), 2);
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -6,7 +6,7 @@
 use model::UpstreamId;
 use support::{GOAL_MS, SLOTS, entry, fleet, notice, place, place_without, service, target_of};
 
-/// Time that a request holds its place, milliseconds.
+/// Time that a request holds its slot, milliseconds.
 const HOLD_MS: u64 = 800;
 const NEAR: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "north-a")];
 const SPREAD: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "south-a")];
@@ -154,7 +154,7 @@
     assert_eq!(fleet.ready_count(), 1);
 }
 
-/// A request whose first connection failed has used up its goal: a place now is
+/// A request whose first connection failed has used up its goal: a slot now is
 /// better for it than a refusal.
 #[test]
 fn place_late_request_is_sent_while_the_wait_is_short() {
@@ -171,7 +171,7 @@
     assert!(matches!(sent, Placement::Send { .. }), "{sent:?}");
 }
 
-/// A batch item at a full upstream makes room within a notice; other requests
+/// A batch item at a full upstream is preempted within a notice; other requests
 /// have to end first.
 #[test]
 fn place_full_upstream_with_batch_items_is_expected_to_make_room() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -88,8 +88,8 @@
             upstream: upstream_hash(&UpstreamId::new(id)),
             online: *online,
             batch: *batch,
-            yielding: *batch,
-            yield_key: 1,
+            preemptible: *batch,
+            preempt_key: 1,
         })
         .collect();
     loads.sort_by_key(|load| load.upstream);
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -25,7 +25,7 @@
 
 /// Heartbeat row of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NodeBeat {
+pub struct Heartbeat {
     /// The instance's present incarnation.
     pub owner: OwnerId,
     /// Where it receives load notices.
@@ -61,7 +61,7 @@
 
 #[derive(Debug)]
 struct NodeRow {
-    beat: NodeBeat,
+    beat: Heartbeat,
     version: u64,
     seen_ms: u64,
 }
@@ -84,7 +84,7 @@
     }
 
     /// Takes in a heartbeat.
-    pub fn node_seen(&mut self, beat: NodeBeat, version: u64, now_ms: u64) {
+    pub fn node_seen(&mut self, beat: Heartbeat, version: u64, now_ms: u64) {
         let row = NodeRow {
             beat,
             version,
@@ -150,7 +150,7 @@
     }
 
     /// Heartbeats of the other instances whose lease runs.
-    pub fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &NodeBeat> {
+    pub fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &Heartbeat> {
         self.nodes
             .iter()
             .filter(move |node| {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,7 +13,7 @@
 mod record;
 
 pub use crate::{
-    directory::{Directory, NodeBeat, StoredJob},
+    directory::{Directory, Heartbeat, StoredJob},
     item::{ItemOutcome, ItemResult, JobItem, Partial, ResultPage},
     owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunEnd},
     record::{ItemFailures, JobPhase, JobRecord, OwnerId},
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -70,8 +70,8 @@
     Impossible,
     /// The upstream did not run it or broke off; says nothing of the item.
     Interrupted,
-    /// It made room for online requests.
-    Yielded,
+    /// It preempted for online requests.
+    Preempted,
 }
 
 /// A conditional write of results.
@@ -254,14 +254,14 @@
                 let errors = self.record.errors_of(index);
                 (errors >= errors_max).then_some(ItemOutcome::Failed)
             }
-            RunEnd::Interrupted | RunEnd::Yielded => None,
+            RunEnd::Interrupted | RunEnd::Preempted => None,
         };
         if let Some(outcome) = outcome {
             self.end_item(index, outcome);
             return;
         }
         let delay_ms = match end {
-            RunEnd::Yielded => 0,
+            RunEnd::Preempted => 0,
             _ => row.rerun_delay_ms(),
         };
         row.state = ItemState::Waiting {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -28,7 +28,7 @@
 /// What is stored of a job besides items and results.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
-    /// Who runs it; `None` if it was handed back.
+    /// Who runs it; `None` if it was released.
     pub owner: Option<OwnerId>,
     /// Where it stands.
     pub phase: JobPhase,
--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ledger::{Directory, JobPhase, JobRecord, NodeBeat, OwnerId, StoredJob};
+use ledger::{Directory, Heartbeat, JobPhase, JobRecord, OwnerId, StoredJob};
 use model::{InstanceId, JobId};
 
 fn owner(name: &str, started_unix_ms: u64) -> OwnerId {
@@ -12,8 +12,8 @@
     }
 }
 
-fn beat(owner: &OwnerId) -> NodeBeat {
-    NodeBeat {
+fn beat(owner: &OwnerId) -> Heartbeat {
+    Heartbeat {
         owner: owner.clone(),
         peer_address: "127.0.0.1:1".parse().unwrap(),
         region: "r".into(),
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -206,7 +206,7 @@
 #[test]
 fn run_ended_yielded_goes_on_where_it_was() {
     let mut job = job(1);
-    run(&mut job, 0, RunEnd::Yielded);
+    run(&mut job, 0, RunEnd::Preempted);
     let again = job.start(0).unwrap();
     assert_eq!(again.partial.last_event, Some(1));
     assert_eq!(again.partial.output, "t0");
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -63,6 +63,16 @@
     pub(crate) reason: String,
 }
 
+impl AttemptFailure {
+    /// An attempt that ended in this way.
+    pub(crate) fn new(end: AttemptEnd, reason: impl std::fmt::Display) -> Self {
+        Self {
+            end,
+            reason: reason.to_string(),
+        }
+    }
+}
+
 /// Counts a request at its upstream until it is dropped.
 #[derive(Debug)]
 pub(crate) struct InFlight {
@@ -145,7 +155,7 @@
         Ok(connection) => connection,
         Err(error) => {
             in_flight.failed();
-            return Err(failure(AttemptEnd::NotSent, error));
+            return Err(AttemptFailure::new(AttemptEnd::NotSent, error));
         }
     };
     let request = build_request(node, target, outgoing, terms);
@@ -161,11 +171,11 @@
             } else {
                 AttemptEnd::NotSent
             };
-            return Err(failure(end, error.error()));
+            return Err(AttemptFailure::new(end, error.error()));
         }
         Err(_) => {
             in_flight.failed();
-            return Err(failure(AttemptEnd::Silent, "no answer in time"));
+            return Err(AttemptFailure::new(AttemptEnd::Silent, "no answer in time"));
         }
     };
     check_head(node, &in_flight, &response, outgoing, terms)?;
@@ -234,7 +244,10 @@
     let headers = response.headers();
     if platform::echoed_request_id(headers).is_some_and(|id| *id != *outgoing.request_id) {
         in_flight.failed();
-        return Err(failure(AttemptEnd::Broken, "answer to another request"));
+        return Err(AttemptFailure::new(
+            AttemptEnd::Broken,
+            "answer to another request",
+        ));
     }
     let now_ms = node.now_ms();
     let mut fleet = node.fleet.borrow_mut();
@@ -245,11 +258,14 @@
             platform::is_wrong_instance(status),
             now_ms,
         );
-        return Err(failure(AttemptEnd::NotRun, status));
+        return Err(AttemptFailure::new(AttemptEnd::NotRun, status));
     }
     if status.is_success() && !platform::is_signed(headers) {
         fleet.failed(&in_flight.target, now_ms);
-        return Err(failure(AttemptEnd::Broken, "answer is not signed"));
+        return Err(AttemptFailure::new(
+            AttemptEnd::Broken,
+            "answer is not signed",
+        ));
     }
     let delay_ms = now_ms.saturating_sub(terms.expected_at_ms);
     #[expect(clippy::cast_precision_loss, reason = "delays are short")]
@@ -264,10 +280,3 @@
         fleet.was_full(&in_flight.target, now_ms + FULL_PAUSE_MS);
     }
 }
-
-fn failure(end: AttemptEnd, reason: impl std::fmt::Display) -> AttemptFailure {
-    AttemptFailure {
-        end,
-        reason: reason.to_string(),
-    }
-}
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use ledger::NodeBeat;
+use ledger::Heartbeat;
 use model::{InstanceId, UpstreamId};
 use platform::{
     CONFIG_KEY, CONFIG_TABLE, Entry, Row, RowId, RowRange, SERVERS_TABLE, ServerRow, StoreError,
@@ -113,7 +113,7 @@
 /// Tells the other instances that this one takes over no more jobs.
 pub(crate) async fn announce_stop(node: Rc<Node>) {
     let put = Transaction {
-        puts: vec![beat_entry(&node, beat_interval_ms(&node))],
+        puts: vec![heartbeat_entry(&node, heartbeat_interval_ms(&node))],
         ..Transaction::default()
     };
     if let Err(error) = node.store.transact(&put).await {
@@ -262,7 +262,7 @@
         match self {
             Self::Config => apply_config(node, row),
             Self::Servers => apply_server(node, row),
-            Self::Nodes => apply_beat(node, row),
+            Self::Nodes => apply_heartbeat(node, row),
             Self::Jobs => jobs::apply_record(node, row),
         }
     }
@@ -340,16 +340,16 @@
     node.batch_changed.notify_one();
 }
 
-fn apply_beat(node: &Node, row: &Row) {
+fn apply_heartbeat(node: &Node, row: &Row) {
     let mut directory = node.directory.borrow_mut();
     if row.is_removed {
         directory.node_removed(&InstanceId::new(&row.key));
         return;
     }
-    match serde_json::from_slice::<NodeBeat>(&row.value) {
+    match serde_json::from_slice::<Heartbeat>(&row.value) {
         Ok(beat) => directory.node_seen(beat, row.version, node.now_ms()),
         Err(error) => log::error!(
-            "event=beat_unreadable instance={} error={}",
+            "event=heartbeat_unreadable instance={} error={}",
             row.key,
             process::quote(&error)
         ),
@@ -365,9 +365,9 @@
 async fn beat(node: Rc<Node>) {
     let mut next = Instant::now();
     while node.stage() == Stage::Serving {
-        let interval_ms = beat_interval_ms(&node);
+        let interval_ms = heartbeat_interval_ms(&node);
         let put = Transaction {
-            puts: vec![beat_entry(&node, interval_ms)],
+            puts: vec![heartbeat_entry(&node, interval_ms)],
             ..Transaction::default()
         };
         let delay_ms = match node.store.transact(&put).await {
@@ -377,7 +377,7 @@
                 interval_ms
             }
             Err(error) => {
-                log::warn!("event=beat_failed error={}", process::quote(&error));
+                log::warn!("event=heartbeat_failed error={}", process::quote(&error));
                 Feed::Nodes.note_failure(&node, &error);
                 interval_ms.min(RETRY_MAX_MS)
             }
@@ -412,9 +412,9 @@
     }
 }
 
-fn beat_entry(node: &Node, interval_ms: u64) -> Entry {
+fn heartbeat_entry(node: &Node, interval_ms: u64) -> Entry {
     let settings = node.settings();
-    let beat = NodeBeat {
+    let beat = Heartbeat {
         owner: node.me.clone(),
         peer_address: settings.peer_listen,
         region: settings.region.as_str().into(),
@@ -439,7 +439,7 @@
     (live_instances(node) * FEEDS * 1_000 / budget).clamp(FEED_WAIT_MS, FEED_WAIT_MAX_MS)
 }
 
-fn beat_interval_ms(node: &Node) -> u64 {
+fn heartbeat_interval_ms(node: &Node) -> u64 {
     let budget = (node.settings().store_limits.writes_per_s / BEAT_WRITE_SHARE).max(1);
     (live_instances(node) * 1_000 / budget).max(BEAT_INTERVAL_MS)
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    Effort, FinalAnswer, NextStep, Placement, PlacementRequest, RefusalReason, Route, Target,
-    WorkKind,
+    AttemptEnd, FinalAnswer, NextStep, Placement, PlacementRequest, RefusalReason, RetryState,
+    Route, Target, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
 use model::ServiceName;
@@ -13,7 +13,7 @@
 
 use crate::{
     answer::{self, AnswerBody},
-    exchange::{Answer, AttemptTerms, Outgoing, attempt},
+    exchange::{Answer, AttemptFailure, AttemptTerms, Outgoing, attempt},
     node::Node,
     relay::Relay,
 };
@@ -26,12 +26,12 @@
 
 /// A request of a caller on its way to an answer.
 #[derive(Debug)]
-pub(crate) struct Journey {
+pub(crate) struct OnlineRequest {
     pub(crate) node: Rc<Node>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) outgoing: Outgoing,
-    pub(crate) effort: Effort,
+    pub(crate) retries: RetryState,
     pub(crate) arrived_ms: u64,
     /// When the final answer is due.
     pub(crate) deadline_ms: u64,
@@ -69,7 +69,7 @@
     };
     let time_left_ms = facts.time_left_ms.unwrap_or(route.timeout_ms);
     let deadline_ms = arrived_ms + time_left_ms.min(route.timeout_ms);
-    let journey = Journey {
+    let request = OnlineRequest {
         node: Rc::clone(node),
         service,
         outgoing: Outgoing {
@@ -79,16 +79,16 @@
             body,
             request_id: Rc::from(&*facts.request_id),
         },
-        effort: Effort::new(Arc::clone(&route), deadline_ms),
+        retries: RetryState::new(Arc::clone(&route), deadline_ms),
         route,
         arrived_ms,
         deadline_ms,
         resume_after: facts.resume_after,
     };
-    journey.run().await
+    request.run().await
 }
 
-impl Journey {
+impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
         match self.next_answer(self.resume_after).await {
             Ok(answer) => self.pass_on(answer),
@@ -110,13 +110,12 @@
             let failure = match attempt(&self.node, &target, &self.outgoing, terms).await {
                 Ok(answer) if self.should_repeat(&answer) => {
                     answer.in_flight.failed();
-                    let reason = answer.head.status.to_string();
-                    (gateway::AttemptEnd::Failed, reason)
+                    AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
                 }
                 Ok(answer) => return Ok(answer),
-                Err(failure) => (failure.end, failure.reason),
+                Err(failure) => failure,
             };
-            self.note_failure(&target, failure.0, &failure.1)?;
+            self.note_failure(&target, &failure)?;
         }
     }
 
@@ -124,19 +123,19 @@
     pub(crate) fn note_failure(
         &mut self,
         target: &Target,
-        end: gateway::AttemptEnd,
-        reason: &str,
+        failure: &AttemptFailure,
     ) -> Result<(), NoAnswer> {
+        let AttemptFailure { end, reason } = failure;
         let now_ms = self.node.now_ms();
-        self.node.metrics.on_attempt_failed(end);
-        let next = self.effort.attempt_ended(&target.upstream, end, now_ms);
+        self.node.metrics.on_attempt_failed(*end);
+        let next = self.retries.attempt_ended(&target.upstream, *end, now_ms);
         log::warn!(
             "event=attempt_failed request={} upstream={} end={} reason={} attempt={} left_ms={} next={}",
             self.outgoing.request_id,
             target.upstream,
             end.as_str(),
             process::quote(&reason),
-            self.effort.attempts(),
+            self.retries.attempts(),
             self.deadline_ms.saturating_sub(now_ms),
             match next {
                 NextStep::TryAgain => "try_again",
@@ -154,10 +153,10 @@
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
         let request = PlacementRequest {
             service: &self.service,
-            excluded: self.effort.tried(),
+            excluded: self.retries.tried(),
             goal_ms: self.route.goal_ms,
             waited_ms,
-            may_refuse: !self.effort.may_have_run(),
+            may_refuse: !self.retries.may_have_run(),
         };
         let placement = self.node.fleet.borrow_mut().place(&request, now_ms);
         match placement {
@@ -191,8 +190,8 @@
                 self.node
                     .metrics
                     .on_refusal(reason.as_str(), retry_after_ms);
-                Err(if self.effort.may_have_run() {
-                    NoAnswer::Failed(self.effort.give_up())
+                Err(if self.retries.may_have_run() {
+                    NoAnswer::Failed(self.retries.give_up())
                 } else {
                     NoAnswer::Refused {
                         reason,
@@ -205,7 +204,7 @@
 
     fn terms(&self, expected_ms: u64, resume_after: Option<u64>) -> AttemptTerms {
         let expected_at_ms = self.node.now_ms() + expected_ms;
-        let head_deadline_ms = if self.effort.has_spare_attempt() {
+        let head_deadline_ms = if self.retries.has_spare_attempt() {
             let silence_ms = SILENCE_GOALS * self.route.goal_ms;
             (expected_at_ms + silence_ms).min(self.deadline_ms)
         } else {
@@ -223,7 +222,7 @@
 
     /// Whether a failure that the upstream answered is tried elsewhere.
     fn should_repeat(&self, answer: &Answer) -> bool {
-        answer.head.status.is_server_error() && self.effort.has_spare_attempt()
+        answer.head.status.is_server_error() && self.retries.has_spare_attempt()
     }
 
     fn pass_on(self, answer: Answer) -> Response<AnswerBody> {
@@ -249,7 +248,7 @@
             "event=request_unanswered request={} route={} outcome={outcome} attempts={} total_ms={total_ms}",
             self.outgoing.request_id,
             self.route.name,
-            self.effort.attempts()
+            self.retries.attempts()
         );
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -30,7 +30,7 @@
     let _open = OpenRequest::new(&node);
     let arrived_ms = node.now_ms();
     let (parts, body) = request.into_parts();
-    node.wait_for_basics().await;
+    node.wait_for_initial_state().await;
     let mut response = match node.routes() {
         Some(routes) => answer_request(&node, &routes, parts, body, arrived_ms).await,
         None => not_configured(&parts),
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use self::{
     accept::submit,
-    ownership::{apply_record, hand_back},
+    ownership::{apply_record, release_jobs},
     query::answer_query,
     runner::Runner,
     storage::{JOBS_TABLE, PARTITIONS},
@@ -25,5 +25,5 @@
 pub(crate) fn start(node: &Rc<Node>) {
     spawn_local(runner::schedule(Rc::clone(node)));
     spawn_local(writes::save_outputs(Rc::clone(node)));
-    spawn_local(ownership::look_after(Rc::clone(node)));
+    spawn_local(ownership::supervise(Rc::clone(node)));
 }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -31,8 +31,8 @@
     pub(super) run: ItemRun,
     pub(super) target: Target,
     pub(super) route: Arc<Route>,
-    /// Asks the run to end so that an online request gets its place.
-    pub(super) make_room: Rc<Notify>,
+    /// Asks the run to end so that an online request gets its slot.
+    pub(super) preempt: Rc<Notify>,
 }
 
 /// An item that is counted at its upstream.
@@ -70,12 +70,12 @@
             in_flight,
             mut partial,
         } = self;
-        let make_room = Rc::clone(&start.make_room);
+        let preempt = Rc::clone(&start.preempt);
         let started_ms = start.node.now_ms();
         let first_event = partial.last_event.unwrap_or(0);
         let (end, reason) = tokio::select! {
             ended = run_once(&start, in_flight, &mut partial) => ended,
-            () = make_room.notified() => (RunEnd::Yielded, "made room".to_owned()),
+            () = preempt.notified() => (RunEnd::Preempted, "preempted".to_owned()),
         };
         log::info!(
             "event=item_run_ended job={} item={} upstream={} end={end:?} reason={} events={}",
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -1,4 +1,4 @@
-//! Takes over jobs without an owner, hands own jobs back, removes old ones.
+//! Takes over orphaned jobs, releases own ones, removes old ones.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -26,10 +26,10 @@
 /// How long results stay beyond their promised time, milliseconds; clocks of
 /// instances differ.
 const RETENTION_MARGIN_MS: u64 = 30_000;
-/// Time kept for handing jobs back before a planned stop ends.
-const HAND_BACK: Duration = Duration::from_millis(300);
-/// Longest write while handing a job back.
-const HAND_BACK_CALL: Duration = Duration::from_secs(1);
+/// Time kept for releasing jobs before a planned stop ends.
+const RELEASE: Duration = Duration::from_millis(300);
+/// Longest write while releasing a job.
+const RELEASE_CALL: Duration = Duration::from_secs(1);
 /// How often to look whether runs have ended.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -84,7 +84,7 @@
 }
 
 /// Looks for orphaned and outdated jobs from time to time.
-pub(super) async fn look_after(node: Rc<Node>) {
+pub(super) async fn supervise(node: Rc<Node>) {
     loop {
         sleep(TICK).await;
         let now_ms = node.now_ms();
@@ -195,8 +195,8 @@
 }
 
 /// Gives all jobs to the other instances. Running items may end before `until`.
-pub(crate) async fn hand_back(node: &Rc<Node>, until: Instant) {
-    let wait_until = until - HAND_BACK;
+pub(crate) async fn release_jobs(node: &Rc<Node>, until: Instant) {
+    let wait_until = until - RELEASE;
     let is_busy = || {
         let runner = node.runner.borrow();
         runner.run_count() > 0 || runner.is_committing()
@@ -211,19 +211,19 @@
         let partials = job.partials();
         let rows = rows(node);
         let write = rows.replace_record(job.id(), &record, job.version(), &partials);
-        match timeout(HAND_BACK_CALL, write).await {
+        match timeout(RELEASE_CALL, write).await {
             Ok(Ok(outcome)) => log::info!(
-                "event=job_handed_back job={} partials={} stored={}",
+                "event=job_released job={} partials={} stored={}",
                 job.id(),
                 partials.len(),
                 matches!(outcome, CommitOutcome::Committed { .. })
             ),
             Ok(Err(error)) => log::warn!(
-                "event=job_not_handed_back job={} error={}",
+                "event=job_not_released job={} error={}",
                 job.id(),
                 process::quote(&error)
             ),
-            Err(_) => log::warn!("event=job_not_handed_back job={} error=timeout", job.id()),
+            Err(_) => log::warn!("event=job_not_released job={} error=timeout", job.id()),
         }
     }
 }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -21,7 +21,7 @@
     node::{Node, Stage},
 };
 
-/// Time between looks for places while items wait.
+/// Time between looks for free slots while items wait.
 const BUSY_TICK: Duration = Duration::from_millis(100);
 /// Time between looks while nothing waits.
 const IDLE_TICK: Duration = Duration::from_secs(1);
@@ -57,7 +57,7 @@
     job: JobId,
     item_index: u32,
     upstream: UpstreamId,
-    make_room: Rc<Notify>,
+    preempt: Rc<Notify>,
     task: AbortHandle,
 }
 
@@ -181,8 +181,8 @@
         });
     }
 
-    /// Lets the least urgent runs at an upstream make room.
-    fn make_room(&self, upstream: &UpstreamId, count: u32) {
+    /// Preempts the least urgent runs at an upstream.
+    fn preempt(&self, upstream: &UpstreamId, count: u32) {
         let now_unix_ms = unix_ms();
         let mut there: Vec<_> = self
             .runs
@@ -197,11 +197,11 @@
         there.sort_by_key(|(urgency, _)| std::cmp::Reverse(*urgency));
         for (_, run) in there.iter().take(count as usize) {
             log::info!(
-                "event=item_makes_room job={} item_index={} upstream={upstream}",
+                "event=item_preempted job={} item_index={} upstream={upstream}",
                 run.job,
                 run.item_index
             );
-            run.make_room.notify_one();
+            run.preempt.notify_one();
         }
     }
 
@@ -273,8 +273,8 @@
 
 fn step(node: &Rc<Node>) {
     node.runner.borrow_mut().drop_inactive();
-    for (upstream, count) in node.fleet.borrow().yields() {
-        node.runner.borrow().make_room(&upstream, count);
+    for (upstream, count) in node.fleet.borrow().preemptions() {
+        node.runner.borrow().preempt(&upstream, count);
     }
     give_up_items(node);
     if node.stage() == Stage::Serving {
@@ -299,7 +299,7 @@
     }
 }
 
-/// Starts waiting items at the places that the plan gives this instance.
+/// Starts waiting items at the slots that the plan gives this instance.
 fn start_items(node: &Rc<Node>) {
     let Some(routes) = node.routes() else { return };
     let now_ms = node.now_ms();
@@ -323,7 +323,7 @@
         return;
     };
     let id = job.id().clone();
-    let make_room = Rc::new(Notify::new());
+    let preempt = Rc::new(Notify::new());
     let upstream = target.upstream.clone();
     let start = item_run::Start {
         node: Rc::clone(node),
@@ -333,7 +333,7 @@
         run,
         target,
         route: Arc::clone(&item.route),
-        make_room: Rc::clone(&make_room),
+        preempt: Rc::clone(&preempt),
     };
     // Counts the item at its upstream before the next plan is made.
     let started = start.begin();
@@ -342,7 +342,7 @@
         job: id,
         item_index: item.item_index,
         upstream,
-        make_room,
+        preempt,
         task,
     });
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -176,7 +176,7 @@
             RunEnd::Error => "error",
             RunEnd::Impossible => "impossible",
             RunEnd::Interrupted => "interrupted",
-            RunEnd::Yielded => "yielded",
+            RunEnd::Preempted => "yielded",
         };
         self.item_runs.add(1, &[KeyValue::new("end", name)]);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,7 +42,7 @@
     routes: RefCell<Option<Arc<RouteTable>>>,
     pub(crate) fleet: RefCell<Fleet>,
     /// Whether configuration and servers were read.
-    has_basics: watch::Sender<bool>,
+    has_initial_state: watch::Sender<bool>,
     pub(crate) has_servers: Cell<bool>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_nodes: Cell<bool>,
@@ -109,7 +109,7 @@
             clock: Clock::new(),
             routes: RefCell::default(),
             fleet: RefCell::new(Fleet::new(home, rand::random())),
-            has_basics: watch::Sender::new(false),
+            has_initial_state: watch::Sender::new(false),
             has_servers: Cell::default(),
             directory: RefCell::new(Directory::new(me.clone())),
             has_nodes: Cell::default(),
@@ -157,19 +157,19 @@
 
     /// Whether callers may come.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving && *self.has_basics.borrow()
+        self.stage() == Stage::Serving && *self.has_initial_state.borrow()
     }
 
     /// Notes that something was read without which no request can be placed.
     pub(crate) fn note_read(&self) {
         let is_complete = self.has_servers.get() && self.routes.borrow().is_some();
-        self.has_basics.send_replace(is_complete);
+        self.has_initial_state.send_replace(is_complete);
     }
 
     /// Waits a little for the first reads after the start.
-    pub(crate) async fn wait_for_basics(&self) {
-        let mut has_basics = self.has_basics.subscribe();
-        let complete = has_basics.wait_for(|is_complete| *is_complete);
+    pub(crate) async fn wait_for_initial_state(&self) {
+        let mut has_initial_state = self.has_initial_state.subscribe();
+        let complete = has_initial_state.wait_for(|is_complete| *is_complete);
         // A request that waited in vain is refused by who needs what is missing.
         let _ = timeout(START_WAIT, complete).await;
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     answer::{AnswerBody, Cut},
-    exchange::Answer,
-    forward::Journey,
+    exchange::{Answer, AttemptFailure},
+    forward::OnlineRequest,
 };
 
 /// Pauses of this many goals are a sign that the upstream is lost, where
@@ -22,7 +22,7 @@
 /// State of a relayed body.
 #[derive(Debug)]
 pub(crate) struct Relay {
-    journey: Journey,
+    request: OnlineRequest,
     /// `None` once the body has ended.
     answer: Option<Answer>,
     splitter: Option<EventSplitter>,
@@ -46,16 +46,16 @@
 enum Piece {
     Bytes(Bytes),
     End,
-    Broken(AttemptEnd, String),
+    Broken(AttemptFailure),
     DeadlinePassed,
 }
 
 impl Relay {
     /// Relays the body of `answer`; whole events only, if it is a stream.
-    pub(crate) fn new(journey: Journey, answer: Answer, is_events: bool) -> Self {
-        let splitter = is_events.then(|| EventSplitter::new().with_last_id(journey.resume_after));
+    pub(crate) fn new(request: OnlineRequest, answer: Answer, is_events: bool) -> Self {
+        let splitter = is_events.then(|| EventSplitter::new().with_last_id(request.resume_after));
         Self {
-            journey,
+            request,
             answer: Some(answer),
             splitter,
             first_bytes_ms: None,
@@ -78,7 +78,7 @@
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, Cut>> {
         loop {
             let piece = self.next_piece().await?;
-            let (end, reason) = match piece {
+            let failure = match piece {
                 Piece::Bytes(bytes) => match self.whole_events(bytes) {
                     Ok(ready) if ready.is_empty() => continue,
                     Ok(ready) => {
@@ -86,27 +86,27 @@
                         self.complete_known_length();
                         return Some(Ok(Frame::data(ready)));
                     }
-                    Err(reason) => (AttemptEnd::Broken, reason),
+                    Err(reason) => AttemptFailure::new(AttemptEnd::Broken, reason),
                 },
                 Piece::End => {
                     self.complete();
                     return None;
                 }
-                Piece::Broken(end, reason) => (end, reason),
+                Piece::Broken(failure) => failure,
                 Piece::DeadlinePassed => return Some(self.cut("deadline passed")),
             };
-            if !self.resume(end, &reason).await {
-                return Some(self.cut(&reason));
+            if !self.resume(&failure).await {
+                return Some(self.cut(&failure.reason));
             }
         }
     }
 
     async fn next_piece(&mut self) -> Option<Piece> {
-        let deadline_ms = self.journey.deadline_ms;
-        let can_resume = self.splitter.is_some() && self.journey.effort.has_spare_attempt();
-        let node = &self.journey.node;
+        let deadline_ms = self.request.deadline_ms;
+        let can_resume = self.splitter.is_some() && self.request.retries.has_spare_attempt();
+        let node = &self.request.node;
         let now_ms = node.now_ms();
-        let stall_ms = STALL_PAUSE_GOALS * self.journey.route.pause_goal_ms;
+        let stall_ms = STALL_PAUSE_GOALS * self.request.route.pause_goal_ms;
         let wait_until_ms = if can_resume {
             deadline_ms.min(now_ms + stall_ms)
         } else {
@@ -117,17 +117,17 @@
         let frame = timeout_at(wait_until, answer.body.frame()).await;
         Some(match frame {
             Ok(Some(Ok(frame))) => Piece::Bytes(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(error))) => Piece::Broken(AttemptEnd::Broken, error.to_string()),
+            Ok(Some(Err(error))) => broken(error),
             Ok(None) => self.end_of_body(),
             Err(_) if wait_until_ms >= deadline_ms => Piece::DeadlinePassed,
-            Err(_) => Piece::Broken(AttemptEnd::Silent, "stream stalled".to_owned()),
+            Err(_) => Piece::Broken(AttemptFailure::new(AttemptEnd::Silent, "stream stalled")),
         })
     }
 
     fn end_of_body(&self) -> Piece {
         let is_partial = |splitter: &EventSplitter| splitter.has_partial_event();
         if self.splitter.as_ref().is_some_and(is_partial) {
-            Piece::Broken(AttemptEnd::Broken, "ends within an event".to_owned())
+            broken("ends within an event")
         } else {
             Piece::End
         }
@@ -157,7 +157,7 @@
     }
 
     /// Goes on at another upstream. Returns whether one took over.
-    async fn resume(&mut self, end: AttemptEnd, reason: &str) -> bool {
+    async fn resume(&mut self, failure: &AttemptFailure) -> bool {
         let Some(answer) = self.answer.take() else {
             return false;
         };
@@ -165,15 +165,15 @@
         let target = answer.in_flight.target.clone();
         // Closes the connection, which ends the run there.
         drop(answer);
-        let failed = self.journey.note_failure(&target, end, reason);
+        let failed = self.request.note_failure(&target, failure);
         let Some(splitter) = &self.splitter else {
             return false;
         };
-        if failed.is_err() || !self.journey.route.is_repeatable() {
+        if failed.is_err() || !self.request.route.is_repeatable() {
             return false;
         }
         let last_event = splitter.last_id();
-        let Ok(answer) = self.journey.next_answer(last_event).await else {
+        let Ok(answer) = self.request.next_answer(last_event).await else {
             return false;
         };
         if answer.head.status != StatusCode::OK {
@@ -181,19 +181,19 @@
         }
         log::info!(
             "event=stream_resumed request={} upstream={} after_event={}",
-            self.journey.outgoing.request_id,
+            self.request.outgoing.request_id,
             answer.in_flight.target.upstream,
             last_event.map_or_else(|| "none".to_owned(), |id| id.to_string())
         );
         self.splitter = Some(EventSplitter::new().with_last_id(last_event));
         self.answer = Some(answer);
-        self.journey.node.metrics.on_stream_resumed();
+        self.request.node.metrics.on_stream_resumed();
         self.resumed += 1;
         true
     }
 
     fn note_bytes(&mut self) {
-        let now_ms = self.journey.node.now_ms();
+        let now_ms = self.request.node.now_ms();
         if self.first_bytes_ms.is_some() {
             let pause_ms = now_ms.saturating_sub(self.last_bytes_ms);
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
@@ -216,7 +216,7 @@
             return;
         };
         self.log_end("complete", &answer.head.status.to_string());
-        answer.complete(&self.journey.node);
+        answer.complete(&self.request.node);
     }
 
     fn cut(&mut self, reason: &str) -> Result<Frame<Bytes>, Cut> {
@@ -231,19 +231,19 @@
     }
 
     fn log(&self, outcome: &'static str, reason: &str) {
-        let journey = &self.journey;
-        let now_ms = journey.node.now_ms();
-        let since_arrival = |at_ms: u64| at_ms.saturating_sub(journey.arrived_ms);
-        let metrics = &journey.node.metrics;
-        metrics.on_request_end(&journey.route, outcome, since_arrival(now_ms));
+        let request = &self.request;
+        let now_ms = request.node.now_ms();
+        let since_arrival = |at_ms: u64| at_ms.saturating_sub(request.arrived_ms);
+        let metrics = &request.node.metrics;
+        metrics.on_request_end(&request.route, outcome, since_arrival(now_ms));
         if let Some(first_ms) = self.first_bytes_ms {
-            metrics.on_first_event(&journey.route, since_arrival(first_ms));
-            metrics.on_longest_pause(&journey.route, self.longest_pause_ms);
+            metrics.on_first_event(&request.route, since_arrival(first_ms));
+            metrics.on_longest_pause(&request.route, self.longest_pause_ms);
         }
         log::info!(
             "event=request_answered request={} route={} outcome={outcome} reason={} first_bytes_ms={} total_ms={} longest_pause_ms={} resumed={}",
-            journey.outgoing.request_id,
-            journey.route.name,
+            request.outgoing.request_id,
+            request.route.name,
             process::quote(&reason),
             self.first_bytes_ms.map_or(0, since_arrival),
             since_arrival(now_ms),
@@ -252,3 +252,7 @@
         );
     }
 }
+
+fn broken(reason: impl std::fmt::Display) -> Piece {
+    Piece::Broken(AttemptFailure::new(AttemptEnd::Broken, reason))
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -45,8 +45,8 @@
     node.stage.send_replace(Stage::Draining);
     let out_of_rotation = exit_by.min(Instant::now() + OUT_OF_ROTATION);
     spawn_local(feeds::announce_stop(Rc::clone(node)));
-    jobs::hand_back(node, out_of_rotation).await;
-    // Jobs wait for the lease no longer, and the store may be slow.
+    jobs::release_jobs(node, out_of_rotation).await;
+    // No job depends on the lease any more, and the store may be slow.
     spawn_local(feeds::leave(Rc::clone(node)));
     sleep_until(out_of_rotation).await;
     node.stage.send_replace(Stage::Closing);
