--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -10,6 +10,9 @@
 
 use self::{clocks::Clocks, line::LogLine};
 
+/// How long after the last line of a story the life of its processes is told,
+/// milliseconds.
+const AFTERMATH_MS: i64 = 5_000;
 /// Exit code if no line mentions the id.
 const EXIT_NOT_FOUND: u8 = 1;
 /// Exit code if a file cannot be read.
@@ -69,6 +72,25 @@
     Ok(lines)
 }
 
+/// Starts and ends of the processes that a story names, while it lasts and
+/// shortly after: a process that was killed writes no last line.
+fn life_lines<'a>(
+    lines: &'a [LogLine],
+    clocks: &Clocks,
+    told: &[(i64, &LogLine)],
+) -> Vec<(i64, &'a LogLine)> {
+    let first_ms = told.first().map_or(0, |(at_ms, _)| *at_ms);
+    let last_ms = told.last().map_or(0, |(at_ms, _)| *at_ms);
+    let is_near = |at_ms: i64| (first_ms..=last_ms + AFTERMATH_MS).contains(&at_ms);
+    let is_named = |line: &LogLine| told.iter().any(|(_, other)| other.source == line.source);
+    lines
+        .iter()
+        .filter(|line| line.is_about_the_process() && is_named(line))
+        .map(|line| (clocks.common_ms(line), line))
+        .filter(|(at_ms, _)| is_near(*at_ms))
+        .collect()
+}
+
 /// The lines about an id, on one clock, each with the time since the first.
 fn story(id: &str, lines: &[LogLine]) -> Vec<String> {
     let clocks = Clocks::new(lines);
@@ -85,6 +107,9 @@
     let Some((first_ms, _)) = told.first().copied() else {
         return Vec::new();
     };
+    let restarts = life_lines(lines, &clocks, &told);
+    told.extend(restarts);
+    told.sort_by_key(|(at_ms, _)| *at_ms);
     let tell = |(at_ms, line): &(i64, &LogLine)| {
         let since_ms = at_ms - first_ms;
         format!("{since_ms:>8} ms  {:<22} {}", line.source, line.text)
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -46,6 +46,14 @@
             .any(|key| self.value(key) == Some(id))
     }
 
+    /// Whether the line is about the start or end of its process.
+    pub(super) fn is_about_the_process(&self) -> bool {
+        matches!(
+            self.value("event"),
+            Some("started" | "stopping" | "stopped")
+        )
+    }
+
     /// Whether the line is about a job and none of its items.
     pub(super) fn is_about_whole_job(&self, job: &str) -> bool {
         self.value("job") == Some(job) && self.value("item").is_none()
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -105,3 +105,17 @@
     let logs = Logs::new("unknown", &[("a.log", A)]);
     assert_eq!(logs.explain("r77"), (Vec::new(), 1));
 }
+
+/// A process that was killed says nothing; that it started again does.
+#[test]
+fn explain_request_whose_process_was_killed() {
+    let text = "\
+time=2026-10-09T15:30:00.000+00:00 level=info event=started instance=a
+time=2026-10-09T15:30:01.000+00:00 level=info event=request_sent request=r1 upstream=u1
+time=2026-10-09T15:30:02.000+00:00 level=info event=started instance=a
+time=2026-10-09T15:30:20.000+00:00 level=info event=stopping grace_ms=8000
+";
+    let logs = Logs::new("killed", &[("a.log", text)]);
+    let (lines, _) = logs.explain("r1");
+    assert_eq!(events(&lines), ["request_sent", "started"]);
+}
