node: each process of a test has an address of its own

Ports were taken by binding port 0 and letting go, so two tests could get the same one; the processes now take addresses of the block that the scenarios use.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     env, fs, io,
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
@@ -21,6 +21,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use scenario::AddressBlock;
 use serde_json::{Value, json};
 use standin::{EventRuns, EventServerSettings, Standin, start_event_server, start_row_store};
 use tokio::{
@@ -34,11 +35,15 @@
 pub const EVENTS: u64 = 8;
 /// Time between events, milliseconds.
 pub const INTERVAL_MS: u64 = 10;
+const FRONT_PORT: u16 = 8_161;
+const READINESS_PORT: u16 = 8_167;
+const PEER_PORT: u16 = 7_720;
 /// Limit of anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Stand-ins and processes of one test.
 pub struct World {
+    addresses: AddressBlock,
     pub store: Standin,
     pub servers: Vec<Server>,
     pub nodes: Vec<NodeProcess>,
@@ -96,6 +101,7 @@
             servers.push(Server { id, standin });
         }
         let mut world = Self {
+            addresses: AddressBlock::take().unwrap(),
             store,
             servers,
             nodes: Vec::new(),
@@ -110,7 +116,8 @@
     }
 
     pub fn add_node(&mut self, name: &str, stdout: Stdio) {
-        let node = NodeProcess::start(name, self.store.address(), stdout);
+        let ip = self.addresses.next_ip();
+        let node = NodeProcess::start(name, ip, self.store.address(), stdout);
         self.nodes.push(node);
     }
 
@@ -184,18 +191,19 @@
 }
 
 impl NodeProcess {
-    fn start(name: &str, store: SocketAddr, stdout: Stdio) -> Self {
-        let front = free_address();
-        let readiness = free_address();
+    /// Every process has an address of its own, so ports never collide.
+    fn start(name: &str, ip: IpAddr, store: SocketAddr, stdout: Stdio) -> Self {
+        let front = SocketAddr::new(ip, FRONT_PORT);
+        let readiness = SocketAddr::new(ip, READINESS_PORT);
         let document = json!({
             "node_name": name, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": front.to_string(), "ready_addr": readiness.to_string()},
-            "port_range": [free_address().port(), 65535],
+            "port_range": [PEER_PORT, PEER_PORT + 15],
             "bounds": {"grace_s": 6, "status_s": 120},
             "platform": {"addr": store.to_string(), "writes_per_s": 800, "reads_per_s": 2000,
                          "row_bytes": 4096}
         });
-        let settings = env::temp_dir().join(format!("redwingtack-{}.json", front.port()));
+        let settings = env::temp_dir().join(format!("redwingtack-{ip}.json"));
         fs::write(&settings, document.to_string()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_redwingtack-node"))
             .env("REDWINGTACK_CONFIG", &settings)
@@ -400,8 +408,3 @@
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
     })
 }
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
--- a/crates/scenario/src/address.rs
+++ b/crates/scenario/src/address.rs
@@ -13,7 +13,7 @@
 
 /// A block of 250 loopback addresses, held while this lives.
 #[derive(Debug)]
-pub(crate) struct AddressBlock {
+pub struct AddressBlock {
     second: u8,
     third: u8,
     next: u8,
@@ -22,13 +22,14 @@
 
 impl AddressBlock {
     /// Takes a free block.
-    pub(crate) fn take() -> Option<Self> {
+    #[must_use]
+    pub fn take() -> Option<Self> {
         let start = process::id().wrapping_mul(7) % BLOCKS;
         (0..BLOCKS).find_map(|offset| Self::take_block((start + offset) % BLOCKS))
     }
 
     /// The next address that has not been given out.
-    pub(crate) fn next_ip(&mut self) -> IpAddr {
+    pub fn next_ip(&mut self) -> IpAddr {
         self.next += 1;
         IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, self.next))
     }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -19,6 +19,7 @@
 mod upstreams;
 
 pub use crate::{
+    address::AddressBlock,
     command::Script,
     error::{ParseError, ScenarioError},
     parser::parse_script,
