--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -106,8 +106,7 @@
     }
 
     async fn store(self) -> Response<AnswerBody> {
-        let row_max_bytes = self.node.settings().store_limits.row_max_bytes;
-        let rows = JobRows::new(&self.node.store, row_max_bytes);
+        let rows = JobRows::new(&self.node);
         let mut may_be_stored = false;
         loop {
             match rows.insert(&self.id, &self.record, &self.items).await {
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -128,7 +128,7 @@
 async fn claim(node: &Rc<Node>, job: &StoredJob) -> Option<(JobRecord, u64)> {
     let mut record = JobRecord::clone(&job.record);
     let previous = record.owner.replace(node.me.clone());
-    let outcome = rows(node)
+    let outcome = JobRows::new(node)
         .replace_record(&job.id, &record, job.version, &[])
         .await;
     match outcome {
@@ -163,7 +163,7 @@
     let node = Rc::clone(node);
     spawn_local(async move {
         let stored = loop {
-            match rows(&node).items(&id).await {
+            match JobRows::new(&node).items(&id).await {
                 Ok(stored) => break stored,
                 Err(error) => {
                     log::warn!(
@@ -209,7 +209,7 @@
         let mut record = job.record().clone();
         record.owner = None;
         let partials = job.partials();
-        let rows = rows(node);
+        let rows = JobRows::new(node);
         let write = rows.replace_record(job.id(), &record, job.version(), &partials);
         match timeout(RELEASE_CALL, write).await {
             Ok(Ok(outcome)) => log::info!(
@@ -244,7 +244,7 @@
             .collect()
     };
     for (id, version) in outdated {
-        match rows(node).remove(&id, version).await {
+        match JobRows::new(node).remove(&id, version).await {
             Ok(()) => log::info!("event=job_removed job={id}"),
             Err(error) => {
                 log::warn!(
@@ -255,7 +255,3 @@
         }
     }
 }
-
-fn rows(node: &Node) -> JobRows<'_> {
-    JobRows::new(&node.store, node.settings().store_limits.row_max_bytes)
-}
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -57,7 +57,7 @@
     };
     let record = wait_for_result(node, id, record, from_position, wait_ms).await;
     let results = if record.listed_count() > from_position {
-        rows(node).results(id, from_position).await?
+        JobRows::new(node).results(id, from_position).await?
     } else {
         Vec::new()
     };
@@ -84,7 +84,10 @@
         !node.store_health.is_away() && node.store_health.age_ms(node.now_ms()) < FRESH_MS;
     match followed {
         Some(record) if is_fresh && record.listed_count() >= from_position => Ok(Some(record)),
-        _ => Ok(rows(node).record(id).await?.map(|(record, _)| record)),
+        _ => Ok(JobRows::new(node)
+            .record(id)
+            .await?
+            .map(|(record, _)| record)),
     }
 }
 
@@ -120,10 +123,10 @@
     if let Some(body) = owned {
         return Ok(answer::bytes(body));
     }
-    if rows(node).record(id).await?.is_none() {
+    if JobRows::new(node).record(id).await?.is_none() {
         return Ok(not_found(id));
     }
-    let stored = rows(node).items(id).await?;
+    let stored = JobRows::new(node).items(id).await?;
     let found = stored.items.iter().find(|stored| *stored.id == *item);
     Ok(match found {
         Some(item) => answer::bytes(platform::encode_item_body(item)),
@@ -156,14 +159,17 @@
 
 /// Ends a job unless its record changes meanwhile.
 async fn try_end(node: &Rc<Node>, id: &JobId) -> Result<Option<Response<AnswerBody>>, StoreError> {
-    let Some((mut record, version)) = rows(node).record(id).await? else {
+    let Some((mut record, version)) = JobRows::new(node).record(id).await? else {
         return Ok(Some(not_found(id)));
     };
     if !record.is_open() {
         return Ok(Some(answer::plain(StatusCode::OK, "")));
     }
     record.phase = JobPhase::Ended;
-    match rows(node).replace_record(id, &record, version, &[]).await? {
+    match JobRows::new(node)
+        .replace_record(id, &record, version, &[])
+        .await?
+    {
         CommitOutcome::Committed { version } => {
             log::info!(
                 "event=job_ended job={id} version={version} listed={}",
@@ -177,10 +183,6 @@
     }
 }
 
-fn rows(node: &Node) -> JobRows<'_> {
-    JobRows::new(&node.store, node.settings().store_limits.row_max_bytes)
-}
-
 fn not_found(id: &JobId) -> Response<AnswerBody> {
     log::info!("event=job_unknown job={id}");
     answer::plain(StatusCode::NOT_FOUND, "no such job or item")
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -14,6 +14,8 @@
 };
 use serde_json::{from_slice, to_vec};
 
+use crate::node::Node;
+
 /// Table of the jobs' records.
 pub(crate) const JOBS_TABLE: &str = "redwingtack_jobs";
 const ITEMS_TABLE: &str = "redwingtack_items";
@@ -56,11 +58,11 @@
 }
 
 impl<'a> JobRows<'a> {
-    /// Access through `store`, whose rows hold at most `row_max_bytes`.
-    pub(crate) fn new(store: &'a Store, row_max_bytes: usize) -> Self {
+    /// Access through the store of `node`, with the row size of its settings.
+    pub(crate) fn new(node: &'a Node) -> Self {
         Self {
-            store,
-            row_max_bytes,
+            store: &node.store,
+            row_max_bytes: node.settings().store_limits.row_max_bytes,
         }
     }
 
--- a/crates/node/src/jobs/writes.rs
+++ b/crates/node/src/jobs/writes.rs
@@ -44,8 +44,7 @@
                 .and_then(|index| runner.jobs[index].next_commit().cloned())
         };
         let Some(due) = due else { break };
-        let row_max_bytes = node.settings().store_limits.row_max_bytes;
-        let rows = JobRows::new(&node.store, row_max_bytes);
+        let rows = JobRows::new(&node);
         let outcome = rows.commit(&id, &due).await;
         log_commit(&id, due.first_position, due.results.len(), &outcome);
         let outcome = outcome.unwrap_or(CommitOutcome::Unsettled);
@@ -127,8 +126,7 @@
 }
 
 async fn save(node: &Node, id: &JobId, version: u64, partials: &[Partial]) {
-    let row_max_bytes = node.settings().store_limits.row_max_bytes;
-    let rows = JobRows::new(&node.store, row_max_bytes);
+    let rows = JobRows::new(node);
     match rows.save_partials(id, version, partials).await {
         Ok(outcome) => log::debug!(
             "event=outputs_saved job={id} items={} stored={}",
