node: a job that comes before the first heartbeat is accepted

Cause: an instance is ready once it knows the configuration and the servers; its first heartbeat may still be on its way. It refused jobs until then (reason=no_lease). Change: such a job is stored without an owner, and no instance takes jobs over before its own heartbeat is known; then one of them takes it at once. Tests: a failed test prints the logs of its processes; the batch test that failed once without a trace now says how the process ended.

--- a/crates/batch/tests/failures.rs
+++ b/crates/batch/tests/failures.rs
@@ -60,7 +60,7 @@
     first.signal("CONT");
     // Time for the woken holder to try its commit.
     tokio::time::sleep(Duration::from_millis(LEASE_MS * 2)).await;
-    assert!(first.is_running());
+    assert_eq!(first.exit_status(), None);
     assert_eq!(client.results(&id, "output").await, before);
     check_each_once(&client, &id, 120).await;
 }
--- a/crates/batch/tests/support/mod.rs
+++ b/crates/batch/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use std::{
     net::SocketAddr,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::Arc,
     time::Duration,
 };
@@ -221,9 +221,9 @@
         false
     }
 
-    /// Whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
+    /// How the process ended, if it did.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
     }
 
     /// Identifier of the process.
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -56,10 +56,6 @@
         log::info!("event=job_known job={id}");
         return accepted();
     }
-    if !node.has_lease.get() {
-        log::warn!("event=job_refused job={id} reason=no_lease");
-        return answer::not_run(NOT_STORED_RETRY_MS, "the store has not answered yet");
-    }
     if node.store_health.is_away() && is_better_elsewhere(node) {
         log::warn!("event=job_refused job={id} reason=store_away");
         node.metrics.on_job_refused();
@@ -183,9 +179,10 @@
     items: &[JobItem],
 ) -> JobRecord {
     let now_unix_ms = unix_ms();
-    let is_staying = node.stage() == Stage::Serving;
+    // An owner without a heartbeat would be taken for dead.
+    let may_own = node.stage() == Stage::Serving && node.has_lease.get();
     JobRecord {
-        owner: is_staying.then(|| node.me.clone()),
+        owner: may_own.then(|| node.me.clone()),
         phase: JobPhase::Open,
         host: Arc::clone(&route.host),
         path: parts.uri.path().into(),
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -91,8 +91,8 @@
         node.fleet.borrow_mut().expire(now_ms);
         node.connections.expire(now_ms);
         node.metrics.on_tick(&node);
-        let is_informed = node.has_nodes.get() && node.has_jobs.get();
-        if !is_informed || node.store_health.is_away() || node.stage() != Stage::Serving {
+        let may_own = node.has_lease.get() && node.has_nodes.get() && node.has_jobs.get();
+        if !may_own || node.store_health.is_away() || node.stage() != Stage::Serving {
             continue;
         }
         load_missing(&node);
--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -88,6 +88,25 @@
     }
 }
 
+/// A job comes to an instance whose first heartbeat is still on its way: the
+/// job is accepted, and nobody takes its owner for dead meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_that_comes_before_the_first_heartbeat_is_accepted() {
+    let mut world = World::start(&[4], 0).await;
+    let slow = json!({"kind": {"slow": {"delay_ms": 700}}, "path": "/rows-tx",
+                      "contains": "redwingtack_nodes"});
+    world.fault(world.store.address(), slow).await;
+    world.add_node("node-0");
+    let node = &world.nodes[0];
+    node.wait_ready().await;
+    let answer = node.submit("j1", &GOOD_ITEMS).await;
+    assert_eq!(answer.status, StatusCode::ACCEPTED);
+    check_results(&node.wait_results("j1").await, &GOOD_ITEMS);
+    for (id, runs) in world.runs().await {
+        assert_eq!(runs.len(), 1, "{id}");
+    }
+}
+
 /// The answer to the write that accepts a job is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn job_whose_acknowledgement_is_lost_is_accepted_once() {
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -151,7 +151,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn standard_output_that_nobody_reads_holds_nothing_up() {
     let mut world = World::start(&[8], 0).await;
-    world.add_node("node-0", Stdio::piped());
+    world.add_node_with_output("node-0", Some(Stdio::piped()));
     world.nodes[0].wait_ready().await;
     for index in 0..400 {
         let answer = world.nodes[0].ask("/nowhere/a", &format!("r{index}")).await;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,10 +4,13 @@
 #![allow(dead_code, reason = "each test file uses some of it")]
 
 use std::{
-    env, fs, io,
+    env,
+    fs::{self, File},
+    io,
     net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    thread,
     time::Duration,
 };
 
@@ -54,11 +57,12 @@
     pub standin: Standin,
 }
 
-/// One process; dropping it kills it.
+/// One process; dropping it kills it. If its test fails, its log is printed.
 pub struct NodeProcess {
     pub front: SocketAddr,
     pub readiness: SocketAddr,
     settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -110,14 +114,19 @@
             world.register(index, "ready").await;
         }
         for index in 0..nodes {
-            world.add_node(&format!("node-{index}"), Stdio::null());
+            world.add_node(&format!("node-{index}"));
         }
         world
     }
 
-    pub fn add_node(&mut self, name: &str, stdout: Stdio) {
+    pub fn add_node(&mut self, name: &str) {
+        self.add_node_with_output(name, None);
+    }
+
+    /// Adds a process that writes its log to `output` in place of a file.
+    pub fn add_node_with_output(&mut self, name: &str, output: Option<Stdio>) {
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, self.store.address(), stdout);
+        let node = NodeProcess::start(name, ip, self.store.address(), output);
         self.nodes.push(node);
     }
 
@@ -192,7 +201,7 @@
 
 impl NodeProcess {
     /// Every process has an address of its own, so ports never collide.
-    fn start(name: &str, ip: IpAddr, store: SocketAddr, stdout: Stdio) -> Self {
+    fn start(name: &str, ip: IpAddr, store: SocketAddr, output: Option<Stdio>) -> Self {
         let front = SocketAddr::new(ip, FRONT_PORT);
         let readiness = SocketAddr::new(ip, READINESS_PORT);
         let document = json!({
@@ -205,15 +214,18 @@
         });
         let settings = env::temp_dir().join(format!("redwingtack-{ip}.json"));
         fs::write(&settings, document.to_string()).unwrap();
+        let log = settings.with_extension("log");
+        let log_file = File::create(&log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_redwingtack-node"))
             .env("REDWINGTACK_CONFIG", &settings)
-            .stdout(stdout)
+            .stdout(output.unwrap_or_else(|| log_file.into()))
             .spawn()
             .unwrap();
         Self {
             front,
             readiness,
             settings,
+            log,
             child,
         }
     }
@@ -317,6 +329,11 @@
         // The process may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            println!("log of {}:\n{log}", self.front);
+        }
+        let _ = fs::remove_file(&self.log);
         let _ = fs::remove_file(&self.settings);
     }
 }
