node: an unanswered heartbeat shows early that the store is out of reach

Three machines are cut off at 1.0 s; they notice at 2.95 s, when a heartbeat runs into its limit of 2 s. A job that comes to one of them meanwhile waits for a connection (2.37 to 2.55 s), is refused and is accepted elsewhere at 2.885 s, after its goal of 500 ms: 15 items late. Change: a heartbeat that takes four times as long as the last one (100 ms at least) starts a connection attempt; if that fails the store counts as lost. Notices say so at once, so that nobody sends jobs to an instance that has just lost the store too. Left: a job whose two tries meet two machines that are both cut off (16 items).

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -332,7 +332,11 @@
         if notices.peek().is_none() {
             return has_peers;
         }
-        notices.any(|notice| notice.store_age_ms < STORE_REACHED_MS)
+        notices.any(|notice| {
+            notice
+                .store_age_ms
+                .is_some_and(|age_ms| age_ms < STORE_REACHED_MS)
+        })
     }
 
     /// When this instance last sent an online request to a service.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,8 +23,9 @@
     pub sequence: u64,
     /// Its region.
     pub region: Region,
-    /// Time since it last had an answer of the store, milliseconds.
-    pub store_age_ms: u64,
+    /// Time since it last had an answer of the store, milliseconds; absent if
+    /// its last call failed.
+    pub store_age_ms: Option<u64>,
     /// Jobs that the instance took over lately.
     pub taken_over: Vec<TakenOver>,
     /// Batch items that wait for an upstream, most urgent first.
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -217,7 +217,7 @@
 
 #[test]
 fn store_is_better_elsewhere_by_what_peers_say() {
-    let say = |ages_ms: &[u64], has_peers| {
+    let say = |ages_ms: &[Option<u64>], has_peers| {
         let mut fleet = fleet("me", &NEAR);
         for (index, age_ms) in ages_ms.iter().enumerate() {
             let mut notice = notice(&format!("peer{index}"), 1, &[]);
@@ -226,8 +226,9 @@
         }
         fleet.store_is_better_elsewhere(has_peers)
     };
-    assert!(say(&[10_000, 100], true), "one peer reaches it");
-    assert!(!say(&[10_000, 9_000], true), "it is away for all");
+    assert!(say(&[None, Some(100)], true), "one peer reaches it");
+    assert!(!say(&[None, Some(9_000)], true), "it is away for all");
+    assert!(!say(&[None, None], true), "all have just lost it");
     assert!(say(&[], true), "this instance is cut off from all");
     assert!(!say(&[], false), "there is no other instance");
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -98,7 +98,7 @@
         started_unix_ms: 1,
         sequence,
         region: Region::new("north"),
-        store_age_ms: 0,
+        store_age_ms: Some(0),
         taken_over: Vec::new(),
         batch_queue: Vec::new(),
         loads,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,12 +7,14 @@
 //! write is conditional on the version of the job's record, which fences an
 //! owner that lost the job without noticing.
 
+mod beat_watch;
 mod directory;
 mod item;
 mod owned_job;
 mod record;
 
 pub use crate::{
+    beat_watch::BeatWatch,
     directory::{Directory, Heartbeat, StoredJob},
     item::{ItemOutcome, ItemResult, JobItem, Partial, ResultPage},
     owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunEnd},
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -1,9 +1,9 @@
 //! Follows the tables of the store: configuration, servers, instances, jobs.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use ledger::Heartbeat;
+use ledger::{BeatWatch, Heartbeat};
 use model::{InstanceId, UpstreamId};
 use platform::{
     CONFIG_KEY, CONFIG_TABLE, Entry, Row, RowId, RowRange, SERVERS_TABLE, ServerRow, StoreError,
@@ -364,19 +364,22 @@
 /// Tells the other instances that this one lives.
 async fn beat(node: Rc<Node>) {
     let mut next = Instant::now();
+    let mut watch = BeatWatch::default();
     while node.stage() == Stage::Serving {
         let interval_ms = heartbeat_interval_ms(&node);
         let put = Transaction {
             puts: vec![heartbeat_entry(&node, interval_ms)],
             ..Transaction::default()
         };
-        let delay_ms = match node.store.transact(&put).await {
-            Ok(_) => {
+        let delay_ms = match write_beat(&node, &put, &mut watch).await {
+            Ok(()) => {
+                watch.answered(node.now_ms());
                 node.has_lease.set(true);
                 Feed::Nodes.note_answer(&node);
                 interval_ms
             }
             Err(error) => {
+                watch.failed();
                 log::warn!("event=heartbeat_failed error={}", process::quote(&error));
                 Feed::Nodes.note_failure(&node, &error);
                 interval_ms.min(RETRY_MAX_MS)
@@ -388,6 +391,31 @@
     }
 }
 
+/// Writes a heartbeat. While it is overdue, a new connection tells whether the
+/// store can be reached.
+async fn write_beat(
+    node: &Node,
+    put: &Transaction,
+    watch: &mut BeatWatch,
+) -> Result<(), StoreError> {
+    let sent_at_ms = node.now_ms();
+    watch.sent(sent_at_ms);
+    let overdue_at_ms = watch.overdue_at_ms().unwrap_or(sent_at_ms);
+    let overdue = sleep(Duration::from_millis(overdue_at_ms - sent_at_ms));
+    let probe = async {
+        overdue.await;
+        if let Err(error) = node.store.probe().await {
+            Feed::Nodes.note_failure(node, &error);
+        }
+    };
+    let mut write = pin!(node.store.transact(put));
+    let written = tokio::select! {
+        written = &mut write => written,
+        () = probe => write.await,
+    };
+    written.map(drop)
+}
+
 async fn forget_silent_nodes(node: &Node) {
     if node.store_health.is_away() || !node.has_nodes.get() {
         return;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -89,7 +89,8 @@
         started_unix_ms: node.me.started_unix_ms,
         sequence,
         region: node.settings().region.clone(),
-        store_age_ms: node.store_health.age_ms(node.now_ms()),
+        store_age_ms: (!node.store_health.is_away())
+            .then(|| node.store_health.age_ms(node.now_ms())),
         taken_over: node.runner.borrow_mut().recent_takeovers(node.now_ms()),
         batch_queue: fleet.batch_queue().to_vec(),
         loads: fleet.own_loads(),
