--- a/crates/batch/src/claims.rs
+++ b/crates/batch/src/claims.rs
@@ -159,7 +159,7 @@
     let Some((version, row)) = store.job(id).await? else {
         return Ok(ClaimOutcome::Ended);
     };
-    if version != job.row.job_version {
+    if version != job.job_version() {
         return Ok(ClaimOutcome::Ended);
     }
     let op = store.next_op();
@@ -180,12 +180,16 @@
     plan: ClaimPlan,
     terms: Terms,
 ) -> Result<ClaimOutcome, StoreError> {
-    match context.store.settle(plan.settle, Priority::Claim).await {
-        Verdict::Applied { .. } => Ok(ClaimOutcome::Held {
-            chunks: plan.chunks,
-            open: plan.open,
-            is_alone: terms == Terms::Alone,
-        }),
+    let settle = plan.settle.clone();
+    match context.store.settle(settle, Priority::Claim).await {
+        Verdict::Applied { version } => {
+            let (chunks, open) = plan.into_applied(version);
+            Ok(ClaimOutcome::Held {
+                chunks,
+                open,
+                is_alone: terms == Terms::Alone,
+            })
+        }
         Verdict::Refused => refresh(context, key).await,
     }
 }
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -6,7 +6,7 @@
 use model::{InstanceEntry, InstanceRole, Liveness};
 use peer::{PeerClient, PeerHandler, PeerRequest, PeerResponse, ViewWatch};
 use process::Shutdown;
-use store::{Pacer, PacerSettings, Platform};
+use store::{PacedStore, Pacer, PacerSettings};
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
 use upstream::UpstreamClient;
@@ -66,7 +66,7 @@
         let peers = PeerClient::new();
         let view = ViewWatch::start(&control, own, peers.clone());
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = Platform::new(settings.platform).with_pacer(pacer);
+        let platform = PacedStore::new(settings.platform).with_pacer(pacer);
         let store = JobStore::new(platform, random());
         let context = Context {
             store: store.clone(),
--- a/crates/control/src/api/listings.rs
+++ b/crates/control/src/api/listings.rs
@@ -6,7 +6,7 @@
 use salvo::{Request, Response, handler, writing::Json};
 use serde::Serialize;
 use serde_json::Value;
-use store::{PlatformError, Row};
+use store::{Row, StoreError};
 
 use super::refusal::Refusal;
 use crate::{config_store, node::Node};
@@ -87,8 +87,8 @@
         let platform = self.node.platform();
         match platform.rows(JOB_PREFIX, after.as_deref(), limit).await {
             Ok(page) => res.render(Json(JobPage {
-                jobs: page.rows.into_iter().map(job_row).collect(),
-                more: page.more,
+                jobs: page.rows.iter().map(job_row).collect(),
+                more: page.has_more,
             })),
             Err(error) => unavailable(&error).render(res),
         }
@@ -100,7 +100,7 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let id = req.param::<String>("id").unwrap_or_default();
         match self.node.platform().row(&format!("{JOB_PREFIX}{id}")).await {
-            Ok(Some(row)) => res.render(Json(job_row(row))),
+            Ok(Some(row)) => res.render(Json(job_row(&row))),
             Ok(None) => {
                 let message = format!("there is no job {id:?}");
                 Refusal::new(ErrorKind::NotFound, message).render(res);
@@ -140,16 +140,17 @@
     }
 }
 
-fn job_row(row: Row) -> JobRow {
+fn job_row(row: &Row) -> JobRow {
     let id = row.key.strip_prefix(JOB_PREFIX).unwrap_or(&row.key);
     JobRow {
         id: id.to_owned(),
         row_version: row.version,
-        job: serde_json::from_str(&row.value).unwrap_or(Value::String(row.value)),
+        job: serde_json::from_slice(&row.value)
+            .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&row.value).into_owned())),
     }
 }
 
-fn unavailable(error: &PlatformError) -> Refusal {
+fn unavailable(error: &StoreError) -> Refusal {
     let message = format!("the table cannot be read: {error}");
-    Refusal::new(error.kind(), message)
+    Refusal::new(ErrorKind::PlatformUnavailable, message)
 }
--- a/crates/control/src/config_store.rs
+++ b/crates/control/src/config_store.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use model::FleetConfig;
 use serde::{Deserialize, Serialize};
-use store::{
-    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
-};
+use store::{PacedStore, Row, StoreError, TransactOutcome, Transaction};
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -84,17 +83,17 @@
     },
     /// Nothing was changed.
     #[error("the platform cannot be reached, nothing was changed: {0}")]
-    Unavailable(PlatformError),
+    Unavailable(StoreError),
     /// The change may have been made.
     #[error("the platform did not answer, the change may have been made: {0}")]
-    Unknown(PlatformError),
+    Unknown(StoreError),
     /// A row does not hold what this program writes.
     #[error("a row of the table is malformed: {0}")]
     Malformed(String),
 }
 
 /// Reads the configuration row.
-pub(crate) async fn read(platform: &Platform) -> Result<Option<Current>, ApplyError> {
+pub(crate) async fn read(platform: &PacedStore) -> Result<Option<Current>, ApplyError> {
     let row = platform.row(CONFIG_KEY).await;
     let Some(row) = row.map_err(ApplyError::Unavailable)? else {
         return Ok(None);
@@ -107,7 +106,10 @@
 
 /// Replaces the configuration by compare-and-set, with the audit record in the
 /// same transaction. Returns the configuration with its new version.
-pub(crate) async fn apply(platform: &Platform, change: Change) -> Result<FleetConfig, ApplyError> {
+pub(crate) async fn apply(
+    platform: &PacedStore,
+    change: Change,
+) -> Result<FleetConfig, ApplyError> {
     let deadline = Instant::now() + APPLY_TIMEOUT;
     let current = read(platform).await?;
     let from_version = current.as_ref().map_or(0, |current| current.config.version);
@@ -120,12 +122,7 @@
     config.version = from_version + 1;
     let request = transaction(&change, &config, current.map(|current| current.row_version))?;
     let marker = audit_key(config.version);
-    let is_own = |row: &Row| {
-        parse::<AuditRecord>(row).is_ok_and(|record| record.operation == change.operation)
-    };
-    let outcome = platform
-        .transact_settled(&request, &marker, is_own, deadline)
-        .await;
+    let outcome = platform.transact_settled(&request, &marker, deadline).await;
     match outcome {
         Ok(TransactOutcome::Committed { .. }) => Ok(config),
         Ok(TransactOutcome::Conflict { .. }) => {
@@ -135,14 +132,14 @@
                 winner: winner.map(Box::new),
             })
         }
-        Err(error) if error.is_not_applied() => Err(ApplyError::Unavailable(error)),
+        Err(error) if error.is_not_done() => Err(ApplyError::Unavailable(error)),
         Err(error) => Err(ApplyError::Unknown(error)),
     }
 }
 
 /// Reads the newest `limit` records of the audit trail, newest first.
 pub(crate) async fn audit_trail(
-    platform: &Platform,
+    platform: &PacedStore,
     limit: usize,
 ) -> Result<Vec<AuditRecord>, ApplyError> {
     let newest = read(platform)
@@ -160,7 +157,7 @@
             records.push(parse(row)?);
         }
         match page.rows.last() {
-            Some(last) if page.more => after.clone_from(&last.key),
+            Some(last) if page.has_more => last.key.as_ref().clone_into(&mut after),
             _ => break,
         }
     }
@@ -171,7 +168,7 @@
 /// The operator's version is not in force. If the change is the operator's own,
 /// repeated after a lost answer, it was made already.
 async fn resume_or_refuse(
-    platform: &Platform,
+    platform: &PacedStore,
     change: &Change,
     replaces: u64,
     from_version: u64,
@@ -190,7 +187,10 @@
     })
 }
 
-async fn read_audit(platform: &Platform, version: u64) -> Result<Option<AuditRecord>, ApplyError> {
+async fn read_audit(
+    platform: &PacedStore,
+    version: u64,
+) -> Result<Option<AuditRecord>, ApplyError> {
     let row = platform.row(&audit_key(version)).await;
     match row.map_err(ApplyError::Unavailable)? {
         Some(row) => parse(&row).map(Some),
@@ -202,7 +202,7 @@
     change: &Change,
     config: &FleetConfig,
     row_version: Option<u64>,
-) -> Result<TransactRequest, ApplyError> {
+) -> Result<Transaction, ApplyError> {
     let record = AuditRecord {
         operation: change.operation.clone(),
         who: change.who.clone(),
@@ -212,28 +212,18 @@
         outcome: AuditOutcome::Applied,
         config: summarize(config),
     };
-    let audit_key = audit_key(config.version);
-    Ok(TransactRequest {
+    let current = store::row(CONFIG_KEY);
+    let audit = store::row(&audit_key(config.version));
+    Ok(Transaction {
         conditions: vec![
-            Condition {
-                key: CONFIG_KEY.to_owned(),
-                expected: row_version.map_or(Expected::Absent, Expected::Version),
-            },
-            Condition {
-                key: audit_key.clone(),
-                expected: Expected::Absent,
-            },
+            current.clone().at_version(row_version.unwrap_or(0)),
+            audit.clone().at_version(0),
         ],
-        mutations: vec![
-            Mutation::Put {
-                key: CONFIG_KEY.to_owned(),
-                value: encode(config)?,
-            },
-            Mutation::Put {
-                key: audit_key,
-                value: encode(&record)?,
-            },
+        puts: vec![
+            current.with_value(encode(config)?),
+            audit.with_value(encode(&record)?),
         ],
+        ..Transaction::default()
     })
 }
 
@@ -250,11 +240,12 @@
     format!("{AUDIT_PREFIX}{version:020}")
 }
 
-fn encode(value: &impl Serialize) -> Result<String, ApplyError> {
-    serde_json::to_string(value).map_err(|error| ApplyError::Malformed(error.to_string()))
+fn encode(value: &impl Serialize) -> Result<Bytes, ApplyError> {
+    let encoded = serde_json::to_vec(value).map(Bytes::from);
+    encoded.map_err(|error| ApplyError::Malformed(error.to_string()))
 }
 
 fn parse<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T, ApplyError> {
-    serde_json::from_str(&row.value)
+    serde_json::from_slice(&row.value)
         .map_err(|error| ApplyError::Malformed(format!("{}: {error}", row.key)))
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,7 +12,7 @@
 use model::{FleetConfig, InstanceEntry, InstanceRole, Liveness, ModelName, UpstreamId, View};
 use peer::{NodeStatus, PeerClient, PeerRequest, PeerResponse};
 use process::AdminState;
-use store::Platform;
+use store::PacedStore;
 use tokio::{
     sync::watch,
     time::{Instant, MissedTickBehavior},
@@ -30,7 +30,7 @@
     clock: Clock,
     view: watch::Sender<Published>,
     client: PeerClient,
-    platform: Platform,
+    platform: PacedStore,
     admin: AdminState,
 }
 
@@ -66,12 +66,12 @@
             clock,
             view: watch::Sender::default(),
             client: PeerClient::new(),
-            platform: Platform::new(settings.platform),
+            platform: PacedStore::new(settings.platform),
             admin,
         }
     }
 
-    pub(crate) fn platform(&self) -> &Platform {
+    pub(crate) fn platform(&self) -> &PacedStore {
         &self.platform
     }
 
--- a/crates/control/src/orders/driver.rs
+++ b/crates/control/src/orders/driver.rs
@@ -6,7 +6,7 @@
 use model::{
     InstanceId, Liveness, ModelName, Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
-use store::{Condition, Expected, Mutation, TransactOutcome, TransactRequest};
+use store::{TransactOutcome, Transaction};
 use tokio::time::{Instant, MissedTickBehavior, timeout_at};
 use upstream::{LoadReport, Order, OrderAction, UpstreamClient};
 
@@ -102,9 +102,12 @@
                     let row = self.read_lease().await;
                     next = self.issuer.row_read(row, self.node.now_ms());
                 }
-                TableOp::Write { expected, row } => {
+                TableOp::Write {
+                    expected_version,
+                    row,
+                } => {
                     let fence = row.fence;
-                    let outcome = self.write_lease(expected, &row).await;
+                    let outcome = self.write_lease(expected_version, &row).await;
                     self.issuer.row_written(outcome, self.node.now_ms());
                     log::debug!("event=orders_lease fence={fence} outcome={outcome:?}");
                 }
@@ -117,28 +120,24 @@
             log::debug!("event=orders_lease_unread error={error:?}");
         })?;
         let Some(row) = row else { return Ok(None) };
-        let lease = serde_json::from_str(&row.value).map_err(|error| {
+        let lease = serde_json::from_slice(&row.value).map_err(|error| {
             log::error!("event=orders_lease_malformed error={error:?}");
         })?;
         Ok(Some((row.version, lease)))
     }
 
-    async fn write_lease(&self, expected: Expected, row: &LeaseRow) -> WriteOutcome {
-        let Ok(value) = serde_json::to_string(row) else {
+    async fn write_lease(&self, expected_version: u64, row: &LeaseRow) -> WriteOutcome {
+        let Ok(value) = serde_json::to_vec(row) else {
             return WriteOutcome::Conflict;
         };
-        let key = self.key.clone();
-        let request = TransactRequest {
-            conditions: vec![Condition {
-                key: key.clone(),
-                expected,
-            }],
-            mutations: vec![Mutation::Put { key, value }],
+        let lease = store::row(&self.key);
+        let transaction = Transaction {
+            conditions: vec![lease.clone().at_version(expected_version)],
+            puts: vec![lease.with_value(value.into())],
+            ..Transaction::default()
         };
-        match self.node.platform().transact(&request).await {
-            Ok(TransactOutcome::Committed { versions }) => {
-                WriteOutcome::Committed(versions.first().copied().unwrap_or(0))
-            }
+        match self.node.platform().transact(&transaction).await {
+            Ok(TransactOutcome::Committed { version }) => WriteOutcome::Committed(version),
             Ok(TransactOutcome::Conflict { .. }) => WriteOutcome::Conflict,
             Err(_) => WriteOutcome::Unknown,
         }
--- a/crates/control/src/orders/issuer.rs
+++ b/crates/control/src/orders/issuer.rs
@@ -9,7 +9,6 @@
 
 use model::InstanceId;
 use serde::{Deserialize, Serialize};
-use store::Expected;
 
 /// Durations of the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +37,7 @@
     /// Write the row and report with [`Issuer::row_written`].
     Write {
         /// State that the row must have.
-        expected: Expected,
+        expected_version: u64,
         /// New value.
         row: LeaseRow,
     },
@@ -129,14 +128,14 @@
         let (op, fence) = match self.state {
             State::Held {
                 row_version, fence, ..
-            } => (self.write(Expected::Version(row_version), fence), fence),
+            } => (self.write(row_version, fence), fence),
             State::Watching {
                 row_version,
                 fence,
                 since_ms,
             } if since_ms + self.times.lease_ms <= now_ms => {
                 let fence = fence + 1;
-                (self.write(Expected::Version(row_version), fence), fence)
+                (self.write(row_version, fence), fence)
             }
             State::Watching { .. } | State::Unknown => (TableOp::Read, 0),
         };
@@ -161,7 +160,7 @@
                     sent_at_ms: now_ms,
                     fence: 1,
                 });
-                Some(self.write(Expected::Absent, 1))
+                Some(self.write(0, 1))
             }
             Ok(Some((row_version, row))) => {
                 self.watch(row_version, row.fence, now_ms);
@@ -232,10 +231,10 @@
         };
     }
 
-    fn write(&self, expected: Expected, fence: u64) -> TableOp {
+    fn write(&self, expected_version: u64, fence: u64) -> TableOp {
         let holder = self.own.clone();
         TableOp::Write {
-            expected,
+            expected_version,
             row: LeaseRow { holder, fence },
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,7 @@
     Request, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor, http::ParseError,
     server::ServerHandle,
 };
-use store::{Pacer, PacerSettings, Platform};
+use store::{PacedStore, Pacer, PacerSettings};
 use tokio::{
     net::{TcpListener, TcpSocket},
     sync::watch,
@@ -177,7 +177,7 @@
         );
         let tasks = TaskTracker::new();
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = Platform::new(settings.platform).with_pacer(pacer);
+        let platform = PacedStore::new(settings.platform).with_pacer(pacer);
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
             freshness: fleet.freshness(),
--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -10,9 +10,7 @@
 use model::{CustomerId, ErrorKind, Ran};
 use process::Refusal;
 use serde::{Deserialize, Serialize};
-use store::{
-    Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome, TransactRequest,
-};
+use store::{PacedStore, Row, StoreError, TransactOutcome, Transaction};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use upstream::ServiceAnswer;
@@ -56,13 +54,10 @@
     Unknown,
 }
 
-/// Version of a claim that this process has just inserted.
-const INSERTED_VERSION: u64 = 1;
-
 /// Runs calls once.
 #[derive(Debug, Clone)]
 pub(crate) struct Claims {
-    platform: Platform,
+    platform: PacedStore,
     tasks: TaskTracker,
 }
 
@@ -72,7 +67,7 @@
 }
 
 impl Claims {
-    pub(crate) fn new(platform: Platform, tasks: TaskTracker) -> Self {
+    pub(crate) fn new(platform: PacedStore, tasks: TaskTracker) -> Self {
         Self { platform, tasks }
     }
 
@@ -91,17 +86,19 @@
             },
         };
         match self.insert(&key, &claim).await {
-            Ok(TransactOutcome::Committed { .. }) => self.run_claimed(key, claim, flow).await,
-            Ok(TransactOutcome::Conflict { row: Some(row), .. }) => {
-                self.answer_from(row, &claim.digest).await
+            Ok(TransactOutcome::Committed { version }) => {
+                self.run_claimed(key, claim, version, flow).await
             }
-            Ok(TransactOutcome::Conflict { row: None, .. }) => {
-                // The claim of a call that did not run was removed just now.
-                let message = "An earlier call with this key has just ended without running.";
-                Err(Refusal::new(ErrorKind::PlatformUnavailable, message))
+            Ok(TransactOutcome::Conflict { rows }) => {
+                let Some(row) = rows.into_iter().next() else {
+                    // The claim of a call that did not run was removed just now.
+                    let message = "An earlier call with this key has just ended without running.";
+                    return Err(Refusal::new(ErrorKind::PlatformUnavailable, message));
+                };
+                self.answer_from(row, &claim.digest).await
             }
             Err(error) => {
-                if !error.is_not_applied() {
+                if !error.is_not_done() {
                     self.release_later(key, claim);
                 }
                 Err(unavailable(&error))
@@ -109,16 +106,13 @@
         }
     }
 
-    async fn insert(&self, key: &str, claim: &ClaimRow) -> Result<TransactOutcome, PlatformError> {
-        let request = put(key, Expected::Absent, claim);
+    async fn insert(&self, key: &str, claim: &ClaimRow) -> Result<TransactOutcome, StoreError> {
+        let request = put(key, 0, claim);
         let deadline = Instant::now() + Duration::from_millis(CLAIM_TIMEOUT_MS);
-        let is_own = |row: &Row| is_operation(row, &claim.operation);
-        let settled = self
-            .platform
-            .transact_settled(&request, key, is_own, deadline);
+        let settled = self.platform.transact_settled(&request, key, deadline);
         match tokio::time::timeout_at(deadline, settled).await {
             Ok(outcome) => outcome,
-            Err(_) => Err(PlatformError::Unknown("no answer in time".to_owned())),
+            Err(_) => Err(StoreError::Unknown("no answer in time".to_owned())),
         }
     }
 
@@ -126,13 +120,15 @@
         self,
         key: String,
         claim: ClaimRow,
+        version: u64,
         flow: ServiceFlow,
     ) -> Result<ServiceAnswer, Refusal> {
         match flow.run().await {
             Ok(answer) => {
                 let stored = StoredAnswer::store(&answer, &self.platform).await;
                 let state = stored.map_or(ClaimState::Unknown, ClaimState::Done);
-                self.replace_soon(key, ClaimRow { state, ..claim }).await;
+                self.replace_soon(key, version, ClaimRow { state, ..claim })
+                    .await;
                 Ok(answer)
             }
             Err(refusal) if refusal.ran() == Ran::No => {
@@ -141,7 +137,8 @@
             }
             Err(refusal) => {
                 let state = ClaimState::Unknown;
-                self.replace_soon(key, ClaimRow { state, ..claim }).await;
+                self.replace_soon(key, version, ClaimRow { state, ..claim })
+                    .await;
                 Err(outcome_unknown(&refusal.message))
             }
         }
@@ -188,12 +185,12 @@
     }
 
     /// Records an outcome; goes on in the background if the platform is slow.
-    async fn replace_soon(&self, key: String, claim: ClaimRow) {
+    async fn replace_soon(&self, key: String, version: u64, claim: ClaimRow) {
         let this = self.clone();
         let task = self.tasks.spawn(async move {
             let deadline = Instant::now() + Duration::from_millis(STORE_GIVE_UP_MS);
             while Instant::now() < deadline {
-                match this.replace(&key, INSERTED_VERSION, &claim).await {
+                match this.replace(&key, version, &claim).await {
                     Ok(()) => return,
                     Err(error) => log::warn!(
                         "event=outcome_not_stored key={key} error={}",
@@ -209,13 +206,8 @@
     }
 
     /// A conflict means that the claim has been settled otherwise.
-    async fn replace(
-        &self,
-        key: &str,
-        version: u64,
-        claim: &ClaimRow,
-    ) -> Result<(), PlatformError> {
-        let request = put(key, Expected::Version(version), claim);
+    async fn replace(&self, key: &str, version: u64, claim: &ClaimRow) -> Result<(), StoreError> {
+        let request = put(key, version, claim);
         self.platform.transact(&request).await?;
         Ok(())
     }
@@ -238,42 +230,38 @@
         });
     }
 
-    async fn release(&self, key: &str, operation: &str) -> Result<(), PlatformError> {
+    async fn release(&self, key: &str, operation: &str) -> Result<(), StoreError> {
         let Some(row) = self.platform.row(key).await? else {
             return Ok(());
         };
         if !is_operation(&row, operation) {
             return Ok(());
         }
-        let request = TransactRequest {
-            conditions: vec![Condition {
-                key: key.to_owned(),
-                expected: Expected::Version(row.version),
-            }],
-            mutations: vec![Mutation::Delete {
-                key: key.to_owned(),
-            }],
+        let claim = store::row(key);
+        let request = Transaction {
+            conditions: vec![claim.clone().at_version(row.version)],
+            removals: vec![claim.removed()],
+            ..Transaction::default()
         };
         self.platform.transact(&request).await?;
         Ok(())
     }
 }
 
-fn put(key: &str, expected: Expected, claim: &ClaimRow) -> TransactRequest {
-    TransactRequest {
-        conditions: vec![Condition {
-            key: key.to_owned(),
-            expected,
-        }],
-        mutations: vec![Mutation::Put {
-            key: key.to_owned(),
-            value: serde_json::to_string(claim).unwrap_or_default(),
-        }],
+/// Puts a claim over the row with this version; 0 if there must be none.
+fn put(key: &str, version: u64, claim: &ClaimRow) -> Transaction {
+    // Serializing texts and numbers cannot fail.
+    let value = serde_json::to_vec(claim).unwrap_or_default();
+    let row = store::row(key);
+    Transaction {
+        conditions: vec![row.clone().at_version(version)],
+        puts: vec![row.with_value(value.into())],
+        ..Transaction::default()
     }
 }
 
 fn parse(row: &Row) -> Result<ClaimRow, Refusal> {
-    serde_json::from_str(&row.value).map_err(|error| {
+    serde_json::from_slice(&row.value).map_err(|error| {
         log::error!(
             "event=claim_malformed key={} error={}",
             row.key,
@@ -284,10 +272,10 @@
 }
 
 fn is_operation(row: &Row, operation: &str) -> bool {
-    serde_json::from_str::<ClaimRow>(&row.value).is_ok_and(|claim| claim.operation == operation)
+    serde_json::from_slice::<ClaimRow>(&row.value).is_ok_and(|claim| claim.operation == operation)
 }
 
-fn unavailable(error: &PlatformError) -> Refusal {
+fn unavailable(error: &StoreError) -> Refusal {
     let message = format!("The platform cannot be reached: {error}.");
     Refusal::new(ErrorKind::PlatformUnavailable, message)
 }
--- a/crates/entry/src/service/stored.rs
+++ b/crates/entry/src/service/stored.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize};
-use store::{Platform, PlatformError};
+use store::{PacedStore, StoreError};
 use upstream::ServiceAnswer;
 use uuid::Uuid;
 
@@ -32,15 +32,13 @@
     /// Stores the body as an object if it is long.
     pub(crate) async fn store(
         answer: &ServiceAnswer,
-        platform: &Platform,
-    ) -> Result<Self, PlatformError> {
+        platform: &PacedStore,
+    ) -> Result<Self, StoreError> {
         let body = if answer.body.len() <= INLINE_MAX_BYTES {
             StoredBody::Inline(BASE64_STANDARD.encode(&answer.body))
         } else {
             let name = format!("claim-answer/{}", Uuid::new_v4().simple());
-            platform
-                .put_object_bytes(&name, answer.body.clone())
-                .await?;
+            platform.put_object(&name, answer.body.clone()).await?;
             StoredBody::Object(name)
         };
         Ok(Self {
@@ -51,19 +49,19 @@
     }
 
     /// Reads the answer back.
-    pub(crate) async fn load(self, platform: &Platform) -> Result<ServiceAnswer, PlatformError> {
+    pub(crate) async fn load(self, platform: &PacedStore) -> Result<ServiceAnswer, StoreError> {
         let body = match self.body {
             StoredBody::Inline(text) => BASE64_STANDARD
                 .decode(text)
                 .map(Bytes::from)
-                .map_err(|error| PlatformError::Protocol(error.to_string()))?,
+                .map_err(|error| StoreError::Protocol(error.to_string()))?,
             StoredBody::Object(name) => platform
                 .object(&name, None)
                 .await?
-                .ok_or_else(|| PlatformError::Protocol(format!("object {name} is missing")))?,
+                .ok_or_else(|| StoreError::Protocol(format!("object {name} is missing")))?,
         };
         let status = StatusCode::from_u16(self.status)
-            .map_err(|error| PlatformError::Protocol(error.to_string()))?;
+            .map_err(|error| StoreError::Protocol(error.to_string()))?;
         Ok(ServiceAnswer {
             status,
             headers: header_map(&self.headers),
--- a/crates/job_api/src/content.rs
+++ b/crates/job_api/src/content.rs
@@ -1,6 +1,8 @@
 //! Streams the content of files.
 
-use futures::{StreamExt, TryStreamExt, stream};
+use std::io;
+
+use futures::{StreamExt, stream};
 use job_store::segment_name;
 use salvo::{
     Request, Response,
@@ -47,16 +49,10 @@
         HeaderValue::from_static("application/jsonl"),
     );
     let store = api.store.clone();
-    let content = stream::iter(names)
-        .then(move |name| {
-            let store = store.clone();
-            async move {
-                let opened = store.object_stream(&name).await;
-                opened.map(|parts| parts.map_err(std::io::Error::other))
-            }
-        })
-        .map_err(std::io::Error::other)
-        .try_flatten();
+    let content = stream::iter(names).then(move |name| {
+        let store = store.clone();
+        async move { store.whole_object(&name).await.map_err(io::Error::other) }
+    });
     res.stream(content);
     Ok(())
 }
--- a/crates/job_store/src/codec.rs
+++ b/crates/job_store/src/codec.rs
@@ -1,39 +1,43 @@
-//! Between the transactions of crate `jobs` and the platform's messages.
+//! Between the transactions of crate `jobs` and those of the store.
 
-use jobs::{Expect, Reply, RowValue, Transaction, Write};
-use store::{Condition, Expected, Mutation, PlatformError, Row, TransactOutcome, TransactRequest};
+use jobs::{Check, Expect, Reply, RowValue, Write};
+use store::{Row, StoreError, TransactOutcome, Transaction};
 
-pub(crate) fn encode(transaction: &Transaction) -> Result<TransactRequest, serde_json::Error> {
-    let conditions = transaction.checks.iter().map(|check| Condition {
-        key: check.key.clone(),
-        expected: match check.expect {
-            Expect::Absent => Expected::Absent,
-            Expect::Version(version) => Expected::Version(version),
-        },
-    });
-    let mutations = transaction.writes.iter().map(|write| match write {
-        Write::Put { key, value } => Ok(Mutation::Put {
-            key: key.clone(),
-            value: value.encode()?,
-        }),
-        Write::Delete { key } => Ok(Mutation::Delete { key: key.clone() }),
-    });
-    Ok(TransactRequest {
-        conditions: conditions.collect(),
-        mutations: mutations.collect::<Result<_, serde_json::Error>>()?,
-    })
+pub(crate) fn encode(transaction: &jobs::Transaction) -> Result<Transaction, serde_json::Error> {
+    let mut encoded = Transaction {
+        conditions: transaction.checks.iter().map(condition).collect(),
+        ..Transaction::default()
+    };
+    for write in &transaction.writes {
+        match write {
+            Write::Put { key, value } => {
+                let value = value.encode()?.into();
+                encoded.puts.push(store::row(key).with_value(value));
+            }
+            Write::Delete { key } => encoded.removals.push(store::row(key).removed()),
+        }
+    }
+    Ok(encoded)
+}
+
+fn condition(check: &Check) -> store::RowCondition {
+    let version = match check.expect {
+        Expect::Absent => 0,
+        Expect::Version(version) => version,
+    };
+    store::row(&check.key).at_version(version)
 }
 
-pub(crate) fn transact_reply(result: Result<TransactOutcome, PlatformError>) -> Reply {
+pub(crate) fn transact_reply(result: Result<TransactOutcome, StoreError>) -> Reply {
     match result {
-        Ok(TransactOutcome::Committed { versions }) => Reply::Committed(versions),
+        Ok(TransactOutcome::Committed { version }) => Reply::Committed { version },
         Ok(TransactOutcome::Conflict { .. }) => Reply::Conflict,
-        Err(error) if error.is_not_applied() => Reply::NotApplied,
+        Err(error) if error.is_not_done() => Reply::NotApplied,
         Err(_) => Reply::Unknown,
     }
 }
 
-pub(crate) fn read_reply(result: Result<Option<Row>, PlatformError>) -> Reply {
+pub(crate) fn read_reply(result: Result<Option<Row>, StoreError>) -> Reply {
     match result {
         Ok(None) => Reply::Row(None),
         Ok(Some(row)) => match RowValue::decode(&row.key, &row.value) {
@@ -43,7 +47,7 @@
                 Reply::Unknown
             }
         },
-        Err(error) if error.is_not_applied() => Reply::NotApplied,
+        Err(error) if error.is_not_done() => Reply::NotApplied,
         Err(_) => Reply::Unknown,
     }
 }
--- a/crates/job_store/src/objects.rs
+++ b/crates/job_store/src/objects.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use jobs::{ChunkSpan, ItemRecord, Manifest, ObjectRef};
-use store::{ByteStream, Priority};
+use store::Priority;
 
 use crate::{JobStore, StoreError};
 
@@ -34,7 +34,7 @@
     pub async fn put_object(&self, name: &str, content: Bytes) -> Result<(), StoreError> {
         self.meter.on_object_write();
         let platform = self.platform(Priority::Commit);
-        Ok(platform.put_object_bytes(name, content).await?)
+        Ok(platform.put_object(name, content).await?)
     }
 
     /// Writes an object whose name nobody else uses, however long the platform
@@ -43,7 +43,7 @@
         loop {
             self.meter.on_object_write();
             let platform = self.platform(Priority::Commit);
-            match platform.put_object_bytes(name, content.clone()).await {
+            match platform.put_object(name, content.clone()).await {
                 Ok(()) => return,
                 Err(error) => log::debug!("event=object_write_failed error={error:?}"),
             }
@@ -91,17 +91,14 @@
         serde_json::from_slice(&content).map_err(malformed)
     }
 
-    /// Streams an object.
+    /// Reads a whole object.
     ///
     /// # Errors
     ///
     /// Returns an error if the platform cannot be reached or there is no such
     /// object.
-    pub async fn object_stream(&self, name: &str) -> Result<ByteStream, StoreError> {
-        self.meter.on_object_read();
-        let platform = self.platform(Priority::Claim);
-        let opened = platform.object_stream(name, None).await?;
-        opened.ok_or_else(|| missing(name))
+    pub async fn whole_object(&self, name: &str) -> Result<Bytes, StoreError> {
+        self.object(name, None).await
     }
 
     /// Writes one line per record and tells where.
--- a/crates/job_store/src/rows.rs
+++ b/crates/job_store/src/rows.rs
@@ -69,7 +69,7 @@
             let page = self
                 .page(&prefix, after.as_deref(), PAGE_ROWS, Priority::Claim)
                 .await?;
-            after = page.rows.last().map(|row| row.key.clone());
+            after = page.rows.last().map(|row| row.key.to_string());
             for row in &page.rows {
                 let name = row.key.strip_prefix(&prefix).unwrap_or_default();
                 let name = name.parse().map_err(malformed)?;
@@ -77,7 +77,7 @@
                     chunks.push((name, *value));
                 }
             }
-            if !page.more || after.is_none() {
+            if !page.has_more || after.is_none() {
                 return Ok(chunks);
             }
         }
@@ -97,18 +97,18 @@
         let page = self
             .page(prefix, after, OPEN_PAGE_ROWS, Priority::Poll)
             .await?;
-        let last = page.rows.last().map(|row| row.key.clone());
+        let last = page.rows.last().map(|row| row.key.to_string());
         let mut jobs = Vec::new();
         for row in page.rows {
             if let RowValue::Open(value) = decode(&row)? {
                 jobs.push(OpenJob {
-                    key: row.key,
+                    key: row.key.to_string(),
                     version: row.version,
                     row: *value,
                 });
             }
         }
-        Ok((jobs, last.filter(|_| page.more)))
+        Ok((jobs, last.filter(|_| page.has_more)))
     }
 
     /// Reads the open row at `key`.
@@ -145,7 +145,7 @@
                 ids.push(job);
             }
         }
-        Ok((ids, page.more))
+        Ok((ids, page.has_more))
     }
 
     async fn row(
--- a/crates/job_store/src/store.rs
+++ b/crates/job_store/src/store.rs
@@ -7,7 +7,7 @@
 
 use jobs::{Acceptance, AcceptanceError, Accepted, Ask, NewJob, OpId, Reply, Settle, Verdict};
 use model::ErrorKind;
-use store::{Backoff, Platform, PlatformError, Priority};
+use store::{Backoff, PacedStore, Priority};
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -21,7 +21,7 @@
 /// Access to the rows and objects of jobs; clones share everything.
 #[derive(Debug, Clone)]
 pub struct JobStore {
-    platform: Platform,
+    platform: PacedStore,
     last_op: Arc<Mutex<OpId>>,
     pub(crate) meter: Meter,
 }
@@ -52,11 +52,11 @@
     }
 }
 
-impl From<PlatformError> for StoreError {
-    fn from(error: PlatformError) -> Self {
+impl From<store::StoreError> for StoreError {
+    fn from(error: store::StoreError) -> Self {
         match error {
-            PlatformError::NotApplied(_) | PlatformError::Unknown(_) => Self::Unavailable,
-            PlatformError::Protocol(_) | PlatformError::Unconditioned(_) => {
+            store::StoreError::NotDone(_) | store::StoreError::Unknown(_) => Self::Unavailable,
+            store::StoreError::Protocol(_) | store::StoreError::HistoryGone => {
                 Self::Malformed(error.to_string())
             }
         }
@@ -68,7 +68,7 @@
     /// identifies this process among all that ever run and must be drawn at
     /// random.
     #[must_use]
-    pub fn new(platform: Platform, process: u64) -> Self {
+    pub fn new(platform: PacedStore, process: u64) -> Self {
         Self {
             platform,
             last_op: Arc::new(Mutex::new(OpId::new(process))),
@@ -155,7 +155,7 @@
     }
 
     /// A handle whose calls have this priority.
-    pub(crate) fn platform(&self, priority: Priority) -> Platform {
+    pub(crate) fn platform(&self, priority: Priority) -> PacedStore {
         self.platform.clone().with_priority(priority)
     }
 
@@ -170,7 +170,8 @@
                         return Reply::NotApplied;
                     }
                 };
-                self.meter.on_transaction(request.mutations.len());
+                self.meter
+                    .on_transaction(request.puts.len() + request.removals.len());
                 codec::transact_reply(platform.transact(&request).await)
             }
             Ask::Read(key) => {
--- a/crates/jobs/src/accept.rs
+++ b/crates/jobs/src/accept.rs
@@ -13,8 +13,6 @@
 
 /// Bytes of the hash that a job's identifier shows.
 const JOB_ID_BYTES: usize = 16;
-/// Version of a job's row while the job is open.
-const OPEN_JOB_VERSION: u64 = 1;
 
 /// A checked job that is not accepted yet.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -190,7 +188,7 @@
 fn open_row(job: &NewJob, op: OpId) -> OpenRow {
     OpenRow {
         job: job.job.clone(),
-        job_version: OPEN_JOB_VERSION,
+        job_version: None,
         customer: job.customer.clone(),
         endpoint: job.endpoint.clone(),
         input_file: job.input_file.clone(),
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -10,8 +10,6 @@
 
 /// Parts that a chunk is split into.
 const SPLIT_PARTS: u32 = 16;
-/// Version of a chunk's row after it was inserted.
-const INSERTED_VERSION: u64 = 1;
 
 /// Who claims, and for how long.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -33,6 +31,23 @@
     pub row: OpenRow,
 }
 
+impl OpenJob {
+    /// Version of the job's row while the job is open.
+    #[must_use]
+    pub fn job_version(&self) -> u64 {
+        self.row.job_version.unwrap_or(self.version)
+    }
+
+    /// The row with changes to make, and with the job's version fixed.
+    fn to_change(&self, op: OpId) -> OpenRow {
+        OpenRow {
+            job_version: Some(self.job_version()),
+            op,
+            ..self.row.clone()
+        }
+    }
+}
+
 /// A chunk to take over, as it was read.
 #[derive(Debug, Clone, Copy)]
 pub struct Takeover<'a> {
@@ -84,9 +99,26 @@
     /// The conditional write.
     pub settle: Settle,
     /// Chunks held afterwards; empty for a split.
-    pub chunks: Vec<HeldChunk>,
+    chunks: Vec<HeldChunk>,
     /// The open row afterwards.
-    pub open: OpenJob,
+    open: OpenJob,
+    /// Whether the write changes the open row.
+    changes_open: bool,
+}
+
+impl ClaimPlan {
+    /// Chunks held and the open row, now that the write has taken effect with
+    /// `version`.
+    #[must_use]
+    pub fn into_applied(mut self, version: u64) -> (Vec<HeldChunk>, OpenJob) {
+        for chunk in &mut self.chunks {
+            chunk.version = version;
+        }
+        if self.changes_open {
+            self.open.version = version;
+        }
+        (self.chunks, self.open)
+    }
 }
 
 /// Claims up to `count` chunks that nobody has claimed yet, and drops `done`
@@ -104,9 +136,8 @@
     if first >= end {
         return None;
     }
-    let mut open = job.row.clone();
+    let mut open = job.to_change(op);
     open.cursor = end;
-    open.op = op;
     open.active.retain(|entry| !done.contains(&entry.chunk));
     let mut transaction = Transaction::new().with_version(&job.key, job.version);
     let mut chunks = Vec::new();
@@ -118,14 +149,15 @@
         transaction = transaction
             .with_absent(&key)
             .with_put(&key, RowValue::Chunk(Box::new(row.clone())));
-        chunks.push(HeldChunk::new(&open, chunk, INSERTED_VERSION, row));
+        chunks.push(HeldChunk::new(job, chunk, row));
     }
     let marker = chunk_key(&open.job, ChunkName::whole(first));
     let transaction = transaction.with_put(&job.key, RowValue::Open(Box::new(open.clone())));
     Some(ClaimPlan {
         settle: Settle::new(transaction, &marker, op),
         chunks,
-        open: after(job, open),
+        open: with_row(job, open),
+        changes_open: true,
     })
 }
 
@@ -164,7 +196,7 @@
     };
     let key = chunk_key(&job.row.job, chunk);
     let transaction = Transaction::new()
-        .with_version(&job_key(&job.row.job), job.row.job_version)
+        .with_version(&job_key(&job.row.job), job.job_version())
         .with_version(&key, version)
         .with_put(&key, RowValue::Chunk(Box::new(row.clone())));
     let mut open = job.clone();
@@ -175,8 +207,9 @@
     }
     Some(ClaimPlan {
         settle: Settle::new(transaction, &key, op),
-        chunks: vec![HeldChunk::new(&open.row, chunk, version + 1, row)],
+        chunks: vec![HeldChunk::new(job, chunk, row)],
         open,
+        changes_open: false,
     })
 }
 
@@ -185,8 +218,7 @@
 /// note.
 #[must_use]
 pub fn plan_release(job: &OpenJob, chunk: ChunkName, op: OpId) -> Option<Settle> {
-    let mut open = job.row.clone();
-    open.op = op;
+    let mut open = job.to_change(op);
     let entry = open.active.iter_mut().find(|entry| entry.chunk == chunk)?;
     entry.holder = None;
     entry.lease_until_ms = 0;
@@ -205,8 +237,7 @@
 ) -> ClaimPlan {
     let op = parent.op;
     let parent_key = chunk_key(&job.row.job, chunk);
-    let mut open = job.row.clone();
-    open.op = op;
+    let mut open = job.to_change(op);
     open.active.retain(|entry| entry.chunk != chunk);
     let mut transaction = Transaction::new()
         .with_version(&job.key, job.version)
@@ -233,7 +264,8 @@
     ClaimPlan {
         settle: Settle::new(transaction, &parent_key, op),
         chunks: Vec::new(),
-        open: after(job, open),
+        open: with_row(job, open),
+        changes_open: true,
     }
 }
 
@@ -293,10 +325,6 @@
     }
 }
 
-fn after(job: &OpenJob, row: OpenRow) -> OpenJob {
-    OpenJob {
-        key: job.key.clone(),
-        version: job.version + 1,
-        row,
-    }
+fn with_row(job: &OpenJob, row: OpenRow) -> OpenJob {
+    OpenJob { row, ..job.clone() }
 }
--- a/crates/jobs/src/input.rs
+++ b/crates/jobs/src/input.rs
@@ -23,8 +23,9 @@
 pub const CHUNK_MAX_ITEMS: u32 = 200;
 /// Length at which a chunk takes no further line, bytes.
 pub const CHUNK_MAX_BYTES: u32 = 1 << 20;
-/// Length at which a segment ends, bytes.
-const SEGMENT_BYTES: usize = 2 << 20;
+/// Length at which a segment ends, bytes. A chunk is read with its whole
+/// segment, as the store knows no ranges.
+const SEGMENT_BYTES: usize = 256 << 10;
 /// Most different models in a file.
 const MODELS_MAX: usize = 16;
 
@@ -265,7 +266,7 @@
     }
 
     fn cut(&mut self) {
-        // A line is shorter than 4 GiB and a segment ends after 2 MiB.
+        // A line is shorter than 4 GiB and a segment ends soon after its length.
         self.chunk.end_byte = u32::try_from(self.segment.len()).unwrap_or(u32::MAX);
         let chunk_bytes = self.chunk.end_byte - self.chunk.start_byte;
         if self.chunk.items >= CHUNK_MAX_ITEMS || chunk_bytes >= CHUNK_MAX_BYTES {
--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -9,7 +9,7 @@
 use model::{InstanceId, JobId};
 
 use crate::{
-    Attempts, ChunkName, ChunkRow, ChunkState, ObjectRef, OpId, OpenRow, PartialRef, RowValue,
+    Attempts, ChunkName, ChunkRow, ChunkState, ObjectRef, OpId, OpenJob, PartialRef, RowValue,
     Settle, Transaction, chunk_key, job_key,
 };
 
@@ -75,15 +75,14 @@
 }
 
 impl HeldChunk {
-    /// A chunk that was claimed by writing `row`.
-    #[must_use]
-    pub fn new(open: &OpenRow, chunk: ChunkName, version: u64, row: ChunkRow) -> Self {
+    /// A chunk that is about to be claimed by writing `row`.
+    pub(crate) fn new(open: &OpenJob, chunk: ChunkName, row: ChunkRow) -> Self {
         Self {
-            job: open.job.clone(),
-            input_file: open.input_file.clone(),
+            job: open.row.job.clone(),
+            input_file: Arc::clone(&open.row.input_file),
             chunk,
-            job_version: open.job_version,
-            version,
+            job_version: open.job_version(),
+            version: 0,
             row,
         }
     }
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -127,8 +127,9 @@
 pub struct OpenRow {
     /// The job.
     pub job: JobId,
-    /// Version of the job's row while the job is open.
-    pub job_version: u64,
+    /// Version of the job's row while the job is open. Absent in the row that
+    /// was inserted together with it, as both have the same version then.
+    pub job_version: Option<u64>,
     /// Owner.
     pub customer: CustomerId,
     /// Path that every item is sent to.
@@ -246,14 +247,14 @@
     ///
     /// Returns an error if the key belongs to another crate or the value is
     /// malformed.
-    pub fn decode(key: &str, value: &str) -> Result<Self, serde_json::Error> {
+    pub fn decode(key: &str, value: &[u8]) -> Result<Self, serde_json::Error> {
         let kind = key.split('/').next().unwrap_or_default();
         Ok(match kind {
-            "job" => Self::Job(serde_json::from_str(value)?),
-            "open" => Self::Open(serde_json::from_str(value)?),
-            "chunk" => Self::Chunk(serde_json::from_str(value)?),
-            "file" => Self::File(serde_json::from_str(value)?),
-            "listed" => Self::Listed(JobId::new(value)),
+            "job" => Self::Job(serde_json::from_slice(value)?),
+            "open" => Self::Open(serde_json::from_slice(value)?),
+            "chunk" => Self::Chunk(serde_json::from_slice(value)?),
+            "file" => Self::File(serde_json::from_slice(value)?),
+            "listed" => Self::Listed(JobId::new(&String::from_utf8_lossy(value))),
             _ => return Err(de::Error::custom("the key has no known prefix")),
         })
     }
@@ -263,13 +264,13 @@
     /// # Errors
     ///
     /// Returns an error if the value cannot be written as JSON.
-    pub fn encode(&self) -> Result<String, serde_json::Error> {
+    pub fn encode(&self) -> Result<Vec<u8>, serde_json::Error> {
         match self {
-            Self::Job(row) => serde_json::to_string(row),
-            Self::Open(row) => serde_json::to_string(row),
-            Self::Chunk(row) => serde_json::to_string(row),
-            Self::File(row) => serde_json::to_string(row),
-            Self::Listed(job) => Ok(job.to_string()),
+            Self::Job(row) => serde_json::to_vec(row),
+            Self::Open(row) => serde_json::to_vec(row),
+            Self::Chunk(row) => serde_json::to_vec(row),
+            Self::File(row) => serde_json::to_vec(row),
+            Self::Listed(job) => Ok(job.as_str().into()),
         }
     }
 
--- a/crates/jobs/src/settle.rs
+++ b/crates/jobs/src/settle.rs
@@ -38,8 +38,11 @@
 /// What the table answered.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Reply {
-    /// The transaction took effect; versions of the put rows in order.
-    Committed(Vec<u64>),
+    /// The transaction took effect.
+    Committed {
+        /// Version of every row that it put.
+        version: u64,
+    },
     /// A check did not hold; nothing took effect.
     Conflict,
     /// The row asked for, with its version.
@@ -53,9 +56,9 @@
 /// Certain outcome of a conditional write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Verdict {
-    /// It took effect; version of the marker row.
+    /// It took effect.
     Applied {
-        /// Version of the marker row.
+        /// Version of every row that it put.
         version: u64,
     },
     /// It took no effect and never will.
@@ -100,11 +103,7 @@
 
     fn on_sent(&mut self, reply: &Reply) -> Option<Verdict> {
         match reply {
-            Reply::Committed(versions) => {
-                let position = self.transaction.put_position(&self.marker)?;
-                let version = versions.get(position).copied()?;
-                return Some(Verdict::Applied { version });
-            }
+            Reply::Committed { version } => return Some(Verdict::Applied { version: *version }),
             Reply::Conflict if self.is_ambiguous => self.phase = Phase::ReadingAfterConflict,
             Reply::Conflict => return Some(Verdict::Refused),
             Reply::Unknown => {
--- a/crates/jobs/src/transaction.rs
+++ b/crates/jobs/src/transaction.rs
@@ -122,17 +122,6 @@
         });
         self
     }
-
-    /// Position of the put of `key` among the puts, which is the position of
-    /// its version in the table's answer.
-    #[must_use]
-    pub fn put_position(&self, key: &str) -> Option<usize> {
-        let puts = self.writes.iter().filter_map(|write| match write {
-            Write::Put { key, .. } => Some(key),
-            Write::Delete { .. } => None,
-        });
-        puts.into_iter().position(|put| put == key)
-    }
 }
 
 impl Default for Transaction {
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -8,7 +8,7 @@
 use peer::{PeerClient, PeerRequest, PeerResponse};
 use process::{AdminState, Shutdown};
 use standin::{PlatformSettings, Remote, Standin, start_platform};
-use store::{InstanceListing, ListedInstance, ListedRole, Mutation, Platform, TransactRequest};
+use store::{InstanceListing, ListedInstance, ListedRole, PacedStore, Transaction};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -139,7 +139,7 @@
 
     /// Makes changes and takes the time from each until the last node has it.
     async fn apply_changes(&self, way: Way) -> Result<Vec<u64>, String> {
-        let platform = Platform::new(self.platform.address());
+        let platform = PacedStore::new(self.platform.address());
         let first = match way {
             Way::Operator => 1,
             Way::Table => CHANGES + 1,
@@ -197,20 +197,17 @@
     Ok(answer)
 }
 
-async fn commit(platform: &Platform, version: u64) -> Result<(), String> {
+async fn commit(platform: &PacedStore, version: u64) -> Result<(), String> {
     let config = FleetConfig {
         version,
         ..FleetConfig::default()
     };
-    let value = serde_json::to_string(&config).map_err(|error| error.to_string())?;
-    let request = TransactRequest {
-        conditions: Vec::new(),
-        mutations: vec![Mutation::Put {
-            key: "config/current".to_owned(),
-            value,
-        }],
+    let value = serde_json::to_vec(&config).map_err(|error| error.to_string())?;
+    let transaction = Transaction {
+        puts: vec![store::row("config/current").with_value(value.into())],
+        ..Transaction::default()
     };
-    let outcome = platform.transact(&request).await;
+    let outcome = platform.transact(&transaction).await;
     outcome.map(|_| ()).map_err(|error| error.to_string())
 }
 
--- a/crates/store/src/gate.rs
+++ b/crates/store/src/gate.rs
@@ -7,7 +7,9 @@
 
 use tokio::time::Instant;
 
-use crate::{Admission, CallOutcome, Operation, Pacer, PlatformError, Priority};
+use platform::StoreError;
+
+use crate::{Admission, CallOutcome, Operation, Pacer, Priority};
 
 /// A pacer with a clock, shared by all handles of one process.
 #[derive(Debug)]
@@ -31,7 +33,7 @@
         priority: Priority,
         operation: Operation,
         deadline: Instant,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StoreError> {
         loop {
             let admission = self.lock().admit(priority, operation, self.now_ms());
             let Admission::Wait { until_ms } = admission else {
@@ -40,18 +42,16 @@
             let next_at = self.started_at + Duration::from_millis(until_ms);
             if next_at >= deadline {
                 let message = "held back by the circuit breaker or the budget";
-                return Err(PlatformError::NotApplied(message.to_owned()));
+                return Err(StoreError::NotDone(message.to_owned()));
             }
             tokio::time::sleep_until(next_at).await;
         }
     }
 
-    pub(crate) fn record<T>(&self, result: &Result<T, PlatformError>) {
+    pub(crate) fn record<T>(&self, result: &Result<T, StoreError>) {
         let outcome = match result {
-            Ok(_) | Err(PlatformError::Protocol(_) | PlatformError::Unconditioned(_)) => {
-                CallOutcome::Answered
-            }
-            Err(PlatformError::NotApplied(_) | PlatformError::Unknown(_)) => CallOutcome::Failed,
+            Ok(_) | Err(StoreError::Protocol(_) | StoreError::HistoryGone) => CallOutcome::Answered,
+            Err(StoreError::NotDone(_) | StoreError::Unknown(_)) => CallOutcome::Failed,
         };
         self.lock().record(outcome, self.now_ms());
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,23 +1,20 @@
-//! Client of the table, the object store and the instance list that the own
-//! interface's programs use. The users' platform is met by `platform` instead.
+//! How the own interface's programs use the platform's store: rows under keys,
+//! objects, the list of instances; paced calls and settled transactions.
 //!
-//! This crate exists so that one place knows the platform's protocol and its
-//! failures. Decisions about what to store live in the cores.
+//! This crate exists so that these programs share one budget of calls, one
+//! circuit breaker and one way to settle a lost answer. The protocol itself is
+//! spoken by `platform`. Decisions about what to store live in the cores.
 
-mod client;
-mod error;
 mod gate;
+mod instances;
 mod pacing;
-mod protocol;
 mod settle;
-mod transport;
+mod table;
+
+pub use platform::{Row, RowCondition, RowPage, StoreError, TransactOutcome, Transaction};
 
 pub use crate::{
-    client::{ByteStream, Platform},
-    error::PlatformError,
+    instances::{INSTANCES_TABLE, InstanceListing, ListedInstance, ListedRole},
     pacing::{Admission, Backoff, CallOutcome, Operation, Pacer, PacerSettings, Priority},
-    protocol::{
-        Condition, Expected, InstanceListing, ListedInstance, ListedRole, Mutation, Row, RowPage,
-        TransactOutcome, TransactRequest, paths,
-    },
+    table::{PacedStore, TABLE, row},
 };
--- a/crates/store/src/settle.rs
+++ b/crates/store/src/settle.rs
@@ -2,83 +2,94 @@
 
 use std::time::Duration;
 
+use platform::{Entry, StoreError, TransactOutcome, Transaction};
 use tokio::time::Instant;
 
-use crate::{
-    Backoff, Condition, Expected, Mutation, Platform, PlatformError, Row, TransactOutcome,
-    TransactRequest,
-};
+use crate::{Backoff, PacedStore};
 
 /// First wait between two attempts; it doubles up to the longest.
 const RETRY_FIRST_MS: u64 = 50;
 /// Longest wait between two attempts.
 const RETRY_LONGEST_MS: u64 = 1_000;
 
-impl Platform {
+impl PacedStore {
     /// Applies a transaction and settles a lost answer before `deadline`.
     ///
-    /// After an unknown outcome the same request is sent again: its conditions
-    /// let it take effect once at most. If the repetition meets a conflict,
-    /// `is_own` is asked whether the row at `marker_key` carries the caller's
-    /// operation id, so that the first attempt took effect. The marker must
-    /// keep that id for good or be a row that nobody else replaces.
+    /// After an unknown outcome the same transaction is sent again: its
+    /// conditions let it take effect once at most. If the repetition meets a
+    /// conflict, and the row at `marker_key` holds the very value that this
+    /// transaction puts there, the first attempt took effect. That value must
+    /// be unique, such as by an operation id.
     ///
     /// # Errors
     ///
-    /// [`PlatformError::NotApplied`] if the transaction certainly took no
-    /// effect, [`PlatformError::Unknown`] if `deadline` passed before that was
-    /// known, [`PlatformError::Unconditioned`] if a put row has no condition.
+    /// [`StoreError::NotDone`] if the transaction certainly took no effect,
+    /// [`StoreError::Unknown`] if `deadline` passed before that was known,
+    /// [`StoreError::Protocol`] if a put row has no condition.
     pub async fn transact_settled(
         &self,
-        request: &TransactRequest,
+        transaction: &Transaction,
         marker_key: &str,
-        is_own: impl Fn(&Row) -> bool + Send,
         deadline: Instant,
-    ) -> Result<TransactOutcome, PlatformError> {
-        let versions = versions_after(request)?;
+    ) -> Result<TransactOutcome, StoreError> {
+        check_conditions(transaction)?;
         let mut is_ambiguous = false;
         let mut backoff = Backoff::new(RETRY_FIRST_MS, RETRY_LONGEST_MS, rand::random());
         loop {
-            let error = match self.transact(request).await {
-                Ok(TransactOutcome::Conflict { key, row }) if is_ambiguous => {
-                    match self.row(marker_key).await {
-                        Ok(Some(marker)) if is_own(&marker) => {
-                            return Ok(TransactOutcome::Committed { versions });
-                        }
-                        Ok(_) => return Ok(TransactOutcome::Conflict { key, row }),
-                        Err(error) => error,
-                    }
+            let error = match self.transact(transaction).await {
+                Ok(outcome) if is_ambiguous => {
+                    return Ok(settled(transaction, marker_key, outcome));
                 }
                 Ok(outcome) => return Ok(outcome),
-                Err(error) if error.is_not_applied() && !is_ambiguous => return Err(error),
+                Err(error) if error.is_not_done() && !is_ambiguous => return Err(error),
                 Err(error) => error,
             };
             is_ambiguous = true;
             let next_at = Instant::now() + Duration::from_millis(backoff.next_wait_ms());
             if next_at >= deadline {
-                return Err(PlatformError::Unknown(error.to_string()));
+                return Err(StoreError::Unknown(error.to_string()));
             }
             tokio::time::sleep_until(next_at).await;
         }
     }
 }
 
-/// Versions of the put rows once the transaction has taken effect.
-fn versions_after(request: &TransactRequest) -> Result<Vec<u64>, PlatformError> {
-    let mut versions = Vec::new();
-    for mutation in &request.mutations {
-        if let Mutation::Put { key, .. } = mutation {
-            versions.push(version_after(&request.conditions, key)?);
+/// What a repeated transaction's outcome says of all its copies.
+fn settled(
+    transaction: &Transaction,
+    marker_key: &str,
+    outcome: TransactOutcome,
+) -> TransactOutcome {
+    let TransactOutcome::Conflict { rows } = outcome else {
+        return outcome;
+    };
+    let marker = rows.iter().find(|row| *row.key == *marker_key);
+    let put = transaction
+        .puts
+        .iter()
+        .find(|put| *put.id.key == *marker_key);
+    match (marker, put) {
+        (Some(row), Some(put)) if put.value.as_ref() == Some(&row.value) => {
+            TransactOutcome::Committed {
+                version: row.version,
+            }
         }
+        _ => TransactOutcome::Conflict { rows },
     }
-    Ok(versions)
 }
 
-fn version_after(conditions: &[Condition], key: &str) -> Result<u64, PlatformError> {
-    let condition = conditions.iter().find(|condition| condition.key == key);
-    match condition.map(|condition| condition.expected) {
-        Some(Expected::Absent) => Ok(1),
-        Some(Expected::Version(version)) => Ok(version + 1),
-        None => Err(PlatformError::Unconditioned(key.to_owned())),
+fn check_conditions(transaction: &Transaction) -> Result<(), StoreError> {
+    let has_condition = |put: &&Entry| {
+        transaction
+            .conditions
+            .iter()
+            .any(|condition| condition.id == put.id)
+    };
+    match transaction.puts.iter().find(|put| !has_condition(put)) {
+        Some(put) => {
+            let message = format!("the put of {:?} has no condition", put.id.key);
+            Err(StoreError::Protocol(message))
+        }
+        None => Ok(()),
     }
 }
