One copy of shared settings and of time histograms; peers' loads are summed notice by notice

Settings: the three programs of the own interface name the shared settings once (NodeSettings); they stood three times. Time histograms are built in one place. Peers' loads: each notice made an instance add up all peers at all upstreams (peers x upstreams); now it changes the sums by what the notice changes. Metrics: requests in flight at the 50 busiest upstreams, own and peers'.

--- a/crates/batch/src/main.rs
+++ b/crates/batch/src/main.rs
@@ -8,12 +8,12 @@
 
 fn main() -> ExitCode {
     let checked = batch::options().run().check();
-    process::run_program(PROGRAM, checked, |settings| &settings.log_level, run)
+    process::run_program(PROGRAM, checked, |settings| &settings.node.log_level, run)
 }
 
 #[tokio::main]
 async fn run(settings: &BatchSettings) -> Result<(), Box<dyn Error>> {
-    let (admin, shutdown) = process::begin_program(settings.admin_listen)?;
+    let (admin, shutdown) = process::begin_program(settings.node.admin_listen)?;
     let batch = Batch::start(settings).await?;
     batch.configured().await;
     admin.set_ready(true);
--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -49,16 +49,16 @@
     ///
     /// Returns an error if the address for peers cannot be bound.
     pub async fn start(settings: &BatchSettings) -> Result<Self, BatchError> {
-        let address = settings.peer_listen;
+        let address = settings.node.peer_listen;
         let listen_error = |source| BatchError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen_error)?;
         let peer_address = listener.local_addr().map_err(listen_error)?;
         let own = InstanceEntry {
-            id: settings.instance_id.clone(),
+            id: settings.node.instance_id.clone(),
             role: InstanceRole::Batch,
             peer_address: peer_address.to_string(),
-            region: settings.region.clone(),
-            failure_domain: settings.failure_domain.clone(),
+            region: settings.node.region.clone(),
+            failure_domain: settings.node.failure_domain.clone(),
             liveness: Liveness::Live,
             incarnation: 0,
         };
@@ -66,15 +66,15 @@
         let peers = PeerClient::new();
         let view = ViewWatch::start(&control, own, peers.clone());
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = PacedStore::new(settings.platform).with_pacer(pacer);
+        let platform = PacedStore::new(settings.node.platform).with_pacer(pacer);
         let store = JobStore::new(platform, random());
         let context = Context {
             store: store.clone(),
             upstreams: UpstreamClient::new(),
             peers,
             control: Arc::from(control),
-            instance: settings.instance_id.clone(),
-            region: settings.region.clone(),
+            instance: settings.node.instance_id.clone(),
+            region: settings.node.region.clone(),
             lease_ms: settings.lease_ms,
             memory_limit_bytes: settings.memory_limit_bytes,
             manifests: Manifests::default(),
--- a/crates/batch/src/settings.rs
+++ b/crates/batch/src/settings.rs
@@ -4,8 +4,9 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use jobs::LEASE_MS;
-use model::{FailureDomain, InstanceId, Region};
-use process::{HELP_FOOTER, NodeOptions, SettingProblem, Settings, control_option, node_options};
+use process::{
+    HELP_FOOTER, NodeOptions, NodeSettings, SettingProblem, Settings, control_option, node_options,
+};
 
 const MEMORY_LIMIT_BYTES: usize = 32 << 20;
 const LEASE_MIN_MS: u64 = 200;
@@ -13,26 +14,14 @@
 /// Checked settings of a batch program.
 #[derive(Debug, Clone)]
 pub struct BatchSettings {
-    /// Address for peers.
-    pub peer_listen: SocketAddr,
-    /// Address for health checks and metrics.
-    pub admin_listen: SocketAddr,
+    /// Settings that all programs of an instance share.
+    pub node: NodeSettings,
     /// Peer address of the control program on this instance.
     pub control: SocketAddr,
-    /// Address of the platform.
-    pub platform: SocketAddr,
-    /// This instance.
-    pub instance_id: InstanceId,
-    /// Region of this instance.
-    pub region: Region,
-    /// Failure domain of this instance.
-    pub failure_domain: FailureDomain,
     /// Memory for claimed items and uncommitted results, bytes.
     pub memory_limit_bytes: usize,
     /// Length of a lease, milliseconds.
     pub lease_ms: u64,
-    /// Specification for the logger.
-    pub log_level: String,
 }
 
 /// Unchecked settings, as flags and environment variables give them.
@@ -91,18 +80,11 @@
             settings.push("lease-ms", format!("must be at least {LEASE_MIN_MS}"));
         }
         let checked = || {
-            let node = node?;
             Some(BatchSettings {
-                peer_listen: node.peer_listen,
-                admin_listen: node.admin_listen,
+                node: node?,
                 control: control?,
-                platform: node.platform,
-                instance_id: node.instance_id,
-                region: node.region,
-                failure_domain: node.failure_domain,
                 memory_limit_bytes,
                 lease_ms,
-                log_level: node.log_level,
             })
         };
         let checked = checked();
--- a/crates/cli/src/dev/fleet.rs
+++ b/crates/cli/src/dev/fleet.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, body::Bytes};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, ServiceName};
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use standin::{
     EngineSettings, PlatformSettings, Remote, ServiceSettings, Standin, start_engine,
     start_platform, start_service,
@@ -71,7 +71,7 @@
         let admin = AdminState::new()?;
         let entry = Entry::start(&entry_settings, admin.clone(), shutdown).await?;
         tokio::spawn(process::serve_admin(
-            entry_settings.admin_listen,
+            entry_settings.node.admin_listen,
             admin.clone(),
         ));
         Ok(Self {
@@ -82,7 +82,7 @@
             batch,
             entry,
             admin,
-            admin_address: entry_settings.admin_listen,
+            admin_address: entry_settings.node.admin_listen,
         })
     }
 
@@ -174,46 +174,43 @@
 
 fn control_settings(platform: SocketAddr) -> ControlSettings {
     ControlSettings {
+        node: node_settings(platform),
         listen: any_port(),
-        peer_listen: any_port(),
-        admin_listen: any_port(),
-        platform,
         seeds: Vec::new(),
-        instance_id: InstanceId::new(INSTANCE),
-        region: Region::new(REGION),
-        failure_domain: FailureDomain::new(FAILURE_DOMAIN),
-        log_level: String::new(),
     }
 }
 
 fn batch_settings(platform: SocketAddr, control: SocketAddr) -> BatchSettings {
     BatchSettings {
-        peer_listen: any_port(),
-        admin_listen: any_port(),
+        node: node_settings(platform),
         control,
-        platform,
-        instance_id: InstanceId::new(INSTANCE),
-        region: Region::new(REGION),
-        failure_domain: FailureDomain::new(FAILURE_DOMAIN),
         memory_limit_bytes: MEMORY_LIMIT_BYTES,
         lease_ms: LEASE_MS,
-        log_level: String::new(),
     }
 }
 
 fn entry_settings(listen: SocketAddr, platform: SocketAddr, control: SocketAddr) -> EntrySettings {
     EntrySettings {
+        node: NodeSettings {
+            admin_listen: free_address().unwrap_or_else(|_| any_port()),
+            ..node_settings(platform)
+        },
         listen,
-        peer_listen: any_port(),
-        admin_listen: free_address().unwrap_or_else(|_| any_port()),
         control,
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        drain_ms: 0,
+        worker_threads: 2,
+    }
+}
+
+fn node_settings(platform: SocketAddr) -> NodeSettings {
+    NodeSettings {
+        peer_listen: any_port(),
+        admin_listen: any_port(),
         platform,
         instance_id: InstanceId::new(INSTANCE),
         region: Region::new(REGION),
         failure_domain: FailureDomain::new(FAILURE_DOMAIN),
-        body_limit_bytes: BODY_LIMIT_BYTES,
-        drain_ms: 0,
-        worker_threads: 2,
         log_level: String::new(),
     }
 }
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -10,7 +10,7 @@
 
 use control::{Control, ControlSettings};
 use model::{FailureDomain, InstanceId, Liveness, Region};
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use standin::{Fault, FaultKind, PlatformSettings, Remote, Standin, start_platform};
 use store::{InstanceListing, ListedInstance, ListedRole};
 
@@ -28,15 +28,17 @@
         .await
         .expect("platform");
     let settings = ControlSettings {
+        node: NodeSettings {
+            peer_listen: any,
+            admin_listen: any,
+            platform: platform.address(),
+            instance_id: InstanceId::new("i-1"),
+            region: Region::new("lima"),
+            failure_domain: FailureDomain::new("lima-a"),
+            log_level: "info".to_owned(),
+        },
         listen: any,
-        peer_listen: any,
-        admin_listen: any,
-        platform: platform.address(),
         seeds: Vec::new(),
-        instance_id: InstanceId::new("i-1"),
-        region: Region::new("lima"),
-        failure_domain: FailureDomain::new("lima-a"),
-        log_level: "info".to_owned(),
     };
     let control = Control::start(&settings, AdminState::default())
         .await
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -8,12 +8,12 @@
 
 fn main() -> ExitCode {
     let checked = control::options().run().check();
-    process::run_program(PROGRAM, checked, |settings| &settings.log_level, run)
+    process::run_program(PROGRAM, checked, |settings| &settings.node.log_level, run)
 }
 
 #[tokio::main]
 async fn run(settings: &ControlSettings) -> Result<(), Box<dyn Error>> {
-    let (admin, shutdown) = process::begin_program(settings.admin_listen)?;
+    let (admin, shutdown) = process::begin_program(settings.node.admin_listen)?;
     let control = Control::start(settings, admin).await?;
     log::info!(
         "event=listening program={PROGRAM} listen={} peer_listen={}",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -51,9 +51,9 @@
         let clock = Clock::new();
         let now_ms = clock.now_ms();
         let own = NodeRumor {
-            id: settings.instance_id.clone(),
-            region: settings.region.clone(),
-            failure_domain: settings.failure_domain.clone(),
+            id: settings.node.instance_id.clone(),
+            region: settings.node.region.clone(),
+            failure_domain: settings.node.failure_domain.clone(),
             peer_address: peer_address.to_string(),
             incarnation: now_ms,
             liveness: Liveness::Live,
@@ -66,7 +66,7 @@
             clock,
             view: watch::Sender::default(),
             client: PeerClient::new(),
-            platform: PacedStore::new(settings.platform),
+            platform: PacedStore::new(settings.node.platform),
             admin,
         }
     }
--- a/crates/control/src/orders/driver.rs
+++ b/crates/control/src/orders/driver.rs
@@ -46,10 +46,10 @@
     pub(crate) fn new(settings: &ControlSettings, node: &Arc<Node>) -> Self {
         Self {
             node: Arc::clone(node),
-            region: settings.region.clone(),
-            own: settings.instance_id.clone(),
-            key: format!("lease/orders/{}", settings.region),
-            issuer: Issuer::new(settings.instance_id.clone(), TIMES),
+            region: settings.node.region.clone(),
+            own: settings.node.instance_id.clone(),
+            key: format!("lease/orders/{}", settings.node.region),
+            issuer: Issuer::new(settings.node.instance_id.clone(), TIMES),
             client: UpstreamClient::new(),
             engines: Vec::new(),
             queue: VecDeque::new(),
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -44,9 +44,9 @@
     ///
     /// Returns an error if an address cannot be bound.
     pub async fn start(settings: &ControlSettings, admin: AdminState) -> Result<Self, StartError> {
-        let peers = bind(settings.peer_listen).await?;
+        let peers = bind(settings.node.peer_listen).await?;
         let operators = bind(settings.listen).await?;
-        let peer_address = local_address(&peers, settings.peer_listen)?;
+        let peer_address = local_address(&peers, settings.node.peer_listen)?;
         let listen_address = local_address(&operators, settings.listen)?;
         let node = Arc::new(Node::new(settings, peer_address, admin.clone()));
         let mut background = JoinSet::new();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,31 +3,18 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use model::{FailureDomain, InstanceId, Region};
-use process::{HELP_FOOTER, NodeOptions, SettingProblem, Settings, node_options};
+use process::{HELP_FOOTER, NodeOptions, NodeSettings, SettingProblem, Settings, node_options};
 
 /// Checked settings of a control program.
 #[derive(Debug, Clone)]
 pub struct ControlSettings {
+    /// Settings that all programs of an instance share.
+    pub node: NodeSettings,
     /// Address for operators.
     pub listen: SocketAddr,
-    /// Address for peers.
-    pub peer_listen: SocketAddr,
-    /// Address for health checks and metrics.
-    pub admin_listen: SocketAddr,
-    /// Address of the platform.
-    pub platform: SocketAddr,
     /// Peer addresses of other control programs, for when the platform's list
     /// cannot be read.
     pub seeds: Vec<SocketAddr>,
-    /// This instance.
-    pub instance_id: InstanceId,
-    /// Region of this instance.
-    pub region: Region,
-    /// Failure domain of this instance.
-    pub failure_domain: FailureDomain,
-    /// Specification for the logger.
-    pub log_level: String,
 }
 
 /// Unchecked settings, as flags and environment variables give them.
@@ -77,17 +64,10 @@
         let listen = settings.address("listen", self.listen.as_deref());
         let seeds = parse_seeds(&mut settings, self.seeds.as_deref());
         let checked = || {
-            let node = node?;
             Some(ControlSettings {
+                node: node?,
                 listen: listen?,
-                peer_listen: node.peer_listen,
-                admin_listen: node.admin_listen,
-                platform: node.platform,
                 seeds,
-                instance_id: node.instance_id,
-                region: node.region,
-                failure_domain: node.failure_domain,
-                log_level: node.log_level,
             })
         };
         let checked = checked();
--- a/crates/control/tests/fleet/support.rs
+++ b/crates/control/tests/fleet/support.rs
@@ -11,7 +11,7 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, View};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use serde_json::Value;
 use standin::{PlatformSettings, Remote, Standin, start_platform};
 use store::{InstanceListing, ListedInstance, ListedRole};
@@ -89,15 +89,17 @@
         let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
         let seeds = self.nodes.iter().map(|node| node.peer).take(3).collect();
         let settings = ControlSettings {
+            node: NodeSettings {
+                peer_listen: peer_listen.unwrap_or(any),
+                admin_listen: any,
+                platform: self.platform.address(),
+                instance_id: InstanceId::new(id),
+                region: Region::new(region),
+                failure_domain: FailureDomain::new(&format!("{region}-a")),
+                log_level: "info".to_owned(),
+            },
             listen: any,
-            peer_listen: peer_listen.unwrap_or(any),
-            admin_listen: any,
-            platform: self.platform.address(),
             seeds,
-            instance_id: InstanceId::new(id),
-            region: Region::new(region),
-            failure_domain: FailureDomain::new(&format!("{region}-a")),
-            log_level: "info".to_owned(),
         };
         let admin = AdminState::default();
         let control = Control::start(&settings, admin.clone())
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,7 +8,7 @@
 
 fn main() -> ExitCode {
     let checked = entry::options().run().check();
-    process::run_program(PROGRAM, checked, |settings| &settings.log_level, run)
+    process::run_program(PROGRAM, checked, |settings| &settings.node.log_level, run)
 }
 
 fn run(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
@@ -20,7 +20,7 @@
 }
 
 async fn serve(settings: &EntrySettings) -> Result<(), Box<dyn Error>> {
-    let (admin, shutdown) = process::begin_program(settings.admin_listen)?;
+    let (admin, shutdown) = process::begin_program(settings.node.admin_listen)?;
     let entry = Entry::start(settings, admin, &shutdown).await?;
     log::info!(
         "event=listening program={PROGRAM} listen={} peer_listen={}",
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -5,6 +5,7 @@
     KeyValue, global,
     metrics::{Counter, Histogram, UpDownCounter},
 };
+use process::time_histogram;
 
 const US_PER_S: f64 = 1e6;
 /// Bounds of the histograms of time, seconds.
@@ -27,14 +28,8 @@
 impl Metrics {
     pub(crate) fn new() -> Self {
         let meter = global::meter("redwingtack.entry");
-        let histogram = |name: &'static str, description: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(description)
-                .with_boundaries(TIME_BOUNDS_S.to_vec())
-                .build()
-        };
+        let histogram =
+            |name, description| time_histogram(&meter, name, description, &TIME_BOUNDS_S);
         Self {
             active: meter
                 .i64_up_down_counter("http.server.active_requests")
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -131,7 +131,7 @@
         admin: AdminState,
         shutdown: &Shutdown,
     ) -> Result<Self, StartError> {
-        let peer_listener = listen_for_peers(settings.peer_listen).await?;
+        let peer_listener = listen_for_peers(settings.node.peer_listen).await?;
         let peers = PeerClient::new();
         let control = settings.control.to_string();
         let own = own_entry(settings, &peer_listener);
@@ -150,7 +150,7 @@
         admin: AdminState,
         shutdown: &Shutdown,
     ) -> Result<Self, StartError> {
-        let peer_listener = listen_for_peers(settings.peer_listen).await?;
+        let peer_listener = listen_for_peers(settings.node.peer_listen).await?;
         let peers = PeerClient::new();
         Self::serve(settings, fleet, peers, peer_listener, admin, shutdown)
     }
@@ -171,13 +171,13 @@
         let address = acceptor.local_addr().map_err(listen_error)?;
         let metrics = Metrics::new();
         let router = Router::new(
-            settings.instance_id.clone(),
-            settings.region.clone(),
+            settings.node.instance_id.clone(),
+            settings.node.region.clone(),
             random(),
         );
         let tasks = TaskTracker::new();
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = PacedStore::new(settings.platform).with_pacer(pacer);
+        let platform = PacedStore::new(settings.node.platform).with_pacer(pacer);
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
             freshness: fleet.freshness(),
@@ -189,8 +189,8 @@
             peers,
             jobs: JobStore::new(platform, random()),
             tasks,
-            instance: settings.instance_id.clone(),
-            region: settings.region.clone(),
+            instance: settings.node.instance_id.clone(),
+            region: settings.node.region.clone(),
             body_limit_bytes: settings.body_limit_bytes,
         });
         let mut background = background::start(&shared, &fleet, &admin, shutdown);
@@ -278,13 +278,15 @@
 }
 
 fn own_entry(settings: &EntrySettings, peer_listener: &TcpListener) -> InstanceEntry {
-    let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_listen);
+    let peer_address = peer_listener
+        .local_addr()
+        .unwrap_or(settings.node.peer_listen);
     InstanceEntry {
-        id: settings.instance_id.clone(),
+        id: settings.node.instance_id.clone(),
         role: InstanceRole::Entry,
         peer_address: peer_address.to_string(),
-        region: settings.region.clone(),
-        failure_domain: settings.failure_domain.clone(),
+        region: settings.node.region.clone(),
+        failure_domain: settings.node.failure_domain.clone(),
         liveness: Liveness::Live,
         incarnation: 0,
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use model::{FailureDomain, InstanceId, Region};
-use process::{HELP_FOOTER, NodeOptions, SettingProblem, Settings, control_option, node_options};
+use process::{
+    HELP_FOOTER, NodeOptions, NodeSettings, SettingProblem, Settings, control_option, node_options,
+};
 
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 const DRAIN_MS: u64 = 5_000;
@@ -12,30 +13,18 @@
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
+    /// Settings that all programs of an instance share.
+    pub node: NodeSettings,
     /// Address for callers.
     pub listen: SocketAddr,
-    /// Address for peers.
-    pub peer_listen: SocketAddr,
-    /// Address for health checks and metrics.
-    pub admin_listen: SocketAddr,
     /// Peer address of the control program on this instance.
     pub control: SocketAddr,
-    /// Address of the platform.
-    pub platform: SocketAddr,
-    /// This instance.
-    pub instance_id: InstanceId,
-    /// Region of this instance.
-    pub region: Region,
-    /// Failure domain of this instance.
-    pub failure_domain: FailureDomain,
     /// Longest body of a chat or service request, bytes.
     pub body_limit_bytes: usize,
     /// Time for which a stopping entry still accepts connections, milliseconds.
     pub drain_ms: u64,
     /// Threads that serve requests.
     pub worker_threads: usize,
-    /// Specification for the logger.
-    pub log_level: String,
 }
 
 /// Unchecked settings, as flags and environment variables give them.
@@ -114,20 +103,13 @@
             settings.push("worker-threads", "must be at least 1".to_owned());
         }
         let checked = || {
-            let node = node?;
             Some(EntrySettings {
+                node: node?,
                 listen: listen?,
-                peer_listen: node.peer_listen,
-                admin_listen: node.admin_listen,
                 control: control?,
-                platform: node.platform,
-                instance_id: node.instance_id,
-                region: node.region,
-                failure_domain: node.failure_domain,
                 body_limit_bytes,
                 drain_ms,
                 worker_threads,
-                log_level: node.log_level,
             })
         };
         let checked = checked();
--- a/crates/entry/tests/coalesce.rs
+++ b/crates/entry/tests/coalesce.rs
@@ -28,7 +28,7 @@
         let mut entries = Vec::new();
         for name in ["entry-0", "entry-1"] {
             let entry = TestEntry::start_with(upstreams.clone(), any_port(), |settings| {
-                settings.instance_id = InstanceId::new(name);
+                settings.node.instance_id = InstanceId::new(name);
             });
             entries.push(entry.await);
         }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -17,7 +17,7 @@
     FailureDomain, InstanceEntry, InstanceId, InstanceRole, Liveness, ModelName, Region,
     ServiceName, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use serde_json::Value;
 use tokio::{sync::watch, task::JoinHandle};
 
@@ -170,18 +170,20 @@
         change: impl FnOnce(&mut EntrySettings),
     ) -> Self {
         let mut settings = EntrySettings {
+            node: NodeSettings {
+                peer_listen: any_port(),
+                admin_listen: any_port(),
+                platform,
+                instance_id: InstanceId::new("entry-0"),
+                region: Region::new("lima"),
+                failure_domain: FailureDomain::new("lima-a"),
+                log_level: String::new(),
+            },
             listen: any_port(),
-            peer_listen: any_port(),
-            admin_listen: any_port(),
             control: any_port(),
-            platform,
-            instance_id: InstanceId::new("entry-0"),
-            region: Region::new("lima"),
-            failure_domain: FailureDomain::new("lima-a"),
             body_limit_bytes: 64 * 1024,
             drain_ms: 0,
             worker_threads: 2,
-            log_level: String::new(),
         };
         change(&mut settings);
         let shutdown = Shutdown::new();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,9 +6,10 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    BatchDemand, LoadNotice, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
+    BatchDemand, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
     estimate::Mean,
     health::Health,
+    peer_loads::{PeerLoad, Position},
     peers::{Peers, upstream_hash},
     placement::Target,
 };
@@ -66,6 +67,8 @@
     pub(crate) home: Home,
     /// Sorted by id.
     pub(crate) rows: Vec<Row>,
+    /// Sorted by upstream; empty after rows came or went.
+    pub(crate) positions: Vec<Position>,
     pub(crate) peers: Peers,
     pub(crate) services: Vec<ServiceRow>,
     /// Own batch items that wait, most urgent first.
@@ -83,7 +86,7 @@
     pub(crate) warm_at_ms: u64,
     pub(crate) health: Health,
     pub(crate) own: UpstreamLoad,
-    pub(crate) peers: UpstreamLoad,
+    pub(crate) peers: PeerLoad,
     round_trip_ms: Mean,
     delay_ms: Mean,
     delay_measured_ms: u64,
@@ -112,6 +115,7 @@
         Self {
             home,
             rows: Vec::new(),
+            positions: Vec::new(),
             peers: Peers::default(),
             services: Vec::new(),
             batch_queue: Vec::new(),
@@ -128,10 +132,13 @@
                 row.entry = entry;
                 row.lapses_at_ms = None;
             }
-            Ok(index) => self.rows[index] = Row::new(entry, now_ms),
-            Err(index) => self.rows.insert(index, Row::new(entry, now_ms)),
+            Ok(index) => self.rows[index] = self.new_row(entry, now_ms),
+            Err(index) => {
+                let row = self.new_row(entry, now_ms);
+                self.rows.insert(index, row);
+                self.positions.clear();
+            }
         }
-        self.refresh_peer_loads();
     }
 
     /// Takes an entry out. If entries may have lapsed because the store was
@@ -140,6 +147,7 @@
         let Ok(index) = self.find(id) else { return };
         if !may_have_lapsed {
             self.rows.remove(index);
+            self.positions.clear();
             return;
         }
         let row = &mut self.rows[index];
@@ -161,19 +169,12 @@
 
     /// Forgets lapsed entries and silent peers.
     pub fn expire(&mut self, now_ms: u64) {
-        self.rows
-            .retain(|row| row.lapses_at_ms.is_none_or(|lapses| now_ms < lapses));
-        self.peers.expire(now_ms);
-        self.refresh_peer_loads();
-    }
-
-    /// Takes in what a peer has in flight.
-    pub fn receive_notice(&mut self, notice: LoadNotice, now_ms: u64) {
-        if notice.instance == self.home.instance {
-            return;
+        let has_lapsed = |row: &Row| row.lapses_at_ms.is_some_and(|lapses| lapses <= now_ms);
+        if self.rows.iter().any(has_lapsed) {
+            self.rows.retain(|row| !has_lapsed(row));
+            self.positions.clear();
         }
-        self.peers.receive(notice, now_ms);
-        self.refresh_peer_loads();
+        self.expire_peers(now_ms);
     }
 
     /// What this instance has in flight, sorted by hash.
@@ -398,15 +399,14 @@
         &mut self.services[index]
     }
 
-    fn refresh_peer_loads(&mut self) {
-        for row in &mut self.rows {
-            row.peers = self.peers.load(row.hash);
-        }
+    fn new_row(&self, entry: UpstreamEntry, now_ms: u64) -> Row {
+        let peers = PeerLoad::new(self.peers.notices(), upstream_hash(&entry.id));
+        Row::new(entry, peers, now_ms)
     }
 }
 
 impl Row {
-    fn new(entry: UpstreamEntry, now_ms: u64) -> Self {
+    fn new(entry: UpstreamEntry, peers: PeerLoad, now_ms: u64) -> Self {
         let hash = upstream_hash(&entry.id);
         let load = UpstreamLoad {
             upstream: hash,
@@ -419,7 +419,7 @@
             lapses_at_ms: None,
             health: Health::default(),
             own: load,
-            peers: load,
+            peers,
             round_trip_ms: Mean::default(),
             delay_ms: Mean::default(),
             delay_measured_ms: 0,
@@ -437,17 +437,17 @@
 
     /// Online requests of all instances.
     pub(crate) fn online(&self) -> u32 {
-        u32::from(self.own.online) + u32::from(self.peers.online)
+        u32::from(self.own.online) + self.peers.online
     }
 
     /// Batch items of all instances.
     pub(crate) fn batch(&self) -> u32 {
-        u32::from(self.own.batch) + u32::from(self.peers.batch)
+        u32::from(self.own.batch) + self.peers.batch
     }
 
     /// Batch items of all instances that can be preempted.
     pub(crate) fn preemptible(&self) -> u32 {
-        u32::from(self.own.preemptible) + u32::from(self.peers.preemptible)
+        u32::from(self.own.preemptible) + self.peers.preemptible
     }
 
     /// Requests of all instances.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod forecast;
 mod health;
+mod peer_loads;
 mod peers;
 mod placement;
 mod route;
@@ -24,6 +25,7 @@
     events::{Event, EventError, EventSplitter},
     fleet::{BatchRun, Fleet, Home, WorkKind},
     forecast::{RunForecast, Urgency},
+    peer_loads::InFlight,
     peers::{LoadNotice, TakenOver, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, RefusalReason, Target},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,8 @@
 //! Each instance tells its peers how many requests it has at each upstream.
 //! A notice carries the whole state, so a lost one is made good by the next.
 
+use std::mem;
+
 use model::{InstanceId, JobId, Region, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -85,55 +87,42 @@
 }
 
 impl Peers {
-    /// Takes a notice in, unless a newer one of the same peer is known.
-    pub(crate) fn receive(&mut self, notice: LoadNotice, now_ms: u64) {
+    /// Takes a notice in, unless a newer one of the same peer is known. Returns
+    /// the loads that it replaces.
+    pub(crate) fn receive(&mut self, notice: LoadNotice, now_ms: u64) -> Option<Vec<UpstreamLoad>> {
         let found = self
             .rows
             .binary_search_by(|row| row.notice.instance.cmp(&notice.instance));
         let order = |notice: &LoadNotice| (notice.started_unix_ms, notice.sequence);
+        let row = PeerRow {
+            received_ms: now_ms,
+            notice,
+        };
         match found {
-            Ok(index) if order(&self.rows[index].notice) < order(&notice) => {
-                self.rows[index] = PeerRow {
-                    notice,
-                    received_ms: now_ms,
-                };
+            Ok(index) if order(&self.rows[index].notice) < order(&row.notice) => {
+                let replaced = mem::replace(&mut self.rows[index], row);
+                Some(replaced.notice.loads)
+            }
+            Ok(_) => None,
+            Err(index) => {
+                self.rows.insert(index, row);
+                Some(Vec::new())
             }
-            Ok(_) => {}
-            Err(index) => self.rows.insert(
-                index,
-                PeerRow {
-                    notice,
-                    received_ms: now_ms,
-                },
-            ),
         }
     }
 
-    /// Forgets peers that have been silent too long.
-    pub(crate) fn expire(&mut self, now_ms: u64) {
-        self.rows
-            .retain(|row| now_ms < row.received_ms + NOTICE_LIFETIME_MS);
+    /// Forgets peers that have been silent too long, and returns their last
+    /// notices.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<LoadNotice> {
+        let is_silent = |row: &mut PeerRow| row.received_ms + NOTICE_LIFETIME_MS <= now_ms;
+        let silent = self.rows.extract_if(.., is_silent);
+        silent.map(|row| row.notice).collect()
     }
 
     /// Notices of peers that are not silent.
     pub(crate) fn notices(&self) -> impl Iterator<Item = &LoadNotice> {
         self.rows.iter().map(|row| &row.notice)
     }
-
-    /// What all peers together have at an upstream.
-    pub(crate) fn load(&self, upstream: u64) -> UpstreamLoad {
-        let mut sum = UpstreamLoad {
-            upstream,
-            ..UpstreamLoad::default()
-        };
-        for notice in self.notices() {
-            let load = notice.load(upstream);
-            sum.online = sum.online.saturating_add(load.online);
-            sum.batch = sum.batch.saturating_add(load.batch);
-            sum.preemptible = sum.preemptible.saturating_add(load.preemptible);
-        }
-        sum
-    }
 }
 
 impl LoadNotice {
--- /dev/null
+++ b/crates/gateway/tests/peer_loads.rs
@@ -0,0 +1,104 @@
+//! Sums of peers' loads against adding up all notices anew.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use gateway::{Fleet, InFlight, LoadNotice};
+use model::UpstreamId;
+use proptest::{collection::vec, prelude::*};
+use support::{entry, home, notice};
+
+/// Peers are forgotten after this silence, milliseconds.
+const SILENCE_MS: u64 = 1_500;
+const UPSTREAMS: [&str; 4] = ["u0", "u1", "u2", "u3"];
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A peer tells its load at some upstreams; an old sequence is ignored.
+    Notice {
+        peer: usize,
+        sequence: u64,
+        loads: Vec<(usize, u16, u16)>,
+    },
+    List(usize),
+    Unlist(usize),
+    /// Time passes.
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let load = (0..UPSTREAMS.len(), 0..9_u16, 0..9_u16);
+    prop_oneof![
+        4 => (0..3_usize, 0..40_u64, vec(load, 0..4))
+            .prop_map(|(peer, sequence, loads)| Step::Notice { peer, sequence, loads }),
+        1 => (0..UPSTREAMS.len()).prop_map(Step::List),
+        1 => (0..UPSTREAMS.len()).prop_map(Step::Unlist),
+        1 => (0..SILENCE_MS).prop_map(Step::Wait),
+    ]
+}
+
+/// The newest notice of each peer with its time.
+#[derive(Debug, Default)]
+struct Model {
+    newest: BTreeMap<usize, (u64, LoadNotice)>,
+}
+
+impl Model {
+    fn receive(&mut self, peer: usize, notice: &LoadNotice, now_ms: u64) {
+        let is_old = |(_, known): &(u64, LoadNotice)| known.sequence >= notice.sequence;
+        if !self.newest.get(&peer).is_some_and(is_old) {
+            self.newest.insert(peer, (now_ms, notice.clone()));
+        }
+    }
+
+    fn expected(&self, found: &InFlight) -> (u32, u32) {
+        let hash = gateway::upstream_hash(&found.upstream);
+        let loads = self.newest.values().map(|(_, notice)| notice.load(hash));
+        loads.fold((0, 0), |(online, batch), load| {
+            (
+                online + u32::from(load.online),
+                batch + u32::from(load.batch),
+            )
+        })
+    }
+}
+
+proptest! {
+    #[test]
+    fn in_flight_is_the_sum_of_the_newest_notices(steps in vec(step(), 1..60)) {
+        let mut fleet = Fleet::new(home("me"), 1);
+        let mut model = Model::default();
+        let mut now_ms = 0;
+        for step in steps {
+            match step {
+                Step::Notice { peer, sequence, loads } => {
+                    let loads: BTreeMap<_, _> = loads
+                        .into_iter()
+                        .map(|(upstream, online, batch)| (UPSTREAMS[upstream], (online, batch)))
+                        .collect();
+                    let loads: Vec<_> = loads
+                        .into_iter()
+                        .map(|(id, (online, batch))| (id, online, batch))
+                        .collect();
+                    let notice = notice(&format!("peer{peer}"), sequence, &loads);
+                    model.receive(peer, &notice, now_ms);
+                    fleet.receive_notice(notice, now_ms);
+                }
+                Step::List(index) => fleet.list(entry(UPSTREAMS[index], "north-a"), now_ms),
+                Step::Unlist(index) => {
+                    fleet.unlist(&UpstreamId::new(UPSTREAMS[index]), false, now_ms);
+                }
+                Step::Wait(for_ms) => {
+                    now_ms += for_ms;
+                    model.newest.retain(|_, (at_ms, _)| now_ms < *at_ms + SILENCE_MS);
+                    fleet.expire(now_ms);
+                }
+            }
+            for found in fleet.in_flight() {
+                let sums = (found.peers_online, found.peers_batch);
+                prop_assert_eq!(sums, model.expected(&found));
+            }
+        }
+    }
+}
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -6,7 +6,7 @@
 use control::{Control, ControlSettings};
 use model::{FailureDomain, FleetConfig, InstanceId, Liveness, Region, View, ViewRevision};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use standin::{PlatformSettings, Remote, Standin, start_platform};
 use store::{InstanceListing, ListedInstance, ListedRole, PacedStore, Transaction};
 use tokio::{
@@ -108,15 +108,17 @@
         let region = REGIONS[usize::try_from(index).unwrap_or(0) % REGIONS.len()];
         let id = format!("instance-{index:03}");
         let settings = ControlSettings {
+            node: NodeSettings {
+                peer_listen: any,
+                admin_listen: any,
+                platform: self.platform.address(),
+                instance_id: InstanceId::new(&id),
+                region: Region::new(region),
+                failure_domain: FailureDomain::new(region),
+                log_level: "info".to_owned(),
+            },
             listen: any,
-            peer_listen: any,
-            admin_listen: any,
-            platform: self.platform.address(),
             seeds: Vec::new(),
-            instance_id: InstanceId::new(&id),
-            region: Region::new(region),
-            failure_domain: FailureDomain::new(region),
-            log_level: "info".to_owned(),
         };
         let control = Control::start(&settings, AdminState::default())
             .await
--- a/crates/load/src/capacity/memory.rs
+++ b/crates/load/src/capacity/memory.rs
@@ -10,7 +10,7 @@
 use control::{Control, ControlSettings};
 use model::{FailureDomain, InstanceId, Liveness, ModelName, Region, View};
 use peer::{PeerClient, PeerRequest, PeerResponse};
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use standin::{PlatformSettings, Remote, start_platform};
 use store::{InstanceListing, ListedInstance, ListedRole};
 use tokio::time::Instant;
@@ -66,15 +66,17 @@
 fn settings(platform: SocketAddr) -> ControlSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     ControlSettings {
+        node: NodeSettings {
+            peer_listen: any,
+            admin_listen: any,
+            platform,
+            instance_id: InstanceId::new("instance-000001"),
+            region: Region::new("region-0"),
+            failure_domain: FailureDomain::new("domain-0-0"),
+            log_level: "info".to_owned(),
+        },
         listen: any,
-        peer_listen: any,
-        admin_listen: any,
-        platform,
         seeds: Vec::new(),
-        instance_id: InstanceId::new("instance-000001"),
-        region: Region::new("region-0"),
-        failure_domain: FailureDomain::new("domain-0-0"),
-        log_level: "info".to_owned(),
     }
 }
 
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -9,7 +9,7 @@
     Class, ClassName, ClassTarget, FailureDomain, FleetConfig, InstanceId, Liveness, ModelDefaults,
     ModelName, Region, UpstreamEntry, UpstreamId, UpstreamKind, View,
 };
-use process::{AdminState, Shutdown};
+use process::{AdminState, NodeSettings, Shutdown};
 use standin::{EngineParams, EngineSettings, start_engine};
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
@@ -211,19 +211,21 @@
 async fn run_entry(engine: SocketAddr) -> Result<(), String> {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = EntrySettings {
+        node: NodeSettings {
+            peer_listen: any_port,
+            admin_listen: any_port,
+            platform: any_port,
+            instance_id: InstanceId::new("entry-0"),
+            region: Region::new(REGION),
+            failure_domain: FailureDomain::new("local-a"),
+            log_level: String::new(),
+        },
         listen: any_port,
-        peer_listen: any_port,
-        admin_listen: any_port,
         control: any_port,
-        platform: any_port,
-        instance_id: InstanceId::new("entry-0"),
-        region: Region::new(REGION),
-        failure_domain: FailureDomain::new("local-a"),
         body_limit_bytes: BODY_LIMIT_BYTES,
         drain_ms: 0,
         // Only the program itself reads it.
         worker_threads: 1,
-        log_level: String::new(),
     };
     let (_sender, view) = watch::channel(Arc::new(view(engine)));
     let admin = AdminState::new().map_err(|error| error.to_string())?;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,9 +1,15 @@
 //! Counters and histograms, with labels from closed sets only.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    cmp::Reverse,
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, Route, RouteKind};
+use gateway::{AttemptEnd, Fleet, InFlight, Route, RouteKind};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{server::conn::http1::Builder, service::service_fn};
@@ -14,7 +20,7 @@
     metrics::{Counter, Gauge, Histogram, Meter},
 };
 use platform::{CallCounts, CallKind, CallResult};
-use process::AdminState;
+use process::{AdminState, time_histogram};
 use tokio::{net::TcpListener, task::spawn_local};
 
 use crate::node::Node;
@@ -26,6 +32,11 @@
 const TIME_BOUNDS_S: [f64; 14] = [
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
+/// Upstreams shown one by one, the busiest first.
+const SHOWN_UPSTREAMS: usize = 50;
+
+/// What is in flight at the busiest upstreams.
+type BusiestUpstreams = Arc<Mutex<Vec<InFlight>>>;
 
 /// Instruments of the process.
 #[derive(Debug)]
@@ -48,6 +59,7 @@
     config_version: Gauge<u64>,
     store_age: Gauge<f64>,
     ready_upstreams: Gauge<u64>,
+    busiest: BusiestUpstreams,
 }
 
 impl Metrics {
@@ -56,14 +68,10 @@
         let meter = global::meter("redwingtack.node");
         observe_store_calls(&meter, store_calls);
         observe_log_lines(&meter);
-        let histogram = |name: &'static str, description: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(description)
-                .with_boundaries(TIME_BOUNDS_S.to_vec())
-                .build()
-        };
+        let busiest = BusiestUpstreams::default();
+        observe_upstreams(&meter, Arc::clone(&busiest));
+        let histogram =
+            |name, description| time_histogram(&meter, name, description, &TIME_BOUNDS_S);
         let counter = |name: &'static str, description: &'static str| {
             meter
                 .u64_counter(name)
@@ -114,6 +122,7 @@
                 .with_description("Time since the store last answered")
                 .build(),
             ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
+            busiest,
         }
     }
 
@@ -201,6 +210,7 @@
         self.config_version.record(version, &[]);
         let age_ms = node.store_health.age_ms(node.now_ms());
         self.store_age.record(seconds(age_ms), &[]);
+        *self.busiest.lock().unwrap_or_else(PoisonError::into_inner) = busiest_upstreams(&fleet);
     }
 }
 
@@ -269,6 +279,42 @@
         .build();
 }
 
+fn observe_upstreams(meter: &Meter, busiest: BusiestUpstreams) {
+    meter
+        .u64_observable_gauge("redwingtack.upstream.in_flight")
+        .with_description("Requests at the busiest upstreams, by work and by whose they are")
+        .with_callback(move |observer| {
+            let busiest = busiest.lock().unwrap_or_else(PoisonError::into_inner);
+            for found in &*busiest {
+                let counts = [
+                    ("online", "own", found.own_online),
+                    ("batch", "own", found.own_batch),
+                    ("online", "peers", found.peers_online),
+                    ("batch", "peers", found.peers_batch),
+                ];
+                for (work, of, count) in counts {
+                    let labels = [
+                        KeyValue::new("upstream", found.upstream.to_string()),
+                        KeyValue::new("work", work),
+                        KeyValue::new("of", of),
+                    ];
+                    observer.observe(count.into(), &labels);
+                }
+            }
+        })
+        .build();
+}
+
+fn busiest_upstreams(fleet: &Fleet) -> Vec<InFlight> {
+    let mut busiest: Vec<_> = fleet.in_flight().collect();
+    busiest.sort_by_key(|found| {
+        let own = found.own_online + found.own_batch;
+        Reverse(own + found.peers_online + found.peers_batch)
+    });
+    busiest.truncate(SHOWN_UPSTREAMS);
+    busiest
+}
+
 fn observe_log_lines(meter: &Meter) {
     meter
         .u64_observable_counter("redwingtack.log_lines_left_out")
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod event;
+mod instruments;
 mod log_queue;
 mod node;
 mod program;
@@ -15,6 +16,7 @@
 pub use crate::{
     admin::{AdminState, serve_admin},
     event::{init_logs, quote},
+    instruments::time_histogram,
     log_queue::{LogQueue, init_decision_logs, log_lines_left_out},
     node::{
         HELP_FOOTER, NodeOptions, NodeSettings, check_log_level, control_option, log_level_option,
