node: the batch plan costs no more with many peers

Cause: every notice of a peer began a look for free slots, each look listed the waiting items three times, and the plan went on through all peers' items after the last one of its own.

--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -62,13 +62,17 @@
     pub fn batch_plan(&self, service: &ServiceName, now_ms: u64) -> Vec<Target> {
         let mut free_slots = self.free_slots(service, now_ms);
         let mut own = Vec::new();
-        for claim in self.claims(service_hash(service)) {
+        let mut claims = self.claims(service_hash(service));
+        let is_own = |claim: &Claim<'_>| *claim.instance == self.home.instance;
+        // What comes after this instance's last claim changes nothing here.
+        claims.truncate(claims.iter().rposition(is_own).map_or(0, |last| last + 1));
+        for claim in claims {
             for _ in 0..claim.demand.waiting {
                 let Some(upstream) = best_slots(&mut free_slots, &claim) else {
                     return own;
                 };
                 upstream.slots -= 1;
-                if *claim.instance == self.home.instance {
+                if is_own(&claim) {
                     own.push(Target::new(&upstream.row.entry));
                 }
             }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -12,7 +12,7 @@
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{item_run, writes};
@@ -25,6 +25,9 @@
 const BUSY_TICK: Duration = Duration::from_millis(100);
 /// Time between looks while nothing waits.
 const IDLE_TICK: Duration = Duration::from_secs(1);
+/// Shortest time between two looks: changes gather meanwhile, so
+/// that notices of many peers cost no more looks than those of a few.
+const STEP_INTERVAL: Duration = Duration::from_millis(5);
 /// How long peers are told of a job that was taken over, milliseconds: longer
 /// than the store turns an instance away as a rule.
 const TAKEOVER_NEWS_MS: u64 = 30_000;
@@ -268,6 +271,7 @@
         // Time passing is as good a reason to look as a change.
         let _ = timeout(tick, node.batch_changed.notified()).await;
         step(&node);
+        sleep(STEP_INTERVAL).await;
     }
 }
 
@@ -277,12 +281,14 @@
         node.runner.borrow().preempt(&upstream, count);
     }
     give_up_items(node);
-    if node.stage() == Stage::Serving {
+    if let Some(routes) = node.routes() {
+        let mut waiting = node.runner.borrow().waiting(&routes, node.now_ms());
         // The plan rests on what waits here as well.
-        update_queue(node);
-        start_items(node);
+        update_queue(node, &waiting);
+        if node.stage() == Stage::Serving && start_items(node, &mut waiting) {
+            update_queue(node, &waiting);
+        }
     }
-    update_queue(node);
     writes::start_commits(node);
 }
 
@@ -299,21 +305,29 @@
     }
 }
 
-/// Starts waiting items at the slots that the plan gives this instance.
-fn start_items(node: &Rc<Node>) {
-    let Some(routes) = node.routes() else { return };
+/// Starts waiting items at the slots that the plan gives this instance, and
+/// takes them out of `waiting`. Returns whether there were any.
+fn start_items(node: &Rc<Node>, waiting: &mut Vec<WaitingItem>) -> bool {
     let now_ms = node.now_ms();
-    let waiting = node.runner.borrow().waiting(&routes, now_ms);
-    let mut services: Vec<_> = waiting.iter().map(|item| &item.service).collect();
+    let mut services: Vec<_> = waiting.iter().map(|item| item.service.clone()).collect();
     services.sort();
     services.dedup();
+    let waiting_before = waiting.len();
     for service in services {
-        let plan = node.fleet.borrow().batch_plan(service, now_ms);
-        let of_service = waiting.iter().filter(|item| item.service == *service);
-        for (item, target) in of_service.zip(plan) {
+        let plan = node.fleet.borrow().batch_plan(&service, now_ms);
+        let mut plan = plan.into_iter();
+        waiting.retain(|item| {
+            if item.service != service {
+                return true;
+            }
+            let Some(target) = plan.next() else {
+                return true;
+            };
             start_item(node, item, target);
-        }
+            false
+        });
     }
+    waiting.len() < waiting_before
 }
 
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
@@ -360,14 +374,12 @@
 }
 
 /// Tells the other instances what waits and runs here.
-fn update_queue(node: &Node) {
-    let Some(routes) = node.routes() else { return };
-    let runner = node.runner.borrow();
+fn update_queue(node: &Node, waiting: &[WaitingItem]) {
     let mut queue: Vec<BatchDemand> = Vec::new();
-    for item in runner.waiting(&routes, node.now_ms()) {
+    for item in waiting {
         add_demand(&mut queue, service_hash(&item.service), item.urgency.key);
     }
-    let runs = runner.batch_runs();
+    let runs = node.runner.borrow().batch_runs();
     let mut fleet = node.fleet.borrow_mut();
     fleet.set_batch_runs(&runs);
     if *fleet.batch_queue() != *queue {
