--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -1,8 +1,10 @@
 //! What the entry adds to a direct connection to an engine: latency, processor
-//! time and memory, with direct and routed requests taking turns in one run.
+//! time and memory, with direct and routed requests taking turns in one run; and
+//! what decision logs cost.
 
 mod child;
 mod client;
+mod logs;
 mod streams;
 
 use std::{net::SocketAddr, time::Duration};
@@ -94,7 +96,8 @@
         for rate_per_s in RATES {
             measure_rate(rate_per_s, options).await?;
         }
-        streams::measure(options).await
+        streams::measure(options).await?;
+        logs::measure().await
     })
 }
 
--- a/crates/load/src/overhead/child.rs
+++ b/crates/load/src/overhead/child.rs
@@ -17,6 +17,8 @@
     sync::watch,
 };
 
+use super::logs;
+
 const MODEL: &str = "oraculo";
 const CLASS: &str = "hint";
 const REGION: &str = "local";
@@ -45,6 +47,10 @@
     engine: Option<SocketAddr>,
     /// Worker threads.
     threads: Option<usize>,
+    /// Log lines a second, of a process that does nothing else.
+    log_lines_per_s: Option<u32>,
+    /// Specification for the logger of that process.
+    log_level: Option<String>,
 }
 
 /// A child process, killed when dropped.
@@ -80,14 +86,19 @@
     let step_us = long("step-us").argument("US").optional();
     let engine = long("engine").argument("IP:PORT").optional();
     let threads = long("threads").argument("N").optional();
+    let log_lines_per_s = long("log-lines-per-s").argument("N").optional();
+    let log_level = long("log-level").argument("LEVEL").optional();
     construct!(ChildOptions {
         step_us,
         engine,
         threads,
+        log_lines_per_s,
+        log_level,
     })
 }
 
-/// Runs an engine or an entry until killed; prints its address.
+/// Runs an engine, an entry or a writer of log lines until killed; prints its
+/// address.
 ///
 /// # Errors
 ///
@@ -102,6 +113,10 @@
     runtime.block_on(async {
         if let Some(step_us) = options.step_us {
             run_engine(step_us).await
+        } else if let Some(lines_per_s) = options.log_lines_per_s {
+            // Nobody connects; the address says that the process runs.
+            println!("{}", SocketAddr::from(([127, 0, 0, 1], 0)));
+            logs::run(lines_per_s, options.log_level.as_deref().unwrap_or("info")).await
         } else {
             let engine = options.engine.ok_or("--engine or --step-us is required")?;
             run_entry(engine).await
@@ -134,6 +149,13 @@
         Self::start(&arguments).await
     }
 
+    /// Starts a process that only writes log lines.
+    pub async fn start_logs(lines_per_s: u32, level: &str) -> Result<Self, String> {
+        let lines_per_s = lines_per_s.to_string();
+        let arguments = ["--log-lines-per-s", &lines_per_s, "--log-level", level];
+        Self::start(&arguments.map(str::to_owned)).await
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -17,7 +17,7 @@
     admin::{AdminState, serve_admin},
     event::{init_logs, quote},
     instruments::time_histogram,
-    log_queue::{LogQueue, init_decision_logs, log_lines_left_out},
+    log_queue::{LogQueue, init_decision_logs, init_decision_logs_to, log_lines_left_out},
     node::{
         HELP_FOOTER, NodeOptions, NodeSettings, check_log_level, control_option, log_level_option,
         node_options,
--- a/crates/process/src/log_queue.rs
+++ b/crates/process/src/log_queue.rs
@@ -39,8 +39,20 @@
 ///
 /// Returns an error if `level` cannot be parsed or a logger already runs.
 pub fn init_decision_logs(level: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+    init_decision_logs_to(level, io::stdout())
+}
+
+/// As [`init_decision_logs`], to another output.
+///
+/// # Errors
+///
+/// Returns an error if `level` cannot be parsed or a logger already runs.
+pub fn init_decision_logs_to(
+    level: &str,
+    output: impl Write + Send + 'static,
+) -> Result<LoggerHandle, FlexiLoggerError> {
     Logger::try_with_str(level)?
-        .log_to_writer(Box::new(LogQueue::new(io::stdout())))
+        .log_to_writer(Box::new(LogQueue::new(output)))
         .start()
 }
 
