load: replay drives the decisions of the users' platform under load patterns

Each decision can be switched off, and notices can be made to take no time, which is one decider that sees all.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 mod oracle;
 pub mod overhead;
 mod plot;
+pub mod replay;
 pub mod route;
 mod workload;
 mod world;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -9,6 +9,7 @@
     overhead::{
         ChildOptions, OverheadOptions, child_options, overhead, overhead_options, run_child,
     },
+    replay::{ReplayOptions, replay, replay_options},
     route::route,
 };
 
@@ -21,6 +22,8 @@
     Compare(CompareOptions),
     /// What the entry adds to a direct connection.
     Overhead(OverheadOptions),
+    /// Decisions of the users' platform under a load pattern.
+    Replay(ReplayOptions),
     /// Processor time of a routing decision.
     Route,
     /// A process that the measurement of overhead starts.
@@ -33,6 +36,7 @@
         Command::Compare(options) => compare(&options),
         Command::Overhead(options) => overhead(&options),
         Command::OverheadChild(options) => run_child(&options),
+        Command::Replay(options) => replay(&options),
         Command::Route => {
             route();
             Ok(())
@@ -63,6 +67,13 @@
         .to_options()
         .descr("Measure what the entry adds to a direct connection to an engine")
         .command("overhead");
+    let replay = replay_options()
+        .map(Command::Replay)
+        .to_options()
+        .descr(
+            "Replay a load pattern through the decisions of the users' platform, in virtual time",
+        )
+        .command("replay");
     let route = pure(Command::Route)
         .to_options()
         .descr("Measure the processor time of a routing decision at several sizes")
@@ -72,7 +83,7 @@
         .to_options()
         .command("overhead-child")
         .hide();
-    construct!([capacity, compare, overhead, route, child])
+    construct!([capacity, compare, overhead, replay, route, child])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Measure the product against baselines")
--- /dev/null
+++ b/crates/load/src/replay/decider.rs
@@ -0,0 +1,329 @@
+//! The decisions of one instance: the cores that ship, and its own items.
+
+use gateway::{
+    BatchDemand, BatchRun, Fleet, Home, LoadNotice, Placement, PlacementRequest, RunForecast,
+    Target, UpstreamEntry, UpstreamState, Urgency, WorkKind, service_hash,
+};
+use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+use super::{Switch, arrivals::EVENT_TOKENS};
+
+/// Time within which an answer should begin, milliseconds.
+pub(super) const GOAL_MS: u64 = 300;
+/// Answers that an upstream works on at once.
+pub(super) const SLOTS: u32 = 8;
+/// Entries of the queue that other instances are told of.
+const QUEUE_MAX_ENTRIES: usize = 16;
+const PORT: u16 = 8_000;
+
+/// One instance.
+#[derive(Debug)]
+pub(super) struct Decider {
+    pub(super) fleet: Fleet,
+    pub(super) items: Vec<Item>,
+    instance: InstanceId,
+    region: Region,
+    service: ServiceName,
+    forecast: RunForecast,
+    sequence: u64,
+    switch: Option<Switch>,
+    rng: SmallRng,
+}
+
+/// An item of an accepted job.
+#[derive(Debug)]
+pub(super) struct Item {
+    pub(super) prompt_tokens: u32,
+    pub(super) tokens: u32,
+    pub(super) tokens_done: u32,
+    pub(super) accepted_us: u64,
+    pub(super) due_ms: u64,
+    pub(super) state: ItemState,
+}
+
+/// How far an item has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ItemState {
+    Waiting,
+    Running {
+        target: Target,
+        sequence: u64,
+        began_ms: u64,
+        tokens_before: u32,
+    },
+    Done,
+}
+
+/// What has to be done now.
+#[derive(Debug)]
+pub(super) enum Action {
+    /// Item `index` starts.
+    Start { index: usize, target: Target },
+    /// The run of item `index` ends.
+    Preempt { index: usize },
+}
+
+/// Name of a region.
+pub(super) fn region_name(region: usize) -> String {
+    format!("region-{region}")
+}
+
+/// Entry of an upstream.
+pub(super) fn upstream_entry(index: usize, region: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        id: upstream_id(index),
+        service: ServiceName::new("hints"),
+        address: ([127, 0, 0, 1], PORT).into(),
+        failure_domain: FailureDomain::new(&region_name(region)),
+        slots: SLOTS,
+        state: UpstreamState::Ready,
+        warm_up_left_ms: 0,
+        started_unix_ms: 1,
+    }
+}
+
+/// Name of an upstream.
+pub(super) fn upstream_id(index: usize) -> UpstreamId {
+    UpstreamId::new(&format!("upstream-{index:05}"))
+}
+
+/// Number of the upstream with this name.
+pub(super) fn upstream_index(id: &UpstreamId) -> usize {
+    let number = id.as_str().rsplit('-').next();
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+impl Decider {
+    pub(super) fn new(
+        index: usize,
+        regions: usize,
+        upstreams: &[UpstreamEntry],
+        switch: Option<Switch>,
+        seed: u64,
+    ) -> Self {
+        let instance = InstanceId::new(&format!("instance-{index:05}"));
+        let region = region_name(index % regions);
+        let all = (0..regions).map(region_name).map(|name| {
+            let domain = FailureDomain::new(&name);
+            (domain, Region::new(&name))
+        });
+        let home = Home {
+            instance: instance.clone(),
+            failure_domain: FailureDomain::new(&region),
+            region: Region::new(&region),
+            regions: all.collect(),
+        };
+        let seed = seed ^ (index as u64) << 32;
+        let mut fleet = Fleet::new(home, seed);
+        for entry in upstreams {
+            fleet.list(entry.clone(), 0);
+        }
+        Self {
+            fleet,
+            items: Vec::new(),
+            instance,
+            region: Region::new(&region),
+            service: ServiceName::new("hints"),
+            forecast: RunForecast::default(),
+            sequence: 0,
+            switch,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Where an online request goes.
+    pub(super) fn place(
+        &mut self,
+        excluded: &[UpstreamId],
+        may_refuse: bool,
+        now_ms: u64,
+    ) -> Placement {
+        let request = PlacementRequest {
+            service: &self.service,
+            excluded,
+            goal_ms: GOAL_MS,
+            waited_ms: 0,
+            may_refuse: may_refuse && self.switch != Some(Switch::Refusals),
+        };
+        let placement = self.fleet.place(&request, now_ms);
+        if self.switch != Some(Switch::Placement) {
+            return placement;
+        }
+        match placement {
+            Placement::Send {
+                expected_ms, load, ..
+            } => Placement::Send {
+                target: self.any_target(),
+                expected_ms,
+                load,
+            },
+            refused @ Placement::Refuse { .. } => refused,
+        }
+    }
+
+    /// What to tell the peers.
+    pub(super) fn notice(&mut self) -> LoadNotice {
+        self.sequence += 1;
+        let has_plan = self.switch != Some(Switch::SharedPlan);
+        LoadNotice {
+            instance: self.instance.clone(),
+            started_unix_ms: 1,
+            sequence: self.sequence,
+            region: self.region.clone(),
+            store_age_ms: Some(0),
+            taken_over: Vec::new(),
+            batch_queue: if has_plan {
+                self.fleet.batch_queue().to_vec()
+            } else {
+                Vec::new()
+            },
+            loads: self.fleet.own_loads(),
+        }
+    }
+
+    /// Starts and preempts items.
+    pub(super) fn step(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.switch != Some(Switch::Preemption) {
+            for (upstream, count) in self.fleet.preemptions() {
+                let indices = self.least_urgent(&upstream, count, now_ms);
+                actions.extend(indices.into_iter().map(|index| Action::Preempt { index }));
+            }
+        }
+        let waiting = self.publish(now_ms);
+        let plan = self.fleet.batch_plan(&self.service, now_ms);
+        let starts = waiting.into_iter().zip(plan);
+        actions.extend(starts.map(|(index, target)| Action::Start { index, target }));
+        actions
+    }
+
+    /// Records that an item runs.
+    pub(super) fn item_started(
+        &mut self,
+        index: usize,
+        target: &Target,
+        sequence: u64,
+        now_ms: u64,
+    ) {
+        self.fleet.started(target, WorkKind::Batch, now_ms);
+        let item = &mut self.items[index];
+        item.state = ItemState::Running {
+            target: target.clone(),
+            sequence,
+            began_ms: now_ms,
+            tokens_before: item.tokens_done,
+        };
+        self.publish(now_ms);
+    }
+
+    /// Records that the run of an item has ended. Returns whether it is done.
+    pub(super) fn item_ended(&mut self, index: usize, tokens_done: u32, now_ms: u64) -> bool {
+        let item = &mut self.items[index];
+        let ItemState::Running {
+            target,
+            began_ms,
+            tokens_before,
+            ..
+        } = std::mem::replace(&mut item.state, ItemState::Waiting)
+        else {
+            return false;
+        };
+        item.tokens_done = tokens_done;
+        let is_done = tokens_done >= item.tokens;
+        let events = u64::from((tokens_done - tokens_before) / EVENT_TOKENS);
+        let run_ms = now_ms - began_ms;
+        self.forecast.run_ended(run_ms, events);
+        self.fleet.ended(&target, WorkKind::Batch);
+        if is_done {
+            item.state = ItemState::Done;
+            let all_events = u64::from(item.tokens / EVENT_TOKENS);
+            self.forecast.item_done(item.tokens, all_events);
+            self.fleet.finished(&target, WorkKind::Batch, run_ms);
+        }
+        self.publish(now_ms);
+        is_done
+    }
+
+    /// Tells the core what waits and runs. Returns what waits, most urgent
+    /// first.
+    pub(super) fn publish(&mut self, now_ms: u64) -> Vec<usize> {
+        let mut waiting: Vec<_> = self
+            .indices(|state| *state == ItemState::Waiting)
+            .map(|index| (self.urgency(index, now_ms), index))
+            .collect();
+        waiting.sort_unstable();
+        let mut queue: Vec<BatchDemand> = Vec::new();
+        let service = service_hash(&self.service);
+        for (urgency, _) in &waiting {
+            if let Some(demand) = queue.iter_mut().find(|demand| demand.key == urgency.key) {
+                demand.waiting += 1;
+            } else if queue.len() < QUEUE_MAX_ENTRIES {
+                queue.push(BatchDemand {
+                    service,
+                    key: urgency.key,
+                    waiting: 1,
+                });
+            }
+        }
+        self.fleet.set_batch_queue(queue);
+        let runs: Vec<_> = self
+            .items
+            .iter()
+            .enumerate()
+            .filter_map(|(index, item)| match &item.state {
+                ItemState::Running { target, .. } => Some(BatchRun {
+                    upstream: target.upstream.clone(),
+                    urgency: self.urgency(index, now_ms),
+                }),
+                ItemState::Waiting | ItemState::Done => None,
+            })
+            .collect();
+        self.fleet.set_batch_runs(&runs);
+        waiting.into_iter().map(|(_, index)| index).collect()
+    }
+
+    fn least_urgent(&self, upstream: &UpstreamId, count: u32, now_ms: u64) -> Vec<usize> {
+        let is_there = |state: &ItemState| matches!(state, ItemState::Running { target, .. } if target.upstream == *upstream);
+        let mut there: Vec<_> = self
+            .indices(is_there)
+            .map(|index| (self.urgency(index, now_ms), index))
+            .filter(|(urgency, _)| !urgency.is_tight)
+            .collect();
+        there.sort_unstable();
+        let last = there.into_iter().rev().take(count as usize);
+        last.map(|(_, index)| index).collect()
+    }
+
+    fn indices(&self, is_meant: impl Fn(&ItemState) -> bool) -> impl Iterator<Item = usize> {
+        let found = self
+            .items
+            .iter()
+            .enumerate()
+            .filter(move |(_, item)| is_meant(&item.state));
+        found.map(|(index, _)| index)
+    }
+
+    fn urgency(&self, index: usize, now_ms: u64) -> Urgency {
+        let item = &self.items[index];
+        let events = u64::from(item.tokens_done / EVENT_TOKENS);
+        let remaining_ms = if self.switch == Some(Switch::Forecast) {
+            0
+        } else {
+            self.forecast.remaining_ms(item.tokens, events)
+        };
+        Urgency::new(item.due_ms, remaining_ms, now_ms)
+    }
+
+    /// Any upstream that is listed.
+    fn any_target(&mut self) -> Target {
+        let listed: Vec<_> = self.fleet.in_flight().map(|found| found.upstream).collect();
+        let upstream = listed[self.rng.random_range(0..listed.len())].clone();
+        Target {
+            upstream,
+            service: self.service.clone(),
+            address: ([127, 0, 0, 1], PORT).into(),
+            started_unix_ms: 1,
+        }
+    }
+}
