gateway: a wait of 70 % of the goal is refused, and returns come after one to three holds

Change: a request is sent if its expected wait takes up to 70 % of its goal; refused ones come back after one to three times that a request holds a slot.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,7 +5,7 @@
 //! refused at once and told when a slot is expected, with the returns spread
 //! so that those refused together do not come back together.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::Range};
 
 use model::{ServiceName, UpstreamId};
 use rand::RngExt;
@@ -29,8 +29,15 @@
 const EARLY_GOAL_SHARE: u64 = 4;
 /// When to come back if no upstream is known, milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+/// Share of the goal that the expected wait may take. The rest is for what the
+/// estimate does not see: requests that peers are placing at this moment.
+const WAIT_GOAL_PERCENT: u64 = 70;
 /// Shortest time after which a refused request comes back, milliseconds.
 const RETRY_MIN_MS: f64 = 100.0;
+/// When refused requests come back, in times that a request holds a slot. A
+/// burst outlasts the requests that fill all slots, and a caller may have one
+/// more try only.
+const RETRY_HOLDS: Range<f64> = 1.0..3.0;
 
 /// A request that needs an upstream.
 #[derive(Debug, Clone, PartialEq)]
@@ -209,10 +216,10 @@
     }
 
     /// Places are freed one by one over the time that a request holds one, so
-    /// returns are spread over that time.
+    /// returns are spread over such times.
     fn retry_after_ms(&mut self, hold_ms: f64) -> u64 {
-        let spread = self.rng.random_range(0.5..1.5);
-        round_ms((hold_ms * spread).max(RETRY_MIN_MS))
+        let holds = self.rng.random_range(RETRY_HOLDS);
+        round_ms((hold_ms * holds).max(RETRY_MIN_MS))
     }
 }
 
@@ -250,7 +257,7 @@
     /// a late answer is better for it than a refusal.
     fn patience_ms(&self) -> u64 {
         if self.waited_ms <= self.goal_ms / EARLY_GOAL_SHARE {
-            self.goal_ms - self.waited_ms
+            (self.goal_ms * WAIT_GOAL_PERCENT / 100).saturating_sub(self.waited_ms)
         } else {
             self.goal_ms
         }
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -92,6 +92,36 @@
     ),
 ];
 
+/// Figures of one run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figures {
+    /// Credit earned over credit owed.
+    pub credit: f64,
+    /// The same in the two worst windows.
+    pub worst_windows: f64,
+    /// Online requests that were answered in time, also after a refusal.
+    pub online_on_time: u32,
+    /// Online requests that were refused for good.
+    pub online_refused: u32,
+}
+
+/// Plays a pattern once.
+#[must_use]
+pub fn play_once(
+    pattern: &Pattern,
+    delay: NoticeDelay,
+    switch: Option<Switch>,
+    seed: u64,
+) -> Figures {
+    let tally = World::new(pattern, delay, switch, seed).run();
+    Figures {
+        credit: tally.credit(),
+        worst_windows: tally.worst_windows(),
+        online_on_time: tally.online.on_time,
+        online_refused: tally.online.refused,
+    }
+}
+
 /// Parser of [`ReplayOptions`].
 #[must_use]
 pub fn replay_options() -> impl Parser<ReplayOptions> {
