--- a/crates/load/src/replay/world.rs
+++ b/crates/load/src/replay/world.rs
@@ -1,19 +1,19 @@
 //! Instances, links and upstreams in virtual time, driven from one queue of
 //! events. A seed always gives the same figures.
 
+mod looks;
+mod runs;
+
 use std::{collections::BTreeMap, rc::Rc};
 
 use gateway::{LoadNotice, Placement, Target, WorkKind};
 use model::UpstreamId;
-use standin::{Emitted, EngineCore, EngineParams, SequenceRequest};
+use standin::{EngineCore, EngineParams, SequenceRequest};
 
 use super::{
     NoticeDelay, Pattern, Switch,
-    arrivals::{Answer, EVENT_TOKENS, Work, arrivals},
-    decider::{
-        Action, Decider, GOAL_MS, Item, ItemState, SLOTS, upstream_entry, upstream_id,
-        upstream_index,
-    },
+    arrivals::{Answer, Work, arrivals},
+    decider::{Decider, GOAL_MS, Item, ItemState, SLOTS, upstream_entry, upstream_id},
     tally::{Class, End, Tally},
 };
 
@@ -31,17 +31,12 @@
 const JOB_DUE_MS: u64 = 18_000;
 /// Upstreams that an online request is sent to at most.
 const ATTEMPTS_MAX: usize = 2;
-/// Time between two looks of an instance.
-const TICK_US: u64 = 10 * US_PER_MS;
-/// Shortest and longest time between two notices of an instance.
-const NOTICE_MIN_US: u64 = 20 * US_PER_MS;
-const NOTICE_MAX_US: u64 = 500 * US_PER_MS;
-/// Time between two looks for silent peers.
-const EXPIRE_US: u64 = 250 * US_PER_MS;
 /// Time from a crash until the upstream's registration is gone.
 const UNLIST_US: u64 = 2 * US_PER_S;
 /// Time between two crashes.
 const CRASH_GAP_US: u64 = US_PER_S;
+/// Time between two looks of an instance, microseconds.
+const TICK_US: u64 = 10 * US_PER_MS;
 /// Time after the last arrival in which work may end, seconds.
 const DRAIN_S: u64 = 40;
 
@@ -355,184 +350,6 @@
         self.changed(instance);
     }
 
-    /// Sends a run on its way. It goes on after `tokens_done`.
-    fn start(
-        &mut self,
-        instance: usize,
-        target: Target,
-        work: SequenceWork,
-        answer: Answer,
-        tokens_done: u32,
-        expected_ms: u64,
-    ) -> usize {
-        let sequence = self.sequences.len();
-        let upstream = upstream_index(&target.upstream);
-        let one_way_us = self.one_way_us(instance, upstream);
-        let round_trip_ms = f64::from(u32::try_from(2 * one_way_us).unwrap_or(u32::MAX)) / 1e3;
-        let fleet = &mut self.deciders[instance].fleet;
-        fleet.connected(&target, round_trip_ms);
-        self.sequences.push(Sequence {
-            instance,
-            upstream,
-            target,
-            work,
-            request: SequenceRequest {
-                id: sequence as u64,
-                prompt_tokens: answer.prompt_tokens + tokens_done,
-                blocks: Vec::new(),
-                first_token_index: tokens_done + 1,
-                last_token_index: answer.tokens,
-            },
-            began_us: self.now_us,
-            expected_ms,
-            tokens_done,
-            has_begun: false,
-            is_over: false,
-        });
-        self.push(self.now_us + one_way_us, Event::Begin { sequence });
-        self.changed(instance);
-        sequence
-    }
-
-    fn begin(&mut self, sequence: usize) {
-        let Sequence {
-            instance,
-            upstream,
-            is_over,
-            ..
-        } = self.sequences[sequence];
-        if is_over {
-            return;
-        }
-        if !self.upstreams[upstream].is_alive {
-            let at_us = self.now_us + self.one_way_us(instance, upstream);
-            self.push(at_us, Event::Broken { sequence });
-            return;
-        }
-        self.advance(upstream);
-        let request = self.sequences[sequence].request.clone();
-        self.upstreams[upstream].core.submit(request, self.now_us);
-        self.queue_step(upstream);
-    }
-
-    fn advance(&mut self, upstream: usize) {
-        let mut emitted = Vec::new();
-        self.upstreams[upstream]
-            .core
-            .advance(self.now_us, &mut emitted);
-        for token in emitted {
-            self.token(&token);
-        }
-    }
-
-    fn queue_step(&mut self, upstream: usize) {
-        let due_us = self.upstreams[upstream].core.next_event_us();
-        if self.upstreams[upstream].step_due_us == due_us {
-            return;
-        }
-        self.upstreams[upstream].step_due_us = due_us;
-        if let Some(due_us) = due_us {
-            self.push(due_us, Event::Step { upstream });
-        }
-    }
-
-    fn token(&mut self, token: &Emitted) {
-        let sequence = usize::try_from(token.id).unwrap_or(usize::MAX);
-        let run = &mut self.sequences[sequence];
-        if run.is_over {
-            return;
-        }
-        run.tokens_done = token.token_index;
-        let event_end = run.request.first_token_index + EVENT_TOKENS - 1;
-        let is_first = !run.has_begun && (token.token_index >= event_end || token.is_last);
-        run.has_begun |= is_first;
-        let (instance, upstream) = (run.instance, run.upstream);
-        let at_us = token.at_us + self.one_way_us(instance, upstream);
-        if is_first {
-            self.push(at_us, Event::First { sequence });
-        }
-        if token.is_last {
-            self.push(at_us, Event::Last { sequence });
-        }
-    }
-
-    fn first_event(&mut self, sequence: usize) {
-        let seen_us = self.now_us + CALLER_US;
-        let now_ms = self.now_ms();
-        let run = &self.sequences[sequence];
-        let SequenceWork::Online { request } = run.work else {
-            return;
-        };
-        let expected_at_ms = run.began_us / US_PER_MS + run.expected_ms;
-        let delay_ms = u32::try_from(now_ms.saturating_sub(expected_at_ms)).unwrap_or(u32::MAX);
-        let fleet = &mut self.deciders[run.instance].fleet;
-        fleet.answered(&run.target, f64::from(delay_ms), now_ms);
-        let first_us = &mut self.requests[request].first_event_us;
-        first_us.get_or_insert(seen_us);
-    }
-
-    fn last_event(&mut self, sequence: usize) {
-        let now_ms = self.now_ms();
-        let run = &mut self.sequences[sequence];
-        if std::mem::replace(&mut run.is_over, true) {
-            return;
-        }
-        let instance = run.instance;
-        match run.work {
-            SequenceWork::Online { request } => {
-                let held_ms = now_ms - run.began_us / US_PER_MS;
-                let fleet = &mut self.deciders[instance].fleet;
-                fleet.ended(&run.target, WorkKind::Online);
-                fleet.finished(&run.target, WorkKind::Online, held_ms);
-                let request = &self.requests[request];
-                let end = request.end();
-                self.tally.add(Class::Online, request.first_sent_us, end);
-            }
-            SequenceWork::Item { index } => {
-                let tokens_done = run.tokens_done;
-                let decider = &mut self.deciders[instance];
-                decider.item_ended(index, tokens_done, now_ms);
-                let item = &decider.items[index];
-                let end = if now_ms <= item.due_ms {
-                    End::OnTime
-                } else {
-                    End::Late
-                };
-                self.tally.add(Class::Item, item.accepted_us, end);
-            }
-        }
-        self.changed(instance);
-    }
-
-    fn broken(&mut self, sequence: usize) {
-        let now_ms = self.now_ms();
-        let run = &mut self.sequences[sequence];
-        if std::mem::replace(&mut run.is_over, true) {
-            return;
-        }
-        let (instance, tokens_done) = (run.instance, run.tokens_done);
-        let decider = &mut self.deciders[instance];
-        decider.fleet.failed(&run.target, now_ms);
-        match run.work {
-            SequenceWork::Online { request } => {
-                decider.fleet.ended(&run.target, WorkKind::Online);
-                let broken = &mut self.requests[request];
-                broken.tokens_done = tokens_done;
-                broken.tried.push(run.target.upstream.clone());
-                if broken.tried.len() < ATTEMPTS_MAX {
-                    self.place(request);
-                } else {
-                    let sent_us = broken.first_sent_us;
-                    self.tally.add(Class::Online, sent_us, End::Failed);
-                }
-            }
-            SequenceWork::Item { index } => {
-                decider.item_ended(index, tokens_done, now_ms);
-            }
-        }
-        self.changed(instance);
-    }
-
     fn crash(&mut self, upstream: usize) {
         self.advance(upstream);
         let crashed = &mut self.upstreams[upstream];
@@ -551,104 +368,6 @@
             self.push(at_us, Event::Broken { sequence });
         }
     }
-
-    fn tick(&mut self, instance: usize) {
-        let now_ms = self.now_ms();
-        if self.now_us % EXPIRE_US < TICK_US {
-            self.deciders[instance].fleet.expire(now_ms);
-        }
-        for action in self.deciders[instance].step(now_ms) {
-            match action {
-                Action::Start { index, target } => self.start_item(instance, index, &target),
-                Action::Preempt { index } => self.preempt(instance, index),
-            }
-        }
-        self.tell(instance);
-        self.push(self.now_us + TICK_US, Event::Tick { instance });
-    }
-
-    fn start_item(&mut self, instance: usize, index: usize, target: &Target) {
-        let now_ms = self.now_ms();
-        let item = &self.deciders[instance].items[index];
-        let answer = Answer {
-            prompt_tokens: item.prompt_tokens,
-            tokens: item.tokens,
-        };
-        let tokens_done = item.tokens_done;
-        let work = SequenceWork::Item { index };
-        let sequence = self.start(instance, target.clone(), work, answer, tokens_done, 0);
-        let decider = &mut self.deciders[instance];
-        decider.item_started(index, target, sequence as u64, now_ms);
-        self.changed(instance);
-    }
-
-    fn preempt(&mut self, instance: usize, index: usize) {
-        let now_ms = self.now_ms();
-        let decider = &mut self.deciders[instance];
-        let ItemState::Running { sequence, .. } = decider.items[index].state else {
-            return;
-        };
-        let sequence = usize::try_from(sequence).unwrap_or(usize::MAX);
-        let run = &mut self.sequences[sequence];
-        if run.tokens_done >= run.request.last_token_index {
-            // The end of its answer is on its way.
-            return;
-        }
-        run.is_over = true;
-        let (upstream, tokens_done) = (run.upstream, run.tokens_done);
-        decider.item_ended(index, tokens_done, now_ms);
-        let at_us = self.now_us + self.one_way_us(instance, upstream);
-        self.push(at_us, Event::Cancel { sequence });
-        self.changed(instance);
-    }
-
-    /// Sends a notice if one is due.
-    fn tell(&mut self, instance: usize) {
-        if self.switch == Some(Switch::Notices) || self.delay == NoticeDelay::None {
-            return;
-        }
-        let told = &self.told[instance];
-        let since_us = self.now_us - told.at_us;
-        let decider = &mut self.deciders[instance];
-        let is_new = told.notice.as_ref().is_none_or(|notice| {
-            notice.loads != decider.fleet.own_loads()
-                || notice.batch_queue != decider.fleet.batch_queue()
-        });
-        if since_us < NOTICE_MIN_US || (!is_new && since_us < NOTICE_MAX_US) {
-            return;
-        }
-        let notice = Rc::new(decider.notice());
-        self.told[instance] = Told {
-            at_us: self.now_us,
-            notice: Some(Rc::clone(&notice)),
-        };
-        for other in (0..self.deciders.len()).filter(|other| *other != instance) {
-            let at_us = self.now_us + self.one_way_us(instance, other);
-            let notice = Rc::clone(&notice);
-            self.push(
-                at_us,
-                Event::Notice {
-                    instance: other,
-                    notice,
-                },
-            );
-        }
-    }
-
-    /// An instance's own state changed. If nothing delays notices, all others
-    /// know at once, as if one decided for all.
-    fn changed(&mut self, instance: usize) {
-        if self.delay != NoticeDelay::None || self.switch == Some(Switch::Notices) {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let notice = self.deciders[instance].notice();
-        for (other, decider) in self.deciders.iter_mut().enumerate() {
-            if other != instance {
-                decider.fleet.receive_notice(notice.clone(), now_ms);
-            }
-        }
-    }
 }
 
 impl OnlineRequest {
--- /dev/null
+++ b/crates/load/src/replay/world/looks.rs
@@ -0,0 +1,119 @@
+//! Regular looks of an instance: items to start and to preempt, notices to send.
+
+use std::rc::Rc;
+
+use gateway::Target;
+
+use super::{
+    super::{
+        arrivals::Answer,
+        decider::{Action, ItemState},
+    },
+    Event, NoticeDelay, SequenceWork, Switch, TICK_US, Told, US_PER_MS, World,
+};
+
+/// Shortest and longest time between two notices of an instance.
+const NOTICE_MIN_US: u64 = 20 * US_PER_MS;
+const NOTICE_MAX_US: u64 = 500 * US_PER_MS;
+/// Time between two looks for silent peers.
+const EXPIRE_US: u64 = 250 * US_PER_MS;
+
+impl World {
+    pub(super) fn tick(&mut self, instance: usize) {
+        let now_ms = self.now_ms();
+        if self.now_us % EXPIRE_US < TICK_US {
+            self.deciders[instance].fleet.expire(now_ms);
+        }
+        for action in self.deciders[instance].step(now_ms) {
+            match action {
+                Action::Start { index, target } => self.start_item(instance, index, &target),
+                Action::Preempt { index } => self.preempt(instance, index),
+            }
+        }
+        self.tell(instance);
+        self.push(self.now_us + TICK_US, Event::Tick { instance });
+    }
+
+    fn start_item(&mut self, instance: usize, index: usize, target: &Target) {
+        let now_ms = self.now_ms();
+        let item = &self.deciders[instance].items[index];
+        let answer = Answer {
+            prompt_tokens: item.prompt_tokens,
+            tokens: item.tokens,
+        };
+        let tokens_done = item.tokens_done;
+        let work = SequenceWork::Item { index };
+        let sequence = self.start(instance, target.clone(), work, answer, tokens_done, 0);
+        let decider = &mut self.deciders[instance];
+        decider.item_started(index, target, sequence as u64, now_ms);
+        self.changed(instance);
+    }
+
+    fn preempt(&mut self, instance: usize, index: usize) {
+        let now_ms = self.now_ms();
+        let decider = &mut self.deciders[instance];
+        let ItemState::Running { sequence, .. } = decider.items[index].state else {
+            return;
+        };
+        let sequence = usize::try_from(sequence).unwrap_or(usize::MAX);
+        let run = &mut self.sequences[sequence];
+        if run.tokens_done >= run.request.last_token_index {
+            // The end of its answer is on its way.
+            return;
+        }
+        run.is_over = true;
+        let (upstream, tokens_done) = (run.upstream, run.tokens_done);
+        decider.item_ended(index, tokens_done, now_ms);
+        let at_us = self.now_us + self.one_way_us(instance, upstream);
+        self.push(at_us, Event::Cancel { sequence });
+        self.changed(instance);
+    }
+
+    /// Sends a notice if one is due.
+    fn tell(&mut self, instance: usize) {
+        if self.switch == Some(Switch::Notices) || self.delay == NoticeDelay::None {
+            return;
+        }
+        let told = &self.told[instance];
+        let since_us = self.now_us - told.at_us;
+        let decider = &mut self.deciders[instance];
+        let is_new = told.notice.as_ref().is_none_or(|notice| {
+            notice.loads != decider.fleet.own_loads()
+                || notice.batch_queue != decider.fleet.batch_queue()
+        });
+        if since_us < NOTICE_MIN_US || (!is_new && since_us < NOTICE_MAX_US) {
+            return;
+        }
+        let notice = Rc::new(decider.notice());
+        self.told[instance] = Told {
+            at_us: self.now_us,
+            notice: Some(Rc::clone(&notice)),
+        };
+        for other in (0..self.deciders.len()).filter(|other| *other != instance) {
+            let at_us = self.now_us + self.one_way_us(instance, other);
+            let notice = Rc::clone(&notice);
+            self.push(
+                at_us,
+                Event::Notice {
+                    instance: other,
+                    notice,
+                },
+            );
+        }
+    }
+
+    /// An instance's own state changed. If nothing delays notices, all others
+    /// know at once, as if one decided for all.
+    pub(super) fn changed(&mut self, instance: usize) {
+        if self.delay != NoticeDelay::None || self.switch == Some(Switch::Notices) {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let notice = self.deciders[instance].notice();
+        for (other, decider) in self.deciders.iter_mut().enumerate() {
+            if other != instance {
+                decider.fleet.receive_notice(notice.clone(), now_ms);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/replay/world/runs.rs
@@ -0,0 +1,193 @@
+//! Runs at upstreams, from their start to their end or the crash.
+
+use gateway::{Target, WorkKind};
+use standin::{Emitted, SequenceRequest};
+
+use super::{
+    super::{
+        arrivals::{Answer, EVENT_TOKENS},
+        decider::upstream_index,
+        tally::{Class, End},
+    },
+    ATTEMPTS_MAX, CALLER_US, Event, Sequence, SequenceWork, US_PER_MS, World,
+};
+
+impl World {
+    /// Sends a run on its way. It goes on after `tokens_done`.
+    pub(super) fn start(
+        &mut self,
+        instance: usize,
+        target: Target,
+        work: SequenceWork,
+        answer: Answer,
+        tokens_done: u32,
+        expected_ms: u64,
+    ) -> usize {
+        let sequence = self.sequences.len();
+        let upstream = upstream_index(&target.upstream);
+        let one_way_us = self.one_way_us(instance, upstream);
+        let round_trip_ms = f64::from(u32::try_from(2 * one_way_us).unwrap_or(u32::MAX)) / 1e3;
+        let fleet = &mut self.deciders[instance].fleet;
+        fleet.connected(&target, round_trip_ms);
+        self.sequences.push(Sequence {
+            instance,
+            upstream,
+            target,
+            work,
+            request: SequenceRequest {
+                id: sequence as u64,
+                prompt_tokens: answer.prompt_tokens + tokens_done,
+                blocks: Vec::new(),
+                first_token_index: tokens_done + 1,
+                last_token_index: answer.tokens,
+            },
+            began_us: self.now_us,
+            expected_ms,
+            tokens_done,
+            has_begun: false,
+            is_over: false,
+        });
+        self.push(self.now_us + one_way_us, Event::Begin { sequence });
+        self.changed(instance);
+        sequence
+    }
+
+    pub(super) fn begin(&mut self, sequence: usize) {
+        let Sequence {
+            instance,
+            upstream,
+            is_over,
+            ..
+        } = self.sequences[sequence];
+        if is_over {
+            return;
+        }
+        if !self.upstreams[upstream].is_alive {
+            let at_us = self.now_us + self.one_way_us(instance, upstream);
+            self.push(at_us, Event::Broken { sequence });
+            return;
+        }
+        self.advance(upstream);
+        let request = self.sequences[sequence].request.clone();
+        self.upstreams[upstream].core.submit(request, self.now_us);
+        self.queue_step(upstream);
+    }
+
+    pub(super) fn advance(&mut self, upstream: usize) {
+        let mut emitted = Vec::new();
+        self.upstreams[upstream]
+            .core
+            .advance(self.now_us, &mut emitted);
+        for token in emitted {
+            self.token(&token);
+        }
+    }
+
+    pub(super) fn queue_step(&mut self, upstream: usize) {
+        let due_us = self.upstreams[upstream].core.next_event_us();
+        if self.upstreams[upstream].step_due_us == due_us {
+            return;
+        }
+        self.upstreams[upstream].step_due_us = due_us;
+        if let Some(due_us) = due_us {
+            self.push(due_us, Event::Step { upstream });
+        }
+    }
+
+    fn token(&mut self, token: &Emitted) {
+        let sequence = usize::try_from(token.id).unwrap_or(usize::MAX);
+        let run = &mut self.sequences[sequence];
+        if run.is_over {
+            return;
+        }
+        run.tokens_done = token.token_index;
+        let event_end = run.request.first_token_index + EVENT_TOKENS - 1;
+        let is_first = !run.has_begun && (token.token_index >= event_end || token.is_last);
+        run.has_begun |= is_first;
+        let (instance, upstream) = (run.instance, run.upstream);
+        let at_us = token.at_us + self.one_way_us(instance, upstream);
+        if is_first {
+            self.push(at_us, Event::First { sequence });
+        }
+        if token.is_last {
+            self.push(at_us, Event::Last { sequence });
+        }
+    }
+
+    pub(super) fn first_event(&mut self, sequence: usize) {
+        let seen_us = self.now_us + CALLER_US;
+        let now_ms = self.now_ms();
+        let run = &self.sequences[sequence];
+        let SequenceWork::Online { request } = run.work else {
+            return;
+        };
+        let expected_at_ms = run.began_us / US_PER_MS + run.expected_ms;
+        let delay_ms = u32::try_from(now_ms.saturating_sub(expected_at_ms)).unwrap_or(u32::MAX);
+        let fleet = &mut self.deciders[run.instance].fleet;
+        fleet.answered(&run.target, f64::from(delay_ms), now_ms);
+        let first_us = &mut self.requests[request].first_event_us;
+        first_us.get_or_insert(seen_us);
+    }
+
+    pub(super) fn last_event(&mut self, sequence: usize) {
+        let now_ms = self.now_ms();
+        let run = &mut self.sequences[sequence];
+        if std::mem::replace(&mut run.is_over, true) {
+            return;
+        }
+        let instance = run.instance;
+        match run.work {
+            SequenceWork::Online { request } => {
+                let held_ms = now_ms - run.began_us / US_PER_MS;
+                let fleet = &mut self.deciders[instance].fleet;
+                fleet.ended(&run.target, WorkKind::Online);
+                fleet.finished(&run.target, WorkKind::Online, held_ms);
+                let request = &self.requests[request];
+                let end = request.end();
+                self.tally.add(Class::Online, request.first_sent_us, end);
+            }
+            SequenceWork::Item { index } => {
+                let tokens_done = run.tokens_done;
+                let decider = &mut self.deciders[instance];
+                decider.item_ended(index, tokens_done, now_ms);
+                let item = &decider.items[index];
+                let end = if now_ms <= item.due_ms {
+                    End::OnTime
+                } else {
+                    End::Late
+                };
+                self.tally.add(Class::Item, item.accepted_us, end);
+            }
+        }
+        self.changed(instance);
+    }
+
+    pub(super) fn broken(&mut self, sequence: usize) {
+        let now_ms = self.now_ms();
+        let run = &mut self.sequences[sequence];
+        if std::mem::replace(&mut run.is_over, true) {
+            return;
+        }
+        let (instance, tokens_done) = (run.instance, run.tokens_done);
+        let decider = &mut self.deciders[instance];
+        decider.fleet.failed(&run.target, now_ms);
+        match run.work {
+            SequenceWork::Online { request } => {
+                decider.fleet.ended(&run.target, WorkKind::Online);
+                let broken = &mut self.requests[request];
+                broken.tokens_done = tokens_done;
+                broken.tried.push(run.target.upstream.clone());
+                if broken.tried.len() < ATTEMPTS_MAX {
+                    self.place(request);
+                } else {
+                    let sent_us = broken.first_sent_us;
+                    self.tally.add(Class::Online, sent_us, End::Failed);
+                }
+            }
+            SequenceWork::Item { index } => {
+                decider.item_ended(index, tokens_done, now_ms);
+            }
+        }
+        self.changed(instance);
+    }
+}
