platform: numbers that cannot be read are logged, or answered with 400

Malformed numbers in callers' headers became absent without a line, and one in a read of results became 0. Prompt parts and prompt tokens were decoded and never used; they are removed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,5 +29,5 @@
     peers::{LoadNotice, TakenOver, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, RefusalReason, Target},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
-    upstream::{PromptPart, UpstreamEntry, UpstreamState},
+    upstream::{UpstreamEntry, UpstreamState},
 };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -34,12 +34,3 @@
     /// Finishes what it has.
     Draining,
 }
-
-/// A part of a prompt that requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Id; equal ids have equal content.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -36,6 +36,10 @@
         } => results(node, &query.job, from_position, wait_ms).await,
         JobCall::ItemBody { item } => item_body(node, &query.job, &item).await,
         JobCall::End => end(node, &query.job).await,
+        JobCall::Unreadable => {
+            log::warn!("event=job_query_unreadable job={job}");
+            Ok(answer::plain(StatusCode::BAD_REQUEST, "not a number"))
+        }
     };
     answer.unwrap_or_else(|error| {
         log::warn!(
