--- a/crates/batch/src/program.rs
+++ b/crates/batch/src/program.rs
@@ -66,8 +66,8 @@
         let peers = PeerClient::new();
         let view = ViewWatch::start(&control, own, peers.clone());
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = PacedStore::new(settings.node.platform).with_pacer(pacer);
-        let store = JobStore::new(platform, random());
+        let rows = PacedStore::new(settings.node.platform).with_pacer(pacer);
+        let store = JobStore::new(rows, random());
         let context = Context {
             store: store.clone(),
             upstreams: UpstreamClient::new(),
--- a/crates/control/src/api/config.rs
+++ b/crates/control/src/api/config.rs
@@ -78,7 +78,7 @@
             changed_at_ms: self.node.now_ms(),
         };
         let who = change.who.clone();
-        match config_store::apply(self.node.platform(), change).await {
+        match config_store::apply(self.node.store(), change).await {
             Ok(config) => {
                 let version = config.version;
                 let who = process::quote(&who);
--- a/crates/control/src/api/listings.rs
+++ b/crates/control/src/api/listings.rs
@@ -84,8 +84,8 @@
         let after = req.query::<String>("after");
         let after = after.map(|id| format!("{JOB_PREFIX}{id}"));
         let limit = req.query::<u32>("limit").unwrap_or(PAGE).clamp(1, PAGE_MAX);
-        let platform = self.node.platform();
-        match platform.rows(JOB_PREFIX, after.as_deref(), limit).await {
+        let store = self.node.store();
+        match store.rows(JOB_PREFIX, after.as_deref(), limit).await {
             Ok(page) => res.render(Json(JobPage {
                 jobs: page.rows.iter().map(job_row).collect(),
                 more: page.has_more,
@@ -99,7 +99,7 @@
 impl Job {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let id = req.param::<String>("id").unwrap_or_default();
-        match self.node.platform().row(&format!("{JOB_PREFIX}{id}")).await {
+        match self.node.store().row(&format!("{JOB_PREFIX}{id}")).await {
             Ok(Some(row)) => res.render(Json(job_row(&row))),
             Ok(None) => {
                 let message = format!("there is no job {id:?}");
@@ -133,7 +133,7 @@
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let limit = req.query::<u32>("limit").unwrap_or(PAGE).clamp(1, PAGE_MAX);
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-        match config_store::audit_trail(self.node.platform(), limit).await {
+        match config_store::audit_trail(self.node.store(), limit).await {
             Ok(records) => res.render(Json(records)),
             Err(error) => Refusal::from(error).render(res),
         }
--- a/crates/control/src/config_store.rs
+++ b/crates/control/src/config_store.rs
@@ -93,8 +93,8 @@
 }
 
 /// Reads the configuration row.
-pub(crate) async fn read(platform: &PacedStore) -> Result<Option<Current>, ApplyError> {
-    let row = platform.row(CONFIG_KEY).await;
+pub(crate) async fn read(store: &PacedStore) -> Result<Option<Current>, ApplyError> {
+    let row = store.row(CONFIG_KEY).await;
     let Some(row) = row.map_err(ApplyError::Unavailable)? else {
         return Ok(None);
     };
@@ -106,27 +106,24 @@
 
 /// Replaces the configuration by compare-and-set, with the audit record in the
 /// same transaction. Returns the configuration with its new version.
-pub(crate) async fn apply(
-    platform: &PacedStore,
-    change: Change,
-) -> Result<FleetConfig, ApplyError> {
+pub(crate) async fn apply(store: &PacedStore, change: Change) -> Result<FleetConfig, ApplyError> {
     let deadline = Instant::now() + APPLY_TIMEOUT;
-    let current = read(platform).await?;
+    let current = read(store).await?;
     let from_version = current.as_ref().map_or(0, |current| current.config.version);
     if let Some(replaces) = change.replaces
         && replaces != from_version
     {
-        return resume_or_refuse(platform, &change, replaces, from_version).await;
+        return resume_or_refuse(store, &change, replaces, from_version).await;
     }
     let mut config = change.config.clone();
     config.version = from_version + 1;
     let request = transaction(&change, &config, current.map(|current| current.row_version))?;
     let marker = audit_key(config.version);
-    let outcome = platform.transact_settled(&request, &marker, deadline).await;
+    let outcome = store.transact_settled(&request, &marker, deadline).await;
     match outcome {
         Ok(TransactOutcome::Committed { .. }) => Ok(config),
         Ok(TransactOutcome::Conflict { .. }) => {
-            let winner = read_audit(platform, config.version).await?;
+            let winner = read_audit(store, config.version).await?;
             Err(ApplyError::Conflict {
                 version: config.version,
                 winner: winner.map(Box::new),
@@ -139,17 +136,17 @@
 
 /// Reads the newest `limit` records of the audit trail, newest first.
 pub(crate) async fn audit_trail(
-    platform: &PacedStore,
+    store: &PacedStore,
     limit: usize,
 ) -> Result<Vec<AuditRecord>, ApplyError> {
-    let newest = read(platform)
+    let newest = read(store)
         .await?
         .map_or(0, |current| current.config.version);
     let before = newest.saturating_sub(u64::try_from(limit).unwrap_or(u64::MAX));
     let mut after = audit_key(before);
     let mut records = Vec::new();
     loop {
-        let page = platform
+        let page = store
             .rows(AUDIT_PREFIX, Some(&after), AUDIT_PAGE)
             .await
             .map_err(ApplyError::Unavailable)?;
@@ -168,30 +165,27 @@
 /// The operator's version is not in force. If the change is the operator's own,
 /// repeated after a lost answer, it was made already.
 async fn resume_or_refuse(
-    platform: &PacedStore,
+    store: &PacedStore,
     change: &Change,
     replaces: u64,
     from_version: u64,
 ) -> Result<FleetConfig, ApplyError> {
-    if let Some(record) = read_audit(platform, replaces + 1).await?
+    if let Some(record) = read_audit(store, replaces + 1).await?
         && record.operation == change.operation
     {
         let mut config = change.config.clone();
         config.version = record.to_version;
         return Ok(config);
     }
-    let winner = read_audit(platform, from_version).await?;
+    let winner = read_audit(store, from_version).await?;
     Err(ApplyError::Conflict {
         version: from_version,
         winner: winner.map(Box::new),
     })
 }
 
-async fn read_audit(
-    platform: &PacedStore,
-    version: u64,
-) -> Result<Option<AuditRecord>, ApplyError> {
-    let row = platform.row(&audit_key(version)).await;
+async fn read_audit(store: &PacedStore, version: u64) -> Result<Option<AuditRecord>, ApplyError> {
+    let row = store.row(&audit_key(version)).await;
     match row.map_err(ApplyError::Unavailable)? {
         Some(row) => parse(&row).map(Some),
         None => Ok(None),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -30,7 +30,7 @@
     clock: Clock,
     view: watch::Sender<Published>,
     client: PeerClient,
-    platform: PacedStore,
+    store: PacedStore,
     admin: AdminState,
 }
 
@@ -66,13 +66,13 @@
             clock,
             view: watch::Sender::default(),
             client: PeerClient::new(),
-            platform: PacedStore::new(settings.node.platform),
+            store: PacedStore::new(settings.node.platform),
             admin,
         }
     }
 
-    pub(crate) fn platform(&self) -> &PacedStore {
-        &self.platform
+    pub(crate) fn store(&self) -> &PacedStore {
+        &self.store
     }
 
     pub(crate) fn client(&self) -> &PeerClient {
@@ -247,7 +247,7 @@
     }
 
     async fn read_config(self: Arc<Self>) {
-        match config_store::read(&self.platform).await {
+        match config_store::read(&self.store).await {
             Ok(current) => {
                 let config = current.map(|current| Arc::new(current.config));
                 self.update(|fleet, now_ms| fleet.config_read(config, now_ms));
@@ -260,7 +260,7 @@
     }
 
     async fn read_listing(self: Arc<Self>) {
-        match self.platform.instances().await {
+        match self.store.instances().await {
             Ok(listing) => {
                 let listing = convert_listing(listing);
                 self.update(|fleet, now_ms| fleet.listing_read(&listing, now_ms));
--- a/crates/control/src/orders/driver.rs
+++ b/crates/control/src/orders/driver.rs
@@ -116,7 +116,7 @@
     }
 
     async fn read_lease(&self) -> Result<Option<(u64, LeaseRow)>, ()> {
-        let row = self.node.platform().row(&self.key).await.map_err(|error| {
+        let row = self.node.store().row(&self.key).await.map_err(|error| {
             log::debug!("event=orders_lease_unread error={error:?}");
         })?;
         let Some(row) = row else { return Ok(None) };
@@ -136,7 +136,7 @@
             puts: vec![lease.with_value(value.into())],
             ..Transaction::default()
         };
-        match self.node.platform().transact(&transaction).await {
+        match self.node.store().transact(&transaction).await {
             Ok(TransactOutcome::Committed { version }) => WriteOutcome::Committed(version),
             Ok(TransactOutcome::Conflict { .. }) => WriteOutcome::Conflict,
             Err(_) => WriteOutcome::Unknown,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -177,17 +177,17 @@
         );
         let tasks = TaskTracker::new();
         let pacer = Pacer::new(PacerSettings::default(), random());
-        let platform = PacedStore::new(settings.node.platform).with_pacer(pacer);
+        let store = PacedStore::new(settings.node.platform).with_pacer(pacer);
         let shared = Arc::new(Shared {
             view: fleet.subscribe(),
             freshness: fleet.freshness(),
             dispatcher: Arc::new(Dispatcher::new(router, metrics.clone())),
             upstreams: UpstreamClient::new(),
             metrics,
-            claims: Claims::new(platform.clone(), tasks.clone()),
+            claims: Claims::new(store.clone(), tasks.clone()),
             coalescer: Coalescer::default(),
             peers,
-            jobs: JobStore::new(platform, random()),
+            jobs: JobStore::new(store, random()),
             tasks,
             instance: settings.node.instance_id.clone(),
             region: settings.node.region.clone(),
--- a/crates/entry/src/service/claim.rs
+++ b/crates/entry/src/service/claim.rs
@@ -57,7 +57,7 @@
 /// Runs calls once.
 #[derive(Debug, Clone)]
 pub(crate) struct Claims {
-    platform: PacedStore,
+    store: PacedStore,
     tasks: TaskTracker,
 }
 
@@ -67,8 +67,8 @@
 }
 
 impl Claims {
-    pub(crate) fn new(platform: PacedStore, tasks: TaskTracker) -> Self {
-        Self { platform, tasks }
+    pub(crate) fn new(store: PacedStore, tasks: TaskTracker) -> Self {
+        Self { store, tasks }
     }
 
     /// Sends a call under a claim, or answers from the claim that is there.
@@ -109,7 +109,7 @@
     async fn insert(&self, key: &str, claim: &ClaimRow) -> Result<TransactOutcome, StoreError> {
         let request = put(key, 0, claim);
         let deadline = Instant::now() + Duration::from_millis(CLAIM_TIMEOUT_MS);
-        let settled = self.platform.transact_settled(&request, key, deadline);
+        let settled = self.store.transact_settled(&request, key, deadline);
         match tokio::time::timeout_at(deadline, settled).await {
             Ok(outcome) => outcome,
             Err(_) => Err(StoreError::Unknown("no answer in time".to_owned())),
@@ -125,7 +125,7 @@
     ) -> Result<ServiceAnswer, Refusal> {
         match flow.run().await {
             Ok(answer) => {
-                let stored = StoredAnswer::store(&answer, &self.platform).await;
+                let stored = StoredAnswer::store(&answer, &self.store).await;
                 let state = stored.map_or(ClaimState::Unknown, ClaimState::Done);
                 self.replace_soon(key, version, ClaimRow { state, ..claim })
                     .await;
@@ -154,7 +154,7 @@
             }
             let answer_by_ms = match claim.state {
                 ClaimState::Done(stored) => {
-                    let answer = stored.load(&self.platform).await;
+                    let answer = stored.load(&self.store).await;
                     return answer.map_err(|error| unavailable(&error).with_ran(Ran::Yes));
                 }
                 ClaimState::Unknown => {
@@ -176,7 +176,7 @@
     }
 
     async fn read(&self, key: &str) -> Result<Row, Refusal> {
-        let row = self.platform.row(key).await;
+        let row = self.store.row(key).await;
         let row = row.map_err(|error| unavailable(&error).with_ran(Ran::Unknown))?;
         row.ok_or_else(|| {
             let message = "The earlier call with this key did not run.";
@@ -208,7 +208,7 @@
     /// A conflict means that the claim has been settled otherwise.
     async fn replace(&self, key: &str, version: u64, claim: &ClaimRow) -> Result<(), StoreError> {
         let request = put(key, version, claim);
-        self.platform.transact(&request).await?;
+        self.store.transact(&request).await?;
         Ok(())
     }
 
@@ -231,7 +231,7 @@
     }
 
     async fn release(&self, key: &str, operation: &str) -> Result<(), StoreError> {
-        let Some(row) = self.platform.row(key).await? else {
+        let Some(row) = self.store.row(key).await? else {
             return Ok(());
         };
         if !is_operation(&row, operation) {
@@ -243,7 +243,7 @@
             removals: vec![claim.removed()],
             ..Transaction::default()
         };
-        self.platform.transact(&request).await?;
+        self.store.transact(&request).await?;
         Ok(())
     }
 }
--- a/crates/entry/src/service/stored.rs
+++ b/crates/entry/src/service/stored.rs
@@ -32,13 +32,13 @@
     /// Stores the body as an object if it is long.
     pub(crate) async fn store(
         answer: &ServiceAnswer,
-        platform: &PacedStore,
+        store: &PacedStore,
     ) -> Result<Self, StoreError> {
         let body = if answer.body.len() <= INLINE_MAX_BYTES {
             StoredBody::Inline(BASE64_STANDARD.encode(&answer.body))
         } else {
             let name = format!("claim-answer/{}", Uuid::new_v4().simple());
-            platform.put_object(&name, answer.body.clone()).await?;
+            store.put_object(&name, answer.body.clone()).await?;
             StoredBody::Object(name)
         };
         Ok(Self {
@@ -49,13 +49,13 @@
     }
 
     /// Reads the answer back.
-    pub(crate) async fn load(self, platform: &PacedStore) -> Result<ServiceAnswer, StoreError> {
+    pub(crate) async fn load(self, store: &PacedStore) -> Result<ServiceAnswer, StoreError> {
         let body = match self.body {
             StoredBody::Inline(text) => BASE64_STANDARD
                 .decode(text)
                 .map(Bytes::from)
                 .map_err(|error| StoreError::Protocol(error.to_string()))?,
-            StoredBody::Object(name) => platform
+            StoredBody::Object(name) => store
                 .object(&name, None)
                 .await?
                 .ok_or_else(|| StoreError::Protocol(format!("object {name} is missing")))?,
--- a/crates/job_store/src/objects.rs
+++ b/crates/job_store/src/objects.rs
@@ -33,8 +33,8 @@
     /// exist.
     pub async fn put_object(&self, name: &str, content: Bytes) -> Result<(), StoreError> {
         self.meter.on_object_write();
-        let platform = self.platform(Priority::Commit);
-        Ok(platform.put_object(name, content).await?)
+        let store = self.store(Priority::Commit);
+        Ok(store.put_object(name, content).await?)
     }
 
     /// Writes an object whose name nobody else uses, however long the platform
@@ -42,8 +42,8 @@
     pub async fn put_object_surely(&self, name: &str, content: Bytes) {
         loop {
             self.meter.on_object_write();
-            let platform = self.platform(Priority::Commit);
-            match platform.put_object(name, content.clone()).await {
+            let store = self.store(Priority::Commit);
+            match store.put_object(name, content.clone()).await {
                 Ok(()) => return,
                 Err(error) => log::debug!("event=object_write_failed error={error:?}"),
             }
@@ -53,7 +53,7 @@
 
     /// Removes an object that nothing refers to. A failure leaves garbage.
     pub async fn delete_object(&self, name: &str) {
-        if let Err(error) = self.platform(Priority::Poll).delete_object(name).await {
+        if let Err(error) = self.store(Priority::Poll).delete_object(name).await {
             log::debug!("event=object_left name={name} error={error:?}");
         }
     }
@@ -125,8 +125,8 @@
 
     async fn object(&self, name: &str, range: Option<Range<u64>>) -> Result<Bytes, StoreError> {
         self.meter.on_object_read();
-        let platform = self.platform(Priority::Claim);
-        let content = platform.object(name, range).await?;
+        let store = self.store(Priority::Claim);
+        let content = store.object(name, range).await?;
         content.ok_or_else(|| missing(name))
     }
 }
--- a/crates/job_store/src/rows.rs
+++ b/crates/job_store/src/rows.rs
@@ -154,7 +154,7 @@
         priority: Priority,
     ) -> Result<Option<(u64, RowValue)>, StoreError> {
         self.meter.on_table_read();
-        let Some(row) = self.platform(priority).row(key).await? else {
+        let Some(row) = self.store(priority).row(key).await? else {
             return Ok(None);
         };
         Ok(Some((row.version, decode(&row)?)))
@@ -168,8 +168,8 @@
         priority: Priority,
     ) -> Result<RowPage, StoreError> {
         self.meter.on_table_read();
-        let platform = self.platform(priority);
-        Ok(platform.rows(prefix, after, limit).await?)
+        let store = self.store(priority);
+        Ok(store.rows(prefix, after, limit).await?)
     }
 }
 
--- a/crates/job_store/src/store.rs
+++ b/crates/job_store/src/store.rs
@@ -21,7 +21,7 @@
 /// Access to the rows and objects of jobs; clones share everything.
 #[derive(Debug, Clone)]
 pub struct JobStore {
-    platform: PacedStore,
+    store: PacedStore,
     last_op: Arc<Mutex<OpId>>,
     pub(crate) meter: Meter,
 }
@@ -68,9 +68,9 @@
     /// identifies this process among all that ever run and must be drawn at
     /// random.
     #[must_use]
-    pub fn new(platform: PacedStore, process: u64) -> Self {
+    pub fn new(store: PacedStore, process: u64) -> Self {
         Self {
-            platform,
+            store,
             last_op: Arc::new(Mutex::new(OpId::new(process))),
             meter: Meter::new(),
         }
@@ -86,7 +86,7 @@
 
     /// Divides the fleet's budget of calls among this many live instances.
     pub fn set_live_instances(&self, instances: u32) {
-        self.platform.set_live_instances(instances);
+        self.store.set_live_instances(instances);
     }
 
     /// Calls made so far.
@@ -155,12 +155,12 @@
     }
 
     /// A handle whose calls have this priority.
-    pub(crate) fn platform(&self, priority: Priority) -> PacedStore {
-        self.platform.clone().with_priority(priority)
+    pub(crate) fn store(&self, priority: Priority) -> PacedStore {
+        self.store.clone().with_priority(priority)
     }
 
     async fn ask(&self, ask: Ask<'_>, priority: Priority) -> Reply {
-        let platform = self.platform(priority);
+        let store = self.store(priority);
         match ask {
             Ask::Transact(transaction) => {
                 let request = match codec::encode(transaction) {
@@ -172,11 +172,11 @@
                 };
                 self.meter
                     .on_transaction(request.puts.len() + request.removals.len());
-                codec::transact_reply(platform.transact(&request).await)
+                codec::transact_reply(store.transact(&request).await)
             }
             Ask::Read(key) => {
                 self.meter.on_table_read();
-                codec::read_reply(platform.row(key).await)
+                codec::read_reply(store.row(key).await)
             }
         }
     }
--- a/crates/load/src/capacity/live.rs
+++ b/crates/load/src/capacity/live.rs
@@ -141,7 +141,7 @@
 
     /// Makes changes and takes the time from each until the last node has it.
     async fn apply_changes(&self, way: Way) -> Result<Vec<u64>, String> {
-        let platform = PacedStore::new(self.platform.address());
+        let store = PacedStore::new(self.platform.address());
         let first = match way {
             Way::Operator => 1,
             Way::Table => CHANGES + 1,
@@ -155,7 +155,7 @@
                     let index = usize::try_from(version).unwrap_or(0) % self.operators.len();
                     apply(self.operators[index]).await?;
                 }
-                Way::Table => commit(&platform, version).await?,
+                Way::Table => commit(&store, version).await?,
             }
             let mut waits = JoinSet::new();
             for peer in self.peers.clone() {
@@ -199,7 +199,7 @@
     Ok(answer)
 }
 
-async fn commit(platform: &PacedStore, version: u64) -> Result<(), String> {
+async fn commit(store: &PacedStore, version: u64) -> Result<(), String> {
     let config = FleetConfig {
         version,
         ..FleetConfig::default()
@@ -209,7 +209,7 @@
         puts: vec![store::row("config/current").with_value(value.into())],
         ..Transaction::default()
     };
-    let outcome = platform.transact(&transaction).await;
+    let outcome = store.transact(&transaction).await;
     outcome.map(|_| ()).map_err(|error| error.to_string())
 }
 
--- a/crates/process/src/node.rs
+++ b/crates/process/src/node.rs
@@ -60,7 +60,7 @@
         .optional();
     let platform = long("platform")
         .env("REDWINGTACK_PLATFORM")
-        .help("Address of the platform's table, object store and instance list")
+        .help("Address of the platform's store")
         .argument("IP:PORT")
         .optional();
     let instance_id = long("instance-id")
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -85,7 +85,7 @@
     })
     .map(Command::Platform)
     .to_options()
-    .descr("Transactional table, object store and list of instances, in memory")
+    .descr("Rows, feeds, objects and list of instances, in memory")
     .command("platform")
 }
 
