--- a/crates/load/src/replay/world.rs
+++ b/crates/load/src/replay/world.rs
@@ -1,8 +1,8 @@
 //! Instances, links and upstreams in virtual time, driven from one queue of
 //! events. A seed always gives the same figures.
 
-mod looks;
 mod runs;
+mod ticks;
 
 use std::{collections::BTreeMap, rc::Rc};
 
@@ -35,7 +35,7 @@
 const UNLIST_US: u64 = 2 * US_PER_S;
 /// Time between two crashes.
 const CRASH_GAP_US: u64 = US_PER_S;
-/// Time between two looks of an instance, microseconds.
+/// Time between two ticks of an instance, microseconds.
 const TICK_US: u64 = 10 * US_PER_MS;
 /// Time after the last arrival in which work may end, seconds.
 const DRAIN_S: u64 = 40;
@@ -58,7 +58,7 @@
     Last { sequence: usize },
     /// An instance sees that an answer is cut.
     Broken { sequence: usize },
-    /// An instance looks around.
+    /// The regular work of an instance is due.
     Tick { instance: usize },
     /// A notice reaches an instance.
     Notice {
@@ -112,7 +112,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Told {
+struct LastNotice {
     at_us: u64,
     notice: Option<Rc<LoadNotice>>,
 }
@@ -127,7 +127,7 @@
     queue: BTreeMap<(u64, u64), Event>,
     queued: u64,
     deciders: Vec<Decider>,
-    told: Vec<Told>,
+    last_notices: Vec<LastNotice>,
     upstreams: Vec<Upstream>,
     sequences: Vec<Sequence>,
     requests: Vec<OnlineRequest>,
@@ -160,7 +160,9 @@
         });
         let mut world = Self {
             deciders: deciders.collect(),
-            told: (0..pattern.instances).map(|_| Told::default()).collect(),
+            last_notices: (0..pattern.instances)
+                .map(|_| LastNotice::default())
+                .collect(),
             upstreams: upstreams.collect(),
             pattern: pattern.clone(),
             delay,
@@ -175,7 +177,7 @@
         world.queue_arrivals(seed);
         world.queue_crashes();
         for instance in 0..pattern.instances {
-            // Instances do not look at the same moments.
+            // Instances do not tick at the same moments.
             world.push(instance as u64 * 137 % TICK_US, Event::Tick { instance });
         }
         world
--- a/crates/load/src/replay/world/looks.rs
+++ b/crates/load/src/replay/world/ticks.rs
@@ -1,4 +1,4 @@
-//! Regular looks of an instance: items to start and to preempt, notices to send.
+//! What an instance does at each tick: starts and preempts items, sends notices.
 
 use std::rc::Rc;
 
@@ -9,13 +9,13 @@
         arrivals::Answer,
         decider::{Action, ItemState},
     },
-    Event, NoticeDelay, SequenceWork, Switch, TICK_US, Told, US_PER_MS, World,
+    Event, LastNotice, NoticeDelay, SequenceWork, Switch, TICK_US, US_PER_MS, World,
 };
 
 /// Shortest and longest time between two notices of an instance.
 const NOTICE_MIN_US: u64 = 20 * US_PER_MS;
 const NOTICE_MAX_US: u64 = 500 * US_PER_MS;
-/// Time between two looks for silent peers.
+/// Time between two checks for silent peers.
 const EXPIRE_US: u64 = 250 * US_PER_MS;
 
 impl World {
@@ -30,7 +30,7 @@
                 Action::Preempt { index } => self.preempt(instance, index),
             }
         }
-        self.tell(instance);
+        self.send_notice(instance);
         self.push(self.now_us + TICK_US, Event::Tick { instance });
     }
 
@@ -70,14 +70,14 @@
     }
 
     /// Sends a notice if one is due.
-    fn tell(&mut self, instance: usize) {
+    fn send_notice(&mut self, instance: usize) {
         if self.switch == Some(Switch::Notices) || self.delay == NoticeDelay::None {
             return;
         }
-        let told = &self.told[instance];
-        let since_us = self.now_us - told.at_us;
+        let last = &self.last_notices[instance];
+        let since_us = self.now_us - last.at_us;
         let decider = &mut self.deciders[instance];
-        let is_new = told.notice.as_ref().is_none_or(|notice| {
+        let is_new = last.notice.as_ref().is_none_or(|notice| {
             notice.loads != decider.fleet.own_loads()
                 || notice.batch_queue != decider.fleet.batch_queue()
         });
@@ -85,7 +85,7 @@
             return;
         }
         let notice = Rc::new(decider.notice());
-        self.told[instance] = Told {
+        self.last_notices[instance] = LastNotice {
             at_us: self.now_us,
             notice: Some(Rc::clone(&notice)),
         };
