node: an instance that does not know the others reads as if there were many

A started instance counts itself alone until it has read the heartbeats, and so follows changing tables with a read each 4 ms: 300 of them ask for 75,000 reads a second of a store that allows 2,000, and the reads that would tell them of each other fail as well.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod item;
 mod owned_job;
+mod read_pace;
 mod record;
 
 pub use crate::{
@@ -18,5 +19,6 @@
     directory::{Directory, Heartbeat, StoredJob},
     item::{ItemOutcome, ItemResult, JobItem, Partial, ResultPage},
     owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunEnd},
+    read_pace::read_interval_ms,
     record::{ItemFailures, JobPhase, JobRecord, OwnerId},
 };
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use ledger::Heartbeat;
+use ledger::{Heartbeat, read_interval_ms};
 use model::{InstanceId, UpstreamId};
 use platform::{
     CONFIG_KEY, CONFIG_TABLE, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow, StoreError,
@@ -167,8 +167,9 @@
             Self::Nodes => (NODES_POLL_MS, CHANGE_READ_SHARE),
             Self::Jobs => (JOBS_POLL_MS, CHANGE_READ_SHARE),
         };
-        let budget = (node.settings().store_limits.reads_per_s / read_share).max(1);
-        let fair_ms = live_instances(node) * 1_000 / budget;
+        let instances = node.has_nodes.get().then(|| live_instances(node));
+        let reads_per_s = node.settings().store_limits.reads_per_s;
+        let fair_ms = read_interval_ms(instances, reads_per_s, read_share);
         Duration::from_millis(fair_ms.max(shortest_ms))
     }
 
@@ -345,8 +346,10 @@
 }
 
 fn feed_wait_ms(node: &Node) -> u64 {
-    let budget = (node.settings().store_limits.reads_per_s / FEED_READ_SHARE).max(1);
-    (live_instances(node) * FEEDS * 1_000 / budget).clamp(FEED_WAIT_MS, FEED_WAIT_MAX_MS)
+    let reads_per_s = node.settings().store_limits.reads_per_s;
+    let reads = live_instances(node) * FEEDS;
+    let fair_ms = read_interval_ms(Some(reads), reads_per_s, FEED_READ_SHARE);
+    fair_ms.clamp(FEED_WAIT_MS, FEED_WAIT_MAX_MS)
 }
 
 /// Waits after failed calls.
