One place for paging, backoff, the pace of calls, the batch queue and the choice of runs to preempt

Found by reading the whole change again; behaviour stays. - The next page of a range was worked out in three places, and the range of one row in two: platform::RowRange::after and ::of_row. - The feeds had a backoff of their own beside store::Backoff, with the same waits; heartbeats worked out their pace beside ledger::call_interval_ms (was read_interval_ms). - The queue that peers are told of and the choice of runs to preempt stood in node, and again in the replay, which is there to run what ships: both are in gateway now.

--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -1,9 +1,9 @@
 //! One line of a log.
 
+use chrono::DateTime;
+
 /// Start of the text of a line, whatever a collector put before it.
 const TIME_KEY: &str = "time=";
-const MS_PER_S: i64 = 1_000;
-const S_PER_DAY: i64 = 86_400;
 
 /// A line of `key=value` pairs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,32 +60,8 @@
     }
 }
 
-/// Reads `2026-10-09T15:30:01.008+00:00`; the logs are always in UTC.
+/// Reads `2026-10-09T15:30:01.008+00:00`.
 fn unix_ms(time: &str) -> Option<i64> {
-    let (date, clock) = time.split_once('T')?;
-    let mut date = date.split('-').map(str::parse::<i64>);
-    let (year, month, day) = (date.next()?.ok()?, date.next()?.ok()?, date.next()?.ok()?);
-    let clock = clock.split(['+', 'Z']).next()?;
-    let (seconds, fraction) = clock.split_once('.').unwrap_or((clock, "0"));
-    let mut parts = seconds.split(':').map(str::parse::<i64>);
-    let (hour, minute, second) = (
-        parts.next()?.ok()?,
-        parts.next()?.ok()?,
-        parts.next()?.ok()?,
-    );
-    let ms: i64 = format!("{fraction:0<3}").get(..3)?.parse().ok()?;
-    let day_seconds = hour * 3_600 + minute * 60 + second;
-    Some((days_since_epoch(year, month, day) * S_PER_DAY + day_seconds) * MS_PER_S + ms)
-}
-
-/// Days from 1970-01-01 in the Gregorian calendar.
-fn days_since_epoch(year: i64, month: i64, day: i64) -> i64 {
-    // Counts years from March, so that the leap day is the last of a year.
-    let year = if month <= 2 { year - 1 } else { year };
-    let era = year.div_euclid(400);
-    let year_of_era = year.rem_euclid(400);
-    let month_from_march = (month + 9) % 12;
-    let day_of_year = (153 * month_from_march + 2) / 5 + day - 1;
-    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
-    era * 146_097 + day_of_era - 719_468
+    let time = DateTime::parse_from_rfc3339(time).ok()?;
+    Some(time.timestamp_millis())
 }
--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -7,11 +7,14 @@
 //! online requests have to wait at an upstream, the least urgent items there
 //! are preempted.
 
+use std::cmp::Reverse;
+
 use model::{InstanceId, Region, ServiceName, UpstreamId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    Urgency,
     fleet::{Fleet, Row},
     placement::Target,
 };
@@ -21,6 +24,8 @@
 const ONLINE_RESERVE: u32 = 1;
 /// Online requests count as coming for this long after the last, milliseconds.
 const ONLINE_MEMORY_MS: u64 = 5_000;
+/// Entries of the queue that other instances are told of.
+const QUEUE_MAX_ENTRIES: usize = 16;
 
 /// Batch items of one instance that wait for an upstream of one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +44,41 @@
     xxh3_64(service.as_str().as_bytes())
 }
 
+impl BatchDemand {
+    /// The queue to tell of, from the services and urgencies of the items that
+    /// wait, most urgent first.
+    #[must_use]
+    pub fn queue(waiting: impl IntoIterator<Item = (u64, Urgency)>) -> Vec<Self> {
+        let mut queue: Vec<Self> = Vec::new();
+        for (service, Urgency { key, .. }) in waiting {
+            let is_same = |demand: &&mut Self| demand.service == service && demand.key == key;
+            if let Some(demand) = queue.iter_mut().find(is_same) {
+                demand.waiting += 1;
+            } else if queue.len() < QUEUE_MAX_ENTRIES {
+                queue.push(Self {
+                    service,
+                    key,
+                    waiting: 1,
+                });
+            }
+        }
+        queue
+    }
+}
+
+/// The runs at an upstream that give up their slots: the least urgent `count`,
+/// but none that would be late then.
+#[must_use]
+pub fn runs_to_preempt<T>(there: impl IntoIterator<Item = (Urgency, T)>, count: u32) -> Vec<T> {
+    let mut there: Vec<_> = there
+        .into_iter()
+        .filter(|(urgency, _)| !urgency.is_tight)
+        .collect();
+    there.sort_by_key(|(urgency, _)| Reverse(*urgency));
+    there.truncate(count as usize);
+    there.into_iter().map(|(_, run)| run).collect()
+}
+
 /// Demand of one instance in the plan.
 #[derive(Debug)]
 struct Claim<'a> {
@@ -186,6 +226,6 @@
         .min_by_key(|upstream| {
             let is_away = upstream.region != Some(claim.region);
             let tie = upstream.row.hash ^ xxh3_64(claim.instance.as_str().as_bytes());
-            (is_away, std::cmp::Reverse(upstream.slots), tie)
+            (is_away, Reverse(upstream.slots), tie)
         })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
-    batch_share::{BatchDemand, service_hash},
+    batch_share::{BatchDemand, runs_to_preempt, service_hash},
     events::{Event, EventError, EventSplitter},
     fleet::{BatchRun, Fleet, Home, WorkKind},
     forecast::{RunForecast, Urgency},
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,17 +8,17 @@
 //! owner that lost the job without noticing.
 
 mod beat_watch;
+mod call_pace;
 mod directory;
 mod item;
 mod owned_job;
-mod read_pace;
 mod record;
 
 pub use crate::{
     beat_watch::BeatWatch,
+    call_pace::call_interval_ms,
     directory::{Directory, Heartbeat, StoredJob},
     item::{ItemOutcome, ItemResult, JobItem, Partial, ResultPage},
     owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunEnd},
-    read_pace::read_interval_ms,
     record::{ItemFailures, JobPhase, JobRecord, OwnerId},
 };
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -70,7 +70,7 @@
     Impossible,
     /// The upstream did not run it or broke off; says nothing of the item.
     Interrupted,
-    /// It preempted for online requests.
+    /// It was preempted for online requests.
     Preempted,
 }
 
--- a/crates/load/src/replay/decider.rs
+++ b/crates/load/src/replay/decider.rs
@@ -2,7 +2,7 @@
 
 use gateway::{
     BatchDemand, BatchRun, Fleet, Home, LoadNotice, Placement, PlacementRequest, RunForecast,
-    Target, UpstreamEntry, UpstreamState, Urgency, WorkKind, service_hash,
+    Target, UpstreamEntry, UpstreamState, Urgency, WorkKind, runs_to_preempt, service_hash,
 };
 use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -13,8 +13,6 @@
 pub(super) const GOAL_MS: u64 = 300;
 /// Answers that an upstream works on at once.
 pub(super) const SLOTS: u32 = 8;
-/// Entries of the queue that other instances are told of.
-const QUEUE_MAX_ENTRIES: usize = 16;
 const PORT: u16 = 8_000;
 
 /// One instance.
@@ -48,7 +46,7 @@
     Waiting,
     Running {
         target: Target,
-        sequence: u64,
+        sequence: usize,
         began_ms: u64,
         tokens_before: u32,
     },
@@ -203,7 +201,7 @@
         &mut self,
         index: usize,
         target: &Target,
-        sequence: u64,
+        sequence: usize,
         now_ms: u64,
     ) {
         self.fleet.started(target, WorkKind::Batch, now_ms);
@@ -253,19 +251,9 @@
             .map(|index| (self.urgency(index, now_ms), index))
             .collect();
         waiting.sort_unstable();
-        let mut queue: Vec<BatchDemand> = Vec::new();
         let service = service_hash(&self.service);
-        for (urgency, _) in &waiting {
-            if let Some(demand) = queue.iter_mut().find(|demand| demand.key == urgency.key) {
-                demand.waiting += 1;
-            } else if queue.len() < QUEUE_MAX_ENTRIES {
-                queue.push(BatchDemand {
-                    service,
-                    key: urgency.key,
-                    waiting: 1,
-                });
-            }
-        }
+        let demands = waiting.iter().map(|(urgency, _)| (service, *urgency));
+        let queue = BatchDemand::queue(demands);
         self.fleet.set_batch_queue(queue);
         let runs: Vec<_> = self
             .items
@@ -285,14 +273,10 @@
 
     fn least_urgent(&self, upstream: &UpstreamId, count: u32, now_ms: u64) -> Vec<usize> {
         let is_there = |state: &ItemState| matches!(state, ItemState::Running { target, .. } if target.upstream == *upstream);
-        let mut there: Vec<_> = self
+        let there = self
             .indices(is_there)
-            .map(|index| (self.urgency(index, now_ms), index))
-            .filter(|(urgency, _)| !urgency.is_tight)
-            .collect();
-        there.sort_unstable();
-        let last = there.into_iter().rev().take(count as usize);
-        last.map(|(_, index)| index).collect()
+            .map(|index| (self.urgency(index, now_ms), index));
+        runs_to_preempt(there, count)
     }
 
     fn indices(&self, is_meant: impl Fn(&ItemState) -> bool) -> impl Iterator<Item = usize> {
--- a/crates/load/src/replay/world/ticks.rs
+++ b/crates/load/src/replay/world/ticks.rs
@@ -45,7 +45,7 @@
         let work = SequenceWork::Item { index };
         let sequence = self.start(instance, target.clone(), work, answer, tokens_done, 0);
         let decider = &mut self.deciders[instance];
-        decider.item_started(index, target, sequence as u64, now_ms);
+        decider.item_started(index, target, sequence, now_ms);
         self.changed(instance);
     }
 
@@ -55,7 +55,6 @@
         let ItemState::Running { sequence, .. } = decider.items[index].state else {
             return;
         };
-        let sequence = usize::try_from(sequence).unwrap_or(usize::MAX);
         let run = &mut self.sequences[sequence];
         if run.tokens_done >= run.request.last_token_index {
             // The end of its answer is on its way.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -30,6 +30,13 @@
     pub(crate) request_id: Rc<str>,
 }
 
+impl Outgoing {
+    /// Whether the whole body is on its way before an answer comes.
+    fn is_short(&self) -> bool {
+        self.body.len() <= REUSE_BODY_MAX_BYTES
+    }
+}
+
 /// Terms of one attempt.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AttemptTerms {
@@ -185,7 +192,7 @@
         body,
         in_flight,
         connection,
-        may_reuse: outgoing.body.len() <= REUSE_BODY_MAX_BYTES,
+        may_reuse: outgoing.is_short(),
     })
 }
 
@@ -197,7 +204,7 @@
     outgoing: &Outgoing,
     terms: AttemptTerms,
 ) -> std::io::Result<Connection> {
-    let may_reuse = terms.is_repeatable && outgoing.body.len() <= REUSE_BODY_MAX_BYTES;
+    let may_reuse = terms.is_repeatable && outgoing.is_short();
     if may_reuse && let Some(idle) = node.connections.take_idle(target.address, node.now_ms()) {
         return Ok(idle);
     }
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -1,13 +1,14 @@
 //! Follows the tables of the store: configuration, servers, instances, jobs.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use ledger::{Heartbeat, read_interval_ms};
+use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, UpstreamId};
 use platform::{
     CONFIG_KEY, CONFIG_TABLE, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow, StoreError,
     decode_config, decode_server,
 };
+use store::Backoff;
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
@@ -118,10 +119,10 @@
     }
 
     async fn follow(self, node: Rc<Node>) {
-        let failures = Failures::default();
+        let mut backoff = Backoff::new(RETRY_MS, RETRY_MAX_MS, rand::random());
         let mut returns = node.store_health.returns();
         loop {
-            let mut version = self.snapshot(&node, &failures).await;
+            let mut version = self.snapshot(&node, &mut backoff).await;
             loop {
                 let wait_ms = feed_wait_ms(&node);
                 let call = node.store.feed(self.table(), version, wait_ms);
@@ -132,7 +133,7 @@
                 match changes {
                     Ok(page) => {
                         self.note_answer(&node);
-                        failures.reset();
+                        backoff.reset();
                         version = page.store_version;
                         for row in &page.rows {
                             self.apply(&node, row);
@@ -150,7 +151,7 @@
                     }
                     Err(error) => {
                         self.note_failure(&node, &error);
-                        failures.pause().await;
+                        pause(&mut backoff).await;
                     }
                 }
             }
@@ -169,29 +170,21 @@
         };
         let instances = node.has_nodes.get().then(|| live_instances(node));
         let reads_per_s = node.settings().store_limits.reads_per_s;
-        let fair_ms = read_interval_ms(instances, reads_per_s, read_share);
+        let fair_ms = call_interval_ms(instances, reads_per_s, read_share);
         Duration::from_millis(fair_ms.max(shortest_ms))
     }
 
     /// Reads the whole table. Returns the version from which changes follow.
-    async fn snapshot(self, node: &Rc<Node>, failures: &Failures) -> u64 {
+    async fn snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
         let mut first_version = None;
         let mut rows = Vec::new();
         for partition in self.partitions() {
-            let mut range = RowRange {
-                table: self.table().into(),
-                partition: (*partition).into(),
-                ..RowRange::default()
-            };
-            loop {
-                let page = self.page(node, &range, failures).await;
+            let mut rest = Some(RowRange::new(self.table(), partition));
+            while let Some(range) = rest {
+                let page = self.page(node, &range, backoff).await;
                 first_version.get_or_insert(page.store_version);
-                let last_key = page.rows.last().map(|row| row.key.to_string());
+                rest = range.after(&page);
                 rows.extend(page.rows);
-                match last_key {
-                    Some(key) if page.has_more => range.from_key = Some(format!("{key}\0")),
-                    _ => break,
-                }
             }
         }
         self.note_answer(node);
@@ -205,16 +198,16 @@
     /// Reads a page, however often that fails. The pages before it stay read:
     /// where the store refuses many calls, a table of several pages would hardly
     /// ever be read in one go.
-    async fn page(self, node: &Node, range: &RowRange, failures: &Failures) -> RowPage {
+    async fn page(self, node: &Node, range: &RowRange, backoff: &mut Backoff) -> RowPage {
         loop {
             match node.store.rows(range).await {
                 Ok(page) => {
-                    failures.reset();
+                    backoff.reset();
                     return page;
                 }
                 Err(error) => {
                     self.note_failure(node, &error);
-                    failures.pause().await;
+                    pause(backoff).await;
                 }
             }
         }
@@ -348,26 +341,11 @@
 fn feed_wait_ms(node: &Node) -> u64 {
     let reads_per_s = node.settings().store_limits.reads_per_s;
     let reads = live_instances(node) * FEEDS;
-    let fair_ms = read_interval_ms(Some(reads), reads_per_s, FEED_READ_SHARE);
+    let fair_ms = call_interval_ms(Some(reads), reads_per_s, FEED_READ_SHARE);
     fair_ms.clamp(FEED_WAIT_MS, FEED_WAIT_MAX_MS)
 }
 
-/// Waits after failed calls.
-#[derive(Debug, Default)]
-struct Failures {
-    in_row: Cell<u32>,
-}
-
-impl Failures {
-    fn reset(&self) {
-        self.in_row.set(0);
-    }
-
-    async fn pause(&self) {
-        let doublings = self.in_row.get().min(8);
-        self.in_row.set(doublings + 1);
-        let limit_ms = (RETRY_MS << doublings).min(RETRY_MAX_MS);
-        let delay_ms = rand::random_range(limit_ms / 2..=limit_ms);
-        sleep(Duration::from_millis(delay_ms)).await;
-    }
+/// Waits after a failed call.
+async fn pause(backoff: &mut Backoff) {
+    sleep(Duration::from_millis(backoff.next_wait_ms())).await;
 }
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -4,7 +4,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use ledger::{BeatWatch, Heartbeat};
+use ledger::{BeatWatch, Heartbeat, call_interval_ms};
 use model::InstanceId;
 use platform::{Entry, RowId, StoreError, Transaction};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -142,6 +142,7 @@
 }
 
 fn heartbeat_interval_ms(node: &Node) -> u64 {
-    let budget = (node.settings().store_limits.writes_per_s / BEAT_WRITE_SHARE).max(1);
-    (live_instances(node) * 1_000 / budget).max(BEAT_INTERVAL_MS)
+    let writes_per_s = node.settings().store_limits.writes_per_s;
+    let instances = live_instances(node);
+    call_interval_ms(Some(instances), writes_per_s, BEAT_WRITE_SHARE).max(BEAT_INTERVAL_MS)
 }
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode, header, request};
 use ledger::{JobItem, JobPhase, JobRecord, OwnedJob};
 use model::JobId;
-use platform::{RequestFacts, StoreError};
+use platform::RequestFacts;
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
@@ -94,10 +94,7 @@
         let id = self.id.clone();
         node.runner.borrow_mut().loading.push(id.clone());
         let response = self.store().await;
-        node.runner
-            .borrow_mut()
-            .loading
-            .retain(|other| *other != id);
+        node.runner.borrow_mut().loading_ended(&id);
         response
     }
 
@@ -116,7 +113,7 @@
                     return accepted();
                 }
                 Err(error) => {
-                    may_be_stored |= !matches!(error, StoreError::NotDone(_));
+                    may_be_stored |= !error.is_not_done();
                     log::warn!(
                         "event=job_not_stored job={} error={}",
                         self.id,
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -90,7 +90,6 @@
         let now_ms = node.now_ms();
         node.fleet.borrow_mut().expire(now_ms);
         node.connections.expire(now_ms);
-        node.metrics.on_tick(&node);
         let may_own = node.has_lease.get() && node.has_nodes.get() && node.has_jobs.get();
         if !may_own || node.store_health.is_away() || node.stage() != Stage::Serving {
             continue;
@@ -113,10 +112,7 @@
         Some(job) => claim(&node, &job).await,
         None => None,
     };
-    node.runner
-        .borrow_mut()
-        .loading
-        .retain(|other| *other != id);
+    node.runner.borrow_mut().loading_ended(&id);
     if let Some((record, version)) = taken {
         let now_ms = node.now_ms();
         node.runner.borrow_mut().note_takeover(&id, version, now_ms);
@@ -174,10 +170,7 @@
                 }
             }
         };
-        node.runner
-            .borrow_mut()
-            .loading
-            .retain(|other| *other != id);
+        node.runner.borrow_mut().loading_ended(&id);
         log::info!(
             "event=items_read job={id} items={} listed={} partials={}",
             stored.items.len(),
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -145,7 +145,7 @@
             Ok(Some(response)) => return Ok(response),
             Ok(None) => {}
             Err(error) => {
-                may_be_done |= !matches!(error, StoreError::NotDone(_));
+                may_be_done |= !error.is_not_done();
                 log::warn!(
                     "event=job_end_failed job={id} error={}",
                     process::quote(&error)
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gateway::{
     BatchDemand, BatchRun, Route, RouteTable, RunForecast, TakenOver, Target, Urgency, job_hash,
-    service_hash,
+    runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, Partial, RunEnd};
 use model::{JobId, ServiceName, UpstreamId};
@@ -31,8 +31,6 @@
 /// How long peers are told of a job that was taken over, milliseconds: longer
 /// than the store turns an instance away as a rule.
 const TAKEOVER_NEWS_MS: u64 = 30_000;
-/// Entries of the queue that other instances are told of.
-const QUEUE_MAX_ENTRIES: usize = 16;
 
 /// Jobs that this instance owns and the runs of their items.
 #[derive(Debug, Default)]
@@ -139,6 +137,11 @@
         self.find(id).is_ok() || self.loading.contains(id)
     }
 
+    /// Records that the items of a job are not being read any more.
+    pub(super) fn loading_ended(&mut self, id: &JobId) {
+        self.loading.retain(|other| other != id);
+    }
+
     /// Number of items that run.
     pub(super) fn run_count(&self) -> usize {
         self.runs.len()
@@ -187,18 +190,15 @@
     /// Preempts the least urgent runs at an upstream.
     fn preempt(&self, upstream: &UpstreamId, count: u32) {
         let now_unix_ms = unix_ms();
-        let mut there: Vec<_> = self
+        let there = self
             .runs
             .iter()
             .filter(|run| run.upstream == *upstream)
             .filter_map(|run| {
                 let job = &self.jobs[self.find(&run.job).ok()?];
                 Some((self.urgency(job, run.item_index, now_unix_ms), run))
-            })
-            .filter(|(urgency, _)| !urgency.is_tight)
-            .collect();
-        there.sort_by_key(|(urgency, _)| std::cmp::Reverse(*urgency));
-        for (_, run) in there.iter().take(count as usize) {
+            });
+        for run in runs_to_preempt(there, count) {
             log::info!(
                 "event=item_preempted job={} item_index={} upstream={upstream}",
                 run.job,
@@ -375,10 +375,9 @@
 
 /// Tells the other instances what waits and runs here.
 fn update_queue(node: &Node, waiting: &[WaitingItem]) {
-    let mut queue: Vec<BatchDemand> = Vec::new();
-    for item in waiting {
-        add_demand(&mut queue, service_hash(&item.service), item.urgency.key);
-    }
+    let demands = waiting.iter();
+    let demands = demands.map(|item| (service_hash(&item.service), item.urgency));
+    let queue = BatchDemand::queue(demands);
     let runs = node.runner.borrow().batch_runs();
     let mut fleet = node.fleet.borrow_mut();
     fleet.set_batch_runs(&runs);
@@ -388,20 +387,6 @@
     }
 }
 
-/// Adds one item to the demand of its service and urgency.
-fn add_demand(queue: &mut Vec<BatchDemand>, service: u64, key: u64) {
-    let is_same = |demand: &&mut BatchDemand| demand.service == service && demand.key == key;
-    if let Some(demand) = queue.iter_mut().find(is_same) {
-        demand.waiting += 1;
-    } else if queue.len() < QUEUE_MAX_ENTRIES {
-        queue.push(BatchDemand {
-            service,
-            key,
-            waiting: 1,
-        });
-    }
-}
-
 /// Records the end of a run.
 pub(super) fn run_ended(node: &Rc<Node>, id: &JobId, partial: Partial, run: EndedRun) {
     node.metrics.on_item_run(run.end);
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -98,13 +98,7 @@
 
     /// Reads a record from the store.
     pub(crate) async fn record(&self, id: &JobId) -> Result<Option<(JobRecord, u64)>, StoreError> {
-        let range = RowRange {
-            table: JOBS_TABLE.into(),
-            partition: partition(id).into(),
-            from_key: Some(id.as_str().to_owned()),
-            to_key: Some(format!("{id}\0")),
-            limit: Some(1),
-        };
+        let range = RowRange::of_row(&row_id(JOBS_TABLE, id, id.as_str()));
         let page = self.store.rows(&range).await?;
         conflicting_record(&page.rows)
     }
@@ -279,11 +273,10 @@
         from_key: String,
         mut take: impl FnMut(Bytes) -> bool,
     ) -> Result<(), StoreError> {
-        let mut range = job_range(table, id, from_key);
+        let mut rest = Some(job_range(table, id, from_key));
         let mut content = BytesMut::new();
-        loop {
+        while let Some(range) = rest {
             let page = self.store.rows(&range).await?;
-            let last_key = page.rows.last().map(|row| row.key.to_string());
             for row in &page.rows {
                 let Some((mark, part)) = row.value.split_first() else {
                     return Err(StoreError::Protocol(format!("row {} is empty", row.key)));
@@ -293,11 +286,9 @@
                     return Ok(());
                 }
             }
-            match last_key {
-                Some(key) if page.has_more => range.from_key = Some(format!("{key}\0")),
-                _ => return Ok(()),
-            }
+            rest = range.after(&page);
         }
+        Ok(())
     }
 
     fn split(&self, table: &'static str, id: &JobId, suffix: &str, content: &[u8]) -> Vec<Entry> {
@@ -328,12 +319,9 @@
 
 fn job_range(table: &'static str, id: &JobId, from_key: String) -> RowRange {
     RowRange {
-        table: table.into(),
-        partition: partition(id).into(),
-        from_key: Some(from_key),
         // The character after the slash ends the range of the job's keys.
         to_key: Some(format!("{id}0")),
-        limit: None,
+        ..RowRange::new(table, partition(id)).with_from_key(from_key)
     }
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -85,7 +85,7 @@
     let node = Rc::new(Node::new(settings));
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(node.settings().front_listen.ip(), port);
-        spawn_local(metrics::serve(address, admin));
+        spawn_local(metrics::serve(Rc::clone(&node), address, admin));
     }
     log::info!(
         "event=started instance={} region={} store={}",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -190,8 +190,8 @@
         self.item_runs.add(1, &[KeyValue::new("end", name)]);
     }
 
-    /// Records what is known at this moment.
-    pub(crate) fn on_tick(&self, node: &Node) {
+    /// Records what is known at this moment, for somebody who reads it now.
+    fn record_state(&self, node: &Node) {
         let fleet = node.fleet.borrow();
         let loads = fleet.own_loads();
         let online: u64 = loads.iter().map(|load| u64::from(load.online)).sum();
@@ -215,7 +215,7 @@
 }
 
 /// Serves the metrics at `address` until the process ends.
-pub(crate) async fn serve(address: SocketAddr, admin: AdminState) {
+pub(crate) async fn serve(node: Rc<Node>, address: SocketAddr, admin: AdminState) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -232,9 +232,10 @@
             continue;
         };
         let admin = Rc::clone(&admin);
+        let node = Rc::clone(&node);
         spawn_local(async move {
             let service = service_fn(async |request: http::Request<hyper::body::Incoming>| {
-                Ok::<_, Infallible>(render(&admin, request.uri().path()))
+                Ok::<_, Infallible>(render(&node, &admin, request.uri().path()))
             });
             let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -247,9 +248,10 @@
     }
 }
 
-fn render(admin: &AdminState, path: &str) -> Response<Full<Bytes>> {
+fn render(node: &Node, admin: &AdminState, path: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     if path == METRICS_PATH {
+        node.metrics.record_state(node);
         *response.body_mut() = Full::from(admin.render());
         let media_type = HeaderValue::from_static("text/plain; version=0.0.4");
         response
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,6 @@
-//! How the own interface's programs use the platform's store: rows under keys,
-//! objects, the list of instances; paced calls and settled transactions.
+//! How programs use the platform's store: waits after failures for all of them;
+//! for those of the own interface rows under keys, objects, the list of
+//! instances, paced calls and settled transactions.
 //!
 //! This crate exists so that these programs share one budget of calls, one
 //! circuit breaker and one way to settle a lost answer. The protocol itself is
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -37,12 +37,11 @@
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            store: Store::new(address),
+            store: Store::new(address).with_call_timeout_ms(CALL_TIMEOUT_MS),
             call_timeout_ms: CALL_TIMEOUT_MS,
             gate: None,
             priority: Priority::Control,
         }
-        .with_call_timeout_ms(CALL_TIMEOUT_MS)
     }
 
     /// Replaces the time limit of each call.
@@ -92,13 +91,7 @@
     ///
     /// Returns an error if no answer came.
     pub async fn row(&self, key: &str) -> Result<Option<Row>, StoreError> {
-        let range = RowRange {
-            from_key: Some(key.to_owned()),
-            to_key: Some(key_after(key)),
-            limit: Some(1),
-            ..range_of(TABLE)
-        };
-        let page = self.page(&range).await?;
+        let page = self.page(&RowRange::of_row(&row(key))).await?;
         Ok(page.rows.into_iter().next())
     }
 
@@ -114,15 +107,15 @@
         after: Option<&str>,
         limit: u32,
     ) -> Result<RowPage, StoreError> {
-        let from_key = match after {
-            Some(after) if after >= prefix => key_after(after),
-            _ => prefix.to_owned(),
+        let all = RowRange::new(TABLE, "");
+        let range = match after {
+            Some(after) if after >= prefix => all.with_keys_after(after),
+            _ => all.with_from_key(prefix.to_owned()),
         };
         let range = RowRange {
-            from_key: Some(from_key),
             to_key: prefix_end(prefix),
             limit: Some(limit),
-            ..range_of(TABLE)
+            ..range
         };
         self.page(&range).await
     }
@@ -170,16 +163,14 @@
     ///
     /// Returns an error if no answer came.
     pub async fn instances(&self) -> Result<InstanceListing, StoreError> {
-        let mut range = range_of(INSTANCES_TABLE);
+        let mut rest = Some(RowRange::new(INSTANCES_TABLE, ""));
         let mut instances = Vec::new();
-        loop {
+        while let Some(range) = rest {
             let page = self.page(&range).await?;
-            range.from_key = page.rows.last().map(|row| key_after(&row.key));
             instances.extend(page.rows.iter().filter_map(decode_instance));
-            if !page.has_more {
-                return Ok(InstanceListing { instances });
-            }
+            rest = range.after(&page);
         }
+        Ok(InstanceListing { instances })
     }
 
     async fn page(&self, range: &RowRange) -> Result<RowPage, StoreError> {
@@ -202,18 +193,6 @@
     }
 }
 
-fn range_of(table: &str) -> RowRange {
-    RowRange {
-        table: table.into(),
-        ..RowRange::default()
-    }
-}
-
-/// The first key after `key`.
-fn key_after(key: &str) -> String {
-    format!("{key}\0")
-}
-
 /// The first key after all that begin with `prefix`, if there is one.
 fn prefix_end(prefix: &str) -> Option<String> {
     let last = prefix.chars().next_back()?;
