node: an instance's own writes to a job show in its directory at once

Cause: an owner whose job had just ended dropped it, still saw the older record in its followed table, took the job for one that it had lost, and ran its items again.

Change: accepted, taken over, committed and ended records go into the directory with the version of the write.

Readers at the owner also see results without waiting for the feed.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -11,6 +11,7 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
+    ownership,
     pass_on::{Passed, pass_on, store_reach},
     runner,
     storage::{InsertOutcome, JobRows},
@@ -174,6 +175,7 @@
             self.record.due_unix_ms,
             self.node.now_ms().saturating_sub(self.arrived_ms)
         );
+        ownership::apply(&self.node, &self.id, self.record.clone(), version);
         if self.record.owner.is_some() {
             let owner = self.node.me.clone();
             let job = OwnedJob::new(self.id, owner, self.record, version, self.items, Vec::new());
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -50,7 +50,10 @@
     }
 }
 
-fn apply(node: &Rc<Node>, id: &JobId, record: JobRecord, version: u64) {
+/// Takes in a record, from the feed or from a write of this instance. The latter
+/// must not wait for the feed: by an older record, a job that has just ended
+/// would look like one that its owner has to run.
+pub(super) fn apply(node: &Rc<Node>, id: &JobId, record: JobRecord, version: u64) {
     let record = Arc::new(record);
     let job = StoredJob {
         id: id.clone(),
@@ -136,6 +139,7 @@
                 job.id,
                 previous.map_or_else(|| "none".to_owned(), |owner| owner.instance.to_string())
             );
+            apply(node, &job.id, record.clone(), version);
             Some((record, version))
         }
         Ok(CommitOutcome::Conflict(Some((newer, version)))) => {
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::{
+    ownership,
     pass_on::{Passed, pass_on, store_reach},
     storage::JobRows,
 };
@@ -231,8 +232,7 @@
                 "event=job_ended job={id} version={version} listed={}",
                 record.listed.len()
             );
-            node.runner.borrow_mut().observe(id, &record, version);
-            node.batch_changed.notify_one();
+            ownership::apply(node, id, record, version);
             Ok(Some(answer::plain(StatusCode::OK, "")))
         }
         CommitOutcome::Conflict(_) | CommitOutcome::Unsettled => Ok(None),
--- a/crates/node/src/jobs/writes.rs
+++ b/crates/node/src/jobs/writes.rs
@@ -7,7 +7,7 @@
 use platform::{StoreError, TransactOutcome};
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{runner::Runner, storage::JobRows};
+use super::{ownership, runner::Runner, storage::JobRows};
 use crate::node::Node;
 
 /// Time between two saves of the outputs of running items.
@@ -49,7 +49,10 @@
         let outcome = rows.commit(&id, &due).await;
         log_commit(&id, due.first_position, due.results.len(), &outcome);
         let outcome = outcome.unwrap_or(CommitOutcome::Unsettled);
-        let is_stored = matches!(outcome, CommitOutcome::Committed { .. });
+        let stored_version = match outcome {
+            CommitOutcome::Committed { version } => Some(version),
+            CommitOutcome::Conflict(_) | CommitOutcome::Unsettled => None,
+        };
         let step = {
             let mut runner = node.runner.borrow_mut();
             let found = runner.find(&id);
@@ -57,7 +60,8 @@
                 .ok()
                 .map(|index| runner.jobs[index].commit_ended(outcome))
         };
-        if is_stored {
+        if let Some(version) = stored_version {
+            ownership::apply(&node, &id, due.record, version);
             for result in &due.results {
                 node.metrics.on_item_listed(result.outcome);
             }
