gateway: other regions hear of load by the size of the fleet, preemptions name their owners

Cause: the replay left out that an instance sends at most 500 notices a second.

Change: NoticePace sends to the own region as often as the limit allows, to another one at once if the load there changed, else 150 notices a second in all. A placement says whose item gives up its slot: an own one at once, or peers, who are told at once (Preempts). What another region sends meanwhile is estimated by Little's law and kept free by items and counted by placement (unseen_from). A preemption costs 40 ms (20 own) in place of 60. Jobs are looked at every 300 ms in place of 100.

--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -22,6 +22,9 @@
 /// Places that batch items leave free at each upstream while online requests
 /// come.
 const ONLINE_RESERVE: u32 = 1;
+/// Time that an online request holds a slot before any was measured,
+/// milliseconds.
+const HOLD_MS: f64 = 1_000.0;
 /// Online requests count as coming for this long after the last, milliseconds.
 const ONLINE_MEMORY_MS: u64 = 5_000;
 /// Entries of the queue that other instances are told of.
@@ -93,6 +96,9 @@
     row: &'a Row,
     region: Option<&'a Region>,
     slots: u32,
+    /// Slots that items from other regions leave free: what its own region
+    /// sends there is known late elsewhere.
+    away_reserve: u32,
 }
 
 impl Fleet {
@@ -140,26 +146,40 @@
         if over == 0 || row.own.preemptible == 0 || row.online() == 0 {
             return 0;
         }
-        let home = &self.home.instance;
-        let mut owners: Vec<_> = self
-            .peers
-            .notices()
+        let shares = self.preemption_shares(row, over);
+        let own = shares
+            .into_iter()
+            .find(|(instance, _)| **instance == self.home.instance);
+        own.map_or(0, |(_, count)| count)
+    }
+
+    /// Whose items give up `count` slots of an upstream, with the number of each.
+    pub(crate) fn preemption_shares<'a>(
+        &'a self,
+        row: &Row,
+        count: u32,
+    ) -> Vec<(&'a InstanceId, u32)> {
+        let peers = self.peers.notices();
+        let mut owners: Vec<_> = peers
             .map(|notice| (notice.load(row.hash), &notice.instance))
             .collect();
-        owners.push((row.own, home));
+        owners.push((row.own, &self.home.instance));
+        owners.retain(|(load, _)| load.preemptible > 0);
         owners.sort_by(|a, b| {
             let least_urgent_first = b.0.preempt_key.cmp(&a.0.preempt_key);
             least_urgent_first.then_with(|| a.1.cmp(b.1))
         });
-        let mut left = over;
+        let mut left = count;
+        let mut shares = Vec::new();
         for (load, instance) in owners {
-            let count = left.min(u32::from(load.preemptible));
-            if instance == home {
-                return count;
+            let share = left.min(u32::from(load.preemptible));
+            if share == 0 {
+                break;
             }
-            left -= count;
+            left -= share;
+            shares.push((instance, share));
         }
-        0
+        shares
     }
 
     /// What all instances want, most urgent first.
@@ -186,6 +206,7 @@
 
     fn free_slots(&self, service: &ServiceName, now_ms: u64) -> Vec<FreeSlots<'_>> {
         let reserve = self.online_reserve(service, now_ms);
+        let holds = self.holds(service, HOLD_MS);
         self.rows
             .iter()
             .filter(|row| row.entry.service == *service)
@@ -194,6 +215,7 @@
                 row,
                 region: self.region_of(&row.entry.failure_domain),
                 slots: row.entry.slots.saturating_sub(row.load() + reserve),
+                away_reserve: self.unseen_from(row, holds),
             })
             .collect()
     }
@@ -222,7 +244,10 @@
 ) -> Option<&'a mut FreeSlots<'b>> {
     free_slots
         .iter_mut()
-        .filter(|upstream| upstream.slots > 0)
+        .filter(|upstream| {
+            let is_away = upstream.region != Some(claim.region);
+            upstream.slots > if is_away { upstream.away_reserve } else { 0 }
+        })
         .min_by_key(|upstream| {
             let is_away = upstream.region != Some(claim.region);
             let tie = upstream.row.hash ^ xxh3_64(claim.instance.as_str().as_bytes());
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -459,3 +459,12 @@
 pub(crate) fn round_ms(ms: f64) -> u64 {
     ms.round() as u64
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float cast saturates"
+)]
+pub(crate) fn round_count(count: f64) -> u32 {
+    count.round() as u32
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod forecast;
 mod health;
+mod notice_pace;
 mod peer_loads;
 mod peers;
 mod placement;
@@ -26,9 +27,10 @@
     events::{Event, EventError, EventSplitter},
     fleet::{BatchRun, Fleet, Home, WorkKind},
     forecast::{RunForecast, Urgency},
+    notice_pace::{NoticePace, RegionPeers, notice_pause_ms},
     peer_loads::InFlight,
     peers::{LoadNotice, TakenOver, UpstreamLoad, job_hash, upstream_hash},
-    placement::{Placement, PlacementRequest, RefusalReason, Target},
+    placement::{Placement, PlacementRequest, Preempts, RefusalReason, Target},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reach::StoreReach,
     upstream::{UpstreamEntry, UpstreamState},
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, ops::Range};
 
-use model::{ServiceName, UpstreamId};
+use model::{InstanceId, ServiceName, UpstreamId};
 use rand::RngExt;
 
 use crate::{
@@ -20,9 +20,12 @@
 /// Cost of a full upstream over an empty one, milliseconds. It spreads requests
 /// that no peer has told of yet.
 const SPREAD_MS: f64 = 10.0;
-/// Time in which a batch item is preempted, milliseconds: a notice to its owner
-/// and the end of its connection.
-const PREEMPTION_MS: f64 = 60.0;
+/// Time in which a peer's batch item is preempted, milliseconds: a notice to its
+/// owner and the end of its connection.
+const PREEMPTION_MS: f64 = 40.0;
+/// The same for an own item, milliseconds: its connection ends while that of the
+/// request is set up.
+const OWN_PREEMPTION_MS: f64 = 20.0;
 /// Cost of an upstream that is still warming up, milliseconds.
 const WARM_UP_MS: f64 = 30.0;
 /// A refusal is early within one goal divided by this.
@@ -65,6 +68,8 @@
         expected_ms: u64,
         /// Requests that the upstream has, as far as known.
         load: u32,
+        /// Whose batch item gives up its slot for the request.
+        preempts: Preempts,
     },
     /// Nowhere; nothing of it ran.
     Refuse {
@@ -77,6 +82,17 @@
     },
 }
 
+/// Whose batch item gives up its slot for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Preempts {
+    /// Nobody's: a slot is free, or none is to be had.
+    Nothing,
+    /// One of this instance, at once.
+    Own,
+    /// Of these peers, who should hear of it at once.
+    Peers(Vec<InstanceId>),
+}
+
 /// Why a request is sent nowhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalReason {
@@ -149,11 +165,29 @@
             .filter(|candidate| candidate.cost_ms <= limit_ms)
             .collect();
         let chosen = ties[self.rng.random_range(0..ties.len())];
-        let row = &self.rows[chosen.index];
+        let (index, expected_ms) = (chosen.index, round_ms(chosen.expected_ms));
+        let preempts = self.preempts(&self.rows[index]);
+        let row = &mut self.rows[index];
+        if preempts == Preempts::Own {
+            row.own.preemptible -= 1;
+        }
         Placement::Send {
             target: Target::new(&row.entry),
-            expected_ms: round_ms(chosen.expected_ms),
+            expected_ms,
             load: row.load(),
+            preempts,
+        }
+    }
+
+    fn preempts(&self, row: &Row) -> Preempts {
+        let ahead = row.ahead(0);
+        if ahead == 0 || row.preemptible() < ahead {
+            Preempts::Nothing
+        } else if row.own.preemptible > 0 {
+            Preempts::Own
+        } else {
+            let shares = self.preemption_shares(row, ahead);
+            Preempts::Peers(shares.into_iter().map(|(peer, _)| peer.clone()).collect())
         }
     }
 
@@ -200,7 +234,9 @@
         request: &PlacementRequest<'_>,
         now_ms: u64,
     ) -> Candidate {
-        let expected_ms = self.round_trip_ms(row) + row.wait_ms(holds) + row.delay_ms(now_ms);
+        let unseen = self.unseen_online(row, holds);
+        let wait_ms = row.wait_ms(holds, unseen);
+        let expected_ms = self.round_trip_ms(row) + wait_ms + row.delay_ms(now_ms);
         let load_share = f64::from(row.load()) / f64::from(row.entry.slots);
         let failure_ms = row.health.failure_share() * as_f64(request.goal_ms);
         let warm_up_ms = if now_ms < row.warm_at_ms {
@@ -231,24 +267,32 @@
 }
 
 impl Row {
-    /// Expected wait for a slot, milliseconds.
-    fn wait_ms(&self, holds: Holds) -> f64 {
-        let load = self.load();
-        if load < self.entry.slots {
+    /// Expected wait for a slot, milliseconds, if `unseen` requests are there
+    /// that no notice has told of.
+    fn wait_ms(&self, holds: Holds, unseen: u32) -> f64 {
+        let load = self.load() + unseen;
+        let ahead = self.ahead(unseen);
+        if ahead == 0 {
             return 0.0;
         }
-        let ahead = load - self.entry.slots + 1;
-        let freed_per_ms =
-            f64::from(self.online()) / holds.online_ms + f64::from(self.batch()) / holds.batch_ms;
+        let freed_per_ms = f64::from(self.online() + unseen) / holds.online_ms
+            + f64::from(self.batch()) / holds.batch_ms;
         // Requests that wait free no place, so the rate counts those that run.
         let running_share = f64::from(self.entry.slots) / f64::from(load);
         let wait_ms = f64::from(ahead) / (freed_per_ms * running_share);
-        if self.preemptible() >= ahead {
-            wait_ms.min(PREEMPTION_MS)
-        } else {
+        if self.preemptible() < ahead {
             wait_ms
+        } else if ahead == 1 && self.own.preemptible > 0 {
+            wait_ms.min(OWN_PREEMPTION_MS)
+        } else {
+            wait_ms.min(PREEMPTION_MS)
         }
     }
+
+    /// Slots that have to become free before one more request runs.
+    fn ahead(&self, unseen: u32) -> u32 {
+        (self.load() + unseen + 1).saturating_sub(self.entry.slots)
+    }
 }
 
 impl PlacementRequest<'_> {
--- a/crates/gateway/tests/batch_share.rs
+++ b/crates/gateway/tests/batch_share.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use gateway::{BatchDemand, BatchRun, Fleet, LoadNotice, Urgency, WorkKind, service_hash};
-use model::UpstreamId;
-use support::{SLOTS, fleet, notice, service};
+use gateway::{
+    BatchDemand, BatchRun, Fleet, LoadNotice, Placement, Preempts, Urgency, WorkKind, service_hash,
+};
+use model::{InstanceId, UpstreamId};
+use support::{SLOTS, fleet, notice, place, service, target_of};
 
 const UPSTREAMS: [(&str, &str); 3] = [("u1", "north-a"), ("u2", "north-b"), ("u3", "south-a")];
 const DUE_MS: u64 = 1_000_000;
@@ -148,3 +150,68 @@
     assert_eq!(yields_of("a", 5, "b", 2) + yields_of("b", 2, "a", 5), 3);
     assert_eq!(yields_of("a", 3, "b", 3) + yields_of("b", 3, "a", 3), 2);
 }
+
+/// A burst meets upstreams whose slots items have filled. The item that gives
+/// up its slot is one of the instance's own if it has any there; else the
+/// owners of the least urgent ones hear of it.
+#[test]
+fn place_names_whose_items_give_up_a_slot() {
+    for (own, of_peer, expected) in [
+        (SLOTS, 0, Preempts::Own),
+        (1, SLOTS - 1, Preempts::Own),
+        (0, SLOTS, Preempts::Peers(vec![InstanceId::new("peer")])),
+        (0, SLOTS - 1, Preempts::Nothing),
+    ] {
+        let mut fleet = fleet("me", &UPSTREAMS[..1]);
+        if own > 0 {
+            fleet.set_batch_queue(vec![demand(DUE_MS, own)]);
+            start_plan(&mut fleet);
+            fleet.set_batch_runs(&runs("u1", own as usize, false));
+        }
+        let batch = u16::try_from(of_peer).unwrap();
+        fleet.receive_notice(notice("peer", 1, &[("u1", 0, batch)]), 0);
+        let placement = place(&mut fleet, 0);
+        let Placement::Send { preempts, .. } = placement else {
+            panic!("{placement:?}");
+        };
+        assert_eq!(preempts, expected, "{own} own items, {of_peer} of a peer");
+    }
+}
+
+/// An own item can be preempted without a message, so a full upstream with one
+/// is better than a full one with items of peers.
+#[test]
+fn place_prefers_full_upstreams_with_own_items() {
+    let mut fleet = fleet("me", &[("u1", "north-a"), ("u2", "north-a")]);
+    let full = u16::try_from(SLOTS).unwrap();
+    fleet.receive_notice(
+        notice("peer", 1, &[("u1", 0, full), ("u2", 0, full - 1)]),
+        0,
+    );
+    fleet.set_batch_queue(vec![demand(DUE_MS, 1)]);
+    assert_eq!(start_plan(&mut fleet), 1);
+    fleet.set_batch_runs(&runs("u2", 1, false));
+    for _ in 0..20 {
+        fleet.set_batch_runs(&runs("u2", 1, false));
+        assert_eq!(target_of(&place(&mut fleet, 0)).upstream.as_str(), "u2");
+    }
+}
+
+/// The larger the fleet, the later a region hears of what another one sends to
+/// its own upstreams, and the more slots its items leave free there.
+#[test]
+fn batch_plan_leaves_slots_in_other_regions_by_the_age_of_news() {
+    for (peers, expected) in [(3, SLOTS - 1 - 4), (60, SLOTS - 1 - 4 - 2)] {
+        let mut fleet = fleet("me", &[("u1", "south-a")]);
+        let target = target_of(&place(&mut fleet, 0)).clone();
+        fleet.finished(&target, WorkKind::Online, 800);
+        for peer in 0..peers {
+            let loads = if peer == 0 { &[("u1", 4, 0)][..] } else { &[] };
+            let mut notice = notice(&format!("peer{peer}"), 1, loads);
+            notice.region = model::Region::new("south");
+            fleet.receive_notice(notice, 0);
+        }
+        fleet.set_batch_queue(vec![demand(DUE_MS, 100)]);
+        assert_eq!(start_plan(&mut fleet), expected as usize, "{peers} peers");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/notice_pace.rs
@@ -0,0 +1,71 @@
+//! Who is told of load when: work at home, work elsewhere, and time.
+
+mod support;
+
+use gateway::{Fleet, NoticePace, RegionPeers, Target, WorkKind};
+use model::{Region, UpstreamId};
+use support::{entry, fleet, service};
+
+const UPSTREAMS: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "south-a")];
+
+fn start(fleet: &mut Fleet, upstream: &str, domain: &str) {
+    let entry = entry(upstream, domain);
+    let target = Target {
+        upstream: UpstreamId::new(upstream),
+        service: service(),
+        address: entry.address,
+        started_unix_ms: entry.started_unix_ms,
+    };
+    fleet.started(&target, WorkKind::Online, 0);
+}
+
+fn due(pace: &mut NoticePace, fleet: &Fleet, now_ms: u64) -> Vec<String> {
+    due_with(pace, fleet, 40, now_ms)
+}
+
+/// Regions that are due while there are so many peers in the other one.
+fn due_with(pace: &mut NoticePace, fleet: &Fleet, away: u64, now_ms: u64) -> Vec<String> {
+    let regions = [("north", 2), ("south", away)].map(|(name, count)| RegionPeers {
+        region: Region::new(name),
+        count,
+    });
+    let due = pace.due(fleet, &regions, now_ms);
+    due.iter()
+        .map(|region| region.as_str().to_owned())
+        .collect()
+}
+
+#[test]
+fn due_by_where_the_load_changed() {
+    let mut fleet = fleet("me", &UPSTREAMS);
+    let mut pace = NoticePace::default();
+    assert_eq!(due(&mut pace, &fleet, 0), ["north", "south"], "first");
+    start(&mut fleet, "u1", "north-a");
+    assert_eq!(due(&mut pace, &fleet, 20), ["north"], "load at home");
+    start(&mut fleet, "u2", "south-a");
+    assert_eq!(due(&mut pace, &fleet, 40), ["north", "south"], "load there");
+    assert_eq!(due(&mut pace, &fleet, 60), ["north"], "told already");
+}
+
+/// The more peers there are elsewhere, the less often each is told.
+#[test]
+fn due_elsewhere_by_the_number_of_peers() {
+    for (away, told_at_ms) in [
+        (3, &[20, 40, 60, 80, 100, 120][..6]),
+        (30, &[200, 400, 600, 800, 1_000, 1_200][..]),
+        (3_600, &[500, 1_000, 1_500, 2_000, 2_500, 3_000][..]),
+    ] {
+        let mut fleet = fleet("me", &UPSTREAMS);
+        let mut pace = NoticePace::default();
+        due_with(&mut pace, &fleet, away, 0);
+        let mut told = Vec::new();
+        for now_ms in (20..=3_000).step_by(20) {
+            start(&mut fleet, "u1", "north-a");
+            let due = due_with(&mut pace, &fleet, away, now_ms);
+            if due.contains(&"south".to_owned()) {
+                told.push(now_ms);
+            }
+        }
+        assert_eq!(told[..6], *told_at_ms, "{away} peers elsewhere");
+    }
+}
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -154,28 +154,29 @@
 
     /// Heartbeats of the other instances whose lease runs.
     pub fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &Heartbeat> {
-        self.nodes
-            .iter()
-            .filter(move |node| {
-                node.is_live(now_ms) && node.beat.owner.instance != self.me.instance
-            })
-            .map(|node| &node.beat)
+        let live = self.nodes.iter().filter(move |node| node.is_live(now_ms));
+        live.map(|node| &node.beat)
+            .filter(|beat| beat.owner.instance != self.me.instance)
     }
 
-    /// Where the other instances receive load notices, whether or not their
-    /// leases run.
-    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+    /// Heartbeats of the other instances, whether or not their leases run.
+    pub fn peers(&self) -> impl Iterator<Item = &Heartbeat> {
         self.nodes
             .iter()
-            .filter(|node| node.beat.owner.instance != self.me.instance)
-            .map(|node| node.beat.peer_address)
+            .map(|node| &node.beat)
+            .filter(|beat| beat.owner.instance != self.me.instance)
     }
 
     /// Where callers reach an instance, whether or not its lease runs.
     #[must_use]
     pub fn callers_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
-        let index = self.find_node(instance).ok()?;
-        self.nodes[index].beat.callers_address
+        self.beat_of(instance)?.callers_address
+    }
+
+    /// Where an instance receives load notices, whether or not its lease runs.
+    #[must_use]
+    pub fn peer_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        Some(self.beat_of(instance)?.peer_address)
     }
 
     /// Instances that have been silent for so long that their rows can be
@@ -252,6 +253,11 @@
         before.count() as u64
     }
 
+    fn beat_of(&self, instance: &InstanceId) -> Option<&Heartbeat> {
+        let index = self.find_node(instance).ok()?;
+        Some(&self.nodes[index].beat)
+    }
+
     fn find_node(&self, instance: &InstanceId) -> Result<usize, usize> {
         self.nodes
             .binary_search_by(|node| node.beat.owner.instance.cmp(instance))
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -42,6 +42,8 @@
     Preemption,
     /// Items go by their due time alone.
     Forecast,
+    /// All regions are told of every change.
+    NoticePace,
 }
 
 /// How long notices between instances take.
@@ -61,7 +63,7 @@
     switch: Option<Switch>,
 }
 
-const VARIANTS: [Variant; 8] = [
+const VARIANTS: [Variant; 9] = [
     Variant::new("usual", NoticeDelay::Usual, None),
     Variant::new("one_decider", NoticeDelay::None, None),
     Variant::new(
@@ -90,6 +92,11 @@
         NoticeDelay::Usual,
         Some(Switch::Forecast),
     ),
+    Variant::new(
+        "without_notice_pace",
+        NoticeDelay::Usual,
+        Some(Switch::NoticePace),
+    ),
 ];
 
 /// Figures of one run.
@@ -103,6 +110,8 @@
     pub online_on_time: u32,
     /// Online requests that were refused for good.
     pub online_refused: u32,
+    /// Notices sent to other regions.
+    pub notices_away: u64,
 }
 
 /// Plays a pattern once.
@@ -119,6 +128,7 @@
         worst_windows: tally.worst_windows(),
         online_on_time: tally.online.on_time,
         online_refused: tally.online.refused,
+        notices_away: tally.notices_away,
     }
 }
 
@@ -180,7 +190,7 @@
     println!(
         "replay variant={} credit={:.3} worst_windows={:.3} worst_class={:.3} \
          online={} online_on_time={} online_late={} online_refused={} online_failed={} \
-         items={} items_on_time={} items_late={} items_failed={}",
+         items={} items_on_time={} items_late={} items_failed={} notices_away={}",
         variant.name,
         mean(tallies, Tally::credit),
         mean(tallies, Tally::worst_windows),
@@ -194,6 +204,7 @@
         online(|tally| tally.items.on_time),
         online(|tally| tally.items.late),
         online(|tally| tally.items.failed),
+        tallies.iter().map(|tally| tally.notices_away).sum::<u64>(),
     );
 }
 
--- a/crates/load/src/replay/decider.rs
+++ b/crates/load/src/replay/decider.rs
@@ -1,8 +1,9 @@
 //! The decisions of one instance: the cores that ship, and its own items.
 
 use gateway::{
-    BatchDemand, BatchRun, Fleet, Home, LoadNotice, Placement, PlacementRequest, RunForecast,
-    Target, UpstreamEntry, UpstreamState, Urgency, WorkKind, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, Fleet, Home, LoadNotice, NoticePace, Placement, PlacementRequest,
+    Preempts, RegionPeers, RunForecast, Target, UpstreamEntry, UpstreamState, Urgency, WorkKind,
+    runs_to_preempt, service_hash,
 };
 use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -24,6 +25,7 @@
     region: Region,
     service: ServiceName,
     forecast: RunForecast,
+    pace: NoticePace,
     sequence: u64,
     switch: Option<Switch>,
     rng: SmallRng,
@@ -88,7 +90,16 @@
 
 /// Number of the upstream with this name.
 pub(super) fn upstream_index(id: &UpstreamId) -> usize {
-    let number = id.as_str().rsplit('-').next();
+    number_of(id.as_str())
+}
+
+/// Number of the instance with this name.
+pub(super) fn instance_index(id: &InstanceId) -> usize {
+    number_of(id.as_str())
+}
+
+fn number_of(name: &str) -> usize {
+    let number = name.rsplit('-').next();
     number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
 
@@ -124,6 +135,7 @@
             region: Region::new(&region),
             service: ServiceName::new("hints"),
             forecast: RunForecast::default(),
+            pace: NoticePace::default(),
             sequence: 0,
             switch,
             rng: SmallRng::seed_from_u64(seed),
@@ -155,11 +167,20 @@
                 target: self.any_target(),
                 expected_ms,
                 load,
+                preempts: Preempts::Nothing,
             },
             refused @ Placement::Refuse { .. } => refused,
         }
     }
 
+    /// Which of `regions` are to be told of the load now.
+    pub(super) fn due_regions(&mut self, regions: &[RegionPeers], now_ms: u64) -> Vec<Region> {
+        if self.switch == Some(Switch::NoticePace) {
+            return regions.iter().map(|peers| peers.region.clone()).collect();
+        }
+        self.pace.due(&self.fleet, regions, now_ms)
+    }
+
     /// What to tell the peers.
     pub(super) fn notice(&mut self) -> LoadNotice {
         self.sequence += 1;
@@ -271,7 +292,12 @@
         waiting.into_iter().map(|(_, index)| index).collect()
     }
 
-    fn least_urgent(&self, upstream: &UpstreamId, count: u32, now_ms: u64) -> Vec<usize> {
+    pub(super) fn least_urgent(
+        &self,
+        upstream: &UpstreamId,
+        count: u32,
+        now_ms: u64,
+    ) -> Vec<usize> {
         let is_there = |state: &ItemState| matches!(state, ItemState::Running { target, .. } if target.upstream == *upstream);
         let there = self
             .indices(is_there)
--- a/crates/load/src/replay/tally.rs
+++ b/crates/load/src/replay/tally.rs
@@ -46,6 +46,8 @@
 pub(super) struct Tally {
     pub(super) online: ClassTally,
     pub(super) items: ClassTally,
+    /// Notices sent to other regions.
+    pub(super) notices_away: u64,
     windows: Vec<Window>,
 }
 
--- a/crates/load/src/replay/world.rs
+++ b/crates/load/src/replay/world.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use gateway::{LoadNotice, Placement, Target, WorkKind};
+use gateway::{LoadNotice, Placement, Preempts, Target, WorkKind};
 use model::UpstreamId;
 use standin::{EngineCore, EngineParams, SequenceRequest};
 
@@ -114,6 +114,8 @@
 #[derive(Debug, Default)]
 struct LastNotice {
     at_us: u64,
+    /// Time until the next.
+    pause_us: u64,
     notice: Option<Rc<LoadNotice>>,
 }
 
@@ -306,8 +308,15 @@
             Placement::Send {
                 target,
                 expected_ms,
+                preempts,
                 ..
             } => {
+                if preempts == Preempts::Own && self.switch != Some(Switch::Preemption) {
+                    let decider = &self.deciders[instance];
+                    for index in decider.least_urgent(&target.upstream, 1, now_ms) {
+                        self.preempt(instance, index);
+                    }
+                }
                 let fleet = &mut self.deciders[instance].fleet;
                 fleet.started(&target, WorkKind::Online, now_ms);
                 let OnlineRequest {
@@ -317,6 +326,9 @@
                 } = self.requests[request];
                 let work = SequenceWork::Online { request };
                 self.start(instance, target, work, answer, tokens_done, expected_ms);
+                if let Preempts::Peers(peers) = preempts {
+                    self.tell_owners(instance, &peers);
+                }
             }
             Placement::Refuse { retry_after_ms, .. } => self.refuse(request, retry_after_ms),
         }
--- a/crates/load/src/replay/world/ticks.rs
+++ b/crates/load/src/replay/world/ticks.rs
@@ -2,18 +2,18 @@
 
 use std::rc::Rc;
 
-use gateway::Target;
+use gateway::{RegionPeers, Target, notice_pause_ms};
+use model::{InstanceId, Region};
 
 use super::{
     super::{
         arrivals::Answer,
-        decider::{Action, ItemState},
+        decider::{Action, ItemState, instance_index, region_name},
     },
     Event, LastNotice, NoticeDelay, SequenceWork, Switch, TICK_US, US_PER_MS, World,
 };
 
-/// Shortest and longest time between two notices of an instance.
-const NOTICE_MIN_US: u64 = 20 * US_PER_MS;
+/// Longest time between two notices of an instance.
 const NOTICE_MAX_US: u64 = 500 * US_PER_MS;
 /// Time between two checks for silent peers.
 const EXPIRE_US: u64 = 250 * US_PER_MS;
@@ -49,7 +49,7 @@
         self.changed(instance);
     }
 
-    fn preempt(&mut self, instance: usize, index: usize) {
+    pub(super) fn preempt(&mut self, instance: usize, index: usize) {
         let now_ms = self.now_ms();
         let decider = &mut self.deciders[instance];
         let ItemState::Running { sequence, .. } = decider.items[index].state else {
@@ -80,15 +80,28 @@
             notice.loads != decider.fleet.own_loads()
                 || notice.batch_queue != decider.fleet.batch_queue()
         });
-        if since_us < NOTICE_MIN_US || (!is_new && since_us < NOTICE_MAX_US) {
+        if since_us < last.pause_us || (!is_new && since_us < NOTICE_MAX_US) {
             return;
         }
         let notice = Rc::new(decider.notice());
+        let regions = self.pattern.regions;
+        let peers = self.region_peers();
+        let now_ms = self.now_ms();
+        let due = self.deciders[instance].due_regions(&peers, now_ms);
+        let is_due = |other: &usize| {
+            let region = Region::new(&region_name(other % regions));
+            *other != instance && due.binary_search(&region).is_ok()
+        };
+        let told: Vec<_> = (0..self.deciders.len()).filter(is_due).collect();
         self.last_notices[instance] = LastNotice {
             at_us: self.now_us,
+            pause_us: notice_pause_ms(told.len()) * US_PER_MS,
             notice: Some(Rc::clone(&notice)),
         };
-        for other in (0..self.deciders.len()).filter(|other| *other != instance) {
+        for other in told {
+            if other % regions != instance % regions {
+                self.tally.notices_away += 1;
+            }
             let at_us = self.now_us + self.one_way_us(instance, other);
             let notice = Rc::clone(&notice);
             self.push(
@@ -101,6 +114,42 @@
         }
     }
 
+    /// Tells owners of batch items at once that a slot is needed.
+    pub(super) fn tell_owners(&mut self, instance: usize, owners: &[InstanceId]) {
+        if self.switch == Some(Switch::Notices) || self.delay == NoticeDelay::None {
+            return;
+        }
+        let notice = Rc::new(self.deciders[instance].notice());
+        for owner in owners {
+            let other = instance_index(owner);
+            if other % self.pattern.regions != instance % self.pattern.regions {
+                self.tally.notices_away += 1;
+            }
+            let at_us = self.now_us + self.one_way_us(instance, other);
+            let notice = Rc::clone(&notice);
+            self.push(
+                at_us,
+                Event::Notice {
+                    instance: other,
+                    notice,
+                },
+            );
+        }
+    }
+
+    /// Instances by region, sorted by region.
+    fn region_peers(&self) -> Vec<RegionPeers> {
+        let (instances, regions) = (self.deciders.len(), self.pattern.regions);
+        let mut peers: Vec<_> = (0..regions)
+            .map(|region| RegionPeers {
+                region: Region::new(&region_name(region)),
+                count: (instances / regions) as u64,
+            })
+            .collect();
+        peers.sort_by(|a, b| a.region.cmp(&b.region));
+        peers
+    }
+
     /// An instance's own state changed. If nothing delays notices, all others
     /// know at once, as if one decided for all.
     pub(super) fn changed(&mut self, instance: usize) {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -34,8 +34,9 @@
 /// Shortest time between two looks at heartbeats, milliseconds: each instance
 /// writes about once in this time.
 const NODES_POLL_MS: u64 = 1_000;
-/// Shortest time between two looks at jobs, milliseconds.
-const JOBS_POLL_MS: u64 = 100;
+/// Shortest time between two looks at jobs, milliseconds: callers look about
+/// twice a second.
+const JOBS_POLL_MS: u64 = 300;
 /// Time between two looks at the settings file.
 const SETTINGS_CHECK: Duration = Duration::from_secs(2);
 /// First wait after a failed call, milliseconds.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -158,7 +158,9 @@
                 target,
                 expected_ms,
                 load,
+                preempts,
             } => {
+                self.node.preempt_for(&target, preempts);
                 log::info!(
                     "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={}",
                     self.outgoing.request_id,
--- a/crates/node/src/jobs/pass_on.rs
+++ b/crates/node/src/jobs/pass_on.rs
@@ -31,7 +31,7 @@
 
 /// Where the store can be reached if not from here.
 pub(super) fn store_reach(node: &Node) -> StoreReach {
-    let has_peers = node.directory.borrow().peer_addresses().next().is_some();
+    let has_peers = node.directory.borrow().peers().next().is_some();
     node.fleet.borrow_mut().store_reach(has_peers)
 }
 
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -188,7 +188,7 @@
     }
 
     /// Preempts the least urgent runs at an upstream.
-    fn preempt(&self, upstream: &UpstreamId, count: u32) {
+    pub(crate) fn preempt(&self, upstream: &UpstreamId, count: u32) {
         let now_unix_ms = unix_ms();
         let there = self
             .runs
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,8 +7,9 @@
     time::Duration,
 };
 
-use gateway::{Fleet, Home, RouteTable};
+use gateway::{Fleet, Home, Preempts, RouteTable, Target};
 use ledger::{Directory, OwnerId};
+use model::InstanceId;
 use platform::{Settings, Store};
 use tokio::{
     sync::{Notify, watch},
@@ -51,6 +52,11 @@
     pub(crate) connections: Connections,
     /// Own load changed.
     pub(crate) load_changed: Notify,
+    /// Load notices made so far.
+    pub(crate) notices_sent: Cell<u64>,
+    /// Peers that have to preempt an item for a request of this instance.
+    pub(crate) owners_to_tell: RefCell<Vec<InstanceId>>,
+    pub(crate) owners_changed: Notify,
     /// Something changed that may let batch items start or make them yield.
     pub(crate) batch_changed: Notify,
     /// Records of jobs changed.
@@ -105,6 +111,9 @@
             runner: RefCell::default(),
             connections: Connections::default(),
             load_changed: Notify::new(),
+            notices_sent: Cell::default(),
+            owners_to_tell: RefCell::default(),
+            owners_changed: Notify::new(),
             batch_changed: Notify::new(),
             jobs_changed: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
@@ -142,6 +151,18 @@
         true
     }
 
+    /// Frees a slot of an upstream for a request that is about to be sent there.
+    pub(crate) fn preempt_for(&self, target: &Target, preempts: Preempts) {
+        match preempts {
+            Preempts::Nothing => {}
+            Preempts::Own => self.runner.borrow().preempt(&target.upstream, 1),
+            Preempts::Peers(owners) => {
+                self.owners_to_tell.borrow_mut().extend(owners);
+                self.owners_changed.notify_one();
+            }
+        }
+    }
+
     /// Whether callers may come.
     pub(crate) fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving && *self.has_initial_state.borrow()
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,8 @@
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bincode::{config, serde::decode_from_slice, serde::encode_to_vec};
-use gateway::LoadNotice;
+use gateway::{LoadNotice, NoticePace, RegionPeers, notice_pause_ms};
+use model::{InstanceId, Region};
 use tokio::{
     net::UdpSocket,
     task::spawn_local,
@@ -12,12 +13,10 @@
 
 use crate::node::Node;
 
-/// Shortest time between two notices, milliseconds.
-const NOTICE_INTERVAL_MS: u64 = 20;
+/// Wait after a datagram could not be received.
+const RECEIVE_RETRY: Duration = Duration::from_millis(20);
 /// A notice is repeated after this time, so that peers know who is cut off.
 const NOTICE_REPEAT: Duration = Duration::from_millis(500);
-/// Datagrams that one instance may send a second.
-const DATAGRAMS_PER_S: u64 = 500;
 /// A peer that sent a notice is sent notices for this long, milliseconds.
 const HEARD_MS: u64 = 10_000;
 /// Largest datagram, bytes.
@@ -36,6 +35,7 @@
         Rc::clone(&socket),
         Rc::clone(&heard),
     ));
+    spawn_local(tell_owners(Rc::clone(node), Rc::clone(&socket)));
     spawn_local(send(Rc::clone(node), socket, heard));
     Ok(())
 }
@@ -50,14 +50,18 @@
                     "event=notice_receive_failed error={}",
                     process::quote(&error)
                 );
-                sleep(Duration::from_millis(NOTICE_INTERVAL_MS)).await;
+                sleep(RECEIVE_RETRY).await;
                 continue;
             }
         };
         match decode_from_slice::<LoadNotice, _>(&buffer[..length], config::standard()) {
             Ok((notice, _)) => {
                 let now_ms = node.now_ms();
-                heard.borrow_mut().note(sender, now_ms);
+                let peer = Peer {
+                    address: sender,
+                    region: notice.region.clone(),
+                };
+                heard.borrow_mut().note(peer, now_ms);
                 node.runner.borrow_mut().fence(&notice.taken_over);
                 node.fleet.borrow_mut().receive_notice(notice, now_ms);
                 node.batch_changed.notify_one();
@@ -68,21 +72,46 @@
 }
 
 async fn send(node: Rc<Node>, socket: Rc<UdpSocket>, heard: Rc<RefCell<Heard>>) {
-    let mut sequence = 0;
+    let mut pace = NoticePace::default();
     loop {
         // Time passing means that the last notice is due again.
         let _ = timeout(NOTICE_REPEAT, node.load_changed.notified()).await;
-        sequence += 1;
-        let notice = notice(&node, sequence);
-        let addresses = peer_addresses(&node, &heard);
+        let notice = notice(&node);
+        let addresses = due_addresses(&node, &heard, &mut pace);
         send_to(&socket, &addresses, &notice).await;
-        let interval_ms =
-            (addresses.len() as u64 * 1_000 / DATAGRAMS_PER_S).max(NOTICE_INTERVAL_MS);
-        sleep(Duration::from_millis(interval_ms)).await;
+        sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
     }
 }
 
-fn notice(node: &Node, sequence: u64) -> LoadNotice {
+/// Tells owners of batch items at once that an online request of this instance
+/// needs a slot of theirs.
+async fn tell_owners(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        node.owners_changed.notified().await;
+        let addresses = addresses_of(&node, &node.owners_to_tell.take());
+        send_to(&socket, &addresses, &notice(&node)).await;
+    }
+}
+
+fn addresses_of(node: &Node, peers: &[InstanceId]) -> Vec<SocketAddr> {
+    let directory = node.directory.borrow();
+    let addresses = peers.iter().map(|peer| directory.peer_address(peer));
+    addresses.flatten().collect()
+}
+
+/// Addresses of the peers whose regions are to be told now.
+fn due_addresses(node: &Node, heard: &RefCell<Heard>, pace: &mut NoticePace) -> Vec<SocketAddr> {
+    let peers = peers(node, heard);
+    let regions = regions_of(&peers);
+    let due = pace.due(&node.fleet.borrow(), &regions, node.now_ms());
+    let is_due = |peer: &Peer| due.binary_search(&peer.region).is_ok();
+    let due_peers = peers.into_iter().filter(is_due);
+    due_peers.map(|peer| peer.address).collect()
+}
+
+fn notice(node: &Node) -> LoadNotice {
+    let sequence = node.notices_sent.get() + 1;
+    node.notices_sent.set(sequence);
     let fleet = node.fleet.borrow();
     LoadNotice {
         instance: node.me.instance.clone(),
@@ -115,17 +144,43 @@
     }
 }
 
+/// Numbers of peers by region, sorted by region.
+fn regions_of(peers: &[Peer]) -> Vec<RegionPeers> {
+    let mut regions: Vec<RegionPeers> = Vec::new();
+    for Peer { region, .. } in peers {
+        match regions.binary_search_by(|known| known.region.cmp(region)) {
+            Ok(index) => regions[index].count += 1,
+            Err(index) => {
+                let region = region.clone();
+                regions.insert(index, RegionPeers { region, count: 1 });
+            }
+        }
+    }
+    regions
+}
+
 /// Instances in the store, whether or not they can renew their leases, and
 /// those that sent a notice lately: either may be unknown to the other source
 /// while the store is away for some.
-fn peer_addresses(node: &Node, heard: &RefCell<Heard>) -> Vec<SocketAddr> {
+fn peers(node: &Node, heard: &RefCell<Heard>) -> Vec<Peer> {
     let mut heard = heard.borrow_mut();
     heard.expire(node.now_ms());
-    let mut addresses: Vec<_> = heard.rows.iter().map(|row| row.address).collect();
-    addresses.extend(node.directory.borrow().peer_addresses());
-    addresses.sort_unstable();
-    addresses.dedup();
-    addresses
+    let mut peers: Vec<_> = heard.rows.iter().map(|row| row.peer.clone()).collect();
+    let directory = node.directory.borrow();
+    peers.extend(directory.peers().map(|beat| Peer {
+        address: beat.peer_address,
+        region: Region::new(&beat.region),
+    }));
+    peers.sort_unstable_by_key(|peer| peer.address);
+    peers.dedup_by_key(|peer| peer.address);
+    peers
+}
+
+/// Another instance.
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    region: Region,
 }
 
 /// Peers that sent a notice lately.
@@ -137,16 +192,19 @@
 
 #[derive(Debug)]
 struct HeardRow {
-    address: SocketAddr,
+    peer: Peer,
     until_ms: u64,
 }
 
 impl Heard {
-    fn note(&mut self, address: SocketAddr, now_ms: u64) {
+    fn note(&mut self, peer: Peer, now_ms: u64) {
         let until_ms = now_ms + HEARD_MS;
-        match self.rows.binary_search_by(|row| row.address.cmp(&address)) {
+        let found = self
+            .rows
+            .binary_search_by(|row| row.peer.address.cmp(&peer.address));
+        match found {
             Ok(index) => self.rows[index].until_ms = until_ms,
-            Err(index) => self.rows.insert(index, HeardRow { address, until_ms }),
+            Err(index) => self.rows.insert(index, HeardRow { peer, until_ms }),
         }
     }
 
