--- a/crates/load/src/replay/world/ticks.rs
+++ b/crates/load/src/replay/world/ticks.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use gateway::{RegionPeers, Target, notice_pause_ms};
+use gateway::{LoadNotice, RegionPeers, Target, notice_pause_ms};
 use model::{InstanceId, Region};
 
 use super::{
@@ -98,20 +98,7 @@
             pause_us: notice_pause_ms(told.len()) * US_PER_MS,
             notice: Some(Rc::clone(&notice)),
         };
-        for other in told {
-            if other % regions != instance % regions {
-                self.tally.notices_away += 1;
-            }
-            let at_us = self.now_us + self.one_way_us(instance, other);
-            let notice = Rc::clone(&notice);
-            self.push(
-                at_us,
-                Event::Notice {
-                    instance: other,
-                    notice,
-                },
-            );
-        }
+        self.deliver(instance, told, &notice);
     }
 
     /// Tells owners of batch items at once that a slot is needed.
@@ -120,13 +107,22 @@
             return;
         }
         let notice = Rc::new(self.deciders[instance].notice());
-        for owner in owners {
-            let other = instance_index(owner);
-            if other % self.pattern.regions != instance % self.pattern.regions {
+        self.deliver(instance, owners.iter().map(instance_index), &notice);
+    }
+
+    fn deliver(
+        &mut self,
+        instance: usize,
+        others: impl IntoIterator<Item = usize>,
+        notice: &Rc<LoadNotice>,
+    ) {
+        let regions = self.pattern.regions;
+        for other in others {
+            if other % regions != instance % regions {
                 self.tally.notices_away += 1;
             }
             let at_us = self.now_us + self.one_way_us(instance, other);
-            let notice = Rc::clone(&notice);
+            let notice = Rc::clone(notice);
             self.push(
                 at_us,
                 Event::Notice {
--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -14,7 +14,6 @@
 /// Calls, one after the other, whose answers stay away until the store counts
 /// as lost; a single answer may be lost while the store serves everybody.
 const UNANSWERED_MAX: u32 = 2;
-
 /// Tries of one read while the store answers other calls.
 const READ_TRIES: u32 = 4;
 
--- a/crates/node/tests/support/link.rs
+++ b/crates/node/tests/support/link.rs
@@ -20,9 +20,6 @@
     Reset,
     /// Accepts connections and bytes, and passes nothing on in either direction.
     Silent,
-    /// Passes on what goes to the store and drops what comes back. Connections
-    /// stay silent for good.
-    Deaf,
 }
 
 /// One link.
@@ -69,27 +66,21 @@
     let is_reset = |state: &LinkState| *state == LinkState::Reset;
     tokio::select! {
         _ = resets.wait_for(is_reset) => {}
-        () = copy(from_process, to_store, state.clone(), LinkState::Silent) => {}
-        () = copy(from_store, to_process, state.clone(), LinkState::Deaf) => {}
+        () = copy(from_process, to_store, state.clone()) => {}
+        () = copy(from_store, to_process, state.clone()) => {}
     }
 }
 
-/// Copies until the sender ends. From the first byte that comes in state
-/// `dropping` or [`LinkState::Silent`], nothing passes any more.
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    state: watch::Receiver<LinkState>,
-    dropping: LinkState,
-) {
+/// Copies until the sender ends. From the first byte that comes while the link
+/// is silent, nothing passes any more.
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, state: watch::Receiver<LinkState>) {
     let mut buffer = vec![0; 16 * 1024];
     let mut is_silent = false;
     while let Ok(length) = from.read(&mut buffer).await {
         if length == 0 {
             return;
         }
-        let now = *state.borrow();
-        is_silent |= now == dropping || now == LinkState::Silent;
+        is_silent |= *state.borrow() == LinkState::Silent;
         if !is_silent && to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
