node: a heartbeat that goes unanswered gets more time at its next try

Cause: job_that_comes_before_the_first_heartbeat_is_accepted failed once, beside a release build: heartbeats that take 700 ms were given up after 300 to 600 ms for 20 s, since other answers start the count anew; the tries of the same heartbeat were not counted, as they are for jobs.

Change: they are.

--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -32,21 +32,24 @@
     let mut next = Instant::now();
     let mut watch = BeatWatch::default();
     let mut backoff = Backoff::new(RETRY_MS, RETRY_MAX_MS, rand::random());
+    let mut tries = 0;
     while node.stage() == Stage::Serving {
         let interval_ms = heartbeat_interval_ms(&node);
         let put = Transaction {
             puts: vec![heartbeat_entry(&node, interval_ms)],
             ..Transaction::default()
         };
-        let delay_ms = match write_beat(&node, &put, &mut watch).await {
+        let delay_ms = match write_beat(&node, &put, tries, &mut watch).await {
             Ok(()) => {
                 watch.answered(node.now_ms());
                 node.has_lease.set(true);
                 backoff.reset();
+                tries = 0;
                 interval_ms
             }
             Err(error) => {
                 watch.failed();
+                tries += 1;
                 log::warn!("event=heartbeat_failed error={}", process::quote(&error));
                 interval_ms.min(backoff.next_wait_ms())
             }
@@ -62,6 +65,7 @@
 async fn write_beat(
     node: &Node,
     put: &Transaction,
+    tries: u32,
     watch: &mut BeatWatch,
 ) -> Result<(), StoreError> {
     let sent_at_ms = node.now_ms();
@@ -74,7 +78,7 @@
             node.note_store_failure(NODES_TABLE, sent_at_ms, &error);
         }
     };
-    let mut write = pin!(node.transact(put, 0));
+    let mut write = pin!(node.transact(put, tries));
     let written = tokio::select! {
         written = &mut write => written,
         () = probe => write.await,
