--- a/crates/gateway/src/batch_share.rs
+++ b/crates/gateway/src/batch_share.rs
@@ -16,6 +16,7 @@
 use crate::{
     Urgency,
     fleet::{Fleet, Row},
+    notice_pace::unseen_from,
     placement::Target,
 };
 
@@ -215,7 +216,7 @@
                 row,
                 region: self.region_of(&row.entry.failure_domain),
                 slots: row.entry.slots.saturating_sub(row.load() + reserve),
-                away_reserve: self.unseen_from(row, holds),
+                away_reserve: unseen_from(row, holds),
             })
             .collect()
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -98,11 +98,14 @@
     last_online_ms: u64,
 }
 
-/// Expected times that requests hold their slots at a service.
+/// Expected times that requests hold their slots at a service, and how old news
+/// of slots in other regions may be.
 #[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub(crate) struct Holds {
     pub(crate) online_ms: f64,
     pub(crate) batch_ms: f64,
+    pub(crate) away_news_ms: f64,
 }
 
 impl Fleet {
@@ -306,6 +309,7 @@
         Holds {
             online_ms,
             batch_ms: batch.or(online_ms),
+            away_news_ms: self.away_news_ms(),
         }
     }
 
--- a/crates/gateway/src/notice_pace.rs
+++ b/crates/gateway/src/notice_pace.rs
@@ -107,6 +107,12 @@
     (count as u64 * 1_000 / NOTICES_PER_S).max(INTERVAL_MIN_MS)
 }
 
+/// Online requests that come to an upstream, by Little's law, until other
+/// regions hear of them.
+pub(crate) fn unseen_from(row: &Row, holds: Holds) -> u32 {
+    round_count(f64::from(row.online()) * holds.away_news_ms / holds.online_ms)
+}
+
 /// Time between notices to other regions about loads that are not there.
 fn away_interval_ms(away_peers: u64) -> u64 {
     (away_peers * 1_000 / AWAY_NOTICES_PER_S).min(AWAY_INTERVAL_MAX_MS)
@@ -119,17 +125,15 @@
         if self.region_of(&row.entry.failure_domain) == Some(&self.home.region) {
             0
         } else {
-            self.unseen_from(row, holds)
+            unseen_from(row, holds)
         }
     }
 
-    /// Online requests that come to an upstream, by Little's law, until other
-    /// regions hear of them.
-    pub(crate) fn unseen_from(&self, row: &Row, holds: Holds) -> u32 {
+    /// How old news of loads in other regions may be, milliseconds.
+    pub(crate) fn away_news_ms(&self) -> f64 {
         let notices = self.peers.notices();
         let away = notices.filter(|notice| notice.region != self.home.region);
-        let news_ms = as_f64(away_interval_ms(away.count() as u64));
-        round_count(f64::from(row.online()) * news_ms / holds.online_ms)
+        as_f64(away_interval_ms(away.count() as u64))
     }
 
     /// Own work at the upstreams of a region.
