jobs: a last line that completes its segment is stored; node tests keep their addresses to the end

Cause 1: InputSplitter::finish ended the last line, which can move its segment to the complete segments; nobody took these any more, but the manifest counted the segment. A file whose last line has no line feed and fills the segment was accepted without that line. Change: finish returns every segment that was not taken. Test: splitter_keeps_segment_that_last_line_completes.

--- a/crates/job_api/src/upload.rs
+++ b/crates/job_api/src/upload.rs
@@ -176,8 +176,8 @@
         }
     }
     let mut summary = splitter.finish()?;
-    if let Some(last) = summary.last_segment.take() {
-        writer.put(last).await?;
+    for segment in summary.remaining_segments.drain(..) {
+        writer.put(segment).await?;
     }
     writer.finish().await?;
     let manifest = serde_json::to_vec(&summary.manifest)
--- a/crates/jobs/src/input.rs
+++ b/crates/jobs/src/input.rs
@@ -63,9 +63,9 @@
 /// Summary of a complete, valid file.
 #[derive(Debug, PartialEq, Eq)]
 pub struct FileSummary {
-    /// Last segment, if the file ended before the segment was complete.
-    /// [`InputSplitter::take_segments`] returns the complete segments.
-    pub last_segment: Option<Segment>,
+    /// Segments that [`InputSplitter::take_segments`] has not returned, in order.
+    /// The last one may be incomplete.
+    pub remaining_segments: Vec<Segment>,
     /// Chunks of the file.
     pub manifest: Manifest,
     /// Number of segments, including the last.
@@ -225,13 +225,18 @@
         }
         self.reject_duplicates()?;
         self.end_chunk();
-        let last_segment = (!self.segment.is_empty()).then(|| Segment {
-            index: self.chunk.segment,
-            content: mem::take(&mut self.segment),
-        });
+        let mut segments = self.chunk.segment;
+        let mut remaining_segments = mem::take(&mut self.complete_segments);
+        if !self.segment.is_empty() {
+            segments += 1;
+            remaining_segments.push(Segment {
+                index: self.chunk.segment,
+                content: mem::take(&mut self.segment),
+            });
+        }
         Ok(FileSummary {
-            segments: self.chunk.segment + u32::from(last_segment.is_some()),
-            last_segment,
+            remaining_segments,
+            segments,
             manifest: self.manifest,
             items: self.items,
             content_bytes: self.content_bytes,
--- a/crates/jobs/tests/input.rs
+++ b/crates/jobs/tests/input.rs
@@ -17,7 +17,7 @@
         segments.extend(splitter.take_segments());
     }
     let mut summary = splitter.finish()?;
-    segments.extend(summary.last_segment.take());
+    segments.append(&mut summary.remaining_segments);
     Ok((segments, summary))
 }
 
@@ -55,6 +55,17 @@
     assert!(longest < Some(4 << 20));
 }
 
+/// A last line without a line feed can complete a segment. That segment must not
+/// be lost.
+#[test]
+fn splitter_keeps_segment_that_last_line_completes() {
+    let content = [line(0, 10), line(1, 300_000)].join("\n");
+    let (segments, summary) = split(&content, 65_536).unwrap();
+    let joined: Vec<u8> = segments.iter().flat_map(|s| s.content.clone()).collect();
+    assert!(joined == content.as_bytes());
+    assert_eq!(summary.segments as usize, segments.len());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -52,10 +52,12 @@
 
 /// The stand-ins and node processes of one test.
 pub struct TestCluster {
-    addresses: AddressBlock,
     pub store: Standin,
     pub servers: Vec<Server>,
     pub nodes: Vec<NodeProcess>,
+    /// Dropped last: another test may take the block and write settings files for its
+    /// addresses as soon as the block is free.
+    addresses: AddressBlock,
 }
 
 /// A stand-in of a model server and the id under which it is registered.
