node: a read that finds no result checks the feed of jobs, not any call

Cause: fresh_record trusted a cached job record if the store had answered any call within 4 s. The feed of jobs may stall alone (its connection goes silent, or the process was paused), while heartbeats are answered: the instance then told callers for seconds that a result did not exist which another instance had shown. Change: the time of the last answer to the feed of jobs is kept. A read that found nothing in the cached record reads the record from the store, unless that feed was answered within 700 ms. A record that lists a result whose row is not returned is an error and not an empty page. Test (failed before: next = 0): results_are_read_with_stalled_feed_of_jobs in node, store_faults.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -147,6 +147,9 @@
                         for row in &page.rows {
                             self.apply(&node, row);
                         }
+                        if self == Self::Jobs {
+                            node.jobs_fed_at_ms.set(node.now_ms());
+                        }
                         if !page.rows.is_empty() {
                             sleep(self.poll_interval(&node)).await;
                         }
@@ -247,7 +250,10 @@
                 log::info!("event=servers_read count={}", upstreams.ready_count());
             }
             Self::Heartbeats => node.has_read_heartbeats.set(true),
-            Self::Jobs => node.has_read_jobs.set(true),
+            Self::Jobs => {
+                node.has_read_jobs.set(true);
+                node.jobs_fed_at_ms.set(node.now_ms());
+            }
         }
     }
 
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -30,9 +30,10 @@
 /// Maximum time that a read of results waits for the next result (long polling),
 /// milliseconds.
 const WAIT_MAX_MS: u64 = 1_000;
-/// Maximum time since the last answer of the store for cached job records to count as
-/// up to date, milliseconds.
-const RECORD_FRESH_MS: u64 = 4_000;
+/// Maximum time since the last answer to the feed of job records for these records to
+/// count as up to date, milliseconds. It is below the time after which a result that one
+/// instance has shown must be readable at all of them.
+const RECORD_FRESH_MS: u64 = 700;
 /// Maximum number of tries to end a job before the request fails.
 const END_TRIES_MAX: u32 = 8;
 /// Delay before the next try to end a job after an error.
@@ -106,15 +107,25 @@
     from_position: u64,
     wait_ms: u64,
 ) -> Result<Response<AnswerBody>, StoreError> {
-    let Some(record) = fresh_record(node, id, from_position).await? else {
+    let Some(record) = known_record(node, id, from_position).await? else {
         return Ok(not_found(id));
     };
-    let record = wait_for_result(node, id, record, from_position, wait_ms).await;
+    let mut record = wait_for_result(node, id, record, from_position, wait_ms).await;
+    if record.committed_count() <= from_position && !has_fresh_records(node) {
+        match stored_record(node, id).await? {
+            Some(stored) => record = stored,
+            None => return Ok(not_found(id)),
+        }
+    }
     let results = if record.committed_count() > from_position {
         JobRows::new(node).read_results(id, from_position).await?
     } else {
         Vec::new()
     };
+    if results.is_empty() && record.committed_count() > from_position {
+        let message = format!("no result at position {from_position}, which the record lists");
+        return Err(StoreError::Protocol(message));
+    }
     let page = ResultPage {
         item_count: u64::from(record.item_count),
         next_position: from_position + results.len() as u64,
@@ -123,10 +134,9 @@
     Ok(answer::json(platform::encode_results(&page)))
 }
 
-/// Returns the job's record, or `None` if there is no such job. The record must cover the
-/// results before `from_position`, so the cached record is returned only if it covers
-/// them and is up to date. Otherwise the record is read from the store.
-async fn fresh_record(
+/// Returns a record of the job that covers the results before `from_position`, or `None`
+/// if there is no such job. The cached record may lack newer results.
+async fn known_record(
     node: &Rc<Node>,
     id: &JobId,
     from_position: u64,
@@ -136,17 +146,25 @@
         .borrow()
         .job(id)
         .map(|job| JobRecord::clone(&job.record));
-    let is_fresh = !node.store_health.is_unreachable()
-        && node.store_health.time_since_answer_ms(node.now_ms()) < RECORD_FRESH_MS;
     match cached {
-        Some(record) if is_fresh && record.committed_count() >= from_position => Ok(Some(record)),
-        _ => Ok(JobRows::new(node)
-            .read_record(id)
-            .await?
-            .map(|(record, _)| record)),
+        Some(record) if record.committed_count() >= from_position => Ok(Some(record)),
+        _ => stored_record(node, id).await,
     }
 }
 
+async fn stored_record(node: &Node, id: &JobId) -> Result<Option<JobRecord>, StoreError> {
+    let stored = JobRows::new(node).read_record(id).await?;
+    Ok(stored.map(|(record, _)| record))
+}
+
+/// Returns whether the cached records include every change that another instance may have
+/// shown to a caller. Answers of the store to other calls say nothing about that: the feed
+/// may stall alone, as it does after this process was paused.
+fn has_fresh_records(node: &Node) -> bool {
+    let age_ms = node.now_ms().saturating_sub(node.jobs_fed_at_ms.get());
+    !node.store_health.is_unreachable() && age_ms < RECORD_FRESH_MS
+}
+
 /// Waits until the record covers a result at `from_position`, the job ends, or `wait_ms`
 /// but at most [`WAIT_MAX_MS`] have passed. Returns the newest record.
 async fn wait_for_result(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,9 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_read_heartbeats: Cell<bool>,
     pub(crate) has_read_jobs: Cell<bool>,
+    /// When the feed of job records was last answered, in milliseconds on the node's
+    /// clock.
+    pub(crate) jobs_fed_at_ms: Cell<u64>,
     /// Whether a heartbeat has been written, so that peers can see that this
     /// incarnation is alive.
     pub(crate) has_lease: Cell<bool>,
@@ -118,6 +121,7 @@
             directory: RefCell::new(Directory::new(owner_id.clone())),
             has_read_heartbeats: Cell::default(),
             has_read_jobs: Cell::default(),
+            jobs_fed_at_ms: Cell::default(),
             has_lease: Cell::default(),
             runner: RefCell::default(),
             connection_pool: ConnectionPool::default(),
--- a/crates/node/tests/store_faults.rs
+++ b/crates/node/tests/store_faults.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 use support::{NodeProcess, TestCluster, complete_output, store_proxy::ProxyState, wait_until};
 use tokio::time::{Instant, sleep};
 
@@ -117,3 +117,27 @@
         sleep(Duration::from_millis(250)).await;
     }
 }
+
+/// Guards against results that an instance does not show although another one has
+/// shown them: the feed of jobs stalls at one instance, while the store answers its
+/// other calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_are_read_with_stalled_feed_of_jobs() {
+    let cluster = TestCluster::start(&[8], 2).await;
+    let server = cluster.servers[0].standin.address();
+    let slow_runs = json!({"kind": {"slow": {"delay_ms": 1500}}, "path": "/batch"});
+    cluster.inject_fault(server, slow_runs).await;
+    submit_accepted(&cluster.nodes[0], "j1").await;
+    sleep(Duration::from_millis(700)).await;
+    let stalled_feed =
+        json!({"kind": "hang", "path": "/rows-feed", "contains": "redwingtack_jobs"});
+    cluster
+        .inject_fault(cluster.store.address(), stalled_feed)
+        .await;
+    // The change ends the feed calls that wait already.
+    submit_accepted(&cluster.nodes[0], "j2").await;
+    cluster.nodes[0].wait_for_results("j1").await;
+    let answer = cluster.nodes[1].read_results("j1", 0).await;
+    let page: Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(page["next"], ITEMS.len(), "{answer:?}");
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -27,7 +27,8 @@
     #[serde(default)]
     pub path: String,
     /// Text that the body of a request must contain for the fault to apply;
-    /// empty for all requests.
+    /// empty for all requests. The stand-in of the store searches the query of a read
+    /// instead, which has no body.
     #[serde(default)]
     pub contains: String,
     /// Number of requests after which the fault ends; no limit if `None`.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -122,9 +122,13 @@
     }
 
     /// Appends the decoded values of the rows of a transaction to its body, because
-    /// the body holds them in base64.
+    /// the body holds them in base64. A read has no body and is searched by its query.
     fn searchable_body(&self, request: &Request<Bytes>) -> Bytes {
         let body = request.body();
+        if request.method() == Method::GET {
+            let query = request.uri().query().unwrap_or_default();
+            return Bytes::copy_from_slice(query.as_bytes());
+        }
         let Ok(transaction) = serde_json::from_slice::<TransactionBody>(body) else {
             return body.clone();
         };
