Limit of waiting tokens on routes of batch jobs, kept by the store's version order

Cause: nothing read max_count of a batch route. Chosen: the job's own conditional write reserves; the instance reads the changes up to the version of that write, decides by version order, and writes the decision (admitted, or removed) before it answers. One read and one write more a job, whatever the number of instances; no part of the limit lies idle; a restart counts from the rows. Change: ledger::waiting_tokens decides without I/O, node jobs/admission.rs carries it out; 429 with a delay from the measured rate at which tokens finish; a repeat, a takeover and the submitting instance all decide the same way. A refusal by a peer is not passed on if a write of ours may have taken effect.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
-    route::{BatchDeadlines, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
+    route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -57,16 +57,19 @@
         is_resumable: bool,
     },
     /// Batch jobs of many items.
-    Batch(BatchDeadlines),
+    Batch(BatchTerms),
 }
 
-/// Deadlines of the jobs of a route, counted from the submission of a job.
+/// Terms of the jobs of a route. Times count from the submission of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BatchDeadlines {
+pub struct BatchTerms {
     /// Time after which all results are due, milliseconds.
     pub due_after_ms: u64,
     /// Time after which an incomplete item may be abandoned, milliseconds.
     pub give_up_after_ms: u64,
+    /// Maximum number of tokens of all accepted items that wait for a result, or `None`
+    /// if there is no limit.
+    pub waiting_tokens_max: Option<u64>,
 }
 
 /// Share of the requests of a route that one service receives.
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::record::{JobRecord, OwnerId};
+use crate::{
+    record::{JobRecord, OwnerId},
+    waiting_tokens::WaitingTokens,
+};
 
 /// Number of heartbeats that an instance may miss before its lease expires and
 /// its jobs are taken over.
@@ -66,6 +69,8 @@
     instances: Vec<InstanceRow>,
     /// Sorted by job id.
     jobs: Vec<JobRow>,
+    /// Waiting tokens of `jobs`.
+    pub(crate) waiting: WaitingTokens,
 }
 
 #[derive(Debug)]
@@ -92,6 +97,7 @@
             local,
             instances: Vec::new(),
             jobs: Vec::new(),
+            waiting: WaitingTokens::default(),
         }
     }
 
@@ -126,18 +132,21 @@
 
     /// Records a stored job. Returns whether it is new or newer than the known
     /// version.
-    pub fn record_job(&mut self, job: StoredJob) -> bool {
+    pub fn record_job(&mut self, job: StoredJob, now_ms: u64) -> bool {
         let row = JobRow {
             job,
             orphaned_at_ms: None,
         };
         match self.find_job(&row.job.id) {
             Ok(index) if self.jobs[index].job.version < row.job.version => {
+                let old = &self.jobs[index].job;
+                self.waiting.replace(Some(old), Some(&row.job), now_ms);
                 self.jobs[index] = row;
                 true
             }
             Ok(_) => false,
             Err(index) => {
+                self.waiting.replace(None, Some(&row.job), now_ms);
                 self.jobs.insert(index, row);
                 true
             }
@@ -145,9 +154,25 @@
     }
 
     /// Removes a job whose record was removed from the store.
-    pub fn remove_job(&mut self, id: &JobId) {
+    pub fn remove_job(&mut self, id: &JobId, now_ms: u64) {
         if let Ok(index) = self.find_job(id) {
-            self.jobs.remove(index);
+            let removed = self.jobs.remove(index).job;
+            self.waiting.replace(Some(&removed), None, now_ms);
+        }
+    }
+
+    /// Removes the jobs that are not in `stored`, the sorted ids of all jobs in the store
+    /// when its version was `version` or later. Jobs with a higher version are kept.
+    pub fn retain_stored_jobs(&mut self, stored: &[JobId], version: u64, now_ms: u64) {
+        let is_gone =
+            |job: &StoredJob| job.version <= version && stored.binary_search(&job.id).is_err();
+        let gone: Vec<_> = self
+            .jobs()
+            .filter(|job| is_gone(job))
+            .map(|job| job.id.clone())
+            .collect();
+        for id in gone {
+            self.remove_job(&id, now_ms);
         }
     }
 
--- a/crates/ledger/src/item.rs
+++ b/crates/ledger/src/item.rs
@@ -19,6 +19,17 @@
     pub output_tokens: u32,
 }
 
+/// Items of a job as they are stored.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredItems {
+    /// The items, in the order of their indices.
+    pub items: Vec<JobItem>,
+    /// Tokens of each item that count towards the limit of the route.
+    pub item_tokens: Vec<u32>,
+    /// Partial outputs that earlier owners of the job saved.
+    pub partials: Vec<PartialOutput>,
+}
+
 /// Result of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemResult {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,13 +26,15 @@
 mod item;
 mod owned_job;
 mod record;
+mod waiting_tokens;
 
 pub use crate::{
     call_interval::call_interval_ms,
     call_timeouts::CallTimeouts,
     directory::{Directory, Heartbeat, StoredJob},
     heartbeat_monitor::HeartbeatMonitor,
-    item::{ItemOutcome, ItemResult, JobItem, PartialOutput, ResultPage},
+    item::{ItemOutcome, ItemResult, JobItem, PartialOutput, ResultPage, StoredItems},
     owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunOutcome},
     record::{ItemFailures, JobPhase, JobRecord, OwnerId},
+    waiting_tokens::{Admission, AdmissionRequest},
 };
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -3,7 +3,7 @@
 use model::JobId;
 
 use crate::{
-    item::{ItemOutcome, ItemResult, JobItem, PartialOutput},
+    item::{ItemOutcome, ItemResult, JobItem, PartialOutput, StoredItems},
     record::{JobPhase, JobRecord, OwnerId},
 };
 
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 struct ItemRow {
     item: JobItem,
+    /// Tokens that count towards the limit of the route while the item waits.
+    tokens: u32,
     state: ItemState,
     partial: PartialOutput,
     /// Last event of the output that was returned for saving.
@@ -122,21 +124,25 @@
 }
 
 impl OwnedJob {
-    /// Creates the state of a job from its `record`, stored with `version`.
-    /// `partials` are partial outputs that earlier owners saved.
+    /// Creates the state of an admitted job from its `record`, stored with `version`.
     #[must_use]
     pub fn new(
         id: JobId,
         owner: OwnerId,
         record: JobRecord,
         version: u64,
-        items: Vec<JobItem>,
-        partials: Vec<PartialOutput>,
+        stored: StoredItems,
     ) -> Self {
+        let StoredItems {
+            items,
+            item_tokens,
+            partials,
+        } = stored;
         let mut rows: Vec<_> = (0..)
             .zip(items)
             .map(|(index, item)| ItemRow {
                 item,
+                tokens: item_tokens.get(index as usize).copied().unwrap_or(0),
                 state: ItemState::Waiting { not_before_ms: 0 },
                 partial: PartialOutput::new(index),
                 last_saved_event: None,
@@ -434,6 +440,11 @@
         if record.committed.len() == self.items.len() {
             record.phase = JobPhase::Complete;
         }
+        let committed_tokens: u64 = self.uncommitted[..results.len()]
+            .iter()
+            .map(|index| u64::from(self.items[*index as usize].tokens))
+            .sum();
+        record.unfinished_tokens = record.unfinished_tokens.saturating_sub(committed_tokens);
         Commit {
             expected_version: self.version,
             first_position: self.record.committed_count(),
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -37,6 +37,17 @@
     pub host: Arc<str>,
     /// Request path on which the job was submitted.
     pub path: Arc<str>,
+    /// Name of the route on which the job was submitted. Empty in records written by
+    /// earlier versions of the program.
+    #[serde(default)]
+    pub route: Arc<str>,
+    /// Tokens of the items that have no stored result.
+    #[serde(default)]
+    pub unfinished_tokens: u64,
+    /// Whether the job is admitted. Otherwise it has been acknowledged to nobody and may
+    /// be removed, because too many tokens wait on its route.
+    #[serde(default = "admitted", skip_serializing_if = "is_true")]
+    pub is_admitted: bool,
     /// Number of items.
     pub item_count: u32,
     /// When the job was accepted, in Unix milliseconds.
@@ -69,6 +80,16 @@
         self.phase == JobPhase::Open
     }
 
+    /// Returns the tokens of the items that wait for a result.
+    #[must_use]
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.is_open() {
+            self.unfinished_tokens
+        } else {
+            0
+        }
+    }
+
     /// Returns the number of stored results.
     #[must_use]
     pub fn committed_count(&self) -> u64 {
@@ -100,3 +121,16 @@
         }
     }
 }
+
+/// Returns whether a job is admitted if its record does not say: such jobs have no limit.
+fn admitted() -> bool {
+    true
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde requires this signature"
+)]
+fn is_true(value: &bool) -> bool {
+    *value
+}
--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -31,6 +31,9 @@
             phase: JobPhase::Open,
             host: "h".into(),
             path: "/b/1".into(),
+            route: "b".into(),
+            unfinished_tokens: 0,
+            is_admitted: true,
             item_count: 1,
             accepted_unix_ms: 0,
             due_unix_ms: 0,
@@ -54,7 +57,7 @@
 fn due_takeovers_skip_jobs_of_live_owner() {
     let (local, peer) = (owner("me", 1), owner("peer", 1));
     let mut directory = directory(&local, &[&peer]);
-    directory.record_job(job("j", Some(peer), 10));
+    directory.record_job(job("j", Some(peer), 10), 0);
     assert!(directory.due_takeovers(3_000).is_empty());
 }
 
@@ -62,7 +65,7 @@
 fn due_takeovers_after_lease_expired() {
     let (local, peer) = (owner("me", 1), owner("peer", 1));
     let mut directory = directory(&local, &[&peer]);
-    directory.record_job(job("j", Some(peer.clone()), 10));
+    directory.record_job(job("j", Some(peer.clone()), 10), 0);
     assert!(directory.due_takeovers(3_400).is_empty());
     assert_eq!(directory.due_takeovers(3_600), [JobId::new("j")]);
     directory.record_heartbeat(heartbeat(&peer), 99, 3_700);
@@ -78,7 +81,7 @@
 fn due_takeovers_after_outage_wait_for_full_lease() {
     let (local, peer) = (owner("me", 1), owner("peer", 1));
     let mut directory = directory(&local, &[&peer]);
-    directory.record_job(job("j", Some(peer), 10));
+    directory.record_job(job("j", Some(peer), 10), 0);
     directory.renew_leases(60_000);
     assert!(directory.due_takeovers(63_000).is_empty());
     assert_eq!(directory.due_takeovers(64_000).len(), 1);
@@ -88,7 +91,7 @@
 fn due_takeovers_of_restarted_owner_do_not_wait_for_lease() {
     let (local, old_owner, new_owner) = (owner("me", 1), owner("peer", 1), owner("peer", 2));
     let mut directory = directory(&local, &[&new_owner]);
-    directory.record_job(job("j", Some(old_owner), 10));
+    directory.record_job(job("j", Some(old_owner), 10), 0);
     let takeovers = directory.due_takeovers(0).len() + directory.due_takeovers(600).len();
     assert!(takeovers > 0);
 }
@@ -100,7 +103,7 @@
     let (local, old_owner, new_owner) = (owner("me", 1), owner("peer", 1), owner("peer", 2));
     for peers in [vec![], vec![&old_owner]] {
         let mut directory = directory(&local, &peers);
-        directory.record_job(job("j", Some(new_owner.clone()), 10));
+        directory.record_job(job("j", Some(new_owner.clone()), 10), 0);
         assert!(directory.due_takeovers(0).is_empty());
         assert!(directory.due_takeovers(900).is_empty());
         assert_eq!(directory.due_takeovers(2_000).len(), 1);
@@ -111,8 +114,8 @@
 fn due_takeovers_of_own_earlier_incarnation_are_immediate() {
     let local = owner("me", 2);
     let mut directory = directory(&local, &[]);
-    directory.record_job(job("j", Some(owner("me", 1)), 10));
-    directory.record_job(job("mine", Some(local), 11));
+    directory.record_job(job("j", Some(owner("me", 1)), 10), 0);
+    directory.record_job(job("mine", Some(local), 11), 0);
     assert_eq!(directory.due_takeovers(0), [JobId::new("j")]);
 }
 
@@ -128,7 +131,7 @@
         for local in &owners {
             let peers: Vec<_> = owners.iter().collect();
             let mut directory = directory(local, &peers);
-            directory.record_job(job("j", None, 10));
+            directory.record_job(job("j", None, 10), 0);
             directory.due_takeovers(0);
             attempts += directory.due_takeovers(now_ms).len();
         }
@@ -143,7 +146,7 @@
     let mut directory = directory(&local, &[]);
     let mut ended_job = job("j", None, 10);
     Arc::make_mut(&mut ended_job.record).phase = JobPhase::Ended;
-    directory.record_job(ended_job);
+    directory.record_job(ended_job, 0);
     assert!(directory.due_takeovers(10_000).is_empty());
 }
 
@@ -151,9 +154,9 @@
 fn record_job_ignores_older_version() {
     let local = owner("me", 1);
     let mut directory = directory(&local, &[]);
-    assert!(directory.record_job(job("j", Some(local.clone()), 10)));
-    assert!(!directory.record_job(job("j", None, 9)));
-    assert!(!directory.record_job(job("j", None, 10)));
+    assert!(directory.record_job(job("j", Some(local.clone()), 10), 0));
+    assert!(!directory.record_job(job("j", None, 9), 0));
+    assert!(!directory.record_job(job("j", None, 10), 0));
     assert_eq!(directory.job(&JobId::new("j")).unwrap().version, 10);
 }
 
@@ -181,3 +184,17 @@
     directory.record_heartbeat(without_address, 99, 10);
     assert_eq!(directory.callers_address(&peer.instance), None);
 }
+
+/// The feed of changes may have gaps, after which the whole table is read again. Jobs
+/// that were removed meanwhile must not stay.
+#[test]
+fn retain_stored_jobs_removes_jobs_that_are_gone() {
+    let local = owner("me", 1);
+    let mut directory = directory(&local, &[]);
+    for (id, version) in [("gone", 10), ("stored", 11), ("newer", 21)] {
+        directory.record_job(job(id, Some(local.clone()), version), 0);
+    }
+    directory.retain_stored_jobs(&[JobId::new("stored")], 20, 0);
+    let ids: Vec<_> = directory.jobs().map(|job| job.id.clone()).collect();
+    assert_eq!(ids, [JobId::new("newer"), JobId::new("stored")]);
+}
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -4,11 +4,12 @@
 
 use ledger::{
     Commit, CommitOutcome, CommitStep, ItemOutcome, JobItem, JobPhase, JobRecord, OwnedJob,
-    OwnerId, PartialOutput, RunOutcome,
+    OwnerId, PartialOutput, RunOutcome, StoredItems,
 };
 use model::{InstanceId, JobId};
 
 const ERRORS_MAX: u32 = 3;
+const TOKENS_PER_ITEM: u32 = 100;
 
 fn owner(name: &str) -> OwnerId {
     OwnerId {
@@ -23,6 +24,9 @@
         phase: JobPhase::Open,
         host: "h".into(),
         path: "/b/1".into(),
+        route: "b".into(),
+        unfinished_tokens: u64::from(items * TOKENS_PER_ITEM),
+        is_admitted: true,
         item_count: items,
         accepted_unix_ms: 0,
         due_unix_ms: 18_000,
@@ -43,14 +47,21 @@
     (0..count).map(item).collect()
 }
 
+fn stored_items(count: u32, partials: Vec<PartialOutput>) -> StoredItems {
+    StoredItems {
+        items: items(count),
+        item_tokens: vec![TOKENS_PER_ITEM; count as usize],
+        partials,
+    }
+}
+
 fn job(count: u32) -> OwnedJob {
     OwnedJob::new(
         JobId::new("j"),
         owner("me"),
         record(count),
         10,
-        items(count),
-        Vec::new(),
+        stored_items(count, Vec::new()),
     )
 }
 
@@ -210,8 +221,7 @@
         owner("me"),
         earlier_record,
         10,
-        items(1),
-        Vec::new(),
+        stored_items(1, Vec::new()),
     );
     let item_run = job.start_item(0).unwrap();
     job.finish_run(item_run.partial, RunOutcome::Error, ERRORS_MAX, 0);
@@ -253,8 +263,7 @@
         owner("me"),
         earlier_record,
         20,
-        items(3),
-        vec![partial],
+        stored_items(3, vec![partial]),
     );
     assert_eq!(job.startable_items(0).count(), 2);
     let item_run = job.start_item(2).unwrap();
@@ -287,3 +296,12 @@
     assert!(!job.is_active());
     assert!(!job.fence(12), "already fenced");
 }
+
+#[test]
+fn next_commit_frees_tokens_of_ended_items() {
+    let mut job = job(3);
+    run_item(&mut job, 0, RunOutcome::Done);
+    run_item(&mut job, 2, RunOutcome::Impossible);
+    let record = next_commit(&mut job).record;
+    assert_eq!(record.unfinished_tokens, u64::from(TOKENS_PER_ITEM));
+}
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -44,7 +44,20 @@
     retry_after_ms: u64,
     message: &'static str,
 ) -> Response<AnswerBody> {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, message);
+    refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms, message)
+}
+
+/// Returns an answer with status 429, which guarantees the caller that its request did
+/// not run, and a hint to retry after `retry_after_ms`.
+pub(crate) fn too_many_requests(
+    retry_after_ms: u64,
+    message: &'static str,
+) -> Response<AnswerBody> {
+    refusal(StatusCode::TOO_MANY_REQUESTS, retry_after_ms, message)
+}
+
+fn refusal(status: StatusCode, retry_after_ms: u64, message: &'static str) -> Response<AnswerBody> {
+    let mut response = text(status, message);
     platform::set_retry_after(response.headers_mut(), retry_after_ms);
     response
 }
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -4,10 +4,10 @@
 use std::{rc::Rc, time::Duration};
 
 use ledger::{Heartbeat, call_interval_ms};
-use model::{InstanceId, UpstreamId};
+use model::{InstanceId, JobId, UpstreamId};
 use platform::{
-    CONFIG_KEY, CONFIG_TABLE, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow, StoreError,
-    decode_config, decode_server,
+    CONFIG_KEY, CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow,
+    StoreError, decode_config, decode_server,
 };
 use store::Backoff;
 use tokio::{task::spawn_local, time::sleep};
@@ -132,6 +132,10 @@
         loop {
             let mut version = self.read_snapshot(&node, &mut backoff).await;
             loop {
+                if self == Self::Jobs {
+                    // Submissions read this feed too.
+                    version = version.max(node.jobs_fed_version.get());
+                }
                 let wait_ms = feed_wait_ms(&node);
                 let began_ms = node.now_ms();
                 let call = node.store.feed(self.table(), version, wait_ms);
@@ -144,12 +148,7 @@
                         node.record_store_answer(self.table());
                         backoff.reset();
                         version = page.store_version;
-                        for row in &page.rows {
-                            self.apply(&node, row);
-                        }
-                        if self == Self::Jobs {
-                            node.jobs_fed_at_ms.set(node.now_ms());
-                        }
+                        self.apply_page(&node, &page);
                         if !page.rows.is_empty() {
                             sleep(self.poll_interval(&node)).await;
                         }
@@ -208,8 +207,9 @@
         for row in &rows {
             self.apply(node, row);
         }
-        self.complete_snapshot(node, &rows);
-        first_version.unwrap_or(0)
+        let first_version = first_version.unwrap_or(0);
+        self.complete_snapshot(node, &rows, first_version);
+        first_version
     }
 
     /// Reads one page, and retries until the read succeeds. Earlier pages are not read
@@ -234,9 +234,9 @@
         }
     }
 
-    /// Handles the end of a snapshot: removes the servers that have no row and records
-    /// that the table has been read.
-    fn complete_snapshot(self, node: &Rc<Node>, rows: &[Row]) {
+    /// Handles the end of a snapshot that began at `version` of the store: removes the
+    /// servers and jobs that have no row, and records that the table has been read.
+    fn complete_snapshot(self, node: &Rc<Node>, rows: &[Row], version: u64) {
         match self {
             Self::Config => {}
             Self::Servers => {
@@ -251,12 +251,25 @@
             }
             Self::Heartbeats => node.has_read_heartbeats.set(true),
             Self::Jobs => {
+                let mut stored: Vec<_> = rows.iter().map(|row| JobId::new(&row.key)).collect();
+                stored.sort_unstable();
+                let mut directory = node.directory.borrow_mut();
+                directory.retain_stored_jobs(&stored, version, node.now_ms());
                 node.has_read_jobs.set(true);
-                node.jobs_fed_at_ms.set(node.now_ms());
+                node.record_jobs_fed(version);
             }
         }
     }
 
+    fn apply_page(self, node: &Rc<Node>, page: &FeedPage) {
+        for row in &page.rows {
+            self.apply(node, row);
+        }
+        if self == Self::Jobs {
+            node.record_jobs_fed(page.store_version);
+        }
+    }
+
     fn apply(self, node: &Rc<Node>, row: &Row) {
         match self {
             Self::Config => apply_config(node, row),
@@ -344,6 +357,32 @@
     node.store_health.was_unreachable_since(since_ms)
 }
 
+/// Reads the changes of job records that the store has now, and waits up to `wait_ms`
+/// milliseconds for one if there is none.
+///
+/// # Errors
+///
+/// Returns an error if the store did not return changes. After
+/// [`StoreError::HistoryGone`], the task that follows the feed reads all jobs again.
+pub(crate) async fn read_job_changes(node: &Rc<Node>, wait_ms: u64) -> Result<(), StoreError> {
+    let began_ms = node.now_ms();
+    let version = node.jobs_fed_version.get();
+    let changes = node.store.feed(JOBS_TABLE, version, wait_ms).await;
+    match changes {
+        Ok(page) => {
+            node.record_store_answer(JOBS_TABLE);
+            Feed::Jobs.apply_page(node, &page);
+            Ok(())
+        }
+        Err(error) => {
+            if error != StoreError::HistoryGone {
+                node.record_store_failure(JOBS_TABLE, began_ms, &error);
+            }
+            Err(error)
+        }
+    }
+}
+
 /// Returns the number of instances whose leases have not expired, including this one.
 pub(crate) fn live_instance_count(node: &Node) -> u64 {
     1 + node.directory.borrow().live_peers(node.now_ms()).count() as u64
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -3,6 +3,7 @@
 //! which schedules the items.
 
 mod accept;
+mod admission;
 mod item_run;
 mod ownership;
 mod peer_forwarding;
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -4,16 +4,19 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use gateway::{BatchDeadlines, Route, RouteKind, StoreReachability};
+use gateway::{BatchTerms, Route, RouteKind, StoreReachability};
 use http::{Response, StatusCode, header, request};
-use ledger::{JobItem, JobPhase, JobRecord, OwnedJob};
+use ledger::{JobPhase, JobRecord, OwnedJob, StoredItems, StoredJob};
 use model::JobId;
 use platform::{RequestHeaders, StoreError};
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
+    admission::{
+        Decision, excess_before_storing, refuse, settle_job, wait_for_jobs, wait_until_loaded,
+    },
     ownership,
-    peer_forwarding::{PeerOutcome, forward_to_peers, store_reachability},
+    peer_forwarding::{PeerOutcome, forward_to_peers, is_refusal, store_reachability},
     runner,
     storage::{InsertOutcome, JobRows},
 };
@@ -39,7 +42,7 @@
     node: Rc<Node>,
     id: JobId,
     record: JobRecord,
-    items: Vec<JobItem>,
+    items: StoredItems,
     /// The caller's request in the form in which it can be forwarded to a peer.
     outgoing: OutgoingRequest,
     arrived_ms: u64,
@@ -60,16 +63,15 @@
     request_headers: &RequestHeaders,
     arrived_ms: u64,
 ) -> Response<AnswerBody> {
-    let RouteKind::Batch(deadlines) = route.kind else {
+    let RouteKind::Batch(terms) = route.kind else {
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
     let id = JobId::new(&request_headers.request_id);
-    if node.directory.borrow().job(&id).is_some() {
-        log::info!("event=job_known job={id}");
-        return accepted_response();
-    }
     let time_left_ms = request_headers.time_left_ms.unwrap_or(route.timeout_ms);
     let answer_by_ms = (arrived_ms + time_left_ms).saturating_sub(ANSWER_MARGIN_MS);
+    if let Some(response) = answer_repeat(node, &id, answer_by_ms).await {
+        return response;
+    }
     let outgoing = OutgoingRequest::new(parts, body.clone(), &request_headers.request_id);
     let mut may_be_stored = false;
     if node.store_health.is_unreachable() {
@@ -88,7 +90,7 @@
         }
     }
     let items = match platform::decode_job(body) {
-        Ok(items) if !items.is_empty() => items,
+        Ok(stored) if !stored.items.is_empty() => stored,
         Ok(_) => return answer::text(StatusCode::BAD_REQUEST, "the job has no items"),
         Err(problem) => {
             log::warn!(
@@ -100,7 +102,7 @@
     };
     let submission = Submission {
         node: Rc::clone(node),
-        record: new_record(node, route, deadlines, parts, &items),
+        record: new_record(node, route, terms, parts, &items),
         id,
         items,
         outgoing,
@@ -112,13 +114,36 @@
     // job may be stored, so the task must find out whether this instance has to run it.
     spawn_local(submission.run()).await.unwrap_or_else(|error| {
         log::error!("event=submission_failed error={}", process::quote(&error));
-        answer::text(
-            StatusCode::GATEWAY_TIMEOUT,
-            "it is unknown whether the job was stored",
-        )
+        unknown_response()
     })
 }
 
+/// Answers the submission of a job that this instance knows. Returns `None` if it knows no
+/// such job.
+async fn answer_repeat(
+    node: &Rc<Node>,
+    id: &JobId,
+    answer_by_ms: u64,
+) -> Option<Response<AnswerBody>> {
+    node.directory.borrow().job(id)?;
+    wait_until_loaded(node, id, answer_by_ms).await;
+    let decision = settle_job(node, id, answer_by_ms).await;
+    answer_decision(node, id, decision)
+}
+
+/// Returns the answer for a job that was stored before, or `None` if it does not exist.
+fn answer_decision(node: &Node, id: &JobId, decision: Decision) -> Option<Response<AnswerBody>> {
+    match decision {
+        Decision::Accepted(_) => {
+            log::info!("event=job_known job={id}");
+            Some(accepted_response())
+        }
+        Decision::Refused(excess) => Some(refuse(node, id, &excess)),
+        Decision::Absent => None,
+        Decision::Unknown => Some(unknown_response()),
+    }
+}
+
 impl Submission {
     async fn run(self) -> Response<AnswerBody> {
         // The change feed may deliver the record of the job before the store answers the
@@ -133,23 +158,27 @@
 
     async fn write_or_forward(mut self) -> Response<AnswerBody> {
         let node = Rc::clone(&self.node);
+        if let Some(response) = self.refuse_without_storing().await {
+            return response;
+        }
         for tries in 0.. {
             let rows = JobRows::new(&node).with_tries(tries);
             match rows.insert(&self.id, &self.record, &self.items).await {
-                Ok(InsertOutcome::Inserted { version }) => return self.finish_inserted(version),
+                Ok(InsertOutcome::Inserted { version }) => return self.admit(version).await,
                 Ok(InsertOutcome::Exists { record, version }) => {
                     // An earlier write of this submission may have taken effect.
                     if record == self.record {
-                        return self.finish_inserted(version);
+                        return self.admit(version).await;
                     }
-                    log::info!("event=job_known job={} source=store", self.id);
-                    return accepted_response();
+                    return self.answer_existing(record, version).await;
                 }
                 Err(error) => self.record_failure(&error),
             }
             // The writes of this instance and of a peer are both conditional on the job
             // not existing, so only the first one creates the job.
             match forward_to_peers(&node, &self.id, &self.outgoing, self.answer_by_ms).await {
+                // A refusal would promise that the job is not stored.
+                PeerOutcome::Answered(response) if self.may_be_stored && is_refusal(&response) => {}
                 PeerOutcome::Answered(response) => return answer::from_peer(response),
                 PeerOutcome::Unknown => self.may_be_stored = true,
                 PeerOutcome::NotDone => {}
@@ -181,19 +210,66 @@
         is_deadline_reached || (!self.may_be_stored && may_succeed_elsewhere())
     }
 
+    /// Refuses the job if it does not fit on its route, judging by the changes read so
+    /// far. The store is asked first whether the job exists, because an earlier
+    /// submission of it may have been accepted elsewhere.
+    async fn refuse_without_storing(&self) -> Option<Response<AnswerBody>> {
+        if self.record.is_admitted {
+            return None;
+        }
+        if !wait_for_jobs(&self.node, self.answer_by_ms).await {
+            return Some(self.refuse());
+        }
+        let excess = excess_before_storing(&self.node, &self.record)?;
+        match JobRows::new(&self.node).read_record(&self.id).await {
+            Ok(None) if !self.may_be_stored => Some(refuse(&self.node, &self.id, &excess)),
+            Ok(None) => Some(self.refuse()),
+            Ok(Some((record, version))) => Some(self.answer_existing(record, version).await),
+            // The write of the job is tried instead, and its outcome decides.
+            Err(_) => None,
+        }
+    }
+
+    /// Answers for a job that another submission stored.
+    async fn answer_existing(&self, record: JobRecord, version: u64) -> Response<AnswerBody> {
+        ownership::apply_record(&self.node, &self.id, record, version);
+        let decision = settle_job(&self.node, &self.id, self.answer_by_ms).await;
+        answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
+    }
+
+    /// Decides about the job, which was stored with `version`, and runs it if it is
+    /// admitted.
+    async fn admit(self, version: u64) -> Response<AnswerBody> {
+        if self.record.is_admitted {
+            return self.finish_inserted(version);
+        }
+        ownership::apply_record(&self.node, &self.id, self.record.clone(), version);
+        match settle_job(&self.node, &self.id, self.answer_by_ms).await {
+            Decision::Accepted(StoredJob {
+                record, version, ..
+            }) if record.owner == self.record.owner && record.is_open() => {
+                let record = JobRecord::clone(&record);
+                Self { record, ..self }.finish_inserted(version)
+            }
+            decision => {
+                answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
+            }
+        }
+    }
+
     fn finish_inserted(self, version: u64) -> Response<AnswerBody> {
         self.node.metrics.on_job_accepted();
         log::info!(
             "event=job_accepted job={} items={} version={version} due_unix_ms={} took_ms={}",
             self.id,
-            self.items.len(),
+            self.items.items.len(),
             self.record.due_unix_ms,
             self.node.now_ms().saturating_sub(self.arrived_ms)
         );
         ownership::apply_record(&self.node, &self.id, self.record.clone(), version);
         if self.record.owner.is_some() {
             let owner = self.node.owner_id.clone();
-            let job = OwnedJob::new(self.id, owner, self.record, version, self.items, Vec::new());
+            let job = OwnedJob::new(self.id, owner, self.record, version, self.items);
             runner::add_job(&self.node, job);
         }
         accepted_response()
@@ -209,7 +285,7 @@
             self.id
         );
         if may_be_stored {
-            answer::text(StatusCode::GATEWAY_TIMEOUT, "the job may have been stored")
+            unknown_response()
         } else {
             answer::service_unavailable(NOT_STORED_RETRY_AFTER_MS, "the job was not stored")
         }
@@ -219,9 +295,9 @@
 fn new_record(
     node: &Node,
     route: &Route,
-    deadlines: BatchDeadlines,
+    terms: BatchTerms,
     parts: &request::Parts,
-    items: &[JobItem],
+    items: &StoredItems,
 ) -> JobRecord {
     let now_unix_ms = unix_ms();
     // Peers would consider an owner without a lease dead. Until this instance holds a
@@ -232,15 +308,25 @@
         phase: JobPhase::Open,
         host: Arc::clone(&route.host),
         path: parts.uri.path().into(),
-        item_count: u32::try_from(items.len()).unwrap_or(u32::MAX),
+        route: Arc::clone(&route.name),
+        unfinished_tokens: items.item_tokens.iter().copied().map(u64::from).sum(),
+        is_admitted: terms.waiting_tokens_max.is_none(),
+        item_count: u32::try_from(items.items.len()).unwrap_or(u32::MAX),
         accepted_unix_ms: now_unix_ms,
-        due_unix_ms: now_unix_ms + deadlines.due_after_ms,
-        give_up_unix_ms: now_unix_ms + deadlines.give_up_after_ms,
+        due_unix_ms: now_unix_ms + terms.due_after_ms,
+        give_up_unix_ms: now_unix_ms + terms.give_up_after_ms,
         committed: Vec::new(),
         failures: Vec::new(),
     }
 }
 
+fn unknown_response() -> Response<AnswerBody> {
+    answer::text(
+        StatusCode::GATEWAY_TIMEOUT,
+        "it is unknown whether the job was stored",
+    )
+}
+
 fn accepted_response() -> Response<AnswerBody> {
     let mut response = answer::text(StatusCode::ACCEPTED, "");
     response.headers_mut().remove(header::CONTENT_TYPE);
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    admission::{Decision, settle_job},
     runner,
     storage::{JobRows, decode_record},
 };
@@ -33,6 +34,9 @@
 const RELEASE_RESERVE: Duration = Duration::from_millis(300);
 /// Time-out of the write that releases a job.
 const RELEASE_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time in which an orphaned job that is not admitted is decided, milliseconds.
+/// Then the takeover is tried again.
+const TAKEOVER_DECISION_MS: u64 = 2_000;
 /// Interval between checks of whether all runs and commits have ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -40,7 +44,7 @@
 pub(crate) fn apply_row(node: &Rc<Node>, row: &Row) {
     let id = JobId::new(&row.key);
     if row.is_removed {
-        node.directory.borrow_mut().remove_job(&id);
+        node.directory.borrow_mut().remove_job(&id, node.now_ms());
         return;
     }
     match decode_record(row) {
@@ -63,7 +67,8 @@
         record: Arc::clone(&record),
         version,
     };
-    if !node.directory.borrow_mut().record_job(job) {
+    let now_ms = node.now_ms();
+    if !node.directory.borrow_mut().record_job(job, now_ms) {
         return;
     }
     node.runner
@@ -74,7 +79,9 @@
 }
 
 /// Loads jobs that this instance owns according to their records but does not run. Such
-/// jobs exist if the answer to the write that made this instance the owner was lost.
+/// jobs exist if the answer to the write that made this instance the owner was lost. A
+/// job that is not admitted for certain is taken over like an orphaned one, because a
+/// removal of it may be under way.
 fn load_missing_jobs(node: &Rc<Node>) {
     let missing: Vec<_> = {
         let directory = node.directory.borrow();
@@ -88,7 +95,11 @@
     };
     for job in missing {
         log::info!("event=job_found job={} version={}", job.id, job.version);
-        load_job(node, job.id, JobRecord::clone(&job.record), job.version);
+        if job.record.is_admitted {
+            load_job(node, job.id, JobRecord::clone(&job.record), job.version);
+        } else {
+            start_takeover(node, job.id);
+        }
     }
 }
 
@@ -109,19 +120,23 @@
         let orphans = node.directory.borrow_mut().due_takeovers(now_ms);
         for id in orphans {
             if !node.runner.borrow().owns_or_loads(&id) {
-                node.runner.borrow_mut().loading.push(id.clone());
-                spawn_local(take_over_job(Rc::clone(&node), id));
+                start_takeover(&node, id);
             }
         }
         remove_expired_jobs(&node).await;
     }
 }
 
+fn start_takeover(node: &Rc<Node>, id: JobId) {
+    node.runner.borrow_mut().loading.push(id.clone());
+    spawn_local(take_over_job(Rc::clone(node), id));
+}
+
 async fn take_over_job(node: Rc<Node>, id: JobId) {
-    let stored = node.directory.borrow().job(&id).cloned();
-    let claimed = match stored {
-        Some(job) => claim_ownership(&node, &job).await,
-        None => None,
+    let decide_by_ms = node.now_ms() + TAKEOVER_DECISION_MS;
+    let claimed = match settle_job(&node, &id, decide_by_ms).await {
+        Decision::Accepted(job) if job.record.is_open() => claim_ownership(&node, &job).await,
+        _ => None,
     };
     node.runner.borrow_mut().finish_loading(&id);
     if let Some((record, version)) = claimed {
@@ -196,7 +211,7 @@
             stored.partials.len()
         );
         let owner = node.owner_id.clone();
-        let mut job = OwnedJob::new(id, owner, record, version, stored.items, stored.partials);
+        let mut job = OwnedJob::new(id, owner, record, version, stored);
         // The record may have changed while the items were read.
         if let Some(newest) = node.directory.borrow().job(job.id()) {
             job.observe_record(&newest.record, newest.version);
--- a/crates/node/src/jobs/peer_forwarding.rs
+++ b/crates/node/src/jobs/peer_forwarding.rs
@@ -65,6 +65,9 @@
             node.now_ms().saturating_sub(started_ms)
         );
         match outcome {
+            // The refusal would promise that nothing was done, but an earlier peer may
+            // have stored the job.
+            PeerOutcome::Answered(response) if may_be_done && is_refusal(&response) => {}
             PeerOutcome::Answered(_) => return outcome,
             PeerOutcome::Unknown => may_be_done = true,
             PeerOutcome::NotDone => {}
@@ -121,6 +124,14 @@
     }
 }
 
+/// Returns whether a response guarantees that the request was not carried out.
+pub(super) fn is_refusal(response: &Response<Bytes>) -> bool {
+    matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 impl PeerOutcome {
     fn describe(&self) -> String {
         match self {
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -147,7 +147,12 @@
 
     /// Returns whether the job is owned by this instance or being loaded.
     pub(super) fn owns_or_loads(&self, id: &JobId) -> bool {
-        self.find_job(id).is_ok() || self.loading.contains(id)
+        self.find_job(id).is_ok() || self.is_loading(id)
+    }
+
+    /// Returns whether a task is submitting, taking over or reading the job.
+    pub(super) fn is_loading(&self, id: &JobId) -> bool {
+        self.loading.contains(id)
     }
 
     /// Records that the job is no longer being loaded.
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -8,7 +8,7 @@
 
 use bincode::{config, serde::decode_from_slice, serde::encode_to_vec};
 use bytes::{Bytes, BytesMut};
-use ledger::{Commit, CommitOutcome, ItemResult, JobItem, JobRecord, PartialOutput};
+use ledger::{Commit, CommitOutcome, ItemResult, JobRecord, PartialOutput, StoredItems};
 use model::JobId;
 use platform::{
     Row, RowChange, RowCondition, RowId, RowRange, StoreError, TransactOutcome, Transaction,
@@ -35,6 +35,9 @@
 const LAST_ROW: u8 = 1;
 /// First byte of every other row of a payload.
 const NOT_LAST_ROW: u8 = 0;
+/// Prefix of the keys of the rows that hold the tokens of the items. It sorts after the
+/// rows of the items.
+const TOKENS_KEY_PREFIX: &str = "tokens/";
 /// Number of bytes of results after which a read of results ends.
 const RESULTS_READ_MAX_BYTES: usize = 800_000;
 
@@ -56,12 +59,13 @@
     Exists { record: JobRecord, version: u64 },
 }
 
-/// Items of a job as they are stored.
-#[derive(Debug, Clone)]
-pub(crate) struct StoredItems {
-    pub(crate) items: Vec<JobItem>,
-    /// Partial outputs that earlier owners of the job saved.
-    pub(crate) partials: Vec<PartialOutput>,
+/// Outcome of removing a job that was not admitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum RemoveOutcome {
+    /// The job does not exist any more.
+    Removed,
+    /// The record was changed before, so the job stays.
+    Changed { record: JobRecord, version: u64 },
 }
 
 impl<'a> JobRows<'a> {
@@ -88,10 +92,9 @@
         &self,
         id: &JobId,
         record: &JobRecord,
-        items: &[JobItem],
+        items: &StoredItems,
     ) -> Result<InsertOutcome, StoreError> {
-        let payload = encode(&items)?;
-        let mut puts = self.split_into_rows(ITEMS_TABLE, id, "", &payload);
+        let mut puts = self.item_puts(id, items)?;
         // Large jobs need several transactions. Only the last one writes the record,
         // which makes the job exist.
         while total_bytes(&puts) > TRANSACTION_MAX_BYTES || puts.len() >= TRANSACTION_MAX_ROWS {
@@ -119,6 +122,44 @@
         }
     }
 
+    /// Returns the rows of the items of a job and of their tokens.
+    fn item_puts(&self, id: &JobId, items: &StoredItems) -> Result<Vec<RowChange>, StoreError> {
+        let mut puts = self.split_into_rows(ITEMS_TABLE, id, "", &encode(&items.items)?);
+        let tokens = encode(&items.item_tokens)?;
+        puts.extend(self.split_into_rows(ITEMS_TABLE, id, TOKENS_KEY_PREFIX, &tokens));
+        Ok(puts)
+    }
+
+    /// Removes a job that was stored with `version` but not admitted, unless its record
+    /// has changed since. Rows that do not fit into the transaction stay. They belong to
+    /// no job, and are overwritten if the job is submitted again.
+    pub(crate) async fn remove_refused(
+        &self,
+        id: &JobId,
+        version: u64,
+    ) -> Result<RemoveOutcome, StoreError> {
+        let range = job_range(ITEMS_TABLE, id, format!("{id}/"));
+        let page = self.node.read_rows(&range).await?;
+        let rows = page.rows.iter().take(TRANSACTION_MAX_ROWS);
+        let mut removals: Vec<_> = rows
+            .map(|row| row_id(ITEMS_TABLE, id, &row.key).removed())
+            .collect();
+        removals.push(row_id(JOBS_TABLE, id, id.as_str()).removed());
+        let transaction = Transaction {
+            conditions: vec![record_condition(id, version)],
+            puts: Vec::new(),
+            removals,
+        };
+        Ok(match self.node.transact(&transaction, self.tries).await? {
+            TransactOutcome::Committed { .. } => RemoveOutcome::Removed,
+            TransactOutcome::Conflict { rows } => match current_job_record(&rows)? {
+                Some((record, version)) => RemoveOutcome::Changed { record, version },
+                // An earlier try of the same removal took effect after all.
+                None => RemoveOutcome::Removed,
+            },
+        })
+    }
+
     /// Reads the record of a job and the record's version from the store. Returns `None`
     /// if the job does not exist.
     pub(crate) async fn read_record(
@@ -220,13 +261,15 @@
 
     /// Reads the items of a job and the partial outputs that earlier owners saved.
     pub(crate) async fn read_items(&self, id: &JobId) -> Result<StoredItems, StoreError> {
-        let mut payload = Bytes::new();
-        self.read_payloads(ITEMS_TABLE, id, format!("{id}/"), |stored| {
-            payload = stored;
-            false
+        let mut payloads = Vec::new();
+        self.read_payloads(ITEMS_TABLE, id, format!("{id}/"), |payload| {
+            payloads.push(payload);
+            true
         })
         .await?;
-        let items = decode(&payload)?;
+        let items = decode(payloads.first().unwrap_or(&Bytes::new()))?;
+        // Jobs that were stored by earlier versions of the program have no tokens.
+        let item_tokens = payloads.get(1).map(decode).transpose()?;
         let mut partials = Vec::new();
         self.read_payloads(PARTIALS_TABLE, id, format!("{id}/"), |payload| {
             partials.push(payload);
@@ -236,6 +279,7 @@
         let partials = partials.iter().map(decode);
         Ok(StoredItems {
             items,
+            item_tokens: item_tokens.unwrap_or_default(),
             partials: partials.collect::<Result<_, _>>()?,
         })
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -155,7 +155,14 @@
     }
 
     pub async fn put_config(&self, version: u64) {
-        self.put_row("op", "config", &config(version)).await;
+        self.put_config_with_limit(version, 0).await;
+    }
+
+    /// Stores a configuration whose batch route lets `tokens_max` tokens wait; 0 means no
+    /// limit.
+    pub async fn put_config_with_limit(&self, version: u64, tokens_max: u64) {
+        self.put_row("op", "config", &config(version, tokens_max))
+            .await;
     }
 
     pub async fn put_row(&self, table: &str, key: &str, value: &Value) {
@@ -465,7 +472,7 @@
     lines.join("\n")
 }
 
-fn config(version: u64) -> Value {
+fn config(version: u64, tokens_max: u64) -> Value {
     let stream = |name: &str, is_resumable: bool| {
         json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": "stream",
                "timeout_ms": 5000, "goal_ms": 300, "gap_aim_ms": 300, "priority": 0,
@@ -480,7 +487,8 @@
             stream("once", false),
             {"name": "batch", "host": HOST, "path_prefix": "/batch/", "kind": "batch",
              "timeout_ms": 15000, "goal_ms": 500, "due_ms": 18000, "max_wait_s": 60,
-             "priority": 2, "max_attempts": 2, "service": "oracle"}
+             "priority": 2, "max_attempts": 2, "service": "oracle",
+             "max_count": tokens_max}
         ],
         "services": [{"name": "oracle"}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_000_000,
