Servers that say in an answer that they are leaving get nothing more

Cause: the header Server-Leaving was known to no code. A server whose registration says too late, or never, that it drains went on getting requests from instances that the store does not reach. Change: an answer with the header takes this incarnation of the server out of use at this instance and, by the load notices, at its peers, whatever the registration says; a request whose connection was being opened goes elsewhere. A notice is followed by the leaving servers, so that earlier versions of the program still read it. 421 stays a separate evidence (record_replaced).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod events;
 mod forecast;
 mod health;
+mod leaving;
 mod moving_average;
 mod notice_scheduler;
 mod peer_loads;
@@ -40,6 +41,7 @@
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
+    leaving::LeavingUpstream,
     notice_scheduler::{NoticeScheduler, RegionPeers, notice_pause_ms},
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -86,6 +86,8 @@
     /// while the upstream is registered.
     pub(crate) remove_at_ms: Option<u64>,
     pub(crate) warmed_up_at_ms: u64,
+    /// Whether this incarnation said that it is leaving.
+    pub(crate) is_leaving: bool,
     pub(crate) health: Health,
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
@@ -276,9 +278,9 @@
         }
     }
 
-    /// Records that an upstream is leaving or that another server has its address.
-    /// The upstream gets no requests until it registers as a new incarnation.
-    pub fn record_leaving(&mut self, target: &Target) {
+    /// Records that another server has the address of an upstream. The upstream gets no
+    /// requests until it registers as a new incarnation.
+    pub fn record_replaced(&mut self, target: &Target) {
         if let Some(row) = self.incarnation_row(target) {
             row.health.suspend_until(u64::MAX);
         }
@@ -379,11 +381,11 @@
         Some(&regions[index].1)
     }
 
-    fn find(&self, id: &UpstreamId) -> Result<usize, usize> {
+    pub(crate) fn find(&self, id: &UpstreamId) -> Result<usize, usize> {
         self.rows.binary_search_by(|row| row.entry.id.cmp(id))
     }
 
-    fn incarnation_row(&mut self, target: &Target) -> Option<&mut UpstreamRow> {
+    pub(crate) fn incarnation_row(&mut self, target: &Target) -> Option<&mut UpstreamRow> {
         let index = self.find(&target.upstream).ok()?;
         let row = &mut self.rows[index];
         (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
@@ -427,6 +429,7 @@
             entry,
             hash,
             remove_at_ms: None,
+            is_leaving: false,
             health: Health::default(),
             own_load: load,
             peer_load,
@@ -440,9 +443,10 @@
         self.entry.started_unix_ms == entry.started_unix_ms && self.entry.address == entry.address
     }
 
-    /// Returns whether the upstream is registered as ready.
+    /// Returns whether the upstream is registered as ready and has not said that it is
+    /// leaving.
     pub(crate) fn is_ready(&self) -> bool {
-        self.entry.state == UpstreamState::Ready
+        self.entry.state == UpstreamState::Ready && !self.is_leaving
     }
 
     /// Returns the number of online requests of all instances.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -198,6 +198,13 @@
             return Err(AttemptFailure::new(AttemptEnd::NotSent, error));
         }
     };
+    // The upstream may have said so while the connection was opened.
+    if node.upstreams.borrow().is_leaving(target) {
+        return Err(AttemptFailure::new(
+            AttemptEnd::NotSent,
+            "the upstream is leaving",
+        ));
+    }
     let request = build_request(node, target, outgoing, options);
     let exchange = connection.sender.try_send_request(request);
     let deadline = node.clock.instant(options.head_deadline_ms);
@@ -221,6 +228,7 @@
             ));
         }
     };
+    record_if_leaving(node, target, response.headers());
     check_head(node, &in_flight, &response, outgoing, options)?;
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
@@ -288,6 +296,14 @@
     request
 }
 
+/// Takes an upstream out of use if its answer says that it is leaving, and lets peers know.
+fn record_if_leaving(node: &Node, target: &Target, headers: &HeaderMap) {
+    if platform::is_leaving(headers) && node.upstreams.borrow_mut().record_leaving(target) {
+        log::info!("event=server_leaving upstream={}", target.upstream);
+        node.load_changed.notify_one();
+    }
+}
+
 /// Rejects answers to other requests, answers that say that the request did not run,
 /// and successful answers that are not as the server produced them: they lack the
 /// server's stamp or have a content encoding. Records the delay of all other answers.
@@ -331,8 +347,8 @@
     Ok(())
 }
 
-/// Records that the upstream did not run the request because it is leaving or
-/// full.
+/// Records that the upstream did not run the request because another server has its
+/// address or because it is full.
 fn record_not_run(
     upstreams: &mut UpstreamTable,
     in_flight: &InFlightGuard,
@@ -340,7 +356,7 @@
     now_ms: u64,
 ) {
     if is_wrong_instance {
-        upstreams.record_leaving(&in_flight.target);
+        upstreams.record_replaced(&in_flight.target);
     } else {
         upstreams.record_full(&in_flight.target, now_ms + FULL_BACKOFF_MS);
     }
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -4,8 +4,12 @@
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bincode::{config, serde::decode_from_slice, serde::encode_to_vec};
-use gateway::{LoadNotice, NoticeScheduler, RegionPeers, notice_pause_ms};
+use bincode::{
+    config,
+    error::{DecodeError, EncodeError},
+    serde::{decode_from_slice, encode_to_vec},
+};
+use gateway::{LeavingUpstream, LoadNotice, NoticeScheduler, RegionPeers, notice_pause_ms};
 use model::{InstanceId, Region};
 use tokio::{
     net::UdpSocket,
@@ -62,8 +66,8 @@
                 continue;
             }
         };
-        match decode_from_slice::<LoadNotice, _>(&buffer[..length], config::standard()) {
-            Ok((notice, _)) => {
+        match decode_datagram(&buffer[..length]) {
+            Ok((notice, leaving)) => {
                 let now_ms = node.now_ms();
                 let peer = Peer {
                     address: sender,
@@ -71,7 +75,9 @@
                 };
                 recent_senders.borrow_mut().record(peer, now_ms);
                 node.runner.borrow_mut().fence_jobs(&notice.job_takeovers);
-                node.upstreams.borrow_mut().receive_notice(notice, now_ms);
+                let mut upstreams = node.upstreams.borrow_mut();
+                upstreams.receive_leaving(&leaving);
+                upstreams.receive_notice(notice, now_ms);
                 node.batch_state_changed.notify_one();
             }
             Err(error) => log::warn!("event=notice_unreadable error={}", process::quote(&error)),
@@ -79,6 +85,27 @@
     }
 }
 
+/// Encodes a notice, followed by the leaving upstreams.
+fn encode_datagram(
+    notice: &LoadNotice,
+    leaving: &[LeavingUpstream],
+) -> Result<Vec<u8>, EncodeError> {
+    let mut datagram = encode_to_vec(notice, config::standard())?;
+    datagram.extend(encode_to_vec(leaving, config::standard())?);
+    Ok(datagram)
+}
+
+/// Decodes a datagram. Earlier versions of the program send no leaving upstreams.
+fn decode_datagram(datagram: &[u8]) -> Result<(LoadNotice, Vec<LeavingUpstream>), DecodeError> {
+    let (notice, length) = decode_from_slice(datagram, config::standard())?;
+    let rest = &datagram[length..];
+    if rest.is_empty() {
+        return Ok((notice, Vec::new()));
+    }
+    let (leaving, _) = decode_from_slice(rest, config::standard())?;
+    Ok((notice, leaving))
+}
+
 async fn send_notices(
     node: Rc<Node>,
     socket: Rc<UdpSocket>,
@@ -88,9 +115,9 @@
     loop {
         // After a time-out, the notice is repeated with the current load.
         let _ = timeout(NOTICE_INTERVAL_MAX, node.load_changed.notified()).await;
-        let notice = build_notice(&node);
+        let datagram = build_datagram(&node);
         let addresses = due_addresses(&node, &recent_senders, &mut scheduler);
-        send_to(&socket, &addresses, &notice).await;
+        send_to(&socket, &addresses, &datagram).await;
         sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
     }
 }
@@ -101,7 +128,7 @@
     loop {
         node.owners_to_notify_changed.notified().await;
         let addresses = peer_addresses(&node, &node.owners_to_notify.take());
-        send_to(&socket, &addresses, &build_notice(&node)).await;
+        send_to(&socket, &addresses, &build_datagram(&node)).await;
     }
 }
 
@@ -125,6 +152,13 @@
     due_peers.map(|peer| peer.address).collect()
 }
 
+fn build_datagram(node: &Node) -> Vec<u8> {
+    let notice = build_notice(node);
+    let leaving = node.upstreams.borrow().leaving_upstreams();
+    // Encoding into memory cannot fail.
+    encode_datagram(&notice, &leaving).unwrap_or_default()
+}
+
 fn build_notice(node: &Node) -> LoadNotice {
     let sequence = node.last_notice_sequence.get() + 1;
     node.last_notice_sequence.set(sequence);
@@ -142,16 +176,9 @@
     }
 }
 
-async fn send_to(socket: &UdpSocket, addresses: &[SocketAddr], notice: &LoadNotice) {
-    let datagram = match encode_to_vec(notice, config::standard()) {
-        Ok(datagram) => datagram,
-        Err(error) => {
-            log::error!("event=notice_unencodable error={}", process::quote(&error));
-            return;
-        }
-    };
+async fn send_to(socket: &UdpSocket, addresses: &[SocketAddr], datagram: &[u8]) {
     for address in addresses {
-        if let Err(error) = socket.send_to(&datagram, address).await {
+        if let Err(error) = socket.send_to(datagram, address).await {
             log::debug!(
                 "event=notice_send_failed peer={address} error={}",
                 process::quote(&error)
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -242,6 +242,21 @@
         }
     }
 
+    /// Makes a server say in all its answers that it is leaving.
+    pub async fn make_server_leave(&self, index: usize) {
+        let address = self.servers[index].standin.address();
+        let answer = send_request(address, "POST", "/standin/leave", &[], Vec::new()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
+    /// Returns the number of runs that a server has begun.
+    pub async fn run_count(&self, index: usize) -> usize {
+        let address = self.servers[index].standin.address();
+        let answer = send_request(address, "GET", "/standin/runs", &[], Vec::new()).await;
+        let runs: EventRuns = serde_json::from_str(&answer.unwrap().body).unwrap();
+        runs.values().map(Vec::len).sum()
+    }
+
     /// Returns the number of streams that are running at a server.
     pub async fn running_count(&self, index: usize) -> u32 {
         let address = self.servers[index].standin.address();
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -3,8 +3,9 @@
 //! the header `redwingtack-not-run`, which says that nothing ran.
 //!
 //! `GET /standin/runs` returns the runs of each request, `GET /standin/running`
-//! the number of streams in progress, and `POST /standin/cut?after=N` breaks the
-//! next stream after `N` events.
+//! the number of streams in progress, `POST /standin/cut?after=N` breaks the next
+//! stream after `N` events, and `POST /standin/leave` makes the server say in all its
+//! answers that it is leaving.
 
 use std::{
     collections::BTreeMap,
@@ -12,7 +13,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -79,6 +80,7 @@
         runs: Mutex::default(),
         running_count: Arc::default(),
         cut_after_events: AtomicU32::new(0),
+        is_leaving: AtomicBool::new(false),
     };
     server::start(listen, Arc::new(event_server)).await
 }
@@ -90,6 +92,8 @@
     running_count: Arc<AtomicU32>,
     /// The next stream breaks after this many events; 0 if it is not to break.
     cut_after_events: AtomicU32,
+    /// Whether all answers say that the server is leaving.
+    is_leaving: AtomicBool,
 }
 
 /// Guard that counts a stream as running until the guard is dropped.
@@ -113,6 +117,10 @@
             (&Method::GET, "/standin/running") => {
                 server::json_response(&self.running_count.load(Ordering::Acquire))
             }
+            (&Method::POST, "/standin/leave") => {
+                self.is_leaving.store(true, Ordering::Release);
+                server::text_response(StatusCode::OK, "leaving\n")
+            }
             (&Method::POST, "/standin/cut") => {
                 let after =
                     server::query_parameter(&request, "after").and_then(|value| value.parse().ok());
@@ -125,13 +133,24 @@
     }
 
     async fn handle(&self, request: Request<Bytes>) -> Reply {
+        let mut response = self.answer(&request);
+        if self.is_leaving.load(Ordering::Acquire) {
+            let leaving = HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", leaving);
+        }
+        Ok(response)
+    }
+}
+
+impl EventServer {
+    fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
         let headers = request.headers();
         let target = header_str(headers, "redwingtack-target-instance");
         if target.is_some_and(|target| target != self.settings.id) {
-            return Ok(server::text_response(
+            return server::text_response(
                 StatusCode::MISDIRECTED_REQUEST,
                 "the request names another target instance\n",
-            ));
+            );
         }
         let running_stream = RunningStream(Arc::clone(&self.running_count));
         let already_running = running_stream.0.fetch_add(1, Ordering::AcqRel);
@@ -141,10 +160,10 @@
             response
                 .headers_mut()
                 .insert("redwingtack-not-run", not_run);
-            return Ok(response);
+            return response;
         }
-        self.record_run(&request);
-        let mut response = self.respond(&request, running_stream);
+        self.record_run(request);
+        let mut response = self.respond(request, running_stream);
         let id = request.headers().get("redwingtack-request-id").cloned();
         let stamp = HeaderValue::from_static("stamp");
         let headers = response.headers_mut();
@@ -152,11 +171,9 @@
         if let Some(id) = id {
             headers.insert("redwingtack-request-id", id);
         }
-        Ok(response)
+        response
     }
-}
 
-impl EventServer {
     fn respond(&self, request: &Request<Bytes>, running_stream: RunningStream) -> Response<Body> {
         let path = request.uri().path();
         if path.contains(FAILING_PATH_PART) {
