Times of jobs are kept on the store's steady clock

Cause: due times, the time to give an item up, retention and the time left that an item's request states rested on the time of day of whichever instance looked at them. With a clock that jumped an hour ahead, items were called dead before they could be given up, results were removed early and items ran twice. Change: ledger::StoreClock estimates the store's clock from its answers; all times of a job record are on it. Records of earlier versions are read with their Unix times converted. A later incarnation of a peer is accepted also if the time of day jumped back between its starts. What is left of the time of day: log stamps and the name of an incarnation. Tests: ledger store_clock, node job_stored_by_earlier_version_completes; the stand-in's store has a clock far from the time of day.

--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -56,20 +56,21 @@
 }
 
 impl Urgency {
-    /// Returns the urgency of an item that is due at `due_unix_ms` and has to
-    /// run for another `remaining_ms`.
+    /// Returns the urgency of an item that is due at `due_at_ms` and has to
+    /// run for another `remaining_ms`. All instances pass times of the same
+    /// clock.
     #[must_use]
-    pub fn new(due_unix_ms: u64, remaining_ms: u64, now_unix_ms: u64) -> Self {
-        let completed_at_ms = now_unix_ms + remaining_ms;
-        if completed_at_ms > due_unix_ms {
+    pub fn new(due_at_ms: u64, remaining_ms: u64, now_ms: u64) -> Self {
+        let completed_at_ms = now_ms + remaining_ms;
+        if completed_at_ms > due_at_ms {
             return Self {
-                key: due_unix_ms + LATE_KEY_OFFSET_MS,
+                key: due_at_ms + LATE_KEY_OFFSET_MS,
                 lacks_slack: false,
             };
         }
         Self {
-            key: due_unix_ms,
-            lacks_slack: due_unix_ms - completed_at_ms < SLACK_MIN_MS,
+            key: due_at_ms,
+            lacks_slack: due_at_ms - completed_at_ms < SLACK_MIN_MS,
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -101,13 +101,17 @@
         let found = self
             .rows
             .binary_search_by(|row| row.notice.instance.cmp(&notice.instance));
-        let notice_order = |notice: &LoadNotice| (notice.started_unix_ms, notice.sequence);
+        // A later incarnation may have an earlier start if the time of day jumped back.
+        let is_newer = |old: &LoadNotice| {
+            old.started_unix_ms != notice.started_unix_ms || old.sequence < notice.sequence
+        };
+        let is_accepted = found.is_ok_and(|index| is_newer(&self.rows[index].notice));
         let row = PeerRow {
             received_ms: now_ms,
             notice,
         };
         match found {
-            Ok(index) if notice_order(&self.rows[index].notice) < notice_order(&row.notice) => {
+            Ok(index) if is_accepted => {
                 let replaced = mem::replace(&mut self.rows[index], row);
                 Some(replaced.notice.loads)
             }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -278,14 +278,6 @@
         }
     }
 
-    /// Records that another server has the address of an upstream. The upstream gets no
-    /// requests until it registers as a new incarnation.
-    pub fn record_replaced(&mut self, target: &Target) {
-        if let Some(row) = self.incarnation_row(target) {
-            row.health.suspend_until(u64::MAX);
-        }
-    }
-
     /// Records that an upstream had no free slot for a request. The upstream
     /// gets no requests until `until_ms`.
     pub fn record_full(&mut self, target: &Target, until_ms: u64) {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,6 +26,7 @@
 mod item;
 mod owned_job;
 mod record;
+mod store_clock;
 mod waiting_tokens;
 
 pub use crate::{
@@ -33,8 +34,12 @@
     call_timeouts::CallTimeouts,
     directory::{Directory, Heartbeat, StoredJob},
     heartbeat_monitor::HeartbeatMonitor,
-    item::{ItemOutcome, ItemResult, JobItem, PartialOutput, ResultPage, StoredItems},
-    owned_job::{Commit, CommitOutcome, CommitStep, ItemRun, OwnedJob, RunOutcome},
+    item::{
+        ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, ResultPage, RunOutcome,
+        StoredItems,
+    },
+    owned_job::{Commit, CommitOutcome, CommitStep, OwnedJob},
     record::{ItemFailures, JobPhase, JobRecord, OwnerId},
+    store_clock::StoreClock,
     waiting_tokens::{Admission, AdmissionRequest},
 };
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -3,7 +3,7 @@
 use model::JobId;
 
 use crate::{
-    item::{ItemOutcome, ItemResult, JobItem, PartialOutput, StoredItems},
+    item::{ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, RunOutcome, StoredItems},
     record::{JobPhase, JobRecord, OwnerId},
 };
 
@@ -55,33 +55,6 @@
     Committed,
 }
 
-/// A run of an item that is to be started.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ItemRun {
-    /// Index of the item.
-    pub item_index: u32,
-    /// The item.
-    pub item: JobItem,
-    /// Output of earlier runs, after which this run resumes.
-    pub partial: PartialOutput,
-}
-
-/// How a run of an item ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunOutcome {
-    /// The run received the complete output.
-    Done,
-    /// The upstream answered with a server error.
-    Error,
-    /// The item can never succeed and must not run again.
-    Impossible,
-    /// The upstream did not run the item or the stream was interrupted, which
-    /// does not count as a failure of the item.
-    Interrupted,
-    /// The run was preempted in favor of online requests.
-    Preempted,
-}
-
 /// A write of results, conditional on the version of the job's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Commit {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -50,12 +50,12 @@
     pub is_admitted: bool,
     /// Number of items.
     pub item_count: u32,
-    /// When the job was accepted, in Unix milliseconds.
-    pub accepted_unix_ms: u64,
-    /// When the results are due, in Unix milliseconds.
-    pub due_unix_ms: u64,
-    /// When unfinished items may be given up, in Unix milliseconds.
-    pub give_up_unix_ms: u64,
+    /// When the job was accepted, in milliseconds of the store's clock.
+    pub accepted_at_ms: u64,
+    /// When the results are due, in milliseconds of the store's clock.
+    pub due_at_ms: u64,
+    /// When unfinished items may be given up, in milliseconds of the store's clock.
+    pub give_up_at_ms: u64,
     /// Indices of the items whose results are stored, in the order of their
     /// result positions.
     #[serde(rename = "listed")]
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -28,9 +28,9 @@
         unfinished_tokens: u64::from(items * TOKENS_PER_ITEM),
         is_admitted: true,
         item_count: items,
-        accepted_unix_ms: 0,
-        due_unix_ms: 18_000,
-        give_up_unix_ms: 60_000,
+        accepted_at_ms: 0,
+        due_at_ms: 18_000,
+        give_up_at_ms: 60_000,
         committed: Vec::new(),
         failures: Vec::new(),
     }
--- a/crates/ledger/tests/waiting_tokens.rs
+++ b/crates/ledger/tests/waiting_tokens.rs
@@ -30,9 +30,9 @@
         unfinished_tokens,
         is_admitted,
         item_count: 1,
-        accepted_unix_ms: 0,
-        due_unix_ms: 0,
-        give_up_unix_ms: 0,
+        accepted_at_ms: 0,
+        due_at_ms: 0,
+        give_up_at_ms: 0,
         committed: Vec::new(),
         failures: Vec::new(),
     }
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -262,6 +262,7 @@
     }
 
     fn apply_page(self, node: &Rc<Node>, page: &FeedPage) {
+        node.record_store_time(page.store_now_ms);
         for row in &page.rows {
             self.apply(node, row);
         }
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -8,6 +8,7 @@
 mod ownership;
 mod peer_forwarding;
 mod query;
+mod record_codec;
 mod runner;
 mod storage;
 mod writes;
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -23,7 +23,6 @@
 use crate::{
     answer::{self, AnswerBody},
     attempt::OutgoingRequest,
-    clock::unix_ms,
     node::{Node, Stage},
 };
 
@@ -260,10 +259,10 @@
     fn finish_inserted(self, version: u64) -> Response<AnswerBody> {
         self.node.metrics.on_job_accepted();
         log::info!(
-            "event=job_accepted job={} items={} version={version} due_unix_ms={} took_ms={}",
+            "event=job_accepted job={} items={} version={version} due_at_ms={} took_ms={}",
             self.id,
             self.items.items.len(),
-            self.record.due_unix_ms,
+            self.record.due_at_ms,
             self.node.now_ms().saturating_sub(self.arrived_ms)
         );
         ownership::apply_record(&self.node, &self.id, self.record.clone(), version);
@@ -299,7 +298,7 @@
     parts: &request::Parts,
     items: &StoredItems,
 ) -> JobRecord {
-    let now_unix_ms = unix_ms();
+    let now_ms = node.store_now_ms();
     // Peers would consider an owner without a lease dead. Until this instance holds a
     // lease, it stores jobs without an owner.
     let can_own = node.stage() == Stage::Serving && node.has_lease.get();
@@ -312,9 +311,9 @@
         unfinished_tokens: items.item_tokens.iter().copied().map(u64::from).sum(),
         is_admitted: terms.waiting_tokens_max.is_none(),
         item_count: u32::try_from(items.items.len()).unwrap_or(u32::MAX),
-        accepted_unix_ms: now_unix_ms,
-        due_unix_ms: now_unix_ms + terms.due_after_ms,
-        give_up_unix_ms: now_unix_ms + terms.give_up_after_ms,
+        accepted_at_ms: now_ms,
+        due_at_ms: now_ms + terms.due_after_ms,
+        give_up_at_ms: now_ms + terms.give_up_after_ms,
         committed: Vec::new(),
         failures: Vec::new(),
     }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -15,7 +15,6 @@
     attempt::{
         AttemptOptions, InFlightGuard, OutgoingRequest, UpstreamAnswer, send_counted_attempt,
     },
-    clock::unix_ms,
     node::Node,
 };
 
@@ -31,7 +30,7 @@
     pub(super) node: Rc<Node>,
     pub(super) job: JobId,
     pub(super) host: Arc<str>,
-    pub(super) give_up_unix_ms: u64,
+    pub(super) give_up_at_ms: u64,
     pub(super) item_run: ItemRun,
     pub(super) target: Target,
     pub(super) route: Arc<Route>,
@@ -119,7 +118,9 @@
         );
     };
     let now_ms = context.node.now_ms();
-    let time_left_ms = context.give_up_unix_ms.saturating_sub(unix_ms());
+    let time_left_ms = context
+        .give_up_at_ms
+        .saturating_sub(context.node.store_now_ms());
     let options = AttemptOptions {
         kind: WorkKind::Batch,
         deadline_ms: now_ms + time_left_ms,
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -13,11 +13,11 @@
 
 use super::{
     admission::{Decision, settle_job},
+    record_codec::decode_record,
     runner,
-    storage::{JobRows, decode_record},
+    storage::JobRows,
 };
 use crate::{
-    clock::unix_ms,
     heartbeats::STOP_WRITE_TRIES,
     node::{Node, Stage},
 };
@@ -27,7 +27,7 @@
 /// Delay before the items of a job are read again after a failure.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// How long results are kept beyond the promised retention time, milliseconds.
-/// The margin allows for clock differences between instances.
+/// The margin allows for different estimates of the store's clock.
 const RETENTION_MARGIN_MS: u64 = 30_000;
 /// Time before the deadline of [`release_jobs`] at which running items are aborted, so
 /// that the jobs can still be released.
@@ -47,7 +47,7 @@
         node.directory.borrow_mut().remove_job(&id, node.now_ms());
         return;
     }
-    match decode_record(row) {
+    match decode_record(node, row) {
         Ok(record) => apply_record(node, &id, record, row.version),
         Err(error) => log::error!(
             "event=job_unreadable job={id} error={}",
@@ -261,13 +261,13 @@
 async fn remove_expired_jobs(node: &Rc<Node>) {
     let retention_ms = node.settings().result_retention_ms + RETENTION_MARGIN_MS;
     let now_ms = node.now_ms();
-    let now_unix_ms = unix_ms();
+    let store_now_ms = node.store_now_ms();
     let expired: Vec<_> = {
         let directory = node.directory.borrow();
         directory
             .jobs()
             .filter(|job| !job.record.is_open())
-            .filter(|job| now_unix_ms > job.record.accepted_unix_ms + retention_ms)
+            .filter(|job| store_now_ms > job.record.accepted_at_ms + retention_ms)
             .filter(|job| directory.is_first_candidate(&job.id, now_ms))
             .map(|job| (job.id.clone(), job.version))
             .collect()
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -17,10 +17,7 @@
 };
 
 use super::{item_run, writes};
-use crate::{
-    clock::unix_ms,
-    node::{Node, Stage},
-};
+use crate::node::{Node, Stage};
 
 /// Interval between scheduling passes while items wait for free slots.
 const BUSY_INTERVAL: Duration = Duration::from_millis(100);
@@ -209,15 +206,14 @@
     }
 
     /// Preempts the least urgent runs at an upstream, at most `count` of them.
-    pub(crate) fn preempt_runs(&self, upstream: &UpstreamId, count: u32) {
-        let now_unix_ms = unix_ms();
+    pub(crate) fn preempt_runs(&self, upstream: &UpstreamId, count: u32, store_now_ms: u64) {
         let candidates = self
             .runs
             .iter()
             .filter(|run| run.upstream == *upstream)
             .filter_map(|run| {
                 let job = &self.jobs[self.find_job(&run.job).ok()?];
-                Some((self.urgency(job, run.item_index, now_unix_ms), run))
+                Some((self.urgency(job, run.item_index, store_now_ms), run))
             });
         for run in runs_to_preempt(candidates, count) {
             log::info!(
@@ -231,8 +227,12 @@
 
     /// Returns the items that are ready to start and whose route exists, sorted by urgency
     /// with the most urgent first.
-    fn waiting_items(&self, routes: &RouteTable, now_ms: u64) -> Vec<WaitingItem> {
-        let now_unix_ms = unix_ms();
+    fn waiting_items(
+        &self,
+        routes: &RouteTable,
+        now_ms: u64,
+        store_now_ms: u64,
+    ) -> Vec<WaitingItem> {
         let mut waiting = Vec::new();
         for (job_index, job) in self.jobs.iter().enumerate() {
             for item_index in job.startable_items(now_ms) {
@@ -243,7 +243,7 @@
                     continue;
                 };
                 waiting.push(WaitingItem {
-                    urgency: self.urgency(job, item_index, now_unix_ms),
+                    urgency: self.urgency(job, item_index, store_now_ms),
                     job_index,
                     item_index,
                     route: Arc::clone(route),
@@ -255,20 +255,19 @@
         waiting
     }
 
-    fn urgency(&self, job: &OwnedJob, item_index: u32, now_unix_ms: u64) -> Urgency {
+    fn urgency(&self, job: &OwnedJob, item_index: u32, store_now_ms: u64) -> Urgency {
         let (tokens, events) = job.output_progress(item_index);
         let remaining_ms = self.forecast.remaining_ms(tokens, events);
-        Urgency::new(job.record().due_unix_ms, remaining_ms, now_unix_ms)
+        Urgency::new(job.record().due_at_ms, remaining_ms, store_now_ms)
     }
 
     /// Returns the upstream and the urgency of each running item.
-    fn batch_runs(&self) -> Vec<BatchRun> {
-        let now_unix_ms = unix_ms();
+    fn batch_runs(&self, store_now_ms: u64) -> Vec<BatchRun> {
         let runs = self.runs.iter().filter_map(|run| {
             let job = &self.jobs[self.find_job(&run.job).ok()?];
             Some(BatchRun {
                 upstream: run.upstream.clone(),
-                urgency: self.urgency(job, run.item_index, now_unix_ms),
+                urgency: self.urgency(job, run.item_index, store_now_ms),
             })
         });
         runs.collect()
@@ -308,11 +307,17 @@
 fn schedule_once(node: &Rc<Node>) {
     node.runner.borrow_mut().drop_inactive_jobs();
     for (upstream, count) in node.upstreams.borrow().preemptions() {
-        node.runner.borrow().preempt_runs(&upstream, count);
+        let store_now_ms = node.store_now_ms();
+        node.runner
+            .borrow()
+            .preempt_runs(&upstream, count, store_now_ms);
     }
     give_up_items(node);
     if let Some(routes) = node.routes() {
-        let mut waiting = node.runner.borrow().waiting_items(&routes, node.now_ms());
+        let mut waiting =
+            node.runner
+                .borrow()
+                .waiting_items(&routes, node.now_ms(), node.store_now_ms());
         // The batch plan takes the queue of this instance into account, so the queue is
         // updated first.
         update_batch_queue(node, &waiting);
@@ -326,9 +331,9 @@
 /// Gives up items whose deadline has passed or whose route was removed.
 fn give_up_items(node: &Node) {
     let Some(routes) = node.routes() else { return };
-    let now_unix_ms = unix_ms();
+    let store_now_ms = node.store_now_ms();
     for job in &mut node.runner.borrow_mut().jobs {
-        if now_unix_ms >= job.record().give_up_unix_ms {
+        if store_now_ms >= job.record().give_up_at_ms {
             job.give_up_unfinished();
         }
         let host = job.record().host.clone();
@@ -374,7 +379,7 @@
         node: Rc::clone(node),
         job: id.clone(),
         host: Arc::clone(&job.record().host),
-        give_up_unix_ms: job.record().give_up_unix_ms,
+        give_up_at_ms: job.record().give_up_at_ms,
         item_run,
         target,
         route: Arc::clone(&item.route),
@@ -411,7 +416,7 @@
     let demands = waiting.iter();
     let demands = demands.map(|item| (service_hash(&item.service), item.urgency));
     let queue = BatchDemand::queue(demands);
-    let runs = node.runner.borrow().batch_runs();
+    let runs = node.runner.borrow().batch_runs(node.store_now_ms());
     let mut upstreams = node.upstreams.borrow_mut();
     upstreams.set_batch_runs(&runs);
     if *upstreams.batch_queue() != *queue {
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -13,8 +13,9 @@
 use platform::{
     Row, RowChange, RowCondition, RowId, RowRange, StoreError, TransactOutcome, Transaction,
 };
-use serde_json::{from_slice, to_vec};
+use serde_json::to_vec;
 
+use super::record_codec::decode_record;
 use crate::node::Node;
 
 /// Table of the job records.
@@ -115,7 +116,7 @@
         {
             TransactOutcome::Committed { version } => Ok(InsertOutcome::Inserted { version }),
             TransactOutcome::Conflict { rows } => {
-                let (record, version) = current_job_record(&rows)?
+                let (record, version) = current_job_record(self.node, &rows)?
                     .ok_or_else(|| StoreError::Protocol("conflict has no record".to_owned()))?;
                 Ok(InsertOutcome::Exists { record, version })
             }
@@ -152,7 +153,7 @@
         };
         Ok(match self.node.transact(&transaction, self.tries).await? {
             TransactOutcome::Committed { .. } => RemoveOutcome::Removed,
-            TransactOutcome::Conflict { rows } => match current_job_record(&rows)? {
+            TransactOutcome::Conflict { rows } => match current_job_record(self.node, &rows)? {
                 Some((record, version)) => RemoveOutcome::Changed { record, version },
                 // An earlier try of the same removal took effect after all.
                 None => RemoveOutcome::Removed,
@@ -168,7 +169,7 @@
     ) -> Result<Option<(JobRecord, u64)>, StoreError> {
         let range = RowRange::of_row(&row_id(JOBS_TABLE, id, id.as_str()));
         let page = self.node.read_rows(&range).await?;
-        current_job_record(&page.rows)
+        current_job_record(self.node, &page.rows)
     }
 
     /// Replaces the record and saves partial outputs in one transaction, if the stored
@@ -337,7 +338,7 @@
         Ok(match self.node.transact(&transaction, self.tries).await? {
             TransactOutcome::Committed { version } => CommitOutcome::Committed { version },
             TransactOutcome::Conflict { rows } => {
-                CommitOutcome::Conflict(current_job_record(&rows)?)
+                CommitOutcome::Conflict(current_job_record(self.node, &rows)?)
             }
         })
     }
@@ -410,11 +411,6 @@
     }
 }
 
-/// Decodes a job record from its row.
-pub(crate) fn decode_record(row: &Row) -> Result<JobRecord, StoreError> {
-    from_slice(&row.value).map_err(|error| StoreError::Protocol(error.to_string()))
-}
-
 /// Returns the partition of all rows of a job.
 fn partition(id: &JobId) -> &'static str {
     let byte_sum: usize = id.as_str().bytes().map(usize::from).sum();
@@ -431,11 +427,11 @@
 
 /// Returns the job record among `rows` and its version, or `None` if `rows` contains no
 /// job record or only a removed one.
-fn current_job_record(rows: &[Row]) -> Result<Option<(JobRecord, u64)>, StoreError> {
+fn current_job_record(node: &Node, rows: &[Row]) -> Result<Option<(JobRecord, u64)>, StoreError> {
     let row = rows
         .iter()
         .find(|row| *row.table == *JOBS_TABLE && !row.is_removed && row.version > 0);
-    row.map(|row| Ok((decode_record(row)?, row.version)))
+    row.map(|row| Ok((decode_record(node, row)?, row.version)))
         .transpose()
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 };
 
 use gateway::{Locality, Preemption, RouteTable, Target, UpstreamTable};
-use ledger::{Directory, OwnerId};
+use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
 use platform::{Settings, Store};
 use tokio::{
@@ -38,6 +38,8 @@
     pub(crate) clock: Clock,
     pub(crate) store: Store,
     pub(crate) store_health: StoreHealth,
+    /// Clock on which the times of jobs are kept.
+    pub(crate) store_clock: Cell<StoreClock>,
     pub(crate) metrics: Metrics,
     /// Routes of the configuration in force; `None` until one has been read.
     routes: RefCell<Option<Arc<RouteTable>>>,
@@ -114,6 +116,7 @@
             metrics: Metrics::new(store.call_counts()),
             store,
             store_health: StoreHealth::default(),
+            store_clock: Cell::default(),
             settings: RefCell::new(Rc::new(settings)),
             clock: Clock::new(),
             routes: RefCell::default(),
@@ -176,7 +179,11 @@
     pub(crate) fn apply_preemption(&self, target: &Target, preemption: Preemption) {
         match preemption {
             Preemption::Nothing => {}
-            Preemption::Own => self.runner.borrow().preempt_runs(&target.upstream, 1),
+            Preemption::Own => {
+                self.runner
+                    .borrow()
+                    .preempt_runs(&target.upstream, 1, self.store_now_ms());
+            }
             Preemption::Peers(owners) => {
                 self.owners_to_notify.borrow_mut().extend(owners);
                 self.owners_to_notify_changed.notify_one();
@@ -218,6 +225,20 @@
         *self.stage.borrow()
     }
 
+    /// Records what the store's clock read when it sent an answer that has just arrived.
+    pub(crate) fn record_store_time(&self, store_ms: Option<u64>) {
+        if let Some(store_ms) = store_ms {
+            let mut clock = self.store_clock.get();
+            clock.record_answer(store_ms, self.now_ms());
+            self.store_clock.set(clock);
+        }
+    }
+
+    /// Returns the current time of the store's clock, in milliseconds.
+    pub(crate) fn store_now_ms(&self) -> u64 {
+        self.store_clock.get().at(self.now_ms())
+    }
+
     /// Returns the current time, in milliseconds since the start of the process.
     pub(crate) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -50,6 +50,9 @@
                 page = store.rows(range) => self.record_outcome(&range.table, began_ms, page),
                 _ = recoveries.changed() => continue,
             };
+            if let Ok(page) = &page {
+                self.record_store_time(page.store_now_ms);
+            }
             tries += 1;
             let is_answered = !matches!(page, Err(StoreError::Unknown(_)));
             if is_answered || tries >= READ_TRIES_MAX || self.store_health.is_unreachable() {
--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use http::StatusCode;
 use nix::sys::signal::Signal;
@@ -296,3 +299,34 @@
     let runs = send_request(address, "GET", "/standin/runs", &[], Vec::new()).await;
     assert_eq!(runs.unwrap().body, "{}");
 }
+
+/// Jobs that an earlier version of the program stored have times in Unix milliseconds and
+/// no tokens. They must run to their end after an upgrade.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_stored_by_earlier_version_completes() {
+    let mut cluster = TestCluster::start(&[4], 1).await;
+    let server = cluster.servers[0].standin.address();
+    let hanging_runs = json!({"kind": "hang", "path": "/batch"});
+    cluster.inject_fault(server, hanging_runs).await;
+    let answer = cluster.nodes[0]
+        .submit_job("j1", &[("i0", "/batch/x/0")])
+        .await;
+    assert_eq!(answer.status, StatusCode::ACCEPTED);
+    cluster.nodes.clear();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let now_unix_ms = u64::try_from(since_epoch.as_millis()).unwrap();
+    let record = json!({
+        "owner": null, "phase": "Open", "host": HOST, "path": "/batch/x", "item_count": 1,
+        "accepted_unix_ms": now_unix_ms, "due_unix_ms": now_unix_ms + 18_000,
+        "give_up_unix_ms": now_unix_ms + 60_000, "listed": [], "failures": []
+    });
+    cluster.put_job_record("j1", &record).await;
+    cluster.clear_faults(server).await;
+    cluster.add_node("node-1");
+    cluster.nodes[0].wait_until_ready().await;
+    let results = cluster.nodes[0].wait_for_results("j1").await;
+    assert_eq!(results[0]["output"], complete_output("i0"));
+    let runs = cluster.server_runs().await;
+    let time_left_ms = runs["i0"].last().unwrap().time_left_ms;
+    assert!(time_left_ms.is_some_and(|ms| (50_000..=60_000).contains(&ms)));
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -166,7 +166,20 @@
     }
 
     pub async fn put_row(&self, table: &str, key: &str, value: &Value) {
-        let put = json!({"table": table, "key": key, "value": BASE64.encode(value.to_string())});
+        self.put_row_in_partition(table, "", key, value).await;
+    }
+
+    /// Replaces the record of a job.
+    pub async fn put_job_record(&self, job: &str, record: &Value) {
+        let byte_sum: usize = job.bytes().map(usize::from).sum();
+        let partition = (byte_sum % 8).to_string();
+        self.put_row_in_partition("redwingtack_jobs", &partition, job, record)
+            .await;
+    }
+
+    async fn put_row_in_partition(&self, table: &str, partition: &str, key: &str, value: &Value) {
+        let value = BASE64.encode(value.to_string());
+        let put = json!({"table": table, "part": partition, "key": key, "value": value});
         self.put_rows(&json!({"puts": [put]})).await;
     }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -25,7 +25,7 @@
 use crate::{
     FaultScript, Standin,
     http::{self as server, Body, Handler, Reply},
-    table::{RangeQuery, RowBody, Tables, TransactionBody},
+    table::{RangeQuery, RowBody, Tables, TransactionBody, steady_ms},
 };
 
 /// Maximum number of rows of one response.
@@ -177,7 +177,7 @@
         }
         let version = state.tables.version();
         self.version.send_replace(version);
-        server::json_response(&json!({"ver": version, "now_ms": 0}))
+        server::json_response(&json!({"ver": version, "now_ms": steady_ms()}))
     }
 
     fn read_rows(&self, request: &Request<Bytes>) -> Response<Body> {
@@ -217,7 +217,9 @@
                 Err(()) => return server::text_response(StatusCode::GONE, "feed history gone\n"),
             }
             if timeout_at(deadline, versions.changed()).await.is_err() {
-                return server::json_response(&json!({"rows": [], "ver": after, "now_ms": 0}));
+                return server::json_response(
+                    &json!({"rows": [], "ver": after, "now_ms": steady_ms()}),
+                );
             }
         }
     }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -1,11 +1,18 @@
 //! In-memory rows of all tables, with one version counter and a change history.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::LazyLock,
+    time::Instant,
+};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+/// What the steady clock reads at the start of the process, milliseconds.
+const CLOCK_START_MS: u64 = 5_000_000_000;
+
 /// Rows of all tables and the history of their changes.
 ///
 /// Each transaction takes the next version, which is at the same time the version
@@ -144,7 +151,7 @@
             .filter_map(|id| self.row_json(id))
             .collect();
         json!({
-            "rows": rows, "has_more": ids.len() > query.limit, "ver": self.version, "now_ms": 0
+            "rows": rows, "has_more": ids.len() > query.limit, "ver": self.version, "now_ms": steady_ms()
         })
     }
 
@@ -165,7 +172,7 @@
             .filter(is_newer)
             .map(Change::json)
             .collect();
-        let page = json!({"rows": rows, "ver": self.version, "now_ms": 0});
+        let page = json!({"rows": rows, "ver": self.version, "now_ms": steady_ms()});
         Ok((!rows.is_empty()).then_some(page))
     }
 
@@ -257,3 +264,11 @@
         (self.table.clone(), self.part.clone(), self.key.clone())
     }
 }
+
+/// Returns the steady clock of the stand-in, in milliseconds. It is far from the time of
+/// day and from the uptime of any process.
+pub(crate) fn steady_ms() -> u64 {
+    static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+    let elapsed_ms = u64::try_from(STARTED.elapsed().as_millis()).unwrap_or(u64::MAX);
+    CLOCK_START_MS + elapsed_ms
+}
