--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,7 @@
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
-    notice_scheduler::{NoticeScheduler, RegionPeers, notice_pause_ms},
+    notice_scheduler::{NoticeScheduler, notice_pause_ms},
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
--- a/crates/gateway/src/notice_scheduler.rs
+++ b/crates/gateway/src/notice_scheduler.rs
@@ -1,10 +1,13 @@
-//! Which regions are sent a notice of this instance's load, and when.
+//! Which peers are sent a notice of this instance's load, and when.
 //!
 //! Load pattern: the load changes 50 times a second, and a large fleet of
 //! instances spans regions. Instances send requests to another region only when
 //! all upstreams in their own region are full, so they need not know the load
 //! of another region at once. However, the instances in the region of an
 //! upstream must know at once of requests that reach it from other regions.
+//! The peers of other regions are notified in turn, a few with each notice to
+//! the own region, so that a large fleet does not delay what the own region
+//! needs.
 
 use model::Region;
 
@@ -22,32 +25,26 @@
 /// there are, the less often each of them is notified. That is acceptable
 /// because a smaller share of their requests leaves a region.
 const REMOTE_NOTICES_PER_S: u64 = 150;
-/// Maximum time between two notices to another region, milliseconds. It is a
-/// third of the time after which a silent peer counts as idle.
-const REMOTE_INTERVAL_MAX_MS: u64 = 500;
-
-/// Number of peers in one region.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RegionPeers {
-    /// The region.
-    pub region: Region,
-    /// Number of peers.
-    pub count: u64,
-}
+/// Maximum number of notices to other regions in a row, which fall due while
+/// this instance sends nothing.
+const REMOTE_BURST: u64 = 50;
 
-/// Decides which regions are due for a notice, from the last notice that each
-/// of them was sent.
+/// Decides which peers are due for a notice, from the last notices that were
+/// sent.
 #[derive(Debug, Default)]
 pub struct NoticeScheduler {
     /// Sorted by region.
     rows: Vec<RegionState>,
+    /// Position among the peers of other regions at which the next turn begins.
+    next_remote: usize,
+    /// Until when notices to other regions in turn have been sent.
+    remote_sent_until_ms: u64,
 }
 
-/// The last notice to a region.
+/// What a region was last told of this instance's load in it.
 #[derive(Debug)]
 struct RegionState {
     region: Region,
-    notified_ms: u64,
     loads: Vec<OwnLoad>,
 }
 
@@ -60,56 +57,72 @@
 }
 
 impl NoticeScheduler {
-    /// Returns the regions that are due for a notice and records them as
-    /// notified. The region of this instance is always due.
-    pub fn due_regions(
+    /// Returns the indices of the peers that are due for a notice and records them
+    /// as notified. `peer_regions` has the region of each peer, in an order that
+    /// changes little. Due are the peers in the region of this instance, those in
+    /// regions in which its load has changed, and some of the others in turn.
+    pub fn due_peers(
         &mut self,
         table: &UpstreamTable,
-        regions: &[RegionPeers],
+        peer_regions: &[Region],
         now_ms: u64,
-    ) -> Vec<Region> {
+    ) -> Vec<usize> {
         let own_region = &table.locality.region;
-        let remote = regions.iter().filter(|peers| peers.region != *own_region);
-        let interval_ms = remote_interval_ms(remote.map(|peers| peers.count).sum());
-        let region_names = regions.iter().map(|peers| &peers.region);
-        let due = region_names.filter(|region| {
-            let is_interval_over = |row: &RegionState| now_ms >= row.notified_ms + interval_ms;
-            self.notify_if_due(table, region, now_ms, |row| {
-                row.region == *own_region || is_interval_over(row)
-            })
-        });
-        due.cloned().collect()
+        let changed = self.record_changed_regions(table, peer_regions);
+        let is_always_due =
+            |region: &Region| region == own_region || changed.binary_search(region).is_ok();
+        let (mut due, others): (Vec<_>, Vec<_>) = peer_regions
+            .iter()
+            .enumerate()
+            .partition(|(_, region)| is_always_due(region));
+        let remote_count = self.take_remote_turn(others.len(), now_ms);
+        let first = self.next_remote;
+        let in_turn = others.iter().cycle().skip(first % others.len().max(1));
+        due.extend(in_turn.take(remote_count));
+        self.next_remote = (first + remote_count) % others.len().max(1);
+        due.into_iter().map(|(index, _)| index).collect()
     }
 
-    /// Records a region as notified if the load of this instance in it changed
-    /// or `is_due` returns true. Returns whether the region was recorded.
-    fn notify_if_due(
+    /// Returns the regions in which the load of this instance differs from what they
+    /// were last told, sorted, and records that they are told now.
+    fn record_changed_regions(
         &mut self,
         table: &UpstreamTable,
-        region: &Region,
-        now_ms: u64,
-        is_due: impl Fn(&RegionState) -> bool,
-    ) -> bool {
-        let current = RegionState {
-            region: region.clone(),
-            notified_ms: now_ms,
-            loads: table.own_loads_in(region),
-        };
+        peer_regions: &[Region],
+    ) -> Vec<Region> {
+        let mut regions = peer_regions.to_vec();
+        regions.sort_unstable();
+        regions.dedup();
+        regions.retain(|region| self.record_if_changed(table, region));
+        regions
+    }
+
+    fn record_if_changed(&mut self, table: &UpstreamTable, region: &Region) -> bool {
+        let loads = table.own_loads_in(region);
         match self.rows.binary_search_by(|row| row.region.cmp(region)) {
             Ok(index) => {
-                let row = &mut self.rows[index];
-                let is_notified = row.loads != current.loads || is_due(row);
-                if is_notified {
-                    *row = current;
-                }
-                is_notified
+                let is_changed = self.rows[index].loads != loads;
+                self.rows[index].loads = loads;
+                is_changed
             }
             Err(index) => {
-                self.rows.insert(index, current);
+                let region = region.clone();
+                self.rows.insert(index, RegionState { region, loads });
                 true
             }
         }
     }
+
+    /// Returns how many of `count` peers of other regions are notified in turn now.
+    fn take_remote_turn(&mut self, count: usize, now_ms: u64) -> usize {
+        let oldest_ms = now_ms.saturating_sub(REMOTE_BURST * 1_000 / REMOTE_NOTICES_PER_S);
+        let since_ms = self.remote_sent_until_ms.max(oldest_ms);
+        let due = (now_ms.saturating_sub(since_ms) * REMOTE_NOTICES_PER_S / 1_000)
+            .min(count as u64);
+        // Fractions of a notice stay due.
+        self.remote_sent_until_ms = since_ms + due * 1_000 / REMOTE_NOTICES_PER_S;
+        usize::try_from(due).unwrap_or(count)
+    }
 }
 
 /// Returns the pause after `count` notices that keeps the rate limit,
@@ -125,10 +138,9 @@
     round_count(f64::from(row.online()) * timings.remote_staleness_ms / timings.online_hold_ms)
 }
 
-/// Returns the time between notices to other regions in which the load of this
-/// instance does not change, milliseconds.
-fn remote_interval_ms(remote_peers: u64) -> u64 {
-    (remote_peers * 1_000 / REMOTE_NOTICES_PER_S).min(REMOTE_INTERVAL_MAX_MS)
+/// Returns the time in which each of `remote_peers` is notified once, milliseconds.
+pub(crate) fn remote_interval_ms(remote_peers: u64) -> u64 {
+    remote_peers * 1_000 / REMOTE_NOTICES_PER_S
 }
 
 impl UpstreamTable {
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -6,7 +6,7 @@
 
 use model::UpstreamId;
 
-use crate::{LoadNotice, UpstreamLoad, UpstreamTable, upstream_table::UpstreamRow};
+use crate::{LoadNotice, UpstreamLoad, UpstreamTable, upstream_table::{UpstreamRow, round_ms}};
 
 /// Requests in flight at one upstream, as known to this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,7 +69,12 @@
 
     /// Removes peers that have been silent for too long, and their loads.
     pub(crate) fn expire_peers(&mut self, now_ms: u64) {
-        for notice in self.peer_notices.expire(now_ms) {
+        let remote_interval_ms = round_ms(self.remote_staleness_ms());
+        let own_region = &self.locality.region;
+        let silent = self
+            .peer_notices
+            .expire(own_region, remote_interval_ms, now_ms);
+        for notice in silent {
             self.update_peer_loads(&notice.loads, PeerLoad::remove);
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,9 +13,11 @@
 use crate::BatchDemand;
 
 /// Time after which a silent peer counts as having nothing in flight,
-/// milliseconds. It is three times the maximum time between notices to another
-/// region.
+/// milliseconds. It is three times the maximum time between two notices.
 const NOTICE_LIFETIME_MS: u64 = 1_500;
+/// The same for a peer of another region, as a multiple of the time in which
+/// each of these peers sends a notice.
+const REMOTE_LIFETIME_INTERVALS: u64 = 3;
 
 /// Notice of what one instance has in flight, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,9 +126,23 @@
     }
 
     /// Removes peers that have been silent for too long, and returns their last
-    /// notices.
-    pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<LoadNotice> {
-        let is_silent = |row: &mut PeerRow| row.received_ms + NOTICE_LIFETIME_MS <= now_ms;
+    /// notices. Peers outside `own_region` are notified every `remote_interval_ms`.
+    pub(crate) fn expire(
+        &mut self,
+        own_region: &Region,
+        remote_interval_ms: u64,
+        now_ms: u64,
+    ) -> Vec<LoadNotice> {
+        let remote_lifetime_ms =
+            NOTICE_LIFETIME_MS.max(remote_interval_ms * REMOTE_LIFETIME_INTERVALS);
+        let is_silent = |row: &mut PeerRow| {
+            let lifetime_ms = if row.notice.region == *own_region {
+                NOTICE_LIFETIME_MS
+            } else {
+                remote_lifetime_ms
+            };
+            row.received_ms + lifetime_ms <= now_ms
+        };
         let silent = self.rows.extract_if(.., is_silent);
         silent.map(|row| row.notice).collect()
     }
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -28,6 +28,8 @@
     pub seed: u64,
     /// Number of consecutive seeds from the first.
     pub seeds: u64,
+    /// Names of the variants to run; empty for all.
+    pub variants: Vec<String>,
     /// File for the plot of the credit in each time window.
     pub plot: Option<PathBuf>,
 }
@@ -151,6 +153,10 @@
     let pattern = pattern_options();
     let seed = numeric_flag("seed", "Use N as the first seed", 1);
     let seeds = numeric_flag("seeds", "Run each variant with N consecutive seeds", 4);
+    let variants = long("variant")
+        .help("Run only the variant NAME; can be repeated")
+        .argument("NAME")
+        .many();
     let plot = long("plot")
         .help("Write a plot of the credit for timely work in each time window to PATH, as SVG")
         .argument("PATH")
@@ -159,6 +165,7 @@
         pattern,
         seed,
         seeds,
+        variants,
         plot,
     })
 }
@@ -168,12 +175,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the plot cannot be written.
+/// Returns an error if there is no variant of a given name or if the plot cannot be
+/// written.
 pub fn replay(options: &ReplayOptions) -> Result<(), String> {
     let pattern = &options.pattern;
+    let variants = chosen_variants(&options.variants)?;
     println!("replay pattern={pattern:?} seeds={}", options.seeds);
     let mut series = Vec::new();
-    for variant in VARIANTS {
+    for variant in variants {
         let tallies = run_seeds(pattern, variant, options);
         print_variant(variant, &tallies);
         if let Some(first) = tallies.first() {
@@ -186,6 +195,20 @@
     }
 }
 
+fn chosen_variants(names: &[String]) -> Result<Vec<Variant>, String> {
+    if names.is_empty() {
+        return Ok(VARIANTS.to_vec());
+    }
+    let find = |name: &String| {
+        let found = VARIANTS.iter().find(|variant| variant.name == *name);
+        found.copied().ok_or_else(|| {
+            let known: Vec<_> = VARIANTS.iter().map(|variant| variant.name).collect();
+            format!("--variant {name}: expected one of {}", known.join(", "))
+        })
+    };
+    names.iter().map(find).collect()
+}
+
 /// Runs one variant with each seed. Seeds are independent, so each run has a
 /// thread of its own.
 fn run_seeds(pattern: &Pattern, case: Variant, options: &ReplayOptions) -> Vec<Tally> {
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -3,7 +3,7 @@
 
 use gateway::{
     BatchDemand, BatchRun, LoadNotice, Locality, NoticeScheduler, Placement, PlacementRequest,
-    Preemption, RegionPeers, RunForecast, Target, UpstreamEntry, UpstreamState, UpstreamTable,
+    Preemption, RunForecast, Target, UpstreamEntry, UpstreamState, UpstreamTable,
     Urgency, WorkKind, runs_to_preempt, service_hash,
 };
 use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
@@ -23,7 +23,7 @@
     pub(super) upstream_table: UpstreamTable,
     pub(super) items: Vec<Item>,
     instance: InstanceId,
-    region: Region,
+    pub(super) region: Region,
     service: ServiceName,
     forecast: RunForecast,
     notice_schedule: NoticeScheduler,
@@ -174,13 +174,13 @@
         }
     }
 
-    /// Returns which of `regions` a load notice is due to.
-    pub(super) fn due_regions(&mut self, regions: &[RegionPeers], now_ms: u64) -> Vec<Region> {
+    /// Returns the indices of the peers to which a load notice is due.
+    pub(super) fn due_peers(&mut self, peer_regions: &[Region], now_ms: u64) -> Vec<usize> {
         if self.ablation == Some(Ablation::NoticeScheduling) {
-            return regions.iter().map(|peers| peers.region.clone()).collect();
+            return (0..peer_regions.len()).collect();
         }
         self.notice_schedule
-            .due_regions(&self.upstream_table, regions, now_ms)
+            .due_peers(&self.upstream_table, peer_regions, now_ms)
     }
 
     /// Returns a load notice for the other instances.
--- a/crates/load/src/replay/simulation/ticks.rs
+++ b/crates/load/src/replay/simulation/ticks.rs
@@ -3,13 +3,13 @@
 
 use std::rc::Rc;
 
-use gateway::{LoadNotice, RegionPeers, Target, notice_pause_ms};
+use gateway::{LoadNotice, Target, notice_pause_ms};
 use model::{InstanceId, Region};
 
 use super::{
     super::{
         arrivals::RequestSize,
-        scheduler::{Action, ItemState, instance_index, region_name},
+        scheduler::{Action, ItemState, instance_index},
     },
     Ablation, Event, LastNotice, NoticeDelay, SequenceWork, Simulation, TICK_US, US_PER_MS,
 };
@@ -70,7 +70,7 @@
         self.share_state_at_once(instance);
     }
 
-    /// Sends a load notice to the regions that are due, if the pause since the
+    /// Sends a load notice to the peers that are due, if the pause since the
     /// last notice is over and the load has changed or the maximum interval has
     /// passed.
     fn send_notice(&mut self, instance: usize) {
@@ -88,15 +88,14 @@
             return;
         }
         let notice = Rc::new(scheduler.notice());
-        let regions = self.pattern.regions;
-        let peers = self.region_peers();
         let now_ms = self.now_ms();
-        let due = self.schedulers[instance].due_regions(&peers, now_ms);
-        let is_due = |other: &usize| {
-            let region = Region::new(&region_name(other % regions));
-            *other != instance && due.binary_search(&region).is_ok()
-        };
-        let recipients: Vec<_> = (0..self.schedulers.len()).filter(is_due).collect();
+        let peers: Vec<_> = (0..self.schedulers.len())
+            .filter(|other| *other != instance)
+            .collect();
+        let regions = peers.iter().map(|peer| self.region_of(*peer));
+        let regions: Vec<_> = regions.collect();
+        let due = self.schedulers[instance].due_peers(&regions, now_ms);
+        let recipients: Vec<_> = due.into_iter().map(|index| peers[index]).collect();
         self.last_notices[instance] = LastNotice {
             at_us: self.now_us,
             pause_us: notice_pause_ms(recipients.len()) * US_PER_MS,
@@ -138,17 +137,8 @@
         }
     }
 
-    /// Returns the number of instances in each region, sorted by region.
-    fn region_peers(&self) -> Vec<RegionPeers> {
-        let (instances, regions) = (self.schedulers.len(), self.pattern.regions);
-        let mut peers: Vec<_> = (0..regions)
-            .map(|region| RegionPeers {
-                region: Region::new(&region_name(region)),
-                count: (instances / regions) as u64,
-            })
-            .collect();
-        peers.sort_by(|a, b| a.region.cmp(&b.region));
-        peers
+    fn region_of(&self, instance: usize) -> Region {
+        self.schedulers[instance].region.clone()
     }
 
     /// If notices have no delay, sends the changed state of an instance to all
