node: only the repeat of an undecided job waits for its loading

Found when reading the change again: the repeat of an admitted job waited until this instance had read the items, which may last as long as an outage of the store. An admitted job is acknowledged at once, as before.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -124,8 +124,10 @@
     id: &JobId,
     answer_by_ms: u64,
 ) -> Option<Response<AnswerBody>> {
-    node.directory.borrow().job(id)?;
-    wait_until_loaded(node, id, answer_by_ms).await;
+    let is_admitted = node.directory.borrow().job(id)?.record.is_admitted;
+    if !is_admitted {
+        wait_until_loaded(node, id, answer_by_ms).await;
+    }
     let decision = settle_job(node, id, answer_by_ms).await;
     answer_decision(node, id, decision)
 }
