--- a/crates/gateway/src/notice_scheduler.rs
+++ b/crates/gateway/src/notice_scheduler.rs
@@ -152,7 +152,7 @@
 }
 
 /// Returns the time in which each of `remote_peers` is notified once, milliseconds.
-pub(crate) fn remote_interval_ms(remote_peers: u64) -> u64 {
+fn remote_interval_ms(remote_peers: u64) -> u64 {
     remote_peers * 1_000 / REMOTE_NOTICES_PER_S
 }
 
@@ -165,7 +165,7 @@
         row: &UpstreamRow,
         timings: TimingEstimates,
     ) -> u32 {
-        if self.region_of(&row.entry.failure_domain) == Some(&self.locality.region) {
+        if self.is_in_own_region(row) {
             0
         } else {
             unreported_online(row, timings)
@@ -191,6 +191,7 @@
         as_f64(pause_ms - PAUSE_MIN_MS) / 2.0
     }
 
+    /// Returns whether an upstream is in the region of this instance.
     pub(crate) fn is_in_own_region(&self, row: &UpstreamRow) -> bool {
         self.region_of(&row.entry.failure_domain) == Some(&self.locality.region)
     }
--- a/crates/ledger/src/waiting_tokens.rs
+++ b/crates/ledger/src/waiting_tokens.rs
@@ -14,7 +14,7 @@
 //! a job is *undecided* for a short time, in which jobs with higher versions that would
 //! fit without it wait. Afterwards it counts as admitted.
 
-use std::{cmp::Ordering, sync::Arc};
+use std::sync::Arc;
 
 use model::JobId;
 
@@ -246,7 +246,7 @@
         let excess = (waiting + request.tokens).saturating_sub(request.tokens_max);
         let tokens_per_ms = self.finished.tokens_per_ms(now_ms);
         let delay_ms = to_f64(excess) / tokens_per_ms;
-        matches!(tokens_per_ms.partial_cmp(&0.0), Some(Ordering::Greater)).then_some(delay_ms)
+        (tokens_per_ms > 0.0).then_some(delay_ms)
     }
 }
 
