Log the prompt parts of each attempt and whether an upstream crashed

The parts of a prompt are decoded in platform/, request_sent and item_sent name the shared ones, and upstream_crashed says that nobody listens any more where an answer broke off. No decision changes.

--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -47,6 +47,16 @@
         })
     }
 
+    /// Returns whether an upstream is registered as ready and has not said that it is
+    /// leaving, so that its end would not be a planned one.
+    #[must_use]
+    pub fn is_in_service(&self, target: &Target) -> bool {
+        self.find(&target.upstream).is_ok_and(|index| {
+            let row = &self.rows[index];
+            row.is_ready() && row.entry.started_unix_ms == target.started_unix_ms
+        })
+    }
+
     /// Returns the upstreams that said that they are leaving, for notices to peers.
     #[must_use]
     pub fn leaving_upstreams(&self) -> Vec<LeavingUpstream> {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod name;
 mod notice;
+mod prompt;
 mod view;
 
 pub use crate::{
@@ -33,6 +34,7 @@
         UpstreamId,
     },
     notice::DispatchNotice,
+    prompt::{PromptPart, PromptPartId, shared_parts},
     view::{
         InstanceEntry, InstanceRole, Liveness, UpstreamEntry, UpstreamKind, View, ViewRevision,
     },
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -8,10 +8,12 @@
 use http::{HeaderMap, Method, Request, Response, Uri, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use model::PromptPartId;
 use tokio::time::timeout_at;
 
 use crate::{
     connection_pool::{Connection, connect},
+    crash_detection,
     forward::forwarded_headers,
     node::Node,
 };
@@ -32,6 +34,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request_id: Rc<str>,
+    /// Parts of the prompt that other requests may share, sorted.
+    pub(crate) shared_parts: Rc<[PromptPartId]>,
 }
 
 impl OutgoingRequest {
@@ -44,9 +48,16 @@
             headers: forwarded_headers(&parts.headers),
             body,
             request_id: Rc::from(request_id),
+            shared_parts: Rc::default(),
         }
     }
 
+    /// Sets the parts of the prompt that other requests may share, sorted.
+    pub(crate) fn with_shared_parts(mut self, parts: Vec<PromptPartId>) -> Self {
+        self.shared_parts = parts.into();
+        self
+    }
+
     /// Returns whether the body is small enough to have been sent in full before an
     /// answer arrives.
     fn has_small_body(&self) -> bool {
@@ -105,12 +116,18 @@
     node: Rc<Node>,
     pub(crate) target: Target,
     kind: WorkKind,
+    shared_parts: Rc<[PromptPartId]>,
     started_ms: u64,
 }
 
 impl InFlightGuard {
     /// Counts a request as in flight at `target`.
-    pub(crate) fn new(node: &Rc<Node>, target: Target, kind: WorkKind) -> Self {
+    pub(crate) fn new(
+        node: &Rc<Node>,
+        target: Target,
+        kind: WorkKind,
+        shared_parts: Rc<[PromptPartId]>,
+    ) -> Self {
         let started_ms = node.now_ms();
         node.upstreams
             .borrow_mut()
@@ -121,6 +138,7 @@
             node: Rc::clone(node),
             target,
             kind,
+            shared_parts,
             started_ms,
         }
     }
@@ -140,6 +158,13 @@
             .borrow_mut()
             .record_failure(&self.target, now_ms);
     }
+
+    /// Records that the upstream failed the request and that its answer is lost, which
+    /// may mean that the upstream crashed.
+    pub(crate) fn record_lost_answer(&self) {
+        self.record_failure();
+        crash_detection::check_upstream(&self.node, &self.target, &self.shared_parts);
+    }
 }
 
 impl Drop for InFlightGuard {
@@ -179,7 +204,8 @@
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
 ) -> Result<UpstreamAnswer, AttemptFailure> {
-    let in_flight = InFlightGuard::new(node, target.clone(), options.kind);
+    let shared_parts = Rc::clone(&outgoing.shared_parts);
+    let in_flight = InFlightGuard::new(node, target.clone(), options.kind, shared_parts);
     send_counted_attempt(node, in_flight, outgoing, options).await
 }
 
@@ -212,10 +238,11 @@
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let was_sent = error.take_message().is_none();
-            in_flight.record_failure();
             let end = if was_sent {
+                in_flight.record_lost_answer();
                 AttemptEnd::Broken
             } else {
+                in_flight.record_failure();
                 AttemptEnd::NotSent
             };
             return Err(AttemptFailure::new(end, error.error()));
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -9,12 +9,13 @@
     Route, Target, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
-use model::ServiceName;
+use model::{ServiceName, shared_parts};
 use platform::RequestHeaders;
 
 use crate::{
     answer::{self, AnswerBody},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
+    crash_detection::join_parts,
     node::Node,
     relay::Relay,
 };
@@ -75,7 +76,8 @@
     let request = OnlineRequest {
         node: Rc::clone(node),
         service,
-        outgoing: OutgoingRequest::new(parts, body, &request_headers.request_id),
+        outgoing: OutgoingRequest::new(parts, body, &request_headers.request_id)
+            .with_shared_parts(shared_parts(&request_headers.prompt_parts)),
         retries: RetryState::new(Arc::clone(&route), deadline_ms),
         route,
         arrived_ms,
@@ -169,12 +171,13 @@
             } => {
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
-                    "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={}",
+                    "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} shared_parts={}",
                     self.outgoing.request_id,
                     self.route.name,
                     target.upstream,
                     self.deadline_ms.saturating_sub(now_ms),
-                    self.node.store_health.time_since_answer_ms(now_ms)
+                    self.node.store_health.time_since_answer_ms(now_ms),
+                    join_parts(&self.outgoing.shared_parts)
                 );
                 Ok((target, expected_ms))
             }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use ledger::{ItemRun, PartialOutput, RunOutcome};
-use model::JobId;
+use model::{JobId, PromptPartId};
 use tokio::{sync::Notify, time::timeout_at};
 
 use super::runner;
@@ -15,6 +15,7 @@
     attempt::{
         AttemptOptions, InFlightGuard, OutgoingRequest, UpstreamAnswer, send_counted_attempt,
     },
+    crash_detection::join_parts,
     node::Node,
 };
 
@@ -32,6 +33,8 @@
     pub(super) host: Arc<str>,
     pub(super) give_up_at_ms: u64,
     pub(super) item_run: ItemRun,
+    /// Parts of the item's prompt that other requests may share, sorted.
+    pub(super) shared_parts: Rc<[PromptPartId]>,
     pub(super) target: Target,
     pub(super) route: Arc<Route>,
     /// Signals the run to end so that an online request gets its slot.
@@ -58,7 +61,12 @@
 impl RunContext {
     /// Counts the item as in flight at its upstream.
     pub(super) fn count_in_flight(self) -> CountedRun {
-        let in_flight = InFlightGuard::new(&self.node, self.target.clone(), WorkKind::Batch);
+        let in_flight = InFlightGuard::new(
+            &self.node,
+            self.target.clone(),
+            WorkKind::Batch,
+            Rc::clone(&self.shared_parts),
+        );
         CountedRun {
             partial: self.item_run.partial.clone(),
             context: self,
@@ -130,11 +138,12 @@
         is_retryable: true,
     };
     log::info!(
-        "event=item_sent job={} item={} upstream={} after_event={} left_ms={time_left_ms}",
+        "event=item_sent job={} item={} upstream={} after_event={} left_ms={time_left_ms} shared_parts={}",
         context.job,
         context.item_run.item.id,
         context.target.upstream,
-        partial.last_event.unwrap_or(0)
+        partial.last_event.unwrap_or(0),
+        join_parts(&context.shared_parts)
     );
     let answer = match send_counted_attempt(&context.node, in_flight, &outgoing, options).await {
         Ok(answer) => answer,
@@ -166,7 +175,7 @@
                 return (RunOutcome::Done, reason);
             }
             Progress::Ended(outcome, reason) => {
-                answer.in_flight.record_failure();
+                answer.in_flight.record_lost_answer();
                 return (outcome, reason);
             }
         }
@@ -211,5 +220,6 @@
         headers: platform::item_headers(item, &context.host),
         body: platform::encode_item_body(item),
         request_id: Rc::from(&*item.id),
+        shared_parts: Rc::clone(&context.shared_parts),
     })
 }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -9,7 +9,7 @@
     runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
-use model::{JobId, ServiceName, UpstreamId};
+use model::{JobId, ServiceName, UpstreamId, shared_parts};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
@@ -380,6 +380,7 @@
         job: id.clone(),
         host: Arc::clone(&job.record().host),
         give_up_at_ms: job.record().give_up_at_ms,
+        shared_parts: shared_parts(&platform::item_prompt_parts(&item_run.item)).into(),
         item_run,
         target,
         route: Arc::clone(&item.route),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -25,6 +25,7 @@
 mod attempt;
 mod clock;
 mod connection_pool;
+mod crash_detection;
 mod dispatch;
 mod feeds;
 mod forward;
