--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -255,6 +255,25 @@
         }
     }
 
+    /// Makes every server crash as soon as it answers a request whose prompt has a part.
+    pub async fn make_part_crash_servers(&self, part: &str) {
+        let path = format!("/standin/crash?part={part}");
+        for server in &self.servers {
+            let answer = send_request(server.standin.address(), "POST", &path, &[], Vec::new());
+            assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+        }
+    }
+
+    /// Returns the number of servers that nobody can connect to.
+    pub async fn crashed_count(&self) -> usize {
+        let mut count = 0;
+        for server in &self.servers {
+            let connected = TcpStream::connect(server.standin.address()).await;
+            count += usize::from(connected.is_err());
+        }
+        count
+    }
+
     /// Makes a server say in all its answers that it is leaving.
     pub async fn make_server_leave(&self, index: usize) {
         let address = self.servers[index].standin.address();
@@ -362,6 +381,21 @@
         .unwrap()
     }
 
+    /// Like [`NodeProcess::send_stream_request`], for a prompt with these parts, such as
+    /// `a1:200,b2:50`.
+    pub async fn send_prompt(&self, path: &str, id: &str, parts: &str) -> Answer {
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", id),
+            ("redwingtack-deadline-ms", "4000"),
+            ("redwingtack-prompt-prefix", parts),
+        ];
+        let body = b"prompt".to_vec();
+        send_request(self.callers_address, "POST", path, &headers, body)
+            .await
+            .unwrap()
+    }
+
     /// Submits a job with a deadline of 4 s. `items` are pairs of id and path.
     pub async fn submit_job(&self, id: &str, items: &[(&str, &str)]) -> Answer {
         let headers = [
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -4,8 +4,9 @@
 //!
 //! `GET /standin/runs` returns the runs of each request, `GET /standin/running`
 //! the number of streams in progress, `POST /standin/cut?after=N` breaks the next
-//! stream after `N` events, and `POST /standin/leave` makes the server say in all its
-//! answers that it is leaving.
+//! stream after `N` events, `POST /standin/leave` makes the server say in all its
+//! answers that it is leaving, and `POST /standin/crash?part=ID` makes it crash as soon as
+//! it answers a request whose prompt has the part `ID`.
 
 use std::{
     collections::BTreeMap,
@@ -24,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    FaultScript, Standin,
+    Fault, FaultKind, FaultScript, Standin,
     http::{self as server, Body, Handler, Reply},
 };
 
@@ -34,6 +35,9 @@
 /// says that no server can answer it.
 const IMPOSSIBLE_PATH_PART: &str = "impossible";
 
+/// How long a server that crashed stays down, milliseconds.
+const CRASH_MS: u64 = 600_000;
+
 /// Parameters of the stand-in event server.
 #[derive(Debug, Clone)]
 pub struct EventServerSettings {
@@ -76,7 +80,8 @@
     let listen = settings.listen;
     let event_server = EventServer {
         settings,
-        faults: FaultScript::default(),
+        faults: Arc::default(),
+        crashing_part: Mutex::default(),
         runs: Mutex::default(),
         running_count: Arc::default(),
         cut_after_events: AtomicU32::new(0),
@@ -87,7 +92,9 @@
 
 struct EventServer {
     settings: EventServerSettings,
-    faults: FaultScript,
+    faults: Arc<FaultScript>,
+    /// Part of a prompt that crashes the server.
+    crashing_part: Mutex<Option<String>>,
     runs: Mutex<EventRuns>,
     running_count: Arc<AtomicU32>,
     /// The next stream breaks after this many events; 0 if it is not to break.
@@ -121,6 +128,10 @@
                 self.is_leaving.store(true, Ordering::Release);
                 server::text_response(StatusCode::OK, "leaving\n")
             }
+            (&Method::POST, "/standin/crash") => {
+                *self.lock_crashing_part() = server::query_parameter(&request, "part");
+                server::text_response(StatusCode::OK, "set\n")
+            }
             (&Method::POST, "/standin/cut") => {
                 let after =
                     server::query_parameter(&request, "after").and_then(|value| value.parse().ok());
@@ -188,13 +199,23 @@
         let cut_after_events = u64::from(self.cut_after_events.swap(0, Ordering::AcqRel));
         let cut_event = (cut_after_events > 0).then(|| first_event + cut_after_events);
         let interval = Duration::from_millis(self.settings.interval_ms);
+        let crash = self
+            .has_crashing_part(request)
+            .then(|| Arc::clone(&self.faults));
         let id = header_str(request.headers(), "redwingtack-request-id")
             .unwrap_or("none")
             .to_owned();
         let events = stream::iter(first_event..=last_event).then(move |event| {
             let id = id.clone();
+            let crash = crash.clone();
             async move {
                 tokio::time::sleep(interval).await;
+                if let Some(faults) = crash
+                    && event > first_event
+                {
+                    faults.add(Fault::new(FaultKind::Down).with_for_ms(CRASH_MS));
+                    std::future::pending::<()>().await;
+                }
                 if cut_event == Some(event) {
                     return Err(io::Error::other(
                         "stream broken by a request to /standin/cut",
@@ -224,6 +245,19 @@
         self.lock().entry(id.to_owned()).or_default().push(run);
     }
 
+    fn has_crashing_part(&self, request: &Request<Bytes>) -> bool {
+        let crashing_part = self.lock_crashing_part();
+        let parts = header_str(request.headers(), "redwingtack-prompt-prefix").unwrap_or_default();
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| Some(id) == crashing_part.as_deref())
+    }
+
+    fn lock_crashing_part(&self) -> MutexGuard<'_, Option<String>> {
+        self.crashing_part
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, EventRuns> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
