Quarantine prompt parts that crash upstreams

Cause: whatever an upstream's crash was due to, its request counted as an ordinary lost answer. The attempt, the resumed stream, the caller's repeat at any instance and the next request with the same part each went to a further upstream. Nothing knew the parts of a prompt, and no instance knew of the others' crashes.

Fix: an answer that breaks off and an address that refuses a connection are a crash, which accuses all shared parts in flight there. The instances exchange crashes and answers with their load notices; the pieces merge in any order and are bounded. A part is quarantined once it explains three crashes that no other part explains better, without an answer in between (five, two seconds apart, if it was answered lately), and peers have had half a second to object. It rests on the part alone. Every attempt, resumed stream and item run passes the same check; requests forwarded between peers concern jobs only and end there. Now and then one request of the fleet tries the part again; an answer releases it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,10 +18,12 @@
 //! Begin reading at [`UpstreamTable`], which holds what this instance knows of
 //! the upstreams. [`UpstreamTable::place`] decides about online requests,
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
-//! failed attempts.
+//! failed attempts. [`Quarantine`] decides about requests that crash upstreams.
 
 mod attempts;
 mod batch_plan;
+mod crash_evidence;
+mod crash_suspects;
 mod events;
 mod forecast;
 mod health;
@@ -31,6 +33,7 @@
 mod peer_loads;
 mod peers;
 mod placement;
+mod quarantine;
 mod route;
 mod store_reachability;
 mod upstream;
@@ -39,6 +42,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
+    crash_evidence::{CrashReport, PartSurvival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
@@ -46,6 +50,7 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
+    quarantine::{PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     upstream::{UpstreamEntry, UpstreamState},
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -4,7 +4,8 @@
 //! second, and each of them names few upstreams. Adding up all notices again
 //! for each of them would take time proportional to peers times upstreams.
 
-use model::UpstreamId;
+use model::{InstanceId, UpstreamId};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     LoadNotice, UpstreamLoad, UpstreamTable,
@@ -70,6 +71,16 @@
         })
     }
 
+    /// Returns whether this instance is elected among itself and the peers that sent a
+    /// notice recently. For each value of `election`, about one instance is elected.
+    #[must_use]
+    pub fn is_elected(&self, election: u64) -> bool {
+        let own_rank = election_rank(&self.locality.instance, election);
+        let notices = self.peer_notices.notices();
+        let mut peers = notices.map(|notice| election_rank(&notice.instance, election));
+        peers.all(|rank| rank < own_rank)
+    }
+
     /// Removes peers that have been silent for too long, and their loads.
     pub(crate) fn expire_peers(&mut self, now_ms: u64) {
         let remote_interval_ms = round_ms(self.remote_staleness_ms());
@@ -120,6 +131,11 @@
     }
 }
 
+/// Returns the rank of an instance in an election, by rendezvous hashing.
+fn election_rank(instance: &InstanceId, election: u64) -> u64 {
+    xxh3_64(&[instance.as_str().as_bytes(), &election.to_le_bytes()].concat())
+}
+
 impl PeerLoad {
     /// Returns the sum of the loads that `notices` report for an upstream.
     pub(crate) fn new<'a>(notices: impl Iterator<Item = &'a LoadNotice>, upstream: u64) -> Self {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -114,6 +114,8 @@
     NoUpstream,
     /// The answer is expected to begin too late at every upstream.
     Saturated,
+    /// A part of the prompt crashes upstreams.
+    Quarantined,
 }
 
 /// One incarnation of an upstream.
@@ -137,6 +139,7 @@
         match self {
             Self::NoUpstream => "no_upstream",
             Self::Saturated => "saturated",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/quarantine.rs
@@ -0,0 +1,359 @@
+//! Which prompt parts are quarantined, by the crashes and answers of several instances.
+
+mod support;
+
+use gateway::{PartCheck, Quarantine, QuarantineChange, QuarantineNotice, Target, UpstreamTable};
+use model::{PromptPartId, ServiceName, UpstreamId};
+use proptest::prelude::*;
+use support::upstream_table;
+
+const BAD: u64 = 0xbad;
+const OTHER_BAD: u64 = 0xbad2;
+const COMMON: u64 = 0xc0;
+/// Interval between notices, milliseconds.
+const NOTICE_INTERVAL_MS: u64 = 100;
+/// Time in which every instance has heard of everything, milliseconds.
+const SETTLED_MS: u64 = 1_000;
+const START_MS: u64 = 100_000;
+
+fn part(id: u64) -> PromptPartId {
+    PromptPartId::new(id)
+}
+
+fn parts(ids: &[u64]) -> Vec<PromptPartId> {
+    let mut parts: Vec<_> = ids.iter().copied().map(part).collect();
+    parts.sort_unstable();
+    parts
+}
+
+fn incarnation(number: u64) -> Target {
+    Target {
+        upstream: UpstreamId::new(&format!("u{number}")),
+        service: ServiceName::new("hints"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        started_unix_ms: number,
+    }
+}
+
+/// Several instances that exchange notices.
+struct Fleet {
+    instances: Vec<Quarantine>,
+    table: UpstreamTable,
+    now_ms: u64,
+    crash_count: u64,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        Self {
+            instances: (0..size).map(|_| Quarantine::default()).collect(),
+            table: upstream_table("a", &[("u0", "north-a")]),
+            now_ms: START_MS,
+            crash_count: 0,
+        }
+    }
+
+    /// An upstream crashes. Each instance sees the parts of its own requests there.
+    fn crash(&mut self, seen: &[(usize, &[u64])]) {
+        self.crash_count += 1;
+        let target = incarnation(self.crash_count);
+        for (instance, ids) in seen {
+            self.instances[*instance].record_crash(&target, &parts(ids), self.now_ms, self.now_ms);
+        }
+    }
+
+    fn answer(&mut self, instance: usize, ids: &[u64]) {
+        self.instances[instance].record_survival(&parts(ids), self.now_ms);
+    }
+
+    /// Time passes, and every instance tells every other one what it knows again and
+    /// again.
+    fn pass(&mut self, ms: u64) -> Vec<QuarantineChange> {
+        let end_ms = self.now_ms + ms;
+        let mut changes = Vec::new();
+        while self.now_ms < end_ms {
+            self.now_ms = end_ms.min(self.now_ms + NOTICE_INTERVAL_MS);
+            changes.extend(self.exchange());
+        }
+        changes
+    }
+
+    fn exchange(&mut self) -> Vec<QuarantineChange> {
+        let notices: Vec<_> = self.notices();
+        let mut changes = Vec::new();
+        for instance in &mut self.instances {
+            for notice in &notices {
+                changes.extend(instance.receive(notice, self.now_ms));
+            }
+            changes.extend(instance.update(self.now_ms));
+        }
+        changes
+    }
+
+    fn notices(&self) -> Vec<QuarantineNotice> {
+        let notices = self.instances.iter();
+        notices
+            .filter_map(|instance| instance.notice(self.now_ms))
+            .collect()
+    }
+
+    fn quarantined(&self, instance: usize) -> Vec<PromptPartId> {
+        let quarantined = self.instances[instance].quarantined().iter();
+        quarantined.map(|quarantined| quarantined.part).collect()
+    }
+
+    fn check(&self, instance: usize, ids: &[u64]) -> PartCheck {
+        self.instances[instance].check(&parts(ids), &self.table, self.now_ms)
+    }
+}
+
+/// Crashes that only one part explains, each seen by another instance. Requests with the
+/// common part are answered in between.
+fn fleet_with_quarantined_part() -> Fleet {
+    let mut fleet = Fleet::new(3);
+    for crash in 0..3 {
+        let own = 0x100 + crash as u64;
+        fleet.crash(&[(crash, &[BAD, COMMON, own])]);
+        fleet.pass(200);
+        fleet.answer((crash + 1) % 3, &[COMMON]);
+    }
+    fleet.pass(SETTLED_MS);
+    fleet
+}
+
+#[test]
+fn quarantine_sums_crashes_of_all_instances() {
+    let fleet = fleet_with_quarantined_part();
+    for instance in 0..3 {
+        assert_eq!(fleet.quarantined(instance), [part(BAD)]);
+    }
+    let check = fleet.check(0, &[COMMON, BAD]);
+    assert!(
+        matches!(check, PartCheck::Quarantined { part, .. } if part == PromptPartId::new(BAD)),
+        "{check:?}"
+    );
+    assert_eq!(fleet.check(0, &[COMMON, 0x100]), PartCheck::Allowed);
+}
+
+#[test]
+fn quarantine_of_two_parts_at_once() {
+    let mut fleet = Fleet::new(2);
+    for crash in 0..8_u64 {
+        let bad = if crash % 2 == 0 { BAD } else { OTHER_BAD };
+        fleet.crash(&[(0, &[bad, COMMON]), (1, &[COMMON, 0x200 + crash])]);
+        fleet.pass(150);
+        fleet.answer(1, &[COMMON]);
+    }
+    fleet.pass(SETTLED_MS);
+    assert_eq!(fleet.quarantined(0), [part(BAD), part(OTHER_BAD)]);
+    assert_eq!(fleet.quarantined(1), [part(BAD), part(OTHER_BAD)]);
+}
+
+#[test]
+fn quarantine_of_part_that_was_sound_before() {
+    let mut fleet = Fleet::new(2);
+    fleet.answer(0, &[COMMON]);
+    for _ in 0..6 {
+        fleet.crash(&[(0, &[COMMON]), (1, &[COMMON])]);
+        fleet.pass(500);
+    }
+    fleet.pass(SETTLED_MS);
+    assert_eq!(fleet.quarantined(0), [part(COMMON)]);
+}
+
+/// All upstreams crash at once, under requests with the common part.
+#[test]
+fn quarantine_condemns_nothing_when_many_crash_at_once() {
+    let mut fleet = Fleet::new(3);
+    fleet.answer(2, &[COMMON]);
+    fleet.pass(50);
+    for crash in 0..9_u64 {
+        let seen = [COMMON, 0x300 + crash];
+        fleet.crash(&[(0, &seen), (1, &[COMMON])]);
+    }
+    fleet.pass(SETTLED_MS);
+    fleet.pass(SETTLED_MS);
+    assert_eq!(fleet.quarantined(0), []);
+}
+
+/// A hundred unlucky crashes in a calm fleet, under common parts and parts of sessions.
+#[test]
+fn quarantine_condemns_nothing_in_calm_fleet() {
+    let mut fleet = Fleet::new(3);
+    for crash in 0..100_u64 {
+        let session = 0x400 + crash % 20;
+        fleet.crash(&[
+            (0, &[COMMON, session]),
+            (1, &[COMMON, 0x500 + crash % 7]),
+            (2, &[COMMON + 1]),
+        ]);
+        fleet.pass(100);
+        fleet.answer(0, &[COMMON, 0x400 + (crash + 5) % 20]);
+        fleet.answer(1, &[COMMON + 1, 0x500 + (crash + 3) % 7]);
+        let changes = fleet.pass(400);
+        assert_eq!(changes, []);
+    }
+}
+
+/// A part that is at every crash beside the bad one is not condemned with it once a
+/// request with it is answered.
+#[test]
+fn quarantine_tells_companion_from_cause() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..3 {
+        fleet.crash(&[(0, &[BAD, 0x600])]);
+        fleet.pass(400);
+    }
+    assert_eq!(fleet.quarantined(0), []);
+    fleet.answer(0, &[0x600]);
+    fleet.pass(200);
+    assert_eq!(fleet.quarantined(0), [part(BAD)]);
+}
+
+/// Without any difference between two parts, both are condemned after the fifth crash.
+#[test]
+fn quarantine_condemns_companions_that_nothing_tells_apart() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..5 {
+        fleet.crash(&[(0, &[BAD, 0x600])]);
+        fleet.pass(400);
+    }
+    assert_eq!(fleet.quarantined(0), [part(0x600), part(BAD)]);
+}
+
+#[test]
+fn quarantine_is_learned_by_restarted_instance() {
+    let mut fleet = fleet_with_quarantined_part();
+    fleet.instances[1] = Quarantine::default();
+    let changes = fleet.pass(60_000);
+    assert_eq!(changes, [QuarantineChange::Learned(part(BAD))]);
+    assert_eq!(fleet.quarantined(1), [part(BAD)]);
+}
+
+#[test]
+fn quarantine_ends_with_an_answer() {
+    let mut fleet = fleet_with_quarantined_part();
+    fleet.pass(60_000);
+    fleet.answer(1, &[BAD]);
+    fleet.pass(10);
+    fleet.pass(10);
+    for instance in 0..3 {
+        assert_eq!(fleet.quarantined(instance), [], "instance {instance}");
+        assert_eq!(fleet.check(instance, &[BAD]), PartCheck::Allowed);
+    }
+}
+
+/// An instance that was cut off while the part was released learns of it afterwards.
+#[test]
+fn quarantine_that_ended_is_not_brought_back_by_an_old_notice() {
+    let mut fleet = fleet_with_quarantined_part();
+    let cut_off = fleet.instances.pop().unwrap();
+    fleet.pass(30_000);
+    fleet.answer(0, &[BAD]);
+    fleet.pass(10);
+    fleet.pass(60_000);
+    fleet.instances.push(cut_off);
+    fleet.pass(10);
+    fleet.pass(10);
+    for instance in 0..3 {
+        assert_eq!(fleet.quarantined(instance), [], "instance {instance}");
+    }
+}
+
+/// Trials come at growing intervals, and one trial serves the whole fleet.
+#[test]
+fn trial_of_quarantined_part() {
+    let mut fleet = fleet_with_quarantined_part();
+    let mut trials = Vec::new();
+    for _ in 0..400 {
+        fleet.pass(500);
+        if let PartCheck::Trial { part, .. } = fleet.check(0, &[BAD]) {
+            let now_ms = fleet.now_ms;
+            fleet.instances[0].record_trial(part, now_ms);
+            fleet.crash(&[(0, &[BAD])]);
+            trials.push(fleet.now_ms);
+        }
+    }
+    let gaps_ms: Vec<_> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(gaps_ms, [40_000, 80_000]);
+    assert_eq!(fleet.quarantined(1), [part(BAD)]);
+}
+
+#[test]
+fn notice_of_calm_fleet_is_empty() {
+    let mut fleet = Fleet::new(1);
+    fleet.answer(0, &[COMMON]);
+    assert_eq!(fleet.notices(), []);
+}
+
+#[derive(Debug, Clone)]
+enum Piece {
+    Crash { incarnation: u64, parts: Vec<u64> },
+    Answer { part: u64, at_ms: u64 },
+}
+
+fn piece() -> impl Strategy<Value = Piece> {
+    prop_oneof![
+        (0..12_u64, prop::collection::vec(0..8_u64, 1..4))
+            .prop_map(|(incarnation, parts)| Piece::Crash { incarnation, parts }),
+        (0..8_u64, 0..3_000_u64).prop_map(|(part, at_ms)| Piece::Answer { part, at_ms }),
+    ]
+}
+
+fn apply(quarantine: &mut Quarantine, piece: &Piece) {
+    match piece {
+        Piece::Crash {
+            incarnation: number,
+            parts: ids,
+        } => {
+            let at_ms = START_MS + 250 * number;
+            quarantine.record_crash(&incarnation(*number), &parts(ids), at_ms, START_MS);
+        }
+        Piece::Answer { part: id, at_ms } => {
+            quarantine.record_survival(&parts(&[*id]), START_MS + at_ms);
+        }
+    }
+}
+
+proptest! {
+    /// The same evidence leads to the same verdict in any order, and when it comes twice.
+    #[test]
+    fn update_does_not_depend_on_order(
+        pieces in prop::collection::vec(piece(), 0..40),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = pieces.clone();
+        shuffled.extend(pieces.iter().step_by(2).cloned());
+        let length = shuffled.len();
+        for index in 0..length {
+            let other = (seed.wrapping_mul(index as u64 + 1) >> 7) % length as u64;
+            shuffled.swap(index, usize::try_from(other).unwrap());
+        }
+        let mut verdicts = Vec::new();
+        for order in [&pieces, &shuffled] {
+            let mut quarantine = Quarantine::default();
+            for piece in order {
+                apply(&mut quarantine, piece);
+            }
+            quarantine.update(START_MS + 20_000);
+            verdicts.push(quarantine.quarantined().to_vec());
+        }
+        prop_assert_eq!(&verdicts[0], &verdicts[1]);
+    }
+
+    /// A notice stays within a datagram, and memory is bounded, however many parts there are.
+    #[test]
+    fn notice_is_bounded(crashes in prop::collection::vec(
+        prop::collection::vec(any::<u64>(), 0..200), 0..200,
+    )) {
+        let mut quarantine = Quarantine::default();
+        for (number, ids) in crashes.iter().enumerate() {
+            let target = incarnation(number as u64);
+            quarantine.record_crash(&target, &parts(ids), START_MS, START_MS);
+        }
+        if let Some(notice) = quarantine.notice(START_MS) {
+            prop_assert!(notice.crashes.len() <= 16);
+            prop_assert!(notice.crashes.iter().all(|crash| crash.parts.len() <= 64));
+        }
+    }
+}
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -197,11 +197,11 @@
         self.items.get(item_index as usize).map_or((0, 0), progress)
     }
 
-    /// Returns the request path of an item.
+    /// Returns an item by its index.
     #[must_use]
-    pub fn item_path(&self, item_index: u32) -> Option<&str> {
+    pub fn item_at(&self, item_index: u32) -> Option<&JobItem> {
         let row = self.items.get(item_index as usize)?;
-        Some(&row.item.path)
+        Some(&row.item)
     }
 
     /// Starts a run of a waiting item. Returns `None` if the item is not waiting.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, Target, UpstreamTable, WorkKind};
-use http::{HeaderMap, Method, Request, Response, Uri, request};
+use http::{HeaderMap, Method, Request, Response, Uri, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::PromptPartId;
@@ -16,6 +16,7 @@
     crash_detection,
     forward::forwarded_headers,
     node::Node,
+    quarantine,
 };
 
 /// Time for which no request is sent to an upstream after it answered that it is full,
@@ -26,6 +27,10 @@
 /// answer arrives, so the connection is not ready for another request.
 const REUSE_BODY_MAX_BYTES: usize = 16 * 1024;
 
+/// Time for which an upstream must go on answering after the first bytes to have survived
+/// the request, milliseconds.
+const SURVIVAL_MS: u64 = 2_000;
+
 /// A request to be sent to an upstream or a peer.
 #[derive(Debug, Clone)]
 pub(crate) struct OutgoingRequest {
@@ -90,6 +95,9 @@
     pub(crate) in_flight: InFlightGuard,
     connection: Connection,
     can_reuse_connection: bool,
+    /// When the first part of the body arrived, in milliseconds on the node's clock.
+    first_bytes_ms: Option<u64>,
+    has_survived: bool,
 }
 
 /// A failed attempt, which has no answer for the caller.
@@ -179,10 +187,37 @@
 }
 
 impl UpstreamAnswer {
+    /// Records that a part of the body arrived. An upstream that goes on answering for
+    /// long has survived the parts of the prompt.
+    pub(crate) fn record_progress(&mut self, node: &Node) {
+        let now_ms = node.now_ms();
+        let first_bytes_ms = *self.first_bytes_ms.get_or_insert(now_ms);
+        if !self.has_survived && now_ms >= first_bytes_ms + SURVIVAL_MS {
+            self.record_survival(node);
+        }
+    }
+
+    fn record_survival(&mut self, node: &Node) {
+        if self.head.status.is_success() {
+            self.has_survived = true;
+            quarantine::record_survival(node, &self.in_flight.shared_parts);
+        }
+    }
+
+    /// Returns whether the end of the body can be told from the end of the connection.
+    fn is_delimited(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Records the completion of an answer whose body has been read to its end,
     /// and returns the connection to the pool if it can be reused.
-    pub(crate) fn finish(self, node: &Node) {
+    pub(crate) fn finish(mut self, node: &Node) {
         self.in_flight.record_completion();
+        if self.is_delimited() {
+            self.record_survival(node);
+        }
         if self.can_reuse_connection {
             let keep_alive_ms = platform::keep_alive_timeout_ms(&self.head.headers);
             let address = self.in_flight.target.address;
@@ -264,6 +299,8 @@
         in_flight,
         connection,
         can_reuse_connection: outgoing.has_small_body(),
+        first_bytes_ms: None,
+        has_survived: false,
     })
 }
 
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -11,7 +11,7 @@
 use model::PromptPartId;
 use tokio::task::spawn_local;
 
-use crate::{connection_pool::connect, node::Node};
+use crate::{connection_pool::connect, node::Node, quarantine};
 
 /// Checks in the background whether an upstream has crashed, after it lost the answer to a
 /// request with these parts. Upstreams that are leaving are not checked, because they end
@@ -20,24 +20,50 @@
     if !node.upstreams.borrow().is_in_service(target) {
         return;
     }
-    spawn_local(check(
-        Rc::clone(node),
-        target.clone(),
-        Rc::clone(shared_parts),
-    ));
+    let lost_answer = LostAnswer {
+        target: target.clone(),
+        shared_parts: Rc::clone(shared_parts),
+        lost_at_ms: node.store_now_ms(),
+    };
+    spawn_local(check(Rc::clone(node), lost_answer));
 }
 
-async fn check(node: Rc<Node>, target: Target, shared_parts: Rc<[PromptPartId]>) {
-    let timeout_ms = node.upstreams.borrow().connect_timeout_ms(&target);
-    match connect(target.address, timeout_ms).await {
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => log::warn!(
-            "event=upstream_crashed upstream={} shared_parts={}",
-            target.upstream,
-            join_parts(&shared_parts)
-        ),
-        // The upstream is alive, or it is unknown whether it is.
-        Ok(_) | Err(_) => {}
+/// An answer that broke off.
+#[derive(Debug)]
+struct LostAnswer {
+    target: Target,
+    shared_parts: Rc<[PromptPartId]>,
+    /// Time on the store's clock, milliseconds.
+    lost_at_ms: u64,
+}
+
+async fn check(node: Rc<Node>, lost: LostAnswer) {
+    let LostAnswer {
+        target,
+        shared_parts,
+        lost_at_ms,
+    } = &lost;
+    if !has_crashed(&node, target).await {
+        return;
+    }
+    log::warn!(
+        "event=upstream_crashed upstream={} shared_parts={}",
+        target.upstream,
+        join_parts(shared_parts)
+    );
+    node.metrics.on_upstream_crash();
+    quarantine::record_crash(&node, target, shared_parts, *lost_at_ms);
+}
+
+/// Returns whether an upstream is known to have crashed, or refuses a new connection. If
+/// the connection is opened, or times out, the upstream may be alive.
+async fn has_crashed(node: &Node, target: &Target) -> bool {
+    if node.quarantine.borrow().knows_crash(target) {
+        return true;
     }
+    let timeout_ms = node.upstreams.borrow().connect_timeout_ms(target);
+    let connected = connect(target.address, timeout_ms).await;
+    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
 /// Returns the parts for a log line, separated by commas.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use gateway::{
-    AttemptEnd, FinalAnswer, NextStep, Placement, PlacementRequest, RefusalReason, RetryState,
-    Route, Target, WorkKind,
+    AttemptEnd, FinalAnswer, NextStep, PartCheck, Placement, PlacementRequest, RefusalReason,
+    RetryState, Route, Target, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
-use model::{ServiceName, shared_parts};
+use model::{PromptPartId, ServiceName, shared_parts};
 use platform::RequestHeaders;
 
 use crate::{
@@ -17,11 +17,15 @@
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
     node::Node,
+    quarantine,
     relay::Relay,
 };
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 300;
+/// Retry-after hint while a trial of a quarantined part waits for an idle upstream,
+/// milliseconds.
+const TRIAL_RETRY_AFTER_MS: u64 = 5_000;
 /// If the head of the answer is later than expected by this many times the
 /// route's latency goal, another upstream is tried.
 const HEAD_DELAY_GOALS: u64 = 2;
@@ -152,6 +156,14 @@
     }
 
     fn place(&mut self) -> Result<(Target, u64), NoAnswer> {
+        let part_check = quarantine::check(&self.node, &self.outgoing.shared_parts);
+        if let PartCheck::Quarantined {
+            part,
+            retry_after_ms,
+        } = part_check
+        {
+            return Err(self.refuse_quarantined(part, retry_after_ms));
+        }
         let now_ms = self.node.now_ms();
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
         let request = PlacementRequest {
@@ -169,6 +181,16 @@
                 load,
                 preemption,
             } => {
+                if let PartCheck::Trial {
+                    part,
+                    needs_idle_upstream,
+                } = part_check
+                {
+                    if needs_idle_upstream && load > 0 {
+                        return Err(self.refuse_quarantined(part, TRIAL_RETRY_AFTER_MS));
+                    }
+                    quarantine::record_trial(&self.node, &self.outgoing.request_id, part);
+                }
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
                     "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} shared_parts={}",
@@ -193,17 +215,36 @@
                     reason.as_str(),
                     self.route.goal_ms
                 );
-                self.node
-                    .metrics
-                    .on_refusal(reason.as_str(), retry_after_ms);
-                Err(if self.retries.may_have_run() {
-                    NoAnswer::Failed(self.retries.final_answer())
-                } else {
-                    NoAnswer::Refused {
-                        reason,
-                        retry_after_ms,
-                    }
-                })
+                Err(self.refuse(reason, retry_after_ms))
+            }
+        }
+    }
+
+    /// Logs that a request must not be sent because a part of its prompt is quarantined,
+    /// and returns the answer for the caller.
+    fn refuse_quarantined(&self, part: PromptPartId, retry_after_ms: u64) -> NoAnswer {
+        let reason = RefusalReason::Quarantined;
+        log::warn!(
+            "event=request_not_placed request={} route={} reason={} part={part} retry_after_ms={retry_after_ms}",
+            self.outgoing.request_id,
+            self.route.name,
+            reason.as_str()
+        );
+        self.refuse(reason, retry_after_ms)
+    }
+
+    /// Counts a refusal. Returns the answer for the caller, which says that the request did
+    /// not run only if no attempt may have run it.
+    fn refuse(&self, reason: RefusalReason, retry_after_ms: u64) -> NoAnswer {
+        self.node
+            .metrics
+            .on_refusal(reason.as_str(), retry_after_ms);
+        if self.retries.may_have_run() {
+            NoAnswer::Failed(self.retries.final_answer())
+        } else {
+            NoAnswer::Refused {
+                reason,
+                retry_after_ms,
             }
         }
     }
@@ -274,6 +315,10 @@
 
 fn response_for(no_answer: NoAnswer) -> Response<AnswerBody> {
     match no_answer {
+        NoAnswer::Refused {
+            reason: RefusalReason::Quarantined,
+            retry_after_ms,
+        } => answer::service_unavailable(retry_after_ms, "a part of the prompt crashes upstreams"),
         NoAnswer::Refused { retry_after_ms, .. } => {
             answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
         }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, Route, RouteTable, RunForecast, Target, Urgency, job_hash,
-    runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, PartCheck, Route, RouteTable, RunForecast, Target, Urgency,
+    job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
 use model::{JobId, ServiceName, UpstreamId, shared_parts};
@@ -17,7 +17,10 @@
 };
 
 use super::{item_run, writes};
-use crate::node::{Node, Stage};
+use crate::{
+    node::{Node, Stage},
+    quarantine,
+};
 
 /// Interval between scheduling passes while items wait for free slots.
 const BUSY_INTERVAL: Duration = Duration::from_millis(100);
@@ -255,6 +258,16 @@
         waiting
     }
 
+    /// Returns whether a part of an item's prompt is quarantined. Such an item waits until
+    /// the part is released or the item is given up.
+    fn is_quarantined(&self, node: &Node, item: &WaitingItem) -> bool {
+        let parts = self.jobs[item.job_index]
+            .item_at(item.item_index)
+            .map(|item| shared_parts(&platform::item_prompt_parts(item)));
+        let check = quarantine::check(node, &parts.unwrap_or_default());
+        matches!(check, PartCheck::Quarantined { .. })
+    }
+
     fn urgency(&self, job: &OwnedJob, item_index: u32, store_now_ms: u64) -> Urgency {
         let (tokens, events) = job.output_progress(item_index);
         let remaining_ms = self.forecast.remaining_ms(tokens, events);
@@ -318,6 +331,10 @@
             node.runner
                 .borrow()
                 .waiting_items(&routes, node.now_ms(), node.store_now_ms());
+        if quarantine::is_active(node) {
+            let runner = node.runner.borrow();
+            waiting.retain(|item| !runner.is_quarantined(node, item));
+        }
         // The batch plan takes the queue of this instance into account, so the queue is
         // updated first.
         update_batch_queue(node, &waiting);
@@ -369,6 +386,17 @@
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
     let mut runner = node.runner.borrow_mut();
     let job = &mut runner.jobs[item.job_index];
+    let parts = job
+        .item_at(item.item_index)
+        .map(platform::item_prompt_parts);
+    let shared_parts = shared_parts(&parts.unwrap_or_default());
+    match quarantine::check(node, &shared_parts) {
+        PartCheck::Allowed => {}
+        PartCheck::Trial { part, .. } => {
+            quarantine::record_trial(node, job.id().as_str(), part);
+        }
+        PartCheck::Quarantined { .. } => return,
+    }
     let Some(item_run) = job.start_item(item.item_index) else {
         return;
     };
@@ -380,7 +408,7 @@
         job: id.clone(),
         host: Arc::clone(&job.record().host),
         give_up_at_ms: job.record().give_up_at_ms,
-        shared_parts: shared_parts(&platform::item_prompt_parts(&item_run.item)).into(),
+        shared_parts: shared_parts.into(),
         item_run,
         target,
         route: Arc::clone(&item.route),
@@ -404,7 +432,7 @@
     item_index: u32,
     routes: &'a RouteTable,
 ) -> Option<&'a Arc<Route>> {
-    routes.find(&job.record().host, job.item_path(item_index)?)
+    routes.find(&job.record().host, &job.item_at(item_index)?.path)
 }
 
 fn item_service<'a>(job: &OwnedJob, item_index: u32, route: &'a Route) -> Option<&'a ServiceName> {
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,6 +1,7 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
-//! its sender and the jobs that the sender took over recently. An instance sends its
-//! notices directly to each peer.
+//! its sender and the jobs that the sender took over recently. It is followed by what the
+//! sender knows of leaving upstreams and of prompt parts that crash upstreams. An instance
+//! sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -9,15 +10,16 @@
     error::{DecodeError, EncodeError},
     serde::{decode_from_slice, encode_to_vec},
 };
-use gateway::{LeavingUpstream, LoadNotice, NoticeScheduler, notice_pause_ms};
+use gateway::{LeavingUpstream, LoadNotice, NoticeScheduler, QuarantineNotice, notice_pause_ms};
 use model::{InstanceId, Region};
+use serde::de::DeserializeOwned;
 use tokio::{
     net::UdpSocket,
     task::spawn_local,
     time::{sleep, timeout},
 };
 
-use crate::node::Node;
+use crate::{node::Node, quarantine};
 
 /// Delay before the next datagram is received after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -66,8 +68,13 @@
                 continue;
             }
         };
-        match decode_datagram(&buffer[..length]) {
-            Ok((notice, leaving)) => {
+        match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) => {
+                let Datagram {
+                    notice,
+                    leaving,
+                    quarantine,
+                } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
                     address: sender,
@@ -75,6 +82,9 @@
                 };
                 recent_senders.borrow_mut().record(peer, now_ms);
                 node.runner.borrow_mut().fence_jobs(&notice.job_takeovers);
+                if let Some(quarantine) = &quarantine {
+                    quarantine::receive(&node, quarantine);
+                }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
                 upstreams.receive_notice(notice, now_ms);
@@ -85,25 +95,53 @@
     }
 }
 
-/// Encodes a notice, followed by the leaving upstreams.
-fn encode_datagram(
-    notice: &LoadNotice,
-    leaving: &[LeavingUpstream],
-) -> Result<Vec<u8>, EncodeError> {
-    let mut datagram = encode_to_vec(notice, config::standard())?;
-    datagram.extend(encode_to_vec(leaving, config::standard())?);
-    Ok(datagram)
+/// Contents of a datagram.
+#[derive(Debug)]
+struct Datagram {
+    notice: LoadNotice,
+    leaving: Vec<LeavingUpstream>,
+    /// `None` if no part is suspected.
+    quarantine: Option<QuarantineNotice>,
+}
+
+impl Datagram {
+    /// Encodes the notice, followed by the leaving upstreams and the quarantine.
+    fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        let mut datagram = encode_to_vec(&self.notice, config::standard())?;
+        datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
+        if let Some(quarantine) = &self.quarantine {
+            datagram.extend(encode_to_vec(quarantine, config::standard())?);
+        }
+        Ok(datagram)
+    }
+
+    /// Decodes a datagram. Earlier versions of the program send no leaving upstreams and
+    /// no quarantine.
+    fn decode(datagram: &[u8]) -> Result<Self, DecodeError> {
+        let (notice, rest) = decode_first(datagram)?;
+        let (leaving, rest) = decode_next(rest)?;
+        let (quarantine, _) = decode_next(rest)?;
+        Ok(Self {
+            notice,
+            leaving: leaving.unwrap_or_default(),
+            quarantine,
+        })
+    }
+}
+
+/// Decodes the first value. Returns it and the bytes that follow it.
+fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
+    let (value, length) = decode_from_slice(bytes, config::standard())?;
+    Ok((value, &bytes[length..]))
 }
 
-/// Decodes a datagram. Earlier versions of the program send no leaving upstreams.
-fn decode_datagram(datagram: &[u8]) -> Result<(LoadNotice, Vec<LeavingUpstream>), DecodeError> {
-    let (notice, length) = decode_from_slice(datagram, config::standard())?;
-    let rest = &datagram[length..];
-    if rest.is_empty() {
-        return Ok((notice, Vec::new()));
+/// Like [`decode_first`], but returns no value if there are no bytes left.
+fn decode_next<T: DeserializeOwned>(bytes: &[u8]) -> Result<(Option<T>, &[u8]), DecodeError> {
+    if bytes.is_empty() {
+        return Ok((None, bytes));
     }
-    let (leaving, _) = decode_from_slice(rest, config::standard())?;
-    Ok((notice, leaving))
+    let (value, rest) = decode_first(bytes)?;
+    Ok((Some(value), rest))
 }
 
 async fn send_notices(
@@ -151,10 +189,13 @@
 }
 
 fn build_datagram(node: &Node) -> Vec<u8> {
-    let notice = build_notice(node);
-    let leaving = node.upstreams.borrow().leaving_upstreams();
+    let datagram = Datagram {
+        notice: build_notice(node),
+        leaving: node.upstreams.borrow().leaving_upstreams(),
+        quarantine: node.quarantine.borrow().notice(node.store_now_ms()),
+    };
     // Encoding into memory cannot fail.
-    encode_datagram(&notice, &leaving).unwrap_or_default()
+    datagram.encode().unwrap_or_default()
 }
 
 fn build_notice(node: &Node) -> LoadNotice {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -36,6 +36,7 @@
 mod metrics;
 mod node;
 mod options;
+mod quarantine;
 mod relay;
 mod shutdown;
 mod store_calls;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, InFlight, Route, RouteKind, UpstreamTable};
+use gateway::{AttemptEnd, InFlight, QuarantineChange, Route, RouteKind, UpstreamTable};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{server::conn::http1::Builder, service::service_fn};
@@ -52,6 +52,9 @@
     attempts: Counter<u64>,
     attempt_failures: Counter<u64>,
     streams_resumed: Counter<u64>,
+    upstream_crashes: Counter<u64>,
+    quarantine_changes: Counter<u64>,
+    quarantined_parts: Gauge<u64>,
     jobs_accepted: Counter<u64>,
     jobs_refused: Counter<u64>,
     jobs_taken_over: Counter<u64>,
@@ -111,6 +114,15 @@
                 "redwingtack.streams_resumed",
                 "Streams that went on at another upstream",
             ),
+            upstream_crashes: counter(
+                "redwingtack.upstream.crashes",
+                "Answers lost because their upstream crashed",
+            ),
+            quarantine_changes: counter(
+                "redwingtack.quarantine.changes",
+                "Prompt parts quarantined and released, by change",
+            ),
+            quarantined_parts: gauge("redwingtack.quarantine.parts", "Prompt parts in quarantine"),
             jobs_accepted: counter("redwingtack.jobs.accepted", "Jobs accepted"),
             jobs_refused: counter("redwingtack.jobs.refused", "Submissions refused"),
             jobs_taken_over: counter("redwingtack.jobs.taken_over", "Jobs taken over"),
@@ -162,6 +174,20 @@
         self.streams_resumed.add(1, &[]);
     }
 
+    pub(crate) fn on_upstream_crash(&self) {
+        self.upstream_crashes.add(1, &[]);
+    }
+
+    pub(crate) fn on_quarantine_change(&self, change: QuarantineChange) {
+        let name = match change {
+            QuarantineChange::Quarantined { .. } => "quarantined",
+            QuarantineChange::Learned(_) => "learned",
+            QuarantineChange::Released(_) => "released",
+        };
+        self.quarantine_changes
+            .add(1, &[KeyValue::new("change", name)]);
+    }
+
     pub(crate) fn on_job_accepted(&self) {
         self.jobs_accepted.add(1, &[]);
     }
@@ -210,6 +236,8 @@
         self.waiting_items.record(item_counts.sum(), &[]);
         self.ready_upstreams
             .record(upstreams.ready_count() as u64, &[]);
+        let quarantined = node.quarantine.borrow().quarantined().len();
+        self.quarantined_parts.record(quarantined as u64, &[]);
         let version = node.routes().map_or(0, |routes| routes.version);
         self.config_version.record(version, &[]);
         let age_ms = node.store_health.time_since_answer_ms(node.now_ms());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use gateway::{Locality, Preemption, RouteTable, Target, UpstreamTable};
+use gateway::{Locality, Preemption, Quarantine, RouteTable, Target, UpstreamTable};
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
 use platform::{Settings, Store};
@@ -45,6 +45,8 @@
     routes: RefCell<Option<Arc<RouteTable>>>,
     /// Registered upstreams and the load of each.
     pub(crate) upstreams: RefCell<UpstreamTable>,
+    /// Prompt parts that crash upstreams.
+    pub(crate) quarantine: RefCell<Quarantine>,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
     pub(crate) has_read_servers: Cell<bool>,
@@ -121,6 +123,7 @@
             clock: Clock::new(),
             routes: RefCell::default(),
             upstreams: RefCell::new(UpstreamTable::new(locality, rand::random())),
+            quarantine: RefCell::default(),
             has_initial_state: watch::Sender::new(false),
             has_read_servers: Cell::default(),
             directory: RefCell::new(Directory::new(owner_id.clone())),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -126,7 +126,10 @@
         let answer = self.answer.as_mut()?;
         let frame = timeout_at(wait_until, answer.body.frame()).await;
         Some(match frame {
-            Ok(Some(Ok(frame))) => Received::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                answer.record_progress(node);
+                Received::Bytes(frame.into_data().unwrap_or_default())
+            }
             Ok(Some(Err(error))) => broken_stream(error),
             Ok(None) => self.end_of_body(),
             Err(_) if wait_until_ms >= deadline_ms => Received::DeadlinePassed,
