Upstreams that crash together accuse a prompt part once

Cause: three upstreams crashed within a millisecond while items with the same part ran there. Long items are answered seldom, so nothing spoke for the part. Its one trial was cut off by a reset, which counted as a trial, so the next was 40 s later.

Change: crashes within 200 ms count once for a part; an upstream that goes on answering for 1 s (was 2 s) has survived a part; a trial without a crash or an answer is repeated after 5 s.

Test quarantine_counts_upstreams_that_crash_together_once fails without the 200 ms.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -19,9 +19,9 @@
 /// Number of crashes that a part must explain if it was answered lately, and that two
 /// parts must explain if they are in flight at exactly the same ones.
 const CRASHES_OF_ESTABLISHED_PART: usize = 5;
-/// Minimum time from the first to the last of these crashes if the part was answered
-/// lately, milliseconds. Many upstreams that crash at once have another cause.
-const ESTABLISHED_SPREAD_MS: u64 = 2_000;
+/// Crashes within this time count as one, milliseconds: upstreams that crash together have
+/// another cause than the requests that they have in common.
+const SIMULTANEOUS_MS: u64 = 200;
 /// How long before the first crash an answer counts as lately, milliseconds.
 const ESTABLISHED_MS: u64 = 60_000;
 /// Time in which peers can object that they know an answer, milliseconds.
@@ -35,9 +35,9 @@
     now_ms: u64,
 ) -> Vec<Suspect> {
     let suspects = suspects(evidence, quarantined);
-    let most = suspects.iter().map(|suspect| suspect.crash_count).max();
+    let most = suspects.iter().map(Suspect::crash_count).max();
     let is_convicted =
-        |suspect: &Suspect| Some(suspect.crash_count) == most && suspect.is_convicted(now_ms);
+        |suspect: &Suspect| Some(suspect.crash_count()) == most && suspect.is_convicted(now_ms);
     let convicted: Vec<_> = suspects.into_iter().filter(is_convicted).collect();
     let has_few_crashes = most.is_some_and(|most| most < CRASHES_OF_ESTABLISHED_PART);
     if convicted.len() > 1 && has_few_crashes {
@@ -71,19 +71,26 @@
             suspects[index].add_crash(row);
         }
     }
+    for suspect in &mut suspects {
+        suspect.merge_simultaneous_crashes();
+    }
     suspects
 }
 
 /// A part that may have caused crashes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub(crate) struct Suspect {
     pub(crate) part: PromptPartId,
     survived_at_ms: Option<u64>,
-    pub(crate) crash_count: usize,
-    first_crash_ms: u64,
-    pub(crate) last_crash_ms: u64,
-    /// When this instance learned of each crash.
-    learned_at_ms: Vec<u64>,
+    /// Times of the crashes, and when this instance learned of them; sorted. Only the first
+    /// of those that happened together is kept.
+    crashes: Vec<CrashTimes>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct CrashTimes {
+    at_ms: u64,
+    learned_at_ms: u64,
 }
 
 impl Suspect {
@@ -91,18 +98,35 @@
         Self {
             part,
             survived_at_ms,
-            crash_count: 0,
-            first_crash_ms: u64::MAX,
-            last_crash_ms: 0,
-            learned_at_ms: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
     fn add_crash(&mut self, row: &CrashRow) {
-        self.crash_count += 1;
-        self.first_crash_ms = self.first_crash_ms.min(row.report.at_ms);
-        self.last_crash_ms = self.last_crash_ms.max(row.report.at_ms);
-        self.learned_at_ms.push(row.learned_at_ms);
+        self.crashes.push(CrashTimes {
+            at_ms: row.report.at_ms,
+            learned_at_ms: row.learned_at_ms,
+        });
+    }
+
+    fn merge_simultaneous_crashes(&mut self) {
+        self.crashes.sort_unstable();
+        self.crashes
+            .dedup_by(|next, kept| next.at_ms < kept.at_ms + SIMULTANEOUS_MS);
+    }
+
+    /// Returns the number of crashes. Those that happened together count once.
+    pub(crate) fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Returns the time of the last crash, milliseconds.
+    pub(crate) fn last_crash_ms(&self) -> u64 {
+        self.crashes.last().map_or(0, |crash| crash.at_ms)
+    }
+
+    fn first_crash_ms(&self) -> u64 {
+        self.crashes.first().map_or(0, |crash| crash.at_ms)
     }
 
     fn is_convicted(&self, now_ms: u64) -> bool {
@@ -111,22 +135,20 @@
         } else {
             CRASHES_OF_NEW_PART
         };
-        if self.crash_count < required {
-            return false;
-        }
-        let spread_ms = self.last_crash_ms - self.first_crash_ms;
-        if self.is_established() && spread_ms < ESTABLISHED_SPREAD_MS {
-            return false;
-        }
-        let mut learned_at_ms = self.learned_at_ms.clone();
+        let mut learned_at_ms: Vec<_> = self
+            .crashes
+            .iter()
+            .map(|crash| crash.learned_at_ms)
+            .collect();
         learned_at_ms.sort_unstable();
-        now_ms >= learned_at_ms[required - 1] + OBJECTION_MS
+        let decisive_ms = learned_at_ms.get(required - 1);
+        decisive_ms.is_some_and(|decisive_ms| now_ms >= decisive_ms + OBJECTION_MS)
     }
 
     /// Returns whether a request with the part was answered lately before it is supposed
     /// to have crashed an upstream.
     fn is_established(&self) -> bool {
         self.survived_at_ms
-            .is_some_and(|at_ms| at_ms + ESTABLISHED_MS >= self.first_crash_ms)
+            .is_some_and(|at_ms| at_ms + ESTABLISHED_MS >= self.first_crash_ms())
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,8 +14,6 @@
 //!
 //! All times are milliseconds on the store's clock.
 
-use std::cmp::Ordering;
-
 use model::PromptPartId;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -28,11 +26,13 @@
     placement::Target,
 };
 
-/// Time until the first trial of a quarantined part, milliseconds. It doubles with each
-/// trial.
+/// Time from the last crash until the first trial of a quarantined part, milliseconds. It
+/// doubles with each trial that crashes an upstream.
 const TRIAL_BASE_MS: u64 = 20_000;
 /// Maximum time until the next trial, milliseconds.
 const TRIAL_MAX_MS: u64 = 600_000;
+/// Time after which a trial without a result is made again, milliseconds.
+const TRIAL_TIMEOUT_MS: u64 = 5_000;
 /// How long a trial that is due waits for an idle upstream, so that no other request is
 /// lost with it, milliseconds.
 const TRIAL_PATIENCE_MS: u64 = 30_000;
@@ -64,10 +64,10 @@
     pub part: PromptPartId,
     /// Time of its last known crash. An answer after it ends the quarantine.
     pub crashed_at_ms: u64,
-    /// Number of trials so far.
-    pub trials: u32,
-    /// When the next trial is due.
-    pub next_trial_ms: u64,
+    /// Number of trials that crashed an upstream.
+    pub failed_trials: u32,
+    /// When the last trial began; 0 if there was none.
+    pub tried_at_ms: u64,
 }
 
 /// What an instance tells its peers about crashes and quarantined parts.
@@ -211,13 +211,13 @@
             for suspect in convicted {
                 self.merge_quarantined(QuarantinedPart {
                     part: suspect.part,
-                    crashed_at_ms: suspect.last_crash_ms,
-                    trials: 0,
-                    next_trial_ms: now_ms + TRIAL_BASE_MS,
+                    crashed_at_ms: suspect.last_crash_ms(),
+                    failed_trials: 0,
+                    tried_at_ms: 0,
                 });
                 changes.push(QuarantineChange::Quarantined {
                     part: suspect.part,
-                    crash_count: suspect.crash_count,
+                    crash_count: suspect.crash_count(),
                 });
             }
         }
@@ -243,10 +243,7 @@
     /// Records that a request with a quarantined part was sent as a trial.
     pub fn record_trial(&mut self, part: PromptPartId, now_ms: u64) {
         if let Ok(index) = self.find(part) {
-            let quarantined = &mut self.quarantined[index];
-            quarantined.trials += 1;
-            let delay_ms = TRIAL_BASE_MS << quarantined.trials.min(16);
-            quarantined.next_trial_ms = now_ms + delay_ms.min(TRIAL_MAX_MS);
+            self.quarantined[index].tried_at_ms = now_ms;
         }
     }
 
@@ -335,13 +332,13 @@
                 .iter()
                 .filter(|row| row.report.parts.binary_search(&quarantined.part).is_ok());
             if let Some(last_ms) = own_crashes.map(|row| row.report.at_ms).max() {
-                quarantined.crashed_at_ms = quarantined.crashed_at_ms.max(last_ms);
+                quarantined.record_crash(last_ms);
             }
         }
         let evidence = &self.evidence;
         let released = self.quarantined.extract_if(.., |quarantined| {
             is_answered_since(evidence, quarantined)
-                || now_ms >= quarantined.next_trial_ms + UNUSED_RETENTION_MS
+                || now_ms >= quarantined.next_trial_ms() + UNUSED_RETENTION_MS
         });
         let released: Vec<_> = released.map(|quarantined| quarantined.part).collect();
         for part in &released {
@@ -397,25 +394,35 @@
 }
 
 impl QuarantinedPart {
+    /// Returns when the next trial is due. A trial that ends neither with an answer nor
+    /// with a crash, such as one whose connection was lost, is made again soon.
+    #[must_use]
+    pub fn next_trial_ms(&self) -> u64 {
+        let delay_ms = TRIAL_BASE_MS << self.failed_trials.min(16);
+        let after_crash_ms = self.crashed_at_ms + delay_ms.min(TRIAL_MAX_MS);
+        after_crash_ms.max(self.tried_at_ms + TRIAL_TIMEOUT_MS)
+    }
+
+    fn record_crash(&mut self, at_ms: u64) {
+        if at_ms <= self.crashed_at_ms {
+            return;
+        }
+        if self.crashed_at_ms < self.tried_at_ms && self.tried_at_ms <= at_ms {
+            self.failed_trials += 1;
+        }
+        self.crashed_at_ms = at_ms;
+    }
+
     fn merge(&mut self, other: &Self) {
         self.crashed_at_ms = self.crashed_at_ms.max(other.crashed_at_ms);
-        match self.trials.cmp(&other.trials) {
-            Ordering::Less => {
-                self.trials = other.trials;
-                self.next_trial_ms = other.next_trial_ms;
-            }
-            Ordering::Equal => self.next_trial_ms = self.next_trial_ms.max(other.next_trial_ms),
-            Ordering::Greater => {}
-        }
+        self.failed_trials = self.failed_trials.max(other.failed_trials);
+        self.tried_at_ms = self.tried_at_ms.max(other.tried_at_ms);
     }
 }
 
 fn check_part(quarantined: &QuarantinedPart, table: &UpstreamTable, now_ms: u64) -> PartCheck {
-    let QuarantinedPart {
-        part,
-        next_trial_ms,
-        ..
-    } = *quarantined;
+    let part = quarantined.part;
+    let next_trial_ms = quarantined.next_trial_ms();
     let turn = now_ms / TRIAL_TURN_MS;
     let election = xxh3_64(&[part.as_u64().to_le_bytes(), turn.to_le_bytes()].concat());
     if now_ms >= next_trial_ms && table.is_elected(election) {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -279,6 +279,39 @@
     assert_eq!(fleet.quarantined(1), [part(BAD)]);
 }
 
+/// A trial whose connection is lost proves nothing, so it is made again soon.
+#[test]
+fn trial_without_result_is_repeated() {
+    let mut fleet = fleet_with_quarantined_part();
+    fleet.pass(20_000);
+    let PartCheck::Trial { part, .. } = fleet.check(2, &[BAD]) else {
+        panic!("no trial is due");
+    };
+    let now_ms = fleet.now_ms;
+    fleet.instances[2].record_trial(part, now_ms);
+    fleet.pass(1_000);
+    assert!(matches!(
+        fleet.check(0, &[BAD]),
+        PartCheck::Quarantined { .. }
+    ));
+    fleet.pass(4_000);
+    assert!(matches!(fleet.check(0, &[BAD]), PartCheck::Trial { .. }));
+}
+
+/// Upstreams crash together, twice, while no request with a part is answered.
+#[test]
+fn quarantine_counts_upstreams_that_crash_together_once() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..2 {
+        for crash in 0..5 {
+            fleet.crash(&[(crash % 2, &[0x700])]);
+            fleet.pass(10);
+        }
+        fleet.pass(5_000);
+    }
+    assert_eq!(fleet.quarantined(0), []);
+}
+
 #[test]
 fn notice_of_calm_fleet_is_empty() {
     let mut fleet = Fleet::new(1);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -29,7 +29,7 @@
 
 /// Time for which an upstream must go on answering after the first bytes to have survived
 /// the request, milliseconds.
-const SURVIVAL_MS: u64 = 2_000;
+const SURVIVAL_MS: u64 = 1_000;
 
 /// A request to be sent to an upstream or a peer.
 #[derive(Debug, Clone)]
