A crash accuses a part only if it was sent on after the crash before

Cause: "within 200 ms" cannot tell a request that is passed on from upstreams that crash together. What tells them apart is the order: a crash counts beside the one before only if a request with the part was sent to the upstream after that one. Crash reports say when the part was last sent there.

An upstream has survived a part after ten events over 200 ms now.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -26,8 +26,17 @@
     /// When an instance first saw that the upstream had crashed, milliseconds on the
     /// store's clock.
     pub at_ms: u64,
-    /// Shared parts of the prompts that were in flight at the upstream, sorted.
-    pub parts: Vec<PromptPartId>,
+    /// Shared parts of the prompts that were in flight at the upstream, sorted by part.
+    pub parts: Vec<PartInFlight>,
+}
+
+/// A shared part of prompts that are in flight at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PartInFlight {
+    /// The part.
+    pub part: PromptPartId,
+    /// When the last of these prompts was sent, milliseconds on the store's clock.
+    pub sent_at_ms: u64,
 }
 
 /// The last time at which an upstream answered a request with a part and did not crash.
@@ -143,7 +152,7 @@
     /// Returns whether a part may have caused a crash: it was in flight there, and no
     /// request with it has been answered since.
     pub(crate) fn is_suspect(&self, part: PromptPartId, crash: &CrashReport) -> bool {
-        crash.parts.binary_search(&part).is_ok()
+        crash.part_in_flight(part).is_some()
             && self
                 .survived_at_ms(part)
                 .is_none_or(|survived_at_ms| survived_at_ms <= crash.at_ms)
@@ -161,6 +170,14 @@
 }
 
 impl CrashReport {
+    /// Returns what was in flight of a part.
+    pub(crate) fn part_in_flight(&self, part: PromptPartId) -> Option<PartInFlight> {
+        let found = self
+            .parts
+            .binary_search_by(|in_flight| in_flight.part.cmp(&part));
+        Some(self.parts[found.ok()?])
+    }
+
     fn merge(&mut self, other: &Self) {
         self.at_ms = self.at_ms.min(other.at_ms);
         self.parts.extend_from_slice(&other.parts);
@@ -169,7 +186,10 @@
 
     fn normalize(&mut self) {
         self.parts.sort_unstable();
-        self.parts.dedup();
+        // The last prompt of each part comes last.
+        self.parts.reverse();
+        self.parts.dedup_by_key(|in_flight| in_flight.part);
+        self.parts.reverse();
         self.parts.truncate(PARTS_PER_CRASH_MAX);
     }
 }
--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     QuarantinedPart,
-    crash_evidence::{CrashEvidence, CrashReport, CrashRow},
+    crash_evidence::{CrashEvidence, CrashReport, PartInFlight},
 };
 
 /// Number of crashes that a part must explain to be quarantined if it was not answered
@@ -19,9 +19,6 @@
 /// Number of crashes that a part must explain if it was answered lately, and that two
 /// parts must explain if they are in flight at exactly the same ones.
 const CRASHES_OF_ESTABLISHED_PART: usize = 5;
-/// Crashes within this time count as one, milliseconds: upstreams that crash together have
-/// another cause than the requests that they have in common.
-const SIMULTANEOUS_MS: u64 = 200;
 /// How long before the first crash an answer counts as lately, milliseconds.
 const ESTABLISHED_MS: u64 = 60_000;
 /// Time in which peers can object that they know an answer, milliseconds.
@@ -50,7 +47,7 @@
 /// Returns whether a quarantined part was in flight at a crash.
 pub(crate) fn is_explained(crash: &CrashReport, quarantined: &[QuarantinedPart]) -> bool {
     let mut quarantined = quarantined.iter();
-    quarantined.any(|quarantined| crash.parts.binary_search(&quarantined.part).is_ok())
+    quarantined.any(|quarantined| crash.part_in_flight(quarantined.part).is_some())
 }
 
 /// Returns all parts that may have caused crashes that are not explained, sorted.
@@ -58,7 +55,7 @@
     let mut suspects: Vec<Suspect> = Vec::new();
     let crashes = evidence.crashes().iter();
     for row in crashes.filter(|row| !is_explained(&row.report, quarantined)) {
-        for part in &row.report.parts {
+        for PartInFlight { part, sent_at_ms } in &row.report.parts {
             if !evidence.is_suspect(*part, &row.report) {
                 continue;
             }
@@ -68,11 +65,15 @@
                 suspects.insert(index, Suspect::new(*part, survived_at_ms));
                 index
             });
-            suspects[index].add_crash(row);
+            suspects[index].crashes.push(CrashTimes {
+                at_ms: row.report.at_ms,
+                sent_at_ms: *sent_at_ms,
+                learned_at_ms: row.learned_at_ms,
+            });
         }
     }
     for suspect in &mut suspects {
-        suspect.merge_simultaneous_crashes();
+        suspect.keep_successive_crashes();
     }
     suspects
 }
@@ -82,14 +83,19 @@
 pub(crate) struct Suspect {
     pub(crate) part: PromptPartId,
     survived_at_ms: Option<u64>,
-    /// Times of the crashes, and when this instance learned of them; sorted. Only the first
-    /// of those that happened together is kept.
+    /// Sorted by time. Upstreams that crash together have another cause than the requests
+    /// that they have in common, so each crash but the first counts only if a request with
+    /// the part was sent to the upstream after the one before.
     crashes: Vec<CrashTimes>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 struct CrashTimes {
     at_ms: u64,
+    /// When the last request with the part was sent to the upstream.
+    sent_at_ms: u64,
+    /// When this instance learned of the crash.
     learned_at_ms: u64,
 }
 
@@ -102,20 +108,13 @@
         }
     }
 
-    fn add_crash(&mut self, row: &CrashRow) {
-        self.crashes.push(CrashTimes {
-            at_ms: row.report.at_ms,
-            learned_at_ms: row.learned_at_ms,
-        });
-    }
-
-    fn merge_simultaneous_crashes(&mut self) {
+    fn keep_successive_crashes(&mut self) {
         self.crashes.sort_unstable();
         self.crashes
-            .dedup_by(|next, kept| next.at_ms < kept.at_ms + SIMULTANEOUS_MS);
+            .dedup_by(|next, kept| next.sent_at_ms < kept.at_ms);
     }
 
-    /// Returns the number of crashes. Those that happened together count once.
+    /// Returns the number of successive crashes.
     pub(crate) fn crash_count(&self) -> usize {
         self.crashes.len()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
-    crash_evidence::{CrashReport, PartSurvival},
+    crash_evidence::{CrashReport, PartInFlight, PartSurvival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
@@ -50,7 +50,9 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
-    quarantine::{PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart},
+    quarantine::{
+        LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart,
+    },
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     upstream::{UpstreamEntry, UpstreamState},
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,13 +14,15 @@
 //!
 //! All times are milliseconds on the store's clock.
 
+use std::rc::Rc;
+
 use model::PromptPartId;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     UpstreamTable,
-    crash_evidence::{CrashEvidence, CrashReport, CrashRow, PartSurvival},
+    crash_evidence::{CrashEvidence, CrashReport, CrashRow, PartInFlight, PartSurvival},
     crash_suspects::{convicted_parts, is_explained},
     peers::upstream_hash,
     placement::Target,
@@ -70,6 +72,17 @@
     pub tried_at_ms: u64,
 }
 
+/// A request whose answer was lost because its upstream crashed.
+#[derive(Debug, Clone)]
+pub struct LostRequest {
+    /// Parts of the prompt that other requests may share, sorted.
+    pub shared_parts: Rc<[PromptPartId]>,
+    /// When the request was sent, milliseconds on the store's clock.
+    pub sent_at_ms: u64,
+    /// When its answer broke off, milliseconds on the store's clock.
+    pub lost_at_ms: u64,
+}
+
 /// What an instance tells its peers about crashes and quarantined parts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineNotice {
@@ -136,19 +149,16 @@
 }
 
 impl Quarantine {
-    /// Records that an upstream crashed at `at_ms` while a request with these parts was
-    /// in flight there. `parts` must be sorted.
-    pub fn record_crash(
-        &mut self,
-        target: &Target,
-        parts: &[PromptPartId],
-        at_ms: u64,
-        now_ms: u64,
-    ) {
+    /// Records that an upstream crashed while a request was in flight there.
+    pub fn record_crash(&mut self, target: &Target, lost: &LostRequest, now_ms: u64) {
+        let parts = lost.shared_parts.iter().map(|part| PartInFlight {
+            part: *part,
+            sent_at_ms: lost.sent_at_ms,
+        });
         let report = CrashReport {
             incarnation: incarnation_hash(target),
-            at_ms,
-            parts: parts.to_vec(),
+            at_ms: lost.lost_at_ms,
+            parts: parts.collect(),
         };
         self.evidence.add_crash(&report, now_ms);
     }
@@ -288,7 +298,7 @@
         let mut report = row.report.clone();
         report
             .parts
-            .retain(|part| self.evidence.is_suspect(*part, &row.report));
+            .retain(|in_flight| self.evidence.is_suspect(in_flight.part, &row.report));
         (!report.parts.is_empty()).then_some(report)
     }
 
@@ -300,7 +310,8 @@
             .crashes()
             .iter()
             .filter(|row| now_ms < row.learned_at_ms + UNEXPLAINED_NOTICE_MS);
-        let accused = recent.flat_map(|row| row.report.parts.iter().copied());
+        let accused =
+            recent.flat_map(|row| row.report.parts.iter().map(|in_flight| in_flight.part));
         let quarantined = self.quarantined.iter().map(|quarantined| quarantined.part);
         let released = self.releases_to_tell(now_ms);
         let mut parts: Vec<_> = accused.chain(quarantined).chain(released).collect();
@@ -330,7 +341,7 @@
         for quarantined in &mut self.quarantined {
             let own_crashes = crashes
                 .iter()
-                .filter(|row| row.report.parts.binary_search(&quarantined.part).is_ok());
+                .filter(|row| row.report.part_in_flight(quarantined.part).is_some());
             if let Some(last_ms) = own_crashes.map(|row| row.report.at_ms).max() {
                 quarantined.record_crash(last_ms);
             }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::{io::ErrorKind, rc::Rc};
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, Target, UpstreamTable, WorkKind};
+use gateway::{AttemptEnd, LostRequest, Target, UpstreamTable, WorkKind};
 use http::{HeaderMap, Method, Request, Response, Uri, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -27,9 +27,10 @@
 /// answer arrives, so the connection is not ready for another request.
 const REUSE_BODY_MAX_BYTES: usize = 16 * 1024;
 
-/// Time for which an upstream must go on answering after the first bytes to have survived
-/// the request, milliseconds.
-const SURVIVAL_MS: u64 = 1_000;
+/// Number of events that an upstream must send, and time for which it must go on sending
+/// them, in milliseconds, to have survived the request.
+const SURVIVAL_EVENTS: u64 = 10;
+const SURVIVAL_MS: u64 = 200;
 
 /// A request to be sent to an upstream or a peer.
 #[derive(Debug, Clone)]
@@ -95,8 +96,10 @@
     pub(crate) in_flight: InFlightGuard,
     connection: Connection,
     can_reuse_connection: bool,
-    /// When the first part of the body arrived, in milliseconds on the node's clock.
-    first_bytes_ms: Option<u64>,
+    /// When the first event arrived, in milliseconds on the node's clock.
+    first_event_ms: Option<u64>,
+    event_count: u64,
+    /// Whether it is recorded that the upstream survived the parts of the prompt.
     has_survived: bool,
 }
 
@@ -171,7 +174,14 @@
     /// may mean that the upstream crashed.
     pub(crate) fn record_lost_answer(&self) {
         self.record_failure();
-        crash_detection::check_upstream(&self.node, &self.target, &self.shared_parts);
+        let held_ms = self.node.now_ms().saturating_sub(self.started_ms);
+        let lost_at_ms = self.node.store_now_ms();
+        let lost = LostRequest {
+            shared_parts: Rc::clone(&self.shared_parts),
+            sent_at_ms: lost_at_ms.saturating_sub(held_ms),
+            lost_at_ms,
+        };
+        crash_detection::check_upstream(&self.node, &self.target, lost);
     }
 }
 
@@ -187,12 +197,16 @@
 }
 
 impl UpstreamAnswer {
-    /// Records that a part of the body arrived. An upstream that goes on answering for
-    /// long has survived the parts of the prompt.
-    pub(crate) fn record_progress(&mut self, node: &Node) {
+    /// Records that an event arrived. An upstream that goes on sending them has survived
+    /// the parts of the prompt.
+    pub(crate) fn record_event(&mut self, node: &Node) {
+        if self.has_survived {
+            return;
+        }
         let now_ms = node.now_ms();
-        let first_bytes_ms = *self.first_bytes_ms.get_or_insert(now_ms);
-        if !self.has_survived && now_ms >= first_bytes_ms + SURVIVAL_MS {
+        let first_event_ms = *self.first_event_ms.get_or_insert(now_ms);
+        self.event_count += 1;
+        if self.event_count >= SURVIVAL_EVENTS && now_ms >= first_event_ms + SURVIVAL_MS {
             self.record_survival(node);
         }
     }
@@ -299,7 +313,8 @@
         in_flight,
         connection,
         can_reuse_connection: outgoing.has_small_body(),
-        first_bytes_ms: None,
+        first_event_ms: None,
+        event_count: 0,
         has_survived: false,
     })
 }
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -7,52 +7,31 @@
 
 use std::{io::ErrorKind, rc::Rc};
 
-use gateway::Target;
+use gateway::{LostRequest, Target};
 use model::PromptPartId;
 use tokio::task::spawn_local;
 
 use crate::{connection_pool::connect, node::Node, quarantine};
 
-/// Checks in the background whether an upstream has crashed, after it lost the answer to a
-/// request with these parts. Upstreams that are leaving are not checked, because they end
-/// as planned.
-pub(crate) fn check_upstream(node: &Rc<Node>, target: &Target, shared_parts: &Rc<[PromptPartId]>) {
-    if !node.upstreams.borrow().is_in_service(target) {
-        return;
+/// Checks in the background whether an upstream has crashed, after the answer to a request
+/// was lost. Upstreams that are leaving are not checked, because they end as planned.
+pub(crate) fn check_upstream(node: &Rc<Node>, target: &Target, lost: LostRequest) {
+    if node.upstreams.borrow().is_in_service(target) {
+        spawn_local(check(Rc::clone(node), target.clone(), lost));
     }
-    let lost_answer = LostAnswer {
-        target: target.clone(),
-        shared_parts: Rc::clone(shared_parts),
-        lost_at_ms: node.store_now_ms(),
-    };
-    spawn_local(check(Rc::clone(node), lost_answer));
-}
-
-/// An answer that broke off.
-#[derive(Debug)]
-struct LostAnswer {
-    target: Target,
-    shared_parts: Rc<[PromptPartId]>,
-    /// Time on the store's clock, milliseconds.
-    lost_at_ms: u64,
 }
 
-async fn check(node: Rc<Node>, lost: LostAnswer) {
-    let LostAnswer {
-        target,
-        shared_parts,
-        lost_at_ms,
-    } = &lost;
-    if !has_crashed(&node, target).await {
+async fn check(node: Rc<Node>, target: Target, lost: LostRequest) {
+    if !has_crashed(&node, &target).await {
         return;
     }
     log::warn!(
         "event=upstream_crashed upstream={} shared_parts={}",
         target.upstream,
-        join_parts(shared_parts)
+        join_parts(&lost.shared_parts)
     );
     node.metrics.on_upstream_crash();
-    quarantine::record_crash(&node, target, shared_parts, *lost_at_ms);
+    quarantine::record_crash(&node, &target, &lost);
 }
 
 /// Returns whether an upstream is known to have crashed, or refuses a new connection. If
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -195,10 +195,7 @@
         .instant(context.node.now_ms() + stall_timeout_ms);
     let interrupted = |reason: String| Progress::Ended(RunOutcome::Interrupted, reason);
     match timeout_at(stall_deadline, answer.body.frame()).await {
-        Ok(Some(Ok(frame))) => {
-            answer.record_progress(&context.node);
-            splitter.push(&frame.into_data().unwrap_or_default());
-        }
+        Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
         Ok(Some(Err(error))) => return interrupted(error.to_string()),
         Ok(None) if splitter.has_partial_event() => {
             return interrupted("the stream ended within an event".to_owned());
@@ -208,7 +205,10 @@
     }
     loop {
         match splitter.next_event() {
-            Ok(Some(event)) => partial.push(event.id, &event.data()),
+            Ok(Some(event)) => {
+                partial.push(event.id, &event.data());
+                answer.record_event(&context.node);
+            }
             Ok(None) => return Progress::Received,
             Err(error) => return interrupted(format!("{error:?}")),
         }
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -2,7 +2,7 @@
 //! this instance observes, logs what it decides, and checks each request before it is
 //! sent. The decisions are in [`gateway::Quarantine`].
 
-use gateway::{PartCheck, QuarantineChange, QuarantineNotice, Target};
+use gateway::{LostRequest, PartCheck, QuarantineChange, QuarantineNotice, Target};
 use model::PromptPartId;
 
 use crate::node::Node;
@@ -29,17 +29,11 @@
     node.load_changed.notify_one();
 }
 
-/// Records that an upstream crashed at `crashed_at_ms` of the store's clock while a
-/// request with these parts was in flight there.
-pub(crate) fn record_crash(
-    node: &Node,
-    target: &Target,
-    shared_parts: &[PromptPartId],
-    crashed_at_ms: u64,
-) {
+/// Records that an upstream crashed while a request was in flight there.
+pub(crate) fn record_crash(node: &Node, target: &Target, lost: &LostRequest) {
     let now_ms = node.store_now_ms();
     let mut quarantine = node.quarantine.borrow_mut();
-    quarantine.record_crash(target, shared_parts, crashed_at_ms, now_ms);
+    quarantine.record_crash(target, lost, now_ms);
     drop(quarantine);
     update(node);
     node.load_changed.notify_one();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -126,10 +126,7 @@
         let answer = self.answer.as_mut()?;
         let frame = timeout_at(wait_until, answer.body.frame()).await;
         Some(match frame {
-            Ok(Some(Ok(frame))) => {
-                answer.record_progress(node);
-                Received::Bytes(frame.into_data().unwrap_or_default())
-            }
+            Ok(Some(Ok(frame))) => Received::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(error))) => broken_stream(error),
             Ok(None) => self.end_of_body(),
             Err(_) if wait_until_ms >= deadline_ms => Received::DeadlinePassed,
@@ -164,7 +161,12 @@
         let mut events = BytesMut::new();
         loop {
             match splitter.next_event() {
-                Ok(Some(event)) => events.extend_from_slice(&event.bytes),
+                Ok(Some(event)) => {
+                    events.extend_from_slice(&event.bytes);
+                    if let Some(answer) = &mut self.answer {
+                        answer.record_event(&self.request.node);
+                    }
+                }
                 Err(error) if events.is_empty() => return Err(format!("{error:?}")),
                 // Events before the error are relayed first; the next call returns
                 // the error again.
