Log the rate limits that upstreams state

The header is decoded in platform/, a change of an upstream's limit is logged as server_limit, and a gauge counts limited upstreams. No decision changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod peers;
 mod placement;
 mod quarantine;
+mod rate_limits;
 mod route;
 mod store_reachability;
 mod upstream;
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -88,6 +88,8 @@
     pub(crate) warmed_up_at_ms: u64,
     /// Whether this incarnation said that it is leaving.
     pub(crate) is_leaving: bool,
+    /// Rate limit that this incarnation states, requests per second.
+    pub(crate) limit_per_s: Option<f64>,
     pub(crate) health: Health,
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
@@ -425,6 +427,7 @@
             hash,
             remove_at_ms: None,
             is_leaving: false,
+            limit_per_s: None,
             health: Health::default(),
             own_load: load,
             peer_load,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::PromptPartId;
+use platform::StatedLimit;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -305,6 +306,7 @@
         }
     };
     record_if_leaving(node, target, response.headers());
+    record_stated_limit(node, target, response.headers());
     check_head(node, &in_flight, &response, outgoing, options)?;
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
@@ -383,6 +385,24 @@
     }
 }
 
+/// Records the rate limit that an upstream states in an answer.
+fn record_stated_limit(node: &Node, target: &Target, headers: &HeaderMap) {
+    let requests_per_s = match platform::decode_stated_limit(headers) {
+        StatedLimit::Unlimited => None,
+        StatedLimit::PerSecond(rate) => Some(rate),
+        // What the upstream stated before holds on.
+        StatedLimit::Unreadable => return,
+    };
+    let mut upstreams = node.upstreams.borrow_mut();
+    if upstreams.record_limit(target, requests_per_s) {
+        log::info!(
+            "event=server_limit upstream={} requests_per_s={}",
+            target.upstream,
+            requests_per_s.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+        );
+    }
+}
+
 /// Rejects answers to other requests, answers that say that the request did not run,
 /// and successful answers that are not as the server produced them: they lack the
 /// server's stamp or have a content encoding. Records the delay of all other answers.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -65,6 +65,7 @@
     config_version: Gauge<u64>,
     store_age: Gauge<f64>,
     ready_upstreams: Gauge<u64>,
+    limited_upstreams: Gauge<u64>,
     busiest: BusiestUpstreams,
 }
 
@@ -137,6 +138,10 @@
                 .with_description("Time since the store last answered")
                 .build(),
             ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
+            limited_upstreams: gauge(
+                "redwingtack.upstreams_limited",
+                "Upstreams that state a rate limit",
+            ),
             busiest,
         }
     }
@@ -236,6 +241,8 @@
         self.waiting_items.record(item_counts.sum(), &[]);
         self.ready_upstreams
             .record(upstreams.ready_count() as u64, &[]);
+        self.limited_upstreams
+            .record(upstreams.limited_count() as u64, &[]);
         let quarantined = node.quarantine.borrow().quarantined().len();
         self.quarantined_parts.record(quarantined as u64, &[]);
         let version = node.routes().map_or(0, |routes| routes.version);
