--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -264,6 +264,18 @@
         }
     }
 
+    /// Makes a server state a rate limit in all its answers; an empty `value` ends that.
+    pub async fn set_stated_limit(&self, index: usize, value: &str) {
+        let path = if value.is_empty() {
+            "/standin/limit".to_owned()
+        } else {
+            format!("/standin/limit?value={value}")
+        };
+        let address = self.servers[index].standin.address();
+        let answer = send_request(address, "POST", &path, &[], Vec::new()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
     /// Returns the number of servers that nobody can connect to.
     pub async fn crashed_count(&self) -> usize {
         let mut count = 0;
@@ -365,20 +377,7 @@
     /// Sends a request to a streaming route, with a deadline of 4 s, and reads the
     /// whole answer.
     pub async fn send_stream_request(&self, path: &str, id: &str) -> Answer {
-        let headers = [
-            ("host", HOST),
-            ("redwingtack-request-id", id),
-            ("redwingtack-deadline-ms", "4000"),
-        ];
-        send_request(
-            self.callers_address,
-            "POST",
-            path,
-            &headers,
-            b"prompt".to_vec(),
-        )
-        .await
-        .unwrap()
+        send_stream_request(self.callers_address, path, id).await
     }
 
     /// Like [`NodeProcess::send_stream_request`], for a prompt with these parts, such as
@@ -480,6 +479,19 @@
     }
 }
 
+/// Sends a request to a streaming route, with a deadline of 4 s, and reads the whole
+/// answer.
+pub async fn send_stream_request(address: SocketAddr, path: &str, id: &str) -> Answer {
+    let headers = [
+        ("host", HOST),
+        ("redwingtack-request-id", id),
+        ("redwingtack-deadline-ms", "4000"),
+    ];
+    send_request(address, "POST", path, &headers, b"prompt".to_vec())
+        .await
+        .unwrap()
+}
+
 /// Sends a request on a new connection.
 pub async fn send_request(
     address: SocketAddr,
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -7,6 +7,8 @@
 //! stream after `N` events, `POST /standin/leave` makes the server say in all its
 //! answers that it is leaving, and `POST /standin/crash?part=ID` makes it crash as soon as
 //! it answers a request whose prompt has the part `ID` before its last part.
+//! `POST /standin/limit?value=V` makes it state `V` as its rate limit in all its answers,
+//! and without a value end that.
 
 use std::{
     collections::BTreeMap,
@@ -81,6 +83,7 @@
     let event_server = EventServer {
         settings,
         faults: Arc::default(),
+        stated_limit: Mutex::default(),
         crashing_part: Mutex::default(),
         runs: Mutex::default(),
         running_count: Arc::default(),
@@ -93,6 +96,7 @@
 struct EventServer {
     settings: EventServerSettings,
     faults: Arc<FaultScript>,
+    stated_limit: Mutex<Option<HeaderValue>>,
     /// Part of a prompt that crashes the server.
     crashing_part: Mutex<Option<String>>,
     runs: Mutex<EventRuns>,
@@ -128,6 +132,12 @@
                 self.is_leaving.store(true, Ordering::Release);
                 server::text_response(StatusCode::OK, "leaving\n")
             }
+            (&Method::POST, "/standin/limit") => {
+                let value = server::query_parameter(&request, "value");
+                *self.lock_stated_limit() =
+                    value.and_then(|value| HeaderValue::from_str(&value).ok());
+                server::text_response(StatusCode::OK, "set\n")
+            }
             (&Method::POST, "/standin/crash") => {
                 *self.lock_crashing_part() = server::query_parameter(&request, "part");
                 server::text_response(StatusCode::OK, "set\n")
@@ -149,6 +159,9 @@
             let leaving = HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", leaving);
         }
+        if let Some(limit) = self.lock_stated_limit().clone() {
+            response.headers_mut().insert("server-limit", limit);
+        }
         Ok(response)
     }
 }
@@ -253,6 +266,12 @@
         ids.any(|id| Some(id) == crashing_part.as_deref())
     }
 
+    fn lock_stated_limit(&self) -> MutexGuard<'_, Option<HeaderValue>> {
+        self.stated_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_crashing_part(&self) -> MutexGuard<'_, Option<String>> {
         self.crashing_part
             .lock()
