Keep the rate limits that upstreams state

Cause: nothing reads the header; requests go where an answer is expected to begin first.

Fix: one instance issues whole tokens for each limited upstream; whoever sends there takes one. Demands and grants are counts in the load notices that only grow. Unused tokens return to the bucket after 600 ms; the bucket holds those of a second and one more, a new issuer begins with none, and one that hears only a part of the registered instances issues only that share. Items leave the tokens to online requests while these are refused.

--- a/crates/gateway/src/batch_plan.rs
+++ b/crates/gateway/src/batch_plan.rs
@@ -30,6 +30,9 @@
 /// Time after the last online request for which a service still counts as
 /// receiving online requests, milliseconds.
 const ONLINE_RECENCY_MS: u64 = 5_000;
+/// Time after the last refusal of an online request in which items leave limited upstreams to
+/// online requests, milliseconds.
+const REFUSAL_RECENCY_MS: u64 = 2_000;
 /// Maximum number of entries of the batch queue in a notice to peers.
 const QUEUE_MAX_ENTRIES: usize = 16;
 
@@ -224,12 +227,25 @@
             .map(|row| FreeSlots {
                 row,
                 region: self.region_of(&row.entry.failure_domain),
-                slots: row.entry.slots.saturating_sub(row.load() + reserve),
+                slots: self.batch_slots(row, reserve, now_ms),
                 remote_reserve: unreported_online(row, timings),
             })
             .collect()
     }
 
+    /// Returns the number of items that may start at an upstream. While online requests are
+    /// refused, items leave the tokens of limited upstreams to them.
+    fn batch_slots(&self, row: &UpstreamRow, reserve: u32, now_ms: u64) -> u32 {
+        let free = row.entry.slots.saturating_sub(row.load() + reserve);
+        let tokens = self.limits.batch_tokens(row.incarnation, now_ms);
+        let Some(tokens) = tokens else { return free };
+        let last_refused_ms = self.last_refused_ms(&row.entry.service);
+        if last_refused_ms.is_some_and(|refused_ms| now_ms < refused_ms + REFUSAL_RECENCY_MS) {
+            return 0;
+        }
+        free.min(u32::try_from(tokens).unwrap_or(u32::MAX))
+    }
+
     fn online_reserve(&self, service: &ServiceName, now_ms: u64) -> u32 {
         let is_recent = self
             .last_online_ms(service)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod forecast;
 mod health;
 mod leaving;
+mod limited_upstreams;
 mod moving_average;
 mod notice_scheduler;
 mod peer_loads;
@@ -36,7 +37,9 @@
 mod quarantine;
 mod rate_limits;
 mod route;
+mod service_timings;
 mod store_reachability;
+mod token_issuer;
 mod upstream;
 mod upstream_table;
 
@@ -54,8 +57,10 @@
     quarantine::{
         LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart,
     },
+    rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
+    token_issuer::SettledTokens,
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
 };
--- a/crates/gateway/src/notice_scheduler.rs
+++ b/crates/gateway/src/notice_scheduler.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     UpstreamTable,
-    upstream_table::{TimingEstimates, UpstreamRow, as_f64, round_count},
+    service_timings::TimingEstimates,
+    upstream_table::{UpstreamRow, as_f64, round_count},
 };
 
 /// Rate limit for the notices of one instance, per second.
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -4,11 +4,11 @@
 //! second, and each of them names few upstreams. Adding up all notices again
 //! for each of them would take time proportional to peers times upstreams.
 
-use model::{InstanceId, UpstreamId};
-use xxhash_rust::xxh3::xxh3_64;
+use model::UpstreamId;
 
 use crate::{
     LoadNotice, UpstreamLoad, UpstreamTable,
+    peers::election_rank,
     upstream_table::{UpstreamRow, round_ms},
 };
 
@@ -131,11 +131,6 @@
     }
 }
 
-/// Returns the rank of an instance in an election, by rendezvous hashing.
-fn election_rank(instance: &InstanceId, election: u64) -> u64 {
-    xxh3_64(&[instance.as_str().as_bytes(), &election.to_le_bytes()].concat())
-}
-
 impl PeerLoad {
     /// Returns the sum of the loads that `notices` report for an upstream.
     pub(crate) fn new<'a>(notices: impl Iterator<Item = &'a LoadNotice>, upstream: u64) -> Self {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,19 @@
     xxh3_64(id.as_str().as_bytes())
 }
 
+/// Returns the hash that identifies one incarnation of an upstream in notices.
+#[must_use]
+pub(crate) fn incarnation_hash(upstream: &UpstreamId, started_unix_ms: u64) -> u64 {
+    let id = upstream_hash(upstream).to_le_bytes();
+    xxh3_64(&[id, started_unix_ms.to_le_bytes()].concat())
+}
+
+/// Returns the rank of an instance in an election, by rendezvous hashing. The highest one is
+/// elected.
+pub(crate) fn election_rank(instance: &InstanceId, election: u64) -> u64 {
+    xxh3_64(&[instance.as_str().as_bytes(), &election.to_le_bytes()].concat())
+}
+
 /// The newest notices of all peers.
 #[derive(Debug, Default)]
 pub(crate) struct PeerNotices {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,8 +18,9 @@
 use rand::RngExt;
 
 use crate::{
+    service_timings::TimingEstimates,
     upstream::UpstreamEntry,
-    upstream_table::{TimingEstimates, UpstreamRow, UpstreamTable, as_f64, round_count, round_ms},
+    upstream_table::{UpstreamRow, UpstreamTable, as_f64, round_count, round_ms},
 };
 
 /// Maximum difference from the lowest cost for an upstream to count as equal to
@@ -114,6 +115,8 @@
     NoUpstream,
     /// The answer is expected to begin too late at every upstream.
     Saturated,
+    /// All upstreams that can be used have reached the rate limit that they state.
+    RateLimited,
     /// A part of the prompt crashes upstreams.
     Quarantined,
 }
@@ -139,6 +142,7 @@
         match self {
             Self::NoUpstream => "no_upstream",
             Self::Saturated => "saturated",
+            Self::RateLimited => "rate_limited",
             Self::Quarantined => "quarantined",
         }
     }
@@ -159,14 +163,11 @@
     /// Decides to which upstream an online request is sent, or that it is
     /// refused.
     pub fn place(&mut self, request: &PlacementRequest<'_>, now_ms: u64) -> Placement {
+        self.record_wanted(request.service, now_ms);
         let timings = self.timing_estimates(request.service, as_f64(request.goal_ms));
         let mut candidates = self.candidates(request, timings, now_ms);
         let Some(mut chosen) = self.choose(&candidates) else {
-            return Placement::Refuse {
-                reason: RefusalReason::NoUpstream,
-                retry_after_ms: NO_UPSTREAM_RETRY_MS,
-                expected_ms: 0,
-            };
+            return self.refuse_without_candidate(request.service, now_ms);
         };
         // This request is as likely to be the first of the unseen ones as the last.
         let unseen = self.unseen_placements(request.service, timings);
@@ -178,6 +179,7 @@
             index, expected_ms, ..
         } = candidates[chosen];
         if request.may_refuse && expected_ms > as_f64(request.wait_limit_ms()) {
+            self.record_refused(request.service, now_ms);
             return Placement::Refuse {
                 reason: RefusalReason::Saturated,
                 retry_after_ms: self.retry_after_ms(timings.online_hold_ms),
@@ -197,6 +199,19 @@
         }
     }
 
+    fn refuse_without_candidate(&mut self, service: &ServiceName, now_ms: u64) -> Placement {
+        self.record_refused(service, now_ms);
+        let (reason, retry_after_ms) = match self.limited_retry_ms(service, now_ms) {
+            Some(retry_ms) => (RefusalReason::RateLimited, round_ms(retry_ms)),
+            None => (RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_MS),
+        };
+        Placement::Refuse {
+            reason,
+            retry_after_ms,
+            expected_ms: 0,
+        }
+    }
+
     /// Returns the position of a candidate with the lowest cost. A random one is
     /// chosen among those whose costs differ little.
     fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
@@ -261,6 +276,7 @@
             .enumerate()
             .filter(|(_, row)| row.entry.service == *request.service && row.is_ready())
             .filter(|(_, row)| row.health.is_usable_as_last_resort(now_ms))
+            .filter(|(_, row)| self.is_within_limit(row, now_ms))
             .collect();
         let is_usable = |row: &UpstreamRow| row.health.is_usable(now_ms);
         let is_untried = |row: &UpstreamRow| !request.tried.contains(&row.entry.id);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -24,7 +24,7 @@
     UpstreamTable,
     crash_evidence::{CrashEvidence, CrashReport, CrashRow, PartInFlight, PartSurvival},
     crash_suspects::{convicted_parts, is_explained},
-    peers::upstream_hash,
+    peers::incarnation_hash,
     placement::Target,
 };
 
@@ -156,7 +156,7 @@
             sent_at_ms: lost.sent_at_ms,
         });
         let report = CrashReport {
-            incarnation: incarnation_hash(target),
+            incarnation: incarnation_hash(&target.upstream, target.started_unix_ms),
             at_ms: lost.lost_at_ms,
             parts: parts.collect(),
         };
@@ -166,7 +166,8 @@
     /// Returns whether the crash of an upstream is known.
     #[must_use]
     pub fn knows_crash(&self, target: &Target) -> bool {
-        self.evidence.knows_crash(incarnation_hash(target))
+        let incarnation = incarnation_hash(&target.upstream, target.started_unix_ms);
+        self.evidence.knows_crash(incarnation)
     }
 
     /// Records that a request with these parts was answered and its upstream did not
@@ -453,9 +454,3 @@
         .survived_at_ms(quarantined.part)
         .is_some_and(|at_ms| at_ms > quarantined.crashed_at_ms)
 }
-
-/// Returns the hash of one incarnation of an upstream.
-fn incarnation_hash(target: &Target) -> u64 {
-    let id = upstream_hash(&target.upstream).to_le_bytes();
-    xxh3_64(&[id, target.started_unix_ms.to_le_bytes()].concat())
-}
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -1,24 +1,382 @@
-//! Rate limits that upstreams state in their answers.
+//! Rate limits that upstreams state in their answers, for all instances together.
+//!
+//! Load pattern: an upstream in need states that it takes a few requests a second, and
+//! every instance has requests for it. For each such upstream one instance issues tokens
+//! at the stated rate, see `token_issuer`. Each request sent takes a token, whatever
+//! becomes of it. Tokens that are not used soon expire.
+//!
+//! The instances exchange limits, demands and grants with their load notices. Demands and
+//! grants are counts that only grow, so that lost, late and repeated notices add nothing.
 
-use crate::{UpstreamTable, placement::Target};
+use serde::{Deserialize, Serialize};
 
-impl UpstreamTable {
-    /// Records the rate limit that an upstream states in an answer, in requests per second
-    /// from all instances together; `None` if it states none. Returns whether the limit has
+use crate::token_issuer::{SettledTokens, TokenIssuer};
+
+/// Time after which a token that was not used expires, milliseconds.
+const TOKEN_LIFETIME_MS: u64 = 600;
+/// Time for which only online requests may use a token, milliseconds. Batch items use the
+/// ones that are left.
+const ONLINE_FIRST_MS: u64 = 300;
+/// Time for which peers are told of an answer that stated a limit, or none any more,
+/// milliseconds.
+const STATEMENT_NOTICE_MS: u64 = 5_000;
+/// Maximum rate that is kept as a limit, per second. No upstream gets more requests than
+/// this anyway.
+const LIMIT_MAX_PER_S: f64 = 1_000.0;
+/// Maximum number of tokens that are taken from one grant. A larger number is due to
+/// grants that this instance did not see for long.
+const GRANT_MAX: u64 = 1_000;
+
+/// Maximum number of statements and of grants in a notice.
+const NOTICE_ENTRIES_MAX: usize = 64;
+
+/// What one instance tells its peers about rate limits.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Limits that answers to the instance stated lately.
+    pub statements: Vec<LimitStatement>,
+    /// Upstreams for which the instance asks for tokens.
+    pub demands: Vec<TokenDemand>,
+    /// Tokens that the instance has issued.
+    pub grants: Vec<TokenGrant>,
+}
+
+/// What the last answer of an upstream to one instance said of its rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitStatement {
+    /// Hash of the upstream's incarnation.
+    pub incarnation: u64,
+    /// The limit; `None` if the upstream states none any more.
+    pub requests_per_s: Option<f64>,
+    /// Age of the answer, milliseconds.
+    pub age_ms: u64,
+}
+
+/// An instance asks for tokens of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenDemand {
+    /// Hash of the upstream's incarnation.
+    pub incarnation: u64,
+    /// Random id of the process that asks.
+    pub holder: u64,
+    /// Tokens that the process has used or let expire.
+    pub settled: SettledTokens,
+}
+
+/// Number of tokens of an upstream that a process was granted so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// Hash of the upstream's incarnation.
+    pub incarnation: u64,
+    /// Random id of the process.
+    pub holder: u64,
+    /// Number of tokens.
+    pub granted: u64,
+}
+
+/// What this instance does about one limited upstream at present.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LimitRole {
+    pub(crate) incarnation: u64,
+    /// Whether this instance has requests for the upstream.
+    pub(crate) has_demand: bool,
+    /// Share of the rate at which this instance issues tokens; `None` if it does not.
+    pub(crate) issued_share: Option<f64>,
+}
+
+/// The upstreams that state a rate limit.
+#[derive(Debug)]
+pub(crate) struct RateLimits {
+    /// Random id of this process.
+    holder: u64,
+    /// Sorted by incarnation.
+    rows: Vec<LimitRow>,
+}
+
+#[derive(Debug)]
+struct LimitRow {
+    incarnation: u64,
+    /// `None` if the upstream states no limit any more.
+    requests_per_s: Option<f64>,
+    stated_at_ms: u64,
+    /// What the last answer to this instance itself said, and when.
+    own_statement: Option<(Option<f64>, u64)>,
+    wallet: Wallet,
+    /// `None` while another instance issues the tokens.
+    issuer: Option<TokenIssuer>,
+}
+
+/// Tokens of this instance for one upstream.
+#[derive(Debug, Default)]
+struct Wallet {
+    has_demand: bool,
+    granted: u64,
+    settled: SettledTokens,
+    /// When each token in hand expires, oldest first.
+    expiries_ms: Vec<u64>,
+}
+
+impl RateLimits {
+    /// Creates an empty table for the process with a random id.
+    pub(crate) fn new(holder: u64) -> Self {
+        Self {
+            holder,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Returns whether no upstream states a limit.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the limit of an upstream, if it states one.
+    pub(crate) fn limit_per_s(&self, incarnation: u64) -> Option<f64> {
+        let index = self.find(incarnation).ok()?;
+        self.rows[index].requests_per_s
+    }
+
+    /// Returns the hashes of the upstreams that state a limit.
+    pub(crate) fn limited(&self) -> impl Iterator<Item = u64> {
+        let limited = self.rows.iter().filter(|row| row.requests_per_s.is_some());
+        limited.map(|row| row.incarnation)
+    }
+
+    /// Records what an answer to this instance says. Returns whether the limit has changed.
+    pub(crate) fn record_statement(
+        &mut self,
+        incarnation: u64,
+        requests_per_s: Option<f64>,
+        now_ms: u64,
+    ) -> bool {
+        if requests_per_s.is_none() && self.find(incarnation).is_err() {
+            return false;
+        }
+        let row = self.row(incarnation);
+        row.own_statement = Some((requests_per_s, now_ms));
+        row.adopt(requests_per_s, now_ms)
+    }
+
+    /// Returns whether a request may be sent to an upstream.
+    pub(crate) fn may_send(&self, incarnation: u64, now_ms: u64) -> bool {
+        self.tokens(incarnation, now_ms)
+            .is_none_or(|tokens| tokens > 0)
+    }
+
+    /// Returns the number of requests that may be sent to an upstream; `None` if it states
+    /// no limit.
+    fn tokens(&self, incarnation: u64, now_ms: u64) -> Option<usize> {
+        self.tokens_until(incarnation, now_ms, u64::MAX)
+    }
+
+    /// Returns the number of batch items that may be sent to an upstream; `None` if it
+    /// states no limit.
+    pub(crate) fn batch_tokens(&self, incarnation: u64, now_ms: u64) -> Option<usize> {
+        let until_ms = now_ms + TOKEN_LIFETIME_MS - ONLINE_FIRST_MS;
+        self.tokens_until(incarnation, now_ms, until_ms)
+    }
+
+    fn tokens_until(&self, incarnation: u64, now_ms: u64, until_ms: u64) -> Option<usize> {
+        let row = &self.rows[self.find(incarnation).ok()?];
+        row.requests_per_s?;
+        let expiries_ms = row.wallet.expiries_ms.iter();
+        let usable = expiries_ms.filter(|expiry_ms| (now_ms + 1..=until_ms).contains(expiry_ms));
+        Some(usable.count())
+    }
+
+    /// Takes the token for a request that is sent to an upstream.
+    pub(crate) fn take_token(&mut self, incarnation: u64) {
+        if let Ok(index) = self.find(incarnation) {
+            self.rows[index].wallet.settle(1);
+        }
+    }
+
+    /// Lets tokens expire, issues new ones, and forgets limits that have ended. Returns
+    /// whether peers should be told.
+    pub(crate) fn update(&mut self, roles: &[LimitRole], now_ms: u64) -> bool {
+        self.rows.retain(|row| {
+            let is_served = roles.iter().any(|role| role.incarnation == row.incarnation);
+            let is_recent = now_ms < row.stated_at_ms + STATEMENT_NOTICE_MS;
+            is_recent || (is_served && row.requests_per_s.is_some())
+        });
+        let holder = self.holder;
+        let mut is_news = false;
+        for role in roles {
+            if let Ok(index) = self.find(role.incarnation) {
+                is_news |= self.rows[index].update(*role, holder, now_ms);
+            }
+        }
+        is_news
+    }
+
+    /// Adds what a peer says. Returns whether this instance got tokens.
+    pub(crate) fn receive(&mut self, notice: &LimitNotice, now_ms: u64) -> bool {
+        for statement in &notice.statements {
+            let stated_at_ms = now_ms.saturating_sub(statement.age_ms);
+            if statement.requests_per_s.is_some() || self.find(statement.incarnation).is_ok() {
+                let row = self.row(statement.incarnation);
+                row.adopt(statement.requests_per_s, stated_at_ms);
+            }
+        }
+        for demand in &notice.demands {
+            if let Ok(index) = self.find(demand.incarnation)
+                && let Some(issuer) = &mut self.rows[index].issuer
+            {
+                issuer.record_demand(demand.holder, demand.settled, now_ms);
+            }
+        }
+        let mut has_tokens = false;
+        let own_grants = notice.grants.iter();
+        for grant in own_grants.filter(|grant| grant.holder == self.holder) {
+            if let Ok(index) = self.find(grant.incarnation) {
+                has_tokens |= self.rows[index].wallet.receive(grant.granted, now_ms);
+            }
+        }
+        has_tokens
+    }
+
+    /// Returns what peers should know, or `None` if there is nothing.
+    pub(crate) fn notice(&self, now_ms: u64) -> Option<LimitNotice> {
+        if self.rows.is_empty() {
+            return None;
+        }
+        let statements = self.rows.iter().filter_map(|row| row.statement(now_ms));
+        let demands = self.rows.iter().filter(|row| row.wallet.has_demand);
+        let grants = self.rows.iter().flat_map(LimitRow::grants);
+        Some(LimitNotice {
+            statements: statements.take(NOTICE_ENTRIES_MAX).collect(),
+            demands: demands.map(|row| row.demand(self.holder)).collect(),
+            grants: grants.take(NOTICE_ENTRIES_MAX).collect(),
+        })
+    }
+
+    fn find(&self, incarnation: u64) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by_key(&incarnation, |row| row.incarnation)
+    }
+
+    fn row(&mut self, incarnation: u64) -> &mut LimitRow {
+        let index = match self.find(incarnation) {
+            Ok(index) => index,
+            Err(index) => {
+                self.rows.insert(index, LimitRow::new(incarnation));
+                index
+            }
+        };
+        &mut self.rows[index]
+    }
+}
+
+impl LimitRow {
+    fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            requests_per_s: None,
+            stated_at_ms: 0,
+            own_statement: None,
+            wallet: Wallet::default(),
+            issuer: None,
+        }
+    }
+
+    /// Adopts a statement unless a later one is known. Returns whether the limit has
     /// changed.
-    pub fn record_limit(&mut self, target: &Target, requests_per_s: Option<f64>) -> bool {
-        let Some(row) = self.incarnation_row(target) else {
+    fn adopt(&mut self, requests_per_s: Option<f64>, stated_at_ms: u64) -> bool {
+        if stated_at_ms < self.stated_at_ms {
             return false;
+        }
+        let requests_per_s = requests_per_s.filter(|limit| *limit <= LIMIT_MAX_PER_S);
+        self.stated_at_ms = stated_at_ms;
+        let before = self.requests_per_s;
+        self.requests_per_s = requests_per_s;
+        let is_lowered = before.is_none_or(|before| requests_per_s < Some(before));
+        if is_lowered {
+            self.wallet.return_tokens(usize::MAX);
+        }
+        before != requests_per_s
+    }
+
+    fn update(&mut self, role: LimitRole, holder: u64, now_ms: u64) -> bool {
+        let mut is_news = self.wallet.expire(now_ms);
+        is_news |= self.wallet.has_demand != role.has_demand;
+        self.wallet.has_demand = role.has_demand;
+        let Some((share, requests_per_s)) = role.issued_share.zip(self.requests_per_s) else {
+            self.issuer = None;
+            return is_news;
         };
-        let is_changed = row.limit_per_s != requests_per_s;
-        row.limit_per_s = requests_per_s;
-        is_changed
+        let issuer = self.issuer.get_or_insert_with(|| TokenIssuer::new(now_ms));
+        if role.has_demand {
+            issuer.record_demand(holder, self.wallet.settled, now_ms);
+        }
+        if issuer.issue(requests_per_s * share, now_ms) {
+            is_news = true;
+            let own = issuer.unsettled().find(|(other, _)| *other == holder);
+            let granted = own.map_or(0, |(_, granted)| granted);
+            self.wallet.receive(granted, now_ms);
+        }
+        is_news
+    }
+
+    fn statement(&self, now_ms: u64) -> Option<LimitStatement> {
+        let (requests_per_s, stated_at_ms) = self.own_statement?;
+        let age_ms = now_ms.saturating_sub(stated_at_ms);
+        (age_ms < STATEMENT_NOTICE_MS).then_some(LimitStatement {
+            incarnation: self.incarnation,
+            requests_per_s,
+            age_ms,
+        })
+    }
+
+    /// Returns the grants of which not all tokens are settled yet.
+    fn grants(&self) -> impl Iterator<Item = TokenGrant> {
+        let unsettled = self.issuer.iter().flat_map(TokenIssuer::unsettled);
+        unsettled.map(|(holder, granted)| TokenGrant {
+            incarnation: self.incarnation,
+            holder,
+            granted,
+        })
+    }
+
+    fn demand(&self, holder: u64) -> TokenDemand {
+        TokenDemand {
+            incarnation: self.incarnation,
+            holder,
+            settled: self.wallet.settled,
+        }
+    }
+}
+
+impl Wallet {
+    /// Takes the tokens that were granted since the last grant. Returns whether there are
+    /// any.
+    fn receive(&mut self, granted: u64, now_ms: u64) -> bool {
+        let new_tokens = granted.saturating_sub(self.granted).min(GRANT_MAX);
+        self.granted = self.granted.max(granted);
+        let expiries_ms = (0..new_tokens).map(|_| now_ms + TOKEN_LIFETIME_MS);
+        self.expiries_ms.extend(expiries_ms);
+        self.settled.count = self.granted - self.expiries_ms.len() as u64;
+        new_tokens > 0
+    }
+
+    /// Settles up to `count` tokens, the oldest ones first. Returns how many there were.
+    fn settle(&mut self, count: usize) -> u64 {
+        let count = count.min(self.expiries_ms.len());
+        self.expiries_ms.drain(..count);
+        self.settled.count = self.granted - self.expiries_ms.len() as u64;
+        count as u64
+    }
+
+    /// Settles up to `count` tokens that were not used.
+    fn return_tokens(&mut self, count: usize) {
+        self.settled.unused += self.settle(count);
     }
 
-    /// Returns the number of upstreams that state a rate limit.
-    #[must_use]
-    pub fn limited_count(&self) -> usize {
-        let limited = self.rows.iter().filter(|row| row.limit_per_s.is_some());
-        limited.count()
+    /// Settles the tokens that have expired. Returns whether there were any.
+    fn expire(&mut self, now_ms: u64) -> bool {
+        let expired = self
+            .expiries_ms
+            .partition_point(|expiry_ms| *expiry_ms <= now_ms);
+        self.return_tokens(expired);
+        expired > 0
     }
 }
--- /dev/null
+++ b/crates/gateway/src/service_timings.rs
@@ -0,0 +1,116 @@
+//! What this instance has measured of all upstreams of a service together.
+
+use model::ServiceName;
+
+use crate::{UpstreamTable, moving_average::MovingAverage};
+
+/// Measurements shared by all upstreams of a service.
+#[derive(Debug)]
+pub(crate) struct ServiceRow {
+    service: ServiceName,
+    pub(crate) online_hold_ms: MovingAverage,
+    pub(crate) batch_hold_ms: MovingAverage,
+    pub(crate) last_online_ms: u64,
+    /// When a request was last to be placed, whether it was sent or refused.
+    last_wanted_ms: Option<u64>,
+    /// When a request was last refused because no upstream could answer in time.
+    last_refused_ms: Option<u64>,
+}
+
+/// Expected times for which requests of a service hold their slots, the maximum
+/// age of load information from other regions, and the mean age of that from the
+/// own region.
+#[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+pub(crate) struct TimingEstimates {
+    pub(crate) online_hold_ms: f64,
+    pub(crate) batch_hold_ms: f64,
+    pub(crate) remote_staleness_ms: f64,
+    pub(crate) own_region_age_ms: f64,
+}
+
+impl UpstreamTable {
+    /// Returns the timing estimates of a service. Online requests are assumed
+    /// to hold their slots for `default_ms` until the first measurement.
+    pub(crate) fn timing_estimates(
+        &self,
+        service: &ServiceName,
+        default_ms: f64,
+    ) -> TimingEstimates {
+        let found = self
+            .services
+            .binary_search_by(|row| row.service.cmp(service));
+        let (online, batch) = found.map_or(
+            (MovingAverage::default(), MovingAverage::default()),
+            |index| {
+                let row = &self.services[index];
+                (row.online_hold_ms, row.batch_hold_ms)
+            },
+        );
+        let online_hold_ms = online.value_or(default_ms);
+        TimingEstimates {
+            online_hold_ms,
+            batch_hold_ms: batch.value_or(online_hold_ms),
+            remote_staleness_ms: self.remote_staleness_ms(),
+            own_region_age_ms: self.own_region_age_ms(),
+        }
+    }
+
+    /// Returns when this instance last sent an online request to a service.
+    pub(crate) fn last_online_ms(&self, service: &ServiceName) -> Option<u64> {
+        self.services
+            .binary_search_by(|row| row.service.cmp(service))
+            .ok()
+            .map(|index| self.services[index].last_online_ms)
+    }
+
+    /// Records that a request for a service is to be placed.
+    pub(crate) fn record_wanted(&mut self, service: &ServiceName, now_ms: u64) {
+        self.service_row(service).last_wanted_ms = Some(now_ms);
+    }
+
+    /// Returns when a request for a service was last to be placed.
+    pub(crate) fn last_wanted_ms(&self, service: &ServiceName) -> Option<u64> {
+        let found = self
+            .services
+            .binary_search_by(|row| row.service.cmp(service));
+        self.services[found.ok()?].last_wanted_ms
+    }
+
+    /// Records that a request for a service is refused because no upstream can answer in
+    /// time.
+    pub(crate) fn record_refused(&mut self, service: &ServiceName, now_ms: u64) {
+        self.service_row(service).last_refused_ms = Some(now_ms);
+    }
+
+    /// Returns when a request for a service was last refused because no upstream could
+    /// answer in time.
+    pub(crate) fn last_refused_ms(&self, service: &ServiceName) -> Option<u64> {
+        let found = self
+            .services
+            .binary_search_by(|row| row.service.cmp(service));
+        self.services[found.ok()?].last_refused_ms
+    }
+
+    pub(crate) fn service_row(&mut self, service: &ServiceName) -> &mut ServiceRow {
+        let index = match self
+            .services
+            .binary_search_by(|row| row.service.cmp(service))
+        {
+            Ok(index) => index,
+            Err(index) => {
+                let row = ServiceRow {
+                    service: service.clone(),
+                    online_hold_ms: MovingAverage::default(),
+                    batch_hold_ms: MovingAverage::default(),
+                    last_online_ms: 0,
+                    last_wanted_ms: None,
+                    last_refused_ms: None,
+                };
+                self.services.insert(index, row);
+                index
+            }
+        };
+        &mut self.services[index]
+    }
+}
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -2,16 +2,18 @@
 
 use std::sync::Arc;
 
-use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
-use rand::{SeedableRng, rngs::SmallRng};
+use model::{FailureDomain, InstanceId, Region, UpstreamId};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
     BatchDemand, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
     health::Health,
     moving_average::MovingAverage,
     peer_loads::{PeerLoad, RowPosition},
-    peers::{PeerNotices, upstream_hash},
+    peers::{PeerNotices, election_rank, incarnation_hash, upstream_hash},
     placement::Target,
+    rate_limits::RateLimits,
+    service_timings::ServiceRow,
 };
 
 /// Grace period of an upstream whose registration may have lapsed because the
@@ -74,6 +76,7 @@
     pub(crate) services: Vec<ServiceRow>,
     /// Waiting batch items of this instance, most urgent first.
     pub(crate) batch_queue: Vec<BatchDemand>,
+    pub(crate) limits: RateLimits,
     pub(crate) rng: SmallRng,
 }
 
@@ -82,14 +85,14 @@
 pub(crate) struct UpstreamRow {
     pub(crate) entry: UpstreamEntry,
     pub(crate) hash: u64,
+    /// Hash of the incarnation.
+    pub(crate) incarnation: u64,
     /// When the row is removed because its registration disappeared. `None`
     /// while the upstream is registered.
     pub(crate) remove_at_ms: Option<u64>,
     pub(crate) warmed_up_at_ms: u64,
     /// Whether this incarnation said that it is leaving.
     pub(crate) is_leaving: bool,
-    /// Rate limit that this incarnation states, requests per second.
-    pub(crate) limit_per_s: Option<f64>,
     pub(crate) health: Health,
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
@@ -98,32 +101,13 @@
     delay_measured_ms: u64,
 }
 
-/// Measurements shared by all upstreams of a service.
-#[derive(Debug)]
-pub(crate) struct ServiceRow {
-    service: ServiceName,
-    online_hold_ms: MovingAverage,
-    batch_hold_ms: MovingAverage,
-    last_online_ms: u64,
-}
-
-/// Expected times for which requests of a service hold their slots, the maximum
-/// age of load information from other regions, and the mean age of that from the
-/// own region.
-#[derive(Debug, Clone, Copy)]
-#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
-pub(crate) struct TimingEstimates {
-    pub(crate) online_hold_ms: f64,
-    pub(crate) batch_hold_ms: f64,
-    pub(crate) remote_staleness_ms: f64,
-    pub(crate) own_region_age_ms: f64,
-}
-
 impl UpstreamTable {
     /// Creates an empty table for the instance at `locality`. `seed` seeds the
     /// random choices.
     #[must_use]
     pub fn new(locality: Locality, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let holder = election_rank(&locality.instance, rng.random());
         Self {
             locality,
             rows: Vec::new(),
@@ -131,7 +115,8 @@
             peer_notices: PeerNotices::default(),
             services: Vec::new(),
             batch_queue: Vec::new(),
-            rng: SmallRng::seed_from_u64(seed),
+            limits: RateLimits::new(holder),
+            rng,
         }
     }
 
@@ -243,11 +228,13 @@
         let Some(row) = self.incarnation_row(target) else {
             return;
         };
+        let incarnation = row.incarnation;
         row.health.record_sent();
         match kind {
             WorkKind::Online => row.own_load.online += 1,
             WorkKind::Batch => row.own_load.batch += 1,
         }
+        self.limits.take_token(incarnation);
     }
 
     /// Records that a request is no longer in flight at its upstream, whatever
@@ -311,32 +298,6 @@
         self.rows.iter().filter(|row| row.is_ready()).count()
     }
 
-    /// Returns the timing estimates of a service. Online requests are assumed
-    /// to hold their slots for `default_ms` until the first measurement.
-    pub(crate) fn timing_estimates(
-        &self,
-        service: &ServiceName,
-        default_ms: f64,
-    ) -> TimingEstimates {
-        let found = self
-            .services
-            .binary_search_by(|row| row.service.cmp(service));
-        let (online, batch) = found.map_or(
-            (MovingAverage::default(), MovingAverage::default()),
-            |index| {
-                let row = &self.services[index];
-                (row.online_hold_ms, row.batch_hold_ms)
-            },
-        );
-        let online_hold_ms = online.value_or(default_ms);
-        TimingEstimates {
-            online_hold_ms,
-            batch_hold_ms: batch.value_or(online_hold_ms),
-            remote_staleness_ms: self.remote_staleness_ms(),
-            own_region_age_ms: self.own_region_age_ms(),
-        }
-    }
-
     /// Returns the connect time-out for an upstream, milliseconds.
     #[must_use]
     pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
@@ -348,14 +309,6 @@
         round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
     }
 
-    /// Returns when this instance last sent an online request to a service.
-    pub(crate) fn last_online_ms(&self, service: &ServiceName) -> Option<u64> {
-        self.services
-            .binary_search_by(|row| row.service.cmp(service))
-            .ok()
-            .map(|index| self.services[index].last_online_ms)
-    }
-
     /// Returns the expected round-trip time to an upstream, milliseconds.
     pub(crate) fn round_trip_ms(&self, row: &UpstreamRow) -> f64 {
         let domain = &row.entry.failure_domain;
@@ -388,26 +341,6 @@
         (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
     }
 
-    fn service_row(&mut self, service: &ServiceName) -> &mut ServiceRow {
-        let index = match self
-            .services
-            .binary_search_by(|row| row.service.cmp(service))
-        {
-            Ok(index) => index,
-            Err(index) => {
-                let row = ServiceRow {
-                    service: service.clone(),
-                    online_hold_ms: MovingAverage::default(),
-                    batch_hold_ms: MovingAverage::default(),
-                    last_online_ms: 0,
-                };
-                self.services.insert(index, row);
-                index
-            }
-        };
-        &mut self.services[index]
-    }
-
     fn new_row(&self, entry: UpstreamEntry, now_ms: u64) -> UpstreamRow {
         let peer_load = PeerLoad::new(self.peer_notices.notices(), upstream_hash(&entry.id));
         UpstreamRow::new(entry, peer_load, now_ms)
@@ -423,11 +356,11 @@
         };
         Self {
             warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
+            incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
             entry,
             hash,
             remove_at_ms: None,
             is_leaving: false,
-            limit_per_s: None,
             health: Health::default(),
             own_load: load,
             peer_load,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -9,7 +9,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::PromptPartId;
-use platform::StatedLimit;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -17,7 +16,7 @@
     crash_detection,
     forward::forwarded_headers,
     node::Node,
-    quarantine,
+    quarantine, rate_limits,
 };
 
 /// Time for which no request is sent to an upstream after it answered that it is full,
@@ -306,7 +305,7 @@
         }
     };
     record_if_leaving(node, target, response.headers());
-    record_stated_limit(node, target, response.headers());
+    rate_limits::record_statement(node, target, response.headers());
     check_head(node, &in_flight, &response, outgoing, options)?;
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
@@ -385,24 +384,6 @@
     }
 }
 
-/// Records the rate limit that an upstream states in an answer.
-fn record_stated_limit(node: &Node, target: &Target, headers: &HeaderMap) {
-    let requests_per_s = match platform::decode_stated_limit(headers) {
-        StatedLimit::Unlimited => None,
-        StatedLimit::PerSecond(rate) => Some(rate),
-        // What the upstream stated before holds on.
-        StatedLimit::Unreadable => return,
-    };
-    let mut upstreams = node.upstreams.borrow_mut();
-    if upstreams.record_limit(target, requests_per_s) {
-        log::info!(
-            "event=server_limit upstream={} requests_per_s={}",
-            target.upstream,
-            requests_per_s.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
-        );
-    }
-}
-
 /// Rejects answers to other requests, answers that say that the request did not run,
 /// and successful answers that are not as the server produced them: they lack the
 /// server's stamp or have a content encoding. Records the delay of all other answers.
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,7 +1,7 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
 //! its sender and the jobs that the sender took over recently. It is followed by what the
-//! sender knows of leaving upstreams and of prompt parts that crash upstreams. An instance
-//! sends its notices directly to each peer.
+//! sender knows of leaving upstreams, of prompt parts that crash upstreams, and of rate
+//! limits. An instance sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -10,7 +10,9 @@
     error::{DecodeError, EncodeError},
     serde::{decode_from_slice, encode_to_vec},
 };
-use gateway::{LeavingUpstream, LoadNotice, NoticeScheduler, QuarantineNotice, notice_pause_ms};
+use gateway::{
+    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, QuarantineNotice, notice_pause_ms,
+};
 use model::{InstanceId, Region};
 use serde::de::DeserializeOwned;
 use tokio::{
@@ -19,7 +21,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{node::Node, quarantine};
+use crate::{node::Node, quarantine, rate_limits};
 
 /// Delay before the next datagram is received after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -74,6 +76,7 @@
                     notice,
                     leaving,
                     quarantine,
+                    limits,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -85,6 +88,9 @@
                 if let Some(quarantine) = &quarantine {
                     quarantine::receive(&node, quarantine);
                 }
+                if let Some(limits) = &limits {
+                    rate_limits::receive(&node, limits);
+                }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
                 upstreams.receive_notice(notice, now_ms);
@@ -102,29 +108,33 @@
     leaving: Vec<LeavingUpstream>,
     /// `None` if no part is suspected.
     quarantine: Option<QuarantineNotice>,
+    /// `None` if no upstream states a limit.
+    limits: Option<LimitNotice>,
 }
 
 impl Datagram {
-    /// Encodes the notice, followed by the leaving upstreams and the quarantine.
+    /// Encodes the notice, followed by the other values.
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
-        if let Some(quarantine) = &self.quarantine {
-            datagram.extend(encode_to_vec(quarantine, config::standard())?);
+        if self.quarantine.is_some() || self.limits.is_some() {
+            datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
+            datagram.extend(encode_to_vec(&self.limits, config::standard())?);
         }
         Ok(datagram)
     }
 
-    /// Decodes a datagram. Earlier versions of the program send no leaving upstreams and
-    /// no quarantine.
+    /// Decodes a datagram. Earlier versions of the program send fewer values.
     fn decode(datagram: &[u8]) -> Result<Self, DecodeError> {
         let (notice, rest) = decode_first(datagram)?;
         let (leaving, rest) = decode_next(rest)?;
-        let (quarantine, _) = decode_next(rest)?;
+        let (quarantine, rest) = decode_next(rest)?;
+        let (limits, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
-            quarantine,
+            quarantine: quarantine.flatten(),
+            limits: limits.flatten(),
         })
     }
 }
@@ -193,6 +203,7 @@
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
         quarantine: node.quarantine.borrow().notice(node.store_now_ms()),
+        limits: node.upstreams.borrow().limit_notice(node.now_ms()),
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -37,6 +37,7 @@
 mod node;
 mod options;
 mod quarantine;
+mod rate_limits;
 mod relay;
 mod shutdown;
 mod store_calls;
@@ -121,6 +122,7 @@
     );
     listener::start(&node).await?;
     load_notices::start(&node).await?;
+    spawn_local(rate_limits::run(Rc::clone(&node)));
     feeds::start(&node);
     jobs::start(&node);
     shutdown::run_until_stopped(&node).await?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,6 +65,8 @@
     /// Jobs that this instance owns and the runs of their items.
     pub(crate) runner: RefCell<Runner>,
     pub(crate) connection_pool: ConnectionPool,
+    /// Notified when an upstream states a rate limit.
+    pub(crate) limits_stated: Notify,
     /// Notified when the load of this instance changes.
     pub(crate) load_changed: Notify,
     /// Sequence number of the last load notice.
@@ -134,6 +136,7 @@
             has_lease: Cell::default(),
             runner: RefCell::default(),
             connection_pool: ConnectionPool::default(),
+            limits_stated: Notify::new(),
             load_changed: Notify::new(),
             last_notice_sequence: Cell::default(),
             owners_to_notify: RefCell::default(),
--- a/crates/node/tests/server_limits.rs
+++ b/crates/node/tests/server_limits.rs
@@ -6,7 +6,10 @@
 
 use http::StatusCode;
 use support::TestCluster;
-use tokio::{task::JoinSet, time::interval};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, interval, sleep},
+};
 
 /// Time in which every instance must keep a limit that a server has stated.
 const TIME_TO_KNOW: Duration = Duration::from_secs(4);
@@ -65,3 +68,56 @@
     }
     assert_eq!(refused, 0);
 }
+
+/// Items take tokens as well: all of a job's items run at a server that states a limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_keep_the_limit() {
+    let cluster = TestCluster::start(&[8], 2).await;
+    cluster.set_stated_limit(0, "4").await;
+    send_load(&cluster, "first", Duration::from_millis(500)).await;
+    let ids: Vec<_> = (0..40).map(|index| format!("i{index}")).collect();
+    let items: Vec<_> = ids.iter().map(|id| (id.as_str(), "/batch/x/0")).collect();
+    cluster.nodes[0].submit_job("j", &items).await;
+    sleep(TIME_TO_KNOW).await;
+    let before = cluster.run_count(0).await;
+    sleep(Duration::from_secs(WINDOW_S.into())).await;
+    let count = cluster.run_count(0).await - before;
+    assert!(count <= allowed(4.0), "{count} items");
+    assert!(count >= 8, "only {count} items");
+}
+
+/// A server that states nothing any more, or something that is not a rate, is not limited.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_ends_when_answers_state_none() {
+    let cluster = TestCluster::start(&[8], 2).await;
+    cluster.set_stated_limit(0, "2").await;
+    send_load(&cluster, "limited", Duration::from_secs(2)).await;
+    cluster.set_stated_limit(0, "").await;
+    // The next answer ends the limit, and peers are told.
+    sleep(Duration::from_secs(2)).await;
+    send_load(&cluster, "ends", Duration::from_secs(2)).await;
+    assert_eq!(
+        send_load(&cluster, "ended", Duration::from_secs(2)).await,
+        0
+    );
+    for garbage in ["many", "-3", "inf"] {
+        cluster.set_stated_limit(0, garbage).await;
+        assert_eq!(
+            send_load(&cluster, garbage, Duration::from_secs(1)).await,
+            0
+        );
+    }
+}
+
+/// Callers that no server can take are told at once, and when to return.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beyond_the_limit_of_all_servers_are_refused_at_once() {
+    let cluster = TestCluster::start(&[8], 1).await;
+    cluster.set_stated_limit(0, "0").await;
+    send_load(&cluster, "first", Duration::from_millis(100)).await;
+    let started = Instant::now();
+    let answer = cluster.nodes[0].send_stream_request("/long/x", "r").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(started.elapsed() < Duration::from_millis(200));
+}
