Bound the bytes that are read before the head of an answer

What callers would see: an upstream that sends interim answers without end stops the whole instance: 8 of 12 requests, also those at the sound server, had no answer after 20 s (test interim_answers_without_end_are_given_up, failed before).

Cause: the HTTP client parses whatever arrives and, as long as bytes come, lets nothing else run; a limit of the head's size does not cover interim answers.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -281,27 +281,15 @@
         ));
     }
     let request = build_request(node, target, outgoing, options);
-    let exchange = connection.sender.try_send_request(request);
-    let deadline = node.clock.instant(options.head_deadline_ms);
-    let response = match timeout_at(deadline, exchange).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(mut error)) => {
-            let was_sent = error.take_message().is_none();
-            let end = if was_sent {
+    let response = match exchange_head(node, &mut connection, request, options).await {
+        Ok(response) => response,
+        Err(failure) => {
+            if failure.end == AttemptEnd::Broken {
                 in_flight.record_lost_answer();
-                AttemptEnd::Broken
             } else {
                 in_flight.record_failure();
-                AttemptEnd::NotSent
-            };
-            return Err(AttemptFailure::new(end, error.error()));
-        }
-        Err(_) => {
-            in_flight.record_failure();
-            return Err(AttemptFailure::new(
-                AttemptEnd::Silent,
-                "the head of the answer did not arrive in time",
-            ));
+            }
+            return Err(failure);
         }
     };
     record_if_leaving(node, target, response.headers());
@@ -320,6 +308,46 @@
     })
 }
 
+/// Sends a request on a connection and waits for the head of its answer.
+async fn exchange_head(
+    node: &Node,
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    options: AttemptOptions,
+) -> Result<Response<Incoming>, AttemptFailure> {
+    let head_limit = Rc::clone(&connection.head_limit);
+    head_limit.begin_head();
+    let exchange = connection.sender.try_send_request(request);
+    let deadline = node.clock.instant(options.head_deadline_ms);
+    let result = tokio::select! {
+        // A head may be complete in the same bytes that exceed the limit.
+        biased;
+        result = timeout_at(deadline, exchange) => result,
+        () = head_limit.exceeded() => {
+            return Err(AttemptFailure::new(AttemptEnd::Broken, "the head of the answer is too long"));
+        }
+    };
+    match result {
+        Ok(Ok(response)) => {
+            head_limit.end_head();
+            Ok(response)
+        }
+        Ok(Err(mut error)) => {
+            let was_sent = error.take_message().is_none();
+            let end = if was_sent {
+                AttemptEnd::Broken
+            } else {
+                AttemptEnd::NotSent
+            };
+            Err(AttemptFailure::new(end, error.error()))
+        }
+        Err(_) => Err(AttemptFailure::new(
+            AttemptEnd::Silent,
+            "the head of the answer did not arrive in time",
+        )),
+    }
+}
+
 /// Takes a connection from the pool or opens one. A request that must not be sent
 /// twice gets a new connection: if an idle connection is reset when it is reused, it
 /// is unknown whether the upstream ran the request.
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -9,6 +9,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use crate::head_limit::{HeadLimit, LimitedStream};
+
 /// Idle time after which a connection is not reused if the upstream states no
 /// keep-alive time-out, milliseconds.
 const IDLE_DEFAULT_MS: u64 = 400;
@@ -42,6 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) head_limit: Rc<HeadLimit>,
     driver: AbortHandle,
 }
 
@@ -119,6 +122,8 @@
     let limit = Duration::from_millis(timeout_ms);
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    let head_limit = Rc::new(HeadLimit::new());
+    let stream = LimitedStream::new(stream, Rc::clone(&head_limit));
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -126,7 +131,11 @@
     // Connection errors are reported to the request that uses the connection, so
     // the driver task's result is not needed.
     let driver = tokio::task::spawn_local(connection).abort_handle();
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        head_limit,
+        driver,
+    })
 }
 
 fn find_entry(entries: &[PoolEntry], address: SocketAddr) -> Result<usize, usize> {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -29,6 +29,7 @@
 mod dispatch;
 mod feeds;
 mod forward;
+mod head_limit;
 mod heartbeats;
 mod jobs;
 mod listener;
--- /dev/null
+++ b/crates/node/tests/endless_answers.rs
@@ -0,0 +1,257 @@
+//! Servers in trouble that send bytes without end, in the head or in the body of an answer.
+
+mod support;
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http::StatusCode;
+use serde_json::json;
+use support::{HOST, TestCluster, complete_stream, send_request, wait_until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+/// Time that callers wait, and a second for the end of their answers.
+const DEADLINE: Duration = Duration::from_secs(5);
+/// Number of requests that meet the server at the same time.
+const REQUESTS: usize = 12;
+/// Maximum growth of the process while it reads such answers, KiB.
+const GROWTH_MAX_KIB: usize = 32 * 1_024;
+
+/// Sends `start` and then `rest` again and again on every connection, with a pause between.
+struct EndlessServer {
+    address: SocketAddr,
+    /// Connections on which it still sends.
+    open: Arc<AtomicUsize>,
+    requests: Arc<AtomicUsize>,
+}
+
+impl EndlessServer {
+    async fn start(start: String, rest: Vec<u8>, pause: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Self {
+            address: listener.local_addr().unwrap(),
+            open: Arc::default(),
+            requests: Arc::default(),
+        };
+        let open = Arc::clone(&server.open);
+        let requests = Arc::clone(&server.requests);
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let open = Arc::clone(&open);
+                let requests = Arc::clone(&requests);
+                let start = start.clone();
+                let rest = rest.clone();
+                tokio::spawn(async move {
+                    open.fetch_add(1, Ordering::AcqRel);
+                    // It ends when the other side closes the connection.
+                    let _ = send_without_end(socket, start, rest, pause, &requests).await;
+                    open.fetch_sub(1, Ordering::AcqRel);
+                });
+            }
+        });
+        server
+    }
+
+    fn open_count(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
+async fn send_without_end(
+    mut socket: TcpStream,
+    start: String,
+    rest: Vec<u8>,
+    pause: Duration,
+    requests: &AtomicUsize,
+) -> std::io::Result<()> {
+    let mut request = vec![0; 4_096];
+    if socket.read(&mut request).await? == 0 {
+        return Ok(());
+    }
+    requests.fetch_add(1, Ordering::AcqRel);
+    socket.write_all(start.as_bytes()).await?;
+    loop {
+        socket.write_all(&rest).await?;
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Starts a sound server and one that sends bytes without end.
+async fn start_cluster(server: &EndlessServer) -> TestCluster {
+    let cluster = TestCluster::start(&[32], 1).await;
+    let registration = json!({
+        "service": "oracle", "addr": server.address.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1
+    });
+    cluster.put_row("servers", "endless", &registration).await;
+    sleep(Duration::from_millis(300)).await;
+    cluster
+}
+
+/// Returns the memory that a process holds, KiB.
+fn resident_kib(cluster: &TestCluster) -> usize {
+    let status = fs::read_to_string(format!("/proc/{}/status", cluster.nodes[0].id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let value = line.unwrap().split_ascii_whitespace().nth(1);
+    value.unwrap().parse().unwrap()
+}
+
+/// Sends requests until the server has met some. Each must be answered in full by the sound
+/// server before its deadline, the process must not grow, and the connections must end.
+async fn assert_requests_are_answered(server: &EndlessServer) {
+    let cluster = start_cluster(server).await;
+    let before_kib = resident_kib(&cluster);
+    let mut requests = JoinSet::new();
+    for index in 0..REQUESTS {
+        let address = cluster.nodes[0].callers_address;
+        let id = format!("r{index}");
+        requests.spawn(async move {
+            let answer = support::send_stream_request(address, "/long/x", &id).await;
+            (id, answer)
+        });
+    }
+    for (id, answer) in requests.join_all().await {
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+        assert_eq!(answer.body, complete_stream(&id));
+    }
+    assert!(
+        server.requests.load(Ordering::Acquire) > 0,
+        "no request met the server"
+    );
+    let growth_kib = resident_kib(&cluster).saturating_sub(before_kib);
+    assert!(
+        growth_kib < GROWTH_MAX_KIB,
+        "the process grew by {growth_kib} KiB"
+    );
+    wait_until("all connections are given up", async || {
+        server.open_count() == 0
+    })
+    .await;
+}
+
+fn answer_head(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nRedwingtack-Server-Stamp: s\r\n")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn head_without_end_is_given_up() {
+    let header = b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n".to_vec();
+    let server = EndlessServer::start(answer_head("200 OK"), header, Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_without_end_is_given_up() {
+    let garbage = (0..=255).cycle().take(4_096).collect();
+    let server = EndlessServer::start(String::new(), garbage, Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+/// Interim answers come without end, so that the head of the final one never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_without_end_are_given_up() {
+    let interim = b"HTTP/1.1 102 Processing\r\n\r\n".to_vec();
+    let server = EndlessServer::start(String::new(), interim, Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn event_without_end_is_given_up() {
+    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+/// The bytes of the event come one by one.
+#[tokio::test(flavor = "multi_thread")]
+async fn event_that_trickles_without_end_is_given_up() {
+    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
+    let pause = Duration::from_millis(10);
+    let server = EndlessServer::start(start, vec![b'x'], pause).await;
+    assert_requests_are_answered(&server).await;
+}
+
+/// A body that is no stream of events is passed on as it comes, until the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_without_end_ends_at_the_deadline() {
+    let start = format!("{}\r\n", answer_head("404 Not Found"));
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    let cluster = start_cluster(&server).await;
+    cluster.register_server(0, "draining").await;
+    sleep(Duration::from_millis(300)).await;
+    let address = cluster.nodes[0].callers_address;
+    let started = Instant::now();
+    let headers = [
+        ("host", HOST),
+        ("redwingtack-request-id", "r"),
+        ("redwingtack-deadline-ms", "1000"),
+    ];
+    let exchange = send_request(address, "POST", "/long/x", &headers, Vec::new());
+    let answer = timeout(DEADLINE, exchange)
+        .await
+        .expect("the answer never ends");
+    assert!(!answer.unwrap().is_complete);
+    assert!(started.elapsed() < Duration::from_secs(2));
+    wait_until("the connection is given up", async || {
+        server.open_count() == 0
+    })
+    .await;
+}
+
+/// Items run again at the sound server.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_met_an_event_without_end_are_done() {
+    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    let cluster = start_cluster(&server).await;
+    let before_kib = resident_kib(&cluster);
+    let ids: Vec<_> = (0..REQUESTS).map(|index| format!("i{index}")).collect();
+    let items: Vec<_> = ids.iter().map(|id| (id.as_str(), "/batch/x/0")).collect();
+    cluster.nodes[0].submit_job("j", &items).await;
+    let results = cluster.nodes[0].wait_for_results("j").await;
+    assert!(results.iter().all(|result| result["state"] == "done"));
+    let growth_kib = resident_kib(&cluster).saturating_sub(before_kib);
+    assert!(
+        growth_kib < GROWTH_MAX_KIB,
+        "the process grew by {growth_kib} KiB"
+    );
+}
+
+/// A server goes on with events that have no end.
+#[tokio::test(flavor = "multi_thread")]
+async fn events_without_end_do_not_fill_the_memory_of_an_items_run() {
+    let mut events = String::new();
+    for id in 1..=400_000_u32 {
+        write!(events, "id: {id}\ndata: {}\n\n", "x".repeat(100)).unwrap();
+    }
+    let start = format!("{}\r\n{events}", answer_head("200 OK"));
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    let cluster = start_cluster(&server).await;
+    let before_kib = resident_kib(&cluster);
+    cluster.nodes[0]
+        .submit_job("j", &[("i0", "/batch/x/0"), ("i1", "/batch/x/1")])
+        .await;
+    for _ in 0..20 {
+        sleep(Duration::from_millis(100)).await;
+        let growth_kib = resident_kib(&cluster).saturating_sub(before_kib);
+        assert!(
+            growth_kib < GROWTH_MAX_KIB,
+            "the process grew by {growth_kib} KiB"
+        );
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -346,6 +346,10 @@
         kill(Pid::from_raw(id), signal).unwrap();
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn settings_path(&self) -> &PathBuf {
         &self.settings_path
     }
