A stream that sends bytes but completes no event has stalled

What callers saw: a server that sends a byte now and then within one event kept a stream to its deadline, and the caller got no event and a cut answer; an item waited for ever.

Cause: the time-out between events began anew with each byte.

Fix: it runs from the last complete event (from when the next one is waited for, so that a slow caller is not held against the server) to the next one.

Tests event_that_trickles_without_end_is_given_up and items_that_met_an_event_that_trickles_are_done failed before.

--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -21,8 +21,8 @@
 
 /// Time-out for the head of the answer, in multiples of the route's latency goal.
 const HEAD_TIMEOUT_GOALS: u64 = 6;
-/// Time-out between events, in multiples of the route's goal for pauses. After a longer
-/// pause the upstream is considered failed.
+/// Time-out between complete events, in multiples of the route's goal for pauses. After a
+/// longer pause the upstream is considered failed, even if it goes on sending bytes.
 const STALL_TIMEOUT_GOALS: u64 = 4;
 
 /// Everything that a task needs to run one item.
@@ -52,8 +52,10 @@
 /// Result of reading one frame of an event stream.
 #[derive(Debug)]
 enum Progress {
-    /// The frame's events were added to the partial output.
-    Received,
+    /// The frame completed no event.
+    NoEvent,
+    /// The frame completed events, which were added to the partial output.
+    Events,
     /// The stream ended. The string is the reason for the log.
     Ended(RunOutcome, String),
 }
@@ -167,9 +169,22 @@
     partial: &mut PartialOutput,
 ) -> (RunOutcome, String) {
     let mut splitter = EventSplitter::new().with_last_id(partial.last_event);
+    let stall_timeout_ms = STALL_TIMEOUT_GOALS * context.route.pause_goal_ms;
+    let mut stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
     loop {
-        match read_frame(context, &mut answer, &mut splitter, partial).await {
-            Progress::Received => runner::update_partial(&context.node, &context.job, partial),
+        let progress = read_frame(
+            context,
+            &mut answer,
+            &mut splitter,
+            partial,
+            stall_deadline_ms,
+        );
+        match progress.await {
+            Progress::NoEvent => {}
+            Progress::Events => {
+                stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
+                runner::update_partial(&context.node, &context.job, partial);
+            }
             Progress::Ended(RunOutcome::Done, reason) => {
                 answer.finish(&context.node);
                 return (RunOutcome::Done, reason);
@@ -187,12 +202,9 @@
     answer: &mut UpstreamAnswer,
     splitter: &mut EventSplitter,
     partial: &mut PartialOutput,
+    stall_deadline_ms: u64,
 ) -> Progress {
-    let stall_timeout_ms = STALL_TIMEOUT_GOALS * context.route.pause_goal_ms;
-    let stall_deadline = context
-        .node
-        .clock
-        .instant(context.node.now_ms() + stall_timeout_ms);
+    let stall_deadline = context.node.clock.instant(stall_deadline_ms);
     let interrupted = |reason: String| Progress::Ended(RunOutcome::Interrupted, reason);
     match timeout_at(stall_deadline, answer.body.frame()).await {
         Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
@@ -203,13 +215,15 @@
         Ok(None) => return Progress::Ended(RunOutcome::Done, "complete".to_owned()),
         Err(_) => return interrupted(AttemptEnd::Silent.as_str().to_owned()),
     }
+    let mut progress = Progress::NoEvent;
     loop {
         match splitter.next_event() {
             Ok(Some(event)) => {
                 partial.push(event.id, &event.data());
                 answer.record_event(&context.node);
+                progress = Progress::Events;
             }
-            Ok(None) => return Progress::Received,
+            Ok(None) => return progress,
             Err(error) => return interrupted(format!("{error:?}")),
         }
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -16,9 +16,9 @@
     forward::OnlineRequest,
 };
 
-/// Time-out between events if another upstream can resume the stream, in multiples
-/// of the route's goal for pauses. After a longer pause the upstream is considered
-/// failed.
+/// Time-out between complete events if another upstream can resume the stream, in
+/// multiples of the route's goal for pauses. After a longer pause the upstream is
+/// considered failed, even if it goes on sending bytes.
 const STALL_TIMEOUT_GOALS: u64 = 2;
 
 /// State of the body that is relayed for one request.
@@ -30,6 +30,10 @@
     /// Splits an event stream. `None` for other bodies, which are relayed as they
     /// arrive.
     splitter: Option<EventSplitter>,
+    /// Time at which the upstream is considered failed if no event is complete by then,
+    /// in milliseconds on the node's clock. `None` until the next event is waited for, so
+    /// that a slow caller is not held against the upstream.
+    stall_deadline_ms: Option<u64>,
     first_bytes_ms: Option<u64>,
     last_bytes_ms: u64,
     longest_pause_ms: u64,
@@ -65,6 +69,7 @@
         let splitter =
             is_event_stream.then(|| EventSplitter::new().with_last_id(request.resume_after));
         Self {
+            stall_deadline_ms: None,
             request,
             answer: Some(answer),
             splitter,
@@ -115,10 +120,12 @@
         let deadline_ms = self.request.deadline_ms;
         let can_resume = self.splitter.is_some() && self.request.retries.has_spare_attempt();
         let node = &self.request.node;
-        let now_ms = node.now_ms();
         let stall_timeout_ms = STALL_TIMEOUT_GOALS * self.request.route.pause_goal_ms;
+        let stall_deadline_ms = *self
+            .stall_deadline_ms
+            .get_or_insert(node.now_ms() + stall_timeout_ms);
         let wait_until_ms = if can_resume {
-            deadline_ms.min(now_ms + stall_timeout_ms)
+            deadline_ms.min(stall_deadline_ms)
         } else {
             deadline_ms
         };
@@ -205,6 +212,7 @@
             last_event.map_or_else(|| "none".to_owned(), |id| id.to_string())
         );
         self.splitter = Some(EventSplitter::new().with_last_id(last_event));
+        self.stall_deadline_ms = None;
         self.answer = Some(answer);
         self.request.node.metrics.on_stream_resumed();
         self.resume_count += 1;
@@ -219,6 +227,7 @@
         }
         self.first_bytes_ms.get_or_insert(now_ms);
         self.last_bytes_ms = now_ms;
+        self.stall_deadline_ms = None;
     }
 
     /// Finishes a body of known length after its last byte, because the HTTP server does
--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -255,3 +255,17 @@
         );
     }
 }
+
+/// The same for an item, which no caller waits for.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_met_an_event_that_trickles_are_done() {
+    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
+    let pause = Duration::from_millis(10);
+    let server = EndlessServer::start(start, vec![b'x'], pause).await;
+    let cluster = start_cluster(&server).await;
+    let ids: Vec<_> = (0..REQUESTS).map(|index| format!("i{index}")).collect();
+    let items: Vec<_> = ids.iter().map(|id| (id.as_str(), "/batch/x/0")).collect();
+    cluster.nodes[0].submit_job("j", &items).await;
+    let results = cluster.nodes[0].wait_for_results("j").await;
+    assert!(results.iter().all(|result| result["state"] == "done"));
+}
