Bound the output of one run of an item

What operators would see: a server that goes on with events for ever fills the memory of the instance that runs the item (34 MiB more in 2 s, 32 allowed: test events_without_end_do_not_fill_the_memory_of_an_items_run, failed before; an instance may have 130 MB).

Fix: a run whose output exceeds 1 MB, which no page of results could hold, has failed, and the item goes on from where it was before that run.

--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -25,6 +25,9 @@
 /// longer pause the upstream is considered failed, even if it goes on sending bytes.
 const STALL_TIMEOUT_GOALS: u64 = 4;
 
+/// Maximum size of the output of an item, bytes. A page of results could not hold more.
+const OUTPUT_MAX_BYTES: usize = 1_000_000;
+
 /// Everything that a task needs to run one item.
 #[derive(Debug)]
 pub(super) struct RunContext {
@@ -181,6 +184,12 @@
         );
         match progress.await {
             Progress::NoEvent => {}
+            Progress::Events if partial.output.len() > OUTPUT_MAX_BYTES => {
+                // What this server sent is not the item's output.
+                partial.clone_from(&context.item_run.partial);
+                answer.in_flight.record_failure();
+                return (RunOutcome::Interrupted, "the output is too long".to_owned());
+            }
             Progress::Events => {
                 stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
                 runner::update_partial(&context.node, &context.job, partial);
