--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum number of bytes that are buffered without a complete event.
-const EVENT_MAX_BYTES: usize = 1 << 20;
+const EVENT_MAX_BYTES: usize = 256 * 1_024;
 
 /// One complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +39,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of bytes of the buffer that were searched for the end of an event.
+    searched_bytes: usize,
+    /// Where the first line begins that does not end within those bytes.
+    line_start: usize,
     last_id: Option<u64>,
 }
 
@@ -82,7 +86,7 @@
     /// Returns an error if an event is too long, has no numeric id or is out of
     /// order. The rest of the stream cannot be used then.
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
-        let Some(end) = event_end(&self.buffer) else {
+        let Some(end) = self.find_event_end() else {
             if self.buffer.len() > EVENT_MAX_BYTES {
                 return Err(EventError::TooLong);
             }
@@ -97,9 +101,27 @@
             return Err(EventError::OutOfOrder { previous, id });
         }
         self.last_id = Some(id);
+        self.searched_bytes = 0;
+        self.line_start = 0;
         let bytes = self.buffer.split_to(end).freeze();
         Ok(Some(Event { id, bytes }))
     }
+
+    /// Returns where the first event of the buffer ends, after its blank line. Bytes that
+    /// were searched before are not searched again.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.searched_bytes) {
+            if *byte == b'\n' {
+                let line = &self.buffer[self.line_start..self.searched_bytes];
+                if line.is_empty() || line == b"\r" {
+                    return Some(self.searched_bytes + 1);
+                }
+                self.line_start = self.searched_bytes + 1;
+            }
+            self.searched_bytes += 1;
+        }
+        None
+    }
 }
 
 impl Event {
@@ -115,21 +137,6 @@
     }
 }
 
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(bytes).ok()?;
     let id = text.lines().find_map(|line| field(line, "id"))?;
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -68,3 +68,18 @@
     assert_eq!(event.data(), "a\nb");
     assert!(event.bytes.starts_with(b"redwingtack-weight"));
 }
+
+/// An event that arrives byte by byte and never ends must not be searched from its start
+/// each time.
+#[test]
+fn next_event_of_endless_event_takes_linear_time() {
+    let started = std::time::Instant::now();
+    let mut splitter = EventSplitter::new();
+    let mut byte_count = 0;
+    while splitter.next_event() != Err(EventError::TooLong) {
+        splitter.push(b"x");
+        byte_count += 1;
+    }
+    assert!((100_000..1_000_000).contains(&byte_count), "{byte_count}");
+    assert!(started.elapsed() < std::time::Duration::from_secs(5));
+}
