Decide about quarantined parts at intervals; one search for a service's row

Each placement decided anew about all crashes of the last two minutes. Without new evidence only the time for objections changes the outcome, so a decision every 50 ms is enough.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -41,6 +41,8 @@
 /// Time for which one instance of the fleet may make a trial, until it is another one's
 /// turn, milliseconds.
 const TRIAL_TURN_MS: u64 = 5_000;
+/// Interval between decisions without new evidence, milliseconds.
+const DECISION_INTERVAL_MS: u64 = 50;
 /// Minimum retry delay that callers are told, milliseconds.
 const RETRY_MIN_MS: u64 = 1_000;
 /// Maximum number of quarantined parts. The ones that crashed an upstream least recently
@@ -139,6 +141,9 @@
     /// Sorted by part.
     quarantined: Vec<QuarantinedPart>,
     recently_released: Vec<ReleasedPart>,
+    /// Whether there is evidence that the last decision did not know.
+    has_new_evidence: bool,
+    decided_at_ms: u64,
 }
 
 /// A part that is no longer quarantined, of which peers are told until `told_until_ms`.
@@ -161,6 +166,7 @@
             parts: parts.collect(),
         };
         self.evidence.add_crash(&report, now_ms);
+        self.has_new_evidence = true;
     }
 
     /// Returns whether the crash of an upstream is known.
@@ -179,6 +185,7 @@
                 at_ms: now_ms,
             };
             self.evidence.add_survival(survival);
+            self.has_new_evidence |= self.find(*part).is_ok();
         }
     }
 
@@ -193,6 +200,7 @@
     /// Adds what a peer knows. Returns the parts that are now quarantined because the
     /// peer says so.
     pub fn receive(&mut self, notice: &QuarantineNotice, now_ms: u64) -> Vec<QuarantineChange> {
+        self.has_new_evidence = true;
         for survival in &notice.survivals {
             self.evidence.add_survival(*survival);
         }
@@ -210,8 +218,14 @@
         learned
     }
 
-    /// Decides again which parts are quarantined. Returns what has changed.
+    /// Decides again which parts are quarantined, at once if there is new evidence and else
+    /// at intervals, since the time for objections passes. Returns what has changed.
     pub fn update(&mut self, now_ms: u64) -> Vec<QuarantineChange> {
+        if !self.has_new_evidence && now_ms < self.decided_at_ms + DECISION_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.has_new_evidence = false;
+        self.decided_at_ms = now_ms;
         self.evidence.expire(now_ms);
         let mut changes = self.release_answered(now_ms);
         loop {
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -37,20 +37,14 @@
         service: &ServiceName,
         default_ms: f64,
     ) -> TimingEstimates {
-        let found = self
-            .services
-            .binary_search_by(|row| row.service.cmp(service));
-        let (online, batch) = found.map_or(
-            (MovingAverage::default(), MovingAverage::default()),
-            |index| {
-                let row = &self.services[index];
-                (row.online_hold_ms, row.batch_hold_ms)
-            },
-        );
-        let online_hold_ms = online.value_or(default_ms);
+        let row = self.known_service(service);
+        let online_hold_ms = row.map_or(default_ms, |row| row.online_hold_ms.value_or(default_ms));
+        let batch_hold_ms = row.map_or(online_hold_ms, |row| {
+            row.batch_hold_ms.value_or(online_hold_ms)
+        });
         TimingEstimates {
             online_hold_ms,
-            batch_hold_ms: batch.value_or(online_hold_ms),
+            batch_hold_ms,
             remote_staleness_ms: self.remote_staleness_ms(),
             own_region_age_ms: self.own_region_age_ms(),
         }
@@ -58,10 +52,7 @@
 
     /// Returns when this instance last sent an online request to a service.
     pub(crate) fn last_online_ms(&self, service: &ServiceName) -> Option<u64> {
-        self.services
-            .binary_search_by(|row| row.service.cmp(service))
-            .ok()
-            .map(|index| self.services[index].last_online_ms)
+        self.known_service(service).map(|row| row.last_online_ms)
     }
 
     /// Records that a request for a service is to be placed.
@@ -71,10 +62,7 @@
 
     /// Returns when a request for a service was last to be placed.
     pub(crate) fn last_wanted_ms(&self, service: &ServiceName) -> Option<u64> {
-        let found = self
-            .services
-            .binary_search_by(|row| row.service.cmp(service));
-        self.services[found.ok()?].last_wanted_ms
+        self.known_service(service)?.last_wanted_ms
     }
 
     /// Records that a request for a service is refused because no upstream can answer in
@@ -86,17 +74,21 @@
     /// Returns when a request for a service was last refused because no upstream could
     /// answer in time.
     pub(crate) fn last_refused_ms(&self, service: &ServiceName) -> Option<u64> {
-        let found = self
-            .services
-            .binary_search_by(|row| row.service.cmp(service));
-        self.services[found.ok()?].last_refused_ms
+        self.known_service(service)?.last_refused_ms
     }
 
-    pub(crate) fn service_row(&mut self, service: &ServiceName) -> &mut ServiceRow {
-        let index = match self
-            .services
+    fn known_service(&self, service: &ServiceName) -> Option<&ServiceRow> {
+        Some(&self.services[self.find_service(service).ok()?])
+    }
+
+    fn find_service(&self, service: &ServiceName) -> Result<usize, usize> {
+        self.services
             .binary_search_by(|row| row.service.cmp(service))
-        {
+    }
+
+    /// Returns the measurements of a service, which are empty at first.
+    pub(crate) fn service_row(&mut self, service: &ServiceName) -> &mut ServiceRow {
+        let index = match self.find_service(service) {
             Ok(index) => index,
             Err(index) => {
                 let row = ServiceRow {
