--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,5 +1,5 @@
-//! `redwingtack explain`: timeline of one request, job or item, merged from the
-//! logs of several processes.
+//! `redwingtack explain`: timeline of one request, job, item or prompt part, merged from
+//! the logs of several processes.
 
 mod clocks;
 mod line;
@@ -27,13 +27,13 @@
 
 /// Returns the parser of the options.
 pub fn options() -> OptionParser<ExplainOptions> {
-    let id = positional::<String>("ID").help("ID of the request, job or item");
+    let id = positional::<String>("ID").help("ID of the request, job, item or prompt part");
     let files = positional::<PathBuf>("FILE")
         .help("Log files of one or more processes")
         .some("at least one FILE is needed");
     construct!(ExplainOptions { id, files })
         .to_options()
-        .descr("Print the log lines about one request, job or item, in order of time")
+        .descr("Print the log lines about one request, job, item or prompt part, in order of time")
 }
 
 /// Prints the timeline of an id and returns the exit code.
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -42,11 +42,14 @@
             .map(|(_, value)| value)
     }
 
-    /// Returns whether the line names `id` as its request, job or item.
+    /// Returns whether the line names `id` as its request, job or item, or as a part of a
+    /// prompt.
     pub(super) fn mentions(&self, id: &str) -> bool {
-        ["request", "job", "item"]
-            .iter()
-            .any(|key| self.value(key) == Some(id))
+        let is_named = |key: &&str| self.value(key) == Some(id);
+        ["request", "job", "item", "part"].iter().any(is_named)
+            || self
+                .value("shared_parts")
+                .is_some_and(|parts| parts.split(',').any(|part| part == id))
     }
 
     /// Returns whether the line is about the start or stop of its process.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -120,3 +120,28 @@
     let (lines, _) = logs.explain("r1");
     assert_eq!(events(&lines), ["request_sent", "started"]);
 }
+
+/// A prompt part that crashes upstreams is followed over requests and instances.
+#[test]
+fn explain_prompt_part_shows_crashes_and_refusals() {
+    let first = "\
+time=2026-10-09T15:30:01.000+00:00 level=info event=request_sent request=r1 shared_parts=a1,bad1
+time=2026-10-09T15:30:01.100+00:00 level=warn event=upstream_crashed upstream=u1 shared_parts=a1,bad1
+time=2026-10-09T15:30:01.200+00:00 level=info event=request_sent request=r2 shared_parts=a1,bad12
+";
+    let second = "\
+time=2026-10-09T15:30:02.000+00:00 level=warn event=prompt_part_quarantined part=bad1 evidence=peer
+time=2026-10-09T15:30:03.000+00:00 level=warn event=request_not_placed request=r3 part=bad1
+";
+    let logs = LogFiles::new("part", &[("a.log", first), ("b.log", second)]);
+    let (lines, _) = logs.explain("bad1");
+    assert_eq!(
+        events(&lines),
+        [
+            "request_sent",
+            "upstream_crashed",
+            "prompt_part_quarantined",
+            "request_not_placed"
+        ]
+    );
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -57,8 +57,9 @@
 const EXPLAINED_NOTICE_MS: u64 = 3_000;
 /// Time for which peers are told of the answer that released a part, milliseconds.
 const RELEASE_NOTICE_MS: u64 = 10_000;
-/// Maximum number of crashes and of survivals in a notice.
+/// Maximum number of crashes, of their parts, and of survivals in a notice.
 const NOTICE_CRASHES_MAX: usize = 16;
+const NOTICE_PARTS_MAX: usize = 256;
 const NOTICE_SURVIVALS_MAX: usize = 64;
 
 /// A part that is in quarantine.
@@ -293,6 +294,11 @@
         }
         crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at_ms));
         crashes.truncate(NOTICE_CRASHES_MAX);
+        let mut part_count = 0;
+        crashes.retain(|crash| {
+            part_count += crash.parts.len();
+            part_count <= NOTICE_PARTS_MAX
+        });
         Some(QuarantineNotice {
             crashes,
             survivals: self.survivals_to_tell(now_ms),
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -32,7 +32,7 @@
 /// milliseconds.
 const SENDER_RETENTION_MS: u64 = 10_000;
 /// Maximum size of a received datagram, bytes. A longer one is truncated.
-const DATAGRAM_MAX_BYTES: usize = 16 * 1024;
+const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
 
 /// Opens the socket and starts sending and receiving notices.
 ///
