Bounded rounds of verdicts; named fields in place of tuples

Read as a newcomer: the rounds of Quarantine::update ended only when nothing was left to convict, which a full quarantine need not reach; the order in which tokens are asked for and what an answer stated were bare tuples.

--- a/crates/gateway/src/limited_upstreams.rs
+++ b/crates/gateway/src/limited_upstreams.rs
@@ -4,13 +4,14 @@
 use std::cmp::Reverse;
 
 use model::ServiceName;
+use rand::RngExt;
 
 use crate::{
     UpstreamTable,
     batch_plan::service_hash,
     peers::{election_rank, incarnation_hash},
     placement::Target,
-    rate_limits::{LimitNotice, LimitRole},
+    rate_limits::{DemandRank, LimitNotice, LimitRole},
     upstream_table::{UpstreamRow, as_f64},
 };
 
@@ -57,13 +58,11 @@
     /// Returns whether peers should be told.
     pub fn update_limits(&mut self, known_instances: usize, now_ms: u64) -> bool {
         let mut roles = self.limit_roles(known_instances, now_ms);
-        roles.sort_by_key(|(rank, _)| *rank);
-        let mut demand_count = 0;
-        for (_, role) in &mut roles {
-            demand_count += usize::from(role.has_demand);
-            role.has_demand &= demand_count <= DEMANDS_MAX;
+        roles.sort_by_key(|role| role.rank);
+        let demands = roles.iter_mut().filter(|role| role.has_demand);
+        for role in demands.skip(DEMANDS_MAX) {
+            role.has_demand = false;
         }
-        let roles: Vec<_> = roles.into_iter().map(|(_, role)| role).collect();
         self.limits.update(&roles, now_ms)
     }
 
@@ -86,8 +85,6 @@
     /// Returns the retry delay, with jitter, if all upstreams of a service that could be
     /// used are limited; else `None`.
     pub(crate) fn limited_retry_ms(&mut self, service: &ServiceName, now_ms: u64) -> Option<f64> {
-        use rand::RngExt;
-
         let usable = self.usable_rows(service, now_ms);
         let limits: Vec<_> = usable
             .filter_map(|row| self.limits.limit_per_s(row.incarnation))
@@ -99,9 +96,8 @@
         (!limits.is_empty()).then(|| retry_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
 
-    /// Returns what this instance does about each limited upstream, with the rank in which
-    /// it asks for tokens: first in its own region, then in an order of its own.
-    fn limit_roles(&self, known_instances: usize, now_ms: u64) -> Vec<((bool, u64), LimitRole)> {
+    /// Returns what this instance does about each limited upstream.
+    fn limit_roles(&self, known_instances: usize, now_ms: u64) -> Vec<LimitRole> {
         let heard_instances = 1 + self.peer_notices.notices().count();
         // Instances that are not heard may have an issuer of their own.
         let share =
@@ -111,14 +107,14 @@
             limit.is_some()
         });
         limited
-            .map(|row| {
-                let role = LimitRole {
-                    incarnation: row.incarnation,
-                    has_demand: row.is_ready() && self.has_demand(row, now_ms),
-                    issued_share: self.is_issuer(row).then_some(share),
-                };
-                let own_order = election_rank(&self.locality.instance, row.incarnation);
-                ((!self.is_in_own_region(row), own_order), role)
+            .map(|row| LimitRole {
+                incarnation: row.incarnation,
+                rank: DemandRank {
+                    is_in_other_region: !self.is_in_own_region(row),
+                    own_order: election_rank(&self.locality.instance, row.incarnation),
+                },
+                has_demand: row.is_ready() && self.has_demand(row, now_ms),
+                issued_share: self.is_issuer(row).then_some(share),
             })
             .collect()
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -23,7 +23,7 @@
 use crate::{
     UpstreamTable,
     crash_evidence::{CrashEvidence, CrashReport, CrashRow, PartInFlight, PartSurvival},
-    crash_suspects::{convicted_parts, is_explained},
+    crash_suspects::{Suspect, convicted_parts, is_explained},
     peers::incarnation_hash,
     placement::Target,
 };
@@ -229,23 +229,27 @@
         self.decided_at_ms = now_ms;
         self.evidence.expire(now_ms);
         let mut changes = self.release_answered(now_ms);
-        loop {
+        // A full quarantine may drop what is added, so the rounds are bounded.
+        for _ in 0..QUARANTINED_MAX {
             let convicted = convicted_parts(&self.evidence, &self.quarantined, now_ms);
             if convicted.is_empty() {
-                return changes;
-            }
-            for suspect in convicted {
-                self.merge_quarantined(QuarantinedPart {
-                    part: suspect.part,
-                    crashed_at_ms: suspect.last_crash_ms(),
-                    failed_trials: 0,
-                    tried_at_ms: 0,
-                });
-                changes.push(QuarantineChange::Quarantined {
-                    part: suspect.part,
-                    crash_count: suspect.crash_count(),
-                });
+                break;
             }
+            changes.extend(convicted.iter().map(|suspect| self.quarantine(suspect)));
+        }
+        changes
+    }
+
+    fn quarantine(&mut self, suspect: &Suspect) -> QuarantineChange {
+        self.merge_quarantined(QuarantinedPart {
+            part: suspect.part,
+            crashed_at_ms: suspect.last_crash_ms(),
+            failed_trials: 0,
+            tried_at_ms: 0,
+        });
+        QuarantineChange::Quarantined {
+            part: suspect.part,
+            crash_count: suspect.crash_count(),
         }
     }
 
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -78,12 +78,21 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LimitRole {
     pub(crate) incarnation: u64,
+    pub(crate) rank: DemandRank,
     /// Whether this instance has requests for the upstream.
     pub(crate) has_demand: bool,
     /// Share of the rate at which this instance issues tokens; `None` if it does not.
     pub(crate) issued_share: Option<f64>,
 }
 
+/// Order in which an instance asks for tokens: first in its own region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct DemandRank {
+    pub(crate) is_in_other_region: bool,
+    /// Differs between instances, so that they do not all ask for the same upstreams.
+    pub(crate) own_order: u64,
+}
+
 /// The upstreams that state a rate limit.
 #[derive(Debug)]
 pub(crate) struct RateLimits {
@@ -99,13 +108,20 @@
     /// `None` if the upstream states no limit any more.
     requests_per_s: Option<f64>,
     stated_at_ms: u64,
-    /// What the last answer to this instance itself said, and when.
-    own_statement: Option<(Option<f64>, u64)>,
+    /// What the last answer to this instance itself said.
+    own_statement: Option<Statement>,
     wallet: Wallet,
     /// `None` while another instance issues the tokens.
     issuer: Option<TokenIssuer>,
 }
 
+/// What an answer said of its upstream's limit.
+#[derive(Debug, Clone, Copy)]
+struct Statement {
+    requests_per_s: Option<f64>,
+    stated_at_ms: u64,
+}
+
 /// Tokens of this instance for one upstream.
 #[derive(Debug, Default)]
 struct Wallet {
@@ -153,7 +169,10 @@
             return false;
         }
         let row = self.row(incarnation);
-        row.own_statement = Some((requests_per_s, now_ms));
+        row.own_statement = Some(Statement {
+            requests_per_s,
+            stated_at_ms: now_ms,
+        });
         row.adopt(requests_per_s, now_ms)
     }
 
@@ -318,7 +337,10 @@
     }
 
     fn statement(&self, now_ms: u64) -> Option<LimitStatement> {
-        let (requests_per_s, stated_at_ms) = self.own_statement?;
+        let Statement {
+            requests_per_s,
+            stated_at_ms,
+        } = self.own_statement?;
         let age_ms = now_ms.saturating_sub(stated_at_ms);
         (age_ms < STATEMENT_NOTICE_MS).then_some(LimitStatement {
             incarnation: self.incarnation,
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -326,6 +326,28 @@
     assert_eq!(fleet.quarantined(0), []);
 }
 
+/// More parts crash upstreams than an instance remembers, the oldest ones learned last.
+#[test]
+fn quarantine_is_bounded() {
+    let mut fleet = Fleet::new(1);
+    for bad in 0..80 {
+        for _ in 0..3 {
+            fleet.crash(&[(0, &[0x800 + bad])]);
+            fleet.pass(100);
+        }
+        fleet.pass(600);
+    }
+    assert_eq!(fleet.quarantined(0).len(), 64);
+    fleet.now_ms -= 60_000;
+    for _ in 0..3 {
+        fleet.crash(&[(0, &[0xfff])]);
+        fleet.now_ms += 100;
+    }
+    fleet.now_ms += 60_000;
+    fleet.pass(1_000);
+    assert_eq!(fleet.quarantined(0).len(), 64);
+}
+
 #[test]
 fn notice_of_calm_fleet_is_empty() {
     let mut fleet = Fleet::new(1);
