Read again: one look-up of an incarnation, one of an item's parts

The check for an incarnation stood twice in leaving.rs, the parts of an item were decoded in two ways in the runner, and whether a service's limited upstreams are wanted was computed for each of them; now once for each service. No behaviour changes.

--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{placement::Target, upstream_table::UpstreamTable};
+use crate::{
+    placement::Target,
+    upstream_table::{UpstreamRow, UpstreamTable},
+};
 
 /// An upstream that said that it is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,20 +44,21 @@
     /// Returns whether an upstream said that it is leaving.
     #[must_use]
     pub fn is_leaving(&self, target: &Target) -> bool {
-        self.find(&target.upstream).is_ok_and(|index| {
-            let row = &self.rows[index];
-            row.is_leaving && row.entry.started_unix_ms == target.started_unix_ms
-        })
+        self.known_incarnation(target)
+            .is_some_and(|row| row.is_leaving)
     }
 
     /// Returns whether an upstream is registered as ready and has not said that it is
     /// leaving, so that its end would not be a planned one.
     #[must_use]
     pub fn is_in_service(&self, target: &Target) -> bool {
-        self.find(&target.upstream).is_ok_and(|index| {
-            let row = &self.rows[index];
-            row.is_ready() && row.entry.started_unix_ms == target.started_unix_ms
-        })
+        self.known_incarnation(target)
+            .is_some_and(UpstreamRow::is_ready)
+    }
+
+    fn known_incarnation(&self, target: &Target) -> Option<&UpstreamRow> {
+        let row = &self.rows[self.find(&target.upstream).ok()?];
+        (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
     }
 
     /// Returns the upstreams that said that they are leaving, for notices to peers.
--- a/crates/gateway/src/limited_upstreams.rs
+++ b/crates/gateway/src/limited_upstreams.rs
@@ -102,25 +102,30 @@
         // Instances that are not heard may have an issuer of their own.
         let share =
             as_f64(heard_instances as u64) / as_f64(known_instances.max(heard_instances) as u64);
-        let limited = self.rows.iter().filter(|row| {
-            let limit = self.limits.limit_per_s(row.incarnation);
-            limit.is_some()
-        });
+        let is_limited = |row: &&UpstreamRow| self.limits.limit_per_s(row.incarnation).is_some();
+        let limited: Vec<_> = self.rows.iter().filter(is_limited).collect();
+        let mut wanted_services: Vec<_> = limited.iter().map(|row| &row.entry.service).collect();
+        wanted_services.sort_unstable();
+        wanted_services.dedup();
+        wanted_services.retain(|service| self.has_demand(service, now_ms));
+        let is_wanted =
+            |row: &UpstreamRow| wanted_services.binary_search(&&row.entry.service).is_ok();
         limited
+            .into_iter()
             .map(|row| LimitRole {
                 incarnation: row.incarnation,
                 rank: DemandRank {
                     is_in_other_region: !self.is_in_own_region(row),
                     own_order: election_rank(&self.locality.instance, row.incarnation),
                 },
-                has_demand: row.is_ready() && self.has_demand(row, now_ms),
+                has_demand: row.is_ready() && is_wanted(row),
                 issued_share: self.is_issuer(row).then_some(share),
             })
             .collect()
     }
 
-    fn has_demand(&self, row: &UpstreamRow, now_ms: u64) -> bool {
-        let service = &row.entry.service;
+    /// Returns whether this instance has requests for the limited upstreams of a service.
+    fn has_demand(&self, service: &ServiceName, now_ms: u64) -> bool {
         let hash = service_hash(service);
         let mut queue = self.batch_queue.iter();
         if queue.any(|demand| demand.service == hash) {
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -178,14 +178,8 @@
 
     /// Returns whether a request may be sent to an upstream.
     pub(crate) fn may_send(&self, incarnation: u64, now_ms: u64) -> bool {
-        self.tokens(incarnation, now_ms)
-            .is_none_or(|tokens| tokens > 0)
-    }
-
-    /// Returns the number of requests that may be sent to an upstream; `None` if it states
-    /// no limit.
-    fn tokens(&self, incarnation: u64, now_ms: u64) -> Option<usize> {
         self.tokens_until(incarnation, now_ms, u64::MAX)
+            .is_none_or(|tokens| tokens > 0)
     }
 
     /// Returns the number of batch items that may be sent to an upstream; `None` if it
@@ -195,6 +189,8 @@
         self.tokens_until(incarnation, now_ms, until_ms)
     }
 
+    /// Returns the number of tokens in hand that expire after `now_ms` and no later than
+    /// `until_ms`; `None` if the upstream states no limit.
     fn tokens_until(&self, incarnation: u64, now_ms: u64, until_ms: u64) -> Option<usize> {
         let row = &self.rows[self.find(incarnation).ok()?];
         row.requests_per_s?;
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -9,7 +9,7 @@
     job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
-use model::{JobId, ServiceName, UpstreamId, shared_parts};
+use model::{JobId, PromptPartId, ServiceName, UpstreamId, shared_parts};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
@@ -261,10 +261,8 @@
     /// Returns whether a part of an item's prompt is quarantined. Such an item waits until
     /// the part is released or the item is given up.
     fn is_quarantined(&self, node: &Node, item: &WaitingItem) -> bool {
-        let parts = self.jobs[item.job_index]
-            .item_at(item.item_index)
-            .map(|item| shared_parts(&platform::item_prompt_parts(item)));
-        let check = quarantine::check(node, &parts.unwrap_or_default());
+        let parts = item_shared_parts(&self.jobs[item.job_index], item.item_index);
+        let check = quarantine::check(node, &parts);
         matches!(check, PartCheck::Quarantined { .. })
     }
 
@@ -386,10 +384,7 @@
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
     let mut runner = node.runner.borrow_mut();
     let job = &mut runner.jobs[item.job_index];
-    let parts = job
-        .item_at(item.item_index)
-        .map(platform::item_prompt_parts);
-    let shared_parts = shared_parts(&parts.unwrap_or_default());
+    let shared_parts = item_shared_parts(job, item.item_index);
     match quarantine::check(node, &shared_parts) {
         PartCheck::Allowed => {}
         PartCheck::Trial { part, .. } => {
@@ -427,6 +422,12 @@
     });
 }
 
+/// Returns the parts of an item's prompt that other requests may share, sorted.
+fn item_shared_parts(job: &OwnedJob, item_index: u32) -> Vec<PromptPartId> {
+    let prompt = job.item_at(item_index).map(platform::item_prompt_parts);
+    shared_parts(&prompt.unwrap_or_default())
+}
+
 fn item_route<'a>(
     job: &OwnedJob,
     item_index: u32,
