--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -42,11 +42,13 @@
             .map(|(_, value)| value)
     }
 
-    /// Returns whether the line names `id` as its request, job or item, or as a part of a
-    /// prompt.
+    /// Returns whether the line names `id` as its request, job or item, or as a fingerprint
+    /// or a part of a prompt.
     pub(super) fn mentions(&self, id: &str) -> bool {
         let is_named = |key: &&str| self.value(key) == Some(id);
-        ["request", "job", "item", "part"].iter().any(is_named)
+        ["request", "job", "item", "fingerprint", "part"]
+            .iter()
+            .any(is_named)
             || self
                 .value("shared_parts")
                 .is_some_and(|parts| parts.split(',').any(|part| part == id))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod placement;
 mod quarantine;
 mod rate_limits;
+mod request_content;
 mod route;
 mod service_timings;
 mod store_reachability;
@@ -58,6 +59,7 @@
         LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart,
     },
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
+    request_content::{RequestContent, RequestFingerprint},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     token_issuer::SettledTokens,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -26,6 +26,7 @@
     crash_suspects::{Suspect, convicted_parts, is_explained},
     peers::incarnation_hash,
     placement::Target,
+    request_content::RequestContent,
 };
 
 /// Time from the last crash until the first trial of a quarantined part, milliseconds. It
@@ -78,8 +79,8 @@
 /// A request whose answer was lost because its upstream crashed.
 #[derive(Debug, Clone)]
 pub struct LostRequest {
-    /// Parts of the prompt that other requests may share, sorted.
-    pub shared_parts: Rc<[PromptPartId]>,
+    /// Content of the request.
+    pub content: Rc<RequestContent>,
     /// When the request was sent, milliseconds on the store's clock.
     pub sent_at_ms: u64,
     /// When its answer broke off, milliseconds on the store's clock.
@@ -157,7 +158,7 @@
 impl Quarantine {
     /// Records that an upstream crashed while a request was in flight there.
     pub fn record_crash(&mut self, target: &Target, lost: &LostRequest, now_ms: u64) {
-        let parts = lost.shared_parts.iter().map(|part| PartInFlight {
+        let parts = lost.content.shared_parts.iter().map(|part| PartInFlight {
             part: *part,
             sent_at_ms: lost.sent_at_ms,
         });
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::rc::Rc;
+
 use gateway::{
-    LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, Target, UpstreamTable,
+    LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, RequestContent, Target,
+    UpstreamTable,
 };
 use model::{PromptPartId, ServiceName, UpstreamId};
 use proptest::prelude::*;
@@ -28,6 +31,13 @@
     parts
 }
 
+fn content(ids: &[u64]) -> Rc<RequestContent> {
+    Rc::new(RequestContent {
+        shared_parts: parts(ids),
+        ..RequestContent::default()
+    })
+}
+
 fn incarnation(number: u64) -> Target {
     Target {
         upstream: UpstreamId::new(&format!("u{number}")),
@@ -66,7 +76,7 @@
         let target = incarnation(self.crash_count);
         for (instance, ids) in seen {
             let lost = LostRequest {
-                shared_parts: parts(ids).into(),
+                content: content(ids),
                 sent_at_ms,
                 lost_at_ms: self.now_ms,
             };
@@ -389,7 +399,7 @@
             sent_before_ms,
         } => {
             let lost = LostRequest {
-                shared_parts: parts(ids).into(),
+                content: content(ids),
                 sent_at_ms: START_MS + 250 * number - sent_before_ms,
                 lost_at_ms: START_MS + 250 * number,
             };
@@ -436,7 +446,7 @@
         for (number, ids) in crashes.iter().enumerate() {
             let target = incarnation(number as u64);
             let lost = LostRequest {
-                shared_parts: parts(ids).into(),
+                content: content(ids),
                 sent_at_ms: START_MS,
                 lost_at_ms: START_MS,
             };
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -4,11 +4,10 @@
 use std::{io::ErrorKind, rc::Rc};
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, LostRequest, Target, UpstreamTable, WorkKind};
+use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
 use http::{HeaderMap, Method, Request, Response, Uri, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use model::PromptPartId;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -40,8 +39,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request_id: Rc<str>,
-    /// Parts of the prompt that other requests may share, sorted.
-    pub(crate) shared_parts: Rc<[PromptPartId]>,
+    pub(crate) content: Rc<RequestContent>,
 }
 
 impl OutgoingRequest {
@@ -54,13 +52,13 @@
             headers: forwarded_headers(&parts.headers),
             body,
             request_id: Rc::from(request_id),
-            shared_parts: Rc::default(),
+            content: Rc::default(),
         }
     }
 
-    /// Sets the parts of the prompt that other requests may share, sorted.
-    pub(crate) fn with_shared_parts(mut self, parts: Vec<PromptPartId>) -> Self {
-        self.shared_parts = parts.into();
+    /// Sets the content of the request.
+    pub(crate) fn with_content(mut self, content: RequestContent) -> Self {
+        self.content = Rc::new(content);
         self
     }
 
@@ -127,7 +125,7 @@
     node: Rc<Node>,
     pub(crate) target: Target,
     kind: WorkKind,
-    shared_parts: Rc<[PromptPartId]>,
+    content: Rc<RequestContent>,
     started_ms: u64,
 }
 
@@ -137,7 +135,7 @@
         node: &Rc<Node>,
         target: Target,
         kind: WorkKind,
-        shared_parts: Rc<[PromptPartId]>,
+        content: Rc<RequestContent>,
     ) -> Self {
         let started_ms = node.now_ms();
         node.upstreams
@@ -149,7 +147,7 @@
             node: Rc::clone(node),
             target,
             kind,
-            shared_parts,
+            content,
             started_ms,
         }
     }
@@ -177,7 +175,7 @@
         let held_ms = self.node.now_ms().saturating_sub(self.started_ms);
         let lost_at_ms = self.node.store_now_ms();
         let lost = LostRequest {
-            shared_parts: Rc::clone(&self.shared_parts),
+            content: Rc::clone(&self.content),
             sent_at_ms: lost_at_ms.saturating_sub(held_ms),
             lost_at_ms,
         };
@@ -214,7 +212,7 @@
     fn record_survival(&mut self, node: &Node) {
         if self.head.status.is_success() {
             self.has_survived = true;
-            quarantine::record_survival(node, &self.in_flight.shared_parts);
+            quarantine::record_survival(node, &self.in_flight.content.shared_parts);
         }
     }
 
@@ -253,8 +251,8 @@
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
 ) -> Result<UpstreamAnswer, AttemptFailure> {
-    let shared_parts = Rc::clone(&outgoing.shared_parts);
-    let in_flight = InFlightGuard::new(node, target.clone(), options.kind, shared_parts);
+    let content = Rc::clone(&outgoing.content);
+    let in_flight = InFlightGuard::new(node, target.clone(), options.kind, content);
     send_counted_attempt(node, in_flight, outgoing, options).await
 }
 
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -26,9 +26,10 @@
         return;
     }
     log::warn!(
-        "event=upstream_crashed upstream={} shared_parts={}",
+        "event=upstream_crashed upstream={} fingerprint={} shared_parts={}",
         target.upstream,
-        join_parts(&lost.shared_parts)
+        lost.content.fingerprint,
+        join_parts(&lost.content.shared_parts)
     );
     node.metrics.on_upstream_crash();
     quarantine::record_crash(&node, &target, &lost);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -120,7 +120,8 @@
     }
 }
 
-fn host_of(parts: &request::Parts) -> &str {
+/// Returns the host that a caller's request names.
+pub(crate) fn host_of(parts: &request::Parts) -> &str {
     let from_header = || parts.headers.get(header::HOST)?.to_str().ok();
     parts.uri.host().or_else(from_header).unwrap_or_default()
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gateway::{
     AttemptEnd, FinalAnswer, NextStep, PartCheck, Placement, PlacementRequest, RefusalReason,
-    RetryState, Route, Target, WorkKind,
+    RequestContent, RequestFingerprint, RetryState, Route, Target, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
 use model::{PromptPartId, ServiceName, shared_parts};
@@ -16,6 +16,7 @@
     answer::{self, AnswerBody},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
+    dispatch::host_of,
     node::Node,
     quarantine,
     relay::Relay,
@@ -77,11 +78,15 @@
     };
     let time_left_ms = request_headers.time_left_ms.unwrap_or(route.timeout_ms);
     let deadline_ms = arrived_ms + time_left_ms.min(route.timeout_ms);
+    let content = RequestContent {
+        fingerprint: fingerprint(parts, &body),
+        shared_parts: shared_parts(&request_headers.prompt_parts),
+    };
     let request = OnlineRequest {
         node: Rc::clone(node),
         service,
         outgoing: OutgoingRequest::new(parts, body, &request_headers.request_id)
-            .with_shared_parts(shared_parts(&request_headers.prompt_parts)),
+            .with_content(content),
         retries: RetryState::new(Arc::clone(&route), deadline_ms),
         route,
         arrived_ms,
@@ -156,7 +161,7 @@
     }
 
     fn place(&mut self) -> Result<(Target, u64), NoAnswer> {
-        let part_check = quarantine::check(&self.node, &self.outgoing.shared_parts);
+        let part_check = quarantine::check(&self.node, &self.outgoing.content.shared_parts);
         if let PartCheck::Quarantined {
             part,
             retry_after_ms,
@@ -193,13 +198,14 @@
                 }
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
-                    "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} shared_parts={}",
+                    "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} fingerprint={} shared_parts={}",
                     self.outgoing.request_id,
                     self.route.name,
                     target.upstream,
                     self.deadline_ms.saturating_sub(now_ms),
                     self.node.store_health.time_since_answer_ms(now_ms),
-                    join_parts(&self.outgoing.shared_parts)
+                    self.outgoing.content.fingerprint,
+                    join_parts(&self.outgoing.content.shared_parts)
                 );
                 Ok((target, expected_ms))
             }
@@ -334,6 +340,14 @@
     }
 }
 
+/// Returns the fingerprint of a caller's request. Headers but for the host do not count,
+/// since many of them differ between a request and its repetition.
+fn fingerprint(parts: &request::Parts, body: &[u8]) -> RequestFingerprint {
+    let path_and_query = parts.uri.path_and_query();
+    let path_and_query = path_and_query.map_or("", |path_and_query| path_and_query.as_str());
+    RequestFingerprint::new(parts.method.as_str(), host_of(parts), path_and_query, body)
+}
+
 /// Returns the caller's headers without the hop-by-hop headers.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = HeaderMap::with_capacity(headers.len() + 2);
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -3,11 +3,11 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use gateway::{AttemptEnd, EventSplitter, Route, Target, WorkKind};
+use gateway::{AttemptEnd, EventSplitter, RequestContent, Route, Target, WorkKind};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use ledger::{ItemRun, PartialOutput, RunOutcome};
-use model::{JobId, PromptPartId};
+use model::JobId;
 use tokio::{sync::Notify, time::timeout_at};
 
 use super::runner;
@@ -36,8 +36,7 @@
     pub(super) host: Arc<str>,
     pub(super) give_up_at_ms: u64,
     pub(super) item_run: ItemRun,
-    /// Parts of the item's prompt that other requests may share, sorted.
-    pub(super) shared_parts: Rc<[PromptPartId]>,
+    pub(super) content: Rc<RequestContent>,
     pub(super) target: Target,
     pub(super) route: Arc<Route>,
     /// Signals the run to end so that an online request gets its slot.
@@ -70,7 +69,7 @@
             &self.node,
             self.target.clone(),
             WorkKind::Batch,
-            Rc::clone(&self.shared_parts),
+            Rc::clone(&self.content),
         );
         CountedRun {
             partial: self.item_run.partial.clone(),
@@ -143,12 +142,13 @@
         is_retryable: true,
     };
     log::info!(
-        "event=item_sent job={} item={} upstream={} after_event={} left_ms={time_left_ms} shared_parts={}",
+        "event=item_sent job={} item={} upstream={} after_event={} left_ms={time_left_ms} fingerprint={} shared_parts={}",
         context.job,
         context.item_run.item.id,
         context.target.upstream,
         partial.last_event.unwrap_or(0),
-        join_parts(&context.shared_parts)
+        context.content.fingerprint,
+        join_parts(&context.content.shared_parts)
     );
     let answer = match send_counted_attempt(&context.node, in_flight, &outgoing, options).await {
         Ok(answer) => answer,
@@ -246,6 +246,6 @@
         headers: platform::item_headers(item, &context.host),
         body: platform::encode_item_body(item),
         request_id: Rc::from(&*item.id),
-        shared_parts: Rc::clone(&context.shared_parts),
+        content: Rc::clone(&context.content),
     })
 }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, PartCheck, Route, RouteTable, RunForecast, Target, Urgency,
-    job_hash, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, PartCheck, RequestContent, RequestFingerprint, Route,
+    RouteTable, RunForecast, Target, Urgency, job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
-use model::{JobId, PromptPartId, ServiceName, UpstreamId, shared_parts};
+use model::{JobId, ServiceName, UpstreamId, shared_parts};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, spawn_local},
@@ -261,8 +261,8 @@
     /// Returns whether a part of an item's prompt is quarantined. Such an item waits until
     /// the part is released or the item is given up.
     fn is_quarantined(&self, node: &Node, item: &WaitingItem) -> bool {
-        let parts = item_shared_parts(&self.jobs[item.job_index], item.item_index);
-        let check = quarantine::check(node, &parts);
+        let content = item_content(&self.jobs[item.job_index], item.item_index);
+        let check = quarantine::check(node, &content.shared_parts);
         matches!(check, PartCheck::Quarantined { .. })
     }
 
@@ -384,8 +384,8 @@
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
     let mut runner = node.runner.borrow_mut();
     let job = &mut runner.jobs[item.job_index];
-    let shared_parts = item_shared_parts(job, item.item_index);
-    match quarantine::check(node, &shared_parts) {
+    let content = item_content(job, item.item_index);
+    match quarantine::check(node, &content.shared_parts) {
         PartCheck::Allowed => {}
         PartCheck::Trial { part, .. } => {
             quarantine::record_trial(node, job.id().as_str(), part);
@@ -403,7 +403,7 @@
         job: id.clone(),
         host: Arc::clone(&job.record().host),
         give_up_at_ms: job.record().give_up_at_ms,
-        shared_parts: shared_parts.into(),
+        content: Rc::new(content),
         item_run,
         target,
         route: Arc::clone(&item.route),
@@ -422,10 +422,14 @@
     });
 }
 
-/// Returns the parts of an item's prompt that other requests may share, sorted.
-fn item_shared_parts(job: &OwnedJob, item_index: u32) -> Vec<PromptPartId> {
-    let prompt = job.item_at(item_index).map(platform::item_prompt_parts);
-    shared_parts(&prompt.unwrap_or_default())
+fn item_content(job: &OwnedJob, item_index: u32) -> RequestContent {
+    let item = job.item_at(item_index);
+    let id = item.map_or("", |item| &*item.id);
+    let prompt = item.map(platform::item_prompt_parts);
+    RequestContent {
+        fingerprint: RequestFingerprint::new("", &job.record().host, id, &[]),
+        shared_parts: shared_parts(&prompt.unwrap_or_default()),
+    }
 }
 
 fn item_route<'a>(
