--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -398,7 +398,7 @@
     let id = job.id().clone();
     let preempt_signal = Rc::new(Notify::new());
     let upstream = target.upstream.clone();
-    let context = item_run::RunContext {
+    let run = item_run::RunContext {
         node: Rc::clone(node),
         job: id.clone(),
         host: Arc::clone(&job.record().host),
@@ -411,7 +411,7 @@
     };
     // The item is counted as in flight before the task runs, so that the next batch
     // plan takes it into account.
-    let counted_run = context.count_in_flight();
+    let counted_run = run.count_in_flight();
     let task = spawn_local(counted_run.run()).abort_handle();
     runner.runs.push(ActiveRun {
         job: id,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -257,7 +257,12 @@
 
     /// Makes every server crash as soon as it answers a request whose prompt has a part.
     pub async fn make_part_crash_servers(&self, part: &str) {
-        let path = format!("/standin/crash?part={part}");
+        self.make_servers_crash(&format!("part={part}")).await;
+    }
+
+    /// Makes every server crash as the query of the stand-in's control call says.
+    pub async fn make_servers_crash(&self, query: &str) {
+        let path = format!("/standin/crash?{query}");
         for server in &self.servers {
             let answer = send_request(server.standin.address(), "POST", &path, &[], Vec::new());
             assert_eq!(answer.await.unwrap().status, StatusCode::OK);
@@ -286,6 +291,13 @@
         count
     }
 
+    /// Returns how often a server has crashed, if it listens again.
+    pub async fn crash_count(&self, index: usize) -> u64 {
+        let address = self.servers[index].standin.address();
+        let answer = send_request(address, "GET", "/standin/crashes", &[], Vec::new()).await;
+        answer.unwrap().body.parse().unwrap()
+    }
+
     /// Makes a server say in all its answers that it is leaving.
     pub async fn make_server_leave(&self, index: usize) {
         let address = self.servers[index].standin.address();
@@ -385,15 +397,26 @@
     }
 
     /// Like [`NodeProcess::send_stream_request`], for a prompt with these parts, such as
-    /// `a1:200,b2:50`.
+    /// `a1:200,b2:50`. The body is the text of the prompt, which differs with the parts.
     pub async fn send_prompt(&self, path: &str, id: &str, parts: &str) -> Answer {
+        self.send_prompt_with_body(path, id, parts, parts).await
+    }
+
+    /// Like [`NodeProcess::send_prompt`], with this body.
+    pub async fn send_prompt_with_body(
+        &self,
+        path: &str,
+        id: &str,
+        parts: &str,
+        body: &str,
+    ) -> Answer {
         let headers = [
             ("host", HOST),
             ("redwingtack-request-id", id),
             ("redwingtack-deadline-ms", "4000"),
             ("redwingtack-prompt-prefix", parts),
         ];
-        let body = b"prompt".to_vec();
+        let body = body.as_bytes().to_vec();
         send_request(self.callers_address, "POST", path, &headers, body)
             .await
             .unwrap()
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -5,8 +5,11 @@
 //! `GET /standin/runs` returns the runs of each request, `GET /standin/running`
 //! the number of streams in progress, `POST /standin/cut?after=N` breaks the next
 //! stream after `N` events, `POST /standin/leave` makes the server say in all its
-//! answers that it is leaving, and `POST /standin/crash?part=ID` makes it crash as soon as
-//! it answers a request whose prompt has the part `ID` before its last part.
+//! answers that it is leaving. `POST /standin/crash?part=ID` makes it crash as soon as
+//! it answers a request whose prompt has the part `ID` before its last part, and
+//! `?body=TEXT` one whose body is `TEXT`; `&moment=before_head` before the head of that
+//! answer, and `&listener=open` so that only its connections end, as if a supervisor kept
+//! the port. `GET /standin/crashes` returns how often it crashed.
 //! `POST /standin/limit?value=V` makes it state `V` as its rate limit in all its answers,
 //! and without a value end that.
 
@@ -37,7 +40,7 @@
 /// says that no server can answer it.
 const IMPOSSIBLE_PATH_PART: &str = "impossible";
 
-/// How long a server that crashed stays down, milliseconds.
+/// How long a server that crashed stays down if its port is closed, milliseconds.
 const CRASH_MS: u64 = 600_000;
 
 /// Parameters of the stand-in event server.
@@ -84,7 +87,8 @@
         settings,
         faults: Arc::default(),
         stated_limit: Mutex::default(),
-        crashing_part: Mutex::default(),
+        crash_trigger: Mutex::default(),
+        crash_count: Arc::default(),
         runs: Mutex::default(),
         running_count: Arc::default(),
         cut_after_events: AtomicU32::new(0),
@@ -97,8 +101,8 @@
     settings: EventServerSettings,
     faults: Arc<FaultScript>,
     stated_limit: Mutex<Option<HeaderValue>>,
-    /// Part of a prompt that crashes the server.
-    crashing_part: Mutex<Option<String>>,
+    crash_trigger: Mutex<CrashTrigger>,
+    crash_count: Arc<AtomicU32>,
     runs: Mutex<EventRuns>,
     running_count: Arc<AtomicU32>,
     /// The next stream breaks after this many events; 0 if it is not to break.
@@ -107,6 +111,62 @@
     is_leaving: AtomicBool,
 }
 
+/// Which requests crash the server, and how.
+#[derive(Debug, Clone, Default)]
+struct CrashTrigger {
+    /// Part of a prompt, which must not be its last one.
+    part: Option<String>,
+    body: Option<String>,
+    is_before_head: bool,
+    keeps_listener: bool,
+}
+
+impl CrashTrigger {
+    fn new(request: &Request<Bytes>) -> Self {
+        let is = |name: &str, value: &str| {
+            server::query_parameter(request, name).is_some_and(|given| given == value)
+        };
+        Self {
+            part: server::query_parameter(request, "part"),
+            body: server::query_parameter(request, "body"),
+            is_before_head: is("moment", "before_head"),
+            keeps_listener: is("listener", "open"),
+        }
+    }
+
+    fn matches(&self, request: &Request<Bytes>) -> bool {
+        let has_body = |body: &String| request.body() == body.as_bytes();
+        self.body.as_ref().is_some_and(has_body) || self.matches_part(request)
+    }
+
+    fn matches_part(&self, request: &Request<Bytes>) -> bool {
+        let parts = header_str(request.headers(), "redwingtack-prompt-prefix").unwrap_or_default();
+        let shared_parts = parts.rsplit(',').skip(1);
+        let mut ids = shared_parts.filter_map(|part| part.split(':').next());
+        ids.any(|id| Some(id) == self.part.as_deref())
+    }
+}
+
+/// A crash that is about to happen.
+#[derive(Debug, Clone)]
+struct Crash {
+    trigger: CrashTrigger,
+    faults: Arc<FaultScript>,
+    counter: Arc<AtomicU32>,
+}
+
+impl Crash {
+    fn carry_out(&self) {
+        self.counter.fetch_add(1, Ordering::AcqRel);
+        let fault = if self.trigger.keeps_listener {
+            Fault::new(FaultKind::Disconnect).with_times(1)
+        } else {
+            Fault::new(FaultKind::Down).with_for_ms(CRASH_MS)
+        };
+        self.faults.add(fault);
+    }
+}
+
 /// Guard that counts a stream as running until the guard is dropped.
 #[derive(Debug)]
 struct RunningStream(Arc<AtomicU32>);
@@ -138,8 +198,11 @@
                     value.and_then(|value| HeaderValue::from_str(&value).ok());
                 server::text_response(StatusCode::OK, "set\n")
             }
+            (&Method::GET, "/standin/crashes") => {
+                server::json_response(&self.crash_count.load(Ordering::Acquire))
+            }
             (&Method::POST, "/standin/crash") => {
-                *self.lock_crashing_part() = server::query_parameter(&request, "part");
+                *self.lock_crash_trigger() = CrashTrigger::new(&request);
                 server::text_response(StatusCode::OK, "set\n")
             }
             (&Method::POST, "/standin/cut") => {
@@ -154,6 +217,9 @@
     }
 
     async fn handle(&self, request: Request<Bytes>) -> Reply {
+        if self.crash_before_head(&request) {
+            return std::future::pending().await;
+        }
         let mut response = self.answer(&request);
         if self.is_leaving.load(Ordering::Acquire) {
             let leaving = HeaderValue::from_static("1");
@@ -212,9 +278,8 @@
         let cut_after_events = u64::from(self.cut_after_events.swap(0, Ordering::AcqRel));
         let cut_event = (cut_after_events > 0).then(|| first_event + cut_after_events);
         let interval = Duration::from_millis(self.settings.interval_ms);
-        let crash = self
-            .has_crashing_part(request)
-            .then(|| Arc::clone(&self.faults));
+        let trigger = self.lock_crash_trigger().clone();
+        let crash = trigger.matches(request).then(|| self.crash(trigger));
         let id = header_str(request.headers(), "redwingtack-request-id")
             .unwrap_or("none")
             .to_owned();
@@ -223,10 +288,10 @@
             let crash = crash.clone();
             async move {
                 tokio::time::sleep(interval).await;
-                if let Some(faults) = crash
+                if let Some(crash) = crash
                     && event > first_event
                 {
-                    faults.add(Fault::new(FaultKind::Down).with_for_ms(CRASH_MS));
+                    crash.carry_out();
                     std::future::pending::<()>().await;
                 }
                 if cut_event == Some(event) {
@@ -258,12 +323,23 @@
         self.lock().entry(id.to_owned()).or_default().push(run);
     }
 
-    fn has_crashing_part(&self, request: &Request<Bytes>) -> bool {
-        let crashing_part = self.lock_crashing_part();
-        let parts = header_str(request.headers(), "redwingtack-prompt-prefix").unwrap_or_default();
-        let shared_parts = parts.rsplit(',').skip(1);
-        let mut ids = shared_parts.filter_map(|part| part.split(':').next());
-        ids.any(|id| Some(id) == crashing_part.as_deref())
+    /// Crashes if a request crashes the server before the head of its answer.
+    fn crash_before_head(&self, request: &Request<Bytes>) -> bool {
+        let trigger = self.lock_crash_trigger().clone();
+        let crashes = trigger.is_before_head && trigger.matches(request);
+        if crashes {
+            self.record_run(request);
+            self.crash(trigger).carry_out();
+        }
+        crashes
+    }
+
+    fn crash(&self, trigger: CrashTrigger) -> Crash {
+        Crash {
+            trigger,
+            faults: Arc::clone(&self.faults),
+            counter: Arc::clone(&self.crash_count),
+        }
     }
 
     fn lock_stated_limit(&self) -> MutexGuard<'_, Option<HeaderValue>> {
@@ -272,8 +348,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_crashing_part(&self) -> MutexGuard<'_, Option<String>> {
-        self.crashing_part
+    fn lock_crash_trigger(&self) -> MutexGuard<'_, CrashTrigger> {
+        self.crash_trigger
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -47,6 +47,8 @@
     /// Closes the port and every connection. Set `for_ms`: the fault cannot be
     /// cleared while the port is closed.
     Down,
+    /// Closes every connection once. The port stays open.
+    Disconnect,
     /// Answers 503 with `x-ran: no`; the request has no effect.
     Refuse,
     /// Answers 500 after the request has taken effect.
@@ -95,6 +97,18 @@
     reads: u32,
 }
 
+/// How a fault closes every connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Disconnection {
+    /// The port is closed as well.
+    Down {
+        /// When the port is to be opened again.
+        reopens_at: Instant,
+    },
+    /// The port stays open.
+    ListenerOpen,
+}
+
 /// Whether a request counts as a read or as a write for [`FaultKind::Limit`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Access {
@@ -218,18 +232,27 @@
         Some(fault.fault.kind)
     }
 
-    /// Waits for a [`FaultKind::Down`] fault and returns the time at which the port
-    /// is to be opened again.
-    pub(crate) async fn wait_until_down(&self) -> Instant {
+    /// Waits for a fault that closes every connection.
+    pub(crate) async fn wait_until_disconnected(&self) -> Disconnection {
         loop {
             if let Some(reopens_at) = self.latest_down_end() {
                 tokio::time::sleep(Duration::from_millis(DOWN_DELAY_MS)).await;
-                return reopens_at;
+                return Disconnection::Down { reopens_at };
+            }
+            if self.take_disconnect() {
+                return Disconnection::ListenerOpen;
             }
             self.fault_added.notified().await;
         }
     }
 
+    fn take_disconnect(&self) -> bool {
+        let mut active = self.lock();
+        let count_before = active.len();
+        active.retain(|fault| fault.fault.kind != FaultKind::Disconnect);
+        active.len() < count_before
+    }
+
     /// Returns the latest end of the active [`FaultKind::Down`] faults.
     fn latest_down_end(&self) -> Option<Instant> {
         let now = Instant::now();
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -22,7 +22,10 @@
     task::JoinSet,
 };
 
-use crate::{Fault, FaultKind, FaultScript, fault::Access};
+use crate::{
+    Fault, FaultKind, FaultScript,
+    fault::{Access, Disconnection},
+};
 
 /// Delay between two attempts to bind the port again.
 const BIND_RETRY_DELAY_MS: u64 = 20;
@@ -122,11 +125,14 @@
                 }
             }
             Some(_) = connections.join_next() => {}
-            reopens_at = handler.faults().wait_until_down() => {
-                drop(listener);
-                connections.shutdown().await;
-                tokio::time::sleep_until(reopens_at).await;
-                listener = bind_with_retries(address).await;
+            disconnection = handler.faults().wait_until_disconnected() => match disconnection {
+                Disconnection::Down { reopens_at } => {
+                    drop(listener);
+                    connections.shutdown().await;
+                    tokio::time::sleep_until(reopens_at).await;
+                    listener = bind_with_retries(address).await;
+                }
+                Disconnection::ListenerOpen => connections.shutdown().await,
             }
         }
     }
@@ -191,7 +197,9 @@
     match kind {
         FaultKind::Refuse => Ok(refusal(StatusCode::SERVICE_UNAVAILABLE)),
         FaultKind::Limit { .. } => Ok(refusal(StatusCode::TOO_MANY_REQUESTS)),
-        FaultKind::ResetAfterHeaders | FaultKind::Down => Err(ConnectionDropped),
+        FaultKind::ResetAfterHeaders | FaultKind::Down | FaultKind::Disconnect => {
+            Err(ConnectionDropped)
+        }
         FaultKind::ResetAfterBody => {
             handler.handle(request).await?;
             Err(ConnectionDropped)
