Quarantine requests that crash upstreams whenever they come again

Cause: a crash left evidence about prompt parts only. One request that comes again (under another id, at any instance) was a new request each time; its parts are those of sound requests, so a verdict about a part took five crashes or more and hit the sound ones too. A request without parts left no evidence.

Why this works: one quarantine for both kinds of cause. A crash accuses the requests in flight by their fingerprints, and the most specific cause is judged first, after three crashes of all instances together. A part is convicted only if different requests with it were at the crashes. Crashes that a convicted request explains accuse nobody else. Until the verdict, a request that was at two crashes is sent to one upstream at a time, fleet-wide. All ways to send pass the one check. Items are never convicted.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -1,20 +1,27 @@
-//! Evidence about prompt parts that crash upstreams: which upstreams crashed while which
-//! parts were in flight there, and which parts were answered without a crash.
+//! Evidence about requests that crash upstreams: which upstreams crashed while which
+//! requests were in flight there, and which ones were answered without a crash.
 //!
-//! Load pattern: callers send requests with the same part to every instance, and each
-//! instance sees only some of the crashes. The instances exchange their evidence. It
-//! merges to the same whatever the order, and however often a piece arrives. All times
-//! are milliseconds on the store's clock, which the instances share.
+//! Load pattern: callers send the same request, or requests with the same prompt part, to
+//! every instance, and each instance sees only some of the crashes. The instances exchange
+//! their evidence. It merges to the same whatever the order, and however often a piece
+//! arrives. All times are milliseconds on the store's clock, which the instances share.
 
 use model::PromptPartId;
 use serde::{Deserialize, Serialize};
 
+use crate::{
+    request_content::{CrashCause, RequestContent, RequestFingerprint},
+    upstream_table::WorkKind,
+};
+
 /// Maximum number of crashes that are remembered. The oldest ones are forgotten first.
 const CRASHES_MAX: usize = 64;
-/// Maximum number of parts of which it is remembered when they were answered last.
+/// Maximum number of requests, and likewise of parts, of which it is remembered when they
+/// were answered last.
 const SURVIVALS_MAX: usize = 1_024;
-/// Maximum number of parts in the report of one crash.
-const PARTS_PER_CRASH_MAX: usize = 64;
+/// Maximum number of requests in the report of one crash, and of parts of one request.
+const REQUESTS_PER_CRASH_MAX: usize = 32;
+const PARTS_PER_REQUEST_MAX: usize = 64;
 /// Time after which a crash is forgotten, milliseconds.
 const CRASH_RETENTION_MS: u64 = 120_000;
 
@@ -26,24 +33,30 @@
     /// When an instance first saw that the upstream had crashed, milliseconds on the
     /// store's clock.
     pub at_ms: u64,
-    /// Shared parts of the prompts that were in flight at the upstream, sorted by part.
-    pub parts: Vec<PartInFlight>,
+    /// Requests that were in flight at the upstream, sorted by kind and fingerprint.
+    pub requests: Vec<RequestInFlight>,
 }
 
-/// A shared part of prompts that are in flight at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct PartInFlight {
-    /// The part.
-    pub part: PromptPartId,
-    /// When the last of these prompts was sent, milliseconds on the store's clock.
+/// A request that is in flight at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestInFlight {
+    /// Fingerprint of its content.
+    pub fingerprint: RequestFingerprint,
+    /// Whether it is an item of a job. An item never crashes upstreams by itself, but a
+    /// part of its prompt may.
+    pub is_item: bool,
+    /// When it was last sent to the upstream, milliseconds on the store's clock.
     pub sent_at_ms: u64,
+    /// Parts of its prompt that other requests may share, sorted.
+    pub shared_parts: Vec<PromptPartId>,
 }
 
-/// The last time at which an upstream answered a request with a part and did not crash.
+/// The last time at which an upstream answered a request, or one with a part, and did not
+/// crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartSurvival {
-    /// The part.
-    pub part: PromptPartId,
+pub struct Survival {
+    /// The request or part.
+    pub cause: CrashCause,
     /// When the answer ended, milliseconds on the store's clock.
     pub at_ms: u64,
 }
@@ -60,12 +73,16 @@
 pub(crate) struct CrashEvidence {
     /// Sorted by incarnation.
     crashes: Vec<CrashRow>,
-    /// Sorted by part.
-    survivals: Vec<PartSurvival>,
+    request_survivals: Survivals,
+    part_survivals: Survivals,
 }
 
+/// Survivals of one kind of cause, sorted by cause.
+#[derive(Debug, Default)]
+struct Survivals(Vec<Survival>);
+
 impl CrashEvidence {
-    /// Adds a crash, or the parts of another report of the same crash.
+    /// Adds a crash, or the requests of another report of the same crash.
     pub(crate) fn add_crash(&mut self, report: &CrashReport, now_ms: u64) {
         if report.at_ms + CRASH_RETENTION_MS <= now_ms {
             return;
@@ -98,32 +115,12 @@
         }
     }
 
-    /// Records that a request with a part was answered at `at_ms` and its upstream did
-    /// not crash.
-    pub(crate) fn add_survival(&mut self, survival: PartSurvival) {
-        match self.find_survival(survival.part) {
-            Ok(index) => {
-                let known = &mut self.survivals[index];
-                known.at_ms = known.at_ms.max(survival.at_ms);
-            }
-            Err(index) => {
-                self.survivals.insert(index, survival);
-                self.limit_survivals();
-            }
-        }
-    }
-
-    fn limit_survivals(&mut self) {
-        if self.survivals.len() <= SURVIVALS_MAX {
-            return;
-        }
-        let oldest = self
-            .survivals
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, survival)| survival.at_ms);
-        if let Some((index, _)) = oldest {
-            self.survivals.remove(index);
+    /// Records that a request, or one with a part, was answered and its upstream did not
+    /// crash.
+    pub(crate) fn add_survival(&mut self, survival: Survival) {
+        match survival.cause {
+            CrashCause::Request(_) => self.request_survivals.add(survival),
+            CrashCause::Part(_) => self.part_survivals.add(survival),
         }
     }
 
@@ -143,53 +140,122 @@
         self.find_crash(incarnation).is_ok()
     }
 
-    /// Returns when a request with a part was last answered without a crash.
-    pub(crate) fn survived_at_ms(&self, part: PromptPartId) -> Option<u64> {
-        let index = self.find_survival(part).ok()?;
-        Some(self.survivals[index].at_ms)
+    /// Returns when a request, or one with a part, was last answered without a crash.
+    pub(crate) fn survived_at_ms(&self, cause: CrashCause) -> Option<u64> {
+        match cause {
+            CrashCause::Request(_) => self.request_survivals.at_ms(cause),
+            CrashCause::Part(_) => self.part_survivals.at_ms(cause),
+        }
     }
 
-    /// Returns whether a part may have caused a crash: it was in flight there, and no
-    /// request with it has been answered since.
-    pub(crate) fn is_suspect(&self, part: PromptPartId, crash: &CrashReport) -> bool {
-        crash.part_in_flight(part).is_some()
-            && self
-                .survived_at_ms(part)
-                .is_none_or(|survived_at_ms| survived_at_ms <= crash.at_ms)
+    /// Returns whether a cause may have crashed an upstream at which it was in flight: it was
+    /// not answered since.
+    pub(crate) fn is_suspect(&self, cause: CrashCause, crash: &CrashReport) -> bool {
+        self.survived_at_ms(cause)
+            .is_none_or(|survived_at_ms| survived_at_ms <= crash.at_ms)
     }
 
     fn find_crash(&self, incarnation: u64) -> Result<usize, usize> {
         self.crashes
             .binary_search_by_key(&incarnation, |row| row.report.incarnation)
     }
+}
 
-    fn find_survival(&self, part: PromptPartId) -> Result<usize, usize> {
-        self.survivals
-            .binary_search_by_key(&part, |survival| survival.part)
+impl Survivals {
+    fn add(&mut self, survival: Survival) {
+        match self.find(survival.cause) {
+            Ok(index) => {
+                let known = &mut self.0[index];
+                known.at_ms = known.at_ms.max(survival.at_ms);
+            }
+            Err(index) => {
+                self.0.insert(index, survival);
+                self.limit();
+            }
+        }
+    }
+
+    fn limit(&mut self) {
+        if self.0.len() <= SURVIVALS_MAX {
+            return;
+        }
+        let survivals = self.0.iter().enumerate();
+        let oldest = survivals.min_by_key(|(_, survival)| survival.at_ms);
+        if let Some((index, _)) = oldest {
+            self.0.remove(index);
+        }
+    }
+
+    fn at_ms(&self, cause: CrashCause) -> Option<u64> {
+        let index = self.find(cause).ok()?;
+        Some(self.0[index].at_ms)
+    }
+
+    fn find(&self, cause: CrashCause) -> Result<usize, usize> {
+        self.0
+            .binary_search_by_key(&cause, |survival| survival.cause)
     }
 }
 
 impl CrashReport {
-    /// Returns what was in flight of a part.
-    pub(crate) fn part_in_flight(&self, part: PromptPartId) -> Option<PartInFlight> {
-        let found = self
-            .parts
-            .binary_search_by(|in_flight| in_flight.part.cmp(&part));
-        Some(self.parts[found.ok()?])
+    /// Returns whether a cause was in flight at the upstream.
+    pub(crate) fn has_cause(&self, cause: CrashCause) -> bool {
+        let mut requests = self.requests.iter();
+        requests.any(|request| request.has_cause(cause))
     }
 
     fn merge(&mut self, other: &Self) {
         self.at_ms = self.at_ms.min(other.at_ms);
-        self.parts.extend_from_slice(&other.parts);
+        self.requests.extend_from_slice(&other.requests);
         self.normalize();
     }
 
     fn normalize(&mut self) {
-        self.parts.sort_unstable();
-        // The last prompt of each part comes last.
-        self.parts.reverse();
-        self.parts.dedup_by_key(|in_flight| in_flight.part);
-        self.parts.reverse();
-        self.parts.truncate(PARTS_PER_CRASH_MAX);
+        for request in &mut self.requests {
+            request.shared_parts.truncate(PARTS_PER_REQUEST_MAX);
+        }
+        // Of several times at which a request was sent, the last one comes first.
+        self.requests.sort_by(|a, b| {
+            let by_time = || b.sent_at_ms.cmp(&a.sent_at_ms);
+            let by_parts = || a.shared_parts.cmp(&b.shared_parts);
+            a.key().cmp(&b.key()).then_with(by_time).then_with(by_parts)
+        });
+        self.requests.dedup_by_key(|request| request.key());
+        self.requests.truncate(REQUESTS_PER_CRASH_MAX);
+    }
+}
+
+impl RequestInFlight {
+    /// Creates the report of a request with this content that was sent at `sent_at_ms`.
+    pub(crate) fn new(content: &RequestContent, kind: WorkKind, sent_at_ms: u64) -> Self {
+        Self {
+            fingerprint: content.fingerprint,
+            is_item: kind == WorkKind::Batch,
+            sent_at_ms,
+            shared_parts: content.shared_parts.clone(),
+        }
+    }
+
+    /// Returns whether the request may crash an upstream because of a cause.
+    pub(crate) fn has_cause(&self, cause: CrashCause) -> bool {
+        match cause {
+            CrashCause::Request(fingerprint) => !self.is_item && self.fingerprint == fingerprint,
+            CrashCause::Part(part) => self.shared_parts.binary_search(&part).is_ok(),
+        }
+    }
+
+    /// Returns the request as a whole as a possible cause; none for an item.
+    pub(crate) fn own_cause(&self) -> impl Iterator<Item = CrashCause> {
+        let cause = CrashCause::Request(self.fingerprint);
+        (!self.is_item).then_some(cause).into_iter()
+    }
+
+    /// Returns the parts of the prompt as possible causes.
+    pub(crate) fn part_causes(&self) -> impl Iterator<Item = CrashCause> {
+        self.shared_parts.iter().copied().map(CrashCause::Part)
+    }
+
+    fn key(&self) -> (bool, RequestFingerprint) {
+        (self.is_item, self.fingerprint)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,9 @@
 mod peer_loads;
 mod peers;
 mod placement;
+mod probation;
 mod quarantine;
+mod quarantine_notice;
 mod rate_limits;
 mod request_content;
 mod route;
@@ -47,7 +49,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
-    crash_evidence::{CrashReport, PartInFlight, PartSurvival},
+    crash_evidence::{CrashReport, RequestInFlight, Survival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
@@ -55,11 +57,11 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
-    quarantine::{
-        LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, QuarantinedPart,
-    },
+    probation::RequestTrial,
+    quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
+    quarantine_notice::{QuarantineNotice, Quarantined},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
-    request_content::{RequestContent, RequestFingerprint},
+    request_content::{CrashCause, RequestContent, RequestFingerprint},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     token_issuer::SettledTokens,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -117,7 +117,7 @@
     Saturated,
     /// All upstreams that can be used have reached the rate limit that they state.
     RateLimited,
-    /// A part of the prompt crashes upstreams.
+    /// The request, or a part of its prompt, crashes upstreams.
     Quarantined,
 }
 
--- a/crates/gateway/src/request_content.rs
+++ b/crates/gateway/src/request_content.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::upstream_table::WorkKind;
+
 /// Fingerprint of the content of a request. Attempts of callers that send the same request
 /// again have the same fingerprint, although their ids, deadlines and positions in a stream
 /// differ.
@@ -45,6 +47,34 @@
     }
 }
 
+/// What may be the cause of crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashCause {
+    /// A request as a whole, whenever it is sent.
+    Request(RequestFingerprint),
+    /// A part of prompts, whatever else the requests with it hold.
+    Part(PromptPartId),
+}
+
+impl CrashCause {
+    /// Returns the number of the fingerprint or part.
+    pub(crate) fn as_u64(self) -> u64 {
+        match self {
+            Self::Request(fingerprint) => fingerprint.0,
+            Self::Part(part) => part.as_u64(),
+        }
+    }
+}
+
+impl fmt::Display for CrashCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "fingerprint={fingerprint}"),
+            Self::Part(part) => write!(f, "part={part}"),
+        }
+    }
+}
+
 /// Content of a request that is sent to upstreams.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RequestContent {
@@ -53,3 +83,20 @@
     /// Parts of the prompt that other requests may share, sorted.
     pub shared_parts: Vec<PromptPartId>,
 }
+
+impl RequestContent {
+    /// Returns the parts of the prompt as possible causes of a crash.
+    pub(crate) fn part_causes(&self) -> impl Iterator<Item = CrashCause> {
+        self.shared_parts.iter().copied().map(CrashCause::Part)
+    }
+
+    /// Returns everything of the request that may be the cause of a crash. An item of a job
+    /// never is as a whole.
+    pub(crate) fn causes(&self, kind: WorkKind) -> impl Iterator<Item = CrashCause> {
+        let whole = match kind {
+            WorkKind::Online => Some(CrashCause::Request(self.fingerprint)),
+            WorkKind::Batch => None,
+        };
+        whole.into_iter().chain(self.part_causes())
+    }
+}
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -1,12 +1,12 @@
-//! Which prompt parts are quarantined, by the crashes and answers of several instances.
+//! Which requests and prompt parts are quarantined, by the crashes and answers of several instances.
 
 mod support;
 
 use std::rc::Rc;
 
 use gateway::{
-    LostRequest, PartCheck, Quarantine, QuarantineChange, QuarantineNotice, RequestContent, Target,
-    UpstreamTable,
+    CrashCause, LostRequest, Quarantine, QuarantineChange, QuarantineCheck, QuarantineNotice,
+    RequestContent, RequestFingerprint, Target, UpstreamTable, WorkKind,
 };
 use model::{PromptPartId, ServiceName, UpstreamId};
 use proptest::prelude::*;
@@ -21,20 +21,28 @@
 const SETTLED_MS: u64 = 1_000;
 const START_MS: u64 = 100_000;
 
-fn part(id: u64) -> PromptPartId {
-    PromptPartId::new(id)
+fn part(id: u64) -> CrashCause {
+    CrashCause::Part(PromptPartId::new(id))
 }
 
 fn parts(ids: &[u64]) -> Vec<PromptPartId> {
-    let mut parts: Vec<_> = ids.iter().copied().map(part).collect();
+    let mut parts: Vec<_> = ids.iter().copied().map(PromptPartId::new).collect();
     parts.sort_unstable();
     parts
 }
 
-fn content(ids: &[u64]) -> Rc<RequestContent> {
+fn fingerprint(number: u64) -> RequestFingerprint {
+    RequestFingerprint::from_u64(number)
+}
+
+fn request(number: u64) -> CrashCause {
+    CrashCause::Request(fingerprint(number))
+}
+
+fn content(number: u64, ids: &[u64]) -> Rc<RequestContent> {
     Rc::new(RequestContent {
+        fingerprint: fingerprint(number),
         shared_parts: parts(ids),
-        ..RequestContent::default()
     })
 }
 
@@ -53,6 +61,9 @@
     table: UpstreamTable,
     now_ms: u64,
     crash_count: u64,
+    /// Number of the last request that is like no other; low numbers are those of requests
+    /// that come again.
+    request_count: u64,
 }
 
 impl Fleet {
@@ -62,6 +73,7 @@
             table: upstream_table("a", &[("u0", "north-a")]),
             now_ms: START_MS,
             crash_count: 0,
+            request_count: 1 << 32,
         }
     }
 
@@ -73,19 +85,48 @@
 
     fn crash_under_requests_sent_at(&mut self, sent_at_ms: u64, seen: &[(usize, &[u64])]) {
         self.crash_count += 1;
-        let target = incarnation(self.crash_count);
         for (instance, ids) in seen {
-            let lost = LostRequest {
-                content: content(ids),
-                sent_at_ms,
-                lost_at_ms: self.now_ms,
-            };
-            self.instances[*instance].record_crash(&target, &lost, self.now_ms);
+            self.request_count += 1;
+            let content = content(self.request_count, ids);
+            self.record_crash(*instance, content, WorkKind::Online, sent_at_ms);
+        }
+    }
+
+    /// An upstream crashes. Each instance sees its own requests there, by their numbers,
+    /// which it sent just before and which have one part in common.
+    fn crash_under_requests(&mut self, seen: &[(usize, u64)]) {
+        self.crash_count += 1;
+        for (instance, number) in seen {
+            let content = content(*number, &[COMMON]);
+            self.record_crash(*instance, content, WorkKind::Online, self.now_ms);
         }
     }
 
+    fn record_crash(
+        &mut self,
+        instance: usize,
+        content: Rc<RequestContent>,
+        kind: WorkKind,
+        sent_at_ms: u64,
+    ) {
+        let lost = LostRequest {
+            content,
+            kind,
+            sent_at_ms,
+            lost_at_ms: self.now_ms,
+        };
+        let target = incarnation(self.crash_count);
+        self.instances[instance].record_crash(&target, &lost, self.now_ms);
+    }
+
     fn answer(&mut self, instance: usize, ids: &[u64]) {
-        self.instances[instance].record_survival(&parts(ids), self.now_ms);
+        self.request_count += 1;
+        self.answer_request(instance, self.request_count, ids);
+    }
+
+    fn answer_request(&mut self, instance: usize, number: u64, ids: &[u64]) {
+        let content = content(number, ids);
+        self.instances[instance].record_survival(&content, WorkKind::Online, self.now_ms);
     }
 
     /// Time passes, and every instance tells every other one what it knows again and
@@ -119,13 +160,19 @@
             .collect()
     }
 
-    fn quarantined(&self, instance: usize) -> Vec<PromptPartId> {
+    fn quarantined(&self, instance: usize) -> Vec<CrashCause> {
         let quarantined = self.instances[instance].quarantined().iter();
-        quarantined.map(|quarantined| quarantined.part).collect()
+        quarantined.map(|quarantined| quarantined.cause).collect()
     }
 
-    fn check(&self, instance: usize, ids: &[u64]) -> PartCheck {
-        self.instances[instance].check(&parts(ids), &self.table, self.now_ms)
+    /// Checks a request that is like no other.
+    fn check(&self, instance: usize, ids: &[u64]) -> QuarantineCheck {
+        self.check_request(instance, u64::MAX, ids)
+    }
+
+    fn check_request(&self, instance: usize, number: u64, ids: &[u64]) -> QuarantineCheck {
+        let content = content(number, ids);
+        self.instances[instance].check(&content, WorkKind::Online, &self.table, self.now_ms)
     }
 }
 
@@ -151,10 +198,10 @@
     }
     let check = fleet.check(0, &[COMMON, BAD]);
     assert!(
-        matches!(check, PartCheck::Quarantined { part, .. } if part == PromptPartId::new(BAD)),
+        matches!(check, QuarantineCheck::Refused { cause, .. } if cause == part(BAD)),
         "{check:?}"
     );
-    assert_eq!(fleet.check(0, &[COMMON, 0x100]), PartCheck::Allowed);
+    assert_eq!(fleet.check(0, &[COMMON, 0x100]), QuarantineCheck::Allowed);
 }
 
 #[test]
@@ -262,7 +309,7 @@
     fleet.pass(10);
     for instance in 0..3 {
         assert_eq!(fleet.quarantined(instance), [], "instance {instance}");
-        assert_eq!(fleet.check(instance, &[BAD]), PartCheck::Allowed);
+        assert_eq!(fleet.check(instance, &[BAD]), QuarantineCheck::Allowed);
     }
 }
 
@@ -283,6 +330,161 @@
     }
 }
 
+/// One request comes again and again, each time at another instance and beside requests that
+/// are answered afterwards. Its only part is common to all.
+#[test]
+fn quarantine_of_request_that_comes_again() {
+    let mut fleet = Fleet::new(3);
+    fleet.answer(0, &[COMMON]);
+    for crash in 0..3 {
+        let neighbour = 100 + crash as u64;
+        fleet.crash_under_requests(&[(crash, 1), ((crash + 1) % 3, neighbour)]);
+        fleet.pass(200);
+        fleet.answer_request(0, neighbour, &[COMMON]);
+    }
+    fleet.pass(SETTLED_MS);
+    for instance in 0..3 {
+        assert_eq!(fleet.quarantined(instance), [request(1)]);
+    }
+    let check = fleet.check_request(2, 1, &[COMMON]);
+    assert!(matches!(check, QuarantineCheck::Refused { cause, .. } if cause == request(1)));
+    assert_eq!(fleet.check(0, &[COMMON]), QuarantineCheck::Allowed);
+}
+
+/// One request crashes upstreams. The part that it shares with a few sound ones, none of
+/// which is answered meanwhile, is not at fault.
+#[test]
+fn quarantine_of_request_spares_its_parts() {
+    let mut fleet = Fleet::new(2);
+    for crash in 0..6 {
+        fleet.crash_count += 1;
+        let content = content(1, &[BAD, COMMON]);
+        let sent_at_ms = fleet.now_ms;
+        fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+        fleet.pass(SETTLED_MS);
+    }
+    assert_eq!(fleet.quarantined(0), [request(1)]);
+    assert_eq!(fleet.check(0, &[BAD, COMMON]), QuarantineCheck::Allowed);
+}
+
+/// Each of several requests with the part crashes upstreams at its repeats as well.
+#[test]
+fn quarantine_of_part_whose_requests_come_again() {
+    let mut fleet = Fleet::new(2);
+    for number in 1..=3 {
+        for crash in 0..3 {
+            fleet.crash_count += 1;
+            let content = content(number, &[BAD]);
+            let sent_at_ms = fleet.now_ms;
+            fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+            fleet.pass(100);
+        }
+        fleet.pass(SETTLED_MS);
+    }
+    assert!(fleet.quarantined(0).contains(&part(BAD)));
+}
+
+/// The same item of a job is at one crash after the other. It is still owed, so only its
+/// parts are quarantined.
+#[test]
+fn quarantine_never_holds_an_item() {
+    let mut fleet = Fleet::new(2);
+    for crash in 0..6 {
+        fleet.crash_count += 1;
+        let content = content(1, &[BAD]);
+        let sent_at_ms = fleet.now_ms;
+        fleet.record_crash(crash % 2, content, WorkKind::Batch, sent_at_ms);
+        fleet.pass(500);
+    }
+    assert_eq!(fleet.quarantined(0), [part(BAD)]);
+    let item = content(1, &[COMMON]);
+    let check = fleet.instances[0].check(&item, WorkKind::Batch, &fleet.table, fleet.now_ms);
+    assert_eq!(check, QuarantineCheck::Allowed);
+}
+
+/// Two requests are at the same three crashes. The one that is answered was there by chance.
+#[test]
+fn quarantine_tells_sound_request_from_the_one_beside_it() {
+    let mut fleet = Fleet::new(2);
+    for _ in 0..3 {
+        fleet.crash_under_requests(&[(0, 1), (1, 2)]);
+        fleet.pass(SETTLED_MS);
+    }
+    assert_eq!(fleet.quarantined(0), []);
+    fleet.answer_request(1, 2, &[COMMON]);
+    fleet.pass(SETTLED_MS);
+    assert_eq!(fleet.quarantined(0), [request(1)]);
+    let check = fleet.check_request(0, 2, &[COMMON]);
+    assert_eq!(check, QuarantineCheck::Allowed);
+}
+
+/// A request that was at two crashes is sent by one instance at a time, until its attempt
+/// ends.
+#[test]
+fn request_at_two_crashes_is_sent_once_at_a_time() {
+    let mut fleet = Fleet::new(3);
+    for instance in 0..2 {
+        fleet.crash_under_requests(&[(instance, 1)]);
+        fleet.pass(SETTLED_MS);
+    }
+    let check = fleet.check_request(0, 1, &[COMMON]);
+    let QuarantineCheck::Trial { cause, .. } = check else {
+        panic!("{check:?}");
+    };
+    fleet.instances[0].record_trial(cause, fleet.now_ms);
+    fleet.pass(200);
+    let check = fleet.check_request(2, 1, &[COMMON]);
+    assert!(
+        matches!(check, QuarantineCheck::Refused { .. }),
+        "{check:?}"
+    );
+    fleet.instances[0].record_attempt_end(fingerprint(1), fleet.now_ms);
+    fleet.pass(200);
+    let check = fleet.check_request(2, 1, &[COMMON]);
+    assert!(matches!(check, QuarantineCheck::Trial { .. }), "{check:?}");
+}
+
+/// The instance that made the attempt is lost before its end.
+#[test]
+fn request_at_two_crashes_is_sent_again_after_a_lost_attempt() {
+    let mut fleet = Fleet::new(2);
+    for instance in 0..2 {
+        fleet.crash_under_requests(&[(instance, 1)]);
+        fleet.pass(SETTLED_MS);
+    }
+    fleet.instances[0].record_trial(request(1), fleet.now_ms);
+    fleet.pass(200);
+    fleet.instances.remove(0);
+    fleet.pass(10_000);
+    let check = fleet.check_request(0, 1, &[COMMON]);
+    assert!(matches!(check, QuarantineCheck::Trial { .. }), "{check:?}");
+}
+
+/// No more than three sends follow the third crash, however long the request comes again.
+#[test]
+fn request_that_crashed_three_upstreams_is_sent_three_times_more_at_most() {
+    let mut fleet = Fleet::new(3);
+    let mut sends = 0;
+    for round in 0..10_000 {
+        let instance = round % 3;
+        match fleet.check_request(instance, 1, &[COMMON]) {
+            QuarantineCheck::Refused { .. } => {}
+            QuarantineCheck::Allowed => {
+                sends += 1;
+                fleet.crash_under_requests(&[(instance, 1)]);
+            }
+            QuarantineCheck::Trial { cause, .. } => {
+                sends += 1;
+                let now_ms = fleet.now_ms;
+                fleet.instances[instance].record_trial(cause, now_ms);
+                fleet.crash_under_requests(&[(instance, 1)]);
+            }
+        }
+        fleet.pass(400);
+    }
+    assert!((3..=6).contains(&sends), "{sends} sends");
+}
+
 /// Trials come at growing intervals, and one trial serves the whole fleet.
 #[test]
 fn trial_of_quarantined_part() {
@@ -290,9 +492,9 @@
     let mut trials = Vec::new();
     for _ in 0..400 {
         fleet.pass(500);
-        if let PartCheck::Trial { part, .. } = fleet.check(0, &[BAD]) {
+        if let QuarantineCheck::Trial { cause, .. } = fleet.check(0, &[BAD]) {
             let now_ms = fleet.now_ms;
-            fleet.instances[0].record_trial(part, now_ms);
+            fleet.instances[0].record_trial(cause, now_ms);
             fleet.crash(&[(0, &[BAD])]);
             trials.push(fleet.now_ms);
         }
@@ -307,18 +509,21 @@
 fn trial_without_result_is_repeated() {
     let mut fleet = fleet_with_quarantined_part();
     fleet.pass(20_000);
-    let PartCheck::Trial { part, .. } = fleet.check(2, &[BAD]) else {
+    let QuarantineCheck::Trial { cause, .. } = fleet.check(2, &[BAD]) else {
         panic!("no trial is due");
     };
     let now_ms = fleet.now_ms;
-    fleet.instances[2].record_trial(part, now_ms);
+    fleet.instances[2].record_trial(cause, now_ms);
     fleet.pass(1_000);
     assert!(matches!(
         fleet.check(0, &[BAD]),
-        PartCheck::Quarantined { .. }
+        QuarantineCheck::Refused { .. }
     ));
     fleet.pass(4_000);
-    assert!(matches!(fleet.check(0, &[BAD]), PartCheck::Trial { .. }));
+    assert!(matches!(
+        fleet.check(0, &[BAD]),
+        QuarantineCheck::Trial { .. }
+    ));
 }
 
 /// Upstreams crash together, twice, while no request with a part is answered.
@@ -369,10 +574,12 @@
 enum Piece {
     Crash {
         incarnation: u64,
+        request: u64,
         parts: Vec<u64>,
         sent_before_ms: u64,
     },
     Answer {
+        request: u64,
         part: u64,
         at_ms: u64,
     },
@@ -380,14 +587,25 @@
 
 fn piece() -> impl Strategy<Value = Piece> {
     prop_oneof![
-        (0..12_u64, prop::collection::vec(0..8_u64, 1..4), 0..400_u64).prop_map(
-            |(incarnation, parts, sent_before_ms)| Piece::Crash {
-                incarnation,
-                parts,
-                sent_before_ms
-            }
-        ),
-        (0..8_u64, 0..3_000_u64).prop_map(|(part, at_ms)| Piece::Answer { part, at_ms }),
+        (
+            0..12_u64,
+            0..9_u64,
+            prop::collection::vec(0..8_u64, 1..4),
+            0..400_u64
+        )
+            .prop_map(
+                |(incarnation, request, parts, sent_before_ms)| Piece::Crash {
+                    incarnation,
+                    request,
+                    parts,
+                    sent_before_ms,
+                }
+            ),
+        (0..9_u64, 0..8_u64, 0..3_000_u64).prop_map(|(request, part, at_ms)| Piece::Answer {
+            request,
+            part,
+            at_ms
+        }),
     ]
 }
 
@@ -395,18 +613,25 @@
     match piece {
         Piece::Crash {
             incarnation: number,
+            request,
             parts: ids,
             sent_before_ms,
         } => {
             let lost = LostRequest {
-                content: content(ids),
+                content: content(*request, ids),
+                kind: WorkKind::Online,
                 sent_at_ms: START_MS + 250 * number - sent_before_ms,
                 lost_at_ms: START_MS + 250 * number,
             };
             quarantine.record_crash(&incarnation(*number), &lost, START_MS);
         }
-        Piece::Answer { part: id, at_ms } => {
-            quarantine.record_survival(&parts(&[*id]), START_MS + at_ms);
+        Piece::Answer {
+            request,
+            part: id,
+            at_ms,
+        } => {
+            let content = content(*request, &[*id]);
+            quarantine.record_survival(&content, WorkKind::Online, START_MS + at_ms);
         }
     }
 }
@@ -446,7 +671,8 @@
         for (number, ids) in crashes.iter().enumerate() {
             let target = incarnation(number as u64);
             let lost = LostRequest {
-                content: content(ids),
+                content: content(number as u64, ids),
+                kind: WorkKind::Online,
                 sent_at_ms: START_MS,
                 lost_at_ms: START_MS,
             };
@@ -454,7 +680,8 @@
         }
         if let Some(notice) = quarantine.notice(START_MS) {
             prop_assert!(notice.crashes.len() <= 16);
-            let part_count: usize = notice.crashes.iter().map(|crash| crash.parts.len()).sum();
+            let requests = notice.crashes.iter().flat_map(|crash| &crash.requests);
+            let part_count: usize = requests.map(|request| request.shared_parts.len()).sum();
             prop_assert!(part_count <= 256, "{} parts", part_count);
         }
     }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -97,7 +97,7 @@
     /// When the first event arrived, in milliseconds on the node's clock.
     first_event_ms: Option<u64>,
     event_count: u64,
-    /// Whether it is recorded that the upstream survived the parts of the prompt.
+    /// Whether it is recorded that the upstream survived the request.
     has_survived: bool,
 }
 
@@ -176,6 +176,7 @@
         let lost_at_ms = self.node.store_now_ms();
         let lost = LostRequest {
             content: Rc::clone(&self.content),
+            kind: self.kind,
             sent_at_ms: lost_at_ms.saturating_sub(held_ms),
             lost_at_ms,
         };
@@ -189,6 +190,9 @@
             .upstreams
             .borrow_mut()
             .record_end(&self.target, self.kind);
+        if self.kind == WorkKind::Online {
+            quarantine::record_attempt_end(&self.node, &self.content);
+        }
         self.node.load_changed.notify_one();
         self.node.batch_state_changed.notify_one();
     }
@@ -196,7 +200,7 @@
 
 impl UpstreamAnswer {
     /// Records that an event arrived. An upstream that goes on sending them has survived
-    /// the parts of the prompt.
+    /// the request.
     pub(crate) fn record_event(&mut self, node: &Node) {
         if self.has_survived {
             return;
@@ -212,7 +216,8 @@
     fn record_survival(&mut self, node: &Node) {
         if self.head.status.is_success() {
             self.has_survived = true;
-            quarantine::record_survival(node, &self.in_flight.content.shared_parts);
+            let InFlightGuard { content, kind, .. } = &self.in_flight;
+            quarantine::record_survival(node, content, *kind);
         }
     }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use gateway::{
-    AttemptEnd, FinalAnswer, NextStep, PartCheck, Placement, PlacementRequest, RefusalReason,
-    RequestContent, RequestFingerprint, RetryState, Route, Target, WorkKind,
+    AttemptEnd, CrashCause, FinalAnswer, NextStep, Placement, PlacementRequest, QuarantineCheck,
+    RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
-use model::{PromptPartId, ServiceName, shared_parts};
+use model::{ServiceName, shared_parts};
 use platform::RequestHeaders;
 
 use crate::{
@@ -161,13 +161,13 @@
     }
 
     fn place(&mut self) -> Result<(Target, u64), NoAnswer> {
-        let part_check = quarantine::check(&self.node, &self.outgoing.content.shared_parts);
-        if let PartCheck::Quarantined {
-            part,
+        let check = quarantine::check(&self.node, &self.outgoing.content, WorkKind::Online);
+        if let QuarantineCheck::Refused {
+            cause,
             retry_after_ms,
-        } = part_check
+        } = check
         {
-            return Err(self.refuse_quarantined(part, retry_after_ms));
+            return Err(self.refuse_quarantined(cause, retry_after_ms));
         }
         let now_ms = self.node.now_ms();
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
@@ -186,15 +186,15 @@
                 load,
                 preemption,
             } => {
-                if let PartCheck::Trial {
-                    part,
+                if let QuarantineCheck::Trial {
+                    cause,
                     needs_idle_upstream,
-                } = part_check
+                } = check
                 {
                     if needs_idle_upstream && load > 0 {
-                        return Err(self.refuse_quarantined(part, TRIAL_RETRY_AFTER_MS));
+                        return Err(self.refuse_quarantined(cause, TRIAL_RETRY_AFTER_MS));
                     }
-                    quarantine::record_trial(&self.node, &self.outgoing.request_id, part);
+                    quarantine::record_trial(&self.node, &self.outgoing.request_id, cause);
                 }
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
@@ -226,12 +226,12 @@
         }
     }
 
-    /// Logs that a request must not be sent because a part of its prompt is quarantined,
-    /// and returns the answer for the caller.
-    fn refuse_quarantined(&self, part: PromptPartId, retry_after_ms: u64) -> NoAnswer {
+    /// Logs that a request must not be sent because it, or a part of its prompt, may crash
+    /// upstreams, and returns the answer for the caller.
+    fn refuse_quarantined(&self, cause: CrashCause, retry_after_ms: u64) -> NoAnswer {
         let reason = RefusalReason::Quarantined;
         log::warn!(
-            "event=request_not_placed request={} route={} reason={} part={part} retry_after_ms={retry_after_ms}",
+            "event=request_not_placed request={} route={} reason={} {cause} retry_after_ms={retry_after_ms}",
             self.outgoing.request_id,
             self.route.name,
             reason.as_str()
@@ -324,7 +324,10 @@
         NoAnswer::Refused {
             reason: RefusalReason::Quarantined,
             retry_after_ms,
-        } => answer::service_unavailable(retry_after_ms, "a part of the prompt crashes upstreams"),
+        } => answer::service_unavailable(
+            retry_after_ms,
+            "the request or a part of its prompt crashes upstreams",
+        ),
         NoAnswer::Refused { retry_after_ms, .. } => {
             answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
         }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, PartCheck, RequestContent, RequestFingerprint, Route,
-    RouteTable, RunForecast, Target, Urgency, job_hash, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, RequestContent, RequestFingerprint, Route,
+    RouteTable, RunForecast, Target, Urgency, WorkKind, job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
 use model::{JobId, ServiceName, UpstreamId, shared_parts};
@@ -262,8 +262,8 @@
     /// the part is released or the item is given up.
     fn is_quarantined(&self, node: &Node, item: &WaitingItem) -> bool {
         let content = item_content(&self.jobs[item.job_index], item.item_index);
-        let check = quarantine::check(node, &content.shared_parts);
-        matches!(check, PartCheck::Quarantined { .. })
+        let check = quarantine::check(node, &content, WorkKind::Batch);
+        matches!(check, QuarantineCheck::Refused { .. })
     }
 
     fn urgency(&self, job: &OwnedJob, item_index: u32, store_now_ms: u64) -> Urgency {
@@ -385,12 +385,12 @@
     let mut runner = node.runner.borrow_mut();
     let job = &mut runner.jobs[item.job_index];
     let content = item_content(job, item.item_index);
-    match quarantine::check(node, &content.shared_parts) {
-        PartCheck::Allowed => {}
-        PartCheck::Trial { part, .. } => {
-            quarantine::record_trial(node, job.id().as_str(), part);
+    match quarantine::check(node, &content, WorkKind::Batch) {
+        QuarantineCheck::Allowed => {}
+        QuarantineCheck::Trial { cause, .. } => {
+            quarantine::record_trial(node, job.id().as_str(), cause);
         }
-        PartCheck::Quarantined { .. } => return,
+        QuarantineCheck::Refused { .. } => return,
     }
     let Some(item_run) = job.start_item(item.item_index) else {
         return;
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,7 +1,6 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
 //! its sender and the jobs that the sender took over recently. It is followed by what the
-//! sender knows of leaving upstreams, of prompt parts that crash upstreams, and of rate
-//! limits. An instance sends its notices directly to each peer.
+//! sender knows of leaving upstreams, of rate limits, and of what crashes upstreams. An instance sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -75,8 +74,8 @@
                 let Datagram {
                     notice,
                     leaving,
-                    quarantine,
                     limits,
+                    quarantine,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -106,35 +105,48 @@
 struct Datagram {
     notice: LoadNotice,
     leaving: Vec<LeavingUpstream>,
-    /// `None` if no part is suspected.
-    quarantine: Option<QuarantineNotice>,
     /// `None` if no upstream states a limit.
     limits: Option<LimitNotice>,
+    /// `None` if nothing is suspected of crashes.
+    quarantine: Option<QuarantineNotice>,
 }
 
+/// Place in a datagram at which an earlier version of the program told what it knew of
+/// prompt parts, in a form that is no longer read.
+type FormerQuarantine = Option<()>;
+
 impl Datagram {
     /// Encodes the notice, followed by the other values.
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
         if self.quarantine.is_some() || self.limits.is_some() {
-            datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
+            let former: FormerQuarantine = None;
+            datagram.extend(encode_to_vec(former, config::standard())?);
             datagram.extend(encode_to_vec(&self.limits, config::standard())?);
+            datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
         }
         Ok(datagram)
     }
 
-    /// Decodes a datagram. Earlier versions of the program send fewer values.
+    /// Decodes a datagram. Earlier versions of the program send fewer values. What follows a
+    /// former quarantine is left out, since its length is unknown.
     fn decode(datagram: &[u8]) -> Result<Self, DecodeError> {
         let (notice, rest) = decode_first(datagram)?;
         let (leaving, rest) = decode_next(rest)?;
-        let (quarantine, rest) = decode_next(rest)?;
-        let (limits, _) = decode_next(rest)?;
+        let (former, rest) = decode_next::<FormerQuarantine>(rest)?;
+        let rest = if former.flatten().is_some() {
+            &[]
+        } else {
+            rest
+        };
+        let (limits, rest) = decode_next(rest)?;
+        let (quarantine, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
-            quarantine: quarantine.flatten(),
             limits: limits.flatten(),
+            quarantine: quarantine.flatten(),
         })
     }
 }
@@ -202,8 +214,8 @@
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
-        quarantine: node.quarantine.borrow().notice(node.store_now_ms()),
         limits: node.upstreams.borrow().limit_notice(node.now_ms()),
+        quarantine: node.quarantine.borrow().notice(node.store_now_ms()),
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, InFlight, QuarantineChange, Route, RouteKind, UpstreamTable};
+use gateway::{
+    AttemptEnd, CrashCause, InFlight, QuarantineChange, Quarantined, Route, RouteKind,
+    UpstreamTable,
+};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{server::conn::http1::Builder, service::service_fn};
@@ -54,7 +57,7 @@
     streams_resumed: Counter<u64>,
     upstream_crashes: Counter<u64>,
     quarantine_changes: Counter<u64>,
-    quarantined_parts: Gauge<u64>,
+    quarantined_causes: Gauge<u64>,
     jobs_accepted: Counter<u64>,
     jobs_refused: Counter<u64>,
     jobs_taken_over: Counter<u64>,
@@ -121,9 +124,12 @@
             ),
             quarantine_changes: counter(
                 "redwingtack.quarantine.changes",
-                "Prompt parts quarantined and released, by change",
+                "Requests and prompt parts quarantined and released, by change",
+            ),
+            quarantined_causes: gauge(
+                "redwingtack.quarantine.causes",
+                "Requests and prompt parts in quarantine, by kind",
             ),
-            quarantined_parts: gauge("redwingtack.quarantine.parts", "Prompt parts in quarantine"),
             jobs_accepted: counter("redwingtack.jobs.accepted", "Jobs accepted"),
             jobs_refused: counter("redwingtack.jobs.refused", "Submissions refused"),
             jobs_taken_over: counter("redwingtack.jobs.taken_over", "Jobs taken over"),
@@ -193,6 +199,19 @@
             .add(1, &[KeyValue::new("change", name)]);
     }
 
+    fn record_quarantined(&self, quarantined: &[Quarantined]) {
+        let is_request = |row: &&Quarantined| matches!(row.cause, CrashCause::Request(_));
+        let requests = quarantined.iter().filter(is_request).count();
+        let counts = [
+            ("request", requests),
+            ("part", quarantined.len() - requests),
+        ];
+        for (kind, count) in counts {
+            self.quarantined_causes
+                .record(count as u64, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
     pub(crate) fn on_job_accepted(&self) {
         self.jobs_accepted.add(1, &[]);
     }
@@ -243,8 +262,7 @@
             .record(upstreams.ready_count() as u64, &[]);
         self.limited_upstreams
             .record(upstreams.limited_count() as u64, &[]);
-        let quarantined = node.quarantine.borrow().quarantined().len();
-        self.quarantined_parts.record(quarantined as u64, &[]);
+        self.record_quarantined(node.quarantine.borrow().quarantined());
         let version = node.routes().map_or(0, |routes| routes.version);
         self.config_version.record(version, &[]);
         let age_ms = node.store_health.time_since_answer_ms(node.now_ms());
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -1,31 +1,33 @@
-//! Carries out the quarantine of prompt parts that crash upstreams: feeds it with what
+//! Carries out the quarantine of requests and prompt parts that crash upstreams: feeds it with what
 //! this instance observes, logs what it decides, and checks each request before it is
 //! sent. The decisions are in [`gateway::Quarantine`].
 
-use gateway::{LostRequest, PartCheck, QuarantineChange, QuarantineNotice, Target};
-use model::PromptPartId;
+use gateway::{
+    CrashCause, LostRequest, QuarantineChange, QuarantineCheck, QuarantineNotice, RequestContent,
+    Target, WorkKind,
+};
 
 use crate::node::Node;
 
-/// Checks whether a request whose prompt has these parts may be sent. Every attempt and
-/// every run of an item passes this check.
-pub(crate) fn check(node: &Node, shared_parts: &[PromptPartId]) -> PartCheck {
+/// Checks whether a request with this content may be sent. Every attempt and every run of an
+/// item passes this check.
+pub(crate) fn check(node: &Node, content: &RequestContent, kind: WorkKind) -> QuarantineCheck {
     update(node);
     let now_ms = node.store_now_ms();
     let quarantine = node.quarantine.borrow();
-    quarantine.check(shared_parts, &node.upstreams.borrow(), now_ms)
+    quarantine.check(content, kind, &node.upstreams.borrow(), now_ms)
 }
 
-/// Returns whether any part is in quarantine.
+/// Returns whether anything is in quarantine.
 pub(crate) fn is_active(node: &Node) -> bool {
     !node.quarantine.borrow().quarantined().is_empty()
 }
 
-/// Records that a request is sent as a trial of a quarantined part.
-pub(crate) fn record_trial(node: &Node, request_id: &str, part: PromptPartId) {
-    log::warn!("event=prompt_part_tried request={request_id} part={part}");
+/// Records that a request is sent as a trial of a cause.
+pub(crate) fn record_trial(node: &Node, request_id: &str, cause: CrashCause) {
+    log::warn!("event=crash_cause_tried request={request_id} {cause}");
     let now_ms = node.store_now_ms();
-    node.quarantine.borrow_mut().record_trial(part, now_ms);
+    node.quarantine.borrow_mut().record_trial(cause, now_ms);
     node.load_changed.notify_one();
 }
 
@@ -39,11 +41,18 @@
     node.load_changed.notify_one();
 }
 
-/// Records that a request with these parts was answered without a crash.
-pub(crate) fn record_survival(node: &Node, shared_parts: &[PromptPartId]) {
+/// Records that an attempt of a request ended, whatever its result.
+pub(crate) fn record_attempt_end(node: &Node, content: &RequestContent) {
     let now_ms = node.store_now_ms();
     let mut quarantine = node.quarantine.borrow_mut();
-    quarantine.record_survival(shared_parts, now_ms);
+    quarantine.record_attempt_end(content.fingerprint, now_ms);
+}
+
+/// Records that a request with this content was answered without a crash.
+pub(crate) fn record_survival(node: &Node, content: &RequestContent, kind: WorkKind) {
+    let now_ms = node.store_now_ms();
+    let mut quarantine = node.quarantine.borrow_mut();
+    quarantine.record_survival(content, kind, now_ms);
     let must_update = !quarantine.quarantined().is_empty();
     drop(quarantine);
     if must_update {
@@ -78,14 +87,16 @@
 fn log_changes(node: &Node, changes: &[QuarantineChange]) {
     for change in changes {
         match change {
-            QuarantineChange::Quarantined { part, crash_count } => log::error!(
-                "event=prompt_part_quarantined part={part} crashes={crash_count} evidence=own"
-            ),
-            QuarantineChange::Learned(part) => {
-                log::warn!("event=prompt_part_quarantined part={part} evidence=peer");
+            QuarantineChange::Quarantined { cause, crash_count } => {
+                log::error!(
+                    "event=crash_cause_quarantined {cause} crashes={crash_count} evidence=own"
+                );
+            }
+            QuarantineChange::Learned(cause) => {
+                log::warn!("event=crash_cause_quarantined {cause} evidence=peer");
             }
-            QuarantineChange::Released(part) => {
-                log::warn!("event=prompt_part_released part={part}");
+            QuarantineChange::Released(cause) => {
+                log::warn!("event=crash_cause_released {cause}");
             }
         }
         node.metrics.on_quarantine_change(*change);
