An upstream that is registered anew right after a lost answer has crashed

Now the registration of another incarnation under the id, or of another upstream at the address, within 3 s shows that the former process has ended.

--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -56,6 +56,18 @@
             .is_some_and(UpstreamRow::is_ready)
     }
 
+    /// Returns whether another incarnation of an upstream is registered, or another upstream
+    /// at its address, so that its process has ended.
+    #[must_use]
+    pub fn is_succeeded(&self, target: &Target) -> bool {
+        self.rows.iter().any(|row| {
+            let is_same_id = row.entry.id == target.upstream;
+            let is_same_start = row.entry.started_unix_ms == target.started_unix_ms;
+            let is_at_address = is_same_id || row.entry.address == target.address;
+            is_at_address && !(is_same_id && is_same_start)
+        })
+    }
+
     fn known_incarnation(&self, target: &Target) -> Option<&UpstreamRow> {
         let row = &self.rows[self.find(&target.upstream).ok()?];
         (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -3,16 +3,22 @@
 //!
 //! A lost answer may be due to the network, to a faulty answer or to a restart of this
 //! instance's connections. If the upstream refuses a new connection as well, its process
-//! has ended.
+//! has ended. If not, a supervisor may hold the port, or the next process may listen there
+//! already; then the registration of a new incarnation shows that the former one has ended.
 
-use std::{io::ErrorKind, rc::Rc};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use gateway::{LostRequest, Target};
 use model::PromptPartId;
-use tokio::task::spawn_local;
+use tokio::{task::spawn_local, time::sleep};
 
 use crate::{connection_pool::connect, node::Node, quarantine};
 
+/// How often, and at which interval, it is checked whether another incarnation has been
+/// registered since an answer was lost.
+const SUCCESSOR_CHECKS_MAX: u32 = 10;
+const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Checks in the background whether an upstream has crashed, after the answer to a request
 /// was lost. Upstreams that are leaving are not checked, because they end as planned.
 pub(crate) fn check_upstream(node: &Rc<Node>, target: &Target, lost: LostRequest) {
@@ -35,15 +41,28 @@
     quarantine::record_crash(&node, &target, &lost);
 }
 
-/// Returns whether an upstream is known to have crashed, or refuses a new connection. If
-/// the connection is opened, or times out, the upstream may be alive.
+/// Returns whether an upstream is known to have crashed, refuses a new connection, or is
+/// soon succeeded by another incarnation.
 async fn has_crashed(node: &Node, target: &Target) -> bool {
     if node.quarantine.borrow().knows_crash(target) {
         return true;
     }
     let timeout_ms = node.upstreams.borrow().connect_timeout_ms(target);
-    let connected = connect(target.address, timeout_ms).await;
-    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    match connect(target.address, timeout_ms).await {
+        Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+        Ok(_) => is_soon_succeeded(node, target).await,
+    }
+}
+
+async fn is_soon_succeeded(node: &Node, target: &Target) -> bool {
+    for _ in 0..SUCCESSOR_CHECKS_MAX {
+        sleep(SUCCESSOR_CHECK_INTERVAL).await;
+        let is_succeeded = node.upstreams.borrow().is_succeeded(target);
+        if is_succeeded || node.quarantine.borrow().knows_crash(target) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Returns the parts for a log line, separated by commas.
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -81,3 +81,44 @@
     let crash = format!("body={CRASHING_BODY}&moment=before_head");
     check_request_is_kept_from_servers(&crash).await;
 }
+
+/// Registers each server that has crashed since the last call as started again. Returns the
+/// number of all crashes.
+async fn register_restarts(cluster: &TestCluster, crash_counts: &mut [u64]) -> u64 {
+    for (index, known) in crash_counts.iter_mut().enumerate() {
+        let count = cluster.crash_count(index).await;
+        if count > *known {
+            cluster.register_restarted_server(index, 1 + count).await;
+            *known = count;
+        }
+    }
+    crash_counts.iter().sum()
+}
+
+/// The port of a server that crashes stays open, and the same id is registered there again.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashed_three_servers_with_open_ports_reaches_no_others() {
+    let cluster = TestCluster::start(&[4; 8], 2).await;
+    let crash = format!("body={CRASHING_BODY}&listener=open");
+    cluster.make_servers_crash(&crash).await;
+    let mut crash_counts = [0; 8];
+    for round in 0..10 {
+        send_crashing(&cluster.nodes[round % 2], &format!("first-{round}")).await;
+        if register_restarts(&cluster, &mut crash_counts).await >= CRASHES_TO_KNOW as u64 {
+            break;
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+    sleep(TIME_TO_KNOW).await;
+    let crashed_before = register_restarts(&cluster, &mut crash_counts).await;
+    for round in 0..12 {
+        send_crashing(&cluster.nodes[round % 2], &format!("later-{round}")).await;
+        register_restarts(&cluster, &mut crash_counts).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let crashed_later = crash_counts.iter().sum::<u64>() - crashed_before;
+    assert!(
+        crashed_later <= LATER_SENDS_MAX as u64,
+        "{crashed_later} crashes after {crashed_before} others"
+    );
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -212,6 +212,14 @@
             .await;
     }
 
+    /// Registers a server as one that has started again, at `started_unix_ms`.
+    pub async fn register_restarted_server(&self, index: usize, started_unix_ms: u64) {
+        let mut registration = self.registration(index, "ready");
+        registration["born"] = json!(started_unix_ms);
+        self.put_row("servers", &self.servers[index].id, &registration)
+            .await;
+    }
+
     fn registration(&self, index: usize, state: &str) -> Value {
         let server = &self.servers[index];
         json!({
