A part is not convicted for the crashes of one request that has it

Now each request counts for at most as many crashes of a part as it takes to convict the request itself, and the time for objections runs from the crash that made the evidence enough. The new test failed before.

--- a/crates/gateway/src/crash_suspects.rs
+++ b/crates/gateway/src/crash_suspects.rs
@@ -229,6 +229,23 @@
         self.crashes.sort_unstable();
         self.crashes
             .dedup_by(|next, kept| next.sent_at_ms < kept.at_ms);
+        if let CrashCause::Part(_) = self.cause {
+            self.limit_crashes_per_request();
+        }
+    }
+
+    /// Keeps only as many crashes of each request as it takes to convict the request itself.
+    fn limit_crashes_per_request(&mut self) {
+        let mut counted: Vec<RequestFingerprint> = Vec::new();
+        self.crashes.retain(|crash| {
+            let is_new = |request: &RequestFingerprint| {
+                let times = counted.iter().filter(|known| *known == request).count();
+                times < CRASHES_OF_NEW_CAUSE
+            };
+            let is_kept = crash.has_item || crash.requests.iter().any(is_new);
+            counted.extend(&crash.requests);
+            is_kept
+        });
     }
 
     /// Returns the number of successive crashes.
@@ -246,46 +263,32 @@
     }
 
     fn is_convicted(&self, now_ms: u64) -> bool {
-        let required = if self.is_established() {
-            CRASHES_OF_ESTABLISHED_CAUSE
-        } else {
-            CRASHES_OF_NEW_CAUSE
-        };
-        let mut learned_at_ms: Vec<_> = self
-            .crashes
-            .iter()
-            .map(|crash| crash.learned_at_ms)
-            .collect();
-        learned_at_ms.sort_unstable();
-        let decisive_ms = learned_at_ms.get(required - 1);
-        self.is_of_enough_requests()
-            && decisive_ms.is_some_and(|decisive_ms| now_ms >= decisive_ms + OBJECTION_MS)
+        self.decisive_ms()
+            .is_some_and(|decisive_ms| now_ms >= decisive_ms + OBJECTION_MS)
     }
 
-    /// Returns whether the crashes cannot be due to single requests that have the part in
-    /// common with sound ones.
-    fn is_of_enough_requests(&self) -> bool {
-        if let CrashCause::Request(_) = self.cause {
-            return true;
-        }
-        let has_many_crashes = self.crash_count() >= CRASHES_OF_ESTABLISHED_CAUSE;
-        let required = if has_many_crashes && !self.is_established() {
-            REQUESTS_OF_NEW_PART
-        } else {
-            REQUESTS_OF_PART
-        };
-        self.request_count() >= required
+    /// Returns when this instance learned of the crash from which the evidence is enough.
+    fn decisive_ms(&self) -> Option<u64> {
+        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        crashes.sort_unstable_by_key(|crash| crash.learned_at_ms);
+        let decisive = (1..=crashes.len()).find(|count| self.is_enough(&crashes[..*count]))?;
+        Some(crashes[decisive - 1].learned_at_ms)
     }
 
-    /// Returns the number of different requests at the crashes. Items never crash upstreams
-    /// by themselves, so each of their runs counts as a different one.
-    fn request_count(&self) -> usize {
-        let requests = self.crashes.iter().flat_map(|crash| &crash.requests);
-        let mut requests: Vec<_> = requests.collect();
-        requests.sort_unstable();
-        requests.dedup();
-        let item_crashes = self.crashes.iter().filter(|crash| crash.has_item).count();
-        requests.len() + item_crashes
+    /// Returns whether some of the crashes are enough for a verdict. The crashes of a part
+    /// must not be due to single requests that have it in common with sound ones.
+    fn is_enough(&self, crashes: &[&SuspectedCrash]) -> bool {
+        let has_many_crashes = crashes.len() >= CRASHES_OF_ESTABLISHED_CAUSE;
+        if !has_many_crashes && (self.is_established() || crashes.len() < CRASHES_OF_NEW_CAUSE) {
+            return false;
+        }
+        match self.cause {
+            CrashCause::Request(_) => true,
+            CrashCause::Part(_) if has_many_crashes && !self.is_established() => {
+                request_count(crashes) >= REQUESTS_OF_NEW_PART
+            }
+            CrashCause::Part(_) => request_count(crashes) >= REQUESTS_OF_PART,
+        }
     }
 
     /// Returns whether a request with the cause was answered lately before it is supposed
@@ -295,3 +298,13 @@
             .is_some_and(|at_ms| at_ms + ESTABLISHED_MS >= self.first_crash_ms())
     }
 }
+
+/// Returns the number of different requests at some crashes. Items never crash upstreams by
+/// themselves, so each of their runs counts as a different one.
+fn request_count(crashes: &[&SuspectedCrash]) -> usize {
+    let mut requests: Vec<_> = crashes.iter().flat_map(|crash| &crash.requests).collect();
+    requests.sort_unstable();
+    requests.dedup();
+    let item_crashes = crashes.iter().filter(|crash| crash.has_item).count();
+    requests.len() + item_crashes
+}
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -367,6 +367,24 @@
     assert_eq!(fleet.check(0, &[BAD, COMMON]), QuarantineCheck::Allowed);
 }
 
+/// One request crashes five upstreams before the verdict is known. Much later, a sound
+/// request with the same part is at one crash by chance.
+#[test]
+fn quarantine_of_request_spares_its_parts_at_one_more_crash() {
+    let mut fleet = Fleet::new(2);
+    for crash in 0..5 {
+        fleet.crash_count += 1;
+        let content = content(1, &[BAD]);
+        let sent_at_ms = fleet.now_ms;
+        fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+        fleet.pass(100);
+    }
+    fleet.pass(10_000);
+    fleet.crash(&[(0, &[BAD])]);
+    fleet.pass(SETTLED_MS);
+    assert_eq!(fleet.quarantined(0), [request(1)]);
+}
+
 /// Each of several requests with the part crashes upstreams at its repeats as well.
 #[test]
 fn quarantine_of_part_whose_requests_come_again() {
