--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,7 +14,7 @@
 
 use std::{net::SocketAddr, ops::Range};
 
-use model::{InstanceId, ServiceName, UpstreamId};
+use model::{InstanceId, ServiceName, SoftwareVersion, UpstreamId};
 use rand::RngExt;
 
 use crate::{
@@ -128,6 +128,8 @@
     pub upstream: UpstreamId,
     /// Service of the upstream.
     pub service: ServiceName,
+    /// Version of the software that it runs.
+    pub version: SoftwareVersion,
     /// Address that requests are sent to.
     pub address: SocketAddr,
     /// When the upstream started, Unix milliseconds. Incarnations of the same
@@ -153,6 +155,7 @@
         Self {
             upstream: entry.id.clone(),
             service: entry.service.clone(),
+            version: entry.version.clone(),
             address: entry.address,
             started_unix_ms: entry.started_unix_ms,
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{FailureDomain, ServiceName, UpstreamId};
+use model::{FailureDomain, ServiceName, SoftwareVersion, UpstreamId};
 
 /// Registered properties of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Failure domain that the upstream runs in.
     pub failure_domain: FailureDomain,
+    /// Version of the software that it runs.
+    pub version: SoftwareVersion,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
     /// Whether the upstream accepts requests.
--- a/crates/gateway/tests/notice_scheduler.rs
+++ b/crates/gateway/tests/notice_scheduler.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gateway::{NoticeScheduler, Target, UpstreamTable, WorkKind, notice_pause_ms};
-use model::{Region, UpstreamId};
+use model::{Region, SoftwareVersion, UpstreamId};
 use support::{entry, service, upstream_table};
 
 const UPSTREAMS: [(&str, &str); 2] = [("u1", "north-a"), ("u2", "south-a")];
@@ -13,6 +13,7 @@
     let target = Target {
         upstream: UpstreamId::new(upstream),
         service: service(),
+        version: SoftwareVersion::new("v1"),
         address: entry.address,
         started_unix_ms: entry.started_unix_ms,
     };
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -8,7 +8,7 @@
     CrashCause, LostRequest, Quarantine, QuarantineChange, QuarantineCheck, QuarantineNotice,
     RequestContent, RequestFingerprint, Target, UpstreamTable, WorkKind,
 };
-use model::{PromptPartId, ServiceName, UpstreamId};
+use model::{PromptPartId, ServiceName, SoftwareVersion, UpstreamId};
 use proptest::prelude::*;
 use support::upstream_table;
 
@@ -50,6 +50,7 @@
     Target {
         upstream: UpstreamId::new(&format!("u{number}")),
         service: ServiceName::new("hints"),
+        version: SoftwareVersion::new("v1"),
         address: "127.0.0.1:9000".parse().unwrap(),
         started_unix_ms: number,
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
     CallerLimits, LoadNotice, Locality, Placement, PlacementRequest, Route, RouteKind,
     ServiceShare, Target, UpstreamEntry, UpstreamLoad, UpstreamState, UpstreamTable, upstream_hash,
 };
-use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
+use model::{FailureDomain, InstanceId, Region, ServiceName, SoftwareVersion, UpstreamId};
 
 pub const SLOTS: u32 = 8;
 pub const GOAL_MS: u64 = 300;
@@ -36,6 +36,7 @@
         service: service(),
         address: "127.0.0.1:9000".parse().unwrap(),
         failure_domain: FailureDomain::new(domain),
+        version: SoftwareVersion::new("v1"),
         slots: SLOTS,
         state: UpstreamState::Ready,
         warm_up_remaining_ms: 0,
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -6,7 +6,7 @@
     Preemption, RunForecast, Target, UpstreamEntry, UpstreamState, UpstreamTable, Urgency,
     WorkKind, runs_to_preempt, service_hash,
 };
-use model::{FailureDomain, InstanceId, Region, ServiceName, UpstreamId};
+use model::{FailureDomain, InstanceId, Region, ServiceName, SoftwareVersion, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use super::{Ablation, arrivals::EVENT_TOKENS};
@@ -16,6 +16,7 @@
 /// Number of requests that an upstream serves concurrently.
 pub(super) const SLOTS: u32 = 8;
 const PORT: u16 = 8_000;
+const VERSION: &str = "v1";
 
 /// Scheduling state of one instance.
 #[derive(Debug)]
@@ -77,6 +78,7 @@
         service: ServiceName::new("hints"),
         address: ([127, 0, 0, 1], PORT).into(),
         failure_domain: FailureDomain::new(&region_name(region)),
+        version: SoftwareVersion::new(VERSION),
         slots: SLOTS,
         state: UpstreamState::Ready,
         warm_up_remaining_ms: 0,
@@ -343,6 +345,7 @@
         Target {
             upstream,
             service: self.service.clone(),
+            version: SoftwareVersion::new(VERSION),
             address: ([127, 0, 0, 1], PORT).into(),
             started_unix_ms: 1,
         }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -31,7 +31,7 @@
     error::{Answer, ErrorKind, Ran, RetryAdvice},
     name::{
         ClassName, CustomerId, FailureDomain, InstanceId, JobId, ModelName, Region, ServiceName,
-        UpstreamId,
+        SoftwareVersion, UpstreamId,
     },
     notice::DispatchNotice,
     prompt::{PromptPart, PromptPartId, shared_parts},
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -85,6 +85,10 @@
     /// Name of a plain service, which is an upstream that is not a model engine.
     ServiceName
 );
+shared_name!(
+    /// Version of the software that an upstream runs. Versions are not ordered.
+    SoftwareVersion
+);
 shared_name!(
     /// Identifier of an upstream: a model engine or a plain service.
     UpstreamId
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -309,9 +309,10 @@
     match decode_server(row) {
         ServerRow::Listed(entry) => {
             log::info!(
-                "event=server_listed upstream={} service={} state={:?} slots={}",
+                "event=server_listed upstream={} service={} version={} state={:?} slots={}",
                 entry.id,
                 entry.service,
+                process::quote(&entry.version),
                 entry.state,
                 entry.slots
             );
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -44,6 +44,8 @@
     pub(crate) deadline_ms: u64,
     /// Id of the event after which the caller resumes a stream.
     pub(crate) resume_after: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub(crate) resumed_attempt: Option<Arc<str>>,
 }
 
 /// Why the caller gets no answer of an upstream.
@@ -92,6 +94,7 @@
         arrived_ms,
         deadline_ms,
         resume_after: request_headers.resume_after,
+        resumed_attempt: request_headers.resumed_attempt.clone(),
     };
     request.run().await
 }
@@ -198,12 +201,17 @@
                 }
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
-                    "event=request_sent request={} route={} upstream={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} fingerprint={} shared_parts={}",
+                    "event=request_sent request={} route={} upstream={} version={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} resumes={} after_event={} fingerprint={} shared_parts={}",
                     self.outgoing.request_id,
                     self.route.name,
                     target.upstream,
+                    process::quote(&target.version),
                     self.deadline_ms.saturating_sub(now_ms),
                     self.node.store_health.time_since_answer_ms(now_ms),
+                    self.resumed_attempt
+                        .as_ref()
+                        .map_or("none".to_owned(), process::quote),
+                    self.resume_after.unwrap_or(0),
                     self.outgoing.content.fingerprint,
                     join_parts(&self.outgoing.content.shared_parts)
                 );
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -142,10 +142,11 @@
         is_retryable: true,
     };
     log::info!(
-        "event=item_sent job={} item={} upstream={} after_event={} left_ms={time_left_ms} fingerprint={} shared_parts={}",
+        "event=item_sent job={} item={} upstream={} version={} after_event={} left_ms={time_left_ms} fingerprint={} shared_parts={}",
         context.job,
         context.item_run.item.id,
         context.target.upstream,
+        process::quote(&context.target.version),
         partial.last_event.unwrap_or(0),
         context.content.fingerprint,
         join_parts(&context.content.shared_parts)
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -206,9 +206,10 @@
             return false;
         }
         log::info!(
-            "event=stream_resumed request={} upstream={} after_event={}",
+            "event=stream_resumed request={} upstream={} version={} after_event={}",
             self.request.outgoing.request_id,
             answer.in_flight.target.upstream,
+            process::quote(&answer.in_flight.target.version),
             last_event.map_or_else(|| "none".to_owned(), |id| id.to_string())
         );
         self.splitter = Some(EventSplitter::new().with_last_id(last_event));
