--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -212,6 +212,20 @@
             .await;
     }
 
+    /// Registers a server as ready with a version of its software.
+    pub async fn register_version(&self, index: usize, version: &str) {
+        let mut registration = self.registration(index, "ready");
+        registration["version"] = json!(version);
+        self.put_row("servers", &self.servers[index].id, &registration)
+            .await;
+    }
+
+    /// Removes the registration of a server.
+    pub async fn unregister_server(&self, index: usize) {
+        let row = json!({"table": "servers", "part": "", "key": self.servers[index].id});
+        self.put_rows(&json!({"remove": [row]})).await;
+    }
+
     /// Registers a server as one that has started again, at `started_unix_ms`.
     pub async fn register_restarted_server(&self, index: usize, started_unix_ms: u64) {
         let mut registration = self.registration(index, "ready");
@@ -242,10 +256,7 @@
     /// Returns the runs at all servers, by request id.
     pub async fn server_runs(&self) -> EventRuns {
         let mut all = EventRuns::new();
-        for server in &self.servers {
-            let address = server.standin.address();
-            let answer = send_request(address, "GET", "/standin/runs", &[], Vec::new()).await;
-            let runs: EventRuns = serde_json::from_str(&answer.unwrap().body).unwrap();
+        for runs in self.runs_by_server().await {
             for (id, runs) in runs {
                 all.entry(id).or_default().extend(runs);
             }
@@ -313,12 +324,29 @@
         assert_eq!(answer.unwrap().status, StatusCode::OK);
     }
 
-    /// Returns the number of runs that a server has begun.
-    pub async fn run_count(&self, index: usize) -> usize {
+    /// Returns the runs at a server, by request id.
+    pub async fn runs_of_server(&self, index: usize) -> EventRuns {
         let address = self.servers[index].standin.address();
         let answer = send_request(address, "GET", "/standin/runs", &[], Vec::new()).await;
-        let runs: EventRuns = serde_json::from_str(&answer.unwrap().body).unwrap();
-        runs.values().map(Vec::len).sum()
+        serde_json::from_str(&answer.unwrap().body).unwrap()
+    }
+
+    /// Returns the runs at each server.
+    pub async fn runs_by_server(&self) -> Vec<EventRuns> {
+        let mut runs = Vec::new();
+        for index in 0..self.servers.len() {
+            runs.push(self.runs_of_server(index).await);
+        }
+        runs
+    }
+
+    /// Returns the number of runs that a server has begun.
+    pub async fn run_count(&self, index: usize) -> usize {
+        self.runs_of_server(index)
+            .await
+            .values()
+            .map(Vec::len)
+            .sum()
     }
 
     /// Returns the number of streams that are running at a server.
@@ -527,6 +555,37 @@
         .unwrap()
 }
 
+/// Sends a request to a streaming route and closes the connection after a number of events.
+/// Returns whether that many arrived.
+pub async fn begin_stream(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    events: usize,
+) -> bool {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let mut request = Request::builder().method("POST").uri(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = Full::new(Bytes::from_static(b"prompt"));
+    let response = sender.send_request(request.body(body).unwrap()).await;
+    let mut text = Vec::new();
+    if let Ok(response) = response {
+        let mut body = response.into_body();
+        while let Some(Ok(frame)) = body.frame().await {
+            text.extend_from_slice(&frame.into_data().unwrap_or_default());
+            if String::from_utf8_lossy(&text).matches("\n\n").count() >= events {
+                break;
+            }
+        }
+    }
+    driver.abort();
+    String::from_utf8_lossy(&text).matches("\n\n").count() >= events
+}
+
 /// Sends a request on a new connection.
 pub async fn send_request(
     address: SocketAddr,
