Streams go on only at the software version that began them

Cause: an upstream was chosen by its service alone. Within an answer, a broken stream was resumed anywhere; a caller that came back was a new request, at an instance that did not know where the stream had begun.

Why this works: the version of the upstream that sends the first event is kept under the caller's attempt, by this instance and three holders that any instance finds by hashing the attempt. A stream goes on only at that version. Without a record it goes on only if a single version was registered for as long as a stream may live and the store confirms it; else it is refused at once, as not run. So what is lost or late refuses streams and never mixes them. While a service has a single version nothing is sent.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,8 @@
 //! Begin reading at [`UpstreamTable`], which holds what this instance knows of
 //! the upstreams. [`UpstreamTable::place`] decides about online requests,
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
-//! failed attempts. [`Quarantine`] decides about requests that crash upstreams.
+//! failed attempts. [`Quarantine`] decides about requests that crash upstreams,
+//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on.
 
 mod attempts;
 mod batch_plan;
@@ -42,9 +43,11 @@
 mod route;
 mod service_timings;
 mod store_reachability;
+mod stream_origins;
 mod token_issuer;
 mod upstream;
 mod upstream_table;
+mod version_history;
 
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
@@ -64,7 +67,12 @@
     request_content::{CrashCause, RequestContent, RequestFingerprint},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
+    stream_origins::{
+        AttemptHash, HolderUse, OriginRecord, RecordHolder, StreamOrigins, VersionHash,
+        record_holders,
+    },
     token_issuer::SettledTokens,
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
+    version_history::{ObservedVersions, VanishedVersion, VersionHistory},
 };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     service_timings::TimingEstimates,
+    stream_origins::VersionHash,
     upstream::UpstreamEntry,
     upstream_table::{UpstreamRow, UpstreamTable, as_f64, round_count, round_ms},
 };
@@ -66,6 +67,9 @@
     pub goal_ms: u64,
     /// Time since the arrival of the request, milliseconds.
     pub waited_ms: u64,
+    /// Version at which the request must run, because it goes on with a stream that began
+    /// there; `None` if any may run it.
+    pub version: Option<VersionHash>,
     /// Whether the request may be refused. A request that may have run must not
     /// be refused.
     pub may_refuse: bool,
@@ -119,6 +123,10 @@
     RateLimited,
     /// The request, or a part of its prompt, crashes upstreams.
     Quarantined,
+    /// No upstream that can be used runs the version that began the stream.
+    VersionGone,
+    /// It is unknown which version began the stream.
+    VersionUnknown,
 }
 
 /// One incarnation of an upstream.
@@ -146,6 +154,8 @@
             Self::Saturated => "saturated",
             Self::RateLimited => "rate_limited",
             Self::Quarantined => "quarantined",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
         }
     }
 }
@@ -170,7 +180,7 @@
         let timings = self.timing_estimates(request.service, as_f64(request.goal_ms));
         let mut candidates = self.candidates(request, timings, now_ms);
         let Some(mut chosen) = self.choose(&candidates) else {
-            return self.refuse_without_candidate(request.service, now_ms);
+            return self.refuse_without_candidate(request, now_ms);
         };
         // This request is as likely to be the first of the unseen ones as the last.
         let unseen = self.unseen_placements(request.service, timings);
@@ -202,10 +212,15 @@
         }
     }
 
-    fn refuse_without_candidate(&mut self, service: &ServiceName, now_ms: u64) -> Placement {
-        self.record_refused(service, now_ms);
-        let (reason, retry_after_ms) = match self.limited_retry_ms(service, now_ms) {
+    fn refuse_without_candidate(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        now_ms: u64,
+    ) -> Placement {
+        self.record_refused(request.service, now_ms);
+        let (reason, retry_after_ms) = match self.limited_retry_ms(request.service, now_ms) {
             Some(retry_ms) => (RefusalReason::RateLimited, round_ms(retry_ms)),
+            None if request.version.is_some() => (RefusalReason::VersionGone, NO_UPSTREAM_RETRY_MS),
             None => (RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_MS),
         };
         Placement::Refuse {
@@ -279,6 +294,7 @@
             .enumerate()
             .filter(|(_, row)| row.entry.service == *request.service && row.is_ready())
             .filter(|(_, row)| row.health.is_usable_as_last_resort(now_ms))
+            .filter(|(_, row)| request.version.is_none_or(|version| row.runs(version)))
             .filter(|(_, row)| self.is_within_limit(row, now_ms))
             .collect();
         let is_usable = |row: &UpstreamRow| row.health.is_usable(now_ms);
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,212 @@
+//! At which software version streams began.
+//!
+//! Load pattern: upstreams of several versions serve side by side, and callers come back to
+//! any instance to take up streams that broke off. A stream may go on only at the version
+//! that began it, and the instance that knows it may be lost.
+//!
+//! The instance that brings the first event of a stream keeps a record of it. While versions
+//! may be mixed, it also sends the record to a few holders, which any instance finds by
+//! rendezvous hashing of the attempt. So the cost of a stream does not depend on the number
+//! of instances. An instance that finds no record knows nothing: it never takes this as a
+//! sign that a version is the right one.
+//!
+//! All times are milliseconds on the store's clock.
+
+use model::{InstanceId, Region, ServiceName, SoftwareVersion};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::peers::election_rank;
+
+/// Maximum time from the first event of a stream until a caller takes it up, milliseconds.
+pub const STREAM_LIFETIME_MS: u64 = 60_000;
+/// Maximum number of records. The ones that expire first are forgotten first.
+const RECORDS_MAX: usize = 32_768;
+/// Number of holders of a record in the region of the instance that sends it, and in others.
+const REGION_HOLDERS: usize = 2;
+const REMOTE_HOLDERS: usize = 1;
+/// Number of possible holders that are asked for a record. There are more of them, since
+/// instances may have come or gone since the record was sent.
+const REGION_HOLDERS_ASKED: usize = 3;
+const REMOTE_HOLDERS_ASKED: usize = 2;
+
+/// Hash of the id of a caller's attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AttemptHash(u64);
+
+/// Hash of the name of a software version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct VersionHash(u64);
+
+/// The version at which the stream of an attempt began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginRecord {
+    /// The attempt that brought the first event.
+    pub attempt: AttemptHash,
+    /// The version.
+    pub version: VersionHash,
+}
+
+/// Another instance that may hold records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordHolder {
+    /// Id of the instance.
+    pub instance: InstanceId,
+    /// Region of the instance.
+    pub region: Region,
+}
+
+/// Whether a record is to be sent or looked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HolderUse {
+    /// The record is sent to the holders.
+    Send,
+    /// The holders are asked for the record.
+    Ask,
+}
+
+/// Records of the origins of streams, as known to one instance.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    /// Sorted by attempt.
+    rows: Vec<OriginRow>,
+}
+
+#[derive(Debug, Clone)]
+struct OriginRow {
+    attempt: AttemptHash,
+    /// `None` if there are records of different versions.
+    version: Option<VersionHash>,
+    expires_at_ms: u64,
+    /// Service of a stream that this instance brought, while its record has not been sent to
+    /// holders.
+    unsent_service: Option<ServiceName>,
+}
+
+impl AttemptHash {
+    /// Returns the hash of an attempt's id.
+    #[must_use]
+    pub fn new(request_id: &str) -> Self {
+        Self(xxh3_64(request_id.as_bytes()))
+    }
+}
+
+impl VersionHash {
+    /// Returns the hash of a version's name.
+    #[must_use]
+    pub fn new(version: &SoftwareVersion) -> Self {
+        Self(xxh3_64(version.as_str().as_bytes()))
+    }
+}
+
+impl StreamOrigins {
+    /// Adds the record of a stream of which this instance brought events. It is sent as soon
+    /// as versions of the service may be mixed; see [`Self::take_unsent`].
+    pub fn record_own(&mut self, record: OriginRecord, service: &ServiceName, now_ms: u64) {
+        self.insert(record, Some(service.clone()), now_ms);
+    }
+
+    /// Adds a record of a peer.
+    pub fn receive(&mut self, record: OriginRecord, now_ms: u64) {
+        self.insert(record, None, now_ms);
+    }
+
+    /// Returns the version at which the stream of an attempt began, if it is known without
+    /// contradiction.
+    #[must_use]
+    pub fn version_of(&self, attempt: AttemptHash, now_ms: u64) -> Option<VersionHash> {
+        let row = &self.rows[self.find(attempt).ok()?];
+        row.version.filter(|_| now_ms < row.expires_at_ms)
+    }
+
+    /// Returns the records of this instance that have not been sent to holders yet, of the
+    /// services whose versions may be mixed, and expects that they are sent now.
+    pub fn take_unsent(
+        &mut self,
+        may_be_mixed: impl Fn(&ServiceName) -> bool,
+        now_ms: u64,
+    ) -> Vec<OriginRecord> {
+        let unsent = self.rows.iter_mut().filter(|row| {
+            let service = row.unsent_service.as_ref();
+            now_ms < row.expires_at_ms && service.is_some_and(&may_be_mixed)
+        });
+        let records = unsent.filter_map(|row| {
+            row.unsent_service = None;
+            Some(OriginRecord {
+                attempt: row.attempt,
+                version: row.version?,
+            })
+        });
+        records.collect()
+    }
+
+    /// Forgets streams that nobody takes up any more.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.rows.retain(|row| now_ms < row.expires_at_ms);
+    }
+
+    fn insert(&mut self, record: OriginRecord, unsent_service: Option<ServiceName>, now_ms: u64) {
+        let expires_at_ms = now_ms + STREAM_LIFETIME_MS;
+        match self.find(record.attempt) {
+            Ok(index) => {
+                let row = &mut self.rows[index];
+                row.version = row.version.filter(|version| *version == record.version);
+                row.expires_at_ms = row.expires_at_ms.max(expires_at_ms);
+            }
+            Err(index) => {
+                let row = OriginRow {
+                    attempt: record.attempt,
+                    version: Some(record.version),
+                    expires_at_ms,
+                    unsent_service,
+                };
+                self.rows.insert(index, row);
+                self.limit(now_ms);
+            }
+        }
+    }
+
+    fn limit(&mut self, now_ms: u64) {
+        if self.rows.len() <= RECORDS_MAX {
+            return;
+        }
+        self.expire(now_ms);
+        if self.rows.len() > RECORDS_MAX {
+            let rows = self.rows.iter().enumerate();
+            let oldest = rows.min_by_key(|(_, row)| row.expires_at_ms);
+            let index = oldest.map_or(0, |(index, _)| index);
+            self.rows.remove(index);
+        }
+    }
+
+    fn find(&self, attempt: AttemptHash) -> Result<usize, usize> {
+        self.rows.binary_search_by_key(&attempt, |row| row.attempt)
+    }
+}
+
+/// Returns the positions in `peers` of the holders of an attempt's record, as seen from an
+/// instance in `own_region`. Callers mostly come back within a region.
+#[must_use]
+pub fn record_holders(
+    attempt: AttemptHash,
+    peers: &[RecordHolder],
+    own_region: &Region,
+    holder_use: HolderUse,
+) -> Vec<usize> {
+    let (region_count, remote_count) = match holder_use {
+        HolderUse::Send => (REGION_HOLDERS, REMOTE_HOLDERS),
+        HolderUse::Ask => (REGION_HOLDERS_ASKED, REMOTE_HOLDERS_ASKED),
+    };
+    let mut ranked: Vec<_> = (0..peers.len()).collect();
+    ranked.sort_by_cached_key(|index| {
+        let rank = election_rank(&peers[*index].instance, attempt.0);
+        std::cmp::Reverse(rank)
+    });
+    let (own, remote): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .partition(|index| peers[*index].region == *own_region);
+    let own = own.into_iter().take(region_count);
+    own.chain(remote.into_iter().take(remote_count)).collect()
+}
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use model::{FailureDomain, InstanceId, Region, UpstreamId};
+use model::{FailureDomain, InstanceId, Region, ServiceName, SoftwareVersion, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -14,6 +14,7 @@
     placement::Target,
     rate_limits::RateLimits,
     service_timings::ServiceRow,
+    stream_origins::VersionHash,
 };
 
 /// Grace period of an upstream whose registration may have lapsed because the
@@ -87,6 +88,10 @@
     pub(crate) hash: u64,
     /// Hash of the incarnation.
     pub(crate) incarnation: u64,
+    pub(crate) version: VersionHash,
+    /// Whether this incarnation has crashed, so that another process may listen at its
+    /// address whose registration has not been read yet.
+    pub(crate) has_crashed: bool,
     /// When the row is removed because its registration disappeared. `None`
     /// while the upstream is registered.
     pub(crate) remove_at_ms: Option<u64>,
@@ -127,6 +132,7 @@
             Ok(index) if self.rows[index].is_same_incarnation(&entry) => {
                 let row = &mut self.rows[index];
                 row.warmed_up_at_ms = now_ms + entry.warm_up_remaining_ms;
+                row.version = VersionHash::new(&entry.version);
                 row.entry = entry;
                 row.remove_at_ms = None;
             }
@@ -269,6 +275,29 @@
         }
     }
 
+    /// Records that an incarnation of an upstream has crashed.
+    pub fn record_crash(&mut self, target: &Target) {
+        if let Some(row) = self.incarnation_row(target) {
+            row.has_crashed = true;
+        }
+    }
+
+    /// Returns the registration of an upstream, or `None` if it has none.
+    #[must_use]
+    pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
+        Some(&self.rows[self.find(id).ok()?].entry)
+    }
+
+    /// Returns the version that all upstreams of a service run, or `None` if they run
+    /// several or there are none.
+    #[must_use]
+    pub fn single_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
+        let mut rows = self.rows.iter().filter(|row| row.entry.service == *service);
+        let first = &rows.next()?.entry.version;
+        let is_single = rows.all(|row| row.entry.version == *first);
+        is_single.then(|| first.clone())
+    }
+
     /// Records that an upstream had no free slot for a request. The upstream
     /// gets no requests until `until_ms`.
     pub fn record_full(&mut self, target: &Target, until_ms: u64) {
@@ -357,6 +386,8 @@
         Self {
             warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
             incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
+            version: VersionHash::new(&entry.version),
+            has_crashed: false,
             entry,
             hash,
             remove_at_ms: None,
@@ -380,6 +411,11 @@
         self.entry.state == UpstreamState::Ready && !self.is_leaving
     }
 
+    /// Returns whether the upstream is sure to run a version of the software.
+    pub(crate) fn runs(&self, version: VersionHash) -> bool {
+        self.version == version && !self.has_crashed
+    }
+
     /// Returns the number of online requests of all instances.
     pub(crate) fn online(&self) -> u32 {
         u32::from(self.own_load.online) + self.peer_load.online
--- /dev/null
+++ b/crates/gateway/src/version_history.rs
@@ -0,0 +1,173 @@
+//! Which software versions of a service were registered lately.
+//!
+//! Load pattern: nearly always, a service has a single version, and streams may go on at any
+//! of its upstreams without a record of where they began. This is certain only if no other
+//! version was registered for as long as a stream may live. An instance that has just
+//! started takes over what a peer has observed.
+//!
+//! All times are milliseconds on the store's clock.
+
+use model::{ServiceName, SoftwareVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    UpstreamTable,
+    batch_plan::service_hash,
+    stream_origins::{STREAM_LIFETIME_MS, VersionHash},
+};
+
+/// Maximum number of versions without a registration that are remembered. If there are more,
+/// the time of observation begins anew.
+const VANISHED_MAX: usize = 64;
+
+/// What an instance has observed of registrations, for its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservedVersions {
+    /// From when on every registration is known.
+    pub since_ms: u64,
+    /// Until when every registration is known.
+    pub until_ms: u64,
+    /// Versions whose registrations ended in this time.
+    pub vanished: Vec<VanishedVersion>,
+}
+
+/// A version that is registered no more, or was not for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VanishedVersion {
+    /// Hash of the service, or `None` if only the id of the upstream was seen.
+    pub service: Option<u64>,
+    /// The version, or `None` if only the id of the upstream was seen.
+    pub version: Option<VersionHash>,
+    /// When its last known registration ended.
+    pub at_ms: u64,
+}
+
+/// The registrations that one instance has observed.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// `None` until the registrations have been read.
+    since_ms: Option<u64>,
+    until_ms: u64,
+    vanished: Vec<VanishedVersion>,
+}
+
+impl VersionHistory {
+    /// Records that all registrations were read at `now_ms`, without what happened before.
+    pub fn record_snapshot(&mut self, now_ms: u64) {
+        self.since_ms = Some(now_ms);
+        self.until_ms = now_ms;
+    }
+
+    /// Records that all changes of registrations up to `now_ms` are known.
+    pub fn record_changes(&mut self, now_ms: u64) {
+        self.until_ms = self.until_ms.max(now_ms);
+    }
+
+    /// Records that a registration of a version ended.
+    pub fn record_vanished(
+        &mut self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now_ms: u64,
+    ) {
+        self.add_vanished(VanishedVersion {
+            service: Some(service_hash(service)),
+            version: Some(VersionHash::new(version)),
+            at_ms: now_ms,
+        });
+    }
+
+    /// Records that a registration ended whose beginning was not seen.
+    pub fn record_unseen(&mut self, now_ms: u64) {
+        self.add_vanished(VanishedVersion {
+            service: None,
+            version: None,
+            at_ms: now_ms,
+        });
+    }
+
+    /// Takes over what a peer has observed, if it joins on to what this instance has.
+    pub fn receive(&mut self, peer: &ObservedVersions) {
+        let Some(since_ms) = self.since_ms else {
+            return;
+        };
+        if peer.since_ms >= since_ms || peer.until_ms < since_ms {
+            return;
+        }
+        self.since_ms = Some(peer.since_ms);
+        for vanished in &peer.vanished {
+            self.add_vanished(*vanished);
+        }
+    }
+
+    /// Returns what peers may take over, or `None` if nothing has been observed.
+    #[must_use]
+    pub fn observed(&self) -> Option<ObservedVersions> {
+        Some(ObservedVersions {
+            since_ms: self.since_ms?,
+            until_ms: self.until_ms,
+            vanished: self.vanished.clone(),
+        })
+    }
+
+    /// Returns whether the observed time is as long as a stream may live.
+    #[must_use]
+    pub fn is_complete(&self, now_ms: u64) -> bool {
+        self.since_ms
+            .is_some_and(|since_ms| since_ms + STREAM_LIFETIME_MS <= now_ms)
+    }
+
+    /// Returns the version of a service at which every stream began that may still be taken
+    /// up, or `None` if there may be several.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        service: &ServiceName,
+        table: &UpstreamTable,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let only = self.only_known_version(service, table, now_ms)?;
+        self.is_complete(now_ms).then_some(only)
+    }
+
+    /// Like [`Self::only_version`], but also if the observed time is shorter than a stream
+    /// may live.
+    #[must_use]
+    pub fn only_known_version(
+        &self,
+        service: &ServiceName,
+        table: &UpstreamTable,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let only = table.single_version(service)?;
+        let hash = service_hash(service);
+        let is_other = |vanished: &VanishedVersion| {
+            now_ms < vanished.at_ms + STREAM_LIFETIME_MS
+                && vanished.service.is_none_or(|service| service == hash)
+                && vanished.version != Some(VersionHash::new(&only))
+        };
+        (!self.vanished.iter().any(is_other)).then_some(only)
+    }
+
+    /// Forgets versions that vanished before any stream that may still be taken up.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.vanished
+            .retain(|vanished| now_ms < vanished.at_ms + STREAM_LIFETIME_MS);
+    }
+
+    fn add_vanished(&mut self, added: VanishedVersion) {
+        let same = self
+            .vanished
+            .iter_mut()
+            .find(|known| known.service == added.service && known.version == added.version);
+        if let Some(known) = same {
+            known.at_ms = known.at_ms.max(added.at_ms);
+            return;
+        }
+        self.vanished.push(added);
+        if self.vanished.len() > VANISHED_MAX {
+            self.vanished.clear();
+            self.since_ms = self.since_ms.map(|since_ms| since_ms.max(added.at_ms));
+        }
+    }
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -171,6 +171,7 @@
         tried: &[],
         goal_ms: GOAL_MS,
         waited_ms,
+        version: None,
         may_refuse: true,
     };
     let mut table = upstream_table("me", &SAME_DOMAIN);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -69,6 +69,7 @@
         tried,
         goal_ms: GOAL_MS,
         waited_ms: 0,
+        version: None,
         may_refuse,
     };
     table.place(&request, now_ms)
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -157,6 +157,7 @@
             tried,
             goal_ms: ANSWER_GOAL_MS,
             waited_ms: 0,
+            version: None,
             may_refuse: may_refuse && self.ablation != Some(Ablation::Refusals),
         };
         let placement = self.upstream_table.place(&request, now_ms);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -273,6 +273,9 @@
         Ok(connection) => connection,
         Err(error) => {
             in_flight.record_failure();
+            if error.kind() == ErrorKind::ConnectionRefused {
+                node.upstreams.borrow_mut().record_crash(target);
+            }
             return Err(AttemptFailure::new(AttemptEnd::NotSent, error));
         }
     };
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -38,6 +38,7 @@
         join_parts(&lost.content.shared_parts)
     );
     node.metrics.on_upstream_crash();
+    node.upstreams.borrow_mut().record_crash(&target);
     quarantine::record_crash(&node, &target, &lost);
 }
 
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use gateway::UpstreamEntry;
 use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, JobId, UpstreamId};
 use platform::{
@@ -16,6 +17,7 @@
     heartbeats::{self, HEARTBEATS_TABLE},
     jobs::{self, JOB_PARTITIONS, JOBS_TABLE},
     node::Node,
+    stream_versions,
 };
 
 /// Minimum time for which a feed call waits for changes, milliseconds. The time is
@@ -132,10 +134,8 @@
         loop {
             let mut version = self.read_snapshot(&node, &mut backoff).await;
             loop {
-                if self == Self::Jobs {
-                    // Submissions read this feed too.
-                    version = version.max(node.jobs_fed_version.get());
-                }
+                // Requests read these feeds too.
+                version = version.max(self.fed_version(&node));
                 let wait_ms = feed_wait_ms(&node);
                 let began_ms = node.now_ms();
                 let call = node.store.feed(self.table(), version, wait_ms);
@@ -246,6 +246,10 @@
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.retain_registered(&registered, may_have_lapsed, now_ms);
                 node.has_read_servers.set(true);
+                node.servers_fed_version.set(version);
+                node.version_history
+                    .borrow_mut()
+                    .record_snapshot(node.store_now_ms());
                 node.update_initial_state();
                 log::info!("event=servers_read count={}", upstreams.ready_count());
             }
@@ -261,13 +265,27 @@
         }
     }
 
+    /// Returns the version of the store up to which the changes of a table are known that
+    /// requests read as well; 0 for other tables.
+    fn fed_version(self, node: &Node) -> u64 {
+        match self {
+            Self::Config | Self::Heartbeats => 0,
+            Self::Servers => node.servers_fed_version.get(),
+            Self::Jobs => node.jobs_fed_version.get(),
+        }
+    }
+
     fn apply_page(self, node: &Rc<Node>, page: &FeedPage) {
         node.record_store_time(page.store_now_ms);
-        for row in &page.rows {
+        let known_version = self.fed_version(node);
+        let is_news = |row: &&Row| self != Self::Servers || row.version > known_version;
+        for row in page.rows.iter().filter(is_news) {
             self.apply(node, row);
         }
-        if self == Self::Jobs {
-            node.record_jobs_fed(page.store_version);
+        match self {
+            Self::Config | Self::Heartbeats => {}
+            Self::Servers => record_servers_fed(node, page),
+            Self::Jobs => node.record_jobs_fed(page.store_version),
         }
     }
 
@@ -303,10 +321,40 @@
     }
 }
 
+/// Records that all changes of registrations are known up to those of a page.
+fn record_servers_fed(node: &Node, page: &FeedPage) {
+    let known_version = node.servers_fed_version.get();
+    node.servers_fed_version
+        .set(known_version.max(page.store_version));
+    let store_now_ms = page.store_now_ms.unwrap_or(0);
+    node.version_history
+        .borrow_mut()
+        .record_changes(store_now_ms);
+    stream_versions::send_records(node);
+}
+
+/// Records that the registration of an upstream, if there is one, ends or is replaced.
+fn record_registration_end(node: &Node, id: &UpstreamId) {
+    let store_now_ms = node.store_now_ms();
+    let upstreams = node.upstreams.borrow();
+    let mut history = node.version_history.borrow_mut();
+    match upstreams.entry(id) {
+        Some(entry) => history.record_vanished(&entry.service, &entry.version, store_now_ms),
+        None => history.record_unseen(store_now_ms),
+    }
+}
+
 fn apply_server(node: &Node, row: &Row) {
     let now_ms = node.now_ms();
+    let server = decode_server(row);
+    match &server {
+        ServerRow::Listed(entry) if node.upstreams.borrow().entry(&entry.id).is_none() => {}
+        ServerRow::Listed(UpstreamEntry { id, .. })
+        | ServerRow::Removed(id)
+        | ServerRow::Unreadable { id, .. } => record_registration_end(node, id),
+    }
     let mut upstreams = node.upstreams.borrow_mut();
-    match decode_server(row) {
+    match server {
         ServerRow::Listed(entry) => {
             log::info!(
                 "event=server_listed upstream={} service={} version={} state={:?} slots={}",
@@ -385,6 +433,29 @@
     }
 }
 
+/// Reads the changes of registrations that the store has now.
+///
+/// # Errors
+///
+/// Returns an error if the store did not return changes.
+pub(crate) async fn read_server_changes(node: &Rc<Node>) -> Result<(), StoreError> {
+    let began_ms = node.now_ms();
+    let version = node.servers_fed_version.get();
+    match node.store.feed(SERVERS_TABLE, version, 0).await {
+        Ok(page) => {
+            node.record_store_answer(SERVERS_TABLE);
+            Feed::Servers.apply_page(node, &page);
+            Ok(())
+        }
+        Err(error) => {
+            if error != StoreError::HistoryGone {
+                node.record_store_failure(SERVERS_TABLE, began_ms, &error);
+            }
+            Err(error)
+        }
+    }
+}
+
 /// Returns the number of instances whose leases have not expired, including this one.
 pub(crate) fn live_instance_count(node: &Node) -> u64 {
     1 + node.directory.borrow().live_peers(node.now_ms()).count() as u64
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use gateway::{
     AttemptEnd, CrashCause, FinalAnswer, NextStep, Placement, PlacementRequest, QuarantineCheck,
-    RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target, WorkKind,
+    RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target, VersionHash,
+    WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
 use model::{ServiceName, shared_parts};
@@ -20,6 +21,7 @@
     node::Node,
     quarantine,
     relay::Relay,
+    stream_versions::{self, StreamOrigin},
 };
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
@@ -46,6 +48,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Id of the caller's attempt that brought the first event of that stream.
     pub(crate) resumed_attempt: Option<Arc<str>>,
+    /// Version at which the stream must go on; `None` if it may begin anywhere.
+    pub(crate) version: Option<VersionHash>,
 }
 
 /// Why the caller gets no answer of an upstream.
@@ -70,7 +74,10 @@
     request_headers: &RequestHeaders,
     arrived_ms: u64,
 ) -> Response<AnswerBody> {
-    let Some(service) = route.service_for(&request_headers.request_id).cloned() else {
+    // A stream goes on at the service that began it.
+    let first_attempt = request_headers.resumed_attempt.as_ref();
+    let first_attempt = first_attempt.unwrap_or(&request_headers.request_id);
+    let Some(service) = route.service_for(first_attempt).cloned() else {
         log::warn!(
             "event=request_refused request={} route={} reason=no_service",
             request_headers.request_id,
@@ -95,13 +102,18 @@
         deadline_ms,
         resume_after: request_headers.resume_after,
         resumed_attempt: request_headers.resumed_attempt.clone(),
+        version: None,
     };
     request.run().await
 }
 
 impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
-        match self.next_answer(self.resume_after).await {
+        let answer = match self.find_version().await {
+            Ok(()) => self.next_answer(self.resume_after).await,
+            Err(no_answer) => Err(no_answer),
+        };
+        match answer {
             Ok(answer) => self.relay_answer(answer),
             Err(no_answer) => {
                 self.record_unanswered(no_answer);
@@ -110,6 +122,50 @@
         }
     }
 
+    /// Finds out at which version the stream must go on that the caller takes up.
+    async fn find_version(&mut self) -> Result<(), NoAnswer> {
+        if !self.is_resumable_stream() || self.resume_after.is_none_or(|event| event == 0) {
+            return Ok(());
+        }
+        let first = self.resumed_attempt.as_deref();
+        match stream_versions::find_origin(&self.node, &self.service, first).await {
+            StreamOrigin::Any => Ok(()),
+            StreamOrigin::Version(version) => {
+                self.version = Some(version);
+                Ok(())
+            }
+            StreamOrigin::Unknown => {
+                let reason = RefusalReason::VersionUnknown;
+                log::warn!(
+                    "event=request_not_placed request={} route={} reason={} resumes={} retry_after_ms={NOT_RUN_RETRY_AFTER_MS}",
+                    self.outgoing.request_id,
+                    self.route.name,
+                    reason.as_str(),
+                    process::quote(&first.unwrap_or("none"))
+                );
+                Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
+            }
+        }
+    }
+
+    fn is_resumable_stream(&self) -> bool {
+        self.route.is_stream() && self.route.is_retryable()
+    }
+
+    /// Records at which version the stream began, once its first event is passed on.
+    pub(crate) fn record_origin(&self, target: &Target) {
+        if self.is_resumable_stream() {
+            let first_attempt = self.resumed_attempt.as_deref();
+            let first_attempt = first_attempt.unwrap_or(&self.outgoing.request_id);
+            stream_versions::record_origin(
+                &self.node,
+                first_attempt,
+                &self.service,
+                &target.version,
+            );
+        }
+    }
+
     /// Makes attempts until an upstream answers.
     ///
     /// # Errors
@@ -179,6 +235,7 @@
             tried: self.retries.tried(),
             goal_ms: self.route.goal_ms,
             waited_ms,
+            version: self.version,
             may_refuse: !self.retries.may_have_run(),
         };
         let placement = self.node.upstreams.borrow_mut().place(&request, now_ms);
@@ -336,6 +393,13 @@
             retry_after_ms,
             "the request or a part of its prompt crashes upstreams",
         ),
+        NoAnswer::Refused {
+            reason: RefusalReason::VersionGone | RefusalReason::VersionUnknown,
+            retry_after_ms,
+        } => answer::service_unavailable(
+            retry_after_ms,
+            "no upstream is known to run the version that began the stream",
+        ),
         NoAnswer::Refused { retry_after_ms, .. } => {
             answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,6 +42,7 @@
 mod relay;
 mod shutdown;
 mod store_calls;
+mod stream_versions;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
@@ -123,6 +124,7 @@
     );
     listener::start(&node).await?;
     load_notices::start(&node).await?;
+    stream_versions::start(&node).await?;
     spawn_local(rate_limits::run(Rc::clone(&node)));
     feeds::start(&node);
     jobs::start(&node);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use gateway::{Locality, Preemption, Quarantine, RouteTable, Target, UpstreamTable};
+use gateway::{
+    Locality, Preemption, Quarantine, RouteTable, StreamOrigins, Target, UpstreamTable,
+    VersionHistory,
+};
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
 use platform::{Settings, Store};
@@ -23,6 +26,7 @@
     jobs::Runner,
     metrics::Metrics,
     store_calls::StoreHealth,
+    stream_versions::OriginExchange,
 };
 
 /// Maximum time for which a request waits until the configuration and the servers
@@ -45,11 +49,18 @@
     routes: RefCell<Option<Arc<RouteTable>>>,
     /// Registered upstreams and the load of each.
     pub(crate) upstreams: RefCell<UpstreamTable>,
-    /// Prompt parts that crash upstreams.
+    /// Requests and prompt parts that crash upstreams.
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// At which software versions streams began.
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Which software versions were registered lately.
+    pub(crate) version_history: RefCell<VersionHistory>,
+    pub(crate) origin_exchange: OriginExchange,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
     pub(crate) has_read_servers: Cell<bool>,
+    /// Store version up to which every change of a registration is in `upstreams`.
+    pub(crate) servers_fed_version: Cell<u64>,
     /// Live instances and job records, as read from the store.
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_read_heartbeats: Cell<bool>,
@@ -126,8 +137,12 @@
             routes: RefCell::default(),
             upstreams: RefCell::new(UpstreamTable::new(locality, rand::random())),
             quarantine: RefCell::default(),
+            stream_origins: RefCell::default(),
+            version_history: RefCell::default(),
+            origin_exchange: OriginExchange::default(),
             has_initial_state: watch::Sender::new(false),
             has_read_servers: Cell::default(),
+            servers_fed_version: Cell::default(),
             directory: RefCell::new(Directory::new(owner_id.clone())),
             has_read_heartbeats: Cell::default(),
             has_read_jobs: Cell::default(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,6 +14,7 @@
     answer::{AnswerBody, Truncated},
     attempt::{AttemptFailure, UpstreamAnswer},
     forward::OnlineRequest,
+    stream_versions,
 };
 
 /// Time-out between complete events if another upstream can resume the stream, in
@@ -97,6 +98,7 @@
                 Received::Bytes(bytes) => match self.complete_events(bytes) {
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) => {
+                        self.record_origin();
                         self.record_bytes();
                         self.finish_at_known_length();
                         return Some(Ok(Frame::data(events)));
@@ -199,6 +201,11 @@
             return false;
         }
         let last_event = splitter.last_id();
+        if last_event.is_some() {
+            let service = &self.request.service;
+            self.request.version =
+                stream_versions::bound_version(&self.request.node, service, &target.version);
+        }
         let Ok(answer) = self.request.next_answer(last_event).await else {
             return false;
         };
@@ -220,6 +227,16 @@
         true
     }
 
+    /// Records where the stream began, before its first event is passed on.
+    fn record_origin(&self) {
+        if self.first_bytes_ms.is_none()
+            && self.splitter.is_some()
+            && let Some(answer) = &self.answer
+        {
+            self.request.record_origin(&answer.in_flight.target);
+        }
+    }
+
     fn record_bytes(&mut self) {
         let now_ms = self.request.node.now_ms();
         if self.first_bytes_ms.is_some() {
--- /dev/null
+++ b/crates/node/src/stream_versions.rs
@@ -0,0 +1,379 @@
+//! Finds out at which software version a stream may go on. The decisions are in
+//! [`gateway::StreamOrigins`] and [`gateway::VersionHistory`]; this module exchanges their
+//! records with peers as UDP datagrams, one port above that of the load notices.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bincode::{
+    config,
+    serde::{decode_from_slice, encode_to_vec},
+};
+use gateway::{
+    AttemptHash, HolderUse, ObservedVersions, OriginRecord, RecordHolder, VersionHash,
+    record_holders,
+};
+use model::{Region, ServiceName, SoftwareVersion};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::UdpSocket,
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{feeds, node::Node};
+
+/// Time in which the holders of a record must answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which the store must confirm that registrations are up to date.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which records are expired, and the history of peers is asked for while the
+/// own one is too short.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of peers that are asked for their history at a time.
+const HISTORY_PEERS: usize = 2;
+/// Maximum number of records in a datagram.
+const RECORDS_PER_DATAGRAM: usize = 48;
+/// Maximum size of a datagram, bytes.
+const DATAGRAM_MAX_BYTES: usize = 4 * 1024;
+/// Delay before the next datagram is received after a failure.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Contents of a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Message {
+    /// Streams that began at the sender, which the receiver shall remember.
+    Records(Vec<OriginRecord>),
+    /// Asks for the record of an attempt.
+    Query(AttemptHash),
+    /// Answers a query.
+    Answer {
+        attempt: AttemptHash,
+        version: Option<VersionHash>,
+    },
+    /// Asks for what the receiver has observed of registrations.
+    HistoryQuery,
+    /// Answers a history query.
+    History(ObservedVersions),
+}
+
+/// Where a stream may go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamOrigin {
+    /// At any upstream of the service: every stream that may still be taken up began at the
+    /// only version.
+    Any,
+    /// At upstreams of this version.
+    Version(VersionHash),
+    /// Nobody knows.
+    Unknown,
+}
+
+/// The socket of the exchange and the queries in progress.
+#[derive(Debug, Default)]
+pub(crate) struct OriginExchange {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    queries: RefCell<Vec<Rc<PendingQuery>>>,
+}
+
+/// A query whose answers are awaited.
+#[derive(Debug)]
+struct PendingQuery {
+    attempt: AttemptHash,
+    missing_answers: RefCell<usize>,
+    is_decided: Notify,
+}
+
+/// Opens the socket and starts the exchange.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub(crate) async fn start(node: &Rc<Node>) -> io::Result<()> {
+    let address = exchange_address(node.settings().peer_listen);
+    let socket = Rc::new(UdpSocket::bind(address).await?);
+    node.origin_exchange
+        .socket
+        .replace(Some(Rc::clone(&socket)));
+    spawn_local(receive_messages(Rc::clone(node), socket));
+    spawn_local(keep_up(Rc::clone(node)));
+    Ok(())
+}
+
+/// Records at which version the stream of an attempt began, and tells the holders if
+/// versions of the service may be mixed.
+pub(crate) fn record_origin(
+    node: &Node,
+    attempt: &str,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+) {
+    let record = OriginRecord {
+        attempt: AttemptHash::new(attempt),
+        version: VersionHash::new(version),
+    };
+    let now_ms = node.store_now_ms();
+    let mut origins = node.stream_origins.borrow_mut();
+    origins.record_own(record, service, now_ms);
+    drop(origins);
+    send_records(node);
+}
+
+/// Returns the version that a stream of this instance is bound to, or `None` if the service
+/// has only this one.
+pub(crate) fn bound_version(
+    node: &Node,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+) -> Option<VersionHash> {
+    let only = node.version_history.borrow().only_known_version(
+        service,
+        &node.upstreams.borrow(),
+        node.store_now_ms(),
+    );
+    (only.as_ref() != Some(version)).then(|| VersionHash::new(version))
+}
+
+/// Finds out where the stream may go on that a caller's attempt `first` began. `None` if the
+/// caller does not say which one it was.
+pub(crate) async fn find_origin(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    first: Option<&str>,
+) -> StreamOrigin {
+    let Some(first) = first else {
+        return origin_without_attempt(node, service).await;
+    };
+    let attempt = AttemptHash::new(first);
+    let known = || {
+        let origins = node.stream_origins.borrow();
+        origins.version_of(attempt, node.store_now_ms())
+    };
+    if let Some(version) = known() {
+        return StreamOrigin::Version(version);
+    }
+    let is_answered = ask_holders(node, attempt);
+    let is_only = is_only_version(node, service);
+    tokio::select! {
+        true = is_answered => known().map_or(StreamOrigin::Unknown, StreamOrigin::Version),
+        true = is_only => StreamOrigin::Any,
+        else => StreamOrigin::Unknown,
+    }
+}
+
+/// A caller that does not name the attempt is served if no other version has been seen.
+async fn origin_without_attempt(node: &Rc<Node>, service: &ServiceName) -> StreamOrigin {
+    let is_confirmed = confirm_registrations(node).await;
+    let history = node.version_history.borrow();
+    let only = history.only_known_version(service, &node.upstreams.borrow(), node.store_now_ms());
+    if is_confirmed && only.is_some() {
+        StreamOrigin::Any
+    } else {
+        StreamOrigin::Unknown
+    }
+}
+
+/// Returns whether every stream of the service that may still be taken up began at its only
+/// version, by the registrations that the store has now.
+async fn is_only_version(node: &Rc<Node>, service: &ServiceName) -> bool {
+    if may_be_mixed(node, service) {
+        return false;
+    }
+    confirm_registrations(node).await && !may_be_mixed(node, service)
+}
+
+async fn confirm_registrations(node: &Rc<Node>) -> bool {
+    let changes = timeout(CONFIRMATION_TIMEOUT, feeds::read_server_changes(node)).await;
+    changes.is_ok_and(|result| result.is_ok())
+}
+
+/// Returns whether a stream may have begun at another version of the service than others.
+fn may_be_mixed(node: &Node, service: &ServiceName) -> bool {
+    let only = node.version_history.borrow().only_version(
+        service,
+        &node.upstreams.borrow(),
+        node.store_now_ms(),
+    );
+    only.is_none()
+}
+
+/// Sends the records of this instance's streams that peers need to know.
+pub(crate) fn send_records(node: &Node) {
+    let is_cut_off = node.store_health.is_unreachable();
+    let may_be_mixed = |service: &ServiceName| is_cut_off || may_be_mixed(node, service);
+    let now_ms = node.store_now_ms();
+    let records = node
+        .stream_origins
+        .borrow_mut()
+        .take_unsent(may_be_mixed, now_ms);
+    if records.is_empty() {
+        return;
+    }
+    let peers = Peers::new(node);
+    let mut batches: Vec<Vec<OriginRecord>> = vec![Vec::new(); peers.addresses.len()];
+    for record in records {
+        for index in peers.holders(record.attempt, HolderUse::Send) {
+            batches[index].push(record);
+        }
+    }
+    for (address, batch) in peers.addresses.iter().zip(batches) {
+        for records in batch.chunks(RECORDS_PER_DATAGRAM) {
+            send(node, *address, &Message::Records(records.to_vec()));
+        }
+    }
+}
+
+/// Asks the holders of an attempt's record. Returns whether one of them has it.
+async fn ask_holders(node: &Node, attempt: AttemptHash) -> bool {
+    let peers = Peers::new(node);
+    let holders = peers.holders(attempt, HolderUse::Ask);
+    let query = Rc::new(PendingQuery {
+        attempt,
+        missing_answers: RefCell::new(holders.len()),
+        is_decided: Notify::new(),
+    });
+    if holders.is_empty() {
+        return false;
+    }
+    let exchange = &node.origin_exchange;
+    exchange.queries.borrow_mut().push(Rc::clone(&query));
+    for holder in holders {
+        send(node, peers.addresses[holder], &Message::Query(attempt));
+    }
+    // After a time-out, the record counts as unknown.
+    let _ = timeout(ANSWER_TIMEOUT, query.is_decided.notified()).await;
+    let mut queries = exchange.queries.borrow_mut();
+    queries.retain(|pending| !Rc::ptr_eq(pending, &query));
+    let origins = node.stream_origins.borrow();
+    origins.version_of(attempt, node.store_now_ms()).is_some()
+}
+
+async fn receive_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(
+                    "event=origin_receive_failed error={}",
+                    process::quote(&error)
+                );
+                sleep(RECEIVE_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        match decode_from_slice(&buffer[..length], config::standard()) {
+            Ok((message, _)) => receive(&node, sender, message),
+            Err(error) => log::warn!("event=origin_unreadable error={}", process::quote(&error)),
+        }
+    }
+}
+
+fn receive(node: &Node, sender: SocketAddr, message: Message) {
+    let now_ms = node.store_now_ms();
+    match message {
+        Message::Records(records) => {
+            let mut origins = node.stream_origins.borrow_mut();
+            for record in records {
+                origins.receive(record, now_ms);
+            }
+        }
+        Message::Query(attempt) => {
+            let version = node.stream_origins.borrow().version_of(attempt, now_ms);
+            send(node, sender, &Message::Answer { attempt, version });
+        }
+        Message::Answer { attempt, version } => receive_answer(node, attempt, version),
+        Message::HistoryQuery => {
+            if let Some(observed) = node.version_history.borrow().observed() {
+                send(node, sender, &Message::History(observed));
+            }
+        }
+        Message::History(observed) => node.version_history.borrow_mut().receive(&observed),
+    }
+}
+
+fn receive_answer(node: &Node, attempt: AttemptHash, version: Option<VersionHash>) {
+    let is_asked = |query: &&Rc<PendingQuery>| query.attempt == attempt;
+    let queries = node.origin_exchange.queries.borrow();
+    for query in queries.iter().filter(is_asked) {
+        if let Some(version) = version {
+            let record = OriginRecord { attempt, version };
+            let now_ms = node.store_now_ms();
+            node.stream_origins.borrow_mut().receive(record, now_ms);
+        }
+        let mut missing_answers = query.missing_answers.borrow_mut();
+        *missing_answers = missing_answers.saturating_sub(1);
+        if version.is_some() || *missing_answers == 0 {
+            query.is_decided.notify_one();
+        }
+    }
+}
+
+async fn keep_up(node: Rc<Node>) {
+    loop {
+        sleep(UPKEEP_INTERVAL).await;
+        let now_ms = node.store_now_ms();
+        node.stream_origins.borrow_mut().expire(now_ms);
+        node.version_history.borrow_mut().expire(now_ms);
+        send_records(&node);
+        if !node.version_history.borrow().is_complete(now_ms) {
+            let peers = Peers::new(&node);
+            for address in peers.addresses.sample(&mut rand::rng(), HISTORY_PEERS) {
+                send(&node, *address, &Message::HistoryQuery);
+            }
+        }
+    }
+}
+
+fn send(node: &Node, address: SocketAddr, message: &Message) {
+    let socket = node.origin_exchange.socket.borrow();
+    let Some(socket) = socket.as_ref() else {
+        return;
+    };
+    // Encoding into memory cannot fail.
+    let datagram = encode_to_vec(message, config::standard()).unwrap_or_default();
+    if let Err(error) = socket.try_send_to(&datagram, address) {
+        log::debug!(
+            "event=origin_send_failed peer={address} error={}",
+            process::quote(&error)
+        );
+    }
+}
+
+fn exchange_address(notices: SocketAddr) -> SocketAddr {
+    SocketAddr::new(notices.ip(), notices.port() + 1)
+}
+
+/// The live peers, as holders of records.
+struct Peers {
+    own_region: Region,
+    holders: Vec<RecordHolder>,
+    /// Addresses of the exchange, in the order of `holders`.
+    addresses: Vec<SocketAddr>,
+}
+
+impl Peers {
+    fn new(node: &Node) -> Self {
+        let directory = node.directory.borrow();
+        let peers = directory.live_peers(node.now_ms());
+        let (holders, addresses) = peers
+            .map(|heartbeat| {
+                let holder = RecordHolder {
+                    instance: heartbeat.owner.instance.clone(),
+                    region: Region::new(&heartbeat.region),
+                };
+                (holder, exchange_address(heartbeat.peer_address))
+            })
+            .unzip();
+        Self {
+            own_region: node.settings().region.clone(),
+            holders,
+            addresses,
+        }
+    }
+
+    fn holders(&self, attempt: AttemptHash, holder_use: HolderUse) -> Vec<usize> {
+        record_holders(attempt, &self.holders, &self.own_region, holder_use)
+    }
+}
