Items of jobs go on only at the software version that began their output

Now the partial output names its version, also where it is saved; an item goes on at an upstream of that version if the batch plan has one, and else begins its output anew. A run that brings no event leaves the output so far as it is. A saved partial output that cannot be read is left out instead of failing the job's take-over. Starting items and the codec of partial outputs move to modules of their own.

--- a/crates/ledger/src/item.rs
+++ b/crates/ledger/src/item.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use model::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
 /// One request of a job.
@@ -71,6 +72,11 @@
     pub last_event: Option<u64>,
     /// Data of the events so far, joined by line feeds.
     pub output: String,
+    /// Software version of the upstreams that produced them; `None` before the first run, and
+    /// in outputs that earlier versions of the program saved. It is saved beside the other
+    /// fields, since those versions know only them.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// A run of an item that is to be started.
@@ -108,6 +114,20 @@
             item_index,
             last_event: None,
             output: String::new(),
+            version: None,
+        }
+    }
+
+    /// Returns the output that a run at an upstream of `version` resumes: this one if it is of
+    /// the same version, and an empty one otherwise.
+    #[must_use]
+    pub fn for_version(&self, version: &SoftwareVersion) -> Self {
+        if self.last_event.is_some() && self.version.as_ref() == Some(version) {
+            return self.clone();
+        }
+        Self {
+            version: Some(version.clone()),
+            ..Self::new(self.item_index)
         }
     }
 
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -1,6 +1,6 @@
 //! State machine of a job on the instance that owns and runs it.
 
-use model::JobId;
+use model::{JobId, SoftwareVersion};
 
 use crate::{
     item::{ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, RunOutcome, StoredItems},
@@ -197,6 +197,13 @@
         self.items.get(item_index as usize).map_or((0, 0), progress)
     }
 
+    /// Returns the software version at which an item has begun its output, if it has.
+    #[must_use]
+    pub fn output_version(&self, item_index: u32) -> Option<&SoftwareVersion> {
+        let partial = &self.items.get(item_index as usize)?.partial;
+        partial.last_event.and(partial.version.as_ref())
+    }
+
     /// Returns an item by its index.
     #[must_use]
     pub fn item_at(&self, item_index: u32) -> Option<&JobItem> {
@@ -241,7 +248,10 @@
         if row.state != ItemState::Running {
             return;
         }
-        row.partial = partial;
+        let brought_nothing = partial.last_event.is_none() && run_outcome != RunOutcome::Done;
+        if !brought_nothing {
+            row.partial = partial;
+        }
         let item_outcome = match run_outcome {
             RunOutcome::Done => Some(ItemOutcome::Done),
             RunOutcome::Impossible => Some(ItemOutcome::Failed),
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -6,7 +6,7 @@
     Commit, CommitOutcome, CommitStep, ItemOutcome, JobItem, JobPhase, JobRecord, OwnedJob,
     OwnerId, PartialOutput, RunOutcome, StoredItems,
 };
-use model::{InstanceId, JobId};
+use model::{InstanceId, JobId, SoftwareVersion};
 
 const ERRORS_MAX: u32 = 3;
 const TOKENS_PER_ITEM: u32 = 100;
@@ -305,3 +305,36 @@
     let record = next_commit(&mut job).record;
     assert_eq!(record.unfinished_tokens, u64::from(TOKENS_PER_ITEM));
 }
+
+fn partial_at(version: &str, last_event: u64) -> PartialOutput {
+    let mut partial = PartialOutput::new(0).for_version(&SoftwareVersion::new(version));
+    partial.push(last_event, "text");
+    partial
+}
+
+#[test]
+fn for_version_of_same_version_goes_on() {
+    let partial = partial_at("v1", 4);
+    assert_eq!(partial.for_version(&SoftwareVersion::new("v1")), partial);
+}
+
+#[test]
+fn for_version_of_another_version_begins_anew() {
+    let begun = partial_at("v1", 4).for_version(&SoftwareVersion::new("v2"));
+    assert_eq!(begun.last_event, None);
+    assert_eq!(begun.output, "");
+    assert_eq!(begun.version, Some(SoftwareVersion::new("v2")));
+}
+
+/// A run at another version ends before its first event, so the output so far is kept.
+#[test]
+fn finish_run_without_events_keeps_output() {
+    let mut job = job(1);
+    job.start_item(0).unwrap();
+    job.finish_run(partial_at("v1", 4), RunOutcome::Preempted, 2, 0);
+    job.start_item(0).unwrap();
+    let begun = PartialOutput::new(0).for_version(&SoftwareVersion::new("v2"));
+    job.finish_run(begun, RunOutcome::Interrupted, 2, 0);
+    assert_eq!(job.output_version(0), Some(&SoftwareVersion::new("v1")));
+    assert_eq!(job.partials(), [partial_at("v1", 4)]);
+}
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -5,7 +5,9 @@
 mod accept;
 mod admission;
 mod item_run;
+mod item_start;
 mod ownership;
+mod partial_codec;
 mod peer_forwarding;
 mod query;
 mod record_codec;
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -72,7 +72,7 @@
             Rc::clone(&self.content),
         );
         CountedRun {
-            partial: self.item_run.partial.clone(),
+            partial: self.item_run.partial.for_version(&self.target.version),
             context: self,
             in_flight,
         }
--- /dev/null
+++ b/crates/node/src/jobs/item_start.rs
@@ -0,0 +1,98 @@
+//! Starts waiting items at the upstreams that the batch plan assigns to this instance.
+
+use std::{rc::Rc, sync::Arc};
+
+use gateway::{QuarantineCheck, RequestContent, RequestFingerprint, Target, WorkKind};
+use ledger::OwnedJob;
+use model::shared_parts;
+use tokio::{sync::Notify, task::spawn_local};
+
+use super::{
+    item_run,
+    runner::{ActiveRun, WaitingItem},
+};
+use crate::{node::Node, quarantine};
+
+/// Starts waiting items in the slots that the batch plan assigns to this instance,
+/// and removes them from `waiting`. Returns whether any item was removed.
+pub(super) fn start_items(node: &Rc<Node>, waiting: &mut Vec<WaitingItem>) -> bool {
+    let now_ms = node.now_ms();
+    let mut services: Vec<_> = waiting.iter().map(|item| item.service.clone()).collect();
+    services.sort();
+    services.dedup();
+    let waiting_before = waiting.len();
+    for service in services {
+        let mut plan = node.upstreams.borrow().batch_plan(&service, now_ms);
+        waiting.retain(|item| {
+            if item.service != service || plan.is_empty() {
+                return true;
+            }
+            let target = plan.remove(preferred_target(node, item, &plan));
+            start_item(node, item, target);
+            false
+        });
+    }
+    waiting.len() < waiting_before
+}
+
+/// Returns the position of the target at which an item goes on with its output, or 0 if it has
+/// none or if no target runs its version. Then its output begins anew.
+fn preferred_target(node: &Node, item: &WaitingItem, targets: &[Target]) -> usize {
+    let runner = node.runner.borrow();
+    let version = runner.jobs[item.job_index].output_version(item.item_index);
+    let is_same = |target: &Target| Some(&target.version) == version;
+    targets.iter().position(is_same).unwrap_or(0)
+}
+
+fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
+    let mut runner = node.runner.borrow_mut();
+    let job = &mut runner.jobs[item.job_index];
+    let content = item_content(job, item.item_index);
+    match quarantine::check(node, &content, WorkKind::Batch) {
+        QuarantineCheck::Allowed => {}
+        QuarantineCheck::Trial { cause, .. } => {
+            quarantine::record_trial(node, job.id().as_str(), cause);
+        }
+        QuarantineCheck::Refused { .. } => return,
+    }
+    let Some(item_run) = job.start_item(item.item_index) else {
+        return;
+    };
+    let id = job.id().clone();
+    let preempt_signal = Rc::new(Notify::new());
+    let upstream = target.upstream.clone();
+    let run = item_run::RunContext {
+        node: Rc::clone(node),
+        job: id.clone(),
+        host: Arc::clone(&job.record().host),
+        give_up_at_ms: job.record().give_up_at_ms,
+        content: Rc::new(content),
+        item_run,
+        target,
+        route: Arc::clone(&item.route),
+        preempt_signal: Rc::clone(&preempt_signal),
+    };
+    // The item is counted as in flight before the task runs, so that the next batch
+    // plan takes it into account.
+    let counted_run = run.count_in_flight();
+    let task = spawn_local(counted_run.run()).abort_handle();
+    runner.runs.push(ActiveRun {
+        job: id,
+        item_index: item.item_index,
+        upstream,
+        preempt_signal,
+        task,
+    });
+}
+
+/// Returns the content of an item's request. Its id stands for all but the parts of the
+/// prompt, since items are never compared as a whole.
+pub(super) fn item_content(job: &OwnedJob, item_index: u32) -> RequestContent {
+    let item = job.item_at(item_index);
+    let id = item.map_or("", |item| &*item.id);
+    let prompt = item.map(platform::item_prompt_parts);
+    RequestContent {
+        fingerprint: RequestFingerprint::new("", &job.record().host, id, &[]),
+        shared_parts: shared_parts(&prompt.unwrap_or_default()),
+    }
+}
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,18 +5,21 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, RequestContent, RequestFingerprint, Route,
-    RouteTable, RunForecast, Target, Urgency, WorkKind, job_hash, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, Route, RouteTable, RunForecast, Urgency,
+    WorkKind, job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{JobRecord, OwnedJob, PartialOutput, RunOutcome};
-use model::{JobId, ServiceName, UpstreamId, shared_parts};
+use model::{JobId, ServiceName, UpstreamId};
 use tokio::{
     sync::Notify,
-    task::{AbortHandle, spawn_local},
+    task::AbortHandle,
     time::{sleep, timeout},
 };
 
-use super::{item_run, writes};
+use super::{
+    item_start::{item_content, start_items},
+    writes,
+};
 use crate::{
     node::{Node, Stage},
     quarantine,
@@ -39,7 +42,7 @@
 pub(crate) struct Runner {
     /// Sorted by id.
     pub(super) jobs: Vec<OwnedJob>,
-    runs: Vec<ActiveRun>,
+    pub(super) runs: Vec<ActiveRun>,
     /// Jobs whose results a task is writing at present.
     pub(super) committing: Vec<JobId>,
     /// Jobs that a task is submitting, taking over or reading from the store. No second
@@ -59,22 +62,22 @@
 
 /// A run that is in progress.
 #[derive(Debug)]
-struct ActiveRun {
-    job: JobId,
-    item_index: u32,
-    upstream: UpstreamId,
-    preempt_signal: Rc<Notify>,
-    task: AbortHandle,
+pub(super) struct ActiveRun {
+    pub(super) job: JobId,
+    pub(super) item_index: u32,
+    pub(super) upstream: UpstreamId,
+    pub(super) preempt_signal: Rc<Notify>,
+    pub(super) task: AbortHandle,
 }
 
 /// An item that is ready to start.
 #[derive(Debug)]
-struct WaitingItem {
-    urgency: Urgency,
-    job_index: usize,
-    item_index: u32,
-    route: Arc<Route>,
-    service: ServiceName,
+pub(super) struct WaitingItem {
+    pub(super) urgency: Urgency,
+    pub(super) job_index: usize,
+    pub(super) item_index: u32,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
 }
 
 /// A run that has ended.
@@ -356,82 +359,6 @@
     }
 }
 
-/// Starts waiting items in the slots that the batch plan assigns to this instance,
-/// and removes them from `waiting`. Returns whether any item was removed.
-fn start_items(node: &Rc<Node>, waiting: &mut Vec<WaitingItem>) -> bool {
-    let now_ms = node.now_ms();
-    let mut services: Vec<_> = waiting.iter().map(|item| item.service.clone()).collect();
-    services.sort();
-    services.dedup();
-    let waiting_before = waiting.len();
-    for service in services {
-        let plan = node.upstreams.borrow().batch_plan(&service, now_ms);
-        let mut plan = plan.into_iter();
-        waiting.retain(|item| {
-            if item.service != service {
-                return true;
-            }
-            let Some(target) = plan.next() else {
-                return true;
-            };
-            start_item(node, item, target);
-            false
-        });
-    }
-    waiting.len() < waiting_before
-}
-
-fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
-    let mut runner = node.runner.borrow_mut();
-    let job = &mut runner.jobs[item.job_index];
-    let content = item_content(job, item.item_index);
-    match quarantine::check(node, &content, WorkKind::Batch) {
-        QuarantineCheck::Allowed => {}
-        QuarantineCheck::Trial { cause, .. } => {
-            quarantine::record_trial(node, job.id().as_str(), cause);
-        }
-        QuarantineCheck::Refused { .. } => return,
-    }
-    let Some(item_run) = job.start_item(item.item_index) else {
-        return;
-    };
-    let id = job.id().clone();
-    let preempt_signal = Rc::new(Notify::new());
-    let upstream = target.upstream.clone();
-    let run = item_run::RunContext {
-        node: Rc::clone(node),
-        job: id.clone(),
-        host: Arc::clone(&job.record().host),
-        give_up_at_ms: job.record().give_up_at_ms,
-        content: Rc::new(content),
-        item_run,
-        target,
-        route: Arc::clone(&item.route),
-        preempt_signal: Rc::clone(&preempt_signal),
-    };
-    // The item is counted as in flight before the task runs, so that the next batch
-    // plan takes it into account.
-    let counted_run = run.count_in_flight();
-    let task = spawn_local(counted_run.run()).abort_handle();
-    runner.runs.push(ActiveRun {
-        job: id,
-        item_index: item.item_index,
-        upstream,
-        preempt_signal,
-        task,
-    });
-}
-
-fn item_content(job: &OwnedJob, item_index: u32) -> RequestContent {
-    let item = job.item_at(item_index);
-    let id = item.map_or("", |item| &*item.id);
-    let prompt = item.map(platform::item_prompt_parts);
-    RequestContent {
-        fingerprint: RequestFingerprint::new("", &job.record().host, id, &[]),
-        shared_parts: shared_parts(&prompt.unwrap_or_default()),
-    }
-}
-
 fn item_route<'a>(
     job: &OwnedJob,
     item_index: u32,
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -15,7 +15,10 @@
 };
 use serde_json::to_vec;
 
-use super::record_codec::decode_record;
+use super::{
+    partial_codec::{decode_partial, encode_partial},
+    record_codec::decode_record,
+};
 use crate::node::Node;
 
 /// Table of the job records.
@@ -195,7 +198,7 @@
         let mut puts = Vec::new();
         for partial in partials {
             let suffix = format!("{:06}/", partial.item_index);
-            let rows = self.split_into_rows(PARTIALS_TABLE, id, &suffix, &encode(partial)?);
+            let rows = self.split_into_rows(PARTIALS_TABLE, id, &suffix, &encode_partial(partial)?);
             if puts.len() + rows.len() >= TRANSACTION_MAX_ROWS
                 || total_bytes(&puts) + total_bytes(&rows) > TRANSACTION_MAX_BYTES
             {
@@ -277,11 +280,21 @@
             true
         })
         .await?;
-        let partials = partials.iter().map(decode);
+        // A payload that is shorter than the one before may be followed by a rest of that.
+        let partials = partials.iter().filter_map(|payload| {
+            decode_partial(payload)
+                .inspect_err(|error| {
+                    log::warn!(
+                        "event=partial_unreadable job={id} error={}",
+                        process::quote(error)
+                    );
+                })
+                .ok()
+        });
         Ok(StoredItems {
             items,
             item_tokens: item_tokens.unwrap_or_default(),
-            partials: partials.collect::<Result<_, _>>()?,
+            partials: partials.collect(),
         })
     }
 
@@ -466,12 +479,12 @@
         .sum()
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
+pub(super) fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
     encode_to_vec(value, config::standard())
         .map_err(|error| StoreError::Protocol(error.to_string()))
 }
 
-fn decode<T: serde::de::DeserializeOwned>(payload: &Bytes) -> Result<T, StoreError> {
+pub(super) fn decode<T: serde::de::DeserializeOwned>(payload: &Bytes) -> Result<T, StoreError> {
     decode_from_slice(payload, config::standard())
         .map(|(value, _)| value)
         .map_err(|error| StoreError::Protocol(error.to_string()))
