Versions of upstreams are remembered for as long as their last streams; exact hand-over

Found by a model of instances that lag behind, restart and lose messages while versions come and go (crates/gateway/tests/stream_versions_model.rs, 2,000 random plays), which failed before: an instance that has not read that an upstream left may begin streams there for up to 30 s, so a version is remembered for 90 s and not 60; and what a peer has observed joins on by versions of the store, since two events in one millisecond have an order that times do not show. Callers that name no attempt do not wait for the store.

--- a/crates/gateway/src/version_history.rs
+++ b/crates/gateway/src/version_history.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: nearly always, a service has a single version, and streams may go on at any
 //! of its upstreams without a record of where they began. This is certain only if no other
-//! version was registered for as long as a stream may live. An instance that has just
+//! version was registered for as long as a stream may be taken up. An instance that has just
 //! started takes over what a peer has observed.
 //!
 //! All times are milliseconds on the store's clock.
@@ -16,6 +16,12 @@
     stream_origins::{STREAM_LIFETIME_MS, VersionHash},
 };
 
+/// Time for which an upstream whose registration ended may still begin streams, at instances
+/// that have not read of the end, milliseconds.
+const LEAVING_MS: u64 = 30_000;
+/// Time for which versions are remembered, milliseconds: streams that began there may be
+/// taken up for so long.
+const VERSION_MEMORY_MS: u64 = LEAVING_MS + STREAM_LIFETIME_MS;
 /// Maximum number of versions without a registration that are remembered. If there are more,
 /// the time of observation begins anew.
 const VANISHED_MAX: usize = 64;
@@ -25,8 +31,8 @@
 pub struct ObservedVersions {
     /// From when on every registration is known.
     pub since_ms: u64,
-    /// Until when every registration is known.
-    pub until_ms: u64,
+    /// Version of the store up to which every registration is known.
+    pub until_version: u64,
     /// Versions whose registrations ended in this time.
     pub vanished: Vec<VanishedVersion>,
 }
@@ -47,20 +53,25 @@
 pub struct VersionHistory {
     /// `None` until the registrations have been read.
     since_ms: Option<u64>,
-    until_ms: u64,
+    /// Version of the store from which on this instance, or a peer whose observations it took
+    /// over, has read every change.
+    since_version: u64,
+    until_version: u64,
     vanished: Vec<VanishedVersion>,
 }
 
 impl VersionHistory {
-    /// Records that all registrations were read at `now_ms`, without what happened before.
-    pub fn record_snapshot(&mut self, now_ms: u64) {
+    /// Records that all registrations were read at a version of the store, without what
+    /// happened before.
+    pub fn record_snapshot(&mut self, store_version: u64, now_ms: u64) {
         self.since_ms = Some(now_ms);
-        self.until_ms = now_ms;
+        self.since_version = store_version;
+        self.until_version = store_version;
     }
 
-    /// Records that all changes of registrations up to `now_ms` are known.
-    pub fn record_changes(&mut self, now_ms: u64) {
-        self.until_ms = self.until_ms.max(now_ms);
+    /// Records that all changes of registrations up to a version of the store are known.
+    pub fn record_changes(&mut self, store_version: u64) {
+        self.until_version = self.until_version.max(store_version);
     }
 
     /// Records that a registration of a version ended.
@@ -91,7 +102,7 @@
         let Some(since_ms) = self.since_ms else {
             return;
         };
-        if peer.since_ms >= since_ms || peer.until_ms < since_ms {
+        if peer.since_ms >= since_ms || peer.until_version < self.since_version {
             return;
         }
         self.since_ms = Some(peer.since_ms);
@@ -105,16 +116,16 @@
     pub fn observed(&self) -> Option<ObservedVersions> {
         Some(ObservedVersions {
             since_ms: self.since_ms?,
-            until_ms: self.until_ms,
+            until_version: self.until_version,
             vanished: self.vanished.clone(),
         })
     }
 
-    /// Returns whether the observed time is as long as a stream may live.
+    /// Returns whether the observed time covers all streams that may still be taken up.
     #[must_use]
     pub fn is_complete(&self, now_ms: u64) -> bool {
         self.since_ms
-            .is_some_and(|since_ms| since_ms + STREAM_LIFETIME_MS <= now_ms)
+            .is_some_and(|since_ms| since_ms + VERSION_MEMORY_MS <= now_ms)
     }
 
     /// Returns the version of a service at which every stream began that may still be taken
@@ -130,8 +141,7 @@
         self.is_complete(now_ms).then_some(only)
     }
 
-    /// Like [`Self::only_version`], but also if the observed time is shorter than a stream
-    /// may live.
+    /// Like [`Self::only_version`], but also if the observed time is too short to be sure.
     #[must_use]
     pub fn only_known_version(
         &self,
@@ -142,7 +152,7 @@
         let only = table.single_version(service)?;
         let hash = service_hash(service);
         let is_other = |vanished: &VanishedVersion| {
-            now_ms < vanished.at_ms + STREAM_LIFETIME_MS
+            now_ms < vanished.at_ms + VERSION_MEMORY_MS
                 && vanished.service.is_none_or(|service| service == hash)
                 && vanished.version != Some(VersionHash::new(&only))
         };
@@ -152,7 +162,7 @@
     /// Forgets versions that vanished before any stream that may still be taken up.
     pub fn expire(&mut self, now_ms: u64) {
         self.vanished
-            .retain(|vanished| now_ms < vanished.at_ms + STREAM_LIFETIME_MS);
+            .retain(|vanished| now_ms < vanished.at_ms + VERSION_MEMORY_MS);
     }
 
     fn add_vanished(&mut self, added: VanishedVersion) {
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -14,6 +14,8 @@
 /// Longer than any stream lives, milliseconds.
 const LONG_MS: u64 = 100_000;
 const START_MS: u64 = 1_000_000;
+/// Version of the store.
+const VERSION: u64 = 300;
 
 fn version(name: &str) -> SoftwareVersion {
     SoftwareVersion::new(name)
@@ -153,7 +155,7 @@
     let mut history = VersionHistory::default();
     let only = |history: &VersionHistory, now_ms| history.only_version(&service(), &table, now_ms);
     assert_eq!(only(&history, START_MS), None);
-    history.record_snapshot(START_MS);
+    history.record_snapshot(VERSION, START_MS);
     assert_eq!(only(&history, START_MS + 1_000), None);
     assert_eq!(only(&history, START_MS + LONG_MS), Some(version("v1")));
 }
@@ -162,7 +164,7 @@
 fn only_version_is_none_while_another_one_is_remembered() {
     let table = table_of(&[("u1", "v1")]);
     let mut history = VersionHistory::default();
-    history.record_snapshot(START_MS);
+    history.record_snapshot(VERSION, START_MS);
     let vanished_ms = START_MS + LONG_MS;
     history.record_vanished(&service(), &version("v1"), vanished_ms);
     assert_eq!(
@@ -184,7 +186,7 @@
 fn only_version_is_none_after_an_unseen_registration() {
     let table = table_of(&[("u1", "v1")]);
     let mut history = VersionHistory::default();
-    history.record_snapshot(START_MS);
+    history.record_snapshot(VERSION, START_MS);
     history.record_unseen(START_MS + LONG_MS);
     assert_eq!(
         history.only_version(&service(), &table, START_MS + LONG_MS),
@@ -196,7 +198,7 @@
 fn only_version_is_none_for_mixed_registrations() {
     let table = table_of(&[("u1", "v1"), ("u2", "v2")]);
     let mut history = VersionHistory::default();
-    history.record_snapshot(START_MS);
+    history.record_snapshot(VERSION, START_MS);
     assert_eq!(
         history.only_version(&service(), &table, START_MS + LONG_MS),
         None
@@ -209,14 +211,14 @@
 fn receive_joins_observations() {
     let table = table_of(&[("u1", "v1")]);
     let mut peer = VersionHistory::default();
-    peer.record_snapshot(START_MS);
+    peer.record_snapshot(VERSION, START_MS);
     let started_ms = START_MS + LONG_MS;
     let mut own = VersionHistory::default();
-    own.record_snapshot(started_ms);
-    peer.record_changes(started_ms - 1);
+    own.record_snapshot(VERSION + 7, started_ms);
+    peer.record_changes(VERSION + 6);
     own.receive(&peer.observed().unwrap());
     assert_eq!(own.only_version(&service(), &table, started_ms + 10), None);
-    peer.record_changes(started_ms + 5);
+    peer.record_changes(VERSION + 7);
     own.receive(&peer.observed().unwrap());
     assert_eq!(
         own.only_version(&service(), &table, started_ms + 10),
@@ -228,12 +230,12 @@
 fn receive_takes_over_vanished_versions() {
     let table = table_of(&[("u1", "v2")]);
     let mut peer = VersionHistory::default();
-    peer.record_snapshot(START_MS);
+    peer.record_snapshot(VERSION, START_MS);
     let started_ms = START_MS + LONG_MS;
     peer.record_vanished(&service(), &version("v1"), started_ms - 1_000);
-    peer.record_changes(started_ms + 5);
+    peer.record_changes(VERSION + 7);
     let mut own = VersionHistory::default();
-    own.record_snapshot(started_ms);
+    own.record_snapshot(VERSION + 7, started_ms);
     own.receive(&peer.observed().unwrap());
     assert_eq!(own.only_version(&service(), &table, started_ms + 10), None);
 }
@@ -282,12 +284,12 @@
         order in prop::collection::vec((0..3_usize, 0..3_usize), 0..12),
     ) {
         let table = table_of(&[("u1", "v1")]);
-        let now_ms = 260_000;
+        let now_ms = 290_000;
         let mut instances: Vec<_> = since_ms
             .iter()
             .map(|since_ms| {
                 let mut history = VersionHistory::default();
-                history.record_snapshot(*since_ms);
+                history.record_snapshot(*since_ms, *since_ms);
                 if vanished_ms >= *since_ms {
                     history.record_vanished(&service(), &version("v2"), vanished_ms);
                 }
@@ -301,7 +303,7 @@
         }
         for instance in &instances {
             if instance.only_version(&service(), &table, now_ms).is_some() {
-                prop_assert!(vanished_ms + 60_000 <= now_ms);
+                prop_assert!(vanished_ms + 90_000 <= now_ms);
             }
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/stream_versions_model.rs
@@ -0,0 +1,388 @@
+//! A model of instances that lag behind, restart and lose messages while versions of a
+//! service come and go: however a stream is taken up, it never goes on at another version.
+
+mod support;
+
+use gateway::{
+    AttemptHash, HolderUse, OriginRecord, RecordHolder, StreamOrigins, UpstreamTable, VersionHash,
+    VersionHistory, record_holders,
+};
+use model::{InstanceId, Region, SoftwareVersion, UpstreamId};
+use proptest::prelude::*;
+use support::{entry, locality, service};
+
+const INSTANCES: usize = 4;
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+/// Maximum time from the first event of a stream until it is taken up, milliseconds.
+const LIFETIME_MS: u64 = 60_000;
+/// Maximum time for which an upstream still serves after its registration ended,
+/// milliseconds.
+const LEAVING_MS: u64 = 30_000;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Pass {
+        ms: u64,
+    },
+    Register {
+        version: usize,
+    },
+    Unregister {
+        upstream: usize,
+    },
+    CatchUp {
+        instance: usize,
+    },
+    Restart {
+        instance: usize,
+    },
+    Begin {
+        instance: usize,
+        choice: usize,
+        loses: [bool; 3],
+    },
+    TellHistory {
+        from: usize,
+        to: usize,
+    },
+    TakeUp {
+        instance: usize,
+        stream: usize,
+        reaches_store: bool,
+        loses: [bool; 5],
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        4 => prop_oneof![0..200_u64, 0..3_000_u64, 0..70_000_u64].prop_map(|ms| Step::Pass { ms }),
+        1 => (0..VERSIONS.len()).prop_map(|version| Step::Register { version }),
+        2 => (0..6_usize).prop_map(|upstream| Step::Unregister { upstream }),
+        4 => instance.clone().prop_map(|instance| Step::CatchUp { instance }),
+        1 => instance.clone().prop_map(|instance| Step::Restart { instance }),
+        4 => (instance.clone(), any::<usize>(), any::<[bool; 3]>())
+            .prop_map(|(instance, choice, loses)| Step::Begin { instance, choice, loses }),
+        3 => (instance.clone(), instance.clone())
+            .prop_map(|(from, to)| Step::TellHistory { from, to }),
+        6 => (instance, any::<usize>(), any::<bool>(), any::<[bool; 5]>()).prop_map(
+            |(instance, stream, reaches_store, loses)| Step::TakeUp {
+                instance,
+                stream,
+                reaches_store,
+                loses,
+            }
+        ),
+    ]
+}
+
+/// An upstream and when its registration began and ended.
+#[derive(Debug, Clone)]
+struct Upstream {
+    id: String,
+    version: SoftwareVersion,
+    ended_ms: Option<u64>,
+}
+
+/// A change of a registration, in the order of the store.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    upstream: usize,
+    is_end: bool,
+}
+
+#[derive(Debug)]
+struct Stream {
+    attempt: AttemptHash,
+    version: VersionHash,
+    began_ms: u64,
+}
+
+struct Instance {
+    table: UpstreamTable,
+    history: VersionHistory,
+    origins: StreamOrigins,
+    /// Number of changes that this instance knows.
+    known: usize,
+}
+
+struct Model {
+    now_ms: u64,
+    upstreams: Vec<Upstream>,
+    changes: Vec<Change>,
+    instances: Vec<Instance>,
+    streams: Vec<Stream>,
+    gone_on: usize,
+}
+
+impl Instance {
+    /// Starts an instance, which reads the registrations of now.
+    fn new(index: usize, upstreams: &[Upstream], known: usize, now_ms: u64) -> Self {
+        let mut instance = Self {
+            table: UpstreamTable::new(locality(&name(index)), 1),
+            history: VersionHistory::default(),
+            origins: StreamOrigins::default(),
+            known,
+        };
+        let registered = upstreams
+            .iter()
+            .filter(|upstream| upstream.ended_ms.is_none());
+        for upstream in registered {
+            instance.register(upstream);
+        }
+        instance.history.record_snapshot(known as u64, now_ms);
+        instance
+    }
+
+    fn register(&mut self, upstream: &Upstream) {
+        let mut entry = entry(&upstream.id, "north-a");
+        entry.version = upstream.version.clone();
+        self.table.upsert(entry, 0);
+    }
+
+    /// Applies all changes. One that came and went between two reads shows only its end.
+    fn catch_up(&mut self, upstreams: &[Upstream], changes: &[Change], now_ms: u64) {
+        let new = &changes[self.known..];
+        for (position, change) in new.iter().enumerate() {
+            let upstream = &upstreams[change.upstream];
+            let later = &new[position + 1..];
+            if !change.is_end {
+                if later.iter().all(|other| other.upstream != change.upstream) {
+                    self.register(upstream);
+                }
+                continue;
+            }
+            let id = UpstreamId::new(&upstream.id);
+            match self.table.entry(&id) {
+                Some(_) => self
+                    .history
+                    .record_vanished(&service(), &upstream.version, now_ms),
+                None => self.history.record_unseen(now_ms),
+            }
+            self.table.remove(&id, false, 0);
+        }
+        self.known = changes.len();
+        self.history.record_changes(changes.len() as u64);
+        self.history.expire(now_ms);
+    }
+}
+
+fn name(index: usize) -> String {
+    format!("i-{index}")
+}
+
+/// Returns the holders of an attempt's record, as seen from an instance.
+fn holders(attempt: AttemptHash, own: usize, holder_use: HolderUse) -> Vec<usize> {
+    let others: Vec<_> = (0..INSTANCES).filter(|index| *index != own).collect();
+    let peers: Vec<_> = others
+        .iter()
+        .map(|index| RecordHolder {
+            instance: InstanceId::new(&name(*index)),
+            region: Region::new("north"),
+        })
+        .collect();
+    let positions = record_holders(attempt, &peers, &Region::new("north"), holder_use);
+    positions
+        .into_iter()
+        .map(|position| others[position])
+        .collect()
+}
+
+impl Model {
+    fn new() -> Self {
+        let now_ms = 1_000_000;
+        let mut model = Self {
+            now_ms,
+            upstreams: Vec::new(),
+            changes: Vec::new(),
+            instances: Vec::new(),
+            streams: Vec::new(),
+            gone_on: 0,
+        };
+        model.register(0);
+        model.register(0);
+        for index in 0..INSTANCES {
+            let known = model.changes.len();
+            let instance = Instance::new(index, &model.upstreams, known, now_ms);
+            model.instances.push(instance);
+        }
+        model
+    }
+
+    fn register(&mut self, version: usize) {
+        self.changes.push(Change {
+            upstream: self.upstreams.len(),
+            is_end: false,
+        });
+        self.upstreams.push(Upstream {
+            id: format!("u{}", self.upstreams.len()),
+            version: SoftwareVersion::new(VERSIONS[version]),
+            ended_ms: None,
+        });
+    }
+
+    fn play(&mut self, step: &Step) {
+        match step {
+            Step::Pass { ms } => self.now_ms += ms,
+            Step::Register { version } => self.register(*version),
+            Step::Unregister { upstream } => self.unregister(*upstream),
+            Step::CatchUp { instance } => self.catch_up(*instance),
+            Step::Restart { instance } => {
+                let known = self.changes.len();
+                let started = Instance::new(*instance, &self.upstreams, known, self.now_ms);
+                self.instances[*instance] = started;
+            }
+            Step::Begin {
+                instance,
+                choice,
+                loses,
+            } => self.begin(*instance, *choice, *loses),
+            Step::TellHistory { from, to } => {
+                if let Some(observed) = self.instances[*from].history.observed() {
+                    self.instances[*to].history.receive(&observed);
+                }
+            }
+            Step::TakeUp {
+                instance,
+                stream,
+                reaches_store,
+                loses,
+            } => {
+                self.take_up(*instance, *stream, *reaches_store, *loses);
+            }
+        }
+    }
+
+    fn unregister(&mut self, choice: usize) {
+        let registered: Vec<_> = (0..self.upstreams.len())
+            .filter(|index| self.upstreams[*index].ended_ms.is_none())
+            .collect();
+        if registered.len() < 2 {
+            return;
+        }
+        let upstream = registered[choice % registered.len()];
+        self.upstreams[upstream].ended_ms = Some(self.now_ms);
+        self.changes.push(Change {
+            upstream,
+            is_end: true,
+        });
+    }
+
+    fn catch_up(&mut self, instance: usize) {
+        self.instances[instance].catch_up(&self.upstreams, &self.changes, self.now_ms);
+        self.send_records(instance, [false; 3]);
+    }
+
+    /// An instance begins a stream at an upstream that it knows and that still serves.
+    fn begin(&mut self, index: usize, choice: usize, loses: [bool; 3]) {
+        let instance = &mut self.instances[index];
+        let is_serving = |upstream: &&Upstream| {
+            let is_known = instance
+                .table
+                .entry(&UpstreamId::new(&upstream.id))
+                .is_some();
+            let serves_until_ms = upstream.ended_ms.map(|ended_ms| ended_ms + LEAVING_MS);
+            is_known && serves_until_ms.is_none_or(|until_ms| self.now_ms < until_ms)
+        };
+        let serving: Vec<_> = self.upstreams.iter().filter(is_serving).collect();
+        if serving.is_empty() {
+            return;
+        }
+        let upstream = serving[choice % serving.len()];
+        let stream = Stream {
+            attempt: AttemptHash::new(&format!("a{}", self.streams.len())),
+            version: VersionHash::new(&upstream.version),
+            began_ms: self.now_ms,
+        };
+        let record = OriginRecord {
+            attempt: stream.attempt,
+            version: stream.version,
+        };
+        instance.origins.record_own(record, &service(), self.now_ms);
+        self.streams.push(stream);
+        self.send_records(index, loses);
+    }
+
+    fn send_records(&mut self, index: usize, loses: [bool; 3]) {
+        let now_ms = self.now_ms;
+        let instance = &mut self.instances[index];
+        let only = instance
+            .history
+            .only_version(&service(), &instance.table, now_ms);
+        let records = instance.origins.take_unsent(|_| only.is_none(), now_ms);
+        for record in records {
+            let holders = holders(record.attempt, index, HolderUse::Send);
+            for (holder, is_lost) in holders.into_iter().zip(loses) {
+                if !is_lost {
+                    self.instances[holder].origins.receive(record, now_ms);
+                }
+            }
+        }
+    }
+
+    /// A caller takes up a stream, at an instance that may or may not reach the store.
+    fn take_up(&mut self, index: usize, choice: usize, reaches_store: bool, loses: [bool; 5]) {
+        let alive: Vec<_> = self
+            .streams
+            .iter()
+            .filter(|stream| self.now_ms < stream.began_ms + LIFETIME_MS)
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        let Stream {
+            attempt, version, ..
+        } = *alive[choice % alive.len()];
+        let mut known = self.instances[index]
+            .origins
+            .version_of(attempt, self.now_ms);
+        let holders = holders(attempt, index, HolderUse::Ask);
+        for (holder, is_lost) in holders.into_iter().zip(loses) {
+            let told = self.instances[holder]
+                .origins
+                .version_of(attempt, self.now_ms);
+            known = known.or(told.filter(|_| !is_lost));
+        }
+        if known.is_none() && reaches_store {
+            self.catch_up(index);
+            let instance = &self.instances[index];
+            let only = instance
+                .history
+                .only_version(&service(), &instance.table, self.now_ms);
+            known = only.map(|only| VersionHash::new(&only));
+        }
+        if let Some(known) = known {
+            assert_eq!(known, version, "a stream goes on at another version");
+            self.gone_on += 1;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn take_up_never_mixes_versions(steps in prop::collection::vec(step(), 0..120)) {
+        let mut model = Model::new();
+        for step in &steps {
+            model.play(step);
+        }
+    }
+}
+
+/// While a single version is registered, streams go on although no record is sent.
+#[test]
+fn take_up_goes_on_at_the_only_version() {
+    let mut model = Model::new();
+    model.now_ms += 200_000;
+    for instance in 0..INSTANCES {
+        model.catch_up(instance);
+    }
+    for choice in 0..8 {
+        model.begin(0, choice, [true; 3]);
+    }
+    for stream in 0..8 {
+        model.take_up(1 + stream % 3, stream, true, [true; 5]);
+    }
+    assert_eq!(model.gone_on, 8);
+}
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -249,7 +249,7 @@
                 node.servers_fed_version.set(version);
                 node.version_history
                     .borrow_mut()
-                    .record_snapshot(node.store_now_ms());
+                    .record_snapshot(version, node.store_now_ms());
                 node.update_initial_state();
                 log::info!("event=servers_read count={}", upstreams.ready_count());
             }
@@ -326,10 +326,9 @@
     let known_version = node.servers_fed_version.get();
     node.servers_fed_version
         .set(known_version.max(page.store_version));
-    let store_now_ms = page.store_now_ms.unwrap_or(0);
     node.version_history
         .borrow_mut()
-        .record_changes(store_now_ms);
+        .record_changes(page.store_version);
     stream_versions::send_records(node);
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -39,6 +39,7 @@
 mod options;
 mod quarantine;
 mod rate_limits;
+mod registration_check;
 mod relay;
 mod shutdown;
 mod store_calls;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
     connection_pool::ConnectionPool,
     jobs::Runner,
     metrics::Metrics,
+    registration_check::RegistrationCheck,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
 };
@@ -56,6 +57,7 @@
     /// Which software versions were registered lately.
     pub(crate) version_history: RefCell<VersionHistory>,
     pub(crate) origin_exchange: OriginExchange,
+    pub(crate) registration_check: RegistrationCheck,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
     pub(crate) has_read_servers: Cell<bool>,
@@ -140,6 +142,7 @@
             stream_origins: RefCell::default(),
             version_history: RefCell::default(),
             origin_exchange: OriginExchange::default(),
+            registration_check: RegistrationCheck::default(),
             has_initial_state: watch::Sender::new(false),
             has_read_servers: Cell::default(),
             servers_fed_version: Cell::default(),
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -22,12 +22,10 @@
     time::{sleep, timeout},
 };
 
-use crate::{feeds, node::Node};
+use crate::{node::Node, registration_check};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time in which the store must confirm that registrations are up to date.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which records are expired, and the history of peers is asked for while the
 /// own one is too short.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -143,7 +141,7 @@
     first: Option<&str>,
 ) -> StreamOrigin {
     let Some(first) = first else {
-        return origin_without_attempt(node, service).await;
+        return origin_without_attempt(node, service);
     };
     let attempt = AttemptHash::new(first);
     let known = || {
@@ -162,12 +160,13 @@
     }
 }
 
-/// A caller that does not name the attempt is served if no other version has been seen.
-async fn origin_without_attempt(node: &Rc<Node>, service: &ServiceName) -> StreamOrigin {
-    let is_confirmed = confirm_registrations(node).await;
+/// Callers that do not name the attempt are served as long as no other version is known: they
+/// come from deployments that run a single one, where waiting for the store would only lose
+/// streams.
+fn origin_without_attempt(node: &Node, service: &ServiceName) -> StreamOrigin {
     let history = node.version_history.borrow();
     let only = history.only_known_version(service, &node.upstreams.borrow(), node.store_now_ms());
-    if is_confirmed && only.is_some() {
+    if only.is_some() {
         StreamOrigin::Any
     } else {
         StreamOrigin::Unknown
@@ -180,12 +179,7 @@
     if may_be_mixed(node, service) {
         return false;
     }
-    confirm_registrations(node).await && !may_be_mixed(node, service)
-}
-
-async fn confirm_registrations(node: &Rc<Node>) -> bool {
-    let changes = timeout(CONFIRMATION_TIMEOUT, feeds::read_server_changes(node)).await;
-    changes.is_ok_and(|result| result.is_ok())
+    registration_check::confirm(node).await && !may_be_mixed(node, service)
 }
 
 /// Returns whether a stream may have begun at another version of the service than others.
