Items that try a quarantined part wait for an idle upstream as requests do

The check said so for trials, but the start of items did not read it. QuarantineCheck::permits decides for both now (trial_of_item_needs_an_idle_upstream_at_first).

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -83,6 +83,21 @@
     },
 }
 
+impl QuarantineCheck {
+    /// Returns whether the request may be sent to an upstream that has `load` other requests.
+    #[must_use]
+    pub fn permits(self, load: u32) -> bool {
+        match self {
+            Self::Allowed => true,
+            Self::Refused { .. } => false,
+            Self::Trial {
+                needs_idle_upstream,
+                ..
+            } => !needs_idle_upstream || load == 0,
+        }
+    }
+}
+
 /// A change of the quarantine, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Returns the known number of requests at an upstream, of all instances.
+    #[must_use]
+    pub fn load_at(&self, target: &Target) -> u32 {
+        self.find(&target.upstream)
+            .map_or(0, |index| self.rows[index].load())
+    }
+
     /// Returns the registration of an upstream, or `None` if it has none.
     #[must_use]
     pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -523,6 +523,20 @@
     assert_eq!(fleet.quarantined(1), [part(BAD)]);
 }
 
+/// While a trial is young, no other request may be lost with it; an item's neither.
+#[test]
+fn trial_of_item_needs_an_idle_upstream_at_first() {
+    let mut fleet = fleet_with_quarantined_part();
+    fleet.pass(20_000);
+    let item = content(7, &[BAD]);
+    let check = |fleet: &Fleet| {
+        fleet.instances[0].check(&item, WorkKind::Batch, &fleet.table, fleet.now_ms)
+    };
+    assert!(check(&fleet).permits(0) && !check(&fleet).permits(1));
+    fleet.pass(31_000);
+    assert!(check(&fleet).permits(1));
+}
+
 /// A trial whose connection is lost proves nothing, so it is made again soon.
 #[test]
 fn trial_without_result_is_repeated() {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -246,12 +246,8 @@
                 load,
                 preemption,
             } => {
-                if let QuarantineCheck::Trial {
-                    cause,
-                    needs_idle_upstream,
-                } = check
-                {
-                    if needs_idle_upstream && load > 0 {
+                if let QuarantineCheck::Trial { cause, .. } = check {
+                    if !check.permits(load) {
                         return Err(self.refuse_quarantined(cause, TRIAL_RETRY_AFTER_MS));
                     }
                     quarantine::record_trial(&self.node, &self.outgoing.request_id, cause);
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -48,12 +48,12 @@
     let mut runner = node.runner.borrow_mut();
     let job = &mut runner.jobs[item.job_index];
     let content = item_content(job, item.item_index);
-    match quarantine::check(node, &content, WorkKind::Batch) {
-        QuarantineCheck::Allowed => {}
-        QuarantineCheck::Trial { cause, .. } => {
-            quarantine::record_trial(node, job.id().as_str(), cause);
-        }
-        QuarantineCheck::Refused { .. } => return,
+    let check = quarantine::check(node, &content, WorkKind::Batch);
+    if !check.permits(node.upstreams.borrow().load_at(&target)) {
+        return;
+    }
+    if let QuarantineCheck::Trial { cause, .. } = check {
+        quarantine::record_trial(node, job.id().as_str(), cause);
     }
     let Some(item_run) = job.start_item(item.item_index) else {
         return;
