--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -103,6 +103,13 @@
         }
     }
 
+    /// An upstream crashes under a request with this number and these parts, which an instance
+    /// sent just before.
+    fn crash_under_request(&mut self, instance: usize, number: u64, ids: &[u64], kind: WorkKind) {
+        self.crash_count += 1;
+        self.record_crash(instance, content(number, ids), kind, self.now_ms);
+    }
+
     fn record_crash(
         &mut self,
         instance: usize,
@@ -358,10 +365,7 @@
 fn quarantine_of_request_spares_its_parts() {
     let mut fleet = Fleet::new(2);
     for crash in 0..6 {
-        fleet.crash_count += 1;
-        let content = content(1, &[BAD, COMMON]);
-        let sent_at_ms = fleet.now_ms;
-        fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+        fleet.crash_under_request(crash % 2, 1, &[BAD, COMMON], WorkKind::Online);
         fleet.pass(SETTLED_MS);
     }
     assert_eq!(fleet.quarantined(0), [request(1)]);
@@ -374,10 +378,7 @@
 fn quarantine_of_request_spares_its_parts_at_one_more_crash() {
     let mut fleet = Fleet::new(2);
     for crash in 0..5 {
-        fleet.crash_count += 1;
-        let content = content(1, &[BAD]);
-        let sent_at_ms = fleet.now_ms;
-        fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+        fleet.crash_under_request(crash % 2, 1, &[BAD], WorkKind::Online);
         fleet.pass(100);
     }
     fleet.pass(10_000);
@@ -392,10 +393,7 @@
     let mut fleet = Fleet::new(2);
     for number in 1..=3 {
         for crash in 0..3 {
-            fleet.crash_count += 1;
-            let content = content(number, &[BAD]);
-            let sent_at_ms = fleet.now_ms;
-            fleet.record_crash(crash % 2, content, WorkKind::Online, sent_at_ms);
+            fleet.crash_under_request(crash % 2, number, &[BAD], WorkKind::Online);
             fleet.pass(100);
         }
         fleet.pass(SETTLED_MS);
@@ -409,10 +407,7 @@
 fn quarantine_never_holds_an_item() {
     let mut fleet = Fleet::new(2);
     for crash in 0..6 {
-        fleet.crash_count += 1;
-        let content = content(1, &[BAD]);
-        let sent_at_ms = fleet.now_ms;
-        fleet.record_crash(crash % 2, content, WorkKind::Batch, sent_at_ms);
+        fleet.crash_under_request(crash % 2, 1, &[BAD], WorkKind::Batch);
         fleet.pass(500);
     }
     assert_eq!(fleet.quarantined(0), [part(BAD)]);
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -20,10 +20,8 @@
     time::{sleep, timeout},
 };
 
-use crate::{node::Node, quarantine, rate_limits};
+use crate::{datagrams, node::Node, quarantine, rate_limits};
 
-/// Delay before the next datagram is received after a failure.
-const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum time between two notices. A notice is repeated if the load has not changed,
 /// so that peers detect when an instance is cut off.
 const NOTICE_INTERVAL_MAX: Duration = Duration::from_millis(500);
@@ -58,17 +56,7 @@
 ) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let (length, sender) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::warn!(
-                    "event=notice_receive_failed error={}",
-                    process::quote(&error)
-                );
-                sleep(RECEIVE_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let (length, sender) = datagrams::receive(&socket, &mut buffer).await;
         match Datagram::decode(&buffer[..length]) {
             Ok(datagram) => {
                 let Datagram {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,6 +26,7 @@
 mod clock;
 mod connection_pool;
 mod crash_detection;
+mod datagrams;
 mod dispatch;
 mod feeds;
 mod forward;
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{node::Node, registration_check};
+use crate::{datagrams, node::Node, registration_check};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -35,8 +35,6 @@
 const RECORDS_PER_DATAGRAM: usize = 48;
 /// Maximum size of a datagram, bytes.
 const DATAGRAM_MAX_BYTES: usize = 4 * 1024;
-/// Delay before the next datagram is received after a failure.
-const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Contents of a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -246,17 +244,7 @@
 async fn receive_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let (length, sender) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::warn!(
-                    "event=origin_receive_failed error={}",
-                    process::quote(&error)
-                );
-                sleep(RECEIVE_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let (length, sender) = datagrams::receive(&socket, &mut buffer).await;
         match decode_from_slice(&buffer[..length], config::standard()) {
             Ok((message, _)) => receive(&node, sender, message),
             Err(error) => log::warn!("event=origin_unreadable error={}", process::quote(&error)),
