A stream is bound to its version from the first event on, also if there is no other

Found while reading: a stream whose version was the only one was resumed without a bound, so an attempt that was placed after another version had registered could have run there. The version is known in both ways to resume, so it is always set; what is looked up is a version or nothing. An incarnation that has crashed is left out for 3 s instead of for good, since a refused connection may have another cause. No test fails for the race itself, which takes a registration between two attempts of one request; the model and the seven process tests pass.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -294,7 +294,11 @@
             .enumerate()
             .filter(|(_, row)| row.entry.service == *request.service && row.is_ready())
             .filter(|(_, row)| row.health.is_usable_as_last_resort(now_ms))
-            .filter(|(_, row)| request.version.is_none_or(|version| row.runs(version)))
+            .filter(|(_, row)| {
+                request
+                    .version
+                    .is_none_or(|version| row.runs(version, now_ms))
+            })
             .filter(|(_, row)| self.is_within_limit(row, now_ms))
             .collect();
         let is_usable = |row: &UpstreamRow| row.health.is_usable(now_ms);
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -29,6 +29,8 @@
 const CONNECT_ROUND_TRIPS: f64 = 3.0;
 /// Time added to the connect time-out, milliseconds.
 const CONNECT_SLACK_MS: u64 = 40;
+/// Time in which the successor of an incarnation that crashed has registered, milliseconds.
+const SUCCESSION_MS: u64 = 3_000;
 /// Age from which a measured answer delay is ignored, milliseconds.
 const DELAY_VALIDITY_MS: u64 = 5_000;
 
@@ -89,9 +91,9 @@
     /// Hash of the incarnation.
     pub(crate) incarnation: u64,
     pub(crate) version: VersionHash,
-    /// Whether this incarnation has crashed, so that another process may listen at its
-    /// address whose registration has not been read yet.
-    pub(crate) has_crashed: bool,
+    /// Until when another process may listen at the address whose registration has not been
+    /// read yet, because this incarnation has crashed.
+    pub(crate) may_be_succeeded_until_ms: u64,
     /// When the row is removed because its registration disappeared. `None`
     /// while the upstream is registered.
     pub(crate) remove_at_ms: Option<u64>,
@@ -276,9 +278,9 @@
     }
 
     /// Records that an incarnation of an upstream has crashed.
-    pub fn record_crash(&mut self, target: &Target) {
+    pub fn record_crash(&mut self, target: &Target, now_ms: u64) {
         if let Some(row) = self.incarnation_row(target) {
-            row.has_crashed = true;
+            row.may_be_succeeded_until_ms = now_ms + SUCCESSION_MS;
         }
     }
 
@@ -394,7 +396,7 @@
             warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
             incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
             version: VersionHash::new(&entry.version),
-            has_crashed: false,
+            may_be_succeeded_until_ms: 0,
             entry,
             hash,
             remove_at_ms: None,
@@ -419,8 +421,8 @@
     }
 
     /// Returns whether the upstream is sure to run a version of the software.
-    pub(crate) fn runs(&self, version: VersionHash) -> bool {
-        self.version == version && !self.has_crashed
+    pub(crate) fn runs(&self, version: VersionHash, now_ms: u64) -> bool {
+        self.version == version && now_ms >= self.may_be_succeeded_until_ms
     }
 
     /// Returns the number of online requests of all instances.
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -141,7 +141,7 @@
 fn place_avoids_crashed_incarnation_of_version() {
     let mut table = table_of(&[("u1", "v1")]);
     let crashed = target_of(&place_at(&mut table, None)).clone();
-    table.record_crash(&crashed);
+    table.record_crash(&crashed, 0);
     let refused = place_at(&mut table, Some(hash("v1")));
     assert!(matches!(refused, Placement::Refuse { .. }), "{refused:?}");
     register(&mut table, "u1", "v1", 2);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -274,7 +274,8 @@
         Err(error) => {
             in_flight.record_failure();
             if error.kind() == ErrorKind::ConnectionRefused {
-                node.upstreams.borrow_mut().record_crash(target);
+                let now_ms = node.now_ms();
+                node.upstreams.borrow_mut().record_crash(target, now_ms);
             }
             return Err(AttemptFailure::new(AttemptEnd::NotSent, error));
         }
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -38,7 +38,8 @@
         join_parts(&lost.content.shared_parts)
     );
     node.metrics.on_upstream_crash();
-    node.upstreams.borrow_mut().record_crash(&target);
+    let now_ms = node.now_ms();
+    node.upstreams.borrow_mut().record_crash(&target, now_ms);
     quarantine::record_crash(&node, &target, &lost);
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -21,7 +21,7 @@
     node::Node,
     quarantine,
     relay::Relay,
-    stream_versions::{self, StreamOrigin},
+    stream_versions,
 };
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
@@ -128,24 +128,19 @@
             return Ok(());
         }
         let first = self.resumed_attempt.as_deref();
-        match stream_versions::find_origin(&self.node, &self.service, first).await {
-            StreamOrigin::Any => Ok(()),
-            StreamOrigin::Version(version) => {
-                self.version = Some(version);
-                Ok(())
-            }
-            StreamOrigin::Unknown => {
-                let reason = RefusalReason::VersionUnknown;
-                log::warn!(
-                    "event=request_not_placed request={} route={} reason={} resumes={} retry_after_ms={NOT_RUN_RETRY_AFTER_MS}",
-                    self.outgoing.request_id,
-                    self.route.name,
-                    reason.as_str(),
-                    process::quote(&first.unwrap_or("none"))
-                );
-                Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
-            }
+        self.version = stream_versions::find_origin(&self.node, &self.service, first).await;
+        if self.version.is_some() {
+            return Ok(());
         }
+        let reason = RefusalReason::VersionUnknown;
+        log::warn!(
+            "event=request_not_placed request={} route={} reason={} resumes={} retry_after_ms={NOT_RUN_RETRY_AFTER_MS}",
+            self.outgoing.request_id,
+            self.route.name,
+            reason.as_str(),
+            process::quote(&first.unwrap_or("none"))
+        );
+        Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
     }
 
     fn is_resumable_stream(&self) -> bool {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{FutureExt, StreamExt, stream};
-use gateway::{AttemptEnd, EventSplitter};
+use gateway::{AttemptEnd, EventSplitter, VersionHash};
 use http::StatusCode;
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Body, Frame};
@@ -14,7 +14,6 @@
     answer::{AnswerBody, Truncated},
     attempt::{AttemptFailure, UpstreamAnswer},
     forward::OnlineRequest,
-    stream_versions,
 };
 
 /// Time-out between complete events if another upstream can resume the stream, in
@@ -202,9 +201,7 @@
         }
         let last_event = splitter.last_id();
         if last_event.is_some() {
-            let service = &self.request.service;
-            self.request.version =
-                stream_versions::bound_version(&self.request.node, service, &target.version);
+            self.request.version = Some(VersionHash::new(&target.version));
         }
         let Ok(answer) = self.request.next_answer(last_event).await else {
             return false;
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -54,18 +54,6 @@
     History(ObservedVersions),
 }
 
-/// Where a stream may go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StreamOrigin {
-    /// At any upstream of the service: every stream that may still be taken up began at the
-    /// only version.
-    Any,
-    /// At upstreams of this version.
-    Version(VersionHash),
-    /// Nobody knows.
-    Unknown,
-}
-
 /// The socket of the exchange and the queries in progress.
 #[derive(Debug, Default)]
 pub(crate) struct OriginExchange {
@@ -116,84 +104,63 @@
     send_records(node);
 }
 
-/// Returns the version that a stream of this instance is bound to, or `None` if the service
-/// has only this one.
-pub(crate) fn bound_version(
-    node: &Node,
-    service: &ServiceName,
-    version: &SoftwareVersion,
-) -> Option<VersionHash> {
-    let only = node.version_history.borrow().only_known_version(
-        service,
-        &node.upstreams.borrow(),
-        node.store_now_ms(),
-    );
-    (only.as_ref() != Some(version)).then(|| VersionHash::new(version))
-}
-
-/// Finds out where the stream may go on that a caller's attempt `first` began. `None` if the
-/// caller does not say which one it was.
+/// Finds out at which version the stream must go on that a caller's attempt `first` began.
+/// `first` is `None` if the caller does not say which one it was. Returns `None` if nobody
+/// knows the version.
 pub(crate) async fn find_origin(
     node: &Rc<Node>,
     service: &ServiceName,
     first: Option<&str>,
-) -> StreamOrigin {
+) -> Option<VersionHash> {
     let Some(first) = first else {
-        return origin_without_attempt(node, service);
+        return only_known_version(node, service);
     };
     let attempt = AttemptHash::new(first);
-    let known = || {
-        let origins = node.stream_origins.borrow();
-        origins.version_of(attempt, node.store_now_ms())
-    };
-    if let Some(version) = known() {
-        return StreamOrigin::Version(version);
+    let recorded = recorded_version(node, attempt);
+    if recorded.is_some() {
+        return recorded;
     }
-    let is_answered = ask_holders(node, attempt);
-    let is_only = is_only_version(node, service);
     tokio::select! {
-        true = is_answered => known().map_or(StreamOrigin::Unknown, StreamOrigin::Version),
-        true = is_only => StreamOrigin::Any,
-        else => StreamOrigin::Unknown,
+        Some(version) = ask_holders(node, attempt) => Some(version),
+        Some(version) = confirmed_only_version(node, service) => Some(version),
+        else => None,
     }
 }
 
-/// Callers that do not name the attempt are served as long as no other version is known: they
-/// come from deployments that run a single one, where waiting for the store would only lose
-/// streams.
-fn origin_without_attempt(node: &Node, service: &ServiceName) -> StreamOrigin {
+fn recorded_version(node: &Node, attempt: AttemptHash) -> Option<VersionHash> {
+    let origins = node.stream_origins.borrow();
+    origins.version_of(attempt, node.store_now_ms())
+}
+
+/// Returns the version of a service if no other one is known. It decides for callers that do
+/// not name the attempt: they come from deployments that run a single version, where waiting
+/// for the store would only lose streams.
+fn only_known_version(node: &Node, service: &ServiceName) -> Option<VersionHash> {
     let history = node.version_history.borrow();
     let only = history.only_known_version(service, &node.upstreams.borrow(), node.store_now_ms());
-    if only.is_some() {
-        StreamOrigin::Any
-    } else {
-        StreamOrigin::Unknown
-    }
+    only.as_ref().map(VersionHash::new)
 }
 
-/// Returns whether every stream of the service that may still be taken up began at its only
-/// version, by the registrations that the store has now.
-async fn is_only_version(node: &Rc<Node>, service: &ServiceName) -> bool {
-    if may_be_mixed(node, service) {
-        return false;
+/// Returns the version at which every stream of a service began that may still be taken up,
+/// by the registrations that the store has now. `None` if there may be several.
+async fn confirmed_only_version(node: &Rc<Node>, service: &ServiceName) -> Option<VersionHash> {
+    only_version(node, service)?;
+    if !registration_check::confirm(node).await {
+        return None;
     }
-    registration_check::confirm(node).await && !may_be_mixed(node, service)
+    only_version(node, service)
 }
 
-/// Returns whether a stream may have begun at another version of the service than others.
-fn may_be_mixed(node: &Node, service: &ServiceName) -> bool {
-    let only = node.version_history.borrow().only_version(
-        service,
-        &node.upstreams.borrow(),
-        node.store_now_ms(),
-    );
-    only.is_none()
+fn only_version(node: &Node, service: &ServiceName) -> Option<VersionHash> {
+    let history = node.version_history.borrow();
+    let only = history.only_version(service, &node.upstreams.borrow(), node.store_now_ms());
+    only.as_ref().map(VersionHash::new)
 }
 
 /// Sends the records of this instance's streams that peers need to know.
 pub(crate) fn send_records(node: &Node) {
     let is_cut_off = node.store_health.is_unreachable();
-    let may_be_mixed = |service: &ServiceName| is_cut_off || may_be_mixed(node, service);
+    let may_be_mixed = |service: &ServiceName| is_cut_off || only_version(node, service).is_none();
     let now_ms = node.store_now_ms();
     let records = node
         .stream_origins
@@ -216,8 +183,8 @@
     }
 }
 
-/// Asks the holders of an attempt's record. Returns whether one of them has it.
-async fn ask_holders(node: &Node, attempt: AttemptHash) -> bool {
+/// Asks the holders of an attempt's record for the version.
+async fn ask_holders(node: &Node, attempt: AttemptHash) -> Option<VersionHash> {
     let peers = Peers::new(node);
     let holders = peers.holders(attempt, HolderUse::Ask);
     let query = Rc::new(PendingQuery {
@@ -226,7 +193,7 @@
         is_decided: Notify::new(),
     });
     if holders.is_empty() {
-        return false;
+        return None;
     }
     let exchange = &node.origin_exchange;
     exchange.queries.borrow_mut().push(Rc::clone(&query));
@@ -237,8 +204,7 @@
     let _ = timeout(ANSWER_TIMEOUT, query.is_decided.notified()).await;
     let mut queries = exchange.queries.borrow_mut();
     queries.retain(|pending| !Rc::ptr_eq(pending, &query));
-    let origins = node.stream_origins.borrow();
-    origins.version_of(attempt, node.store_now_ms()).is_some()
+    recorded_version(node, attempt)
 }
 
 async fn receive_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
