A query of a stream's origin ends with the request that asked; cheaper check of requests

Found while reading: when the store's confirmation came first, or the caller left, the pending query stayed in the list for good. A guard takes it out. A request that was at no crash is not looked up in the evidence of all crashes any more.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -261,12 +261,14 @@
         kind: WorkKind,
         now_ms: u64,
     ) -> QuarantineCheck {
-        if kind == WorkKind::Batch || self.evidence.crashes().is_empty() {
+        let fingerprint = content.fingerprint;
+        let cause = CrashCause::Request(fingerprint);
+        let mut crashes = self.evidence.crashes().iter();
+        let was_at_crash = crashes.any(|row| row.report.has_cause(cause));
+        if kind == WorkKind::Batch || !was_at_crash {
             return QuarantineCheck::Allowed;
         }
-        let fingerprint = content.fingerprint;
         let suspect = request_suspect(&self.evidence, &self.quarantined, fingerprint);
-        let cause = CrashCause::Request(fingerprint);
         let survived_at_ms = self.evidence.survived_at_ms(cause);
         self.probation
             .check(fingerprint, &suspect, survived_at_ms, now_ms)
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -2,7 +2,13 @@
 //! [`gateway::StreamOrigins`] and [`gateway::VersionHistory`]; this module exchanges their
 //! records with peers as UDP datagrams, one port above that of the load notices.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bincode::{
     config,
@@ -65,10 +71,36 @@
 #[derive(Debug)]
 struct PendingQuery {
     attempt: AttemptHash,
-    missing_answers: RefCell<usize>,
+    missing_answers: Cell<usize>,
     is_decided: Notify,
 }
 
+/// Guard of a query, whose answers are ignored after the guard is dropped.
+#[derive(Debug)]
+struct QueryGuard<'a> {
+    exchange: &'a OriginExchange,
+    query: Rc<PendingQuery>,
+}
+
+impl<'a> QueryGuard<'a> {
+    fn new(exchange: &'a OriginExchange, attempt: AttemptHash, holder_count: usize) -> Self {
+        let query = Rc::new(PendingQuery {
+            attempt,
+            missing_answers: Cell::new(holder_count),
+            is_decided: Notify::new(),
+        });
+        exchange.queries.borrow_mut().push(Rc::clone(&query));
+        Self { exchange, query }
+    }
+}
+
+impl Drop for QueryGuard<'_> {
+    fn drop(&mut self) {
+        let mut queries = self.exchange.queries.borrow_mut();
+        queries.retain(|pending| !Rc::ptr_eq(pending, &self.query));
+    }
+}
+
 /// Opens the socket and starts the exchange.
 ///
 /// # Errors
@@ -187,23 +219,15 @@
 async fn ask_holders(node: &Node, attempt: AttemptHash) -> Option<VersionHash> {
     let peers = Peers::new(node);
     let holders = peers.holders(attempt, HolderUse::Ask);
-    let query = Rc::new(PendingQuery {
-        attempt,
-        missing_answers: RefCell::new(holders.len()),
-        is_decided: Notify::new(),
-    });
     if holders.is_empty() {
         return None;
     }
-    let exchange = &node.origin_exchange;
-    exchange.queries.borrow_mut().push(Rc::clone(&query));
+    let guard = QueryGuard::new(&node.origin_exchange, attempt, holders.len());
     for holder in holders {
         send(node, peers.addresses[holder], &Message::Query(attempt));
     }
     // After a time-out, the record counts as unknown.
-    let _ = timeout(ANSWER_TIMEOUT, query.is_decided.notified()).await;
-    let mut queries = exchange.queries.borrow_mut();
-    queries.retain(|pending| !Rc::ptr_eq(pending, &query));
+    let _ = timeout(ANSWER_TIMEOUT, guard.query.is_decided.notified()).await;
     recorded_version(node, attempt)
 }
 
@@ -250,9 +274,9 @@
             let now_ms = node.store_now_ms();
             node.stream_origins.borrow_mut().receive(record, now_ms);
         }
-        let mut missing_answers = query.missing_answers.borrow_mut();
-        *missing_answers = missing_answers.saturating_sub(1);
-        if version.is_some() || *missing_answers == 0 {
+        let missing_answers = query.missing_answers.get().saturating_sub(1);
+        query.missing_answers.set(missing_answers);
+        if version.is_some() || missing_answers == 0 {
             query.is_decided.notify_one();
         }
     }
