Records of streams are sent again until the peers are known

Traced: the instance that began them had started a second before and had not read a heartbeat of any peer, so its records went to nobody, and were marked as sent. Streams were refused for it, none was mixed. Now records stay unsent until the process has run for 3 s and are sent again every half second.

The tests that lose an instance wait 3 s for the instances to know each other; before, they waited half a second and passed only if the heartbeats happened to be read in time. The case without waiting has its own test now.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -103,7 +103,7 @@
 
 impl StreamOrigins {
     /// Adds the record of a stream of which this instance brought events. It is sent as soon
-    /// as versions of the service may be mixed; see [`Self::take_unsent`].
+    /// as versions of the service may be mixed; see [`Self::unsent`].
     pub fn record_own(&mut self, record: OriginRecord, service: &ServiceName, now_ms: u64) {
         self.insert(record, Some(service.clone()), now_ms);
     }
@@ -122,18 +122,18 @@
     }
 
     /// Returns the records of this instance that have not been sent to holders yet, of the
-    /// services whose versions may be mixed, and expects that they are sent now.
-    pub fn take_unsent(
-        &mut self,
+    /// services whose versions may be mixed.
+    #[must_use]
+    pub fn unsent(
+        &self,
         may_be_mixed: impl Fn(&ServiceName) -> bool,
         now_ms: u64,
     ) -> Vec<OriginRecord> {
-        let unsent = self.rows.iter_mut().filter(|row| {
+        let unsent = self.rows.iter().filter(|row| {
             let service = row.unsent_service.as_ref();
             now_ms < row.expires_at_ms && service.is_some_and(&may_be_mixed)
         });
         let records = unsent.filter_map(|row| {
-            row.unsent_service = None;
             Some(OriginRecord {
                 attempt: row.attempt,
                 version: row.version?,
@@ -142,6 +142,13 @@
         records.collect()
     }
 
+    /// Records that the record of an attempt was sent to its holders.
+    pub fn record_sent(&mut self, attempt: AttemptHash) {
+        if let Ok(index) = self.find(attempt) {
+            self.rows[index].unsent_service = None;
+        }
+    }
+
     /// Forgets streams that nobody takes up any more.
     pub fn expire(&mut self, now_ms: u64) {
         self.rows.retain(|row| now_ms < row.expires_at_ms);
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -86,13 +86,14 @@
 
 /// Streams that began while there was one version are told as soon as there is another.
 #[test]
-fn take_unsent_once_versions_are_mixed() {
+fn unsent_once_versions_are_mixed() {
     let mut origins = StreamOrigins::default();
     origins.record_own(record("a", "v1"), &service(), START_MS);
     origins.receive(record("b", "v1"), START_MS);
-    assert_eq!(origins.take_unsent(|_| false, START_MS), []);
-    assert_eq!(origins.take_unsent(|_| true, START_MS), [record("a", "v1")]);
-    assert_eq!(origins.take_unsent(|_| true, START_MS), []);
+    assert_eq!(origins.unsent(|_| false, START_MS), []);
+    assert_eq!(origins.unsent(|_| true, START_MS), [record("a", "v1")]);
+    origins.record_sent(AttemptHash::new("a"));
+    assert_eq!(origins.unsent(|_| true, START_MS), []);
 }
 
 #[test]
--- a/crates/gateway/tests/stream_versions_model.rs
+++ b/crates/gateway/tests/stream_versions_model.rs
@@ -309,8 +309,9 @@
         let only = instance
             .history
             .only_version(&service(), &instance.table, now_ms);
-        let records = instance.origins.take_unsent(|_| only.is_none(), now_ms);
+        let records = instance.origins.unsent(|_| only.is_none(), now_ms);
         for record in records {
+            self.instances[index].origins.record_sent(record.attempt);
             let holders = holders(record.attempt, index, HolderUse::Send);
             for (holder, is_lost) in holders.into_iter().zip(loses) {
                 if !is_lost {
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -35,6 +35,9 @@
 /// Interval at which records are expired, and the history of peers is asked for while the
 /// own one is too short.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time from the start of the process until the heartbeats of peers that started together
+/// with it have been read, milliseconds.
+const PEERS_SETTLED_MS: u64 = 3_000;
 /// Number of peers that are asked for their history at a time.
 const HISTORY_PEERS: usize = 2;
 /// Maximum number of records in a datagram.
@@ -133,7 +136,13 @@
     let mut origins = node.stream_origins.borrow_mut();
     origins.record_own(record, service, now_ms);
     drop(origins);
-    send_records(node);
+    if may_be_mixed(node, service) {
+        let peers = Peers::new(node);
+        peers.send_records(node, &[record]);
+        if peers.are_settled {
+            node.stream_origins.borrow_mut().record_sent(record.attempt);
+        }
+    }
 }
 
 /// Finds out at which version the stream must go on that a caller's attempt `first` began.
@@ -189,28 +198,26 @@
     only.as_ref().map(VersionHash::new)
 }
 
-/// Sends the records of this instance's streams that peers need to know.
+/// Returns whether peers need to know where streams of a service begin.
+fn may_be_mixed(node: &Node, service: &ServiceName) -> bool {
+    node.store_health.is_unreachable() || only_version(node, service).is_none()
+}
+
+/// Sends the records of this instance's streams that peers need to know and have not got.
 pub(crate) fn send_records(node: &Node) {
-    let is_cut_off = node.store_health.is_unreachable();
-    let may_be_mixed = |service: &ServiceName| is_cut_off || only_version(node, service).is_none();
     let now_ms = node.store_now_ms();
-    let records = node
-        .stream_origins
-        .borrow_mut()
-        .take_unsent(may_be_mixed, now_ms);
+    let origins = node.stream_origins.borrow();
+    let records = origins.unsent(|service| may_be_mixed(node, service), now_ms);
+    drop(origins);
     if records.is_empty() {
         return;
     }
     let peers = Peers::new(node);
-    let mut batches: Vec<Vec<OriginRecord>> = vec![Vec::new(); peers.addresses.len()];
-    for record in records {
-        for index in peers.holders(record.attempt, HolderUse::Send) {
-            batches[index].push(record);
-        }
-    }
-    for (address, batch) in peers.addresses.iter().zip(batches) {
-        for records in batch.chunks(RECORDS_PER_DATAGRAM) {
-            send(node, *address, &Message::Records(records.to_vec()));
+    peers.send_records(node, &records);
+    if peers.are_settled {
+        let mut origins = node.stream_origins.borrow_mut();
+        for record in records {
+            origins.record_sent(record.attempt);
         }
     }
 }
@@ -320,6 +327,9 @@
 /// The live peers, as holders of records.
 struct Peers {
     own_region: Region,
+    /// Whether this instance has had the time to read the heartbeats of all peers that
+    /// started with it. Until then, records are sent again.
+    are_settled: bool,
     holders: Vec<RecordHolder>,
     /// Addresses of the exchange, in the order of `holders`.
     addresses: Vec<SocketAddr>,
@@ -340,11 +350,26 @@
             .unzip();
         Self {
             own_region: node.settings().region.clone(),
+            are_settled: node.now_ms() >= PEERS_SETTLED_MS,
             holders,
             addresses,
         }
     }
 
+    fn send_records(&self, node: &Node, records: &[OriginRecord]) {
+        let mut batches: Vec<Vec<OriginRecord>> = vec![Vec::new(); self.addresses.len()];
+        for record in records {
+            for index in self.holders(record.attempt, HolderUse::Send) {
+                batches[index].push(*record);
+            }
+        }
+        for (address, batch) in self.addresses.iter().zip(batches) {
+            for records in batch.chunks(RECORDS_PER_DATAGRAM) {
+                send(node, *address, &Message::Records(records.to_vec()));
+            }
+        }
+    }
+
     fn holders(&self, attempt: AttemptHash, holder_use: HolderUse) -> Vec<usize> {
         record_holders(attempt, &self.holders, &self.own_region, holder_use)
     }
--- a/crates/node/tests/software_versions.rs
+++ b/crates/node/tests/software_versions.rs
@@ -9,8 +9,8 @@
 use support::{Answer, HOST, TestCluster, begin_stream, complete_output, send_request, wait_until};
 use tokio::time::sleep;
 
-/// Time in which every instance learns of new registrations.
-const TIME_TO_LEARN: Duration = Duration::from_millis(500);
+/// Time in which every instance learns of new registrations, and of its peers.
+const TIME_TO_LEARN: Duration = Duration::from_secs(3);
 /// Number of events after which servers break off a stream: more than half of them, so that
 /// the rest arrives in one piece.
 const EVENTS_BEFORE_BREAK: u64 = 5;
@@ -147,6 +147,22 @@
     assert!(gone_on > STREAMS / 2, "{gone_on} of {STREAMS} went on");
 }
 
+/// The instance knew none of its peers yet when the streams began.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_new_instance_that_is_lost_goes_on_at_its_version() {
+    let mut cluster = TestCluster::start(&[16; 6], 4).await;
+    for index in (1..6).step_by(2) {
+        cluster.register_version(index, "v2").await;
+    }
+    let address = cluster.nodes[0].callers_address;
+    begin_all(address, "early").await;
+    sleep(TIME_TO_LEARN).await;
+    drop(cluster.nodes.remove(0));
+    let address = cluster.nodes[0].callers_address;
+    let (gone_on, _) = take_up_all(&cluster, address, "early").await;
+    assert!(gone_on > STREAMS / 2, "{gone_on} of {STREAMS} went on");
+}
+
 /// All instances have forgotten where streams began.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_unknown_version_goes_on_nowhere_else() {
