Logs tell unreachable upstreams from busy ones; no decision changed

A refusal said reason=saturated both when all upstreams were busy and when none could be connected to. request_not_placed now names the upstreams of the service, how many are unreachable, their load and slots; upstream_unreachable and upstream_reachable mark the changes, and a gauge counts them. Opening a connection to an upstream and recording its outcome stand in one place, for requests and for the check whether an upstream crashed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod attempts;
 mod batch_plan;
+mod connectivity;
 mod crash_evidence;
 mod crash_suspects;
 mod events;
@@ -52,6 +53,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
+    connectivity::ServiceState,
     crash_evidence::{CrashReport, RequestInFlight, Survival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     BatchDemand, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
+    connectivity::Connectivity,
     health::Health,
     moving_average::MovingAverage,
     peer_loads::{PeerLoad, RowPosition},
@@ -100,6 +101,7 @@
     pub(crate) warmed_up_at_ms: u64,
     /// Whether this incarnation said that it is leaving.
     pub(crate) is_leaving: bool,
+    pub(crate) connectivity: Connectivity,
     pub(crate) health: Health,
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
@@ -401,6 +403,7 @@
             hash,
             remove_at_ms: None,
             is_leaving: false,
+            connectivity: Connectivity::default(),
             health: Health::default(),
             own_load: load,
             peer_load,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -11,11 +11,8 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    connection_pool::{Connection, connect},
-    crash_detection,
-    forward::forwarded_headers,
-    node::Node,
-    quarantine, rate_limits,
+    connection_pool::Connection, crash_detection, forward::forwarded_headers, node::Node,
+    quarantine, rate_limits, upstream_connections,
 };
 
 /// Time for which no request is sent to an upstream after it answered that it is full,
@@ -372,22 +369,7 @@
     {
         return Ok(idle);
     }
-    let started = std::time::Instant::now();
-    let timeout_ms = node.upstreams.borrow().connect_timeout_ms(target);
-    let result = connect(target.address, timeout_ms).await;
-    let elapsed_ms = started.elapsed().as_secs_f64() * 1_000.0;
-    // The duration of a time-out is recorded as well, so that the estimate of the
-    // round-trip time grows if the real round trip exceeds it.
-    let measures_round_trip = result
-        .as_ref()
-        .err()
-        .is_none_or(|error| error.kind() == ErrorKind::TimedOut);
-    if measures_round_trip {
-        node.upstreams
-            .borrow_mut()
-            .record_round_trip(target, elapsed_ms);
-    }
-    result
+    upstream_connections::open(node, target).await
 }
 
 fn build_request(
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -12,7 +12,7 @@
 use model::PromptPartId;
 use tokio::{task::spawn_local, time::sleep};
 
-use crate::{connection_pool::connect, node::Node, quarantine};
+use crate::{node::Node, quarantine, upstream_connections};
 
 /// How often, and at which interval, it is checked whether another incarnation has been
 /// registered since an answer was lost.
@@ -49,8 +49,7 @@
     if node.quarantine.borrow().knows_crash(target) {
         return true;
     }
-    let timeout_ms = node.upstreams.borrow().connect_timeout_ms(target);
-    match connect(target.address, timeout_ms).await {
+    match upstream_connections::open(node, target).await {
         Err(error) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(_) => is_soon_succeeded(node, target).await,
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -270,12 +270,17 @@
                 retry_after_ms,
                 expected_ms,
             } => {
+                let state = self.node.upstreams.borrow().service_state(&self.service);
                 log::warn!(
-                    "event=request_not_placed request={} route={} reason={} expected_ms={expected_ms} goal_ms={} waited_ms={waited_ms} retry_after_ms={retry_after_ms}",
+                    "event=request_not_placed request={} route={} reason={} expected_ms={expected_ms} goal_ms={} waited_ms={waited_ms} retry_after_ms={retry_after_ms} upstreams={} unreachable={} load={} slots={}",
                     self.outgoing.request_id,
                     self.route.name,
                     reason.as_str(),
-                    self.route.goal_ms
+                    self.route.goal_ms,
+                    state.ready,
+                    state.unreachable,
+                    state.load,
+                    state.slots
                 );
                 Err(self.refuse(reason, retry_after_ms))
             }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -45,6 +45,7 @@
 mod shutdown;
 mod store_calls;
 mod stream_versions;
+mod upstream_connections;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -69,6 +69,7 @@
     store_age: Gauge<f64>,
     ready_upstreams: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    unreachable_upstreams: Gauge<u64>,
     busiest: BusiestUpstreams,
 }
 
@@ -144,6 +145,10 @@
                 .with_description("Time since the store last answered")
                 .build(),
             ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
+            unreachable_upstreams: gauge(
+                "redwingtack.upstreams_unreachable",
+                "Upstreams that this instance cannot connect to",
+            ),
             limited_upstreams: gauge(
                 "redwingtack.upstreams_limited",
                 "Upstreams that state a rate limit",
@@ -260,6 +265,8 @@
         self.waiting_items.record(item_counts.sum(), &[]);
         self.ready_upstreams
             .record(upstreams.ready_count() as u64, &[]);
+        self.unreachable_upstreams
+            .record(upstreams.unreachable_count() as u64, &[]);
         self.limited_upstreams
             .record(upstreams.limited_count() as u64, &[]);
         self.record_quarantined(node.quarantine.borrow().quarantined());
