Failing tests: callers of an instance that reaches no upstream are not served

Real processes; one instance has paths of its own to the upstreams through loopback proxies, which hang, refuse, or refuse only new connections.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub mod store_proxy;
+pub mod upstream_proxy;
 
 use std::{
     env,
@@ -36,7 +37,8 @@
     time::{Instant, sleep, timeout},
 };
 
-use store_proxy::StoreProxy;
+use store_proxy::{Replacement, StoreProxy};
+use upstream_proxy::{PathState, UpstreamProxy};
 
 /// Host name of all routes.
 pub const HOST: &str = "hints.example";
@@ -60,6 +62,21 @@
     addresses: AddressBlock,
 }
 
+/// The paths from one process to the servers, in their order, and to the store.
+pub struct Paths {
+    pub proxies: Vec<UpstreamProxy>,
+    pub store: StoreProxy,
+}
+
+impl Paths {
+    /// Sets the state of the paths to all servers.
+    pub async fn set_all(&mut self, state: PathState) {
+        for proxy in &mut self.proxies {
+            proxy.set_state(state).await;
+        }
+    }
+}
+
 /// A stand-in of a model server and the id under which it is registered.
 pub struct Server {
     pub id: String,
@@ -154,6 +171,27 @@
         proxy
     }
 
+    /// Starts a process that reaches the servers through proxies of its own, and waits until
+    /// it is ready.
+    pub async fn add_node_with_own_paths(&mut self, name: &str) -> Paths {
+        let mut proxies = Vec::new();
+        let mut replacements = Vec::new();
+        for server in &self.servers {
+            let proxy = UpstreamProxy::start(server.standin.address()).await;
+            replacements.push(Replacement {
+                from: encoded_address(server.standin.address()),
+                to: encoded_address(proxy.address()),
+            });
+            proxies.push(proxy);
+        }
+        let store = StoreProxy::start_replacing(self.store.address(), replacements).await;
+        let ip = self.addresses.next_ip();
+        let node = NodeProcess::start(name, ip, store.address(), None);
+        node.wait_until_ready().await;
+        self.nodes.push(node);
+        Paths { proxies, store }
+    }
+
     pub async fn put_config(&self, version: u64) {
         self.put_config_with_limit(version, 0).await;
     }
@@ -656,6 +694,14 @@
     lines.join("\n")
 }
 
+/// Returns the beginning of a registration that names an address, as the store encodes it.
+/// Addresses on loopback with five digits of port give whole base64 groups.
+fn encoded_address(address: SocketAddr) -> Vec<u8> {
+    let beginning = format!("{{\"addr\":\"{address}");
+    assert_eq!(beginning.len() % 3, 0, "{beginning}");
+    BASE64.encode(beginning).into_bytes()
+}
+
 fn item(id: &str, path: &str, headers: &Value) -> Value {
     json!({"id": id, "path": path, "headers": headers,
            "body": BASE64.encode(format!("body of {id}")), "tokens": 9})
