A connect time-out counts as a lost path, not as a slow round trip

Callers saw: an instance that could connect to no upstream refused their requests as saturated while the upstreams were a third full, and went on refusing for up to eight seconds after the path was back.

Cause: the duration of a time-out entered the estimate of the round trip, so that it would grow if the real round trip was longer; the time-out is three round trips, so both ran away together, and the expected time passed the goal at every upstream. Now the time-out itself doubles with each time-out in a row, up to a second, and only opened connections are measured. A round trip that is longer than assumed is found as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
-    connectivity::ServiceState,
+    connectivity::{ConnectFailure, ServiceState},
     crash_evidence::{CrashReport, RequestInFlight, Survival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -341,12 +341,12 @@
     /// Returns the connect time-out for an upstream, milliseconds.
     #[must_use]
     pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
-        let round_trip_ms = self
-            .find(&target.upstream)
-            .map_or(OTHER_REGION_ROUND_TRIP_MS, |index| {
-                self.round_trip_ms(&self.rows[index])
-            });
-        round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
+        let Ok(index) = self.find(&target.upstream) else {
+            return first_connect_timeout_ms(OTHER_REGION_ROUND_TRIP_MS);
+        };
+        let row = &self.rows[index];
+        let first_ms = first_connect_timeout_ms(self.round_trip_ms(row));
+        row.connectivity.connect_timeout_ms(first_ms)
     }
 
     /// Returns the expected round-trip time to an upstream, milliseconds.
@@ -459,6 +459,10 @@
     }
 }
 
+fn first_connect_timeout_ms(round_trip_ms: f64) -> u64 {
+    round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
+}
+
 #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
 pub(crate) fn as_f64(ms: u64) -> f64 {
     ms as f64
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -3,10 +3,13 @@
 
 mod support;
 
-use gateway::{Placement, PlacementRequest, RefusalReason, UpstreamState, WorkKind};
+use gateway::{
+    ConnectFailure, Placement, PlacementRequest, RefusalReason, UpstreamState, WorkKind,
+};
 use model::UpstreamId;
 use support::{
-    GOAL_MS, SLOTS, entry, notice, place, place_after_attempts, service, target_of, upstream_table,
+    GOAL_MS, SLOTS, entry, expected_ms_of, notice, place, place_after_attempts, service, target_of,
+    upstream_table,
 };
 
 /// Time for which a request holds its slot, milliseconds.
@@ -188,11 +191,7 @@
         let first = place(&mut table, 0);
         table.record_completion(target_of(&first), WorkKind::Online, HOLD_MS);
         table.receive_notice(notice("peer", 1, loads), 0);
-        match place(&mut table, 0) {
-            Placement::Send { expected_ms, .. } | Placement::Refuse { expected_ms, .. } => {
-                expected_ms
-            }
-        }
+        expected_ms_of(&place(&mut table, 0))
     };
     assert!(expected(&[("u1", 4, 4)]) < expected(&[("u1", 8, 0)]));
     assert!(expected(&[("u1", 8, 0)]) < expected(&[("u1", 12, 0)]));
@@ -210,6 +209,23 @@
     assert!(table.connect_timeout_ms(&target) > 250);
 }
 
+/// A connect time-out says that the path is lost, not that the upstream is slow: requests
+/// would be refused as if it were saturated.
+#[test]
+fn place_connect_timeouts_do_not_delay_answers() {
+    let mut table = upstream_table("me", &[("u1", "north-a")]);
+    let target = target_of(&place(&mut table, 0)).clone();
+    table.record_round_trip(&target, 1.0);
+    let first_timeout_ms = table.connect_timeout_ms(&target);
+    for _ in 0..20 {
+        table.record_connect_failure(&target, ConnectFailure::TimedOut, 0);
+    }
+    assert!(expected_ms_of(&place(&mut table, 0)) < 10);
+    assert!(table.connect_timeout_ms(&target) >= 4 * first_timeout_ms);
+    table.record_connected(&target, 0);
+    assert_eq!(table.connect_timeout_ms(&target), first_timeout_ms);
+}
+
 /// The only upstream has just failed. Sending a request to it is still better
 /// than refusing the request.
 #[test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -82,6 +82,12 @@
     }
 }
 
+pub fn expected_ms_of(placement: &Placement) -> u64 {
+    match placement {
+        Placement::Send { expected_ms, .. } | Placement::Refuse { expected_ms, .. } => *expected_ms,
+    }
+}
+
 /// Creates a notice of a peer with loads as (upstream, online, batch).
 pub fn notice(instance: &str, sequence: u64, loads: &[(&str, u16, u16)]) -> LoadNotice {
     let mut loads: Vec<_> = loads
--- a/crates/node/src/upstream_connections.rs
+++ b/crates/node/src/upstream_connections.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 
-use gateway::Target;
+use gateway::{ConnectFailure, Target};
 use tokio::time::Instant;
 
 use crate::{
@@ -28,13 +28,8 @@
 fn record_outcome(node: &Node, target: &Target, error: Option<&io::Error>, elapsed_ms: f64) {
     let now_ms = node.now_ms();
     let mut upstreams = node.upstreams.borrow_mut();
-    // The duration of a time-out is recorded as well, so that the estimate of the
-    // round-trip time grows if the real round trip exceeds it.
-    if error.is_none_or(|error| error.kind() == io::ErrorKind::TimedOut) {
-        upstreams.record_round_trip(target, elapsed_ms);
-    }
     if let Some(error) = error {
-        if upstreams.record_connect_failure(target, now_ms) {
+        if upstreams.record_connect_failure(target, failure_kind(error), now_ms) {
             log::warn!(
                 "event=upstream_unreachable upstream={} error={} unreachable={}",
                 target.upstream,
@@ -42,7 +37,10 @@
                 upstreams.unreachable_count()
             );
         }
-    } else if let Some(lost_for_ms) = upstreams.record_connected(target, now_ms) {
+        return;
+    }
+    upstreams.record_round_trip(target, elapsed_ms);
+    if let Some(lost_for_ms) = upstreams.record_connected(target, now_ms) {
         log::info!(
             "event=upstream_reachable upstream={} lost_for_ms={lost_for_ms} unreachable={}",
             target.upstream,
@@ -50,3 +48,10 @@
         );
     }
 }
+
+fn failure_kind(error: &io::Error) -> ConnectFailure {
+    match error.kind() {
+        io::ErrorKind::TimedOut => ConnectFailure::TimedOut,
+        _ => ConnectFailure::Refused,
+    }
+}
