--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use model::UpstreamId;
+use serde::{Deserialize, Serialize};
 
 use crate::route::Route;
 
@@ -16,7 +17,7 @@
 const ATTEMPT_MIN_MS: u64 = 20;
 
 /// How an attempt ended without an answer for the caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptEnd {
     /// No part of the request was sent.
     NotSent,
--- a/crates/gateway/src/batch_plan.rs
+++ b/crates/gateway/src/batch_plan.rs
@@ -224,6 +224,7 @@
             .iter()
             .filter(|row| row.entry.service == *service)
             .filter(|row| row.is_ready() && row.health.is_usable(now_ms))
+            .filter(|row| !self.is_path_lost(row) || self.has_proxy(row, now_ms))
             .map(|row| FreeSlots {
                 row,
                 region: self.region_of(&row.entry.failure_domain),
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -55,9 +55,24 @@
         self.suspended_until_ms = self.suspended_until_ms.max(until_ms);
     }
 
-    /// Records that a request was sent.
-    pub(crate) fn record_sent(&mut self) {
-        if self.consecutive_failures > 0 {
+    /// Records that the upstream could not be connected to. When it is tried again is decided
+    /// by [`crate::connectivity`].
+    pub(crate) fn record_unreachable(&mut self) {
+        self.has_probe_in_flight = false;
+        self.failure_rate.add(1.0);
+    }
+
+    /// Forgets failures, because they were those of a path that is back.
+    pub(crate) fn forgive(&mut self) {
+        self.consecutive_failures = 0;
+        self.has_probe_in_flight = false;
+        self.ejected_until_ms = 0;
+    }
+
+    /// Records that a request was sent. `is_unproven` is set if the last connection to the
+    /// upstream failed.
+    pub(crate) fn record_sent(&mut self, is_unproven: bool) {
+        if self.consecutive_failures > 0 || is_unproven {
             self.has_probe_in_flight = true;
         }
     }
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -68,7 +68,7 @@
         })
     }
 
-    fn known_incarnation(&self, target: &Target) -> Option<&UpstreamRow> {
+    pub(crate) fn known_incarnation(&self, target: &Target) -> Option<&UpstreamRow> {
         let row = &self.rows[self.find(&target.upstream).ok()?];
         (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod peers;
 mod placement;
 mod probation;
+mod proxies;
 mod quarantine;
 mod quarantine_notice;
 mod rate_limits;
@@ -53,7 +54,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
-    connectivity::{ConnectFailure, ServiceState},
+    connectivity::{ConnectFailure, PathLoss, PathNotice, ServiceState},
     crash_evidence::{CrashReport, RequestInFlight, Survival},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
@@ -63,6 +64,7 @@
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
     probation::RequestTrial,
+    proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -47,17 +47,19 @@
 
 impl UpstreamTable {
     /// Replaces the load of a peer by that of a newer notice. Outdated notices
-    /// and notices of this instance itself are ignored.
-    pub fn receive_notice(&mut self, notice: LoadNotice, now_ms: u64) {
+    /// and notices of this instance itself are ignored. Returns whether the notice was not
+    /// ignored.
+    pub fn receive_notice(&mut self, notice: LoadNotice, now_ms: u64) -> bool {
         if notice.instance == self.locality.instance {
-            return;
+            return false;
         }
         let loads = notice.loads.clone();
         let Some(replaced) = self.peer_notices.receive(notice, now_ms) else {
-            return;
+            return false;
         };
         self.update_peer_loads(&replaced, PeerLoad::remove);
         self.update_peer_loads(&loads, PeerLoad::add);
+        true
     }
 
     /// Returns the requests in flight at each upstream, sorted by upstream id.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::BatchDemand;
+use crate::{BatchDemand, proxies::ProxyState};
 
 /// Time after which a silent peer counts as having nothing in flight,
 /// milliseconds. It is three times the maximum time between two notices.
@@ -106,6 +106,7 @@
 struct PeerRow {
     notice: LoadNotice,
     received_ms: u64,
+    proxy: ProxyState,
 }
 
 impl PeerNotices {
@@ -121,17 +122,20 @@
             old.started_unix_ms != notice.started_unix_ms || old.sequence < notice.sequence
         };
         let is_accepted = found.is_ok_and(|index| is_newer(&self.rows[index].notice));
-        let row = PeerRow {
-            received_ms: now_ms,
-            notice,
-        };
         match found {
             Ok(index) if is_accepted => {
-                let replaced = mem::replace(&mut self.rows[index], row);
-                Some(replaced.notice.loads)
+                let row = &mut self.rows[index];
+                row.received_ms = now_ms;
+                let replaced = mem::replace(&mut row.notice, notice);
+                Some(replaced.loads)
             }
             Ok(_) => None,
             Err(index) => {
+                let row = PeerRow {
+                    received_ms: now_ms,
+                    notice,
+                    proxy: ProxyState::default(),
+                };
                 self.rows.insert(index, row);
                 Some(Vec::new())
             }
@@ -160,6 +164,19 @@
         silent.map(|row| row.notice).collect()
     }
 
+    /// Returns the newest notice of each peer, with what is known of it as a proxy.
+    pub(crate) fn proxies(&self) -> impl Iterator<Item = (&LoadNotice, &ProxyState)> {
+        self.rows.iter().map(|row| (&row.notice, &row.proxy))
+    }
+
+    /// Returns what is known of a peer as a proxy, if it sent a notice recently.
+    pub(crate) fn proxy_mut(&mut self, instance: &InstanceId) -> Option<&mut ProxyState> {
+        let found = self
+            .rows
+            .binary_search_by(|row| row.notice.instance.cmp(instance));
+        Some(&mut self.rows[found.ok()?].proxy)
+    }
+
     /// Returns the newest notice of each peer.
     pub(crate) fn notices(&self) -> impl Iterator<Item = &LoadNotice> {
         self.rows.iter().map(|row| &row.notice)
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 
 use crate::{
+    proxies::Proxies,
     service_timings::TimingEstimates,
     stream_origins::VersionHash,
     upstream::UpstreamEntry,
@@ -178,14 +179,20 @@
     pub fn place(&mut self, request: &PlacementRequest<'_>, now_ms: u64) -> Placement {
         self.record_wanted(request.service, now_ms);
         let timings = self.timing_estimates(request.service, as_f64(request.goal_ms));
-        let mut candidates = self.candidates(request, timings, now_ms);
+        let proxies = if self.has_lost_paths() {
+            self.proxies(now_ms)
+        } else {
+            Proxies::default()
+        };
+        let mut candidates = self.candidates(request, timings, &proxies, now_ms);
         let Some(mut chosen) = self.choose(&candidates) else {
             return self.refuse_without_candidate(request, now_ms);
         };
         // This request is as likely to be the first of the unseen ones as the last.
         let unseen = self.unseen_placements(request.service, timings);
         for _ in 0..self.rng.random_range(0..=unseen) {
-            self.add_unseen_request(&mut candidates[chosen], timings, request, now_ms);
+            candidates[chosen].unseen += 1;
+            self.estimate(&mut candidates[chosen], timings, request, now_ms);
             chosen = self.choose(&candidates).unwrap_or(chosen);
         }
         let Candidate {
@@ -254,19 +261,6 @@
         round_count(rate_per_ms * timings.own_region_age_ms)
     }
 
-    /// Counts a request that a peer is expected to have placed at a candidate.
-    fn add_unseen_request(
-        &self,
-        candidate: &mut Candidate,
-        timings: TimingEstimates,
-        request: &PlacementRequest<'_>,
-        now_ms: u64,
-    ) {
-        let row = &self.rows[candidate.index];
-        let unseen = candidate.unseen + 1;
-        *candidate = self.candidate(candidate.index, row, timings, request, unseen, now_ms);
-    }
-
     fn preemption(&self, row: &UpstreamRow) -> Preemption {
         let missing_slots = row.missing_slots(0);
         if missing_slots == 0 || row.preemptible() < missing_slots {
@@ -286,9 +280,10 @@
         &self,
         request: &PlacementRequest<'_>,
         timings: TimingEstimates,
+        proxies: &Proxies,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let service_rows: Vec<_> = self
+        let mut candidates: Vec<_> = self
             .rows
             .iter()
             .enumerate()
@@ -300,40 +295,63 @@
                     .is_none_or(|version| row.runs(version, now_ms))
             })
             .filter(|(_, row)| self.is_within_limit(row, now_ms))
+            .map(|(index, row)| self.candidate(index, row, request, proxies, now_ms))
             .collect();
-        let is_usable = |row: &UpstreamRow| row.health.is_usable(now_ms);
-        let is_untried = |row: &UpstreamRow| !request.tried.contains(&row.entry.id);
-        let filters_by_preference: [&dyn Fn(&UpstreamRow) -> bool; 4] = [
-            &|row| is_usable(row) && is_untried(row),
-            &is_usable,
-            &is_untried,
-            &|_| true,
-        ];
-        filters_by_preference
+        let best = candidates
             .iter()
-            .map(|matches_filter| {
-                let chosen = service_rows.iter().filter(|(_, row)| matches_filter(row));
-                chosen
-                    .map(|(index, row)| self.candidate(*index, row, timings, request, 0, now_ms))
-                    .collect::<Vec<_>>()
-            })
-            .find(|candidates| !candidates.is_empty())
-            .unwrap_or_default()
+            .map(|candidate| candidate.preference)
+            .max();
+        candidates.retain(|candidate| Some(candidate.preference) == best);
+        for candidate in &mut candidates {
+            self.estimate(candidate, timings, request, now_ms);
+        }
+        candidates
     }
 
-    /// Returns an upstream as a candidate, with `unseen` requests more than known.
+    /// Returns an upstream as a candidate, without estimates.
     fn candidate(
         &self,
         index: usize,
         row: &UpstreamRow,
-        timings: TimingEstimates,
         request: &PlacementRequest<'_>,
-        unseen: u32,
+        proxies: &Proxies,
         now_ms: u64,
     ) -> Candidate {
+        let proxied_round_trip_ms = if self.is_path_lost(row) {
+            let region = self.region_of(&row.entry.failure_domain);
+            proxies
+                .best(row, region)
+                .map(|(_, round_trip_ms)| round_trip_ms)
+        } else {
+            None
+        };
+        let has_path = !self.is_path_lost(row) || proxied_round_trip_ms.is_some();
+        Candidate {
+            index,
+            unseen: 0,
+            preference: Preference {
+                is_usable: row.health.is_usable(now_ms) && has_path,
+                is_untried: !request.tried.contains(&row.entry.id),
+            },
+            round_trip_ms: proxied_round_trip_ms.unwrap_or_else(|| self.round_trip_ms(row)),
+            expected_ms: 0.0,
+            cost_ms: 0.0,
+        }
+    }
+
+    /// Estimates when an answer of a candidate would begin, and its cost.
+    fn estimate(
+        &self,
+        candidate: &mut Candidate,
+        timings: TimingEstimates,
+        request: &PlacementRequest<'_>,
+        now_ms: u64,
+    ) {
+        let row = &self.rows[candidate.index];
+        let unseen = candidate.unseen;
         let unreported = self.unreported_remote_online(row, timings) + unseen;
         let wait_ms = row.wait_ms(timings, unreported);
-        let expected_ms = self.round_trip_ms(row) + wait_ms + row.delay_ms(now_ms);
+        let expected_ms = candidate.round_trip_ms + wait_ms + row.delay_ms(now_ms);
         let utilization = f64::from(row.load() + unseen) / f64::from(row.entry.slots);
         let failure_ms = row.health.failure_rate() * as_f64(request.goal_ms);
         let warm_up_ms = if now_ms < row.warmed_up_at_ms {
@@ -341,12 +359,8 @@
         } else {
             0.0
         };
-        Candidate {
-            index,
-            unseen,
-            expected_ms,
-            cost_ms: expected_ms + utilization * FULL_LOAD_COST_MS + failure_ms + warm_up_ms,
-        }
+        candidate.expected_ms = expected_ms;
+        candidate.cost_ms = expected_ms + utilization * FULL_LOAD_COST_MS + failure_ms + warm_up_ms;
     }
 
     /// Returns the retry delay after a refusal, with jitter. Slots become free
@@ -365,10 +379,23 @@
     /// Number of requests that peers are expected to have placed there since their
     /// last notices.
     unseen: u32,
+    preference: Preference,
+    /// Round trip to the upstream, through a proxy if this instance has no path to it.
+    round_trip_ms: f64,
     expected_ms: f64,
     cost_ms: f64,
 }
 
+/// Whether an upstream is preferred to others, whatever the costs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Preference {
+    /// Whether the upstream is neither ejected nor without any path. The others are used as a
+    /// last resort.
+    is_usable: bool,
+    /// Whether the request was not sent there before.
+    is_untried: bool,
+}
+
 impl UpstreamRow {
     /// Returns the expected wait for a slot, milliseconds. `unreported` is the
     /// number of requests at the upstream that no notice has reported yet.
--- a/crates/gateway/src/request_content.rs
+++ b/crates/gateway/src/request_content.rs
@@ -76,7 +76,7 @@
 }
 
 /// Content of a request that is sent to upstreams.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestContent {
     /// Fingerprint of the whole request.
     pub fingerprint: RequestFingerprint,
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -2,12 +2,12 @@
 
 use model::ServiceName;
 
-use crate::{UpstreamTable, moving_average::MovingAverage};
+use crate::{UpstreamTable, connectivity::ServiceConnectivity, moving_average::MovingAverage};
 
 /// Measurements shared by all upstreams of a service.
 #[derive(Debug)]
 pub(crate) struct ServiceRow {
-    service: ServiceName,
+    pub(crate) service: ServiceName,
     pub(crate) online_hold_ms: MovingAverage,
     pub(crate) batch_hold_ms: MovingAverage,
     pub(crate) last_online_ms: u64,
@@ -15,6 +15,7 @@
     last_wanted_ms: Option<u64>,
     /// When a request was last refused because no upstream could answer in time.
     last_refused_ms: Option<u64>,
+    pub(crate) connectivity: ServiceConnectivity,
 }
 
 /// Expected times for which requests of a service hold their slots, the maximum
@@ -77,7 +78,7 @@
         self.known_service(service)?.last_refused_ms
     }
 
-    fn known_service(&self, service: &ServiceName) -> Option<&ServiceRow> {
+    pub(crate) fn known_service(&self, service: &ServiceName) -> Option<&ServiceRow> {
         Some(&self.services[self.find_service(service).ok()?])
     }
 
@@ -98,6 +99,7 @@
                     last_online_ms: 0,
                     last_wanted_ms: None,
                     last_refused_ms: None,
+                    connectivity: ServiceConnectivity::default(),
                 };
                 self.services.insert(index, row);
                 index
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -1,9 +1,10 @@
 //! The upstreams, with what this instance knows of each of them.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use model::{FailureDomain, InstanceId, Region, ServiceName, SoftwareVersion, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     BatchDemand, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
@@ -24,12 +25,8 @@
 /// Assumed round-trip times to upstreams until the first measurement,
 /// milliseconds.
 const SAME_DOMAIN_ROUND_TRIP_MS: f64 = 1.0;
-const SAME_REGION_ROUND_TRIP_MS: f64 = 4.0;
-const OTHER_REGION_ROUND_TRIP_MS: f64 = 60.0;
-/// Connect time-out as a multiple of the round-trip time.
-const CONNECT_ROUND_TRIPS: f64 = 3.0;
-/// Time added to the connect time-out, milliseconds.
-const CONNECT_SLACK_MS: u64 = 40;
+pub(crate) const SAME_REGION_ROUND_TRIP_MS: f64 = 4.0;
+pub(crate) const OTHER_REGION_ROUND_TRIP_MS: f64 = 60.0;
 /// Time in which the successor of an incarnation that crashed has registered, milliseconds.
 const SUCCESSION_MS: u64 = 3_000;
 /// Age from which a measured answer delay is ignored, milliseconds.
@@ -49,7 +46,7 @@
 }
 
 /// Kind of a request in flight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkKind {
     /// An online request, whose answer a caller waits for.
     Online,
@@ -235,11 +232,14 @@
         if kind == WorkKind::Online {
             self.service_row(&target.service).last_online_ms = now_ms;
         }
-        let Some(row) = self.incarnation_row(target) else {
+        let Some(index) = self.find_incarnation(target) else {
             return;
         };
+        let row = &self.rows[index];
+        let is_unproven = row.connectivity.is_lost() && !self.has_proxy(row, now_ms);
+        let row = &mut self.rows[index];
         let incarnation = row.incarnation;
-        row.health.record_sent();
+        row.health.record_sent(is_unproven);
         match kind {
             WorkKind::Online => row.own_load.online += 1,
             WorkKind::Batch => row.own_load.batch += 1,
@@ -293,6 +293,21 @@
             .map_or(0, |index| self.rows[index].load())
     }
 
+    /// Returns an incarnation of an upstream if it is in service.
+    #[must_use]
+    pub fn target(&self, id: &UpstreamId, started_unix_ms: u64) -> Option<Target> {
+        let row = &self.rows[self.find(id).ok()?];
+        let is_meant = row.entry.started_unix_ms == started_unix_ms && row.is_ready();
+        is_meant.then(|| Target::new(&row.entry))
+    }
+
+    /// Returns the addresses of the upstreams of a service.
+    pub fn addresses(&self, service: &ServiceName) -> impl Iterator<Item = SocketAddr> {
+        let rows = self.rows.iter();
+        rows.filter(|row| row.entry.service == *service)
+            .map(|row| row.entry.address)
+    }
+
     /// Returns the registration of an upstream, or `None` if it has none.
     #[must_use]
     pub fn entry(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
@@ -338,17 +353,6 @@
         self.rows.iter().filter(|row| row.is_ready()).count()
     }
 
-    /// Returns the connect time-out for an upstream, milliseconds.
-    #[must_use]
-    pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
-        let Ok(index) = self.find(&target.upstream) else {
-            return first_connect_timeout_ms(OTHER_REGION_ROUND_TRIP_MS);
-        };
-        let row = &self.rows[index];
-        let first_ms = first_connect_timeout_ms(self.round_trip_ms(row));
-        row.connectivity.connect_timeout_ms(first_ms)
-    }
-
     /// Returns the expected round-trip time to an upstream, milliseconds.
     pub(crate) fn round_trip_ms(&self, row: &UpstreamRow) -> f64 {
         let domain = &row.entry.failure_domain;
@@ -376,9 +380,14 @@
     }
 
     pub(crate) fn incarnation_row(&mut self, target: &Target) -> Option<&mut UpstreamRow> {
+        let index = self.find_incarnation(target)?;
+        self.rows.get_mut(index)
+    }
+
+    fn find_incarnation(&self, target: &Target) -> Option<usize> {
         let index = self.find(&target.upstream).ok()?;
-        let row = &mut self.rows[index];
-        (row.entry.started_unix_ms == target.started_unix_ms).then_some(row)
+        let is_same = self.rows[index].entry.started_unix_ms == target.started_unix_ms;
+        is_same.then_some(index)
     }
 
     fn new_row(&self, entry: UpstreamEntry, now_ms: u64) -> UpstreamRow {
@@ -459,10 +468,6 @@
     }
 }
 
-fn first_connect_timeout_ms(round_trip_ms: f64) -> u64 {
-    round_ms(round_trip_ms * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS
-}
-
 #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
 pub(crate) fn as_f64(ms: u64) -> f64 {
     ms as f64
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -218,7 +218,7 @@
     table.record_round_trip(&target, 1.0);
     let first_timeout_ms = table.connect_timeout_ms(&target);
     for _ in 0..20 {
-        table.record_connect_failure(&target, ConnectFailure::TimedOut, 0);
+        table.record_connect_failure(&target, ConnectFailure::TimedOut, 0, 0);
     }
     assert!(expected_ms_of(&place(&mut table, 0)) < 10);
     assert!(table.connect_timeout_ms(&target) >= 4 * first_timeout_ms);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,18 +1,22 @@
 //! One attempt to send a request to an upstream, from opening the connection to
 //! receiving the head of the answer.
 
-use std::{io::ErrorKind, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
-use http::{HeaderMap, Method, Request, Response, Uri, header, request};
-use http_body_util::Full;
+use http::{HeaderMap, Method, Response, Uri, header, request};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 
 use crate::{
-    connection_pool::Connection, crash_detection, forward::forwarded_headers, node::Node,
-    quarantine, rate_limits, upstream_connections,
+    crash_detection,
+    exchange::{
+        ExchangeFailure, FailureMeaning, UsedConnection, exchange_on, take_idle_connection,
+    },
+    forward::forwarded_headers,
+    node::Node,
+    proxied_attempt::{self, ProxyGuard},
+    quarantine, rate_limits,
 };
 
 /// Time for which no request is sent to an upstream after it answered that it is full,
@@ -61,7 +65,7 @@
 
     /// Returns whether the body is small enough to have been sent in full before an
     /// answer arrives.
-    fn has_small_body(&self) -> bool {
+    pub(crate) fn has_small_body(&self) -> bool {
         self.body.len() <= REUSE_BODY_MAX_BYTES
     }
 }
@@ -89,8 +93,7 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
     pub(crate) in_flight: InFlightGuard,
-    connection: Connection,
-    can_reuse_connection: bool,
+    transport: Transport,
     /// When the first event arrived, in milliseconds on the node's clock.
     first_event_ms: Option<u64>,
     event_count: u64,
@@ -98,6 +101,15 @@
     has_survived: bool,
 }
 
+/// How an answer reaches this instance.
+#[derive(Debug)]
+enum Transport {
+    /// From the upstream.
+    Direct(UsedConnection),
+    /// Through a peer.
+    Proxied(ProxyGuard),
+}
+
 /// A failed attempt, which has no answer for the caller.
 #[derive(Debug)]
 pub(crate) struct AttemptFailure {
@@ -232,11 +244,19 @@
         if self.is_delimited() {
             self.record_survival(node);
         }
-        if self.can_reuse_connection {
-            let keep_alive_ms = platform::keep_alive_timeout_ms(&self.head.headers);
-            let address = self.in_flight.target.address;
-            node.connection_pool
-                .put_idle(address, self.connection, keep_alive_ms, node.now_ms());
+        if let Transport::Direct(connection) = &mut self.transport {
+            connection.return_to_pool(node, &self.in_flight.target, &self.head.headers);
+        }
+    }
+
+    /// Records that the answer broke off.
+    pub(crate) fn record_lost_answer(&self) {
+        match &self.transport {
+            Transport::Direct(_) => self.in_flight.record_lost_answer(),
+            Transport::Proxied(guard) => {
+                self.in_flight.record_failure();
+                guard.record_lost_answer();
+            }
         }
     }
 }
@@ -265,132 +285,56 @@
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
 ) -> Result<UpstreamAnswer, AttemptFailure> {
-    let target = &in_flight.target;
-    let mut connection = match obtain_connection(node, target, outgoing, options).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            in_flight.record_failure();
-            if error.kind() == ErrorKind::ConnectionRefused {
-                let now_ms = node.now_ms();
-                node.upstreams.borrow_mut().record_crash(target, now_ms);
+    let (response, transport) = exchange(node, &in_flight.target, outgoing, options)
+        .await
+        .map_err(|error| {
+            match error.meaning {
+                FailureMeaning::Nothing => {}
+                FailureMeaning::Failed => in_flight.record_failure(),
+                FailureMeaning::AnswerLost => in_flight.record_lost_answer(),
             }
-            return Err(AttemptFailure::new(AttemptEnd::NotSent, error));
-        }
-    };
-    // The upstream may have said so while the connection was opened.
-    if node.upstreams.borrow().is_leaving(target) {
-        return Err(AttemptFailure::new(
-            AttemptEnd::NotSent,
-            "the upstream is leaving",
-        ));
-    }
-    let request = build_request(node, target, outgoing, options);
-    let response = match exchange_head(node, &mut connection, request, options).await {
-        Ok(response) => response,
-        Err(failure) => {
-            if failure.end == AttemptEnd::Broken {
-                in_flight.record_lost_answer();
-            } else {
-                in_flight.record_failure();
-            }
-            return Err(failure);
-        }
-    };
-    record_if_leaving(node, target, response.headers());
-    rate_limits::record_statement(node, target, response.headers());
+            error.failure
+        })?;
     check_head(node, &in_flight, &response, outgoing, options)?;
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
         head,
         body,
         in_flight,
-        connection,
-        can_reuse_connection: outgoing.has_small_body(),
+        transport,
         first_event_ms: None,
         event_count: 0,
         has_survived: false,
     })
 }
 
-/// Sends a request on a connection and waits for the head of its answer.
-async fn exchange_head(
-    node: &Node,
-    connection: &mut Connection,
-    request: Request<Full<Bytes>>,
-    options: AttemptOptions,
-) -> Result<Response<Incoming>, AttemptFailure> {
-    let head_limit = Rc::clone(&connection.head_limit);
-    head_limit.begin_head();
-    let exchange = connection.sender.try_send_request(request);
-    let deadline = node.clock.instant(options.head_deadline_ms);
-    let result = tokio::select! {
-        // A head may be complete in the same bytes that exceed the limit.
-        biased;
-        result = timeout_at(deadline, exchange) => result,
-        () = head_limit.exceeded() => {
-            return Err(AttemptFailure::new(AttemptEnd::Broken, "the head of the answer is too long"));
-        }
-    };
-    match result {
-        Ok(Ok(response)) => {
-            head_limit.end_head();
-            Ok(response)
-        }
-        Ok(Err(mut error)) => {
-            let was_sent = error.take_message().is_none();
-            let end = if was_sent {
-                AttemptEnd::Broken
-            } else {
-                AttemptEnd::NotSent
-            };
-            Err(AttemptFailure::new(end, error.error()))
-        }
-        Err(_) => Err(AttemptFailure::new(
-            AttemptEnd::Silent,
-            "the head of the answer did not arrive in time",
-        )),
-    }
-}
-
-/// Takes a connection from the pool or opens one. A request that must not be sent
-/// twice gets a new connection: if an idle connection is reset when it is reused, it
-/// is unknown whether the upstream ran the request.
-async fn obtain_connection(
+/// Sends a request to an upstream, or has a peer send it if this instance has no path there,
+/// and waits for the head of the answer.
+async fn exchange(
     node: &Rc<Node>,
     target: &Target,
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
-) -> std::io::Result<Connection> {
-    let can_reuse_connection = options.is_retryable && outgoing.has_small_body();
-    if can_reuse_connection
-        && let Some(idle) = node
-            .connection_pool
-            .take_idle(target.address, node.now_ms())
-    {
-        return Ok(idle);
+) -> Result<(Response<Incoming>, Transport), ExchangeFailure> {
+    let idle = take_idle_connection(node, target, outgoing, options);
+    let proxy = match idle {
+        Some(_) => None,
+        None => node.upstreams.borrow_mut().proxy_for(target, node.now_ms()),
+    };
+    if let Some(peer) = proxy {
+        let (response, guard) =
+            proxied_attempt::exchange(node, peer, target, outgoing, options).await?;
+        record_statements(node, target, response.headers());
+        return Ok((response, Transport::Proxied(guard)));
     }
-    upstream_connections::open(node, target).await
+    let exchange = exchange_on(node, target, idle, outgoing, options).await?;
+    Ok((exchange.response, Transport::Direct(exchange.connection)))
 }
 
-fn build_request(
-    node: &Node,
-    target: &Target,
-    outgoing: &OutgoingRequest,
-    options: AttemptOptions,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    let headers = request.headers_mut();
-    headers.clone_from(&outgoing.headers);
-    let time_left_ms = options.deadline_ms.saturating_sub(node.now_ms());
-    platform::set_attempt_headers(
-        headers,
-        &target.upstream,
-        time_left_ms,
-        options.resume_after,
-    );
-    request
+/// Records what an upstream says about itself in an answer.
+pub(crate) fn record_statements(node: &Node, target: &Target, headers: &HeaderMap) {
+    record_if_leaving(node, target, headers);
+    rate_limits::record_statement(node, target, headers);
 }
 
 /// Takes an upstream out of use if its answer says that it is leaving, and lets peers know.
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub(crate) fn discard_idle(&self, address: SocketAddr) {
+        let mut entries = self.entries.borrow_mut();
+        if let Ok(index) = find_entry(&entries, address) {
+            entries.remove(index);
+        }
+    }
+
     /// Closes the connections that have been idle for too long to be reused.
     pub(crate) fn expire(&self, now_ms: u64) {
         let mut entries = self.entries.borrow_mut();
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -45,7 +45,7 @@
 
 /// Returns whether an upstream is known to have crashed, refuses a new connection, or is
 /// soon succeeded by another incarnation.
-async fn has_crashed(node: &Node, target: &Target) -> bool {
+async fn has_crashed(node: &Rc<Node>, target: &Target) -> bool {
     if node.quarantine.borrow().knows_crash(target) {
         return true;
     }
--- /dev/null
+++ b/crates/node/src/exchange.rs
@@ -0,0 +1,245 @@
+//! Sends a request to an upstream on a connection of this instance, and waits for the head of
+//! the answer.
+
+use std::{io::ErrorKind, rc::Rc};
+
+use bytes::Bytes;
+use gateway::{AttemptEnd, Target};
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+
+use crate::{
+    attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, record_statements},
+    connection_pool::Connection,
+    node::Node,
+    path_probes, upstream_connections,
+};
+
+/// An answer on a connection to its upstream.
+#[derive(Debug)]
+pub(crate) struct DirectExchange {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: UsedConnection,
+}
+
+/// A connection on which an answer arrives.
+#[derive(Debug)]
+pub(crate) struct UsedConnection {
+    /// `None` once it has been returned to the pool.
+    connection: Option<Connection>,
+    can_reuse: bool,
+}
+
+/// A failed exchange with an upstream.
+#[derive(Debug)]
+pub(crate) struct ExchangeFailure {
+    pub(crate) failure: AttemptFailure,
+    pub(crate) meaning: FailureMeaning,
+}
+
+/// What a failed exchange says about the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FailureMeaning {
+    /// Nothing, or what it says is recorded already.
+    Nothing,
+    /// It failed.
+    Failed,
+    /// Its answer is lost, so it may have crashed.
+    AnswerLost,
+}
+
+impl ExchangeFailure {
+    pub(crate) fn new(failure: AttemptFailure, meaning: FailureMeaning) -> Self {
+        Self { failure, meaning }
+    }
+
+    /// Creates the failure of a request of which no part was sent.
+    pub(crate) fn not_sent(reason: impl std::fmt::Display, meaning: FailureMeaning) -> Self {
+        Self::new(AttemptFailure::new(AttemptEnd::NotSent, reason), meaning)
+    }
+}
+
+impl DirectExchange {
+    /// Returns the connection to the pool after the body has been read to its end, if it can
+    /// be reused.
+    pub(crate) fn return_connection(&mut self, node: &Node, target: &Target) {
+        self.connection
+            .return_to_pool(node, target, self.response.headers());
+    }
+}
+
+impl UsedConnection {
+    /// Returns the connection to the pool after the body has been read to its end, if it can
+    /// be reused.
+    pub(crate) fn return_to_pool(&mut self, node: &Node, target: &Target, headers: &HeaderMap) {
+        if self.can_reuse
+            && let Some(connection) = self.connection.take()
+        {
+            let keep_alive_ms = platform::keep_alive_timeout_ms(headers);
+            node.connection_pool
+                .put_idle(target.address, connection, keep_alive_ms, node.now_ms());
+        }
+    }
+}
+
+/// Sends a request to an upstream on a connection of this instance, and waits for the head of
+/// the answer.
+///
+/// # Errors
+///
+/// Returns a failure if the request cannot be sent, or if the head of the answer does not
+/// arrive before its deadline.
+pub(crate) async fn exchange_directly(
+    node: &Rc<Node>,
+    target: &Target,
+    outgoing: &OutgoingRequest,
+    options: AttemptOptions,
+) -> Result<DirectExchange, ExchangeFailure> {
+    let idle = take_idle_connection(node, target, outgoing, options);
+    if idle.is_none() && node.upstreams.borrow().has_lost_path(target) {
+        return Err(ExchangeFailure::not_sent(
+            "the upstream cannot be reached",
+            FailureMeaning::Nothing,
+        ));
+    }
+    exchange_on(node, target, idle, outgoing, options).await
+}
+
+/// Like [`exchange_directly`], on an idle connection, or on a new one if there is none.
+pub(crate) async fn exchange_on(
+    node: &Rc<Node>,
+    target: &Target,
+    idle: Option<Connection>,
+    outgoing: &OutgoingRequest,
+    options: AttemptOptions,
+) -> Result<DirectExchange, ExchangeFailure> {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => open_connection(node, target).await?,
+    };
+    // The upstream may have said so while the connection was opened.
+    if node.upstreams.borrow().is_leaving(target) {
+        return Err(ExchangeFailure::not_sent(
+            "the upstream is leaving",
+            FailureMeaning::Nothing,
+        ));
+    }
+    let request = build_request(node, target, outgoing, options);
+    let response = match exchange_head(node, &mut connection, request, options).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let meaning = if failure.end == AttemptEnd::Broken {
+                FailureMeaning::AnswerLost
+            } else {
+                FailureMeaning::Failed
+            };
+            if failure.end == AttemptEnd::Silent {
+                // Either the upstream or the path is silent.
+                path_probes::start(node, target.clone());
+            }
+            return Err(ExchangeFailure::new(failure, meaning));
+        }
+    };
+    let mut upstreams = node.upstreams.borrow_mut();
+    upstreams.record_heard(&target.service, node.now_ms());
+    drop(upstreams);
+    record_statements(node, target, response.headers());
+    Ok(DirectExchange {
+        response,
+        connection: UsedConnection {
+            connection: Some(connection),
+            can_reuse: outgoing.has_small_body(),
+        },
+    })
+}
+
+async fn open_connection(node: &Rc<Node>, target: &Target) -> Result<Connection, ExchangeFailure> {
+    let had_path = !node.upstreams.borrow().has_lost_path(target);
+    upstream_connections::open(node, target)
+        .await
+        .map_err(|error| {
+            // While the path is lost, a refusal says nothing about the upstream.
+            if had_path && error.kind() == ErrorKind::ConnectionRefused {
+                let now_ms = node.now_ms();
+                node.upstreams.borrow_mut().record_crash(target, now_ms);
+            }
+            ExchangeFailure::not_sent(error, FailureMeaning::Nothing)
+        })
+}
+
+/// Takes a connection from the pool. A request that must not be sent twice gets a new
+/// connection: if an idle connection is reset when it is reused, it is unknown whether the
+/// upstream ran the request.
+pub(crate) fn take_idle_connection(
+    node: &Node,
+    target: &Target,
+    outgoing: &OutgoingRequest,
+    options: AttemptOptions,
+) -> Option<Connection> {
+    let can_reuse_connection = options.is_retryable && outgoing.has_small_body();
+    let pool = can_reuse_connection.then_some(&node.connection_pool)?;
+    pool.take_idle(target.address, node.now_ms())
+}
+
+/// Sends a request on a connection and waits for the head of its answer.
+async fn exchange_head(
+    node: &Node,
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    options: AttemptOptions,
+) -> Result<Response<Incoming>, AttemptFailure> {
+    let head_limit = Rc::clone(&connection.head_limit);
+    head_limit.begin_head();
+    let exchange = connection.sender.try_send_request(request);
+    let deadline = node.clock.instant(options.head_deadline_ms);
+    let result = tokio::select! {
+        // A head may be complete in the same bytes that exceed the limit.
+        biased;
+        result = timeout_at(deadline, exchange) => result,
+        () = head_limit.exceeded() => {
+            return Err(AttemptFailure::new(AttemptEnd::Broken, "the head of the answer is too long"));
+        }
+    };
+    match result {
+        Ok(Ok(response)) => {
+            head_limit.end_head();
+            Ok(response)
+        }
+        Ok(Err(mut error)) => {
+            let was_sent = error.take_message().is_none();
+            let end = if was_sent {
+                AttemptEnd::Broken
+            } else {
+                AttemptEnd::NotSent
+            };
+            Err(AttemptFailure::new(end, error.error()))
+        }
+        Err(_) => Err(AttemptFailure::new(
+            AttemptEnd::Silent,
+            "the head of the answer did not arrive in time",
+        )),
+    }
+}
+
+fn build_request(
+    node: &Node,
+    target: &Target,
+    outgoing: &OutgoingRequest,
+    options: AttemptOptions,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    let headers = request.headers_mut();
+    headers.clone_from(&outgoing.headers);
+    let time_left_ms = options.deadline_ms.saturating_sub(node.now_ms());
+    platform::set_attempt_headers(
+        headers,
+        &target.upstream,
+        time_left_ms,
+        options.resume_after,
+    );
+    request
+}
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -200,7 +200,7 @@
                 return (RunOutcome::Done, reason);
             }
             Progress::Ended(outcome, reason) => {
-                answer.in_flight.record_lost_answer();
+                answer.record_lost_answer();
                 return (outcome, reason);
             }
         }
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -111,6 +111,7 @@
         let now_ms = node.now_ms();
         node.upstreams.borrow_mut().expire(now_ms);
         node.connection_pool.expire(now_ms);
+        node.peer_connections.expire(now_ms);
         let can_own =
             node.has_lease.get() && node.has_read_heartbeats.get() && node.has_read_jobs.get();
         if !can_own || node.store_health.is_unreachable() || node.stage() != Stage::Serving {
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -51,7 +51,7 @@
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .map_err(|error| io::Error::new(error.kind(), format!("cannot bind {address}: {error}")))
@@ -78,7 +78,7 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         let accepted = listener.accept().await.and_then(|(stream, _)| {
             stream.set_nodelay(true)?;
@@ -120,19 +120,19 @@
 /// Waits until the process has reached `awaited` or a later stage. Returns nothing:
 /// the guard that `wait_for` returns holds a lock, and the next stage could not be set
 /// until the guard is dropped.
-async fn wait_for_stage(stage: &mut watch::Receiver<Stage>, awaited: Stage) {
+pub(crate) async fn wait_for_stage(stage: &mut watch::Receiver<Stage>, awaited: Stage) {
     // An error means that the sender was dropped because the process is exiting.
     drop(stage.wait_for(|stage| *stage >= awaited).await);
 }
 
-/// Guard that counts a caller's connection as open until it is dropped.
+/// Guard that counts a connection of a caller or peer as open until it is dropped.
 #[derive(Debug)]
-struct OpenConnectionGuard {
-    node: Rc<Node>,
+pub(crate) struct OpenConnectionGuard {
+    pub(crate) node: Rc<Node>,
 }
 
 impl OpenConnectionGuard {
-    fn new(node: Rc<Node>) -> Self {
+    pub(crate) fn new(node: Rc<Node>) -> Self {
         node.open_connections.set(node.open_connections.get() + 1);
         Self { node }
     }
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,6 +1,7 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
 //! its sender and the jobs that the sender took over recently. It is followed by what the
-//! sender knows of leaving upstreams, of rate limits, and of what crashes upstreams. An instance sends its notices directly to each peer.
+//! sender knows of leaving upstreams, of rate limits, of what crashes upstreams, and of
+//! upstreams that it cannot reach. An instance sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -10,7 +11,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, QuarantineNotice, notice_pause_ms,
+    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice, QuarantineNotice,
+    notice_pause_ms,
 };
 use model::{InstanceId, Region};
 use serde::de::DeserializeOwned;
@@ -64,6 +66,7 @@
                     leaving,
                     limits,
                     quarantine,
+                    paths,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -80,7 +83,10 @@
                 }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
-                upstreams.receive_notice(notice, now_ms);
+                let instance = notice.instance.clone();
+                if upstreams.receive_notice(notice, now_ms) {
+                    upstreams.receive_paths(&instance, sender, paths);
+                }
                 node.batch_state_changed.notify_one();
             }
             Err(error) => log::warn!("event=notice_unreadable error={}", process::quote(&error)),
@@ -97,6 +103,8 @@
     limits: Option<LimitNotice>,
     /// `None` if nothing is suspected of crashes.
     quarantine: Option<QuarantineNotice>,
+    /// `None` if the sender has a path to each upstream and makes no attempts for peers.
+    paths: Option<PathNotice>,
 }
 
 /// Place in a datagram at which an earlier version of the program told what it knew of
@@ -108,11 +116,12 @@
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
-        if self.quarantine.is_some() || self.limits.is_some() {
+        if self.quarantine.is_some() || self.limits.is_some() || self.paths.is_some() {
             let former: FormerQuarantine = None;
             datagram.extend(encode_to_vec(former, config::standard())?);
             datagram.extend(encode_to_vec(&self.limits, config::standard())?);
             datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
+            datagram.extend(encode_to_vec(&self.paths, config::standard())?);
         }
         Ok(datagram)
     }
@@ -129,12 +138,14 @@
             rest
         };
         let (limits, rest) = decode_next(rest)?;
-        let (quarantine, _) = decode_next(rest)?;
+        let (quarantine, rest) = decode_next(rest)?;
+        let (paths, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
             limits: limits.flatten(),
             quarantine: quarantine.flatten(),
+            paths: paths.flatten(),
         })
     }
 }
@@ -204,6 +215,10 @@
         leaving: node.upstreams.borrow().leaving_upstreams(),
         limits: node.upstreams.borrow().limit_notice(node.now_ms()),
         quarantine: node.quarantine.borrow().notice(node.store_now_ms()),
+        paths: node
+            .upstreams
+            .borrow()
+            .path_notice(node.proxied_count.get()),
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,6 +54,7 @@
     retry_after: Histogram<f64>,
     attempts: Counter<u64>,
     attempt_failures: Counter<u64>,
+    proxied_attempts: Counter<u64>,
     streams_resumed: Counter<u64>,
     upstream_crashes: Counter<u64>,
     quarantine_changes: Counter<u64>,
@@ -70,6 +71,7 @@
     ready_upstreams: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
     unreachable_upstreams: Gauge<u64>,
+    proxied: Gauge<u64>,
     busiest: BusiestUpstreams,
 }
 
@@ -115,6 +117,10 @@
                 "redwingtack.upstream.attempt_failures",
                 "Attempts that failed, by kind",
             ),
+            proxied_attempts: counter(
+                "redwingtack.upstream.proxied_attempts",
+                "Attempts that peers made for this instance",
+            ),
             streams_resumed: counter(
                 "redwingtack.streams_resumed",
                 "Streams that went on at another upstream",
@@ -149,6 +155,7 @@
                 "redwingtack.upstreams_unreachable",
                 "Upstreams that this instance cannot connect to",
             ),
+            proxied: gauge("redwingtack.proxied", "Attempts in progress for peers"),
             limited_upstreams: gauge(
                 "redwingtack.upstreams_limited",
                 "Upstreams that state a rate limit",
@@ -186,6 +193,10 @@
             .add(1, &[KeyValue::new("end", end.as_str())]);
     }
 
+    pub(crate) fn on_proxied_attempt(&self) {
+        self.proxied_attempts.add(1, &[]);
+    }
+
     pub(crate) fn on_stream_resumed(&self) {
         self.streams_resumed.add(1, &[]);
     }
@@ -267,6 +278,7 @@
             .record(upstreams.ready_count() as u64, &[]);
         self.unreachable_upstreams
             .record(upstreams.unreachable_count() as u64, &[]);
+        self.proxied.record(node.proxied_count.get().into(), &[]);
         self.limited_upstreams
             .record(upstreams.limited_count() as u64, &[]);
         self.record_quarantined(node.quarantine.borrow().quarantined());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
     connection_pool::ConnectionPool,
     jobs::Runner,
     metrics::Metrics,
+    peer_connections::PeerConnections,
     registration_check::RegistrationCheck,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
@@ -78,6 +79,11 @@
     /// Jobs that this instance owns and the runs of their items.
     pub(crate) runner: RefCell<Runner>,
     pub(crate) connection_pool: ConnectionPool,
+    pub(crate) peer_connections: PeerConnections,
+    /// Notified when an upstream cannot be connected to.
+    pub(crate) path_lost: Notify,
+    /// Number of attempts that this instance makes for peers.
+    pub(crate) proxied_count: Cell<u32>,
     /// Notified when an upstream states a rate limit.
     pub(crate) limits_stated: Notify,
     /// Notified when the load of this instance changes.
@@ -154,6 +160,9 @@
             has_lease: Cell::default(),
             runner: RefCell::default(),
             connection_pool: ConnectionPool::default(),
+            peer_connections: PeerConnections::default(),
+            path_lost: Notify::new(),
+            proxied_count: Cell::default(),
             limits_stated: Notify::new(),
             load_changed: Notify::new(),
             last_notice_sequence: Cell::default(),
--- /dev/null
+++ b/crates/node/src/proxy_listener.rs
@@ -0,0 +1,276 @@
+//! Makes attempts at upstreams for peers that have no path to them.
+//!
+//! The listener is on the port for peers, which callers do not reach. An attempt is made
+//! directly or not at all, so it passes at most one peer. Placement, retries and the accounts
+//! of loads, limits and streams stay with the sender; what this instance observes of its own
+//! paths, and of upstreams that crash, is recorded here.
+
+use std::{convert::Infallible, io, pin::pin, rc::Rc};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use gateway::{AttemptEnd, LostRequest, Target};
+use http::{Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Either, Limited, StreamBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http2::Builder,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::timeout_at,
+};
+
+use crate::{
+    answer::{self, AnswerBody, Truncated},
+    attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
+    crash_detection,
+    exchange::{DirectExchange, ExchangeFailure, FailureMeaning, exchange_directly},
+    forward::copy_end_to_end_headers,
+    listener::{OpenConnectionGuard, accept, bind, wait_for_stage},
+    node::{Node, Stage},
+    peer_connections::{HEADERS_MAX_BYTES, LocalExecutor, PING_INTERVAL, PING_TIMEOUT},
+    proxy_message::{AttemptError, ProxiedAttempt},
+};
+
+/// Maximum number of attempts that are made for peers at a time. Each holds a connection and
+/// buffers; a peer that is told so asks another instance.
+const PROXIED_MAX: u32 = 512;
+/// Maximum size of a request body, bytes, until a configuration has been read.
+const BODY_MAX_DEFAULT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Opens the listener and starts accepting connections of peers.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub(crate) async fn start(node: &Rc<Node>) -> io::Result<()> {
+    let listener = bind(node.settings().peer_listen).await?;
+    spawn_local(accept_peers(Rc::clone(node), listener));
+    Ok(())
+}
+
+async fn accept_peers(node: Rc<Node>, listener: TcpListener) {
+    let mut stage = node.stage.subscribe();
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = wait_for_stage(&mut stage, Stage::Closing) => return,
+        };
+        let open_connection = OpenConnectionGuard::new(Rc::clone(&node));
+        spawn_local(serve_peer(open_connection, stream));
+    }
+}
+
+/// Serves a connection of a peer until it ends. During a planned stop, the peer is told to
+/// send no further attempts, and those in progress end.
+async fn serve_peer(open_connection: OpenConnectionGuard, stream: TcpStream) {
+    let node = Rc::clone(&open_connection.node);
+    let service = service_fn(|request| serve(Rc::clone(&node), request));
+    let mut builder = Builder::new(LocalExecutor);
+    builder
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .max_concurrent_streams(2 * PROXIED_MAX)
+        .max_header_list_size(HEADERS_MAX_BYTES);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut stage = node.stage.subscribe();
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = wait_for_stage(&mut stage, Stage::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(
+            "event=peer_connection_ended error={}",
+            process::quote(&error)
+        );
+    }
+}
+
+async fn serve(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (mut parts, body) = request.into_parts();
+    let Some(attempt) = ProxiedAttempt::remove_from(&mut parts.headers) else {
+        log::warn!("event=proxied_attempt_unreadable");
+        return Ok(answer::text(StatusCode::BAD_REQUEST, "no attempt"));
+    };
+    let guard = ProxiedGuard::new(&node);
+    let result = make_attempt(&node, &attempt, parts, body).await;
+    log::info!(
+        "event=proxied_attempt request={} sender={} upstream={} outcome={}",
+        attempt.request_id,
+        attempt.sender,
+        attempt.upstream,
+        match &result {
+            Ok(answer) => answer.exchange.response.status().to_string(),
+            Err(error) => process::quote(&format!("{}: {}", error.end.as_str(), error.reason)),
+        }
+    );
+    Ok(match result {
+        Ok(answer) => answer.into_response(guard),
+        Err(error) => {
+            let mut response = answer::text(StatusCode::BAD_GATEWAY, "no upstream answered");
+            error.insert_into(response.headers_mut());
+            response
+        }
+    })
+}
+
+/// An answer of an upstream that is passed on to a peer.
+#[derive(Debug)]
+struct ProxiedAnswer {
+    node: Rc<Node>,
+    target: Target,
+    attempt: ProxiedAttempt,
+    sent_at_ms: u64,
+    exchange: DirectExchange,
+}
+
+/// Guard that counts an attempt for a peer until it is dropped.
+#[derive(Debug)]
+struct ProxiedGuard {
+    node: Rc<Node>,
+}
+
+impl ProxiedGuard {
+    fn new(node: &Rc<Node>) -> Self {
+        node.proxied_count.set(node.proxied_count.get() + 1);
+        node.load_changed.notify_one();
+        Self {
+            node: Rc::clone(node),
+        }
+    }
+}
+
+impl Drop for ProxiedGuard {
+    fn drop(&mut self) {
+        self.node
+            .proxied_count
+            .set(self.node.proxied_count.get() - 1);
+        self.node.load_changed.notify_one();
+    }
+}
+
+async fn make_attempt(
+    node: &Rc<Node>,
+    attempt: &ProxiedAttempt,
+    mut parts: http::request::Parts,
+    body: Incoming,
+) -> Result<ProxiedAnswer, AttemptError> {
+    let not_sent = |reason: &str| AttemptError {
+        end: AttemptEnd::NotSent,
+        reason: reason.to_owned(),
+    };
+    if node.proxied_count.get() > PROXIED_MAX {
+        return Err(not_sent("too many attempts for peers"));
+    }
+    let now_ms = node.now_ms();
+    let deadline_ms = now_ms + attempt.time_left_ms;
+    let body = read_body(node, body, deadline_ms).await;
+    let body = body.ok_or_else(|| not_sent("the body cannot be read"))?;
+    let target = node
+        .upstreams
+        .borrow()
+        .target(&attempt.upstream, attempt.started_unix_ms);
+    let target = target.ok_or_else(|| not_sent("the upstream is not in service here"))?;
+    // The authority is that of the peer; the host that the caller named is in the headers.
+    let path = parts.uri.path_and_query().cloned();
+    parts.uri = path.map_or_else(Uri::default, Uri::from);
+    parts.headers.remove(header::TE);
+    let outgoing = OutgoingRequest::new(&parts, body, &attempt.request_id);
+    let options = AttemptOptions {
+        kind: attempt.kind,
+        deadline_ms,
+        head_deadline_ms: now_ms + attempt.head_time_left_ms,
+        expected_at_ms: now_ms,
+        resume_after: attempt.resume_after,
+        is_retryable: attempt.is_retryable,
+    };
+    let sent_at_ms = node.store_now_ms();
+    let result = exchange_directly(node, &target, &outgoing, options).await;
+    match result {
+        Ok(exchange) => Ok(ProxiedAnswer {
+            node: Rc::clone(node),
+            target,
+            attempt: attempt.clone(),
+            sent_at_ms,
+            exchange,
+        }),
+        Err(ExchangeFailure { failure, meaning }) => {
+            if meaning == FailureMeaning::AnswerLost {
+                check_upstream(node, &target, attempt, sent_at_ms);
+            }
+            let AttemptFailure { end, reason } = failure;
+            Err(AttemptError { end, reason })
+        }
+    }
+}
+
+/// Finds out whether the upstream has crashed under the request.
+fn check_upstream(node: &Rc<Node>, target: &Target, attempt: &ProxiedAttempt, sent_at_ms: u64) {
+    let lost = LostRequest {
+        content: Rc::new(attempt.content.clone()),
+        kind: attempt.kind,
+        sent_at_ms,
+        lost_at_ms: node.store_now_ms(),
+    };
+    crash_detection::check_upstream(node, target, lost);
+}
+
+async fn read_body(node: &Node, body: Incoming, deadline_ms: u64) -> Option<Bytes> {
+    let limit = node.routes().map_or(BODY_MAX_DEFAULT_BYTES, |routes| {
+        routes.limits.body_max_bytes
+    });
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, limit).collect();
+    let collected = timeout_at(node.clock.instant(deadline_ms), collected).await;
+    Some(collected.ok()?.ok()?.to_bytes())
+}
+
+impl ProxiedAnswer {
+    /// Converts the answer into the response to the peer. Its body is passed on frame by
+    /// frame, as fast as the peer reads it.
+    fn into_response(self, guard: ProxiedGuard) -> Response<AnswerBody> {
+        let mut head = Response::new(());
+        *head.status_mut() = self.exchange.response.status();
+        copy_end_to_end_headers(self.exchange.response.headers(), head.headers_mut());
+        AttemptError::strip(head.headers_mut());
+        let frames = stream::unfold(Some((self, guard)), |state| async move {
+            let (mut answer, guard) = state?;
+            match answer.next_frame().await? {
+                Ok(frame) => Some((Ok(frame), Some((answer, guard)))),
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        head.map(|()| Either::Right(StreamBody::new(frames.boxed_local())))
+    }
+
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, Truncated>> {
+        match self.exchange.response.body_mut().frame().await {
+            Some(Ok(frame)) => Some(Ok(frame)),
+            Some(Err(error)) => {
+                log::warn!(
+                    "event=proxied_answer_lost request={} upstream={} error={}",
+                    self.attempt.request_id,
+                    self.attempt.upstream,
+                    process::quote(&error)
+                );
+                check_upstream(&self.node, &self.target, &self.attempt, self.sent_at_ms);
+                Some(Err(Truncated))
+            }
+            None => {
+                self.exchange.return_connection(&self.node, &self.target);
+                None
+            }
+        }
+    }
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -188,7 +188,7 @@
         let Some(answer) = self.answer.take() else {
             return false;
         };
-        answer.in_flight.record_lost_answer();
+        answer.record_lost_answer();
         let target = answer.in_flight.target.clone();
         // Closes the connection, which makes the upstream abort the request.
         drop(answer);
--- a/crates/node/src/upstream_connections.rs
+++ b/crates/node/src/upstream_connections.rs
@@ -1,7 +1,7 @@
 //! Opens connections to upstreams, and keeps account of which upstreams can be connected
-//! to.
+//! to. The decisions are in [`gateway::UpstreamTable`].
 
-use std::io;
+use std::{io, rc::Rc};
 
 use gateway::{ConnectFailure, Target};
 use tokio::time::Instant;
@@ -9,6 +9,7 @@
 use crate::{
     connection_pool::{Connection, connect},
     node::Node,
+    path_probes,
 };
 
 /// Opens a connection to an upstream.
@@ -16,42 +17,69 @@
 /// # Errors
 ///
 /// Returns an error if the connection is refused, or is not open within a few round trips.
-pub(crate) async fn open(node: &Node, target: &Target) -> io::Result<Connection> {
+pub(crate) async fn open(node: &Rc<Node>, target: &Target) -> io::Result<Connection> {
     let timeout_ms = node.upstreams.borrow().connect_timeout_ms(target);
     let started = Instant::now();
+    let started_ms = node.now_ms();
     let result = connect(target.address, timeout_ms).await;
-    let elapsed_ms = started.elapsed().as_secs_f64() * 1_000.0;
-    record_outcome(node, target, result.as_ref().err(), elapsed_ms);
+    match &result {
+        Ok(_) => record_connected(node, target, started.elapsed().as_secs_f64() * 1_000.0),
+        Err(error) => record_failure(node, target, error, started_ms),
+    }
     result
 }
 
-fn record_outcome(node: &Node, target: &Target, error: Option<&io::Error>, elapsed_ms: f64) {
-    let now_ms = node.now_ms();
+fn record_connected(node: &Node, target: &Target, round_trip_ms: f64) {
     let mut upstreams = node.upstreams.borrow_mut();
-    if let Some(error) = error {
-        if upstreams.record_connect_failure(target, failure_kind(error), now_ms) {
-            log::warn!(
-                "event=upstream_unreachable upstream={} error={} unreachable={}",
-                target.upstream,
-                process::quote(&error),
-                upstreams.unreachable_count()
-            );
-        }
-        return;
-    }
-    upstreams.record_round_trip(target, elapsed_ms);
-    if let Some(lost_for_ms) = upstreams.record_connected(target, now_ms) {
+    upstreams.record_round_trip(target, round_trip_ms);
+    if let Some(lost_for_ms) = upstreams.record_connected(target, node.now_ms()) {
         log::info!(
             "event=upstream_reachable upstream={} lost_for_ms={lost_for_ms} unreachable={}",
             target.upstream,
             upstreams.unreachable_count()
         );
+        node.load_changed.notify_one();
+        node.batch_state_changed.notify_one();
     }
 }
 
-fn failure_kind(error: &io::Error) -> ConnectFailure {
-    match error.kind() {
+fn record_failure(node: &Rc<Node>, target: &Target, error: &io::Error, started_ms: u64) {
+    let failure = match error.kind() {
         io::ErrorKind::TimedOut => ConnectFailure::TimedOut,
         _ => ConnectFailure::Refused,
+    };
+    let mut upstreams = node.upstreams.borrow_mut();
+    let loss = upstreams.record_connect_failure(target, failure, started_ms, node.now_ms());
+    if loss.is_upstream_news {
+        log::warn!(
+            "event=upstream_unreachable upstream={} error={} unreachable={}",
+            target.upstream,
+            process::quote(&error),
+            upstreams.unreachable_count()
+        );
+    }
+    if loss.is_service_news {
+        log::warn!(
+            "event=service_unreachable service={} upstream={}",
+            target.service,
+            target.upstream
+        );
+    }
+    if failure == ConnectFailure::TimedOut {
+        // Idle connections have lost their path as well.
+        node.connection_pool.discard_idle(target.address);
+        if loss.is_service_news {
+            for address in upstreams.addresses(&target.service) {
+                node.connection_pool.discard_idle(address);
+            }
+        }
+    }
+    drop(upstreams);
+    if loss.is_upstream_news || loss.is_service_news {
+        node.path_lost.notify_one();
+        node.load_changed.notify_one();
+    }
+    for target in loss.probes {
+        path_probes::start(node, target);
     }
 }
