Answers of known length that come through a peer end as complete

Callers saw nothing; the log said that they had left (outcome=abandoned), the measurements of the answer were lost, and the peer's connection to the upstream was closed instead of reused.

Cause: the HTTP server reads no further than the stated length, and an HTTP/2 body does not know that it has ended until the frame that says so has been read. Now the end is also known from the number of bytes that are left.

answer_of_known_length_through_a_peer_is_complete failed before.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -248,7 +248,10 @@
     /// Finishes a body of known length after its last byte, because the HTTP server does
     /// not poll for the end of such a body.
     fn finish_at_known_length(&mut self) {
-        let is_at_end = |answer: &UpstreamAnswer| answer.body.is_end_stream();
+        let is_at_end = |answer: &UpstreamAnswer| {
+            let body = &answer.body;
+            body.is_end_stream() || body.size_hint().exact() == Some(0)
+        };
         if self.splitter.is_none() && self.answer.as_ref().is_some_and(is_at_end) {
             self.finish();
         }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -440,6 +440,11 @@
         &self.settings_path
     }
 
+    /// Returns the lines that the process has logged so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_path).unwrap()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let answer = send_request(self.readiness_address, "GET", "/ready", &[], Vec::new()).await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
--- a/crates/node/tests/unreachable_upstreams.rs
+++ b/crates/node/tests/unreachable_upstreams.rs
@@ -111,3 +111,24 @@
     sleep(DETECTION).await;
     assert_all_served(&serve(node, "back", 20).await);
 }
+
+/// The server of the caller's connection reads no further than the length that the answer
+/// states, so the end of the peer's stream is never seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_known_length_through_a_peer_is_complete() {
+    let (cluster, mut paths) = start().await;
+    paths.set_all(PathState::Refusing).await;
+    let node = &cluster.nodes[0];
+    serve(node, "early", 8).await;
+    let answer = node.send_stream_request("/long/impossible", "known").await;
+    assert_eq!(answer.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert!(answer.headers.contains_key("content-length"));
+    let is_answered = |line: &&str| line.contains("request_answered request=known ");
+    support::wait_until("the end is logged", async || {
+        node.log().lines().any(|line| is_answered(&line))
+    })
+    .await;
+    let log = node.log();
+    let line = log.lines().find(is_answered).unwrap();
+    assert!(line.contains("outcome=complete"), "{line}");
+}
