A refused connection is a crash only if peers cannot connect either

Callers saw: when an instance lost its path and its connections were reset, it accused the requests in flight of crashing upstreams: requests that were at two such crashes are sent to one upstream at a time, and three may convict one. Streams could not be taken up for three seconds, since another version might listen at each address that had refused.

Now peers are asked to open a connection, two of them while the service is heard otherwise, more if it is not. A peer makes no attempt that takes up a stream while another version may listen there by what it knows itself.

lost_path_is_no_evidence_of_a_crash and streams_go_on_when_the_peer_that_passes_them_on_dies failed before.

--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -207,6 +207,14 @@
         }
     }
 
+    /// Returns whether an upstream of a service has answered or accepted a connection since
+    /// `since_ms`.
+    #[must_use]
+    pub fn was_heard_since(&self, service: &ServiceName, since_ms: u64) -> bool {
+        self.known_service(service)
+            .is_some_and(|service| service.connectivity.heard_at_ms >= since_ms)
+    }
+
     /// Returns whether the path to an upstream counts as lost.
     #[must_use]
     pub fn has_lost_path(&self, target: &Target) -> bool {
--- a/crates/gateway/src/proxies.rs
+++ b/crates/gateway/src/proxies.rs
@@ -103,10 +103,23 @@
     /// Returns the peer that is to make an attempt at an upstream, or `None` if this instance
     /// has a path of its own or no peer reports one.
     pub fn proxy_for(&mut self, target: &Target, now_ms: u64) -> Option<ProxyPeer> {
+        self.proxy_except(target, &[], now_ms)
+    }
+
+    /// Like [`Self::proxy_for`], without the peers in `asked`.
+    pub fn proxy_except(
+        &mut self,
+        target: &Target,
+        asked: &[InstanceId],
+        now_ms: u64,
+    ) -> Option<ProxyPeer> {
         if !self.has_lost_path(target) {
             return None;
         }
-        let proxies = self.proxies(now_ms);
+        let mut proxies = self.proxies(now_ms);
+        proxies
+            .0
+            .retain(|proxy| !asked.contains(&proxy.peer.instance));
         let row = &self.rows[self.find(&target.upstream).ok()?];
         let region = self.region_of(&row.entry.failure_domain);
         let (proxy, _) = proxies.best(row, region)?;
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -286,6 +286,14 @@
         }
     }
 
+    /// Returns whether another process may listen at the address of an upstream, because this
+    /// incarnation has crashed.
+    #[must_use]
+    pub fn may_be_succeeded(&self, target: &Target, now_ms: u64) -> bool {
+        self.known_incarnation(target)
+            .is_some_and(|row| now_ms < row.may_be_succeeded_until_ms)
+    }
+
     /// Returns the known number of requests at an upstream, of all instances.
     #[must_use]
     pub fn load_at(&self, target: &Target) -> u32 {
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -2,23 +2,31 @@
 //! connection is lost.
 //!
 //! A lost answer may be due to the network, to a faulty answer or to a restart of this
-//! instance's connections. If the upstream refuses a new connection as well, its process
-//! has ended. If not, a supervisor may hold the port, or the next process may listen there
+//! instance's connections. If the upstream refuses new connections of this instance and of
+//! peers as well, its process has ended; if peers can connect to it, the path of this instance
+//! is lost. If not, a supervisor may hold the port, or the next process may listen there
 //! already; then the registration of a new incarnation shows that the former one has ended.
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
-use gateway::{LostRequest, Target};
-use model::PromptPartId;
+use gateway::{LostRequest, ProxyPeer, Target};
+use model::{InstanceId, PromptPartId};
 use tokio::{task::spawn_local, time::sleep};
 
-use crate::{node::Node, quarantine, upstream_connections};
+use crate::{node::Node, proxied_attempt, quarantine, upstream_connections};
 
 /// How often, and at which interval, it is checked whether another incarnation has been
 /// registered since an answer was lost.
 const SUCCESSOR_CHECKS_MAX: u32 = 10;
 const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Number of peers that are asked whether an upstream refuses them as well: at least, and at
+/// most.
+const PEERS_ASKED_MIN: usize = 2;
+const PEERS_ASKED_MAX: usize = 6;
+/// Pause before each further peer is asked.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
+
 /// Checks in the background whether an upstream has crashed, after the answer to a request
 /// was lost. Upstreams that are leaving are not checked, because they end as planned.
 pub(crate) fn check_upstream(node: &Rc<Node>, target: &Target, lost: LostRequest) {
@@ -49,10 +57,66 @@
     if node.quarantine.borrow().knows_crash(target) {
         return true;
     }
-    match upstream_connections::open(node, target).await {
-        Err(error) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(_) => is_soon_succeeded(node, target).await,
+    let started_ms = node.now_ms();
+    let is_refused = match upstream_connections::open(node, target).await {
+        Err(error) if error.kind() != ErrorKind::ConnectionRefused => return false,
+        result => result.is_err(),
+    };
+    if is_refused && !is_reached_by_peer(node, target, started_ms).await {
+        return true;
+    }
+    is_soon_succeeded(node, target).await
+}
+
+/// Records a crash in the background if an upstream that has refused a connection since
+/// `refused_ms` refuses those of peers as well.
+pub(crate) fn check_refusal(node: &Rc<Node>, target: &Target, refused_ms: u64) {
+    let node = Rc::clone(node);
+    let target = target.clone();
+    spawn_local(async move {
+        if !is_reached_by_peer(&node, &target, refused_ms).await {
+            let now_ms = node.now_ms();
+            node.upstreams.borrow_mut().record_crash(&target, now_ms);
+        }
+    });
+}
+
+/// Asks peers whether they can connect to an upstream that has refused a connection of this
+/// instance since `refused_ms`. If it has refused this instance only, the path is lost.
+///
+/// Peers that have lost the path as well know it after their own next try and are not asked
+/// again. More of them are asked while nothing is heard from the service, because then the
+/// path of many may be lost.
+async fn is_reached_by_peer(node: &Rc<Node>, target: &Target, refused_ms: u64) -> bool {
+    let mut asked = Vec::new();
+    while let Some(peer) = next_peer_to_ask(node, target, &asked, refused_ms) {
+        if proxied_attempt::query_path(node, &peer, target).await == Some(true) {
+            return true;
+        }
+        asked.push(peer.instance);
+        if asked.len() >= PEERS_ASKED_MIN {
+            sleep(PEER_PAUSE).await;
+        }
+    }
+    false
+}
+
+fn next_peer_to_ask(
+    node: &Node,
+    target: &Target,
+    asked: &[InstanceId],
+    refused_ms: u64,
+) -> Option<ProxyPeer> {
+    let mut upstreams = node.upstreams.borrow_mut();
+    let asked_max = if upstreams.was_heard_since(&target.service, refused_ms) {
+        PEERS_ASKED_MIN
+    } else {
+        PEERS_ASKED_MAX
+    };
+    if asked.len() >= asked_max {
+        return None;
     }
+    upstreams.proxy_except(target, asked, node.now_ms())
 }
 
 async fn is_soon_succeeded(node: &Node, target: &Target) -> bool {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::{
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, record_statements},
     connection_pool::Connection,
+    crash_detection,
     node::Node,
     path_probes, upstream_connections,
 };
@@ -157,13 +158,12 @@
 
 async fn open_connection(node: &Rc<Node>, target: &Target) -> Result<Connection, ExchangeFailure> {
     let had_path = !node.upstreams.borrow().has_lost_path(target);
+    let started_ms = node.now_ms();
     upstream_connections::open(node, target)
         .await
         .map_err(|error| {
-            // While the path is lost, a refusal says nothing about the upstream.
             if had_path && error.kind() == ErrorKind::ConnectionRefused {
-                let now_ms = node.now_ms();
-                node.upstreams.borrow_mut().record_crash(target, now_ms);
+                crash_detection::check_refusal(node, target, started_ms);
             }
             ExchangeFailure::not_sent(error, FailureMeaning::Nothing)
         })
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -1,27 +1,30 @@
 //! Attempts that a peer makes for this instance, at upstreams to which this instance has no
 //! path. The peer's side is in [`crate::proxy_listener`].
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use gateway::{AttemptEnd, ProxyPeer, Target};
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use model::InstanceId;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::{
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
     exchange::{ExchangeFailure, FailureMeaning},
     node::Node,
     peer_connections::PeerSender,
-    proxy_message::{AttemptError, ProxiedAttempt},
+    proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
 };
 
 /// Authority in the URIs of requests to peers, which HTTP/2 requires. The host that the
 /// caller named stays in the `Host` header.
 const PEER_AUTHORITY: &str = "peer";
 
+/// Time-out for the answer to a query: the peer may need a connect time-out of its own.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Guard that counts an attempt as made by a peer until the guard is dropped.
 #[derive(Debug)]
 pub(crate) struct ProxyGuard {
@@ -117,6 +120,22 @@
     Err(failure)
 }
 
+/// Asks a peer whether it can connect to an upstream. Returns `None` if the peer does not
+/// answer.
+pub(crate) async fn query_path(node: &Node, peer: &ProxyPeer, target: &Target) -> Option<bool> {
+    let mut sender = obtain_sender(node, peer).await.ok()?;
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = peer_uri("/").ok()?;
+    let query = PathQuery {
+        upstream: target.upstream.clone(),
+        started_unix_ms: target.started_unix_ms,
+    };
+    query.insert_into(request.headers_mut());
+    let response = timeout(QUERY_TIMEOUT, sender.send_request(request)).await;
+    let response = response.ok()?.ok()?;
+    Some(AttemptError::find_in(response.headers()).is_none())
+}
+
 /// Returns the failure that the peer reports.
 fn failure_at_peer(guard: &ProxyGuard, error: &AttemptError) -> ExchangeFailure {
     let meaning = match error.end {
@@ -152,14 +171,9 @@
 ) -> Result<Request<Full<bytes::Bytes>>, http::Error> {
     let path = outgoing.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority(PEER_AUTHORITY)
-        .path_and_query(path)
-        .build()?;
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = uri;
+    *request.uri_mut() = peer_uri(path)?;
     request.headers_mut().clone_from(&outgoing.headers);
     let now_ms = node.now_ms();
     let attempt = ProxiedAttempt {
@@ -178,6 +192,14 @@
     Ok(request)
 }
 
+fn peer_uri(path: &str) -> Result<Uri, http::Error> {
+    Uri::builder()
+        .scheme("http")
+        .authority(PEER_AUTHORITY)
+        .path_and_query(path)
+        .build()
+}
+
 fn record_proxy_failure(node: &Node, peer: &InstanceId) {
     let now_ms = node.now_ms();
     node.upstreams
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
-use gateway::{AttemptEnd, LostRequest, Target};
+use gateway::{LostRequest, Target};
 use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Either, Limited, StreamBody};
 use hyper::{
@@ -18,6 +18,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use model::UpstreamId;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -33,7 +34,8 @@
     listener::{OpenConnectionGuard, accept, bind, wait_for_stage},
     node::{Node, Stage},
     peer_connections::{HEADERS_MAX_BYTES, LocalExecutor, PING_INTERVAL, PING_TIMEOUT},
-    proxy_message::{AttemptError, ProxiedAttempt},
+    proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
+    upstream_connections,
 };
 
 /// Maximum number of attempts that are made for peers at a time. Each holds a connection and
@@ -98,6 +100,12 @@
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
+    if let Some(query) = PathQuery::find_in(request.headers()) {
+        return Ok(match answer_path_query(&node, &query).await {
+            Ok(()) => answer::text(StatusCode::OK, "connected"),
+            Err(error) => error_response(&error),
+        });
+    }
     let (mut parts, body) = request.into_parts();
     let Some(attempt) = ProxiedAttempt::remove_from(&mut parts.headers) else {
         log::warn!("event=proxied_attempt_unreadable");
@@ -117,14 +125,16 @@
     );
     Ok(match result {
         Ok(answer) => answer.into_response(guard),
-        Err(error) => {
-            let mut response = answer::text(StatusCode::BAD_GATEWAY, "no upstream answered");
-            error.insert_into(response.headers_mut());
-            response
-        }
+        Err(error) => error_response(&error),
     })
 }
 
+fn error_response(error: &AttemptError) -> Response<AnswerBody> {
+    let mut response = answer::text(StatusCode::BAD_GATEWAY, "no upstream answered");
+    error.insert_into(response.headers_mut());
+    response
+}
+
 /// An answer of an upstream that is passed on to a peer.
 #[derive(Debug)]
 struct ProxiedAnswer {
@@ -166,10 +176,7 @@
     mut parts: http::request::Parts,
     body: Incoming,
 ) -> Result<ProxiedAnswer, AttemptError> {
-    let not_sent = |reason: &str| AttemptError {
-        end: AttemptEnd::NotSent,
-        reason: reason.to_owned(),
-    };
+    let not_sent = AttemptError::not_sent;
     if node.proxied_count.get() > PROXIED_MAX {
         return Err(not_sent("too many attempts for peers"));
     }
@@ -177,11 +184,11 @@
     let deadline_ms = now_ms + attempt.time_left_ms;
     let body = read_body(node, body, deadline_ms).await;
     let body = body.ok_or_else(|| not_sent("the body cannot be read"))?;
-    let target = node
-        .upstreams
-        .borrow()
-        .target(&attempt.upstream, attempt.started_unix_ms);
-    let target = target.ok_or_else(|| not_sent("the upstream is not in service here"))?;
+    let target = find_target(node, &attempt.upstream, attempt.started_unix_ms)?;
+    let may_be_succeeded = node.upstreams.borrow().may_be_succeeded(&target, now_ms);
+    if attempt.resume_after.is_some() && may_be_succeeded {
+        return Err(not_sent("another version may listen at the address"));
+    }
     // The authority is that of the peer; the host that the caller named is in the headers.
     let path = parts.uri.path_and_query().cloned();
     parts.uri = path.map_or_else(Uri::default, Uri::from);
@@ -215,6 +222,27 @@
     }
 }
 
+/// Returns an incarnation of an upstream by its registration here.
+fn find_target(
+    node: &Node,
+    upstream: &UpstreamId,
+    started_unix_ms: u64,
+) -> Result<Target, AttemptError> {
+    let target = node.upstreams.borrow().target(upstream, started_unix_ms);
+    target.ok_or_else(|| AttemptError::not_sent("the upstream is not in service here"))
+}
+
+/// Opens a connection to an upstream, whose path a peer has lost.
+async fn answer_path_query(node: &Rc<Node>, query: &PathQuery) -> Result<(), AttemptError> {
+    let target = find_target(node, &query.upstream, query.started_unix_ms)?;
+    let connection = upstream_connections::open(node, &target)
+        .await
+        .map_err(AttemptError::not_sent)?;
+    node.connection_pool
+        .put_idle(target.address, connection, None, node.now_ms());
+    Ok(())
+}
+
 /// Finds out whether the upstream has crashed under the request.
 fn check_upstream(node: &Rc<Node>, target: &Target, attempt: &ProxiedAttempt, sent_at_ms: u64) {
     let lost = LostRequest {
--- a/crates/node/src/proxy_message.rs
+++ b/crates/node/src/proxy_message.rs
@@ -13,6 +13,8 @@
 
 /// Header of a request with its [`ProxiedAttempt`].
 const ATTEMPT: HeaderName = HeaderName::from_static("x-redwingtack-attempt");
+/// Header of a request with a [`PathQuery`].
+const PATH_QUERY: HeaderName = HeaderName::from_static("x-redwingtack-path-query");
 /// Header of an answer with an [`AttemptError`], if no upstream answered.
 const ATTEMPT_ERROR: HeaderName = HeaderName::from_static("x-redwingtack-attempt-error");
 
@@ -37,6 +39,16 @@
     pub(crate) is_retryable: bool,
 }
 
+/// Asks a peer to open a connection to an upstream. It answers with [`AttemptError`] if it
+/// cannot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PathQuery {
+    /// The upstream.
+    pub(crate) upstream: UpstreamId,
+    /// When its incarnation started, Unix milliseconds.
+    pub(crate) started_unix_ms: u64,
+}
+
 /// Why an attempt has no answer of the upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct AttemptError {
@@ -56,7 +68,24 @@
     }
 }
 
+impl PathQuery {
+    pub(crate) fn insert_into(&self, headers: &mut HeaderMap) {
+        headers.insert(PATH_QUERY, encode(self));
+    }
+
+    pub(crate) fn find_in(headers: &HeaderMap) -> Option<Self> {
+        decode(headers.get(PATH_QUERY)?)
+    }
+}
+
 impl AttemptError {
+    pub(crate) fn not_sent(reason: impl std::fmt::Display) -> Self {
+        Self {
+            end: AttemptEnd::NotSent,
+            reason: reason.to_string(),
+        }
+    }
+
     pub(crate) fn insert_into(&self, headers: &mut HeaderMap) {
         headers.insert(ATTEMPT_ERROR, encode(self));
     }
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -39,6 +39,9 @@
 /// A request whose path contains this text is answered with a 422 status, which
 /// says that no server can answer it.
 const IMPOSSIBLE_PATH_PART: &str = "impossible";
+/// The events of a stream whose path contains this text come at longer intervals.
+const SLOW_PATH_PART: &str = "slow";
+const SLOW_INTERVALS: u32 = 20;
 
 /// How long a server that crashed stays down if its port is closed, milliseconds.
 const CRASH_MS: u64 = 600_000;
@@ -277,7 +280,12 @@
         let last_event = self.settings.events;
         let cut_after_events = u64::from(self.cut_after_events.swap(0, Ordering::AcqRel));
         let cut_event = (cut_after_events > 0).then(|| first_event + cut_after_events);
-        let interval = Duration::from_millis(self.settings.interval_ms);
+        let slowness = if path.contains(SLOW_PATH_PART) {
+            SLOW_INTERVALS
+        } else {
+            1
+        };
+        let interval = Duration::from_millis(self.settings.interval_ms) * slowness;
         let trigger = self.lock_crash_trigger().clone();
         let crash = trigger.matches(request).then(|| self.crash(trigger));
         let id = header_str(request.headers(), "redwingtack-request-id")
