A single unreachable upstream is used through peers once one of them confirms it

Nobody saw a fault: after a crash of an upstream, requests went to it through peers until their notices had told that they cannot connect either. Mostly a single upstream that cannot be connected to has crashed, so peers are asked first, by the same query that tells a crash from a lost path; while the path to the whole service is lost, they make attempts at once.

proxy_for_lost_upstream_is_a_peer_that_reaches_it asks for it. Also: what the peer cannot read is answered as not sent.

--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -55,6 +55,8 @@
     failures: u32,
     is_being_probed: bool,
     next_probe_ms: u64,
+    /// Whether a peer has opened a connection since, so that the upstream is in service.
+    is_confirmed: bool,
 }
 
 /// Whether the upstreams of a service can be connected to.
@@ -173,6 +175,14 @@
         Some(now_ms.saturating_sub(lost_at_ms))
     }
 
+    /// Records that a peer has opened a connection to an upstream to which the path of this
+    /// instance is lost.
+    pub fn record_reached_by_peer(&mut self, target: &Target) {
+        if let Some(row) = self.incarnation_row(target) {
+            row.connectivity.is_confirmed = row.connectivity.is_lost();
+        }
+    }
+
     /// Records that an upstream answered on a connection that was open already.
     pub fn record_heard(&mut self, service: &ServiceName, now_ms: u64) {
         self.service_row(service).connectivity.heard_at_ms = now_ms;
@@ -215,6 +225,17 @@
             .is_some_and(|service| service.connectivity.heard_at_ms >= since_ms)
     }
 
+    /// Returns the connect time-out for an upstream, milliseconds.
+    #[must_use]
+    pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
+        let Ok(index) = self.find(&target.upstream) else {
+            return CONNECT_TIMEOUT_MAX_MS;
+        };
+        let row = &self.rows[index];
+        let first_ms = round_ms(self.round_trip_ms(row) * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS;
+        row.connectivity.connect_timeout_ms(first_ms)
+    }
+
     /// Returns whether the path to an upstream counts as lost.
     #[must_use]
     pub fn has_lost_path(&self, target: &Target) -> bool {
@@ -308,6 +329,16 @@
                 .is_some_and(|service| service.connectivity.is_lost)
     }
 
+    /// Returns whether a peer may make attempts at an upstream to which the path is lost. If
+    /// only this upstream is lost, it has probably crashed, unless a peer has confirmed that
+    /// it has not.
+    pub(crate) fn allows_proxies(&self, row: &UpstreamRow) -> bool {
+        row.connectivity.is_confirmed
+            || self
+                .known_service(&row.entry.service)
+                .is_some_and(|service| service.connectivity.is_lost)
+    }
+
     /// Records a failure at the upstream with this hash. Returns whether the path to the
     /// service as a whole has just been lost.
     fn record_failure_of_service(&mut self, service: &ServiceName, upstream: u64) -> bool {
@@ -363,17 +394,6 @@
             }
         }
     }
-
-    /// Returns the connect time-out for an upstream, milliseconds.
-    #[must_use]
-    pub fn connect_timeout_ms(&self, target: &Target) -> u64 {
-        let Ok(index) = self.find(&target.upstream) else {
-            return CONNECT_TIMEOUT_MAX_MS;
-        };
-        let row = &self.rows[index];
-        let first_ms = round_ms(self.round_trip_ms(row) * CONNECT_ROUND_TRIPS) + CONNECT_SLACK_MS;
-        row.connectivity.connect_timeout_ms(first_ms)
-    }
 }
 
 impl UpstreamRow {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,8 @@
 //! Begin reading at [`UpstreamTable`], which holds what this instance knows of
 //! the upstreams. [`UpstreamTable::place`] decides about online requests,
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
-//! failed attempts. [`Quarantine`] decides about requests that crash upstreams,
+//! failed attempts. The modules `connectivity` and `proxies` decide which paths
+//! to upstreams are lost and which peer then makes an attempt. [`Quarantine`] decides about requests that crash upstreams,
 //! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on.
 
 mod attempts;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,9 @@
 //! meanwhile, and all instances would choose the same upstreams, which seem to be the
 //! least loaded. An instance therefore first places the requests in thought that its
 //! peers are expected to have placed, and then its own.
+//!
+//! An upstream to which this instance has no path is weighed like any other, with the way
+//! through a peer that has one.
 
 use std::{net::SocketAddr, ops::Range};
 
@@ -317,7 +320,7 @@
         proxies: &Proxies,
         now_ms: u64,
     ) -> Candidate {
-        let proxied_round_trip_ms = if self.is_path_lost(row) {
+        let proxied_round_trip_ms = if self.is_path_lost(row) && self.allows_proxies(row) {
             let region = self.region_of(&row.entry.failure_domain);
             proxies
                 .best(row, region)
--- a/crates/gateway/src/proxies.rs
+++ b/crates/gateway/src/proxies.rs
@@ -101,13 +101,18 @@
     }
 
     /// Returns the peer that is to make an attempt at an upstream, or `None` if this instance
-    /// has a path of its own or no peer reports one.
+    /// has a path of its own, or none is known to reach the upstream.
     pub fn proxy_for(&mut self, target: &Target, now_ms: u64) -> Option<ProxyPeer> {
-        self.proxy_except(target, &[], now_ms)
+        let row = self.known_incarnation(target)?;
+        if !self.allows_proxies(row) {
+            return None;
+        }
+        self.peer_to_ask(target, &[], now_ms)
     }
 
-    /// Like [`Self::proxy_for`], without the peers in `asked`.
-    pub fn proxy_except(
+    /// Returns a peer that may reach an upstream to which the path of this instance is lost,
+    /// other than those in `asked`.
+    pub fn peer_to_ask(
         &mut self,
         target: &Target,
         asked: &[InstanceId],
@@ -129,7 +134,8 @@
     /// Returns whether any peer may make attempts at an upstream.
     pub(crate) fn has_proxy(&self, row: &UpstreamRow, now_ms: u64) -> bool {
         let mut proxies = self.peer_notices.proxies();
-        proxies.any(|(_, state)| state.is_usable(now_ms) && !state.notice.has_lost(row))
+        self.allows_proxies(row)
+            && proxies.any(|(_, state)| state.is_usable(now_ms) && !state.notice.has_lost(row))
     }
 
     /// Records that a peer begins an attempt for this instance.
--- a/crates/gateway/tests/connectivity.rs
+++ b/crates/gateway/tests/connectivity.rs
@@ -179,6 +179,9 @@
     let u1 = target(&table, "u1");
     assert_eq!(table.proxy_for(&u1, 0), None, "the path is not lost");
     lose(&mut table, "u1", 0);
+    assert_eq!(table.proxy_for(&u1, 0), None, "it may have crashed");
+    assert!(table.peer_to_ask(&u1, &[], 0).is_some());
+    table.record_reached_by_peer(&u1);
     for _ in 0..20 {
         let proxy = table.proxy_for(&u1, 0).unwrap();
         assert_eq!(proxy.instance.as_str(), "peer-b");
@@ -213,6 +216,7 @@
     add_peer(&mut peer, "peer-a", Some(notice));
     lose(&mut peer, "u7", 0);
     let lost = target(&peer, "u7");
+    peer.record_reached_by_peer(&lost);
     assert_eq!(peer.proxy_for(&lost, 0), None);
 }
 
@@ -224,6 +228,7 @@
     }
     lose(&mut table, "u1", 0);
     let u1 = target(&table, "u1");
+    table.record_reached_by_peer(&u1);
     let mut counts = std::collections::BTreeMap::new();
     for _ in 0..120 {
         let proxy = table.proxy_for(&u1, 0).unwrap();
@@ -243,6 +248,7 @@
     add_peer(&mut table, "peer-a", None);
     lose(&mut table, "u1", 0);
     let u1 = target(&table, "u1");
+    table.record_reached_by_peer(&u1);
     table.record_proxy_failure(&InstanceId::new("peer-a"), 0);
     assert_eq!(table.proxy_for(&u1, 100), None);
     assert!(table.proxy_for(&u1, 1_000).is_some());
--- a/crates/node/src/crash_detection.rs
+++ b/crates/node/src/crash_detection.rs
@@ -9,7 +9,7 @@
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
-use gateway::{LostRequest, ProxyPeer, Target};
+use gateway::{ConnectFailure, LostRequest, ProxyPeer, Target};
 use model::{InstanceId, PromptPartId};
 use tokio::{task::spawn_local, time::sleep};
 
@@ -68,28 +68,38 @@
     is_soon_succeeded(node, target).await
 }
 
-/// Records a crash in the background if an upstream that has refused a connection since
-/// `refused_ms` refuses those of peers as well.
-pub(crate) fn check_refusal(node: &Rc<Node>, target: &Target, refused_ms: u64) {
+/// Finds out in the background whether peers can connect to an upstream to which a connection
+/// of this instance, begun at `started_ms`, has failed. If not, and if the connection was
+/// refused, the upstream has crashed.
+pub(crate) fn check_unreachable(
+    node: &Rc<Node>,
+    target: &Target,
+    failure: ConnectFailure,
+    started_ms: u64,
+) {
     let node = Rc::clone(node);
     let target = target.clone();
     spawn_local(async move {
-        if !is_reached_by_peer(&node, &target, refused_ms).await {
-            let now_ms = node.now_ms();
-            node.upstreams.borrow_mut().record_crash(&target, now_ms);
+        let is_reached = is_reached_by_peer(&node, &target, started_ms).await;
+        let now_ms = node.now_ms();
+        let mut upstreams = node.upstreams.borrow_mut();
+        if is_reached {
+            upstreams.record_reached_by_peer(&target);
+        } else if failure == ConnectFailure::Refused {
+            upstreams.record_crash(&target, now_ms);
         }
     });
 }
 
-/// Asks peers whether they can connect to an upstream that has refused a connection of this
-/// instance since `refused_ms`. If it has refused this instance only, the path is lost.
+/// Asks peers whether they can connect to an upstream to which a connection of this instance,
+/// begun at `started_ms`, has failed. If only this instance fails, its path is lost.
 ///
 /// Peers that have lost the path as well know it after their own next try and are not asked
 /// again. More of them are asked while nothing is heard from the service, because then the
 /// path of many may be lost.
-async fn is_reached_by_peer(node: &Rc<Node>, target: &Target, refused_ms: u64) -> bool {
+async fn is_reached_by_peer(node: &Rc<Node>, target: &Target, started_ms: u64) -> bool {
     let mut asked = Vec::new();
-    while let Some(peer) = next_peer_to_ask(node, target, &asked, refused_ms) {
+    while let Some(peer) = next_peer_to_ask(node, target, &asked, started_ms) {
         if proxied_attempt::query_path(node, &peer, target).await == Some(true) {
             return true;
         }
@@ -105,10 +115,10 @@
     node: &Node,
     target: &Target,
     asked: &[InstanceId],
-    refused_ms: u64,
+    started_ms: u64,
 ) -> Option<ProxyPeer> {
     let mut upstreams = node.upstreams.borrow_mut();
-    let asked_max = if upstreams.was_heard_since(&target.service, refused_ms) {
+    let asked_max = if upstreams.was_heard_since(&target.service, started_ms) {
         PEERS_ASKED_MIN
     } else {
         PEERS_ASKED_MAX
@@ -116,7 +126,7 @@
     if asked.len() >= asked_max {
         return None;
     }
-    upstreams.proxy_except(target, asked, node.now_ms())
+    upstreams.peer_to_ask(target, asked, node.now_ms())
 }
 
 async fn is_soon_succeeded(node: &Node, target: &Target) -> bool {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends a request to an upstream on a connection of this instance, and waits for the head of
 //! the answer.
 
-use std::{io::ErrorKind, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, Target};
@@ -13,7 +13,6 @@
 use crate::{
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, record_statements},
     connection_pool::Connection,
-    crash_detection,
     node::Node,
     path_probes, upstream_connections,
 };
@@ -157,16 +156,9 @@
 }
 
 async fn open_connection(node: &Rc<Node>, target: &Target) -> Result<Connection, ExchangeFailure> {
-    let had_path = !node.upstreams.borrow().has_lost_path(target);
-    let started_ms = node.now_ms();
     upstream_connections::open(node, target)
         .await
-        .map_err(|error| {
-            if had_path && error.kind() == ErrorKind::ConnectionRefused {
-                crash_detection::check_refusal(node, target, started_ms);
-            }
-            ExchangeFailure::not_sent(error, FailureMeaning::Nothing)
-        })
+        .map_err(|error| ExchangeFailure::not_sent(error, FailureMeaning::Nothing))
 }
 
 /// Takes a connection from the pool. A request that must not be sent twice gets a new
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,8 +18,9 @@
 //!   table.
 //!
 //! Begin reading at [`node::Node`], the shared state, and [`dispatch::serve`], the
-//! handler of callers' requests. The module `feeds` follows the store, and `jobs`
-//! runs batch jobs.
+//! handler of callers' requests. The module `feeds` follows the store, `jobs` runs
+//! batch jobs, and `proxied_attempt` and `proxy_listener` are the two sides of an
+//! attempt that a peer makes.
 
 mod answer;
 mod attempt;
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -109,7 +109,7 @@
     let (mut parts, body) = request.into_parts();
     let Some(attempt) = ProxiedAttempt::remove_from(&mut parts.headers) else {
         log::warn!("event=proxied_attempt_unreadable");
-        return Ok(answer::text(StatusCode::BAD_REQUEST, "no attempt"));
+        return Ok(error_response(&AttemptError::not_sent("unreadable")));
     };
     let guard = ProxiedGuard::new(&node);
     let result = make_attempt(&node, &attempt, parts, body).await;
--- a/crates/node/src/upstream_connections.rs
+++ b/crates/node/src/upstream_connections.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     connection_pool::{Connection, connect},
+    crash_detection,
     node::Node,
     path_probes,
 };
@@ -79,6 +80,9 @@
         node.path_lost.notify_one();
         node.load_changed.notify_one();
     }
+    if loss.is_upstream_news {
+        crash_detection::check_unreachable(node, target, failure, started_ms);
+    }
     for target in loss.probes {
         path_probes::start(node, target);
     }
