--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -2,10 +2,7 @@
 
 mod support;
 
-use std::{
-    collections::BTreeSet,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use http::StatusCode;
 use nix::sys::signal::Signal;
@@ -313,13 +310,7 @@
         .await;
     assert_eq!(answer.status, StatusCode::ACCEPTED);
     cluster.nodes.clear();
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let now_unix_ms = u64::try_from(since_epoch.as_millis()).unwrap();
-    let record = json!({
-        "owner": null, "phase": "Open", "host": HOST, "path": "/batch/x", "item_count": 1,
-        "accepted_unix_ms": now_unix_ms, "due_unix_ms": now_unix_ms + 18_000,
-        "give_up_unix_ms": now_unix_ms + 60_000, "listed": [], "failures": []
-    });
+    let record = support::orphaned_job_record();
     cluster.put_job_record("j1", &record).await;
     cluster.clear_faults(server).await;
     cluster.add_node("node-1");
--- a/crates/node/tests/store_faults.rs
+++ b/crates/node/tests/store_faults.rs
@@ -2,13 +2,11 @@
 
 mod support;
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use http::StatusCode;
 use serde_json::{Value, json};
-use support::{
-    HOST, NodeProcess, TestCluster, complete_output, store_proxy::ProxyState, wait_until,
-};
+use support::{NodeProcess, TestCluster, complete_output, store_proxy::ProxyState, wait_until};
 use tokio::time::{Instant, sleep};
 
 const ITEMS: [(&str, &str); 2] = [("i0", "/batch/x/0"), ("i1", "/batch/x/1")];
@@ -152,13 +150,7 @@
 async fn orphaned_jobs_do_not_flood_a_store_that_rejects_writes() {
     let mut cluster = TestCluster::start(&[4], 0).await;
     let rejected_writes = json!({"kind": {"limit": {"writes_per_s": 0, "reads_per_s": 1_000_000}}, "contains": "redwingtack_jobs"});
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let now_unix_ms = u64::try_from(since_epoch.as_millis()).unwrap();
-    let record = json!({
-        "owner": null, "phase": "Open", "host": HOST, "path": "/batch/x", "item_count": 1,
-        "accepted_unix_ms": now_unix_ms, "due_unix_ms": now_unix_ms + 18_000,
-        "give_up_unix_ms": now_unix_ms + 60_000, "listed": [], "failures": []
-    });
+    let record = support::orphaned_job_record();
     for job in 0..ORPHANED_JOBS {
         cluster.put_job_record(&format!("j{job}"), &record).await;
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -14,7 +14,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
@@ -699,6 +699,18 @@
     lines.join("\n")
 }
 
+/// Returns the record of a job of one item without an owner, as an earlier version of the
+/// program stored it.
+pub fn orphaned_job_record() -> Value {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let now_unix_ms = u64::try_from(since_epoch.as_millis()).unwrap();
+    json!({
+        "owner": null, "phase": "Open", "host": HOST, "path": "/batch/x", "item_count": 1,
+        "accepted_unix_ms": now_unix_ms, "due_unix_ms": now_unix_ms + 18_000,
+        "give_up_unix_ms": now_unix_ms + 60_000, "listed": [], "failures": []
+    })
+}
+
 /// Returns the beginning of a registration that names an address, as the store encodes it.
 /// Addresses on loopback with five digits of port give whole base64 groups.
 fn encoded_address(address: SocketAddr) -> Vec<u8> {
