A lost service is found again when all its upstreams have been replaced

Nobody has seen it: found by reading the change again. If all upstreams of a service crash, or three within hours without a new connection in between, the path to the service counted as lost, and only the upstreams that had failed were probed. Once these were removed from the registrations, nothing was, and requests for their successors were refused for ever. Now any upstream of a lost service is probed, the one that was not tried for longest first, a service without upstreams is not lost, and failures count together for two seconds only.

begin_due_probes_finds_successors_of_a_lost_service and record_connect_failure_long_ago_says_nothing_about_the_service failed before.

--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -31,6 +31,8 @@
 /// Number of different upstreams of a service that must fail in a row for the path to all
 /// of them to count as lost. A service with fewer upstreams needs all of them.
 const FAILURES_OF_SERVICE: usize = 3;
+/// Time within which these failures count, milliseconds.
+const FAILURES_WINDOW_MS: u64 = 2_000;
 /// Time after which a lost path to an upstream is probed, milliseconds. It doubles with each
 /// failed probe of the upstream. While the path to a service is lost, one of its upstreams is
 /// probed at this interval.
@@ -62,9 +64,9 @@
 /// Whether the upstreams of a service can be connected to.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceConnectivity {
-    /// Hashes of the upstreams at which a connection failed since one was last opened to any
-    /// upstream of the service.
-    failed: Vec<u64>,
+    /// Upstreams at which a connection failed lately, since one was last opened to any upstream
+    /// of the service.
+    failed: Vec<FailedUpstream>,
     /// Whether so many failed that the path to all of them counts as lost.
     is_lost: bool,
     /// When an upstream last answered or accepted a connection.
@@ -73,6 +75,13 @@
     next_probe_ms: u64,
 }
 
+/// An upstream at which a connection failed.
+#[derive(Debug, Clone, Copy)]
+struct FailedUpstream {
+    hash: u64,
+    failed_at_ms: u64,
+}
+
 /// Why a connection could not be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectFailure {
@@ -203,7 +212,11 @@
         row.connectivity.record_failure(failure, now_ms);
         row.health.record_unreachable();
         let hash = row.hash;
-        let is_service_news = self.record_failure_of_service(&target.service, hash);
+        let failed = FailedUpstream {
+            hash,
+            failed_at_ms: now_ms,
+        };
+        let is_service_news = self.record_failure_of_service(&target.service, failed);
         let connectivity = &self.service_row(&target.service).connectivity;
         let is_suspect = !connectivity.is_lost && connectivity.heard_at_ms < started_ms;
         PathLoss {
@@ -246,27 +259,32 @@
     /// Returns lost upstreams that are to be probed now. Each is to be reported by
     /// [`Self::record_connected`] or [`Self::record_connect_failure`].
     pub fn begin_due_probes(&mut self, now_ms: u64) -> Vec<Target> {
+        let mut due = self.due_probes_of_lost_services(now_ms);
+        due.extend((0..self.rows.len()).filter(|index| {
+            let row = &self.rows[*index];
+            row.connectivity.is_lost() && row.connectivity.next_probe_ms <= now_ms
+        }));
         let being_probed = self
             .rows
             .iter()
             .filter(|row| row.connectivity.is_being_probed);
         let free = PROBES_MAX.saturating_sub(being_probed.count());
-        self.make_probe_of_lost_services_due(now_ms);
-        let due = self.rows.iter_mut().filter(|row| {
-            let Connectivity {
-                is_being_probed,
-                next_probe_ms,
-                ..
-            } = row.connectivity;
-            row.connectivity.is_lost() && !is_being_probed && next_probe_ms <= now_ms
-        });
-        due.take(free).map(UpstreamRow::begin_probe).collect()
+        let mut probes = Vec::new();
+        for index in due {
+            let row = &mut self.rows[index];
+            if probes.len() < free && !row.connectivity.is_being_probed {
+                probes.push(row.begin_probe());
+            }
+        }
+        probes
     }
 
-    /// Returns whether any upstream cannot be connected to.
+    /// Returns whether the path to any upstream counts as lost.
     #[must_use]
     pub fn has_lost_paths(&self) -> bool {
-        self.rows.iter().any(|row| row.connectivity.is_lost())
+        let mut services = self.services.iter();
+        services.any(|service| service.connectivity.is_lost)
+            || self.rows.iter().any(|row| row.connectivity.is_lost())
     }
 
     /// Returns the state of a service.
@@ -339,15 +357,21 @@
             .is_some_and(|service| service.connectivity.is_lost)
     }
 
-    /// Records a failure at the upstream with this hash. Returns whether the path to the
-    /// service as a whole has just been lost.
-    fn record_failure_of_service(&mut self, service: &ServiceName, upstream: u64) -> bool {
+    /// Records a failure at an upstream. Returns whether the path to the service as a whole
+    /// has just been lost.
+    fn record_failure_of_service(
+        &mut self,
+        service: &ServiceName,
+        failure: FailedUpstream,
+    ) -> bool {
         let rows = self.rows.iter().filter(|row| row.entry.service == *service);
         let ready = rows.filter(|row| row.is_ready()).count();
         let connectivity = &mut self.service_row(service).connectivity;
-        if !connectivity.failed.contains(&upstream) {
-            connectivity.failed.push(upstream);
-        }
+        connectivity.failed.retain(|failed| {
+            failed.hash != failure.hash
+                && failure.failed_at_ms < failed.failed_at_ms + FAILURES_WINDOW_MS
+        });
+        connectivity.failed.push(failure);
         let was_lost = connectivity.is_lost;
         connectivity.is_lost |= connectivity.failed.len() >= ready.min(FAILURES_OF_SERVICE);
         connectivity.is_lost && !was_lost
@@ -367,21 +391,28 @@
         others.take(missing).map(UpstreamRow::begin_probe).collect()
     }
 
-    /// Makes the next probe due in each service to which the path is lost.
-    fn make_probe_of_lost_services_due(&mut self, now_ms: u64) {
+    /// Returns an upstream of each lost service whose next probe is due, as its index in the
+    /// table: the one that was not tried for longest, which may be new. A service without
+    /// upstreams is no longer lost.
+    fn due_probes_of_lost_services(&mut self, now_ms: u64) -> Vec<usize> {
+        let mut due = Vec::new();
         for service in &mut self.services {
             let connectivity = &mut service.connectivity;
             if !connectivity.is_lost || now_ms < connectivity.next_probe_ms {
                 continue;
             }
-            connectivity.next_probe_ms = now_ms + PROBE_PAUSE_MIN_MS;
-            let rows = self.rows.iter_mut();
-            let lost = rows
-                .filter(|row| row.entry.service == service.service && row.connectivity.is_lost());
-            if let Some(row) = lost.min_by_key(|row| row.connectivity.next_probe_ms) {
-                row.connectivity.next_probe_ms = now_ms;
+            let rows = self.rows.iter().enumerate();
+            let ready =
+                rows.filter(|(_, row)| row.entry.service == service.service && row.is_ready());
+            match ready.min_by_key(|(_, row)| row.connectivity.next_probe_ms) {
+                Some((index, _)) => {
+                    connectivity.next_probe_ms = now_ms + PROBE_PAUSE_MIN_MS;
+                    due.push(index);
+                }
+                None => *connectivity = ServiceConnectivity::default(),
             }
         }
+        due
     }
 
     /// Makes the probes of all lost upstreams of a service due, because the path to one of
--- a/crates/gateway/tests/connectivity.rs
+++ b/crates/gateway/tests/connectivity.rs
@@ -326,3 +326,27 @@
     assert!(matches!(proxied, Placement::Send { .. }), "{proxied:?}");
     assert!(expected_ms_of(&proxied) > GOAL_MS);
 }
+
+/// All upstreams crash, and others take their place.
+#[test]
+fn begin_due_probes_finds_successors_of_a_lost_service() {
+    let mut table = upstream_table("me", &UPSTREAMS[..3]);
+    for id in ["u1", "u2", "u3"] {
+        lose(&mut table, id, 0);
+    }
+    table.retain_registered(&[], false, 100);
+    table.upsert(entry("u9", "north-a"), 100);
+    let probes = table.begin_due_probes(1_000);
+    assert_eq!(probes.len(), 1);
+    table.record_connected(&probes[0], 1_000);
+    assert!(matches!(place(&mut table, 1_000), Placement::Send { .. }));
+}
+
+/// Upstreams crash now and then while nobody needs a new connection to the others.
+#[test]
+fn record_connect_failure_long_ago_says_nothing_about_the_service() {
+    let mut table = table();
+    for (id, now_ms) in [("u1", 0), ("u2", 60_000), ("u3", 120_000)] {
+        assert!(!lose(&mut table, id, now_ms).is_service_news);
+    }
+}
