--- a/crates/gateway/src/proxies.rs
+++ b/crates/gateway/src/proxies.rs
@@ -6,10 +6,10 @@
 //! instances, and should share them evenly. A proxy only makes the attempt. Placement,
 //! retries, and the accounts of loads and limits stay with the instance that has the caller.
 
-use std::{mem, net::SocketAddr};
+use std::net::SocketAddr;
 
 use model::{InstanceId, Region};
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand::{RngExt, rngs::SmallRng};
 
 use crate::{
     LoadNotice, PathNotice, UpstreamTable,
@@ -168,7 +168,6 @@
 
     /// Returns the proxies for an attempt.
     pub(crate) fn proxies(&mut self, now_ms: u64) -> Proxies {
-        let mut rng = mem::replace(&mut self.rng, SmallRng::seed_from_u64(0));
         let mut drawn: Vec<Drawn<'_>> = Vec::new();
         for (notice, state) in self.peer_notices.proxies() {
             if !state.is_usable(now_ms) {
@@ -181,24 +180,29 @@
                 drawn.push(Drawn::new(&notice.region));
                 drawn.len() - 1
             });
-            drawn[position].consider(notice, state, &mut rng);
+            drawn[position].consider(notice, state, &mut self.rng);
         }
-        let peers = drawn.iter().flat_map(|drawn| &drawn.peers);
-        let proxies = peers.filter_map(|(notice, state)| self.proxy(notice, state));
-        let proxies = Proxies(proxies.collect());
-        self.rng = rng;
-        proxies
+        let own_region = &self.locality.region;
+        let peers = drawn.into_iter().flat_map(|drawn| drawn.peers);
+        Proxies(
+            peers
+                .filter_map(|(notice, state)| Proxy::new(notice, state, own_region))
+                .collect(),
+        )
     }
+}
 
-    fn proxy(&self, notice: &LoadNotice, state: &ProxyState) -> Option<Proxy> {
-        let default_ms = if notice.region == self.locality.region {
+impl Proxy {
+    /// Returns `None` if the address of the peer is not known yet.
+    fn new(notice: &LoadNotice, state: &ProxyState, own_region: &Region) -> Option<Self> {
+        let default_ms = if notice.region == *own_region {
             SAME_REGION_ROUND_TRIP_MS
         } else {
             OTHER_REGION_ROUND_TRIP_MS
         };
         let own: u32 = notice.loads.iter().map(|load| u32::from(load.online)).sum();
         let in_flight = own + state.notice.proxied.max(state.attempts);
-        Some(Proxy {
+        Some(Self {
             peer: ProxyPeer {
                 instance: notice.instance.clone(),
                 address: state.address?,
