Only upstreams that have just been lost speak for the loss of their service

Now a failure counts only if the upstream could be connected to before, or if none is left.

record_connect_failure_of_crashed_upstreams_loses_no_service failed before.

--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -28,10 +28,10 @@
 const CONNECT_TIMEOUT_MAX_MS: u64 = 1_000;
 /// Maximum number of times that the connect time-out is doubled.
 const DOUBLINGS_MAX: u32 = 8;
-/// Number of different upstreams of a service that must fail in a row for the path to all
-/// of them to count as lost. A service with fewer upstreams needs all of them.
+/// Number of upstreams of a service that must be lost in a row for the path to all of them to
+/// count as lost. A service with fewer upstreams needs all of them.
 const FAILURES_OF_SERVICE: usize = 3;
-/// Time within which these failures count, milliseconds.
+/// Time within which these losses count, milliseconds.
 const FAILURES_WINDOW_MS: u64 = 2_000;
 /// Time after which a lost path to an upstream is probed, milliseconds. It doubles with each
 /// failed probe of the upstream. While the path to a service is lost, one of its upstreams is
@@ -64,8 +64,8 @@
 /// Whether the upstreams of a service can be connected to.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceConnectivity {
-    /// Upstreams at which a connection failed lately, since one was last opened to any upstream
-    /// of the service.
+    /// Upstreams that were lost lately, since a connection was last opened to any upstream of
+    /// the service.
     failed: Vec<FailedUpstream>,
     /// Whether so many failed that the path to all of them counts as lost.
     is_lost: bool,
@@ -75,7 +75,7 @@
     next_probe_ms: u64,
 }
 
-/// An upstream at which a connection failed.
+/// An upstream that has just been lost.
 #[derive(Debug, Clone, Copy)]
 struct FailedUpstream {
     hash: u64,
@@ -212,11 +212,15 @@
         row.connectivity.record_failure(failure, now_ms);
         row.health.record_unreachable();
         let hash = row.hash;
-        let failed = FailedUpstream {
-            hash,
-            failed_at_ms: now_ms,
-        };
-        let is_service_news = self.record_failure_of_service(&target.service, failed);
+        // An upstream that has crashed goes on failing, which says nothing about the path.
+        let is_service_news = is_upstream_news
+            && self.record_loss_in_service(
+                &target.service,
+                FailedUpstream {
+                    hash,
+                    failed_at_ms: now_ms,
+                },
+            );
         let connectivity = &self.service_row(&target.service).connectivity;
         let is_suspect = !connectivity.is_lost && connectivity.heard_at_ms < started_ms;
         PathLoss {
@@ -357,23 +361,20 @@
             .is_some_and(|service| service.connectivity.is_lost)
     }
 
-    /// Records a failure at an upstream. Returns whether the path to the service as a whole
-    /// has just been lost.
-    fn record_failure_of_service(
-        &mut self,
-        service: &ServiceName,
-        failure: FailedUpstream,
-    ) -> bool {
+    /// Records that an upstream has been lost. Returns whether the path to the service as a
+    /// whole has just been lost.
+    fn record_loss_in_service(&mut self, service: &ServiceName, lost: FailedUpstream) -> bool {
         let rows = self.rows.iter().filter(|row| row.entry.service == *service);
-        let ready = rows.filter(|row| row.is_ready()).count();
+        let is_any_left = rows
+            .filter(|row| row.is_ready())
+            .any(|row| !row.connectivity.is_lost());
         let connectivity = &mut self.service_row(service).connectivity;
         connectivity.failed.retain(|failed| {
-            failed.hash != failure.hash
-                && failure.failed_at_ms < failed.failed_at_ms + FAILURES_WINDOW_MS
+            failed.hash != lost.hash && lost.failed_at_ms < failed.failed_at_ms + FAILURES_WINDOW_MS
         });
-        connectivity.failed.push(failure);
+        connectivity.failed.push(lost);
         let was_lost = connectivity.is_lost;
-        connectivity.is_lost |= connectivity.failed.len() >= ready.min(FAILURES_OF_SERVICE);
+        connectivity.is_lost |= !is_any_left || connectivity.failed.len() >= FAILURES_OF_SERVICE;
         connectivity.is_lost && !was_lost
     }
 
--- a/crates/gateway/tests/connectivity.rs
+++ b/crates/gateway/tests/connectivity.rs
@@ -350,3 +350,22 @@
         assert!(!lose(&mut table, id, now_ms).is_service_news);
     }
 }
+
+/// Upstreams that have crashed go on failing, while no request needs a new connection to the
+/// others.
+#[test]
+fn record_connect_failure_of_crashed_upstreams_loses_no_service() {
+    let mut table = table();
+    for (id, now_ms) in [("u1", 0), ("u2", 10_000), ("u3", 20_000)] {
+        lose(&mut table, id, now_ms);
+    }
+    for now_ms in (30_000..40_000).step_by(100) {
+        for id in ["u1", "u2", "u3"] {
+            assert!(!lose(&mut table, id, now_ms).is_service_news);
+        }
+    }
+    assert!(
+        lose(&mut table, "u4", 40_000).is_service_news,
+        "none is left"
+    );
+}
