Items with a suspected part run one at a time

Traced: two items with the part ran in three waves, each wave at two live upstreams, and only crashes after one another convict. Items with a part that was at a crash, and that has not been answered since, now run one at a time at an instance.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -17,6 +17,7 @@
 
 use std::{mem::discriminant, rc::Rc};
 
+use model::PromptPartId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -155,6 +156,24 @@
         self.evidence.knows_crash(incarnation)
     }
 
+    /// Returns the parts of a prompt that were in flight at a crash and have not been answered
+    /// since. Items with such a part in common are to run one at a time: each crash must come
+    /// after the one before to tell whether the part is the cause.
+    #[must_use]
+    pub fn suspected_parts(&self, content: &RequestContent) -> Vec<PromptPartId> {
+        let crashes = self.evidence.crashes();
+        let is_suspected = |part: &&PromptPartId| {
+            let cause = CrashCause::Part(**part);
+            crashes.iter().any(|crash| {
+                let mut requests = crash.report.requests.iter();
+                requests.any(|request| request.has_cause(cause))
+                    && self.evidence.is_suspect(cause, &crash.report)
+            })
+        };
+        let parts = content.shared_parts.iter();
+        parts.filter(is_suspected).copied().collect()
+    }
+
     /// Records that a request with this content was answered and its upstream did not crash.
     pub fn record_survival(&mut self, content: &RequestContent, kind: WorkKind, now_ms: u64) {
         for cause in content.causes(kind) {
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -4,12 +4,12 @@
 
 use gateway::{QuarantineCheck, RequestContent, RequestFingerprint, Target, WorkKind};
 use ledger::OwnedJob;
-use model::shared_parts;
+use model::{PromptPartId, shared_parts};
 use tokio::{sync::Notify, task::spawn_local};
 
 use super::{
     item_run,
-    runner::{ActiveRun, WaitingItem},
+    runner::{ActiveRun, Runner, WaitingItem},
 };
 use crate::{node::Node, quarantine};
 
@@ -46,8 +46,12 @@
 
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
     let mut runner = node.runner.borrow_mut();
+    let content = item_content(&runner.jobs[item.job_index], item.item_index);
+    let suspected = node.quarantine.borrow().suspected_parts(&content);
+    if !suspected.is_empty() && runs_any_part(&runner, &suspected) {
+        return;
+    }
     let job = &mut runner.jobs[item.job_index];
-    let content = item_content(job, item.item_index);
     let check = quarantine::check(node, &content, WorkKind::Batch);
     if !check.permits(node.upstreams.borrow().load_at(&target)) {
         return;
@@ -85,6 +89,18 @@
     });
 }
 
+/// Returns whether an item with one of these parts is running.
+fn runs_any_part(runner: &Runner, parts: &[PromptPartId]) -> bool {
+    runner.runs.iter().any(|run| {
+        let Ok(index) = runner.find_job(&run.job) else {
+            return false;
+        };
+        let content = item_content(&runner.jobs[index], run.item_index);
+        let mut running = content.shared_parts.iter();
+        running.any(|part| parts.contains(part))
+    })
+}
+
 /// Returns the content of an item's request. Its id stands for all but the parts of the
 /// prompt, since items are never compared as a whole.
 pub(super) fn item_content(job: &OwnedJob, item_index: u32) -> RequestContent {
