Customers, keys and prompt parts as types; the table of upstreams in smaller modules

Change: the configuration's customers with digests of their keys, the customer on each send, item and job record; a job of another customer is not found.

--- a/crates/gateway/src/batch_plan.rs
+++ b/crates/gateway/src/batch_plan.rs
@@ -15,10 +15,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Urgency,
-    notice_scheduler::unreported_online,
-    placement::Target,
-    upstream_table::{UpstreamRow, UpstreamTable},
+    Urgency, notice_scheduler::unreported_online, target::Target, upstream_row::UpstreamRow,
+    upstream_table::UpstreamTable,
 };
 
 /// Slots that batch items leave free at each upstream of a service while the
--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -14,10 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    UpstreamTable,
-    batch_plan::service_hash,
-    placement::Target,
-    upstream_table::{UpstreamRow, round_ms},
+    UpstreamTable, batch_plan::service_hash, target::Target, upstream_row::UpstreamRow,
+    upstream_table::round_ms,
 };
 
 /// Connect time-out as a multiple of the round-trip time.
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -7,10 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    placement::Target,
-    upstream_table::{UpstreamRow, UpstreamTable},
-};
+use crate::{target::Target, upstream_row::UpstreamRow, upstream_table::UpstreamTable};
 
 /// An upstream that said that it is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,9 +24,11 @@
 
 mod attempts;
 mod batch_plan;
+mod candidate;
 mod connectivity;
 mod crash_evidence;
 mod crash_suspects;
+mod customers;
 mod events;
 mod forecast;
 mod health;
@@ -42,13 +44,16 @@
 mod quarantine;
 mod quarantine_notice;
 mod rate_limits;
+mod refusal;
 mod request_content;
 mod route;
 mod service_timings;
 mod store_reachability;
 mod stream_origins;
+mod target;
 mod token_issuer;
 mod upstream;
+mod upstream_row;
 mod upstream_table;
 mod version_history;
 
@@ -57,18 +62,20 @@
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
     connectivity::{ConnectFailure, PathLoss, PathNotice, ServiceState},
     crash_evidence::{CrashReport, RequestInFlight, Survival},
+    customers::{Customer, CustomerTable, KeyDigest, Quota},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
     notice_scheduler::{NoticeScheduler, notice_pause_ms},
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
-    placement::{Placement, PlacementRequest, Preemption, RefusalReason, Target},
+    placement::{Placement, PlacementRequest, Preemption},
     probation::RequestTrial,
     proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
+    refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
@@ -76,6 +83,7 @@
         AttemptHash, HolderUse, OriginRecord, RecordHolder, StreamOrigins, VersionHash,
         record_holders,
     },
+    target::Target,
     token_issuer::SettledTokens,
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
--- a/crates/gateway/src/limited_upstreams.rs
+++ b/crates/gateway/src/limited_upstreams.rs
@@ -10,9 +10,10 @@
     UpstreamTable,
     batch_plan::service_hash,
     peers::{election_rank, incarnation_hash},
-    placement::Target,
     rate_limits::{DemandRank, LimitNotice, LimitRole},
-    upstream_table::{UpstreamRow, as_f64},
+    target::Target,
+    upstream_row::UpstreamRow,
+    upstream_table::as_f64,
 };
 
 /// Time after the last request for a service in which its limited upstreams are asked for
--- a/crates/gateway/src/notice_scheduler.rs
+++ b/crates/gateway/src/notice_scheduler.rs
@@ -14,7 +14,8 @@
 use crate::{
     UpstreamTable,
     service_timings::TimingEstimates,
-    upstream_table::{UpstreamRow, as_f64, round_count},
+    upstream_row::UpstreamRow,
+    upstream_table::{as_f64, round_count},
 };
 
 /// Rate limit for the notices of one instance, per second.
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -7,9 +7,8 @@
 use model::UpstreamId;
 
 use crate::{
-    LoadNotice, UpstreamLoad, UpstreamTable,
-    peers::election_rank,
-    upstream_table::{UpstreamRow, round_ms},
+    LoadNotice, UpstreamLoad, UpstreamTable, peers::election_rank, upstream_row::UpstreamRow,
+    upstream_table::round_ms,
 };
 
 /// Requests in flight at one upstream, as known to this instance.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -15,17 +15,20 @@
 //! An upstream to which this instance has no path is weighed like any other, with the way
 //! through a peer that has one.
 
-use std::{net::SocketAddr, ops::Range};
+use std::ops::Range;
 
-use model::{InstanceId, ServiceName, SoftwareVersion, UpstreamId};
+use model::{CustomerName, InstanceId, PromptPart, ServiceName, UpstreamId};
 use rand::RngExt;
 
 use crate::{
+    candidate::{Candidate, Preference, soonest_behind_detour},
     proxies::Proxies,
+    refusal::RefusalReason,
     service_timings::TimingEstimates,
     stream_origins::VersionHash,
-    upstream::UpstreamEntry,
-    upstream_table::{UpstreamRow, UpstreamTable, as_f64, round_count, round_ms},
+    target::Target,
+    upstream_row::UpstreamRow,
+    upstream_table::{UpstreamTable, as_f64, round_count, round_ms},
 };
 
 /// Maximum difference from the lowest cost for an upstream to count as equal to
@@ -64,6 +67,13 @@
 pub struct PlacementRequest<'a> {
     /// Service that the request is for.
     pub service: &'a ServiceName,
+    /// Customer on whose behalf the request is sent; `None` if the configuration names no
+    /// customers, or if the route needs no key.
+    pub customer: Option<&'a CustomerName>,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u32,
+    /// Parts of the prompt in order; empty if the request names none.
+    pub prompt_parts: &'a [PromptPart],
     /// Upstreams that the request was sent to before. Others are preferred.
     pub tried: &'a [UpstreamId],
     /// Latency goal: time after the arrival of the request within which its
@@ -116,69 +126,6 @@
     Peers(Vec<InstanceId>),
 }
 
-/// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RefusalReason {
-    /// No upstream of the service can be used.
-    NoUpstream,
-    /// The path to all upstreams of the service is lost, and no peer is known to have one.
-    Unreachable,
-    /// The answer is expected to begin too late at every upstream.
-    Saturated,
-    /// All upstreams that can be used have reached the rate limit that they state.
-    RateLimited,
-    /// The request, or a part of its prompt, crashes upstreams.
-    Quarantined,
-    /// No upstream that can be used runs the version that began the stream.
-    VersionGone,
-    /// It is unknown which version began the stream.
-    VersionUnknown,
-}
-
-/// One incarnation of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// Id of the upstream.
-    pub upstream: UpstreamId,
-    /// Service of the upstream.
-    pub service: ServiceName,
-    /// Version of the software that it runs.
-    pub version: SoftwareVersion,
-    /// Address that requests are sent to.
-    pub address: SocketAddr,
-    /// When the upstream started, Unix milliseconds. Incarnations of the same
-    /// upstream differ in it.
-    pub started_unix_ms: u64,
-}
-
-impl RefusalReason {
-    /// Returns the name used in logs and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NoUpstream => "no_upstream",
-            Self::Unreachable => "unreachable",
-            Self::Saturated => "saturated",
-            Self::RateLimited => "rate_limited",
-            Self::Quarantined => "quarantined",
-            Self::VersionGone => "version_gone",
-            Self::VersionUnknown => "version_unknown",
-        }
-    }
-}
-
-impl Target {
-    pub(crate) fn new(entry: &UpstreamEntry) -> Self {
-        Self {
-            upstream: entry.id.clone(),
-            service: entry.service.clone(),
-            version: entry.version.clone(),
-            address: entry.address,
-            started_unix_ms: entry.started_unix_ms,
-        }
-    }
-}
-
 impl UpstreamTable {
     /// Decides to which upstream an online request is sent, or that it is
     /// refused.
@@ -395,52 +342,6 @@
     }
 }
 
-/// An upstream that may serve a request.
-#[derive(Debug)]
-struct Candidate {
-    index: usize,
-    /// Number of requests that peers are expected to have placed there since their
-    /// last notices.
-    unseen: u32,
-    /// Whether this instance or a peer has a path to the upstream.
-    has_path: bool,
-    preference: Preference,
-    /// Round trip to the upstream, through a proxy if this instance has no path to it.
-    round_trip_ms: f64,
-    /// Part of the round trip that the way through a proxy adds.
-    detour_ms: f64,
-    expected_ms: f64,
-    cost_ms: f64,
-}
-
-impl Candidate {
-    /// Returns when an answer would begin if this instance had a path to the upstream,
-    /// milliseconds from now. It decides about a refusal: callers do not choose which
-    /// instance has lost its path, and are to be served as often as those of others.
-    fn due_ms(&self) -> f64 {
-        self.expected_ms - self.detour_ms
-    }
-}
-
-/// Returns the position of the candidate behind a detour that would answer soonest without
-/// it.
-fn soonest_behind_detour(candidates: &[Candidate]) -> Option<usize> {
-    let positions = 0..candidates.len();
-    positions
-        .filter(|position| candidates[*position].detour_ms > 0.0)
-        .min_by(|a, b| candidates[*a].due_ms().total_cmp(&candidates[*b].due_ms()))
-}
-
-/// Whether an upstream is preferred to others, whatever the costs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Preference {
-    /// Whether the upstream is neither ejected nor without any path. The others are used as a
-    /// last resort.
-    is_usable: bool,
-    /// Whether the request was not sent there before.
-    is_untried: bool,
-}
-
 impl UpstreamRow {
     /// Returns the expected wait for a slot, milliseconds. `unreported` is the
     /// number of requests at the upstream that no notice has reported yet.
--- a/crates/gateway/src/proxies.rs
+++ b/crates/gateway/src/proxies.rs
@@ -14,8 +14,9 @@
 use crate::{
     LoadNotice, PathNotice, UpstreamTable,
     moving_average::MovingAverage,
-    placement::Target,
-    upstream_table::{OTHER_REGION_ROUND_TRIP_MS, SAME_REGION_ROUND_TRIP_MS, UpstreamRow},
+    target::Target,
+    upstream_row::UpstreamRow,
+    upstream_table::{OTHER_REGION_ROUND_TRIP_MS, SAME_REGION_ROUND_TRIP_MS},
 };
 
 /// Number of peers of each region that are considered for an attempt. They are drawn at
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -25,10 +25,10 @@
     crash_evidence::{CrashEvidence, CrashReport, RequestInFlight, Survival},
     crash_suspects::{Suspect, convicted_causes, request_suspect},
     peers::incarnation_hash,
-    placement::Target,
     probation::Probation,
     quarantine_notice::{QuarantineNotice, Quarantined},
     request_content::{CrashCause, RequestContent, RequestFingerprint},
+    target::Target,
 };
 
 /// How long a trial that is due waits for an idle upstream, so that no other request is
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,6 +5,8 @@
 use model::ServiceName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::customers::CustomerTable;
+
 /// One version of the configuration of the operator.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RouteTable {
@@ -12,6 +14,8 @@
     pub version: u64,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// The customers; `None` if the configuration names none, so that requests need no key.
+    pub customers: Option<Arc<CustomerTable>>,
     /// Sorted by host, then by path prefix.
     routes: Vec<Arc<Route>>,
 }
@@ -38,6 +42,8 @@
     pub pause_goal_ms: u64,
     /// Priority among the routes; 0 is the most urgent.
     pub priority: u32,
+    /// Whether requests need no key, although the configuration names customers.
+    pub is_public: bool,
     /// Maximum number of attempts that may run one request.
     pub attempts_max: u32,
     /// Services that share the requests, with their weights.
@@ -103,10 +109,18 @@
         Self {
             version,
             limits,
+            customers: None,
             routes,
         }
     }
 
+    /// Sets the customers.
+    #[must_use]
+    pub fn with_customers(mut self, customers: CustomerTable) -> Self {
+        self.customers = Some(Arc::new(customers));
+        self
+    }
+
     /// Returns the route of a request: among the routes of the host, the one
     /// with the longest matching path prefix. A port in `host` is ignored.
     #[must_use]
--- /dev/null
+++ b/crates/gateway/src/upstream_row.rs
@@ -0,0 +1,112 @@
+//! What an instance knows of one upstream.
+
+use crate::{
+    UpstreamEntry, UpstreamLoad, UpstreamState,
+    connectivity::Connectivity,
+    health::Health,
+    moving_average::MovingAverage,
+    peer_loads::PeerLoad,
+    peers::{incarnation_hash, upstream_hash},
+    stream_origins::VersionHash,
+};
+
+/// Age from which a measured answer delay is ignored, milliseconds.
+const DELAY_VALIDITY_MS: u64 = 5_000;
+
+/// What this instance knows of one upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamRow {
+    pub(crate) entry: UpstreamEntry,
+    pub(crate) hash: u64,
+    /// Hash of the incarnation.
+    pub(crate) incarnation: u64,
+    pub(crate) version: VersionHash,
+    /// Until when another process may listen at the address whose registration has not been
+    /// read yet, because this incarnation has crashed.
+    pub(crate) may_be_succeeded_until_ms: u64,
+    /// When the row is removed because its registration disappeared. `None`
+    /// while the upstream is registered.
+    pub(crate) remove_at_ms: Option<u64>,
+    pub(crate) warmed_up_at_ms: u64,
+    /// Whether this incarnation said that it is leaving.
+    pub(crate) is_leaving: bool,
+    pub(crate) connectivity: Connectivity,
+    pub(crate) health: Health,
+    pub(crate) own_load: UpstreamLoad,
+    pub(crate) peer_load: PeerLoad,
+    pub(crate) round_trip_ms: MovingAverage,
+    pub(crate) delay_ms: MovingAverage,
+    pub(crate) delay_measured_ms: u64,
+}
+
+impl UpstreamRow {
+    pub(crate) fn new(entry: UpstreamEntry, peer_load: PeerLoad, now_ms: u64) -> Self {
+        let hash = upstream_hash(&entry.id);
+        let load = UpstreamLoad {
+            upstream: hash,
+            ..UpstreamLoad::default()
+        };
+        Self {
+            warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
+            incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
+            version: VersionHash::new(&entry.version),
+            may_be_succeeded_until_ms: 0,
+            entry,
+            hash,
+            remove_at_ms: None,
+            is_leaving: false,
+            connectivity: Connectivity::default(),
+            health: Health::default(),
+            own_load: load,
+            peer_load,
+            round_trip_ms: MovingAverage::default(),
+            delay_ms: MovingAverage::default(),
+            delay_measured_ms: 0,
+        }
+    }
+
+    pub(crate) fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
+        self.entry.started_unix_ms == entry.started_unix_ms && self.entry.address == entry.address
+    }
+
+    /// Returns whether the upstream is registered as ready and has not said that it is
+    /// leaving.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.entry.state == UpstreamState::Ready && !self.is_leaving
+    }
+
+    /// Returns whether the upstream is sure to run a version of the software.
+    pub(crate) fn runs(&self, version: VersionHash, now_ms: u64) -> bool {
+        self.version == version && now_ms >= self.may_be_succeeded_until_ms
+    }
+
+    /// Returns the number of online requests of all instances.
+    pub(crate) fn online(&self) -> u32 {
+        u32::from(self.own_load.online) + self.peer_load.online
+    }
+
+    /// Returns the number of batch items of all instances.
+    pub(crate) fn batch(&self) -> u32 {
+        u32::from(self.own_load.batch) + self.peer_load.batch
+    }
+
+    /// Returns the number of preemptible batch items of all instances.
+    pub(crate) fn preemptible(&self) -> u32 {
+        u32::from(self.own_load.preemptible) + self.peer_load.preemptible
+    }
+
+    /// Returns the number of online requests and batch items of all instances.
+    pub(crate) fn load(&self) -> u32 {
+        self.online() + self.batch()
+    }
+
+    /// Returns how much later than expected recent answers began, milliseconds,
+    /// or 0 without a recent measurement.
+    pub(crate) fn delay_ms(&self, now_ms: u64) -> f64 {
+        if now_ms < self.delay_measured_ms + DELAY_VALIDITY_MS {
+            self.delay_ms.value_or(0.0)
+        } else {
+            0.0
+        }
+    }
+}
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -7,16 +7,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BatchDemand, UpstreamEntry, UpstreamLoad, UpstreamState, Urgency,
-    connectivity::Connectivity,
-    health::Health,
-    moving_average::MovingAverage,
+    BatchDemand, UpstreamEntry, UpstreamLoad, Urgency,
     peer_loads::{PeerLoad, RowPosition},
-    peers::{PeerNotices, election_rank, incarnation_hash, upstream_hash},
-    placement::Target,
+    peers::{PeerNotices, election_rank, upstream_hash},
     rate_limits::RateLimits,
     service_timings::ServiceRow,
     stream_origins::VersionHash,
+    target::Target,
+    upstream_row::UpstreamRow,
 };
 
 /// Grace period of an upstream whose registration may have lapsed because the
@@ -29,8 +27,6 @@
 pub(crate) const OTHER_REGION_ROUND_TRIP_MS: f64 = 60.0;
 /// Time in which the successor of an incarnation that crashed has registered, milliseconds.
 const SUCCESSION_MS: u64 = 3_000;
-/// Age from which a measured answer delay is ignored, milliseconds.
-const DELAY_VALIDITY_MS: u64 = 5_000;
 
 /// This instance and where it runs.
 #[derive(Debug, Clone)]
@@ -81,32 +77,6 @@
     pub(crate) rng: SmallRng,
 }
 
-/// What this instance knows of one upstream.
-#[derive(Debug)]
-pub(crate) struct UpstreamRow {
-    pub(crate) entry: UpstreamEntry,
-    pub(crate) hash: u64,
-    /// Hash of the incarnation.
-    pub(crate) incarnation: u64,
-    pub(crate) version: VersionHash,
-    /// Until when another process may listen at the address whose registration has not been
-    /// read yet, because this incarnation has crashed.
-    pub(crate) may_be_succeeded_until_ms: u64,
-    /// When the row is removed because its registration disappeared. `None`
-    /// while the upstream is registered.
-    pub(crate) remove_at_ms: Option<u64>,
-    pub(crate) warmed_up_at_ms: u64,
-    /// Whether this incarnation said that it is leaving.
-    pub(crate) is_leaving: bool,
-    pub(crate) connectivity: Connectivity,
-    pub(crate) health: Health,
-    pub(crate) own_load: UpstreamLoad,
-    pub(crate) peer_load: PeerLoad,
-    round_trip_ms: MovingAverage,
-    delay_ms: MovingAverage,
-    delay_measured_ms: u64,
-}
-
 impl UpstreamTable {
     /// Creates an empty table for the instance at `locality`. `seed` seeds the
     /// random choices.
@@ -404,78 +374,6 @@
     }
 }
 
-impl UpstreamRow {
-    fn new(entry: UpstreamEntry, peer_load: PeerLoad, now_ms: u64) -> Self {
-        let hash = upstream_hash(&entry.id);
-        let load = UpstreamLoad {
-            upstream: hash,
-            ..UpstreamLoad::default()
-        };
-        Self {
-            warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
-            incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
-            version: VersionHash::new(&entry.version),
-            may_be_succeeded_until_ms: 0,
-            entry,
-            hash,
-            remove_at_ms: None,
-            is_leaving: false,
-            connectivity: Connectivity::default(),
-            health: Health::default(),
-            own_load: load,
-            peer_load,
-            round_trip_ms: MovingAverage::default(),
-            delay_ms: MovingAverage::default(),
-            delay_measured_ms: 0,
-        }
-    }
-
-    fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        self.entry.started_unix_ms == entry.started_unix_ms && self.entry.address == entry.address
-    }
-
-    /// Returns whether the upstream is registered as ready and has not said that it is
-    /// leaving.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.entry.state == UpstreamState::Ready && !self.is_leaving
-    }
-
-    /// Returns whether the upstream is sure to run a version of the software.
-    pub(crate) fn runs(&self, version: VersionHash, now_ms: u64) -> bool {
-        self.version == version && now_ms >= self.may_be_succeeded_until_ms
-    }
-
-    /// Returns the number of online requests of all instances.
-    pub(crate) fn online(&self) -> u32 {
-        u32::from(self.own_load.online) + self.peer_load.online
-    }
-
-    /// Returns the number of batch items of all instances.
-    pub(crate) fn batch(&self) -> u32 {
-        u32::from(self.own_load.batch) + self.peer_load.batch
-    }
-
-    /// Returns the number of preemptible batch items of all instances.
-    pub(crate) fn preemptible(&self) -> u32 {
-        u32::from(self.own_load.preemptible) + self.peer_load.preemptible
-    }
-
-    /// Returns the number of online requests and batch items of all instances.
-    pub(crate) fn load(&self) -> u32 {
-        self.online() + self.batch()
-    }
-
-    /// Returns how much later than expected recent answers began, milliseconds,
-    /// or 0 without a recent measurement.
-    pub(crate) fn delay_ms(&self, now_ms: u64) -> f64 {
-        if now_ms < self.delay_measured_ms + DELAY_VALIDITY_MS {
-            self.delay_ms.value_or(0.0)
-        } else {
-            0.0
-        }
-    }
-}
-
 #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
 pub(crate) fn as_f64(ms: u64) -> f64 {
     ms as f64
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -66,6 +66,9 @@
     let service = service();
     let request = PlacementRequest {
         service: &service,
+        customer: None,
+        priority: 0,
+        prompt_parts: &[],
         tried,
         goal_ms: GOAL_MS,
         waited_ms: 0,
@@ -123,6 +126,7 @@
         goal_ms: GOAL_MS,
         pause_goal_ms: 300,
         priority: 0,
+        is_public: false,
         attempts_max: 2,
         services: vec![ServiceShare {
             service: service(),
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use model::InstanceId;
+use model::{CustomerName, InstanceId};
 use serde::{Deserialize, Serialize};
 
 /// One incarnation of an instance, as the owner of jobs.
@@ -41,6 +41,9 @@
     /// earlier versions of the program.
     #[serde(default)]
     pub route: Arc<str>,
+    /// Customer that submitted the job; `None` if the configuration named no customers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerName>,
     /// Tokens of the items that have no stored result.
     #[serde(default)]
     pub unfinished_tokens: u64,
--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -32,6 +32,7 @@
             host: "h".into(),
             path: "/b/1".into(),
             route: "b".into(),
+            customer: None,
             unfinished_tokens: 0,
             is_admitted: true,
             item_count: 1,
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -25,6 +25,7 @@
         host: "h".into(),
         path: "/b/1".into(),
         route: "b".into(),
+        customer: None,
         unfinished_tokens: u64::from(items * TOKENS_PER_ITEM),
         is_admitted: true,
         item_count: items,
--- a/crates/ledger/tests/waiting_tokens.rs
+++ b/crates/ledger/tests/waiting_tokens.rs
@@ -27,6 +27,7 @@
         host: "h".into(),
         path: "/b/1".into(),
         route: ROUTE.into(),
+        customer: None,
         unfinished_tokens,
         is_admitted,
         item_count: 1,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -30,8 +30,8 @@
     config::{ConfigProblem, FleetConfig, ModelDefaults, parse_config},
     error::{Answer, ErrorKind, Ran, RetryAdvice},
     name::{
-        ClassName, CustomerId, FailureDomain, InstanceId, JobId, ModelName, Region, ServiceName,
-        SoftwareVersion, UpstreamId,
+        ClassName, CustomerId, CustomerName, FailureDomain, InstanceId, JobId, ModelName, Region,
+        ServiceName, SoftwareVersion, UpstreamId,
     },
     notice::DispatchNotice,
     prompt::{PromptPart, PromptPartId, shared_parts},
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -59,6 +59,10 @@
     /// Identifier of a customer: its API key.
     CustomerId
 );
+shared_name!(
+    /// Name of a customer in the configuration, which is not a secret as its keys are.
+    CustomerName
+);
 shared_name!(
     /// Name of a failure domain: instances and upstreams that can fail together,
     /// such as those of one site.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,6 +7,7 @@
 use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
 use http::{HeaderMap, Method, Response, Uri, header, request};
 use hyper::body::Incoming;
+use model::CustomerName;
 
 use crate::{
     crash_detection,
@@ -63,6 +64,12 @@
         self
     }
 
+    /// Removes the caller's key, and sets the customer on whose behalf the request runs.
+    pub(crate) fn with_customer(mut self, customer: Option<&CustomerName>) -> Self {
+        platform::set_customer(&mut self.headers, customer);
+        self
+    }
+
     /// Returns whether the body is small enough to have been sent in full before an
     /// answer arrives.
     pub(crate) fn has_small_body(&self) -> bool {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -4,14 +4,16 @@
 use std::{convert::Infallible, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use gateway::{Route, RouteKind, RouteTable};
+use gateway::{Customer, Route, RouteKind, RouteTable};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use platform::RequestHeaders;
 use tokio::time::timeout_at;
 
 use crate::{
     answer::{self, AnswerBody},
+    customers,
     forward::forward,
     jobs,
     node::{Node, Stage},
@@ -64,12 +66,15 @@
 ) -> Response<AnswerBody> {
     let host = host_of(&parts).to_owned();
     let job_query = platform::decode_job_call(&parts.method, &parts.uri, &parts.headers);
+    let request_headers = platform::decode_request_headers(&parts.headers);
     if let Some(query) = job_query
         && routes.has_batch_route(&host)
     {
-        return jobs::answer_query(node, query, &parts).await;
+        return match customers::identify(routes, None, &request_headers) {
+            Ok(customer) => jobs::answer_query(node, query, customer.as_deref(), &parts).await,
+            Err(refusal) => refusal.answer(),
+        };
     }
-    let request_headers = platform::decode_request_headers(&parts.headers);
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
             "event=request_refused request={} reason=no_route config_version={}",
@@ -78,6 +83,10 @@
         );
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
+    let customer = match customers::identify(routes, Some(&route), &request_headers) {
+        Ok(customer) => customer,
+        Err(refusal) => return refusal.answer(),
+    };
     let read_deadline_ms = arrived_ms + request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
     let body = match read_body(node, routes, body, read_deadline_ms).await {
         Ok(body) => body,
@@ -90,10 +99,33 @@
             return answer::text(status, "the body cannot be read");
         }
     };
-    if is_job_submission(&route) {
-        return jobs::submit(node, &route, &parts, &body, &request_headers, arrived_ms).await;
+    let call = CallerRequest {
+        route,
+        customer,
+        has_customers: routes.customers.is_some(),
+        parts,
+        headers: request_headers,
+        body,
+        arrived_ms,
+    };
+    if is_job_submission(&call.route) {
+        return jobs::submit(node, &call).await;
     }
-    forward(node, route, &parts, body, &request_headers, arrived_ms).await
+    forward(node, call).await
+}
+
+/// A caller's request whose body has been read.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) route: Arc<Route>,
+    /// Customer on whose behalf the request is sent; `None` if it needs no key.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// Whether the configuration names customers.
+    pub(crate) has_customers: bool,
+    pub(crate) parts: request::Parts,
+    pub(crate) headers: RequestHeaders,
+    pub(crate) body: Bytes,
+    pub(crate) arrived_ms: u64,
 }
 
 fn is_job_submission(route: &Arc<Route>) -> bool {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -3,21 +3,19 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use gateway::{
-    AttemptEnd, CrashCause, FinalAnswer, NextStep, Placement, PlacementRequest, QuarantineCheck,
-    RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target, VersionHash,
-    WorkKind,
+    AttemptEnd, CrashCause, Customer, FinalAnswer, NextStep, Placement, PlacementRequest,
+    QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target,
+    VersionHash, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
-use model::{ServiceName, shared_parts};
-use platform::RequestHeaders;
+use model::{PromptPart, ServiceName, shared_parts};
 
 use crate::{
     answer::{self, AnswerBody},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
-    dispatch::host_of,
+    dispatch::{CallerRequest, host_of},
     node::Node,
     quarantine,
     relay::Relay,
@@ -39,6 +37,10 @@
     pub(crate) node: Rc<Node>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// Customer on whose behalf the request is sent; `None` if it needs no key.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// Parts of the prompt in order.
+    pub(crate) prompt_parts: Vec<PromptPart>,
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) retries: RetryState,
     pub(crate) arrived_ms: u64,
@@ -64,16 +66,17 @@
     Failed(FinalAnswer),
 }
 
-/// Forwards a request whose body has been read to an upstream of `route`, and returns
-/// the answer for the caller.
-pub(crate) async fn forward(
-    node: &Rc<Node>,
-    route: Arc<Route>,
-    parts: &request::Parts,
-    body: Bytes,
-    request_headers: &RequestHeaders,
-    arrived_ms: u64,
-) -> Response<AnswerBody> {
+/// Forwards a request to an upstream of its route, and returns the answer for the caller.
+pub(crate) async fn forward(node: &Rc<Node>, call: CallerRequest) -> Response<AnswerBody> {
+    let CallerRequest {
+        route,
+        customer,
+        has_customers,
+        parts,
+        headers: request_headers,
+        body,
+        arrived_ms,
+    } = call;
     // A stream goes on at the service that began it.
     let first_attempt = request_headers.resumed_attempt.as_ref();
     let first_attempt = first_attempt.unwrap_or(&request_headers.request_id);
@@ -88,14 +91,20 @@
     let time_left_ms = request_headers.time_left_ms.unwrap_or(route.timeout_ms);
     let deadline_ms = arrived_ms + time_left_ms.min(route.timeout_ms);
     let content = RequestContent {
-        fingerprint: fingerprint(parts, &body),
+        fingerprint: fingerprint(&parts, &body),
         shared_parts: shared_parts(&request_headers.prompt_parts),
     };
+    let mut outgoing =
+        OutgoingRequest::new(&parts, body, &request_headers.request_id).with_content(content);
+    if has_customers {
+        outgoing = outgoing.with_customer(customer.as_ref().map(|customer| &customer.name));
+    }
     let request = OnlineRequest {
         node: Rc::clone(node),
         service,
-        outgoing: OutgoingRequest::new(parts, body, &request_headers.request_id)
-            .with_content(content),
+        outgoing,
+        customer,
+        prompt_parts: request_headers.prompt_parts,
         retries: RetryState::new(Arc::clone(&route), deadline_ms),
         route,
         arrived_ms,
@@ -143,6 +152,13 @@
         Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
     }
 
+    /// Returns the priority of the request: that of its customer, or else that of its route.
+    fn priority(&self) -> u32 {
+        let customer = self.customer.as_ref();
+        let priority = customer.and_then(|customer| customer.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     fn is_resumable_stream(&self) -> bool {
         self.route.is_stream() && self.route.is_retryable()
     }
@@ -227,6 +243,9 @@
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
         let request = PlacementRequest {
             service: &self.service,
+            customer: self.customer.as_ref().map(|customer| &customer.name),
+            priority: self.priority(),
+            prompt_parts: &self.prompt_parts,
             tried: self.retries.tried(),
             goal_ms: self.route.goal_ms,
             waited_ms,
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -3,12 +3,11 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use gateway::{BatchTerms, Route, RouteKind, StoreReachability};
-use http::{Response, StatusCode, header, request};
+use gateway::{BatchTerms, RouteKind, StoreReachability};
+use http::{Response, StatusCode, header};
 use ledger::{JobPhase, JobRecord, OwnedJob, StoredItems, StoredJob};
 use model::JobId;
-use platform::{RequestHeaders, StoreError};
+use platform::StoreError;
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
@@ -23,6 +22,7 @@
 use crate::{
     answer::{self, AnswerBody},
     attempt::OutgoingRequest,
+    dispatch::CallerRequest,
     node::{Node, Stage},
 };
 
@@ -54,20 +54,21 @@
 
 /// Accepts a job, whose id is the caller's request id. Submissions are idempotent: a
 /// repeated submission with the same request id creates no second job.
-pub(crate) async fn submit(
-    node: &Rc<Node>,
-    route: &Arc<Route>,
-    parts: &request::Parts,
-    body: &Bytes,
-    request_headers: &RequestHeaders,
-    arrived_ms: u64,
-) -> Response<AnswerBody> {
+pub(crate) async fn submit(node: &Rc<Node>, call: &CallerRequest) -> Response<AnswerBody> {
+    let CallerRequest {
+        route,
+        parts,
+        headers: request_headers,
+        body,
+        arrived_ms,
+        ..
+    } = call;
     let RouteKind::Batch(terms) = route.kind else {
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
     let id = JobId::new(&request_headers.request_id);
     let time_left_ms = request_headers.time_left_ms.unwrap_or(route.timeout_ms);
-    let answer_by_ms = (arrived_ms + time_left_ms).saturating_sub(ANSWER_MARGIN_MS);
+    let answer_by_ms = (*arrived_ms + time_left_ms).saturating_sub(ANSWER_MARGIN_MS);
     if let Some(response) = answer_repeat(node, &id, answer_by_ms).await {
         return response;
     }
@@ -101,11 +102,11 @@
     };
     let submission = Submission {
         node: Rc::clone(node),
-        record: new_record(node, route, terms, parts, &items),
+        record: new_record(node, call, terms, &items),
         id,
         items,
         outgoing,
-        arrived_ms,
+        arrived_ms: *arrived_ms,
         answer_by_ms,
         may_be_stored,
     };
@@ -295,9 +296,8 @@
 
 fn new_record(
     node: &Node,
-    route: &Route,
+    call: &CallerRequest,
     terms: BatchTerms,
-    parts: &request::Parts,
     items: &StoredItems,
 ) -> JobRecord {
     let now_ms = node.store_now_ms();
@@ -307,9 +307,10 @@
     JobRecord {
         owner: can_own.then(|| node.owner_id.clone()),
         phase: JobPhase::Open,
-        host: Arc::clone(&route.host),
-        path: parts.uri.path().into(),
-        route: Arc::clone(&route.name),
+        host: Arc::clone(&call.route.host),
+        path: call.parts.uri.path().into(),
+        route: Arc::clone(&call.route.name),
+        customer: call.customer.as_ref().map(|customer| customer.name.clone()),
         unfinished_tokens: items.item_tokens.iter().copied().map(u64::from).sum(),
         is_admitted: terms.waiting_tokens_max.is_none(),
         item_count: u32::try_from(items.items.len()).unwrap_or(u32::MAX),
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use ledger::{ItemRun, PartialOutput, RunOutcome};
-use model::JobId;
+use model::{CustomerName, JobId};
 use tokio::{sync::Notify, time::timeout_at};
 
 use super::runner;
@@ -34,6 +34,7 @@
     pub(super) node: Rc<Node>,
     pub(super) job: JobId,
     pub(super) host: Arc<str>,
+    pub(super) customer: Option<CustomerName>,
     pub(super) give_up_at_ms: u64,
     pub(super) item_run: ItemRun,
     pub(super) content: Rc<RequestContent>,
@@ -241,12 +242,16 @@
 
 fn outgoing_request(context: &RunContext) -> Option<OutgoingRequest> {
     let item = &context.item_run.item;
-    Some(OutgoingRequest {
+    let outgoing = OutgoingRequest {
         method: Method::POST,
         uri: item.path.parse().ok()?,
         headers: platform::item_headers(item, &context.host),
         body: platform::encode_item_body(item),
         request_id: Rc::from(&*item.id),
         content: Rc::clone(&context.content),
+    };
+    Some(match &context.customer {
+        Some(customer) => outgoing.with_customer(Some(customer)),
+        None => outgoing,
     })
 }
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -69,6 +69,7 @@
         node: Rc::clone(node),
         job: id.clone(),
         host: Arc::clone(&job.record().host),
+        customer: job.record().customer.clone(),
         give_up_at_ms: job.record().give_up_at_ms,
         content: Rc::new(content),
         item_run,
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -4,10 +4,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use gateway::StoreReachability;
+use gateway::{Customer, StoreReachability};
 use http::{Response, StatusCode, request};
 use ledger::{CommitOutcome, JobPhase, JobRecord, ResultPage};
-use model::JobId;
+use model::{CustomerName, JobId};
 use platform::{JobCall, JobQuery, StoreError};
 use tokio::time::{sleep, timeout_at};
 
@@ -45,8 +45,10 @@
 pub(crate) async fn answer_query(
     node: &Rc<Node>,
     query: JobQuery,
+    customer: Option<&Customer>,
     parts: &request::Parts,
 ) -> Response<AnswerBody> {
+    let caller = customer.map(|customer| &customer.name);
     let outgoing = OutgoingRequest::new(parts, Bytes::new(), query.job.as_str());
     let via_peer = async || {
         let deadline_ms = node.now_ms() + PEER_TIMEOUT_MS;
@@ -57,7 +59,7 @@
     {
         return answer::from_peer(response);
     }
-    let error = match answer_locally(node, &query).await {
+    let error = match answer_locally(node, &query, caller).await {
         Ok(response) => return response,
         Err(error) => error,
     };
@@ -79,7 +81,11 @@
 async fn answer_locally(
     node: &Rc<Node>,
     query: &JobQuery,
+    caller: Option<&CustomerName>,
 ) -> Result<Response<AnswerBody>, StoreError> {
+    if !is_visible(node, &query.job, caller).await? {
+        return Ok(not_found(&query.job));
+    }
     match &query.call {
         JobCall::Results {
             from_position,
@@ -97,6 +103,20 @@
     }
 }
 
+/// Returns whether a caller may see a job: the job belongs to the caller's customer. A job
+/// that this instance does not know is left to the call itself.
+async fn is_visible(
+    node: &Node,
+    id: &JobId,
+    caller: Option<&CustomerName>,
+) -> Result<bool, StoreError> {
+    if caller.is_none() {
+        return Ok(true);
+    }
+    let record = known_record(node, id, 0).await?;
+    Ok(record.is_none_or(|record| record.customer.as_ref() == caller))
+}
+
 fn store_unavailable() -> Response<AnswerBody> {
     answer::service_unavailable(STORE_RETRY_AFTER_MS, "the store does not answer")
 }
@@ -137,7 +157,7 @@
 /// Returns a record of the job that covers the results before `from_position`, or `None`
 /// if there is no such job. The cached record may lack newer results.
 async fn known_record(
-    node: &Rc<Node>,
+    node: &Node,
     id: &JobId,
     from_position: u64,
 ) -> Result<Option<JobRecord>, StoreError> {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -27,6 +27,7 @@
 mod clock;
 mod connection_pool;
 mod crash_detection;
+mod customers;
 mod datagrams;
 mod dispatch;
 mod exchange;
