--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -27,6 +27,9 @@
 const DEADLINE: Duration = Duration::from_secs(5);
 /// Number of requests that meet the server at the same time.
 const REQUESTS: usize = 12;
+/// Slots of the sound server: room for all of the requests, so that none is refused because
+/// the others came first.
+const SOUND_SLOTS: u32 = 32;
 /// Maximum growth of the process while it reads such answers, KiB.
 const GROWTH_MAX_KIB: usize = 32 * 1_024;
 
@@ -93,7 +96,8 @@
 
 /// Starts a sound server and one that sends bytes without end.
 async fn start_cluster(server: &EndlessServer) -> TestCluster {
-    let cluster = TestCluster::start(&[32], 1).await;
+    let cluster = TestCluster::start(&[SOUND_SLOTS], 1).await;
+    cluster.register_server_with_slots(0, SOUND_SLOTS).await;
     let registration = json!({
         "service": "oracle", "addr": server.address.to_string(), "zone": "a", "version": "v1",
         "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -264,6 +264,14 @@
         self.put_rows(&json!({"remove": [row]})).await;
     }
 
+    /// Registers a server with a number of slots of its own.
+    pub async fn register_server_with_slots(&self, index: usize, slots: u32) {
+        let mut registration = self.registration(index, "ready");
+        registration["slots"] = json!(slots);
+        self.put_row("servers", &self.servers[index].id, &registration)
+            .await;
+    }
+
     /// Registers a server as one that has started again, at `started_unix_ms`.
     pub async fn register_restarted_server(&self, index: usize, started_unix_ms: u64) {
         let mut registration = self.registration(index, "ready");
