--- a/crates/node/tests/server_limits.rs
+++ b/crates/node/tests/server_limits.rs
@@ -18,6 +18,10 @@
 /// Interval between the requests that the test sends, milliseconds.
 const REQUEST_INTERVAL_MS: u64 = 25;
 
+/// Slots of a server without a limit of its own: room for all that callers send, also while
+/// the machine is busy and answers take longer.
+const AMPLE_SLOTS: u32 = 64;
+
 /// Returns how many requests a server may get in the window: one and a half times what it
 /// states, and five more.
 fn allowed(limit_per_s: f64) -> usize {
@@ -54,7 +58,8 @@
 /// Two of three servers state a limit while all three instances have load for them.
 #[tokio::test(flavor = "multi_thread")]
 async fn servers_get_no_more_than_the_limit_that_they_state() {
-    let cluster = TestCluster::start(&[8, 8, 8], 3).await;
+    let cluster = TestCluster::start(&[8, 8, AMPLE_SLOTS], 3).await;
+    cluster.register_server_with_slots(2, AMPLE_SLOTS).await;
     cluster.set_stated_limit(0, "3").await;
     cluster.set_stated_limit(1, "1.5").await;
     send_load(&cluster, "first", TIME_TO_KNOW).await;
@@ -89,7 +94,8 @@
 /// A server that states nothing any more, or something that is not a rate, is not limited.
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_ends_when_answers_state_none() {
-    let cluster = TestCluster::start(&[8], 2).await;
+    let cluster = TestCluster::start(&[AMPLE_SLOTS], 2).await;
+    cluster.register_server_with_slots(0, AMPLE_SLOTS).await;
     cluster.set_stated_limit(0, "2").await;
     send_load(&cluster, "limited", Duration::from_secs(2)).await;
     cluster.set_stated_limit(0, "").await;
