One function opens idle connections for probes and peers; failures of requests not sent mean nothing

Cause: the probe of a path and the query of a peer opened and pooled a connection alike, and each caller of not_sent passed the same meaning. Change: upstream_connections::open_idle; the parameter is gone. No decision changed.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -56,8 +56,9 @@
     }
 
     /// Creates the failure of a request of which no part was sent.
-    pub(crate) fn not_sent(reason: impl std::fmt::Display, meaning: FailureMeaning) -> Self {
-        Self::new(AttemptFailure::new(AttemptEnd::NotSent, reason), meaning)
+    pub(crate) fn not_sent(reason: impl std::fmt::Display) -> Self {
+        let failure = AttemptFailure::new(AttemptEnd::NotSent, reason);
+        Self::new(failure, FailureMeaning::Nothing)
     }
 }
 
@@ -99,10 +100,7 @@
 ) -> Result<DirectExchange, ExchangeFailure> {
     let idle = take_idle_connection(node, target, outgoing, options);
     if idle.is_none() && node.upstreams.borrow().has_lost_path(target) {
-        return Err(ExchangeFailure::not_sent(
-            "the upstream cannot be reached",
-            FailureMeaning::Nothing,
-        ));
+        return Err(ExchangeFailure::not_sent("the upstream cannot be reached"));
     }
     exchange_on(node, target, idle, outgoing, options).await
 }
@@ -121,10 +119,7 @@
     };
     // The upstream may have said so while the connection was opened.
     if node.upstreams.borrow().is_leaving(target) {
-        return Err(ExchangeFailure::not_sent(
-            "the upstream is leaving",
-            FailureMeaning::Nothing,
-        ));
+        return Err(ExchangeFailure::not_sent("the upstream is leaving"));
     }
     let request = build_request(node, target, outgoing, options);
     let response = match exchange_head(node, &mut connection, request, options).await {
@@ -158,7 +153,7 @@
 async fn open_connection(node: &Rc<Node>, target: &Target) -> Result<Connection, ExchangeFailure> {
     upstream_connections::open(node, target)
         .await
-        .map_err(|error| ExchangeFailure::not_sent(error, FailureMeaning::Nothing))
+        .map_err(ExchangeFailure::not_sent)
 }
 
 /// Takes a connection from the pool. A request that must not be sent twice gets a new
--- a/crates/node/src/path_probes.rs
+++ b/crates/node/src/path_probes.rs
@@ -31,11 +31,7 @@
 pub(crate) fn start(node: &Rc<Node>, target: Target) {
     let node = Rc::clone(node);
     spawn_local(async move {
-        let Ok(connection) = upstream_connections::open(&node, &target).await else {
-            return;
-        };
-        let now_ms = node.now_ms();
-        node.connection_pool
-            .put_idle(target.address, connection, None, now_ms);
+        // A failure is recorded where the connection is opened.
+        let _ = upstream_connections::open_idle(&node, &target).await;
     });
 }
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -80,14 +80,14 @@
         target.upstream,
         peer.instance
     );
-    let request = build_request(node, target, outgoing, options)
-        .map_err(|error| ExchangeFailure::not_sent(error, FailureMeaning::Nothing))?;
+    let request =
+        build_request(node, target, outgoing, options).map_err(ExchangeFailure::not_sent)?;
     let sender = match obtain_sender(node, &peer).await {
         Ok(sender) => sender,
         Err(error) => {
             record_proxy_failure(node, &peer.instance);
             let reason = format!("peer {}: {error}", peer.instance);
-            return Err(ExchangeFailure::not_sent(reason, FailureMeaning::Nothing));
+            return Err(ExchangeFailure::not_sent(reason));
         }
     };
     let mut guard = ProxyGuard::new(node, peer.instance, sender);
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -235,12 +235,9 @@
 /// Opens a connection to an upstream, whose path a peer has lost.
 async fn answer_path_query(node: &Rc<Node>, query: &PathQuery) -> Result<(), AttemptError> {
     let target = find_target(node, &query.upstream, query.started_unix_ms)?;
-    let connection = upstream_connections::open(node, &target)
+    upstream_connections::open_idle(node, &target)
         .await
-        .map_err(AttemptError::not_sent)?;
-    node.connection_pool
-        .put_idle(target.address, connection, None, node.now_ms());
-    Ok(())
+        .map_err(AttemptError::not_sent)
 }
 
 /// Finds out whether the upstream has crashed under the request.
--- a/crates/node/src/upstream_connections.rs
+++ b/crates/node/src/upstream_connections.rs
@@ -30,6 +30,18 @@
     result
 }
 
+/// Opens a connection to an upstream and keeps it for a request.
+///
+/// # Errors
+///
+/// See [`open`].
+pub(crate) async fn open_idle(node: &Rc<Node>, target: &Target) -> io::Result<()> {
+    let connection = open(node, target).await?;
+    node.connection_pool
+        .put_idle(target.address, connection, None, node.now_ms());
+    Ok(())
+}
+
 fn record_connected(node: &Node, target: &Target, round_trip_ms: f64) {
     let mut upstreams = node.upstreams.borrow_mut();
     upstreams.record_round_trip(target, round_trip_ms);
