--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -10,7 +10,10 @@
     server::conn::http1::{self, Builder},
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulConnection,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -100,20 +103,29 @@
     let node = Rc::clone(&open_connection.node);
     let service = service_fn(|request| dispatch::serve(Rc::clone(&node), request));
     let builder = caller_connection_builder(&node);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = serve_until_closing(&node, connection).await {
+        log::debug!(
+            "event=caller_connection_ended error={}",
+            process::quote(&error)
+        );
+    }
+}
+
+/// Serves a connection until it ends. During a planned stop, it is closed after the requests
+/// in progress.
+pub(crate) async fn serve_until_closing<C: GracefulConnection>(
+    node: &Node,
+    connection: C,
+) -> C::Output {
+    let mut connection = pin!(connection);
     let mut stage = node.stage.subscribe();
-    let result = tokio::select! {
+    tokio::select! {
         result = connection.as_mut() => result,
         () = wait_for_stage(&mut stage, Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-    };
-    if let Err(error) = result {
-        log::debug!(
-            "event=caller_connection_ended error={}",
-            process::quote(&error)
-        );
     }
 }
 
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -5,7 +5,7 @@
 //! of loads, limits and streams stay with the sender; what this instance observes of its own
 //! paths, and of upstreams that crash, is recorded here.
 
-use std::{convert::Infallible, io, pin::pin, rc::Rc};
+use std::{convert::Infallible, io, rc::Rc};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -31,7 +31,7 @@
     crash_detection,
     exchange::{DirectExchange, ExchangeFailure, FailureMeaning, exchange_directly},
     forward::copy_end_to_end_headers,
-    listener::{OpenConnectionGuard, accept, bind, wait_for_stage},
+    listener::{OpenConnectionGuard, accept, bind, serve_until_closing, wait_for_stage},
     node::{Node, Stage},
     peer_connections::{HEADERS_MAX_BYTES, LocalExecutor, PING_INTERVAL, PING_TIMEOUT},
     proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
@@ -79,16 +79,8 @@
         .keep_alive_timeout(PING_TIMEOUT)
         .max_concurrent_streams(2 * PROXIED_MAX)
         .max_header_list_size(HEADERS_MAX_BYTES);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let mut stage = node.stage.subscribe();
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_for_stage(&mut stage, Stage::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = serve_until_closing(&node, connection).await {
         log::debug!(
             "event=peer_connection_ended error={}",
             process::quote(&error)
