Streams are taken up at the version that began them, also after every instance was lost

Change: a list of each service's versions in the store, written before any request goes to a new one (docs/design/streams-after-restart.md); such callers are found by the content of their requests; nothing is served on a history that proves nothing. While the store is away, all known peers are asked, since no lease is renewed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod health;
 mod leaving;
 mod limited_upstreams;
+mod listed_versions;
 mod moving_average;
 mod notice_scheduler;
 mod peer_loads;
@@ -66,6 +67,7 @@
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
     leaving::LeavingUpstream,
+    listed_versions::{ListedVersion, ListedVersions, Listing, ServiceVersion, versions_to_list},
     notice_scheduler::{NoticeScheduler, notice_pause_ms},
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
@@ -87,5 +89,5 @@
     token_issuer::SettledTokens,
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
-    version_history::{ObservedVersions, VanishedVersion, VersionHistory},
+    version_history::{FROM_THE_START_MS, ObservedVersions, VanishedVersion, VersionHistory},
 };
--- a/crates/gateway/src/request_content.rs
+++ b/crates/gateway/src/request_content.rs
@@ -39,6 +39,11 @@
     pub fn from_u64(fingerprint: u64) -> Self {
         Self(fingerprint)
     }
+
+    /// Returns the number of the fingerprint.
+    pub(crate) fn as_u64(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -12,11 +12,11 @@
 //!
 //! All times are milliseconds on the store's clock.
 
-use model::{InstanceId, Region, ServiceName, SoftwareVersion};
+use model::{InstanceId, PromptPart, Region, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::peers::election_rank;
+use crate::{RequestFingerprint, peers::election_rank};
 
 /// Maximum time from the first event of a stream until a caller takes it up, milliseconds.
 pub const STREAM_LIFETIME_MS: u64 = 60_000;
@@ -30,7 +30,8 @@
 const REGION_HOLDERS_ASKED: usize = 3;
 const REMOTE_HOLDERS_ASKED: usize = 2;
 
-/// Hash of the id of a caller's attempt.
+/// Hash of the id of a caller's attempt, or of the content of its request. Callers that do not
+/// name the attempt which they take up send the same request again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct AttemptHash(u64);
@@ -91,6 +92,18 @@
     pub fn new(request_id: &str) -> Self {
         Self(xxh3_64(request_id.as_bytes()))
     }
+
+    /// Returns the hash of the content of a request. `prompt_parts` tell requests apart whose
+    /// bodies are equal.
+    #[must_use]
+    pub fn of_content(fingerprint: RequestFingerprint, prompt_parts: &[PromptPart]) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(&fingerprint.as_u64().to_le_bytes());
+        for part in prompt_parts {
+            hasher.update(&part.id.as_u64().to_le_bytes());
+        }
+        Self(hasher.digest())
+    }
 }
 
 impl VersionHash {
@@ -105,12 +118,25 @@
     /// Adds the record of a stream of which this instance brought events. It is sent as soon
     /// as versions of the service may be mixed; see [`Self::unsent`].
     pub fn record_own(&mut self, record: OriginRecord, service: &ServiceName, now_ms: u64) {
-        self.insert(record, Some(service.clone()), now_ms);
+        let service = Some(service.clone());
+        self.insert(record.attempt, Some(record.version), service, now_ms);
     }
 
     /// Adds a record of a peer.
     pub fn receive(&mut self, record: OriginRecord, now_ms: u64) {
-        self.insert(record, None, now_ms);
+        self.insert(record.attempt, Some(record.version), None, now_ms);
+    }
+
+    /// Adds that there are records of different versions under an attempt.
+    pub fn receive_contradiction(&mut self, attempt: AttemptHash, now_ms: u64) {
+        self.insert(attempt, None, None, now_ms);
+    }
+
+    /// Returns whether there are records of different versions under an attempt.
+    #[must_use]
+    pub fn is_contradicted(&self, attempt: AttemptHash, now_ms: u64) -> bool {
+        let row = self.find(attempt).map(|index| &self.rows[index]);
+        row.is_ok_and(|row| row.version.is_none() && now_ms < row.expires_at_ms)
     }
 
     /// Returns the version at which the stream of an attempt began, if it is known without
@@ -154,18 +180,25 @@
         self.rows.retain(|row| now_ms < row.expires_at_ms);
     }
 
-    fn insert(&mut self, record: OriginRecord, unsent_service: Option<ServiceName>, now_ms: u64) {
+    /// Inserts a record; `version` is `None` if there are records of different versions.
+    fn insert(
+        &mut self,
+        attempt: AttemptHash,
+        version: Option<VersionHash>,
+        unsent_service: Option<ServiceName>,
+        now_ms: u64,
+    ) {
         let expires_at_ms = now_ms + STREAM_LIFETIME_MS;
-        match self.find(record.attempt) {
+        match self.find(attempt) {
             Ok(index) => {
                 let row = &mut self.rows[index];
-                row.version = row.version.filter(|version| *version == record.version);
+                row.version = row.version.filter(|known| version == Some(*known));
                 row.expires_at_ms = row.expires_at_ms.max(expires_at_ms);
             }
             Err(index) => {
                 let row = OriginRow {
-                    attempt: record.attempt,
-                    version: Some(record.version),
+                    attempt,
+                    version,
                     expires_at_ms,
                     unsent_service,
                 };
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -292,6 +292,19 @@
         Some(&self.rows[self.find(id).ok()?].entry)
     }
 
+    /// Returns whether an upstream of a version is registered, other than those in `except`.
+    #[must_use]
+    pub fn has_version(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        except: &[UpstreamId],
+    ) -> bool {
+        let entries = self.rows.iter().map(|row| &row.entry);
+        let mut entries = entries.filter(|entry| !except.contains(&entry.id));
+        entries.any(|entry| entry.service == *service && entry.version == *version)
+    }
+
     /// Returns the version that all upstreams of a service run, or `None` if they run
     /// several or there are none.
     #[must_use]
--- a/crates/gateway/src/version_history.rs
+++ b/crates/gateway/src/version_history.rs
@@ -3,7 +3,7 @@
 //! Load pattern: nearly always, a service has a single version, and streams may go on at any
 //! of its upstreams without a record of where they began. This is certain only if no other
 //! version was registered for as long as a stream may be taken up. An instance that has just
-//! started takes over what a peer has observed.
+//! started learns of earlier versions from the list of the service ([`ListedVersions`]).
 //!
 //! All times are milliseconds on the store's clock.
 
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    UpstreamTable,
+    ListedVersions, UpstreamTable,
     batch_plan::service_hash,
     stream_origins::{STREAM_LIFETIME_MS, VersionHash},
 };
@@ -21,7 +21,9 @@
 const LEAVING_MS: u64 = 30_000;
 /// Time for which versions are remembered, milliseconds: streams that began there may be
 /// taken up for so long.
-const VERSION_MEMORY_MS: u64 = LEAVING_MS + STREAM_LIFETIME_MS;
+pub(crate) const VERSION_MEMORY_MS: u64 = LEAVING_MS + STREAM_LIFETIME_MS;
+/// The time from which every version is known if the lists of versions were read.
+pub const FROM_THE_START_MS: u64 = 0;
 /// Maximum number of versions without a registration that are remembered. If there are more,
 /// the time of observation begins anew.
 const VANISHED_MAX: usize = 64;
@@ -61,10 +63,10 @@
 }
 
 impl VersionHistory {
-    /// Records that all registrations were read at a version of the store, without what
-    /// happened before.
-    pub fn record_snapshot(&mut self, store_version: u64, now_ms: u64) {
-        self.since_ms = Some(now_ms);
+    /// Records that all registrations were read at a version of the store. `since_ms` is the
+    /// time from which every earlier version is known, or [`FROM_THE_START_MS`].
+    pub fn record_snapshot(&mut self, store_version: u64, since_ms: u64) {
+        self.since_ms = Some(since_ms);
         self.since_version = store_version;
         self.until_version = store_version;
     }
@@ -97,6 +99,32 @@
         });
     }
 
+    /// Records the list of a service's versions. Streams may have begun at any of them until
+    /// now, at other instances or at an earlier incarnation of this one.
+    pub fn record_listed(&mut self, service: &ServiceName, list: &ListedVersions, now_ms: u64) {
+        for listed in &list.versions {
+            self.record_vanished(service, &listed.version, now_ms);
+        }
+    }
+
+    /// Returns whether streams that began at a version may still be taken up, although the
+    /// version may be registered no more.
+    #[must_use]
+    pub fn has_vanished_lately(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now_ms: u64,
+    ) -> bool {
+        let service = Some(service_hash(service));
+        let version = Some(VersionHash::new(version));
+        self.vanished.iter().any(|vanished| {
+            vanished.service == service
+                && vanished.version == version
+                && now_ms < vanished.at_ms + VERSION_MEMORY_MS
+        })
+    }
+
     /// Takes over what a peer has observed, if it joins on to what this instance has.
     pub fn receive(&mut self, peer: &ObservedVersions) {
         let Some(since_ms) = self.since_ms else {
@@ -124,8 +152,9 @@
     /// Returns whether the observed time covers all streams that may still be taken up.
     #[must_use]
     pub fn is_complete(&self, now_ms: u64) -> bool {
-        self.since_ms
-            .is_some_and(|since_ms| since_ms + VERSION_MEMORY_MS <= now_ms)
+        self.since_ms.is_some_and(|since_ms| {
+            since_ms == FROM_THE_START_MS || since_ms + VERSION_MEMORY_MS <= now_ms
+        })
     }
 
     /// Returns the version of a service at which every stream began that may still be taken
@@ -137,18 +166,9 @@
         table: &UpstreamTable,
         now_ms: u64,
     ) -> Option<SoftwareVersion> {
-        let only = self.only_known_version(service, table, now_ms)?;
-        self.is_complete(now_ms).then_some(only)
-    }
-
-    /// Like [`Self::only_version`], but also if the observed time is too short to be sure.
-    #[must_use]
-    pub fn only_known_version(
-        &self,
-        service: &ServiceName,
-        table: &UpstreamTable,
-        now_ms: u64,
-    ) -> Option<SoftwareVersion> {
+        if !self.is_complete(now_ms) {
+            return None;
+        }
         let only = table.single_version(service)?;
         let hash = service_hash(service);
         let is_other = |vanished: &VanishedVersion| {
--- a/crates/gateway/tests/stream_versions_model.rs
+++ b/crates/gateway/tests/stream_versions_model.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use gateway::{
-    AttemptHash, HolderUse, OriginRecord, RecordHolder, StreamOrigins, UpstreamTable, VersionHash,
-    VersionHistory, record_holders,
+    AttemptHash, FROM_THE_START_MS, HolderUse, ListedVersions, Listing, OriginRecord, RecordHolder,
+    StreamOrigins, UpstreamTable, VersionHash, VersionHistory, record_holders,
 };
 use model::{InstanceId, Region, SoftwareVersion, UpstreamId};
 use proptest::prelude::*;
@@ -36,6 +36,10 @@
     Restart {
         instance: usize,
     },
+    RestartAll,
+    RemoveUnused {
+        instance: usize,
+    },
     Begin {
         instance: usize,
         choice: usize,
@@ -61,6 +65,8 @@
         2 => (0..6_usize).prop_map(|upstream| Step::Unregister { upstream }),
         4 => instance.clone().prop_map(|instance| Step::CatchUp { instance }),
         1 => instance.clone().prop_map(|instance| Step::Restart { instance }),
+        1 => Just(Step::RestartAll),
+        2 => instance.clone().prop_map(|instance| Step::RemoveUnused { instance }),
         4 => (instance.clone(), any::<usize>(), any::<[bool; 3]>())
             .prop_map(|(instance, choice, loses)| Step::Begin { instance, choice, loses }),
         3 => (instance.clone(), instance.clone())
@@ -104,9 +110,13 @@
     origins: StreamOrigins,
     /// Number of changes that this instance knows.
     known: usize,
+    /// Versions that were looked up in the list, while the registrations are read again.
+    looked_up: Vec<SoftwareVersion>,
 }
 
 struct Model {
+    /// List of versions in the store.
+    list: ListedVersions,
     now_ms: u64,
     upstreams: Vec<Upstream>,
     changes: Vec<Change>,
@@ -117,12 +127,13 @@
 
 impl Instance {
     /// Starts an instance, which reads the registrations of now.
-    fn new(index: usize, upstreams: &[Upstream], known: usize, now_ms: u64) -> Self {
+    fn new(index: usize, upstreams: &[Upstream], known: usize) -> Self {
         let mut instance = Self {
             table: UpstreamTable::new(locality(&name(index)), 1),
             history: VersionHistory::default(),
             origins: StreamOrigins::default(),
             known,
+            looked_up: Vec::new(),
         };
         let registered = upstreams
             .iter()
@@ -130,7 +141,9 @@
         for upstream in registered {
             instance.register(upstream);
         }
-        instance.history.record_snapshot(known as u64, now_ms);
+        instance
+            .history
+            .record_snapshot(known as u64, FROM_THE_START_MS);
         instance
     }
 
@@ -140,6 +153,33 @@
         self.table.upsert(entry, 0);
     }
 
+    /// Returns the versions of changed registrations that have to be looked up.
+    fn new_versions(&self, upstreams: &[Upstream], changes: &[Change]) -> Vec<SoftwareVersion> {
+        let new = &changes[self.known..];
+        let mentioned: Vec<_> = new
+            .iter()
+            .map(|change| UpstreamId::new(&upstreams[change.upstream].id))
+            .collect();
+        let registered = new.iter().filter(|change| !change.is_end);
+        let versions = registered.map(|change| upstreams[change.upstream].version.clone());
+        let unknown = versions.filter(|version| {
+            !self.looked_up.contains(version)
+                && !self.table.has_version(&service(), version, &mentioned)
+        });
+        unknown.collect()
+    }
+
+    /// Looks up versions in the list, and adds those that are missing.
+    fn look_up(&mut self, versions: &[SoftwareVersion], list: &mut ListedVersions, now_ms: u64) {
+        for version in versions {
+            self.history.record_listed(&service(), list, now_ms);
+            if list.listing(version, now_ms) == Listing::Write {
+                *list = list.clone().with_version(version, now_ms);
+            }
+            self.looked_up.push(version.clone());
+        }
+    }
+
     /// Applies all changes. One that came and went between two reads shows only its end.
     fn catch_up(&mut self, upstreams: &[Upstream], changes: &[Change], now_ms: u64) {
         let new = &changes[self.known..];
@@ -161,6 +201,7 @@
             }
             self.table.remove(&id, false, 0);
         }
+        self.looked_up.clear();
         self.known = changes.len();
         self.history.record_changes(changes.len() as u64);
         self.history.expire(now_ms);
@@ -192,6 +233,7 @@
     fn new() -> Self {
         let now_ms = 1_000_000;
         let mut model = Self {
+            list: ListedVersions::default(),
             now_ms,
             upstreams: Vec::new(),
             changes: Vec::new(),
@@ -202,13 +244,39 @@
         model.register(0);
         model.register(0);
         for index in 0..INSTANCES {
-            let known = model.changes.len();
-            let instance = Instance::new(index, &model.upstreams, known, now_ms);
+            let instance = model.start(index);
             model.instances.push(instance);
         }
         model
     }
 
+    /// Starts an instance that has read the registrations and the list.
+    fn start(&mut self, index: usize) -> Instance {
+        let registered = self.upstreams.iter().filter(|up| up.ended_ms.is_none());
+        let mut versions: Vec<_> = registered.map(|up| up.version.clone()).collect();
+        versions.dedup();
+        let mut instance = Instance::new(index, &self.upstreams, self.changes.len());
+        instance.look_up(&versions, &mut self.list, self.now_ms);
+        instance.looked_up.clear();
+        instance
+    }
+
+    /// An instance takes a step to remove unused versions from the list.
+    fn remove_unused(&mut self, index: usize) {
+        if !self.catch_up(index) {
+            return;
+        }
+        let instance = &self.instances[index];
+        let is_used = |version: &SoftwareVersion| {
+            let history = &instance.history;
+            instance.table.has_version(&service(), version, &[])
+                || history.has_vanished_lately(&service(), version, self.now_ms)
+        };
+        if let Some(next) = self.list.without_unused(is_used, self.now_ms) {
+            self.list = next;
+        }
+    }
+
     fn register(&mut self, version: usize) {
         self.changes.push(Change {
             upstream: self.upstreams.len(),
@@ -226,12 +294,16 @@
             Step::Pass { ms } => self.now_ms += ms,
             Step::Register { version } => self.register(*version),
             Step::Unregister { upstream } => self.unregister(*upstream),
-            Step::CatchUp { instance } => self.catch_up(*instance),
-            Step::Restart { instance } => {
-                let known = self.changes.len();
-                let started = Instance::new(*instance, &self.upstreams, known, self.now_ms);
-                self.instances[*instance] = started;
+            Step::CatchUp { instance } => {
+                self.catch_up(*instance);
+            }
+            Step::Restart { instance } => self.instances[*instance] = self.start(*instance),
+            Step::RestartAll => {
+                for instance in 0..INSTANCES {
+                    self.instances[instance] = self.start(instance);
+                }
             }
+            Step::RemoveUnused { instance } => self.remove_unused(*instance),
             Step::Begin {
                 instance,
                 choice,
@@ -268,9 +340,18 @@
         });
     }
 
-    fn catch_up(&mut self, instance: usize) {
-        self.instances[instance].catch_up(&self.upstreams, &self.changes, self.now_ms);
-        self.send_records(instance, [false; 3]);
+    /// Applies all changes, or looks up their versions first. Returns whether they were
+    /// applied.
+    fn catch_up(&mut self, index: usize) -> bool {
+        let instance = &mut self.instances[index];
+        let versions = instance.new_versions(&self.upstreams, &self.changes);
+        if !versions.is_empty() {
+            instance.look_up(&versions, &mut self.list, self.now_ms);
+            return false;
+        }
+        instance.catch_up(&self.upstreams, &self.changes, self.now_ms);
+        self.send_records(index, [false; 3]);
+        true
     }
 
     /// An instance begins a stream at an upstream that it knows and that still serves.
@@ -344,8 +425,7 @@
                 .version_of(attempt, self.now_ms);
             known = known.or(told.filter(|_| !is_lost));
         }
-        if known.is_none() && reaches_store {
-            self.catch_up(index);
+        if known.is_none() && reaches_store && self.catch_up(index) {
             let instance = &self.instances[index];
             let only = instance
                 .history
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,12 +3,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use gateway::UpstreamEntry;
 use ledger::{Heartbeat, call_interval_ms};
-use model::{InstanceId, JobId, UpstreamId};
+use model::{InstanceId, JobId};
 use platform::{
-    CONFIG_KEY, CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow,
-    StoreError, decode_config, decode_server,
+    CONFIG_KEY, CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, StoreError,
+    decode_config,
 };
 use store::Backoff;
 use tokio::{task::spawn_local, time::sleep};
@@ -17,7 +16,7 @@
     heartbeats::{self, HEARTBEATS_TABLE},
     jobs::{self, JOB_PARTITIONS, JOBS_TABLE},
     node::Node,
-    stream_versions,
+    registrations, version_lists,
 };
 
 /// Minimum time for which a feed call waits for changes, milliseconds. The time is
@@ -48,10 +47,6 @@
 pub(crate) const RETRY_INITIAL_MS: u64 = 100;
 /// Maximum backoff after consecutive failed calls to the store, milliseconds.
 pub(crate) const RETRY_MAX_MS: u64 = 1_000;
-/// Time within which servers register again after the store has recovered, if
-/// their registrations lapsed while it was unreachable, milliseconds.
-const REGISTRATION_RECOVERY_MS: u64 = 2_000;
-
 /// A table that each instance follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Feed {
@@ -146,6 +141,9 @@
                 match changes {
                     Ok(page) => {
                         node.record_store_answer(self.table());
+                        if !self.are_versions_listed(&node, &page, &mut backoff).await {
+                            continue;
+                        }
                         backoff.reset();
                         version = page.store_version;
                         self.apply_page(&node, &page);
@@ -189,10 +187,59 @@
         Duration::from_millis(min_interval_ms.max(min_poll_ms))
     }
 
+    /// Returns whether the versions of new registrations are listed, so that they may be
+    /// used. If some had to be listed first, the changes are to be read again.
+    async fn are_versions_listed(
+        self,
+        node: &Node,
+        page: &FeedPage,
+        backoff: &mut Backoff,
+    ) -> bool {
+        if self != Self::Servers {
+            return true;
+        }
+        let versions = version_lists::new_versions(node, &page.rows);
+        let listed = version_lists::look_up(node, &versions).await;
+        self.is_listed(listed, backoff).await && versions.is_empty()
+    }
+
+    /// Returns whether versions were listed. Waits if they could not be.
+    async fn is_listed(self, listed: Result<bool, StoreError>, backoff: &mut Backoff) -> bool {
+        match listed {
+            Ok(must_read_again) => !must_read_again,
+            Err(error) => {
+                log::warn!("event=version_list_failed error={}", process::quote(&error));
+                sleep_after_failure(backoff).await;
+                false
+            }
+        }
+    }
+
     /// Reads the whole table. Returns the store version from which changes are to be
-    /// followed: that of the first page, since rows may change while later pages are
-    /// read.
+    /// followed.
     async fn read_snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
+        node.version_lists.forget();
+        let (rows, first_version) = loop {
+            let (rows, first_version) = self.read_rows(node, backoff).await;
+            if self != Self::Servers {
+                break (rows, first_version);
+            }
+            let versions = version_lists::unknown_versions(node, &rows);
+            let listed = version_lists::look_up(node, &versions).await;
+            if self.is_listed(listed, backoff).await {
+                break (rows, first_version);
+            }
+        };
+        for row in &rows {
+            self.apply(node, row);
+        }
+        self.complete_snapshot(node, &rows, first_version);
+        first_version
+    }
+
+    /// Reads all rows of the table, and the store version of the first page, since rows may
+    /// change while later pages are read.
+    async fn read_rows(self, node: &Rc<Node>, backoff: &mut Backoff) -> (Vec<Row>, u64) {
         let mut first_version = None;
         let mut rows = Vec::new();
         for partition in self.partitions() {
@@ -204,12 +251,7 @@
                 rows.extend(page.rows);
             }
         }
-        for row in &rows {
-            self.apply(node, row);
-        }
-        let first_version = first_version.unwrap_or(0);
-        self.complete_snapshot(node, &rows, first_version);
-        first_version
+        (rows, first_version.unwrap_or(0))
     }
 
     /// Reads one page, and retries until the read succeeds. Earlier pages are not read
@@ -239,20 +281,7 @@
     fn complete_snapshot(self, node: &Rc<Node>, rows: &[Row], version: u64) {
         match self {
             Self::Config => {}
-            Self::Servers => {
-                let registered: Vec<_> = rows.iter().map(|row| UpstreamId::new(&row.key)).collect();
-                let now_ms = node.now_ms();
-                let may_have_lapsed = may_have_lapsed(node, now_ms);
-                let mut upstreams = node.upstreams.borrow_mut();
-                upstreams.retain_registered(&registered, may_have_lapsed, now_ms);
-                node.has_read_servers.set(true);
-                node.servers_fed_version.set(version);
-                node.version_history
-                    .borrow_mut()
-                    .record_snapshot(version, node.store_now_ms());
-                node.update_initial_state();
-                log::info!("event=servers_read count={}", upstreams.ready_count());
-            }
+            Self::Servers => registrations::complete_snapshot(node, rows, version),
             Self::Heartbeats => node.has_read_heartbeats.set(true),
             Self::Jobs => {
                 let mut stored: Vec<_> = rows.iter().map(|row| JobId::new(&row.key)).collect();
@@ -275,7 +304,8 @@
         }
     }
 
-    fn apply_page(self, node: &Rc<Node>, page: &FeedPage) {
+    /// Applies changes of the table.
+    pub(crate) fn apply_page(self, node: &Rc<Node>, page: &FeedPage) {
         node.record_store_time(page.store_now_ms);
         let known_version = self.fed_version(node);
         let is_news = |row: &&Row| self != Self::Servers || row.version > known_version;
@@ -284,7 +314,7 @@
         }
         match self {
             Self::Config | Self::Heartbeats => {}
-            Self::Servers => record_servers_fed(node, page),
+            Self::Servers => registrations::record_fed(node, page),
             Self::Jobs => node.record_jobs_fed(page.store_version),
         }
     }
@@ -292,7 +322,7 @@
     fn apply(self, node: &Rc<Node>, row: &Row) {
         match self {
             Self::Config => apply_config(node, row),
-            Self::Servers => apply_server(node, row),
+            Self::Servers => registrations::apply_row(node, row),
             Self::Heartbeats => apply_heartbeat(node, row),
             Self::Jobs => jobs::apply_row(node, row),
         }
@@ -321,68 +351,6 @@
     }
 }
 
-/// Records that all changes of registrations are known up to those of a page.
-fn record_servers_fed(node: &Node, page: &FeedPage) {
-    let known_version = node.servers_fed_version.get();
-    node.servers_fed_version
-        .set(known_version.max(page.store_version));
-    node.version_history
-        .borrow_mut()
-        .record_changes(page.store_version);
-    stream_versions::send_records(node);
-}
-
-/// Records that the registration of an upstream, if there is one, ends or is replaced.
-fn record_registration_end(node: &Node, id: &UpstreamId) {
-    let store_now_ms = node.store_now_ms();
-    let upstreams = node.upstreams.borrow();
-    let mut history = node.version_history.borrow_mut();
-    match upstreams.entry(id) {
-        Some(entry) => history.record_vanished(&entry.service, &entry.version, store_now_ms),
-        None => history.record_unseen(store_now_ms),
-    }
-}
-
-fn apply_server(node: &Node, row: &Row) {
-    let now_ms = node.now_ms();
-    let server = decode_server(row);
-    match &server {
-        ServerRow::Listed(entry) if node.upstreams.borrow().entry(&entry.id).is_none() => {}
-        ServerRow::Listed(UpstreamEntry { id, .. })
-        | ServerRow::Removed(id)
-        | ServerRow::Unreadable { id, .. } => record_registration_end(node, id),
-    }
-    let mut upstreams = node.upstreams.borrow_mut();
-    match server {
-        ServerRow::Listed(entry) => {
-            log::info!(
-                "event=server_listed upstream={} service={} version={} state={:?} slots={}",
-                entry.id,
-                entry.service,
-                process::quote(&entry.version),
-                entry.state,
-                entry.slots
-            );
-            upstreams.upsert(entry, now_ms);
-        }
-        ServerRow::Removed(id) => {
-            let may_have_lapsed = may_have_lapsed(node, now_ms);
-            log::info!("event=server_removed upstream={id} may_have_lapsed={may_have_lapsed}");
-            upstreams.remove(&id, may_have_lapsed, now_ms);
-        }
-        ServerRow::Unreadable { id, problems } => {
-            for problem in problems {
-                log::warn!(
-                    "event=server_unreadable upstream={id} problem={}",
-                    process::quote(&problem)
-                );
-            }
-            upstreams.remove(&id, false, now_ms);
-        }
-    }
-    node.batch_state_changed.notify_one();
-}
-
 fn apply_heartbeat(node: &Node, row: &Row) {
     let mut directory = node.directory.borrow_mut();
     if row.is_removed {
@@ -399,13 +367,6 @@
     }
 }
 
-/// Returns whether the registration of a working server may have lapsed because the
-/// store was unreachable.
-fn may_have_lapsed(node: &Node, now_ms: u64) -> bool {
-    let since_ms = now_ms.saturating_sub(REGISTRATION_RECOVERY_MS);
-    node.store_health.was_unreachable_since(since_ms)
-}
-
 /// Reads the changes of job records that the store has now, and waits up to `wait_ms`
 /// milliseconds for one if there is none.
 ///
@@ -432,29 +393,6 @@
     }
 }
 
-/// Reads the changes of registrations that the store has now.
-///
-/// # Errors
-///
-/// Returns an error if the store did not return changes.
-pub(crate) async fn read_server_changes(node: &Rc<Node>) -> Result<(), StoreError> {
-    let began_ms = node.now_ms();
-    let version = node.servers_fed_version.get();
-    match node.store.feed(SERVERS_TABLE, version, 0).await {
-        Ok(page) => {
-            node.record_store_answer(SERVERS_TABLE);
-            Feed::Servers.apply_page(node, &page);
-            Ok(())
-        }
-        Err(error) => {
-            if error != StoreError::HistoryGone {
-                node.record_store_failure(SERVERS_TABLE, began_ms, &error);
-            }
-            Err(error)
-        }
-    }
-}
-
 /// Returns the number of instances whose leases have not expired, including this one.
 pub(crate) fn live_instance_count(node: &Node) -> u64 {
     1 + node.directory.borrow().live_peers(node.now_ms()).count() as u64
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -4,9 +4,9 @@
 use std::{rc::Rc, sync::Arc};
 
 use gateway::{
-    AttemptEnd, CrashCause, Customer, FinalAnswer, NextStep, Placement, PlacementRequest,
-    QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target,
-    VersionHash, WorkKind,
+    AttemptEnd, AttemptHash, CrashCause, Customer, FinalAnswer, NextStep, Placement,
+    PlacementRequest, QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint,
+    RetryState, Route, Target, VersionHash, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
 use model::{PromptPart, ServiceName, shared_parts};
@@ -19,7 +19,7 @@
     node::Node,
     quarantine,
     relay::Relay,
-    stream_versions,
+    stream_versions::{self, StreamKeys},
 };
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
@@ -136,8 +136,9 @@
         if !self.is_resumable_stream() || self.resume_after.is_none_or(|event| event == 0) {
             return Ok(());
         }
-        let first = self.resumed_attempt.as_deref();
-        self.version = stream_versions::find_origin(&self.node, &self.service, first).await;
+        let origin =
+            stream_versions::find_origin(&self.node, &self.service, self.stream_keys()).await;
+        self.version = origin;
         if self.version.is_some() {
             return Ok(());
         }
@@ -147,7 +148,7 @@
             self.outgoing.request_id,
             self.route.name,
             reason.as_str(),
-            process::quote(&first.unwrap_or("none"))
+            process::quote(&self.resumed_attempt.as_deref().unwrap_or("none"))
         );
         Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
     }
@@ -163,17 +164,20 @@
         self.route.is_stream() && self.route.is_retryable()
     }
 
+    fn stream_keys(&self) -> StreamKeys<'_> {
+        let fingerprint = self.outgoing.content.fingerprint;
+        StreamKeys {
+            resumed_attempt: self.resumed_attempt.as_deref(),
+            request_id: &self.outgoing.request_id,
+            content: AttemptHash::of_content(fingerprint, &self.prompt_parts),
+        }
+    }
+
     /// Records at which version the stream began, once its first event is passed on.
     pub(crate) fn record_origin(&self, target: &Target) {
         if self.is_resumable_stream() {
-            let first_attempt = self.resumed_attempt.as_deref();
-            let first_attempt = first_attempt.unwrap_or(&self.outgoing.request_id);
-            stream_versions::record_origin(
-                &self.node,
-                first_attempt,
-                &self.service,
-                &target.version,
-            );
+            let keys = self.stream_keys();
+            stream_versions::record_origin(&self.node, keys, &self.service, &target.version);
         }
     }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -49,11 +49,13 @@
 mod quarantine;
 mod rate_limits;
 mod registration_check;
+mod registrations;
 mod relay;
 mod shutdown;
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
+mod version_lists;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
     registration_check::RegistrationCheck,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
+    version_lists::VersionLists,
 };
 
 /// Maximum time for which a request waits until the configuration and the servers
@@ -57,6 +58,7 @@
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     /// Which software versions were registered lately.
     pub(crate) version_history: RefCell<VersionHistory>,
+    pub(crate) version_lists: VersionLists,
     pub(crate) origin_exchange: OriginExchange,
     pub(crate) registration_check: RegistrationCheck,
     /// Whether both the configuration and the servers have been read.
@@ -147,6 +149,7 @@
             quarantine: RefCell::default(),
             stream_origins: RefCell::default(),
             version_history: RefCell::default(),
+            version_lists: VersionLists::default(),
             origin_exchange: OriginExchange::default(),
             registration_check: RegistrationCheck::default(),
             has_initial_state: watch::Sender::new(false),
--- a/crates/node/src/registration_check.rs
+++ b/crates/node/src/registration_check.rs
@@ -8,7 +8,7 @@
 
 use tokio::{sync::watch, task::spawn_local, time::timeout};
 
-use crate::{feeds, node::Node};
+use crate::{node::Node, registrations};
 
 /// Time in which the store must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -53,7 +53,7 @@
     node.registration_check.begun.set(number);
     let node = Rc::clone(node);
     spawn_local(async move {
-        let changes = timeout(ANSWER_TIMEOUT, feeds::read_server_changes(&node)).await;
+        let changes = timeout(ANSWER_TIMEOUT, registrations::read_changes(&node)).await;
         let is_confirmed = changes.is_ok_and(|result| result.is_ok());
         let ended = EndedCall {
             number,
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -28,7 +28,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, registration_check};
+use crate::{datagrams, node::Node, registration_check, version_lists};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -61,6 +61,45 @@
     HistoryQuery,
     /// Answers a history query.
     History(ObservedVersions),
+    /// Answers a query: there are records of different versions.
+    Contradicted(AttemptHash),
+}
+
+/// By what a stream is found again.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StreamKeys<'a> {
+    /// Id of the attempt that the caller takes up, if it names one.
+    pub(crate) resumed_attempt: Option<&'a str>,
+    /// Id of the caller's attempt.
+    pub(crate) request_id: &'a str,
+    /// Hash of the content of the request.
+    pub(crate) content: AttemptHash,
+}
+
+impl StreamKeys<'_> {
+    /// Returns the keys under which the origin is recorded: callers may or may not name the
+    /// attempt when they come back.
+    fn all(self) -> [AttemptHash; 2] {
+        let attempt = self.resumed_attempt.unwrap_or(self.request_id);
+        [AttemptHash::new(attempt), self.content]
+    }
+
+    /// Returns the key under which the origin is looked for.
+    fn take_up_key(self) -> AttemptHash {
+        self.resumed_attempt.map_or(self.content, AttemptHash::new)
+    }
+}
+
+/// What the holders of a record know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HoldersAnswer {
+    Version(VersionHash),
+    /// Requests of the same content began at several versions.
+    Contradicted,
+    /// At least one holder answered, and none has the record.
+    NoRecord,
+    /// No holder answered.
+    Silent,
 }
 
 /// The socket of the exchange and the queries in progress.
@@ -75,6 +114,8 @@
 struct PendingQuery {
     attempt: AttemptHash,
     missing_answers: Cell<usize>,
+    /// Whether a single answer does not decide.
+    needs_all: Cell<bool>,
     is_decided: Notify,
 }
 
@@ -90,6 +131,7 @@
         let query = Rc::new(PendingQuery {
             attempt,
             missing_answers: Cell::new(holder_count),
+            needs_all: Cell::default(),
             is_decided: Notify::new(),
         });
         exchange.queries.borrow_mut().push(Rc::clone(&query));
@@ -120,51 +162,70 @@
     Ok(())
 }
 
-/// Records at which version the stream of an attempt began, and tells the holders if
-/// versions of the service may be mixed.
+/// Records at which version a stream began, and tells the holders if versions of the service
+/// may be mixed.
 pub(crate) fn record_origin(
     node: &Node,
-    attempt: &str,
+    keys: StreamKeys<'_>,
     service: &ServiceName,
     version: &SoftwareVersion,
 ) {
-    let record = OriginRecord {
-        attempt: AttemptHash::new(attempt),
-        version: VersionHash::new(version),
-    };
+    let version = VersionHash::new(version);
     let now_ms = node.store_now_ms();
+    let records = keys.all().map(|attempt| OriginRecord { attempt, version });
     let mut origins = node.stream_origins.borrow_mut();
-    origins.record_own(record, service, now_ms);
+    for record in records {
+        origins.record_own(record, service, now_ms);
+    }
     drop(origins);
     if may_be_mixed(node, service) {
         let peers = Peers::new(node);
-        peers.send_records(node, &[record]);
+        peers.send_records(node, &records);
         if peers.are_settled {
-            node.stream_origins.borrow_mut().record_sent(record.attempt);
+            let mut origins = node.stream_origins.borrow_mut();
+            for record in records {
+                origins.record_sent(record.attempt);
+            }
         }
     }
 }
 
-/// Finds out at which version the stream must go on that a caller's attempt `first` began.
-/// `first` is `None` if the caller does not say which one it was. Returns `None` if nobody
-/// knows the version.
+/// Finds out at which version a stream must go on that a caller takes up. Returns `None` if it
+/// cannot be proven.
 pub(crate) async fn find_origin(
     node: &Rc<Node>,
     service: &ServiceName,
-    first: Option<&str>,
+    keys: StreamKeys<'_>,
 ) -> Option<VersionHash> {
-    let Some(first) = first else {
-        return only_known_version(node, service);
-    };
-    let attempt = AttemptHash::new(first);
-    let recorded = recorded_version(node, attempt);
-    if recorded.is_some() {
+    let key = keys.take_up_key();
+    let recorded = recorded_version(node, key);
+    if recorded.is_some() || is_contradicted(node, key) {
         return recorded;
     }
+    let asked = ask_holders(node, keys);
+    tokio::pin!(asked);
     tokio::select! {
-        Some(version) = ask_holders(node, attempt) => Some(version),
+        holders = &mut asked => version_by_holders(node, service, holders).await,
         Some(version) = confirmed_only_version(node, service) => Some(version),
-        else => None,
+    }
+}
+
+async fn version_by_holders(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    holders: HoldersAnswer,
+) -> Option<VersionHash> {
+    match holders {
+        HoldersAnswer::Version(version) => Some(version),
+        HoldersAnswer::Contradicted => None,
+        // Nothing can be registered while no instance reaches the store. A peer that knew of
+        // another version would have the record.
+        HoldersAnswer::NoRecord if node.store_health.is_unreachable() => {
+            only_version(node, service)
+        }
+        HoldersAnswer::NoRecord | HoldersAnswer::Silent => {
+            confirmed_only_version(node, service).await
+        }
     }
 }
 
@@ -173,13 +234,9 @@
     origins.version_of(attempt, node.store_now_ms())
 }
 
-/// Returns the version of a service if no other one is known. It decides for callers that do
-/// not name the attempt: they come from deployments that run a single version, where waiting
-/// for the store would only lose streams.
-fn only_known_version(node: &Node, service: &ServiceName) -> Option<VersionHash> {
-    let history = node.version_history.borrow();
-    let only = history.only_known_version(service, &node.upstreams.borrow(), node.store_now_ms());
-    only.as_ref().map(VersionHash::new)
+fn is_contradicted(node: &Node, attempt: AttemptHash) -> bool {
+    let origins = node.stream_origins.borrow();
+    origins.is_contradicted(attempt, node.store_now_ms())
 }
 
 /// Returns the version at which every stream of a service began that may still be taken up,
@@ -222,20 +279,32 @@
     }
 }
 
-/// Asks the holders of an attempt's record for the version.
-async fn ask_holders(node: &Node, attempt: AttemptHash) -> Option<VersionHash> {
+/// Asks the holders of a stream's record for the version.
+async fn ask_holders(node: &Node, keys: StreamKeys<'_>) -> HoldersAnswer {
+    let key = keys.take_up_key();
     let peers = Peers::new(node);
-    let holders = peers.holders(attempt, HolderUse::Ask);
+    let holders = peers.holders(key, HolderUse::Ask);
     if holders.is_empty() {
-        return None;
+        return HoldersAnswer::Silent;
     }
-    let guard = QueryGuard::new(&node.origin_exchange, attempt, holders.len());
+    let guard = QueryGuard::new(&node.origin_exchange, key, holders.len());
+    // Requests of the same content may contradict each other, so all holders must answer.
+    guard.query.needs_all.set(keys.resumed_attempt.is_none());
+    let holder_count = holders.len();
     for holder in holders {
-        send(node, peers.addresses[holder], &Message::Query(attempt));
+        send(node, peers.addresses[holder], &Message::Query(key));
     }
-    // After a time-out, the record counts as unknown.
+    // After a time-out, what has been answered counts.
     let _ = timeout(ANSWER_TIMEOUT, guard.query.is_decided.notified()).await;
-    recorded_version(node, attempt)
+    if let Some(version) = recorded_version(node, key) {
+        HoldersAnswer::Version(version)
+    } else if is_contradicted(node, key) {
+        HoldersAnswer::Contradicted
+    } else if guard.query.missing_answers.get() < holder_count {
+        HoldersAnswer::NoRecord
+    } else {
+        HoldersAnswer::Silent
+    }
 }
 
 async fn receive_messages(node: Rc<Node>, socket: Rc<UdpSocket>) {
@@ -259,10 +328,28 @@
             }
         }
         Message::Query(attempt) => {
-            let version = node.stream_origins.borrow().version_of(attempt, now_ms);
-            send(node, sender, &Message::Answer { attempt, version });
+            let origins = node.stream_origins.borrow();
+            let answer = if origins.is_contradicted(attempt, now_ms) {
+                Message::Contradicted(attempt)
+            } else {
+                let version = origins.version_of(attempt, now_ms);
+                Message::Answer { attempt, version }
+            };
+            send(node, sender, &answer);
+        }
+        Message::Answer { attempt, version } => {
+            if let Some(version) = version {
+                let record = OriginRecord { attempt, version };
+                node.stream_origins.borrow_mut().receive(record, now_ms);
+            }
+            count_answer(node, attempt, version.is_some());
+        }
+        Message::Contradicted(attempt) => {
+            let mut origins = node.stream_origins.borrow_mut();
+            origins.receive_contradiction(attempt, now_ms);
+            drop(origins);
+            count_answer(node, attempt, true);
         }
-        Message::Answer { attempt, version } => receive_answer(node, attempt, version),
         Message::HistoryQuery => {
             if let Some(observed) = node.version_history.borrow().observed() {
                 send(node, sender, &Message::History(observed));
@@ -272,18 +359,13 @@
     }
 }
 
-fn receive_answer(node: &Node, attempt: AttemptHash, version: Option<VersionHash>) {
+fn count_answer(node: &Node, attempt: AttemptHash, is_known: bool) {
     let is_asked = |query: &&Rc<PendingQuery>| query.attempt == attempt;
     let queries = node.origin_exchange.queries.borrow();
     for query in queries.iter().filter(is_asked) {
-        if let Some(version) = version {
-            let record = OriginRecord { attempt, version };
-            let now_ms = node.store_now_ms();
-            node.stream_origins.borrow_mut().receive(record, now_ms);
-        }
         let missing_answers = query.missing_answers.get().saturating_sub(1);
         query.missing_answers.set(missing_answers);
-        if version.is_some() || missing_answers == 0 {
+        if missing_answers == 0 || is_known && !query.needs_all.get() {
             query.is_decided.notify_one();
         }
     }
@@ -296,6 +378,7 @@
         node.stream_origins.borrow_mut().expire(now_ms);
         node.version_history.borrow_mut().expire(now_ms);
         send_records(&node);
+        version_lists::remove_unused(&node).await;
         if !node.version_history.borrow().is_complete(now_ms) {
             let peers = Peers::new(&node);
             for address in peers.addresses.sample(&mut rand::rng(), HISTORY_PEERS) {
@@ -324,7 +407,7 @@
     SocketAddr::new(notices.ip(), notices.port() + 1)
 }
 
-/// The live peers, as holders of records.
+/// The live peers, as holders of records, or all known ones while the store is unreachable.
 struct Peers {
     own_region: Region,
     /// Whether this instance has had the time to read the heartbeats of all peers that
@@ -338,8 +421,13 @@
 impl Peers {
     fn new(node: &Node) -> Self {
         let directory = node.directory.borrow();
-        let peers = directory.live_peers(node.now_ms());
-        let (holders, addresses) = peers
+        let now_ms = node.now_ms();
+        // No lease is renewed without the store.
+        let has_leases = !node.store_health.is_unreachable();
+        let live = directory.live_peers(now_ms).filter(|_| has_leases);
+        let known = directory.peers().filter(|_| !has_leases);
+        let (holders, addresses) = live
+            .chain(known)
             .map(|heartbeat| {
                 let holder = RecordHolder {
                     instance: heartbeat.owner.instance.clone(),
--- /dev/null
+++ b/crates/node/tests/streams_after_restart.rs
@@ -0,0 +1,241 @@
+//! Streams that callers take up after every instance was lost. Their callers do not name the
+//! attempt that began the stream, and what two software versions write does not fit together.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::StatusCode;
+use support::{
+    Answer, HOST, TestCluster, begin_stream, send_request, store_proxy::ProxyState, wait_until,
+};
+use tokio::time::{Instant, sleep};
+
+/// Time in which every instance learns of new registrations, and of its peers.
+const TIME_TO_LEARN: Duration = Duration::from_secs(3);
+/// Time for which callers come back after a restart.
+const COMING_BACK: Duration = Duration::from_secs(3);
+/// Number of streams that a test takes up.
+const STREAMS: usize = 16;
+
+fn version_of(server: usize) -> &'static str {
+    if server.is_multiple_of(2) { "v1" } else { "v2" }
+}
+
+/// Starts instances and servers of a single version, and then registers every other server
+/// with another one.
+async fn start_with_two_versions(nodes: usize) -> TestCluster {
+    let cluster = TestCluster::start(&[16; 6], nodes).await;
+    for index in (1..6).step_by(2) {
+        cluster.register_version(index, "v2").await;
+    }
+    sleep(TIME_TO_LEARN).await;
+    cluster
+}
+
+async fn unregister_first_version(cluster: &TestCluster) {
+    for index in (0..6).step_by(2) {
+        cluster.unregister_server(index).await;
+    }
+}
+
+fn path_of(stream: usize) -> String {
+    format!("/long/stream-{stream}")
+}
+
+fn first_attempt(stream: usize) -> String {
+    format!("first-{stream}")
+}
+
+/// Begins all streams at an instance and leaves each after two events.
+async fn begin_all(address: SocketAddr) {
+    for stream in 0..STREAMS {
+        let id = first_attempt(stream);
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", &*id),
+            ("redwingtack-deadline-ms", "4000"),
+        ];
+        assert!(begin_stream(address, &path_of(stream), &headers, 2).await);
+    }
+}
+
+/// Takes up a stream after two events. Returns `None` if the instance cannot be reached.
+async fn take_up(address: SocketAddr, stream: usize, id: &str) -> Option<Answer> {
+    let headers = [
+        ("host", HOST),
+        ("redwingtack-request-id", id),
+        ("redwingtack-deadline-ms", "3000"),
+        ("last-event-id", "2"),
+    ];
+    let body = b"prompt".to_vec();
+    send_request(address, "POST", &path_of(stream), &headers, body)
+        .await
+        .ok()
+}
+
+/// Takes up all streams once, with ids that begin with `prefix`. Returns how many went on.
+async fn take_up_all(address: SocketAddr, prefix: &str) -> usize {
+    let mut gone_on = 0;
+    for stream in 0..STREAMS {
+        let id = format!("{prefix}-{stream}");
+        let Some(answer) = take_up(address, stream, &id).await else {
+            continue;
+        };
+        if answer.status == StatusCode::OK {
+            assert!(answer.is_complete, "{answer:?}");
+            gone_on += 1;
+        } else {
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        }
+    }
+    gone_on
+}
+
+/// Takes up all streams again and again, from before the instance accepts connections until
+/// some time after it is ready.
+async fn take_up_while_coming_back(address: SocketAddr) -> usize {
+    let until = Instant::now() + COMING_BACK;
+    let mut gone_on = 0;
+    let mut round = 0;
+    while Instant::now() < until {
+        gone_on += take_up_all(address, &format!("back-{round}")).await;
+        round += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    gone_on
+}
+
+/// Returns how many streams ran at servers of both versions.
+async fn mixed_count(cluster: &TestCluster) -> usize {
+    let runs = cluster.runs_by_server().await;
+    let is_of_stream = |attempt: &str, stream: usize| {
+        let end = format!("-{stream}");
+        attempt.ends_with(&end)
+    };
+    let is_mixed = |stream: &usize| {
+        let ran_at = |version: &str| {
+            runs.iter().enumerate().any(|(server, runs)| {
+                version_of(server) == version
+                    && runs.keys().any(|attempt| is_of_stream(attempt, *stream))
+            })
+        };
+        ran_at("v1") && ran_at("v2")
+    };
+    (0..STREAMS).filter(is_mixed).count()
+}
+
+/// Kills every instance at once and starts another one, without waiting for it.
+fn restart_all(cluster: &mut TestCluster) -> SocketAddr {
+    cluster.nodes.clear();
+    cluster.add_node("node-again");
+    cluster.nodes[0].callers_address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_while_both_versions_serve() {
+    let mut cluster = start_with_two_versions(2).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    let address = restart_all(&mut cluster);
+    take_up_while_coming_back(address).await;
+    assert_eq!(mixed_count(&cluster).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_after_first_version_has_gone() {
+    let mut cluster = start_with_two_versions(2).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    unregister_first_version(&cluster).await;
+    let address = restart_all(&mut cluster);
+    take_up_while_coming_back(address).await;
+    assert_eq!(mixed_count(&cluster).await, 0);
+}
+
+/// The first version goes and the second one comes while no instance runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_after_versions_changed_meanwhile() {
+    let mut cluster = TestCluster::start(&[16; 6], 2).await;
+    for index in (1..6).step_by(2) {
+        cluster.unregister_server(index).await;
+    }
+    sleep(TIME_TO_LEARN).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    cluster.nodes.clear();
+    unregister_first_version(&cluster).await;
+    for index in (1..6).step_by(2) {
+        cluster.register_version(index, "v2").await;
+    }
+    let address = restart_all(&mut cluster);
+    take_up_while_coming_back(address).await;
+    assert_eq!(mixed_count(&cluster).await, 0);
+}
+
+/// Registrations of the first version lapse while the instances come back, and only the second
+/// one is known at first.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_before_first_version_registers_again() {
+    let mut cluster = start_with_two_versions(2).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    unregister_first_version(&cluster).await;
+    let address = restart_all(&mut cluster);
+    take_up_while_coming_back(address).await;
+    for index in (0..6).step_by(2) {
+        cluster.register_version(index, "v1").await;
+    }
+    take_up_while_coming_back(address).await;
+    assert_eq!(mixed_count(&cluster).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_of_single_version_after_all_were_lost() {
+    let mut cluster = TestCluster::start(&[16; 4], 2).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    let address = restart_all(&mut cluster);
+    cluster.nodes[0].wait_until_ready().await;
+    assert_eq!(take_up_all(address, "again").await, STREAMS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_at_peer_while_both_versions_serve() {
+    let mut cluster = start_with_two_versions(4).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    drop(cluster.nodes.remove(0));
+    let gone_on = take_up_all(cluster.nodes[0].callers_address, "peer").await;
+    assert_eq!(mixed_count(&cluster).await, 0);
+    assert!(gone_on > STREAMS / 2, "{gone_on} of {STREAMS} went on");
+}
+
+/// Callers send the same bytes, and their streams began at different versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_of_one_of_several_equal_requests() {
+    let mut cluster = start_with_two_versions(4).await;
+    let address = cluster.nodes[0].callers_address;
+    for attempt in 0..STREAMS {
+        let id = format!("equal-{attempt}");
+        let headers = [("host", HOST), ("redwingtack-request-id", &*id)];
+        assert!(begin_stream(address, &path_of(0), &headers, 2).await);
+    }
+    drop(cluster.nodes.remove(0));
+    let answer = take_up(cluster.nodes[0].callers_address, 0, "equal-again").await;
+    assert_eq!(answer.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// The store is away when callers come back, and the version was proven before.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_of_single_version_without_store() {
+    let mut cluster = TestCluster::start(&[16; 4], 1).await;
+    let first = cluster.add_proxied_node("node-1").await;
+    let second = cluster.add_proxied_node("node-2").await;
+    sleep(TIME_TO_LEARN).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    first.set_state(ProxyState::Reset);
+    second.set_state(ProxyState::Reset);
+    drop(cluster.nodes.remove(0));
+    let address = cluster.nodes[0].callers_address;
+    wait_until("streams go on", async || {
+        let answer = take_up(address, 0, "probe-0").await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    assert_eq!(take_up_all(address, "away").await, STREAMS);
+}
