Placement weighs kept beginnings of prompts against the wait

Change: what each incarnation keeps is inferred from answers, bounded by the memory that the configuration states, least recently used first and in the order of the parts. The saving is the kept tokens at a rate measured from answers, and counts only where the answer begins in time and no later than elsewhere. Equal upstreams are narrowed by rendezvous hashing, so that instances agree without messages. Items take the planned slot that keeps most of their prompt.

--- a/crates/gateway/src/candidate.rs
+++ b/crates/gateway/src/candidate.rs
@@ -16,6 +16,11 @@
     pub(crate) detour_ms: f64,
     pub(crate) expected_ms: f64,
     pub(crate) cost_ms: f64,
+    /// Number of leading parts of the prompt that the upstream keeps.
+    pub(crate) kept_parts: usize,
+    pub(crate) kept_tokens: u32,
+    /// Time that is saved because these tokens need not be read.
+    pub(crate) saved_ms: f64,
 }
 
 impl Candidate {
@@ -25,6 +30,12 @@
     pub(crate) fn due_ms(&self) -> f64 {
         self.expected_ms - self.detour_ms
     }
+
+    /// Returns when the first event is expected, compared to other upstreams, milliseconds
+    /// from now. The time to read the whole prompt is left out.
+    pub(crate) fn first_event_ms(&self) -> f64 {
+        self.expected_ms - self.saved_ms
+    }
 }
 
 /// Returns the position of the candidate behind a detour that would answer soonest without
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod events;
 mod forecast;
 mod health;
+mod kept_prompts;
 mod leaving;
 mod limited_upstreams;
 mod moving_average;
@@ -39,11 +40,15 @@
 mod peer_loads;
 mod peers;
 mod placement;
+mod prefill_rate;
 mod probation;
+mod prompt_chain;
+mod prompt_placement;
 mod proxies;
 mod quarantine;
 mod quarantine_notice;
 mod rate_limits;
+mod recent_prompts;
 mod refusal;
 mod request_content;
 mod route;
@@ -71,6 +76,7 @@
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption},
     probation::RequestTrial,
+    prompt_placement::{PromptRead, ServiceMemory},
     proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -33,7 +33,7 @@
 
 /// Maximum difference from the lowest cost for an upstream to count as equal to
 /// the best one, milliseconds.
-const TIE_MS: f64 = 3.0;
+pub(crate) const TIE_MS: f64 = 3.0;
 /// Additional cost of a full upstream compared to an empty one, milliseconds.
 /// It spreads the requests that several instances place before their notices
 /// report them to each other.
@@ -100,6 +100,8 @@
         expected_ms: u64,
         /// Known number of requests at the upstream.
         load: u32,
+        /// Tokens of the prompt that the upstream is expected to keep.
+        kept_tokens: u32,
         /// Whose batch item is preempted for the request.
         preemption: Preemption,
     },
@@ -138,23 +140,31 @@
             Proxies::default()
         };
         let mut candidates = self.candidates(request, timings, &proxies, now_ms);
-        let Some(mut chosen) = self.choose(&candidates) else {
-            return self.refuse_without_candidate(request, now_ms);
-        };
         // This request is as likely to be the first of the unseen ones as the last.
         let unseen = self.unseen_placements(request.service, timings);
         for _ in 0..self.rng.random_range(0..=unseen) {
-            candidates[chosen].unseen += 1;
-            self.estimate(&mut candidates[chosen], timings, request, now_ms);
-            chosen = self.choose(&candidates).unwrap_or(chosen);
+            let Some(unseen_choice) = self.choose(&candidates) else {
+                break;
+            };
+            let candidate = &mut candidates[unseen_choice];
+            candidate.unseen += 1;
+            self.estimate(candidate, timings, request, now_ms);
         }
         let limit_ms = as_f64(request.wait_limit_ms());
+        let prompt = self.prompt_chain(request.service, request.prompt_parts);
+        self.weigh_prompt(&mut candidates, &prompt);
+        let Some(mut chosen) = self.choose_for_prompt(&candidates, &prompt, limit_ms) else {
+            return self.refuse_without_candidate(request, now_ms);
+        };
         if request.may_refuse && candidates[chosen].due_ms() > limit_ms {
             chosen = soonest_behind_detour(&candidates).unwrap_or(chosen);
         }
         let candidate = &candidates[chosen];
         let Candidate {
-            index, expected_ms, ..
+            index,
+            expected_ms,
+            kept_tokens,
+            ..
         } = *candidate;
         if request.may_refuse && candidate.due_ms() > limit_ms {
             self.record_refused(request.service, now_ms);
@@ -173,6 +183,7 @@
             target: Target::new(&row.entry),
             expected_ms: round_ms(expected_ms),
             load: row.load(),
+            kept_tokens,
             preemption,
         }
     }
@@ -200,7 +211,7 @@
 
     /// Returns the position of a candidate with the lowest cost. A random one is
     /// chosen among those whose costs differ little.
-    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+    pub(crate) fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
         let costs = candidates.iter().map(|candidate| candidate.cost_ms);
         let limit_ms = costs.min_by(f64::total_cmp)? + TIE_MS;
         let equal: Vec<_> = (0..candidates.len())
@@ -306,6 +317,9 @@
             detour_ms: (round_trip_ms - own_round_trip_ms).max(0.0),
             expected_ms: 0.0,
             cost_ms: 0.0,
+            kept_parts: 0,
+            kept_tokens: 0,
+            saved_ms: 0.0,
         }
     }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,7 +5,7 @@
 use model::ServiceName;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::customers::CustomerTable;
+use crate::{customers::CustomerTable, prompt_placement::ServiceMemory};
 
 /// One version of the configuration of the operator.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,6 +16,8 @@
     pub limits: CallerLimits,
     /// The customers; `None` if the configuration names none, so that requests need no key.
     pub customers: Option<Arc<CustomerTable>>,
+    /// Memory of the upstreams of the services that keep prompts.
+    pub prompt_memory: Vec<ServiceMemory>,
     /// Sorted by host, then by path prefix.
     routes: Vec<Arc<Route>>,
 }
@@ -44,6 +46,8 @@
     pub priority: u32,
     /// Whether requests need no key, although the configuration names customers.
     pub is_public: bool,
+    /// Whether requests name the parts of their prompts, which upstreams keep.
+    pub names_prompt_parts: bool,
     /// Maximum number of attempts that may run one request.
     pub attempts_max: u32,
     /// Services that share the requests, with their weights.
@@ -110,6 +114,7 @@
             version,
             limits,
             customers: None,
+            prompt_memory: Vec::new(),
             routes,
         }
     }
@@ -121,6 +126,13 @@
         self
     }
 
+    /// Sets the memory of the upstreams of the services that keep prompts.
+    #[must_use]
+    pub fn with_prompt_memory(mut self, memory: Vec<ServiceMemory>) -> Self {
+        self.prompt_memory = memory;
+        self
+    }
+
     /// Returns the route of a request: among the routes of the host, the one
     /// with the longest matching path prefix. A port in `host` is ignored.
     #[must_use]
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -2,7 +2,10 @@
 
 use model::ServiceName;
 
-use crate::{UpstreamTable, connectivity::ServiceConnectivity, moving_average::MovingAverage};
+use crate::{
+    UpstreamTable, connectivity::ServiceConnectivity, moving_average::MovingAverage,
+    prompt_placement::ServicePrompts,
+};
 
 /// Measurements shared by all upstreams of a service.
 #[derive(Debug)]
@@ -16,6 +19,7 @@
     /// When a request was last refused because no upstream could answer in time.
     last_refused_ms: Option<u64>,
     pub(crate) connectivity: ServiceConnectivity,
+    pub(crate) prompts: ServicePrompts,
 }
 
 /// Expected times for which requests of a service hold their slots, the maximum
@@ -100,6 +104,7 @@
                     last_wanted_ms: None,
                     last_refused_ms: None,
                     connectivity: ServiceConnectivity::default(),
+                    prompts: ServicePrompts::default(),
                 };
                 self.services.insert(index, row);
                 index
--- a/crates/gateway/src/upstream_row.rs
+++ b/crates/gateway/src/upstream_row.rs
@@ -4,6 +4,7 @@
     UpstreamEntry, UpstreamLoad, UpstreamState,
     connectivity::Connectivity,
     health::Health,
+    kept_prompts::KeptPrompts,
     moving_average::MovingAverage,
     peer_loads::PeerLoad,
     peers::{incarnation_hash, upstream_hash},
@@ -37,6 +38,7 @@
     pub(crate) round_trip_ms: MovingAverage,
     pub(crate) delay_ms: MovingAverage,
     pub(crate) delay_measured_ms: u64,
+    pub(crate) kept_prompts: KeptPrompts,
 }
 
 impl UpstreamRow {
@@ -62,6 +64,7 @@
             round_trip_ms: MovingAverage::default(),
             delay_ms: MovingAverage::default(),
             delay_measured_ms: 0,
+            kept_prompts: KeptPrompts::default(),
         }
     }
 
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -362,7 +362,7 @@
         self.rows.get_mut(index)
     }
 
-    fn find_incarnation(&self, target: &Target) -> Option<usize> {
+    pub(crate) fn find_incarnation(&self, target: &Target) -> Option<usize> {
         let index = self.find(&target.upstream).ok()?;
         let is_same = self.rows[index].entry.started_unix_ms == target.started_unix_ms;
         is_same.then_some(index)
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -127,6 +127,7 @@
         pause_goal_ms: 300,
         priority: 0,
         is_public: false,
+        names_prompt_parts: false,
         attempts_max: 2,
         services: vec![ServiceShare {
             service: service(),
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,7 +7,7 @@
 use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
 use http::{HeaderMap, Method, Response, Uri, header, request};
 use hyper::body::Incoming;
-use model::CustomerName;
+use model::{CustomerName, PromptPart};
 
 use crate::{
     crash_detection,
@@ -42,6 +42,8 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: Rc<str>,
     pub(crate) content: Rc<RequestContent>,
+    /// Parts of the prompt in order; empty if upstreams are not chosen by them.
+    pub(crate) prompt_parts: Rc<[PromptPart]>,
 }
 
 impl OutgoingRequest {
@@ -55,6 +57,7 @@
             body,
             request_id: Rc::from(request_id),
             content: Rc::default(),
+            prompt_parts: Rc::default(),
         }
     }
 
@@ -64,6 +67,12 @@
         self
     }
 
+    /// Sets the parts of the prompt, by which an upstream is chosen.
+    pub(crate) fn with_prompt_parts(mut self, parts: Vec<PromptPart>) -> Self {
+        self.prompt_parts = Rc::from(parts);
+        self
+    }
+
     /// Removes the caller's key, and sets the customer on whose behalf the request runs.
     pub(crate) fn with_customer(mut self, customer: Option<&CustomerName>) -> Self {
         platform::set_customer(&mut self.headers, customer);
@@ -101,6 +110,7 @@
     pub(crate) body: Incoming,
     pub(crate) in_flight: InFlightGuard,
     transport: Transport,
+    prompt_parts: Rc<[PromptPart]>,
     /// When the first event arrived, in milliseconds on the node's clock.
     first_event_ms: Option<u64>,
     event_count: u64,
@@ -222,6 +232,9 @@
             return;
         }
         let now_ms = node.now_ms();
+        if self.first_event_ms.is_none() {
+            self.record_prompt_read(node, now_ms);
+        }
         let first_event_ms = *self.first_event_ms.get_or_insert(now_ms);
         self.event_count += 1;
         if self.event_count >= SURVIVAL_EVENTS && now_ms >= first_event_ms + SURVIVAL_MS {
@@ -229,6 +242,17 @@
         }
     }
 
+    /// Records that the upstream has read the prompt.
+    fn record_prompt_read(&self, node: &Node, now_ms: u64) {
+        let InFlightGuard {
+            target, started_ms, ..
+        } = &self.in_flight;
+        let after_ms = now_ms.saturating_sub(*started_ms);
+        let mut upstreams = node.upstreams.borrow_mut();
+        let read = upstreams.record_prompt_read(target, &self.prompt_parts, after_ms, now_ms);
+        node.metrics.on_prompt_read(read);
+    }
+
     fn record_survival(&mut self, node: &Node) {
         if self.head.status.is_success() {
             self.has_survived = true;
@@ -309,6 +333,7 @@
         body,
         in_flight,
         transport,
+        prompt_parts: Rc::clone(&outgoing.prompt_parts),
         first_event_ms: None,
         event_count: 0,
         has_survived: false,
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -307,7 +307,11 @@
         Ok(table) => {
             let version = table.version;
             let routes = table.routes().len();
+            let prompt_memory = table.prompt_memory.clone();
             if node.apply_routes(table) {
+                let mut upstreams = node.upstreams.borrow_mut();
+                upstreams.set_prompt_memory(&prompt_memory);
+                drop(upstreams);
                 node.update_initial_state();
                 log::info!("event=config_applied config_version={version} routes={routes}");
                 node.batch_state_changed.notify_one();
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -9,7 +9,7 @@
     VersionHash, WorkKind,
 };
 use http::{HeaderMap, Response, StatusCode, header, request};
-use model::{PromptPart, ServiceName, shared_parts};
+use model::{ServiceName, shared_parts};
 
 use crate::{
     answer::{self, AnswerBody},
@@ -39,8 +39,6 @@
     pub(crate) service: ServiceName,
     /// Customer on whose behalf the request is sent; `None` if it needs no key.
     pub(crate) customer: Option<Arc<Customer>>,
-    /// Parts of the prompt in order.
-    pub(crate) prompt_parts: Vec<PromptPart>,
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) retries: RetryState,
     pub(crate) arrived_ms: u64,
@@ -96,6 +94,9 @@
     };
     let mut outgoing =
         OutgoingRequest::new(&parts, body, &request_headers.request_id).with_content(content);
+    if route.names_prompt_parts {
+        outgoing = outgoing.with_prompt_parts(request_headers.prompt_parts);
+    }
     if has_customers {
         outgoing = outgoing.with_customer(customer.as_ref().map(|customer| &customer.name));
     }
@@ -104,7 +105,6 @@
         service,
         outgoing,
         customer,
-        prompt_parts: request_headers.prompt_parts,
         retries: RetryState::new(Arc::clone(&route), deadline_ms),
         route,
         arrived_ms,
@@ -245,7 +245,7 @@
             service: &self.service,
             customer: self.customer.as_ref().map(|customer| &customer.name),
             priority: self.priority(),
-            prompt_parts: &self.prompt_parts,
+            prompt_parts: &self.outgoing.prompt_parts,
             tried: self.retries.tried(),
             goal_ms: self.route.goal_ms,
             waited_ms,
@@ -258,6 +258,7 @@
                 target,
                 expected_ms,
                 load,
+                kept_tokens,
                 preemption,
             } => {
                 if let QuarantineCheck::Trial { cause, .. } = check {
@@ -268,7 +269,7 @@
                 }
                 self.node.apply_preemption(&target, preemption);
                 log::info!(
-                    "event=request_sent request={} route={} upstream={} version={} load={load} expected_ms={expected_ms} left_ms={} store_age_ms={} resumes={} after_event={} fingerprint={} shared_parts={}",
+                    "event=request_sent request={} route={} upstream={} version={} load={load} expected_ms={expected_ms} kept_tokens={kept_tokens} left_ms={} store_age_ms={} resumes={} after_event={} fingerprint={} shared_parts={}",
                     self.outgoing.request_id,
                     self.route.name,
                     target.upstream,
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -6,8 +6,8 @@
 use gateway::{AttemptEnd, EventSplitter, RequestContent, Route, Target, WorkKind};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
-use ledger::{ItemRun, PartialOutput, RunOutcome};
-use model::{CustomerName, JobId};
+use ledger::{ItemRun, JobItem, PartialOutput, RunOutcome};
+use model::{CustomerName, JobId, PromptPart};
 use tokio::{sync::Notify, time::timeout_at};
 
 use super::runner;
@@ -240,6 +240,15 @@
     }
 }
 
+/// Returns the parts of an item's prompt, or none if upstreams are not chosen by them.
+pub(super) fn prompt_parts(route: &Route, item: &JobItem) -> Rc<[PromptPart]> {
+    if route.names_prompt_parts {
+        Rc::from(platform::item_prompt_parts(item))
+    } else {
+        Rc::default()
+    }
+}
+
 fn outgoing_request(context: &RunContext) -> Option<OutgoingRequest> {
     let item = &context.item_run.item;
     let outgoing = OutgoingRequest {
@@ -249,6 +258,7 @@
         body: platform::encode_item_body(item),
         request_id: Rc::from(&*item.id),
         content: Rc::clone(&context.content),
+        prompt_parts: prompt_parts(&context.route, item),
     };
     Some(match &context.customer {
         Some(customer) => outgoing.with_customer(Some(customer)),
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -35,13 +35,21 @@
     waiting.len() < waiting_before
 }
 
-/// Returns the position of the target at which an item goes on with its output, or 0 if it has
-/// none or if no target runs its version. Then its output begins anew.
+/// Returns the position of the target at which an item goes on with its output. If it has none
+/// or if no target runs its version, its output begins anew, at the target that is best for
+/// its prompt.
 fn preferred_target(node: &Node, item: &WaitingItem, targets: &[Target]) -> usize {
     let runner = node.runner.borrow();
     let version = runner.jobs[item.job_index].output_version(item.item_index);
     let is_same = |target: &Target| Some(&target.version) == version;
-    targets.iter().position(is_same).unwrap_or(0)
+    if let Some(position) = targets.iter().position(is_same) {
+        return position;
+    }
+    let item_at = runner.jobs[item.job_index].item_at(item.item_index);
+    let prompt = item_at.map(|job_item| item_run::prompt_parts(&item.route, job_item));
+    let upstreams = node.upstreams.borrow();
+    let best = prompt.and_then(|prompt| upstreams.best_for_prompt(targets, &prompt));
+    best.unwrap_or(0)
 }
 
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use gateway::{
-    AttemptEnd, CrashCause, InFlight, QuarantineChange, Quarantined, Route, RouteKind,
+    AttemptEnd, CrashCause, InFlight, PromptRead, QuarantineChange, Quarantined, Route, RouteKind,
     UpstreamTable,
 };
 use http::{HeaderValue, Response, StatusCode, header};
@@ -56,6 +56,7 @@
     attempt_failures: Counter<u64>,
     proxied_attempts: Counter<u64>,
     streams_resumed: Counter<u64>,
+    prompt_tokens: Counter<u64>,
     upstream_crashes: Counter<u64>,
     quarantine_changes: Counter<u64>,
     quarantined_causes: Gauge<u64>,
@@ -125,6 +126,10 @@
                 "redwingtack.streams_resumed",
                 "Streams that went on at another upstream",
             ),
+            prompt_tokens: counter(
+                "redwingtack.prompt_tokens",
+                "Tokens of prompts, by whether the upstream had kept them",
+            ),
             upstream_crashes: counter(
                 "redwingtack.upstream.crashes",
                 "Answers lost because their upstream crashed",
@@ -197,6 +202,18 @@
         self.proxied_attempts.add(1, &[]);
     }
 
+    pub(crate) fn on_prompt_read(&self, read: PromptRead) {
+        let counts = [
+            ("kept", read.kept_tokens),
+            ("repeated", read.repeated_tokens),
+            ("new", read.new_tokens),
+        ];
+        for (state, tokens) in counts.into_iter().filter(|(_, tokens)| *tokens > 0) {
+            let labels = [KeyValue::new("state", state)];
+            self.prompt_tokens.add(u64::from(tokens), &labels);
+        }
+    }
+
     pub(crate) fn on_stream_resumed(&self) {
         self.streams_resumed.add(1, &[]);
     }
