Kept prompts: an unknown delay of an upstream counts as the usual one

Cause: the delay of an upstream is known from few answers, and without a recent one it counted as none.

Change: for a request with a prompt, a delay below the median of the candidates counts as the median.

--- a/crates/gateway/src/candidate.rs
+++ b/crates/gateway/src/candidate.rs
@@ -21,6 +21,9 @@
     pub(crate) kept_tokens: u32,
     /// Time that is saved because these tokens need not be read.
     pub(crate) saved_ms: f64,
+    /// By how much recent answers began sooner than is usual at the other candidates, or the
+    /// usual delay if there are none.
+    pub(crate) lead_ms: f64,
 }
 
 impl Candidate {
@@ -34,7 +37,12 @@
     /// Returns when the first event is expected, compared to other upstreams, milliseconds
     /// from now. The time to read the whole prompt is left out.
     pub(crate) fn first_event_ms(&self) -> f64 {
-        self.expected_ms - self.saved_ms
+        self.expected_ms + self.lead_ms - self.saved_ms
+    }
+
+    /// Returns the cost for a request without a prompt, with the usual delay at least.
+    pub(crate) fn usual_cost_ms(&self) -> f64 {
+        self.cost_ms + self.lead_ms
     }
 }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -152,7 +152,7 @@
         }
         let limit_ms = as_f64(request.wait_limit_ms());
         let prompt = self.prompt_chain(request.service, request.prompt_parts);
-        self.weigh_prompt(&mut candidates, &prompt);
+        self.weigh_prompt(&mut candidates, &prompt, now_ms);
         let Some(mut chosen) = self.choose_for_prompt(&candidates, &prompt, limit_ms) else {
             return self.refuse_without_candidate(request, now_ms);
         };
@@ -320,6 +320,7 @@
             kept_parts: 0,
             kept_tokens: 0,
             saved_ms: 0.0,
+            lead_ms: 0.0,
         }
     }
 
--- a/crates/gateway/src/prompt_placement.rs
+++ b/crates/gateway/src/prompt_placement.rs
@@ -141,9 +141,23 @@
     }
 
     /// Sets what each candidate keeps of a prompt, and what that saves.
-    pub(crate) fn weigh_prompt(&self, candidates: &mut [Candidate], prompt: &PromptChain) {
+    ///
+    /// The delay of an upstream is known from few answers, or from none lately, which counts as
+    /// no delay. Such a lead would outweigh any saving, and instances would not agree on equal
+    /// upstreams, so a delay below the usual one counts as the usual one.
+    pub(crate) fn weigh_prompt(
+        &self,
+        candidates: &mut [Candidate],
+        prompt: &PromptChain,
+        now_ms: u64,
+    ) {
+        if prompt.is_empty() {
+            return;
+        }
+        let usual_ms = self.usual_delay_ms(candidates, now_ms);
         for candidate in candidates {
             let row = &self.rows[candidate.index];
+            candidate.lead_ms = (usual_ms - row.delay_ms(now_ms)).max(0.0);
             candidate.kept_parts = self.kept_parts(row, prompt);
             let kept = &prompt.parts()[..candidate.kept_parts];
             candidate.kept_tokens = kept.iter().map(|part| part.tokens).sum();
@@ -166,14 +180,14 @@
         }
         let cheapest = candidates
             .iter()
-            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))?;
+            .min_by(|a, b| a.usual_cost_ms().total_cmp(&b.usual_cost_ms()))?;
         let latest_ms = cheapest.first_event_ms();
         let cost_ms = |candidate: &Candidate| {
             let is_in_time = candidate.due_ms() <= limit_ms;
             if is_in_time && candidate.first_event_ms() <= latest_ms {
-                candidate.cost_ms - candidate.saved_ms
+                candidate.usual_cost_ms() - candidate.saved_ms
             } else {
-                candidate.cost_ms
+                candidate.usual_cost_ms()
             }
         };
         let lowest_ms = candidates.iter().map(cost_ms).min_by(f64::total_cmp)?;
@@ -184,6 +198,20 @@
         Some(equal[self.rng.random_range(0..equal.len())])
     }
 
+    /// Returns the median delay of the candidates that have answered lately, or 0 without one.
+    fn usual_delay_ms(&self, candidates: &[Candidate], now_ms: u64) -> f64 {
+        let delays = candidates
+            .iter()
+            .map(|candidate| self.rows[candidate.index].delay_ms(now_ms));
+        let mut measured: Vec<_> = delays.filter(|delay_ms| *delay_ms > 0.0).collect();
+        if measured.is_empty() {
+            return 0.0;
+        }
+        let middle = measured.len() / 2;
+        let (_, median, _) = measured.select_nth_unstable_by(middle, f64::total_cmp);
+        *median
+    }
+
     /// Narrows equal candidates to those where requests with the parts of a prompt meet.
     fn narrow(&self, equal: &mut Vec<usize>, candidates: &[Candidate], prompt: &PromptChain) {
         for (depth, part) in prompt.shared().iter().enumerate() {
--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -147,6 +147,33 @@
     assert_eq!(chosen_at_load(100, SLOTS - 1), "u2");
 }
 
+/// Only the upstream that keeps the part has answered lately, as late as is usual. That no
+/// delay of the other one is known does not make it sooner.
+#[test]
+fn place_unknown_delay_counts_as_usual_one() {
+    let mut table = measured_table(&PAIR);
+    let keeper = target(&mut table, "u1");
+    table.record_prompt_read(&keeper, &prompt(1, 100, 1), 50, 0);
+    table.record_answer_delay(&keeper, 20.0, 0);
+    let placement = place(&mut table, &prompt(1, 100, 2));
+    assert_eq!(target_of(&placement).upstream.as_str(), "u1");
+}
+
+/// The upstream that keeps the part answers 20 ms later than the others; 2 ms are saved.
+#[test]
+fn place_late_answers_outweigh_short_part() {
+    let mut table = measured_table(&EIGHT);
+    let keeper = target(&mut table, "u1");
+    table.record_prompt_read(&keeper, &prompt(1, 100, 1), 50, 0);
+    for (id, _) in EIGHT {
+        let upstream = target(&mut table, id);
+        let delay_ms = if id == "u1" { 25.0 } else { 5.0 };
+        table.record_answer_delay(&upstream, delay_ms, 0);
+    }
+    let placement = place(&mut table, &prompt(1, 100, 2));
+    assert_ne!(target_of(&placement).upstream.as_str(), "u1");
+}
+
 /// Without a measurement, nothing is known to be saved.
 #[test]
 fn place_unmeasured_rate_saves_nothing() {
