Keys: a lease on accepting them, confirmed by the store and peers; 401 only by the newest configuration

Change: gateway::KeyLease (sans-I/O) expires within the revocation time after the last moment at which the configuration was certainly the newest; feed answers and peers' notices renew it. Before a 401 one shared, paced read of the store makes sure. Submissions repeated by another customer are not found; items of public jobs carry no key or customer of the caller.

--- a/crates/gateway/src/customers.rs
+++ b/crates/gateway/src/customers.rs
@@ -87,6 +87,11 @@
         Some(&self.keys[index.ok()?].customer)
     }
 
+    /// Returns the digests of all keys with their customers, sorted by digest.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = (&KeyDigest, &Arc<Customer>)> {
+        self.keys.iter().map(|row| (&row.digest, &row.customer))
+    }
+
     /// Returns the customer of a name.
     #[must_use]
     pub fn customer(&self, name: &CustomerName) -> Option<&Arc<Customer>> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod events;
 mod forecast;
 mod health;
+mod key_lease;
 mod leaving;
 mod limited_upstreams;
 mod moving_average;
@@ -52,6 +53,7 @@
 mod stream_origins;
 mod target;
 mod token_issuer;
+mod unknown_keys;
 mod upstream;
 mod upstream_row;
 mod upstream_table;
@@ -65,6 +67,7 @@
     customers::{Customer, CustomerTable, KeyDigest, Quota},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
+    key_lease::{ConfigAnswer, ConfigConfirmation, ConfirmationSource, KeyLease, PeerNews},
     leaving::LeavingUpstream,
     notice_scheduler::{NoticeScheduler, notice_pause_ms},
     peer_loads::InFlight,
@@ -85,6 +88,7 @@
     },
     target::Target,
     token_issuer::SettledTokens,
+    unknown_keys::{RemovedKey, UnknownKeys},
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{ObservedVersions, VanishedVersion, VersionHistory},
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -134,9 +134,13 @@
     /// Returns whether a host has a route for batch jobs.
     #[must_use]
     pub fn has_batch_route(&self, host: &str) -> bool {
-        self.host_routes(host)
-            .iter()
-            .any(|route| matches!(route.kind, RouteKind::Batch(_)))
+        self.batch_routes(host).next().is_some()
+    }
+
+    /// Returns whether a host has a route for batch jobs that needs no key.
+    #[must_use]
+    pub fn has_public_batch_route(&self, host: &str) -> bool {
+        self.batch_routes(host).any(|route| route.is_public)
     }
 
     /// Returns all routes, sorted by host and path prefix.
@@ -145,6 +149,11 @@
         &self.routes
     }
 
+    fn batch_routes(&self, host: &str) -> impl Iterator<Item = &Arc<Route>> {
+        let routes = self.host_routes(host).iter();
+        routes.filter(|route| matches!(route.kind, RouteKind::Batch(_)))
+    }
+
     fn host_routes(&self, host: &str) -> &[Arc<Route>] {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let name = name.to_ascii_lowercase();
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,7 +1,9 @@
-//! Monotonic time of the process and time of day.
+//! Monotonic time of the process, time since the machine was started, and time of day.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Monotonic clock that counts milliseconds since the start of the process.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Clock {
@@ -28,6 +30,13 @@
     }
 }
 
+/// Returns the time since the machine was started, in milliseconds. Unlike [`Clock`], it goes on
+/// while the machine is suspended.
+pub(crate) fn boot_ms() -> u64 {
+    // Every Linux kernel has this clock, so the call cannot fail.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(0, |time| to_ms(Duration::from(time)))
+}
+
 /// Returns the time of day, in milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/node/src/customers.rs
+++ b/crates/node/src/customers.rs
@@ -1,18 +1,68 @@
-//! Finds out on behalf of which customer a caller sends a request.
+//! Finds out on behalf of which customer a caller sends a request, and whether the keys of the
+//! configuration may be accepted now.
+//!
+//! Callers do not retry after a 401. Before an instance answers so, it makes sure that the
+//! newest configuration does not have the key either; if it cannot, it refuses the request as
+//! not run, and another instance can serve it.
 
-use std::sync::Arc;
+use std::{fmt, rc::Rc, sync::Arc, time::Duration};
 
-use gateway::{Customer, Route, RouteTable};
+use gateway::{Customer, KeyDigest, RouteTable};
 use http::{Response, StatusCode};
-use platform::RequestHeaders;
+use model::JobId;
+use tokio::time::timeout;
 
-use crate::answer::{self, AnswerBody};
+use crate::{
+    answer::{self, AnswerBody},
+    clock::boot_ms,
+    freshness_check::{self, Subject},
+    node::Node,
+};
+
+/// Time in which it must turn out whether the newest configuration has a key.
+const UNKNOWN_KEY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which an expired lease must be renewed before a request is refused.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Retry-after hint if the keys cannot be confirmed, milliseconds. The hint is short because
+/// other instances can serve the request.
+const UNCONFIRMED_RETRY_AFTER_MS: u64 = 10;
+
+/// A request whose customer is to be found.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeyedCall<'a> {
+    pub(crate) id: CallId<'a>,
+    /// Digest of the caller's key.
+    pub(crate) key: Option<&'a KeyDigest>,
+}
+
+/// Which request a log line is about.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum CallId<'a> {
+    Request(&'a str),
+    /// A request about a job.
+    Job(&'a JobId),
+}
 
 /// Why a request is refused because of its key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KeyRefusal {
-    /// No customer has the key.
+    /// No customer has the key, or the request brings none.
     Unknown,
+    /// It cannot be made sure that the configuration in force is the newest one.
+    Unconfirmed,
+}
+
+/// No customer of a configuration has the key of a request.
+#[derive(Debug, Clone, Copy)]
+struct NoCustomer;
+
+impl fmt::Display for CallId<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(id) => write!(f, "request={id}"),
+            Self::Job(id) => write!(f, "job={id}"),
+        }
+    }
 }
 
 impl KeyRefusal {
@@ -20,34 +70,142 @@
     pub(crate) fn answer(self) -> Response<AnswerBody> {
         match self {
             Self::Unknown => answer::text(StatusCode::UNAUTHORIZED, "unknown key"),
+            Self::Unconfirmed => answer::service_unavailable(
+                UNCONFIRMED_RETRY_AFTER_MS,
+                "this instance cannot confirm the keys of customers",
+            ),
         }
     }
 }
 
-/// Returns the customer of a request, or `None` if the request needs no key.
+/// Returns the customer of a request, or `None` if the request needs no key. `is_public` says
+/// whether a configuration lets the request in without a key.
 ///
 /// # Errors
 ///
 /// Returns why the request is refused.
-pub(crate) fn identify(
+pub(crate) async fn identify(
+    node: &Rc<Node>,
     routes: &RouteTable,
-    route: Option<&Route>,
-    headers: &RequestHeaders,
+    call: KeyedCall<'_>,
+    is_public: impl Fn(&RouteTable) -> bool,
 ) -> Result<Option<Arc<Customer>>, KeyRefusal> {
+    let arrived_ms = boot_ms();
+    if let Ok(customer) = find_customer(routes, call.key, &is_public) {
+        return Ok(customer);
+    }
+    let is_checked = |key| node.unknown_keys.borrow().is_unknown(key, arrived_ms);
+    if !call.key.is_some_and(is_checked) {
+        if !make_sure(node, arrived_ms).await {
+            return Err(refuse_unconfirmed(node, call.id, None));
+        }
+        if let Some(newest) = node.routes()
+            && let Ok(customer) = find_customer(&newest, call.key, &is_public)
+        {
+            return Ok(customer);
+        }
+        if let Some(key) = call.key {
+            let now_ms = boot_ms();
+            node.unknown_keys.borrow_mut().record_unknown(*key, now_ms);
+        }
+    }
+    Err(refuse_unknown(node, call))
+}
+
+/// Makes sure that the key of a customer's request may be accepted now. The time of this check
+/// counts for the whole request: what an accepted request still needs, such as retries, is not
+/// refused later.
+///
+/// # Errors
+///
+/// Returns [`KeyRefusal::Unconfirmed`] if the lease on accepting keys has expired and cannot be
+/// renewed at once.
+pub(crate) async fn check_lease(
+    node: &Rc<Node>,
+    customer: Option<&Customer>,
+    id: CallId<'_>,
+) -> Result<(), KeyRefusal> {
+    let is_valid = || customer.is_none() || node.key_lease.borrow().is_valid(boot_ms());
+    if is_valid() {
+        return Ok(());
+    }
+    if !node.store_health.is_unreachable() {
+        let renewal = freshness_check::confirm(node, Subject::Config);
+        // Whether the lease is valid then is what counts.
+        let _ = timeout(RENEWAL_TIMEOUT, renewal).await;
+        if is_valid() {
+            return Ok(());
+        }
+    }
+    Err(refuse_unconfirmed(node, id, customer))
+}
+
+fn find_customer(
+    routes: &RouteTable,
+    key: Option<&KeyDigest>,
+    is_public: impl Fn(&RouteTable) -> bool,
+) -> Result<Option<Arc<Customer>>, NoCustomer> {
     let Some(customers) = &routes.customers else {
         return Ok(None);
     };
-    if route.is_some_and(|route| route.is_public) {
+    if is_public(routes) {
         return Ok(None);
     }
-    let customer = headers.key.as_ref().and_then(|key| customers.find(key));
-    if let Some(customer) = customer {
-        return Ok(Some(Arc::clone(customer)));
-    }
+    let customer = key.and_then(|key| customers.find(key)).ok_or(NoCustomer)?;
+    Ok(Some(Arc::clone(customer)))
+}
+
+/// Returns whether the configuration in force is the newest one at `since_ms` or later.
+async fn make_sure(node: &Rc<Node>, since_ms: u64) -> bool {
+    let is_confirmed = || node.key_lease.borrow().is_confirmed_since(since_ms);
+    let check = freshness_check::confirm(node, Subject::Config);
+    is_confirmed() || timeout(UNKNOWN_KEY_TIMEOUT, check).await == Ok(true) || is_confirmed()
+}
+
+fn refuse_unknown(node: &Node, call: KeyedCall<'_>) -> KeyRefusal {
+    let unknown_keys = node.unknown_keys.borrow();
+    let removal = call.key.and_then(|key| unknown_keys.removal(key));
+    let reason = match (call.key, removal) {
+        (None, _) => "no_key",
+        (Some(_), None) => "unknown_key",
+        (Some(_), Some(_)) => "key_taken_away",
+    };
+    let customer = removal.map_or("none", |removal| removal.customer.name.as_str());
+    let removed_by = removal.map_or(0, |removal| removal.config_version);
+    log::warn!(
+        "event=request_refused {} reason={reason} customer={customer} removed_by={removed_by} {}",
+        call.id,
+        ConfirmationState(node)
+    );
+    node.metrics.on_key_refusal(reason);
+    KeyRefusal::Unknown
+}
+
+fn refuse_unconfirmed(node: &Node, id: CallId<'_>, customer: Option<&Customer>) -> KeyRefusal {
     log::warn!(
-        "event=request_refused request={} reason=unknown_key config_version={}",
-        headers.request_id,
-        routes.version
+        "event=request_refused {id} reason=keys_unconfirmed customer={} {} retry_after_ms={UNCONFIRMED_RETRY_AFTER_MS}",
+        customer.map_or("none", |customer| customer.name.as_str()),
+        ConfirmationState(node)
     );
-    Err(KeyRefusal::Unknown)
+    node.metrics
+        .on_refusal("keys_unconfirmed", UNCONFIRMED_RETRY_AFTER_MS);
+    KeyRefusal::Unconfirmed
+}
+
+/// What a log line says about the configuration in force and its last confirmation.
+struct ConfirmationState<'a>(&'a Node);
+
+impl fmt::Display for ConfirmationState<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let version = self.0.routes().map_or(0, |routes| routes.version);
+        write!(f, "config_version={version}")?;
+        match self.0.key_lease.borrow().last_confirmation(boot_ms()) {
+            Some((age_ms, source)) => write!(
+                f,
+                " confirmed_age_ms={age_ms} confirmed_by={}",
+                source.as_str()
+            ),
+            None => write!(f, " confirmed_by=none"),
+        }
+    }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     answer::{self, AnswerBody},
-    customers,
+    customers::{self, CallId, KeyedCall},
     forward::forward,
     jobs,
     node::{Node, Stage},
@@ -70,10 +70,21 @@
     if let Some(query) = job_query
         && routes.has_batch_route(&host)
     {
-        return match customers::identify(routes, None, &request_headers) {
-            Ok(customer) => jobs::answer_query(node, query, customer.as_deref(), &parts).await,
-            Err(refusal) => refusal.answer(),
+        let call = KeyedCall {
+            id: CallId::Job(&query.job),
+            key: request_headers.key.as_ref(),
         };
+        let is_public = |routes: &RouteTable| routes.has_public_batch_route(&host);
+        let customer = match customers::identify(node, routes, call, is_public).await {
+            Ok(customer) => customer,
+            Err(refusal) => return refusal.answer(),
+        };
+        if let Err(refusal) = customers::check_lease(node, customer.as_deref(), call.id).await {
+            return jobs::pass_on_query(node, &query, &parts)
+                .await
+                .unwrap_or_else(|| refusal.answer());
+        }
+        return jobs::answer_query(node, query, customer.as_deref(), &parts).await;
     }
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
@@ -83,7 +94,17 @@
         );
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
-    let customer = match customers::identify(routes, Some(&route), &request_headers) {
+    let path = parts.uri.path();
+    let is_public = |routes: &RouteTable| {
+        routes
+            .find(&host, path)
+            .is_some_and(|route| route.is_public)
+    };
+    let keyed_call = KeyedCall {
+        id: CallId::Request(&request_headers.request_id),
+        key: request_headers.key.as_ref(),
+    };
+    let customer = match customers::identify(node, routes, keyed_call, is_public).await {
         Ok(customer) => customer,
         Err(refusal) => return refusal.answer(),
     };
@@ -99,6 +120,10 @@
             return answer::text(status, "the body cannot be read");
         }
     };
+    // The body may have taken long, and the process may have been paused meanwhile.
+    if let Err(refusal) = customers::check_lease(node, customer.as_deref(), keyed_call.id).await {
+        return refusal.answer();
+    }
     let call = CallerRequest {
         route,
         customer,
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -7,13 +7,15 @@
 use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, JobId, UpstreamId};
 use platform::{
-    CONFIG_KEY, CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow,
-    StoreError, decode_config, decode_server,
+    CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, ServerRow, StoreError,
+    decode_server,
 };
 use store::Backoff;
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
+    clock::boot_ms,
+    config_feed,
     heartbeats::{self, HEARTBEATS_TABLE},
     jobs::{self, JOB_PARTITIONS, JOBS_TABLE},
     node::Node,
@@ -136,8 +138,9 @@
             loop {
                 // Requests read these feeds too.
                 version = version.max(self.fed_version(&node));
-                let wait_ms = feed_wait_ms(&node);
+                let wait_ms = self.wait_ms(&node);
                 let began_ms = node.now_ms();
+                let began_boot_ms = boot_ms();
                 let call = node.store.feed(self.table(), version, wait_ms);
                 let changes = tokio::select! {
                     changes = call => changes,
@@ -149,6 +152,10 @@
                         backoff.reset();
                         version = page.store_version;
                         self.apply_page(&node, &page);
+                        if self == Self::Config {
+                            let store_ms = page.store_now_ms;
+                            config_feed::record_answer(&node, version, began_boot_ms, store_ms);
+                        }
                         if !page.rows.is_empty() {
                             sleep(self.poll_interval(&node)).await;
                         }
@@ -189,6 +196,15 @@
         Duration::from_millis(min_interval_ms.max(min_poll_ms))
     }
 
+    /// Returns the time for which a call waits for changes.
+    fn wait_ms(self, node: &Node) -> u64 {
+        let wait_ms = feed_wait_ms(node);
+        match self {
+            Self::Config => config_feed::wait_ms(node, wait_ms),
+            Self::Servers | Self::Heartbeats | Self::Jobs => wait_ms,
+        }
+    }
+
     /// Reads the whole table. Returns the store version from which changes are to be
     /// followed: that of the first page, since rows may change while later pages are
     /// read.
@@ -269,7 +285,8 @@
     /// requests read as well; 0 for other tables.
     fn fed_version(self, node: &Node) -> u64 {
         match self {
-            Self::Config | Self::Heartbeats => 0,
+            Self::Heartbeats => 0,
+            Self::Config => node.config_fed_version.get(),
             Self::Servers => node.servers_fed_version.get(),
             Self::Jobs => node.jobs_fed_version.get(),
         }
@@ -291,7 +308,7 @@
 
     fn apply(self, node: &Rc<Node>, row: &Row) {
         match self {
-            Self::Config => apply_config(node, row),
+            Self::Config => config_feed::apply_row(node, row),
             Self::Servers => apply_server(node, row),
             Self::Heartbeats => apply_heartbeat(node, row),
             Self::Jobs => jobs::apply_row(node, row),
@@ -299,28 +316,6 @@
     }
 }
 
-fn apply_config(node: &Node, row: &Row) {
-    if *row.key != *CONFIG_KEY || row.is_removed {
-        return;
-    }
-    match decode_config(&row.value) {
-        Ok(table) => {
-            let version = table.version;
-            let routes = table.routes().len();
-            if node.apply_routes(table) {
-                node.update_initial_state();
-                log::info!("event=config_applied config_version={version} routes={routes}");
-                node.batch_state_changed.notify_one();
-            }
-        }
-        Err(problems) => {
-            for problem in problems {
-                log::error!("event=config_refused problem={}", process::quote(&problem));
-            }
-        }
-    }
-}
-
 /// Records that all changes of registrations are known up to those of a page.
 fn record_servers_fed(node: &Node, page: &FeedPage) {
     let known_version = node.servers_fed_version.get();
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -23,7 +23,7 @@
 pub(crate) use self::{
     accept::submit,
     ownership::{apply_row, release_jobs},
-    query::answer_query,
+    query::{answer_query, pass_on_query},
     runner::Runner,
     storage::{JOB_PARTITIONS, JOBS_TABLE},
 };
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -6,7 +6,7 @@
 use gateway::{BatchTerms, RouteKind, StoreReachability};
 use http::{Response, StatusCode, header};
 use ledger::{JobPhase, JobRecord, OwnedJob, StoredItems, StoredJob};
-use model::JobId;
+use model::{CustomerName, JobId};
 use platform::StoreError;
 use tokio::{task::spawn_local, time::sleep};
 
@@ -16,6 +16,7 @@
     },
     ownership,
     peer_forwarding::{PeerOutcome, forward_to_peers, is_refusal, store_reachability},
+    query::{is_visible_to, not_found},
     runner,
     storage::{InsertOutcome, JobRows},
 };
@@ -69,7 +70,8 @@
     let id = JobId::new(&request_headers.request_id);
     let time_left_ms = request_headers.time_left_ms.unwrap_or(route.timeout_ms);
     let answer_by_ms = (*arrived_ms + time_left_ms).saturating_sub(ANSWER_MARGIN_MS);
-    if let Some(response) = answer_repeat(node, &id, answer_by_ms).await {
+    let caller = call.customer.as_ref().map(|customer| &customer.name);
+    if let Some(response) = answer_repeat(node, &id, caller, answer_by_ms).await {
         return response;
     }
     let outgoing = OutgoingRequest::new(parts, body.clone(), &request_headers.request_id);
@@ -123,10 +125,14 @@
 async fn answer_repeat(
     node: &Rc<Node>,
     id: &JobId,
+    caller: Option<&CustomerName>,
     answer_by_ms: u64,
 ) -> Option<Response<AnswerBody>> {
-    let is_admitted = node.directory.borrow().job(id)?.record.is_admitted;
-    if !is_admitted {
+    let record = Arc::clone(&node.directory.borrow().job(id)?.record);
+    if !is_visible_to(node, &record, caller) {
+        return Some(not_found(id));
+    }
+    if !record.is_admitted {
         wait_until_loaded(node, id, answer_by_ms).await;
     }
     let decision = settle_job(node, id, answer_by_ms).await;
@@ -234,6 +240,9 @@
 
     /// Answers for a job that another submission stored.
     async fn answer_existing(&self, record: JobRecord, version: u64) -> Response<AnswerBody> {
+        if !is_visible_to(&self.node, &record, self.record.customer.as_ref()) {
+            return not_found(&self.id);
+        }
         ownership::apply_record(&self.node, &self.id, record, version);
         let decision = settle_job(&self.node, &self.id, self.answer_by_ms).await;
         answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -250,8 +250,9 @@
         request_id: Rc::from(&*item.id),
         content: Rc::clone(&context.content),
     };
-    Some(match &context.customer {
-        Some(customer) => outgoing.with_customer(Some(customer)),
-        None => outgoing,
-    })
+    let customer = context.customer.as_ref();
+    if customer.is_none() && !context.node.has_customers() {
+        return Some(outgoing);
+    }
+    Some(outgoing.with_customer(customer))
 }
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -71,13 +71,31 @@
     match (via_peer().await, &query.call) {
         (PeerOutcome::Answered(response), _) => answer::from_peer(response),
         (PeerOutcome::NotDone, _) if error.is_not_done() => store_unavailable(),
-        (_, JobCall::End) => {
-            answer::text(StatusCode::GATEWAY_TIMEOUT, "the job may have been ended")
-        }
+        (_, JobCall::End) => end_unknown(),
         _ => store_unavailable(),
     }
 }
 
+/// Has a peer answer a request about a job, because this instance may not accept the caller's
+/// key now. Returns `None` if no peer answered.
+pub(crate) async fn pass_on_query(
+    node: &Rc<Node>,
+    query: &JobQuery,
+    parts: &request::Parts,
+) -> Option<Response<AnswerBody>> {
+    let outgoing = OutgoingRequest::new(parts, Bytes::new(), query.job.as_str());
+    let deadline_ms = node.now_ms() + PEER_TIMEOUT_MS;
+    match forward_to_peers(node, &query.job, &outgoing, deadline_ms).await {
+        PeerOutcome::Answered(response) => Some(answer::from_peer(response)),
+        PeerOutcome::Unknown if query.call == JobCall::End => Some(end_unknown()),
+        PeerOutcome::NotDone | PeerOutcome::Unknown => None,
+    }
+}
+
+fn end_unknown() -> Response<AnswerBody> {
+    answer::text(StatusCode::GATEWAY_TIMEOUT, "the job may have been ended")
+}
+
 async fn answer_locally(
     node: &Rc<Node>,
     query: &JobQuery,
@@ -103,18 +121,28 @@
     }
 }
 
-/// Returns whether a caller may see a job: the job belongs to the caller's customer. A job
-/// that this instance does not know is left to the call itself.
+/// Returns whether a caller may see a job. A job that does not exist is left to the call itself.
 async fn is_visible(
     node: &Node,
     id: &JobId,
     caller: Option<&CustomerName>,
 ) -> Result<bool, StoreError> {
-    if caller.is_none() {
+    if !node.has_customers() {
         return Ok(true);
     }
     let record = known_record(node, id, 0).await?;
-    Ok(record.is_none_or(|record| record.customer.as_ref() == caller))
+    Ok(record.is_none_or(|record| is_visible_to(node, &record, caller)))
+}
+
+/// Returns whether a caller may see a job: the job belongs to the caller's customer or to none,
+/// or the configuration names no customers.
+pub(super) fn is_visible_to(
+    node: &Node,
+    record: &JobRecord,
+    caller: Option<&CustomerName>,
+) -> bool {
+    let is_own = record.customer.is_none() || record.customer.as_ref() == caller;
+    is_own || !node.has_customers()
 }
 
 fn store_unavailable() -> Response<AnswerBody> {
@@ -297,7 +325,7 @@
     }
 }
 
-fn not_found(id: &JobId) -> Response<AnswerBody> {
+pub(super) fn not_found(id: &JobId) -> Response<AnswerBody> {
     log::info!("event=job_unknown job={id}");
     answer::text(StatusCode::NOT_FOUND, "no such job or item")
 }
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,7 +1,8 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
 //! its sender and the jobs that the sender took over recently. It is followed by what the
-//! sender knows of leaving upstreams, of rate limits, of what crashes upstreams, and of
-//! upstreams that it cannot reach. An instance sends its notices directly to each peer.
+//! sender knows of leaving upstreams, of rate limits, of what crashes upstreams, of upstreams
+//! that it cannot reach, and at times of when its configuration was the newest one. An instance
+//! sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -11,8 +12,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice, QuarantineNotice,
-    notice_pause_ms,
+    ConfigConfirmation, LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice,
+    QuarantineNotice, notice_pause_ms,
 };
 use model::{InstanceId, Region};
 use serde::de::DeserializeOwned;
@@ -22,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, quarantine, rate_limits};
+use crate::{config_feed, datagrams, node::Node, quarantine, rate_limits};
 
 /// Maximum time between two notices. A notice is repeated if the load has not changed,
 /// so that peers detect when an instance is cut off.
@@ -30,6 +31,9 @@
 /// Time for which notices are sent to a peer after the last notice from that peer,
 /// milliseconds.
 const SENDER_RETENTION_MS: u64 = 10_000;
+/// One in this number of notices tells when the sender's configuration was the newest one. Each
+/// peer tells it, so the others learn it more often.
+const CONFIRMATION_INTERVAL_NOTICES: u32 = 4;
 /// Maximum size of a received datagram, bytes. A longer one is truncated.
 const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
 
@@ -67,6 +71,7 @@
                     limits,
                     quarantine,
                     paths,
+                    confirmation,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -81,6 +86,9 @@
                 if let Some(limits) = &limits {
                     rate_limits::receive(&node, limits);
                 }
+                if let Some(confirmation) = &confirmation {
+                    config_feed::receive(&node, confirmation);
+                }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
                 let instance = notice.instance.clone();
@@ -105,6 +113,8 @@
     quarantine: Option<QuarantineNotice>,
     /// `None` if the sender has a path to each upstream and makes no attempts for peers.
     paths: Option<PathNotice>,
+    /// When the sender's configuration was the newest one; `None` in most notices.
+    confirmation: Option<ConfigConfirmation>,
 }
 
 /// Place in a datagram at which an earlier version of the program told what it knew of
@@ -116,12 +126,17 @@
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
-        if self.quarantine.is_some() || self.limits.is_some() || self.paths.is_some() {
+        let has_more = self.quarantine.is_some()
+            || self.limits.is_some()
+            || self.paths.is_some()
+            || self.confirmation.is_some();
+        if has_more {
             let former: FormerQuarantine = None;
             datagram.extend(encode_to_vec(former, config::standard())?);
             datagram.extend(encode_to_vec(&self.limits, config::standard())?);
             datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
             datagram.extend(encode_to_vec(&self.paths, config::standard())?);
+            datagram.extend(encode_to_vec(&self.confirmation, config::standard())?);
         }
         Ok(datagram)
     }
@@ -139,13 +154,15 @@
         };
         let (limits, rest) = decode_next(rest)?;
         let (quarantine, rest) = decode_next(rest)?;
-        let (paths, _) = decode_next(rest)?;
+        let (paths, rest) = decode_next(rest)?;
+        let (confirmation, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
             limits: limits.flatten(),
             quarantine: quarantine.flatten(),
             paths: paths.flatten(),
+            confirmation: confirmation.flatten(),
         })
     }
 }
@@ -210,6 +227,7 @@
 }
 
 fn build_datagram(node: &Node) -> Vec<u8> {
+    let tells_confirmation = rand::random_ratio(1, CONFIRMATION_INTERVAL_NOTICES);
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
@@ -219,6 +237,9 @@
             .upstreams
             .borrow()
             .path_notice(node.proxied_count.get()),
+        confirmation: tells_confirmation
+            .then(|| node.key_lease.borrow().notice())
+            .flatten(),
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -184,6 +184,11 @@
         self.retry_after.record(seconds(retry_after_ms), &[]);
     }
 
+    /// Counts a request that is refused for good because of its key.
+    pub(crate) fn on_key_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn on_attempt(&self) {
         self.attempts.add(1, &[]);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,8 +9,8 @@
 };
 
 use gateway::{
-    Locality, Preemption, Quarantine, RouteTable, StreamOrigins, Target, UpstreamTable,
-    VersionHistory,
+    KeyLease, Locality, Preemption, Quarantine, RouteTable, StreamOrigins, Target, UnknownKeys,
+    UpstreamTable, VersionHistory,
 };
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
@@ -23,10 +23,10 @@
 use crate::{
     clock::{Clock, unix_ms},
     connection_pool::ConnectionPool,
+    freshness_check::FreshnessCheck,
     jobs::Runner,
     metrics::Metrics,
     peer_connections::PeerConnections,
-    registration_check::RegistrationCheck,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
 };
@@ -49,6 +49,13 @@
     pub(crate) metrics: Metrics,
     /// Routes of the configuration in force; `None` until one has been read.
     routes: RefCell<Option<Arc<RouteTable>>>,
+    /// Store version up to which every change of the configuration has been read.
+    pub(crate) config_fed_version: Cell<u64>,
+    /// Lease on accepting the keys of the configuration in force. Its times are those of
+    /// [`crate::clock::boot_ms`].
+    pub(crate) key_lease: RefCell<KeyLease>,
+    /// Keys that callers bring although no customer has them.
+    pub(crate) unknown_keys: RefCell<UnknownKeys>,
     /// Registered upstreams and the load of each.
     pub(crate) upstreams: RefCell<UpstreamTable>,
     /// Requests and prompt parts that crash upstreams.
@@ -58,7 +65,8 @@
     /// Which software versions were registered lately.
     pub(crate) version_history: RefCell<VersionHistory>,
     pub(crate) origin_exchange: OriginExchange,
-    pub(crate) registration_check: RegistrationCheck,
+    pub(crate) registration_check: FreshnessCheck,
+    pub(crate) config_check: FreshnessCheck,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
     pub(crate) has_read_servers: Cell<bool>,
@@ -135,6 +143,7 @@
             regions: Arc::clone(&settings.regions),
         };
         let store = Store::new(settings.store_address);
+        let key_lease = KeyLease::new(settings.key_revocation_ms);
         Self {
             metrics: Metrics::new(store.call_counts()),
             store,
@@ -143,12 +152,16 @@
             settings: RefCell::new(Rc::new(settings)),
             clock: Clock::new(),
             routes: RefCell::default(),
+            config_fed_version: Cell::default(),
+            key_lease: RefCell::new(key_lease),
+            unknown_keys: RefCell::default(),
             upstreams: RefCell::new(UpstreamTable::new(locality, rand::random())),
             quarantine: RefCell::default(),
             stream_origins: RefCell::default(),
             version_history: RefCell::default(),
             origin_exchange: OriginExchange::default(),
-            registration_check: RegistrationCheck::default(),
+            registration_check: FreshnessCheck::default(),
+            config_check: FreshnessCheck::default(),
             has_initial_state: watch::Sender::new(false),
             has_read_servers: Cell::default(),
             servers_fed_version: Cell::default(),
@@ -184,6 +197,9 @@
 
     /// Replaces the settings.
     pub(crate) fn set_settings(&self, settings: Settings) {
+        self.key_lease
+            .borrow_mut()
+            .set_revocation_ms(settings.key_revocation_ms);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -192,6 +208,14 @@
         self.routes.borrow().clone()
     }
 
+    /// Returns whether the configuration in force names customers.
+    pub(crate) fn has_customers(&self) -> bool {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .is_some_and(|routes| routes.customers.is_some())
+    }
+
     /// Applies a configuration unless one of the same or a newer version is in
     /// force. Returns whether it was applied.
     pub(crate) fn apply_routes(&self, table: RouteTable) -> bool {
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -28,7 +28,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, registration_check};
+use crate::{
+    datagrams,
+    freshness_check::{self, Subject},
+    node::Node,
+};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -186,7 +190,7 @@
 /// by the registrations that the store has now. `None` if there may be several.
 async fn confirmed_only_version(node: &Rc<Node>, service: &ServiceName) -> Option<VersionHash> {
     only_version(node, service)?;
-    if !registration_check::confirm(node).await {
+    if !freshness_check::confirm(node, Subject::Registrations).await {
         return None;
     }
     only_version(node, service)
