--- a/crates/ledger/src/waiting_tokens.rs
+++ b/crates/ledger/src/waiting_tokens.rs
@@ -1,4 +1,4 @@
-//! Limit on the tokens of the items that wait on a route.
+//! Limit on the tokens of the items that wait on a route, for each customer by itself.
 //!
 //! Load pattern: callers submit jobs at all instances at once, faster than the items
 //! finish. No instance sees what the others accepted in the last milliseconds, but the
@@ -16,15 +16,20 @@
 
 use std::sync::Arc;
 
-use model::JobId;
+use model::{CustomerName, JobId};
 
-use crate::directory::{Directory, StoredJob};
+use crate::{
+    directory::{Directory, StoredJob},
+    record::JobRecord,
+};
 
 /// Time after which a stored job without a written decision counts as admitted,
 /// milliseconds.
 const DECISION_WINDOW_MS: u64 = 500;
 /// Time constant of the measured rate at which tokens finish, milliseconds.
 const RATE_WINDOW_MS: f64 = 5_000.0;
+/// Time after which the measured rate is of no use, milliseconds.
+const IDLE_AFTER_MS: u64 = 60_000;
 /// Retry delay while no token has finished, milliseconds.
 const RETRY_DEFAULT_MS: f64 = 1_000.0;
 /// Limits of the retry delay, milliseconds.
@@ -36,9 +41,11 @@
 pub struct AdmissionRequest<'a> {
     /// Name of the route.
     pub route: &'a str,
+    /// Customer to which the job belongs, if any.
+    pub customer: Option<&'a CustomerName>,
     /// Tokens of the job's items.
     pub tokens: u64,
-    /// Maximum number of tokens that may wait on the route.
+    /// Maximum number of tokens of the customer that may wait on the route.
     pub tokens_max: u64,
     /// Version of the job's record, or `None` if the job is not stored yet.
     pub version: Option<u64>,
@@ -51,23 +58,25 @@
     Admitted,
     /// The job does not fit.
     Refused {
-        /// Tokens that wait on the route.
+        /// Tokens of the customer that wait on the route.
         waiting_tokens: u64,
     },
     /// The job fits only if an undecided job is removed.
     Undecided,
 }
 
-/// Waiting tokens of every route.
+/// Waiting tokens of every route and customer.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingTokens {
-    /// Sorted by route name.
-    routes: Vec<RouteTokens>,
+    /// Sorted by route name and customer.
+    rows: Vec<TokenRow>,
 }
 
+/// Waiting tokens of one customer on one route.
 #[derive(Debug)]
-struct RouteTokens {
+struct TokenRow {
     route: Arc<str>,
+    customer: Option<CustomerName>,
     /// Tokens of the jobs whose records say that they are admitted.
     admitted: u64,
     /// The other jobs, sorted by version.
@@ -99,8 +108,8 @@
     /// version of the job.
     #[must_use]
     pub fn decide_admission(&self, request: &AdmissionRequest<'_>, now_ms: u64) -> Admission {
-        let Some(row) = self.waiting.route(request.route) else {
-            return RouteTokens::new(request.route).decide(request, now_ms);
+        let Some(row) = self.waiting.row(request.route, request.customer) else {
+            return TokenRow::new(request.route.into(), None).decide(request, now_ms);
         };
         row.decide(request, now_ms)
     }
@@ -115,17 +124,17 @@
         spread: f64,
         now_ms: u64,
     ) -> u64 {
-        let row = self.waiting.route(request.route);
+        let row = self.waiting.row(request.route, request.customer);
         let delay_ms = row.and_then(|row| row.delay_until_fit_ms(request, now_ms));
         let delay_ms = delay_ms.unwrap_or(RETRY_DEFAULT_MS) * (1.0 + spread);
         round_ms(delay_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
 
-    /// Returns the tokens that wait on a route, including those of undecided jobs.
+    /// Returns the tokens of a customer that wait on a route, including those of undecided jobs.
     #[must_use]
-    pub fn waiting_tokens(&self, route: &str) -> u64 {
+    pub fn waiting_tokens(&self, route: &str, customer: Option<&CustomerName>) -> u64 {
         self.waiting
-            .route(route)
+            .row(route, customer)
             .map_or(0, |row| row.admitted + row.unconfirmed_tokens(|_| true))
     }
 }
@@ -139,45 +148,53 @@
         now_ms: u64,
     ) {
         if let Some(old) = old {
-            self.route_mut(&old.record.route).remove(old);
+            self.row_mut(&old.record, now_ms).remove(old);
         }
         if let Some(new) = new {
-            self.route_mut(&new.record.route).insert(new, now_ms);
+            self.row_mut(&new.record, now_ms).insert(new, now_ms);
         }
         if let (Some(old), Some(new)) = (old, new) {
             let waiting = |job: &StoredJob| job.record.waiting_tokens();
             let finished = waiting(old).saturating_sub(waiting(new));
-            self.route_mut(&new.record.route)
-                .finished
-                .add(finished, now_ms);
+            let row = self.row_mut(&new.record, now_ms);
+            row.finished.add(finished, now_ms);
         }
     }
 
-    fn route(&self, route: &str) -> Option<&RouteTokens> {
-        let index = self.find(route).ok()?;
-        Some(&self.routes[index])
+    fn row(&self, route: &str, customer: Option<&CustomerName>) -> Option<&TokenRow> {
+        let index = self.find(route, customer).ok()?;
+        Some(&self.rows[index])
     }
 
-    fn route_mut(&mut self, route: &Arc<str>) -> &mut RouteTokens {
-        let index = match self.find(route) {
+    /// Returns the row to which a job counts. A new row takes the place of those in which
+    /// nothing has happened for long.
+    fn row_mut(&mut self, record: &JobRecord, now_ms: u64) -> &mut TokenRow {
+        let customer = record.customer.as_ref();
+        if self.find(&record.route, customer).is_err() {
+            self.rows.retain(|row| !row.is_idle(now_ms));
+        }
+        let index = match self.find(&record.route, customer) {
             Ok(index) => index,
             Err(index) => {
-                self.routes.insert(index, RouteTokens::new(route));
+                let row = TokenRow::new(Arc::clone(&record.route), customer.cloned());
+                self.rows.insert(index, row);
                 index
             }
         };
-        &mut self.routes[index]
+        &mut self.rows[index]
     }
 
-    fn find(&self, route: &str) -> Result<usize, usize> {
-        self.routes.binary_search_by(|row| (*row.route).cmp(route))
+    fn find(&self, route: &str, customer: Option<&CustomerName>) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| (&*row.route, row.customer.as_ref()).cmp(&(route, customer)))
     }
 }
 
-impl RouteTokens {
-    fn new(route: &str) -> Self {
+impl TokenRow {
+    fn new(route: Arc<str>, customer: Option<CustomerName>) -> Self {
         Self {
-            route: route.into(),
+            route,
+            customer,
             admitted: 0,
             unconfirmed: Vec::new(),
             finished: FinishedRate::default(),
@@ -210,6 +227,12 @@
         }
     }
 
+    /// Returns whether the row holds nothing that a decision needs.
+    fn is_idle(&self, now_ms: u64) -> bool {
+        let is_empty = self.admitted == 0 && self.unconfirmed.is_empty();
+        is_empty && now_ms >= self.finished.updated_ms + IDLE_AFTER_MS
+    }
+
     fn position(&self, version: u64) -> usize {
         self.unconfirmed
             .partition_point(|other| other.version < version)
--- a/crates/ledger/tests/waiting_tokens.rs
+++ b/crates/ledger/tests/waiting_tokens.rs
@@ -7,7 +7,7 @@
 };
 
 use ledger::{Admission, AdmissionRequest, Directory, JobPhase, JobRecord, OwnerId, StoredJob};
-use model::{InstanceId, JobId};
+use model::{CustomerName, InstanceId, JobId};
 use proptest::prelude::*;
 
 const ROUTE: &str = "nightly";
@@ -50,6 +50,7 @@
 fn request(tokens: u64, version: Option<u64>) -> AdmissionRequest<'static> {
     AdmissionRequest {
         route: ROUTE,
+        customer: None,
         tokens,
         tokens_max: 100,
         version,
@@ -97,11 +98,32 @@
     directory.record_job(stored("a", 1, record(60, true)), 0);
     directory.record_job(stored("b", 2, record(40, true)), 0);
     directory.record_job(stored("a", 3, record(20, true)), 0);
-    assert_eq!(directory.waiting_tokens(ROUTE), 60);
+    assert_eq!(directory.waiting_tokens(ROUTE, None), 60);
     let mut ended = record(40, true);
     ended.phase = JobPhase::Ended;
     directory.record_job(stored("b", 4, ended), 0);
-    assert_eq!(directory.waiting_tokens(ROUTE), 20);
+    assert_eq!(directory.waiting_tokens(ROUTE, None), 20);
+}
+
+/// What one customer has waiting leaves the room of the others as it is.
+#[test]
+fn decide_admission_counts_each_customer_by_itself() {
+    let customers = ["one", "two"].map(CustomerName::new);
+    let mut directory = Directory::new(owner(0));
+    let mut own = record(90, true);
+    own.customer = Some(customers[0].clone());
+    directory.record_job(stored("a", 1, own), 0);
+    let decide = |customer| {
+        let request = AdmissionRequest {
+            customer,
+            ..request(20, Some(2))
+        };
+        directory.decide_admission(&request, 0)
+    };
+    let refused = Admission::Refused { waiting_tokens: 90 };
+    assert_eq!(decide(Some(&customers[0])), refused);
+    assert_eq!(decide(Some(&customers[1])), Admission::Admitted);
+    assert_eq!(decide(None), Admission::Admitted);
 }
 
 /// 60 tokens finished lately, so the missing 30 take about half of that time.
@@ -257,6 +279,7 @@
     fn request(&self, tokens: u64, version: Option<u64>) -> AdmissionRequest<'static> {
         AdmissionRequest {
             route: ROUTE,
+            customer: None,
             tokens,
             tokens_max: self.tokens_max,
             version,
@@ -420,7 +443,7 @@
         for instance in 0..INSTANCES {
             self.read(instance);
             let directory = &self.instances[instance].directory;
-            assert_eq!(directory.waiting_tokens(ROUTE), stored);
+            assert_eq!(directory.waiting_tokens(ROUTE, None), stored);
         }
     }
 }
--- a/crates/node/src/jobs/admission.rs
+++ b/crates/node/src/jobs/admission.rs
@@ -12,7 +12,7 @@
 use gateway::RouteKind;
 use http::Response;
 use ledger::{Admission, AdmissionRequest, CommitOutcome, JobRecord, StoredJob};
-use model::JobId;
+use model::{CustomerName, JobId};
 use platform::StoreError;
 use tokio::time::sleep;
 
@@ -38,6 +38,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Excess {
     route: String,
+    customer: Option<CustomerName>,
     tokens: u64,
     tokens_max: u64,
     waiting_tokens: u64,
@@ -70,6 +71,7 @@
     let now_ms = node.now_ms();
     let request = AdmissionRequest {
         route: &excess.route,
+        customer: excess.customer.as_ref(),
         tokens: excess.tokens,
         tokens_max: excess.tokens_max,
         version: None,
@@ -77,8 +79,12 @@
     let directory = node.directory.borrow();
     let retry_after_ms = directory.admission_retry_ms(&request, rand::random(), now_ms);
     log::warn!(
-        "event=job_refused job={id} reason=waiting_tokens route={} tokens={} waiting_tokens={} tokens_max={} count_age_ms={} retry_after_ms={retry_after_ms}",
+        "event=job_refused job={id} reason=waiting_tokens route={} customer={} tokens={} waiting_tokens={} tokens_max={} count_age_ms={} retry_after_ms={retry_after_ms}",
         excess.route,
+        excess
+            .customer
+            .as_ref()
+            .map_or("none", CustomerName::as_str),
         excess.tokens,
         excess.waiting_tokens,
         excess.tokens_max,
@@ -158,6 +164,7 @@
     };
     let request = AdmissionRequest {
         route: &record.route,
+        customer: record.customer.as_ref(),
         tokens: record.waiting_tokens(),
         tokens_max,
         version,
@@ -167,6 +174,7 @@
     let excess = match admission {
         Admission::Refused { waiting_tokens } => Some(Excess {
             route: record.route.to_string(),
+            customer: record.customer.clone(),
             tokens: request.tokens,
             tokens_max,
             waiting_tokens,
