Keys: the customer is found and the lease checked at one moment; peers are asked when a renewal is late

Cause: after a renewal of the lease, a request went on under the customer that the older configuration had named, so an instance that woke from a freeze served a key that was gone; the first reading of the configuration did not begin the lease; the word of peers came too seldom in a small fleet.

--- a/crates/gateway/src/key_lease.rs
+++ b/crates/gateway/src/key_lease.rs
@@ -23,6 +23,11 @@
 /// A renewal must be answered when this part of the lease is left, as a divisor, so that a
 /// lost answer can be made good.
 const RENEWAL_DIVISOR: u64 = 2;
+/// Peers are asked for their confirmations when a renewal is late by this part of the lease, as
+/// a divisor.
+const LATENESS_DIVISOR: u64 = 8;
+/// A peer is told of a confirmation if its own one is older by this time, milliseconds.
+const NEWS_MIN_MS: u64 = 200;
 /// The store's clock and the local one may drift apart by one millisecond in this time,
 /// milliseconds.
 const DRIFT_INTERVAL_MS: u64 = 1_000;
@@ -208,6 +213,26 @@
         wait_ms.min(answer_by_ms.saturating_sub(now_ms))
     }
 
+    /// Returns when peers are to be asked for their confirmations, unless the lease is renewed
+    /// before. `None` if it never expires.
+    #[must_use]
+    pub fn ask_peers_at_ms(&self) -> Option<u64> {
+        let length_ms = self.length_ms?;
+        let expires_at_ms = self
+            .confirmed
+            .map_or(0, |confirmed| confirmed.expires_at_ms);
+        let due_before_ms = length_ms / RENEWAL_DIVISOR - length_ms / LATENESS_DIVISOR;
+        Some(expires_at_ms.saturating_sub(due_before_ms))
+    }
+
+    /// Returns whether this instance has a confirmation that is news to a peer which sent
+    /// `theirs`.
+    #[must_use]
+    pub fn is_news_to(&self, theirs: &ConfigConfirmation) -> bool {
+        let own = self.notice();
+        own.is_some_and(|own| own.store_ms >= theirs.store_ms + NEWS_MIN_MS)
+    }
+
     /// Returns the last confirmation in the form in which peers can use it. `None` if the lease
     /// never expires.
     #[must_use]
--- a/crates/gateway/tests/key_lease.rs
+++ b/crates/gateway/tests/key_lease.rs
@@ -162,6 +162,27 @@
     assert_eq!(lease.renewal_wait_ms(100, 0), 100);
 }
 
+#[test]
+fn peers_are_asked_only_when_a_renewal_is_late() {
+    let mut lease = lease();
+    assert_eq!(lease.ask_peers_at_ms(), Some(0));
+    lease.record_answer(&answer(0, 0, 0));
+    let ask_at_ms = lease.ask_peers_at_ms().unwrap();
+    assert!(ask_at_ms > lease.renewal_wait_ms(FEED_WAIT_MS, 0));
+    assert!(lease.is_valid(ask_at_ms + 1_000), "time for their answers");
+    assert_eq!(KeyLease::new(None).ask_peers_at_ms(), None);
+}
+
+#[test]
+fn peer_that_asks_is_told_of_later_confirmations_only() {
+    let mut lease = lease();
+    lease.record_answer(&answer(0, 0, 0));
+    lease.record_answer(&answer(2_000, 2_000, 2_000));
+    assert!(lease.is_news_to(&confirmation(1, 0)));
+    assert!(!lease.is_news_to(&confirmation(1, 2_000)));
+    assert!(!lease.is_news_to(&confirmation(1, 3_000)));
+}
+
 /// An instance in touch renews its lease in time even if one answer in a row is lost, whether
 /// or not answers state the store's clock.
 #[test]
--- a/crates/node/src/config_feed.rs
+++ b/crates/node/src/config_feed.rs
@@ -95,8 +95,8 @@
 }
 
 /// Records what a peer says about the configuration, and reads the newest one if the peer has a
-/// newer one.
-pub(crate) fn receive(node: &Rc<Node>, confirmation: &ConfigConfirmation) {
+/// newer one. Returns whether the peer is to be told what this instance knows.
+pub(crate) fn receive(node: &Rc<Node>, confirmation: &ConfigConfirmation) -> bool {
     let news = node
         .key_lease
         .borrow_mut()
@@ -104,5 +104,7 @@
     if news == PeerNews::NewerVersion {
         let node = Rc::clone(node);
         spawn_local(async move { freshness_check::confirm(&node, Subject::Config).await });
+        return false;
     }
+    node.key_lease.borrow().is_news_to(confirmation)
 }
--- a/crates/node/src/customers.rs
+++ b/crates/node/src/customers.rs
@@ -78,77 +78,74 @@
     }
 }
 
-/// Returns the customer of a request, or `None` if the request needs no key. `is_public` says
-/// whether a configuration lets the request in without a key.
+/// Returns the customer of a request by the configuration in force, or `None` if the request
+/// needs no key. `is_public` says whether a configuration lets the request in without a key.
+///
+/// The time of this check counts for the whole request: what an accepted request still needs,
+/// such as retries, is not refused later.
 ///
 /// # Errors
 ///
 /// Returns why the request is refused.
-pub(crate) async fn identify(
+pub(crate) async fn authenticate(
     node: &Rc<Node>,
-    routes: &RouteTable,
     call: KeyedCall<'_>,
     is_public: impl Fn(&RouteTable) -> bool,
 ) -> Result<Option<Arc<Customer>>, KeyRefusal> {
     let arrived_ms = boot_ms();
-    if let Ok(customer) = find_customer(routes, call.key, &is_public) {
-        return Ok(customer);
-    }
-    let is_checked = |key| node.unknown_keys.borrow().is_unknown(key, arrived_ms);
-    if !call.key.is_some_and(is_checked) {
+    let find = || find_customer(node, call.key, &is_public);
+    let Ok(mut customer) = find() else {
+        let is_checked = |key| node.unknown_keys.borrow().is_unknown(key, arrived_ms);
+        if call.key.is_some_and(is_checked) {
+            return Err(refuse_unknown(node, call));
+        }
         if !make_sure(node, arrived_ms).await {
             return Err(refuse_unconfirmed(node, call.id, None));
         }
-        if let Some(newest) = node.routes()
-            && let Ok(customer) = find_customer(&newest, call.key, &is_public)
-        {
-            return Ok(customer);
-        }
-        if let Some(key) = call.key {
-            let now_ms = boot_ms();
-            node.unknown_keys.borrow_mut().record_unknown(*key, now_ms);
-        }
+        return find().map_err(|NoCustomer| {
+            if let Some(key) = call.key {
+                node.unknown_keys
+                    .borrow_mut()
+                    .record_unknown(*key, arrived_ms);
+            }
+            refuse_unknown(node, call)
+        });
+    };
+    let may_accept =
+        |customer: &Option<_>| customer.is_none() || node.key_lease.borrow().is_valid(boot_ms());
+    if !may_accept(&customer) {
+        renew_lease(node).await;
+        // The lease is valid again only by the configuration that is in force now.
+        customer = find().map_err(|NoCustomer| refuse_unknown(node, call))?;
+    }
+    if !may_accept(&customer) {
+        return Err(refuse_unconfirmed(node, call.id, customer.as_deref()));
     }
-    Err(refuse_unknown(node, call))
+    Ok(customer)
 }
 
-/// Makes sure that the key of a customer's request may be accepted now. The time of this check
-/// counts for the whole request: what an accepted request still needs, such as retries, is not
-/// refused later.
-///
-/// # Errors
-///
-/// Returns [`KeyRefusal::Unconfirmed`] if the lease on accepting keys has expired and cannot be
-/// renewed at once.
-pub(crate) async fn check_lease(
-    node: &Rc<Node>,
-    customer: Option<&Customer>,
-    id: CallId<'_>,
-) -> Result<(), KeyRefusal> {
-    let is_valid = || customer.is_none() || node.key_lease.borrow().is_valid(boot_ms());
-    if is_valid() {
-        return Ok(());
-    }
+/// Tries to renew the lease on accepting keys at once, unless it is known that the store cannot
+/// be reached.
+async fn renew_lease(node: &Rc<Node>) {
     if !node.store_health.is_unreachable() {
         let renewal = freshness_check::confirm(node, Subject::Config);
-        // Whether the lease is valid then is what counts.
+        // The lease says whether it was renewed.
         let _ = timeout(RENEWAL_TIMEOUT, renewal).await;
-        if is_valid() {
-            return Ok(());
-        }
     }
-    Err(refuse_unconfirmed(node, id, customer))
 }
 
 fn find_customer(
-    routes: &RouteTable,
+    node: &Node,
     key: Option<&KeyDigest>,
     is_public: impl Fn(&RouteTable) -> bool,
 ) -> Result<Option<Arc<Customer>>, NoCustomer> {
+    let Some(routes) = node.routes() else {
+        return Err(NoCustomer);
+    };
     let Some(customers) = &routes.customers else {
         return Ok(None);
     };
-    if is_public(routes) {
+    if is_public(&routes) {
         return Ok(None);
     }
     let customer = key.and_then(|key| customers.find(key)).ok_or(NoCustomer)?;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     answer::{self, AnswerBody},
-    customers::{self, CallId, KeyedCall},
+    customers::{self, CallId, KeyRefusal, KeyedCall},
     forward::forward,
     jobs,
     node::{Node, Stage},
@@ -75,16 +75,13 @@
             key: request_headers.key.as_ref(),
         };
         let is_public = |routes: &RouteTable| routes.has_public_batch_route(&host);
-        let customer = match customers::identify(node, routes, call, is_public).await {
-            Ok(customer) => customer,
-            Err(refusal) => return refusal.answer(),
-        };
-        if let Err(refusal) = customers::check_lease(node, customer.as_deref(), call.id).await {
-            return jobs::pass_on_query(node, &query, &parts)
+        return match customers::authenticate(node, call, is_public).await {
+            Ok(customer) => jobs::answer_query(node, query, customer.as_deref(), &parts).await,
+            Err(KeyRefusal::Unknown) => KeyRefusal::Unknown.answer(),
+            Err(KeyRefusal::Unconfirmed) => jobs::pass_on_query(node, &query, &parts)
                 .await
-                .unwrap_or_else(|| refusal.answer());
-        }
-        return jobs::answer_query(node, query, customer.as_deref(), &parts).await;
+                .unwrap_or_else(|| KeyRefusal::Unconfirmed.answer()),
+        };
     }
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
@@ -104,10 +101,9 @@
         id: CallId::Request(&request_headers.request_id),
         key: request_headers.key.as_ref(),
     };
-    let customer = match customers::identify(node, routes, keyed_call, is_public).await {
-        Ok(customer) => customer,
-        Err(refusal) => return refusal.answer(),
-    };
+    if let Err(refusal) = customers::authenticate(node, keyed_call, is_public).await {
+        return refusal.answer();
+    }
     let read_deadline_ms = arrived_ms + request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
     let body = match read_body(node, routes, body, read_deadline_ms).await {
         Ok(body) => body,
@@ -121,9 +117,10 @@
         }
     };
     // The body may have taken long, and the process may have been paused meanwhile.
-    if let Err(refusal) = customers::check_lease(node, customer.as_deref(), keyed_call.id).await {
-        return refusal.answer();
-    }
+    let customer = match customers::authenticate(node, keyed_call, is_public).await {
+        Ok(customer) => customer,
+        Err(refusal) => return refusal.answer(),
+    };
     let call = CallerRequest {
         route,
         customer,
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -209,13 +209,18 @@
     /// followed: that of the first page, since rows may change while later pages are
     /// read.
     async fn read_snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
+        let began_boot_ms = boot_ms();
         let mut first_version = None;
+        let mut first_store_ms = None;
         let mut rows = Vec::new();
         for partition in self.partitions() {
             let mut remaining = Some(RowRange::new(self.table(), partition));
             while let Some(range) = remaining {
                 let page = self.read_page(node, &range, backoff).await;
-                first_version.get_or_insert(page.store_version);
+                if first_version.is_none() {
+                    first_version = Some(page.store_version);
+                    first_store_ms = page.store_now_ms;
+                }
                 remaining = range.after(&page);
                 rows.extend(page.rows);
             }
@@ -225,6 +230,9 @@
         }
         let first_version = first_version.unwrap_or(0);
         self.complete_snapshot(node, &rows, first_version);
+        if self == Self::Config {
+            config_feed::record_answer(node, first_version, began_boot_ms, first_store_ms);
+        }
         first_version
     }
 
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -16,6 +16,7 @@
     QuarantineNotice, notice_pause_ms,
 };
 use model::{InstanceId, Region};
+use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use tokio::{
     net::UdpSocket,
@@ -23,7 +24,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{config_feed, datagrams, node::Node, quarantine, rate_limits};
+use crate::{clock::boot_ms, config_feed, datagrams, node::Node, quarantine, rate_limits};
 
 /// Maximum time between two notices. A notice is repeated if the load has not changed,
 /// so that peers detect when an instance is cut off.
@@ -31,9 +32,12 @@
 /// Time for which notices are sent to a peer after the last notice from that peer,
 /// milliseconds.
 const SENDER_RETENTION_MS: u64 = 10_000;
-/// One in this number of notices tells when the sender's configuration was the newest one. Each
-/// peer tells it, so the others learn it more often.
-const CONFIRMATION_INTERVAL_NOTICES: u32 = 4;
+/// Interval at which peers are asked when the configuration was the newest one.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of peers that are asked at a time.
+const ASKED_PEERS: usize = 3;
+/// Interval at which it is checked whether there is a lease on accepting keys, milliseconds.
+const IDLE_ASK_MS: u64 = 10_000;
 /// Maximum size of a received datagram, bytes. A longer one is truncated.
 const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
 
@@ -51,6 +55,11 @@
         Rc::clone(&recent_senders),
     ));
     spawn_local(notify_batch_owners(Rc::clone(node), Rc::clone(&socket)));
+    spawn_local(ask_for_confirmations(
+        Rc::clone(node),
+        Rc::clone(&socket),
+        Rc::clone(&recent_senders),
+    ));
     spawn_local(send_notices(Rc::clone(node), socket, recent_senders));
     Ok(())
 }
@@ -86,8 +95,11 @@
                 if let Some(limits) = &limits {
                     rate_limits::receive(&node, limits);
                 }
-                if let Some(confirmation) = &confirmation {
-                    config_feed::receive(&node, confirmation);
+                if let Some(confirmation) = &confirmation
+                    && config_feed::receive(&node, confirmation)
+                {
+                    let reply = build_datagram(&node, node.key_lease.borrow().notice());
+                    send_to(&socket, &[sender], &reply).await;
                 }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
@@ -113,7 +125,8 @@
     quarantine: Option<QuarantineNotice>,
     /// `None` if the sender has a path to each upstream and makes no attempts for peers.
     paths: Option<PathNotice>,
-    /// When the sender's configuration was the newest one; `None` in most notices.
+    /// When the sender's configuration was the newest one; `None` unless the sender asks for a
+    /// later confirmation or answers such a question.
     confirmation: Option<ConfigConfirmation>,
 }
 
@@ -191,7 +204,7 @@
     loop {
         // After a time-out, the notice is repeated with the current load.
         let _ = timeout(NOTICE_INTERVAL_MAX, node.load_changed.notified()).await;
-        let datagram = build_datagram(&node);
+        let datagram = build_datagram(&node, None);
         let addresses = due_addresses(&node, &recent_senders, &mut scheduler);
         send_to(&socket, &addresses, &datagram).await;
         sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
@@ -204,7 +217,34 @@
     loop {
         node.owners_to_notify_changed.notified().await;
         let addresses = peer_addresses(&node, &node.owners_to_notify.take());
-        send_to(&socket, &addresses, &build_datagram(&node)).await;
+        send_to(&socket, &addresses, &build_datagram(&node, None)).await;
+    }
+}
+
+/// While the store does not renew the lease on accepting keys, asks a few peers at a time for
+/// what they know: tells them the last confirmation here, which those with a later one answer.
+async fn ask_for_confirmations(
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    recent_senders: Rc<RefCell<RecentSenders>>,
+) {
+    loop {
+        let ask_at_ms = node.key_lease.borrow().ask_peers_at_ms();
+        let now_ms = boot_ms();
+        let left_ms = ask_at_ms.map_or(IDLE_ASK_MS, |at_ms| at_ms.saturating_sub(now_ms));
+        if left_ms > 0 {
+            sleep(Duration::from_millis(left_ms)).await;
+            continue;
+        }
+        let confirmation = node.key_lease.borrow().notice();
+        if confirmation.is_some() {
+            let peers = known_peers(&node, &recent_senders);
+            let asked = peers.sample(&mut rand::rng(), ASKED_PEERS);
+            let addresses: Vec<_> = asked.map(|peer| peer.address).collect();
+            let datagram = build_datagram(&node, confirmation);
+            send_to(&socket, &addresses, &datagram).await;
+        }
+        sleep(ASK_INTERVAL).await;
     }
 }
 
@@ -226,8 +266,7 @@
     due.into_iter().map(|index| peers[index].address).collect()
 }
 
-fn build_datagram(node: &Node) -> Vec<u8> {
-    let tells_confirmation = rand::random_ratio(1, CONFIRMATION_INTERVAL_NOTICES);
+fn build_datagram(node: &Node, confirmation: Option<ConfigConfirmation>) -> Vec<u8> {
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
@@ -237,9 +276,7 @@
             .upstreams
             .borrow()
             .path_notice(node.proxied_count.get()),
-        confirmation: tells_confirmation
-            .then(|| node.key_lease.borrow().notice())
-            .flatten(),
+        confirmation,
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -57,6 +57,9 @@
     pub store: Standin,
     pub servers: Vec<Server>,
     pub nodes: Vec<NodeProcess>,
+    /// Time within which processes that are started next must cease to accept a key that was
+    /// taken away, milliseconds.
+    pub revocation_ms: Option<u64>,
     /// Dropped last: another test may take the block and write settings files for its
     /// addresses as soon as the block is free.
     addresses: AddressBlock,
@@ -139,6 +142,7 @@
             store,
             servers,
             nodes: Vec::new(),
+            revocation_ms: None,
         };
         for index in 0..cluster.servers.len() {
             cluster.register_server(index, "ready").await;
@@ -156,7 +160,7 @@
     /// Starts a process that writes its log to `output`, or to a file if it is `None`.
     pub fn add_node_with_output(&mut self, name: &str, output: Option<Stdio>) {
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, self.store.address(), output);
+        let node = NodeProcess::start(name, ip, self.store.address(), self.revocation_ms, output);
         self.nodes.push(node);
     }
 
@@ -165,7 +169,7 @@
     pub async fn add_proxied_node(&mut self, name: &str) -> StoreProxy {
         let proxy = StoreProxy::start(self.store.address()).await;
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, proxy.address(), None);
+        let node = NodeProcess::start(name, ip, proxy.address(), self.revocation_ms, None);
         node.wait_until_ready().await;
         self.nodes.push(node);
         proxy
@@ -186,7 +190,7 @@
         }
         let store = StoreProxy::start_replacing(self.store.address(), replacements).await;
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, store.address(), None);
+        let node = NodeProcess::start(name, ip, store.address(), self.revocation_ms, None);
         node.wait_until_ready().await;
         self.nodes.push(node);
         Paths { proxies, store }
@@ -203,6 +207,16 @@
             .await;
     }
 
+    /// Stores a configuration with customers, each a pair of its name and its keys.
+    pub async fn put_config_with_customers(&self, version: u64, customers: &[(&str, &[&str])]) {
+        let mut config = config(version, 0);
+        let customers = customers
+            .iter()
+            .map(|(name, keys)| json!({"name": name, "api_keys": keys}));
+        config["tenants"] = customers.collect();
+        self.put_row("op", "config", &config).await;
+    }
+
     pub async fn put_row(&self, table: &str, key: &str, value: &Value) {
         self.put_row_in_partition(table, "", key, value).await;
     }
@@ -398,14 +412,21 @@
 impl NodeProcess {
     /// Starts a node process. Each process has an IP address of its own, so that the
     /// fixed ports never collide.
-    fn start(name: &str, ip: IpAddr, store: SocketAddr, output: Option<Stdio>) -> Self {
+    fn start(
+        name: &str,
+        ip: IpAddr,
+        store: SocketAddr,
+        revocation_ms: Option<u64>,
+        output: Option<Stdio>,
+    ) -> Self {
         let callers_address = SocketAddr::new(ip, CALLERS_PORT);
         let readiness_address = SocketAddr::new(ip, READINESS_PORT);
         let document = json!({
             "node_name": name, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": callers_address.to_string(), "ready_addr": readiness_address.to_string()},
             "port_range": [PEER_PORT, PEER_PORT + 15],
-            "bounds": {"grace_s": 6, "status_s": 120},
+            "bounds": {"grace_s": 6, "status_s": 120, "strict_revoke": revocation_ms.is_some(),
+                       "revoke_ms": revocation_ms.unwrap_or(0)},
             "platform": {"addr": store.to_string(), "writes_per_s": 800, "reads_per_s": 2000,
                          "row_bytes": 4096}
         });
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -72,6 +72,10 @@
     /// Time left until the caller's deadline as stated in the request, in
     /// milliseconds.
     pub time_left_ms: Option<u64>,
+    /// Customer on whose behalf the request was sent, as it says.
+    pub customer: Option<String>,
+    /// Whether the request still had the key of a caller.
+    pub has_key: bool,
     /// Body of the request.
     pub body: String,
 }
@@ -326,6 +330,8 @@
             path: request.uri().path().to_owned(),
             after_event: header_number(headers, "last-event-id"),
             time_left_ms: header_number(headers, "redwingtack-deadline-ms"),
+            customer: header_str(headers, "redwingtack-tenant").map(str::to_owned),
+            has_key: headers.contains_key("x-api-key"),
             body: String::from_utf8_lossy(request.body()).into_owned(),
         };
         self.lock().entry(id.to_owned()).or_default().push(run);
