--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod forecast;
 mod health;
 mod kept_prompts;
+mod key_lease;
 mod leaving;
 mod limited_upstreams;
 mod listed_versions;
@@ -58,6 +59,7 @@
 mod stream_origins;
 mod target;
 mod token_issuer;
+mod unknown_keys;
 mod upstream;
 mod upstream_row;
 mod upstream_table;
@@ -71,6 +73,7 @@
     customers::{Customer, CustomerTable, KeyDigest, Quota},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
+    key_lease::{ConfigAnswer, ConfigConfirmation, ConfirmationSource, KeyLease, PeerNews},
     leaving::LeavingUpstream,
     listed_versions::{ListedVersion, ListedVersions, Listing, ServiceVersion, versions_to_list},
     notice_scheduler::{NoticeScheduler, notice_pause_ms},
@@ -93,6 +96,7 @@
     },
     target::Target,
     token_issuer::SettledTokens,
+    unknown_keys::{RemovedKey, UnknownKeys},
     upstream::{UpstreamEntry, UpstreamState},
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{FROM_THE_START_MS, ObservedVersions, VanishedVersion, VersionHistory},
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -174,6 +174,7 @@
                 target: self.random_target(),
                 expected_ms,
                 load,
+                kept_tokens: 0,
                 preemption: Preemption::Nothing,
             },
             refused @ Placement::Refuse { .. } => refused,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     answer::{self, AnswerBody},
-    customers,
+    customers::{self, CallId, KeyRefusal, KeyedCall},
     forward::forward,
     jobs,
     node::{Node, Stage},
@@ -70,9 +70,17 @@
     if let Some(query) = job_query
         && routes.has_batch_route(&host)
     {
-        return match customers::identify(routes, None, &request_headers) {
+        let call = KeyedCall {
+            id: CallId::Job(&query.job),
+            key: request_headers.key.as_ref(),
+        };
+        let is_public = |routes: &RouteTable| routes.has_public_batch_route(&host);
+        return match customers::authenticate(node, call, is_public).await {
             Ok(customer) => jobs::answer_query(node, query, customer.as_deref(), &parts).await,
-            Err(refusal) => refusal.answer(),
+            Err(KeyRefusal::Unknown) => KeyRefusal::Unknown.answer(),
+            Err(KeyRefusal::Unconfirmed) => jobs::pass_on_query(node, &query, &parts)
+                .await
+                .unwrap_or_else(|| KeyRefusal::Unconfirmed.answer()),
         };
     }
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
@@ -83,10 +91,19 @@
         );
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
-    let customer = match customers::identify(routes, Some(&route), &request_headers) {
-        Ok(customer) => customer,
-        Err(refusal) => return refusal.answer(),
+    let path = parts.uri.path();
+    let is_public = |routes: &RouteTable| {
+        routes
+            .find(&host, path)
+            .is_some_and(|route| route.is_public)
+    };
+    let keyed_call = KeyedCall {
+        id: CallId::Request(&request_headers.request_id),
+        key: request_headers.key.as_ref(),
     };
+    if let Err(refusal) = customers::authenticate(node, keyed_call, is_public).await {
+        return refusal.answer();
+    }
     let read_deadline_ms = arrived_ms + request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
     let body = match read_body(node, routes, body, read_deadline_ms).await {
         Ok(body) => body,
@@ -99,6 +116,11 @@
             return answer::text(status, "the body cannot be read");
         }
     };
+    // The body may have taken long, and the process may have been paused meanwhile.
+    let customer = match customers::authenticate(node, keyed_call, is_public).await {
+        Ok(customer) => customer,
+        Err(refusal) => return refusal.answer(),
+    };
     let call = CallerRequest {
         route,
         customer,
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -5,14 +5,13 @@
 
 use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, JobId};
-use platform::{
-    CONFIG_KEY, CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, StoreError,
-    decode_config,
-};
+use platform::{CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, StoreError};
 use store::Backoff;
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
+    clock::boot_ms,
+    config_feed,
     heartbeats::{self, HEARTBEATS_TABLE},
     jobs::{self, JOB_PARTITIONS, JOBS_TABLE},
     node::Node,
@@ -57,6 +56,18 @@
     Jobs,
 }
 
+/// All rows of a table, as read from the store.
+#[derive(Debug)]
+struct Snapshot {
+    rows: Vec<Row>,
+    /// Store version of the first page, since rows may change while later pages are read.
+    version: u64,
+    /// When the first call began, in milliseconds since the start of the machine.
+    began_boot_ms: u64,
+    /// What the store's clock read at the first answer, milliseconds.
+    store_ms: Option<u64>,
+}
+
 /// Starts following every table, sending heartbeats and watching the settings
 /// file.
 pub(crate) fn start(node: &Rc<Node>) {
@@ -131,8 +142,9 @@
             loop {
                 // Requests read these feeds too.
                 version = version.max(self.fed_version(&node));
-                let wait_ms = feed_wait_ms(&node);
+                let wait_ms = self.wait_ms(&node);
                 let began_ms = node.now_ms();
+                let began_boot_ms = boot_ms();
                 let call = node.store.feed(self.table(), version, wait_ms);
                 let changes = tokio::select! {
                     changes = call => changes,
@@ -147,6 +159,10 @@
                         backoff.reset();
                         version = page.store_version;
                         self.apply_page(&node, &page);
+                        if self == Self::Config {
+                            let store_ms = page.store_now_ms;
+                            config_feed::record_answer(&node, version, began_boot_ms, store_ms);
+                        }
                         if !page.rows.is_empty() {
                             sleep(self.poll_interval(&node)).await;
                         }
@@ -215,43 +231,70 @@
         }
     }
 
+    /// Returns the time for which a call waits for changes.
+    fn wait_ms(self, node: &Node) -> u64 {
+        let wait_ms = feed_wait_ms(node);
+        match self {
+            Self::Config => config_feed::wait_ms(node, wait_ms),
+            Self::Servers | Self::Heartbeats | Self::Jobs => wait_ms,
+        }
+    }
+
     /// Reads the whole table. Returns the store version from which changes are to be
     /// followed.
     async fn read_snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
         node.version_lists.forget();
-        let (rows, first_version) = loop {
-            let (rows, first_version) = self.read_rows(node, backoff).await;
+        let snapshot = loop {
+            let snapshot = self.read_rows(node, backoff).await;
             if self != Self::Servers {
-                break (rows, first_version);
+                break snapshot;
             }
-            let versions = version_lists::unknown_versions(node, &rows);
+            let versions = version_lists::unknown_versions(node, &snapshot.rows);
             let listed = version_lists::look_up(node, &versions).await;
             if self.is_listed(listed, backoff).await {
-                break (rows, first_version);
+                break snapshot;
             }
         };
-        for row in &rows {
+        for row in &snapshot.rows {
             self.apply(node, row);
         }
-        self.complete_snapshot(node, &rows, first_version);
-        first_version
+        self.complete_snapshot(node, &snapshot.rows, snapshot.version);
+        if self == Self::Config {
+            let Snapshot {
+                version,
+                began_boot_ms,
+                store_ms,
+                ..
+            } = snapshot;
+            config_feed::record_answer(node, version, began_boot_ms, store_ms);
+        }
+        snapshot.version
     }
 
-    /// Reads all rows of the table, and the store version of the first page, since rows may
-    /// change while later pages are read.
-    async fn read_rows(self, node: &Rc<Node>, backoff: &mut Backoff) -> (Vec<Row>, u64) {
+    /// Reads all rows of the table.
+    async fn read_rows(self, node: &Rc<Node>, backoff: &mut Backoff) -> Snapshot {
+        let began_boot_ms = boot_ms();
         let mut first_version = None;
+        let mut first_store_ms = None;
         let mut rows = Vec::new();
         for partition in self.partitions() {
             let mut remaining = Some(RowRange::new(self.table(), partition));
             while let Some(range) = remaining {
                 let page = self.read_page(node, &range, backoff).await;
-                first_version.get_or_insert(page.store_version);
+                if first_version.is_none() {
+                    first_version = Some(page.store_version);
+                    first_store_ms = page.store_now_ms;
+                }
                 remaining = range.after(&page);
                 rows.extend(page.rows);
             }
         }
-        (rows, first_version.unwrap_or(0))
+        Snapshot {
+            rows,
+            version: first_version.unwrap_or(0),
+            began_boot_ms,
+            store_ms: first_store_ms,
+        }
     }
 
     /// Reads one page, and retries until the read succeeds. Earlier pages are not read
@@ -298,7 +341,8 @@
     /// requests read as well; 0 for other tables.
     fn fed_version(self, node: &Node) -> u64 {
         match self {
-            Self::Config | Self::Heartbeats => 0,
+            Self::Heartbeats => 0,
+            Self::Config => node.config_fed_version.get(),
             Self::Servers => node.servers_fed_version.get(),
             Self::Jobs => node.jobs_fed_version.get(),
         }
@@ -321,7 +365,7 @@
 
     fn apply(self, node: &Rc<Node>, row: &Row) {
         match self {
-            Self::Config => apply_config(node, row),
+            Self::Config => config_feed::apply_row(node, row),
             Self::Servers => registrations::apply_row(node, row),
             Self::Heartbeats => apply_heartbeat(node, row),
             Self::Jobs => jobs::apply_row(node, row),
@@ -329,32 +373,6 @@
     }
 }
 
-fn apply_config(node: &Node, row: &Row) {
-    if *row.key != *CONFIG_KEY || row.is_removed {
-        return;
-    }
-    match decode_config(&row.value) {
-        Ok(table) => {
-            let version = table.version;
-            let routes = table.routes().len();
-            let prompt_memory = table.prompt_memory.clone();
-            if node.apply_routes(table) {
-                let mut upstreams = node.upstreams.borrow_mut();
-                upstreams.set_prompt_memory(&prompt_memory);
-                drop(upstreams);
-                node.update_initial_state();
-                log::info!("event=config_applied config_version={version} routes={routes}");
-                node.batch_state_changed.notify_one();
-            }
-        }
-        Err(problems) => {
-            for problem in problems {
-                log::error!("event=config_refused problem={}", process::quote(&problem));
-            }
-        }
-    }
-}
-
 fn apply_heartbeat(node: &Node, row: &Row) {
     let mut directory = node.directory.borrow_mut();
     if row.is_removed {
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -1,7 +1,8 @@
 //! Exchange of load notices with peers as UDP datagrams. A notice states the load of
 //! its sender and the jobs that the sender took over recently. It is followed by what the
-//! sender knows of leaving upstreams, of rate limits, of what crashes upstreams, and of
-//! upstreams that it cannot reach. An instance sends its notices directly to each peer.
+//! sender knows of leaving upstreams, of rate limits, of what crashes upstreams, of upstreams
+//! that it cannot reach, and at times of when its configuration was the newest one. An instance
+//! sends its notices directly to each peer.
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -11,10 +12,11 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice, QuarantineNotice,
-    notice_pause_ms,
+    ConfigConfirmation, LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice,
+    QuarantineNotice, notice_pause_ms,
 };
 use model::{InstanceId, Region};
+use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use tokio::{
     net::UdpSocket,
@@ -22,7 +24,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, quarantine, rate_limits};
+use crate::{clock::boot_ms, config_feed, datagrams, node::Node, quarantine, rate_limits};
 
 /// Maximum time between two notices. A notice is repeated if the load has not changed,
 /// so that peers detect when an instance is cut off.
@@ -30,6 +32,12 @@
 /// Time for which notices are sent to a peer after the last notice from that peer,
 /// milliseconds.
 const SENDER_RETENTION_MS: u64 = 10_000;
+/// Interval at which peers are asked when the configuration was the newest one.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of peers that are asked at a time.
+const ASKED_PEERS: usize = 3;
+/// Interval at which it is checked whether there is a lease on accepting keys, milliseconds.
+const IDLE_ASK_MS: u64 = 10_000;
 /// Maximum size of a received datagram, bytes. A longer one is truncated.
 const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
 
@@ -47,6 +55,11 @@
         Rc::clone(&recent_senders),
     ));
     spawn_local(notify_batch_owners(Rc::clone(node), Rc::clone(&socket)));
+    spawn_local(ask_for_confirmations(
+        Rc::clone(node),
+        Rc::clone(&socket),
+        Rc::clone(&recent_senders),
+    ));
     spawn_local(send_notices(Rc::clone(node), socket, recent_senders));
     Ok(())
 }
@@ -67,6 +80,7 @@
                     limits,
                     quarantine,
                     paths,
+                    confirmation,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -81,6 +95,12 @@
                 if let Some(limits) = &limits {
                     rate_limits::receive(&node, limits);
                 }
+                if let Some(confirmation) = &confirmation
+                    && config_feed::receive(&node, confirmation)
+                {
+                    let reply = build_datagram(&node, node.key_lease.borrow().notice());
+                    send_to(&socket, &[sender], &reply).await;
+                }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
                 let instance = notice.instance.clone();
@@ -105,6 +125,9 @@
     quarantine: Option<QuarantineNotice>,
     /// `None` if the sender has a path to each upstream and makes no attempts for peers.
     paths: Option<PathNotice>,
+    /// When the sender's configuration was the newest one; `None` unless the sender asks for a
+    /// later confirmation or answers such a question.
+    confirmation: Option<ConfigConfirmation>,
 }
 
 /// Place in a datagram at which an earlier version of the program told what it knew of
@@ -116,12 +139,17 @@
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
-        if self.quarantine.is_some() || self.limits.is_some() || self.paths.is_some() {
+        let has_more = self.quarantine.is_some()
+            || self.limits.is_some()
+            || self.paths.is_some()
+            || self.confirmation.is_some();
+        if has_more {
             let former: FormerQuarantine = None;
             datagram.extend(encode_to_vec(former, config::standard())?);
             datagram.extend(encode_to_vec(&self.limits, config::standard())?);
             datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
             datagram.extend(encode_to_vec(&self.paths, config::standard())?);
+            datagram.extend(encode_to_vec(self.confirmation, config::standard())?);
         }
         Ok(datagram)
     }
@@ -139,13 +167,15 @@
         };
         let (limits, rest) = decode_next(rest)?;
         let (quarantine, rest) = decode_next(rest)?;
-        let (paths, _) = decode_next(rest)?;
+        let (paths, rest) = decode_next(rest)?;
+        let (confirmation, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
             limits: limits.flatten(),
             quarantine: quarantine.flatten(),
             paths: paths.flatten(),
+            confirmation: confirmation.flatten(),
         })
     }
 }
@@ -174,7 +204,7 @@
     loop {
         // After a time-out, the notice is repeated with the current load.
         let _ = timeout(NOTICE_INTERVAL_MAX, node.load_changed.notified()).await;
-        let datagram = build_datagram(&node);
+        let datagram = build_datagram(&node, None);
         let addresses = due_addresses(&node, &recent_senders, &mut scheduler);
         send_to(&socket, &addresses, &datagram).await;
         sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
@@ -187,7 +217,34 @@
     loop {
         node.owners_to_notify_changed.notified().await;
         let addresses = peer_addresses(&node, &node.owners_to_notify.take());
-        send_to(&socket, &addresses, &build_datagram(&node)).await;
+        send_to(&socket, &addresses, &build_datagram(&node, None)).await;
+    }
+}
+
+/// While the store does not renew the lease on accepting keys, asks a few peers at a time for
+/// what they know: tells them the last confirmation here, which those with a later one answer.
+async fn ask_for_confirmations(
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    recent_senders: Rc<RefCell<RecentSenders>>,
+) {
+    loop {
+        let ask_at_ms = node.key_lease.borrow().ask_peers_at_ms();
+        let now_ms = boot_ms();
+        let left_ms = ask_at_ms.map_or(IDLE_ASK_MS, |at_ms| at_ms.saturating_sub(now_ms));
+        if left_ms > 0 {
+            sleep(Duration::from_millis(left_ms)).await;
+            continue;
+        }
+        let confirmation = node.key_lease.borrow().notice();
+        if confirmation.is_some() {
+            let peers = known_peers(&node, &recent_senders);
+            let asked = peers.sample(&mut rand::rng(), ASKED_PEERS);
+            let addresses: Vec<_> = asked.map(|peer| peer.address).collect();
+            let datagram = build_datagram(&node, confirmation);
+            send_to(&socket, &addresses, &datagram).await;
+        }
+        sleep(ASK_INTERVAL).await;
     }
 }
 
@@ -209,7 +266,7 @@
     due.into_iter().map(|index| peers[index].address).collect()
 }
 
-fn build_datagram(node: &Node) -> Vec<u8> {
+fn build_datagram(node: &Node, confirmation: Option<ConfigConfirmation>) -> Vec<u8> {
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
@@ -219,6 +276,7 @@
             .upstreams
             .borrow()
             .path_notice(node.proxied_count.get()),
+        confirmation,
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -28,7 +28,12 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, registration_check, version_lists};
+use crate::{
+    datagrams,
+    freshness_check::{self, Subject},
+    node::Node,
+    version_lists,
+};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -243,7 +248,7 @@
 /// by the registrations that the store has now. `None` if there may be several.
 async fn confirmed_only_version(node: &Rc<Node>, service: &ServiceName) -> Option<VersionHash> {
     only_version(node, service)?;
-    if !registration_check::confirm(node).await {
+    if !freshness_check::confirm(node, Subject::Registrations).await {
         return None;
     }
     only_version(node, service)
