A take-up that nobody can prove is refused with the time for which that holds

Change: Retry-After is the time until one version is proven, at most the life of a stream; 300 ms only while those that may know do not answer. A record found by content alone is compared with those of the holders.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -82,8 +82,8 @@
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
     store_reachability::StoreReachability,
     stream_origins::{
-        AttemptHash, HolderUse, OriginRecord, RecordHolder, StreamOrigins, VersionHash,
-        record_holders,
+        AttemptHash, HolderUse, OriginRecord, RecordHolder, STREAM_LIFETIME_MS, StreamOrigins,
+        VersionHash, record_holders,
     },
     target::Target,
     token_issuer::SettledTokens,
--- a/crates/gateway/src/version_history.rs
+++ b/crates/gateway/src/version_history.rs
@@ -170,13 +170,42 @@
             return None;
         }
         let only = table.single_version(service)?;
+        let has_others = self.others(service, &only, now_ms).next().is_some();
+        (!has_others).then_some(only)
+    }
+
+    /// Returns the time for which [`Self::only_version`] stays unknown, unless registrations
+    /// change, but at most the time for which streams may be taken up. Milliseconds.
+    #[must_use]
+    pub fn unproven_for_ms(
+        &self,
+        service: &ServiceName,
+        table: &UpstreamTable,
+        now_ms: u64,
+    ) -> u64 {
+        let Some(only) = table.single_version(service) else {
+            return STREAM_LIFETIME_MS;
+        };
+        let others = self.others(service, &only, now_ms);
+        let left_ms = others.map(|other| other.at_ms + VERSION_MEMORY_MS - now_ms);
+        left_ms.max().unwrap_or(0).min(STREAM_LIFETIME_MS)
+    }
+
+    /// Returns the versions other than `only` at which streams may have begun that may still
+    /// be taken up.
+    fn others(
+        &self,
+        service: &ServiceName,
+        only: &SoftwareVersion,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &VanishedVersion> {
         let hash = service_hash(service);
-        let is_other = |vanished: &VanishedVersion| {
+        let only = Some(VersionHash::new(only));
+        self.vanished.iter().filter(move |vanished| {
             now_ms < vanished.at_ms + VERSION_MEMORY_MS
                 && vanished.service.is_none_or(|service| service == hash)
-                && vanished.version != Some(VersionHash::new(&only))
-        };
-        (!self.vanished.iter().any(is_other)).then_some(only)
+                && vanished.version != only
+        })
     }
 
     /// Forgets versions that vanished before any stream that may still be taken up.
--- a/crates/gateway/tests/listed_versions.rs
+++ b/crates/gateway/tests/listed_versions.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use gateway::{FROM_THE_START_MS, ListedVersions, Listing, UpstreamTable, VersionHistory};
+use gateway::{
+    FROM_THE_START_MS, ListedVersions, Listing, STREAM_LIFETIME_MS, UpstreamTable, VersionHistory,
+};
 use model::SoftwareVersion;
 use support::{entry, locality, service};
 
@@ -70,6 +72,14 @@
     assert_eq!(only_at(START_MS + MEMORY_MS), Some(version("v2")));
 }
 
+#[test]
+fn unproven_time_after_several_listed_versions() {
+    let (history, table) = started_with(&list_of(&["v1", "v2"]), START_MS);
+    let left_ms = |now_ms| history.unproven_for_ms(&service(), &table, now_ms);
+    assert_eq!(left_ms(START_MS), STREAM_LIFETIME_MS);
+    assert_eq!(left_ms(START_MS + MEMORY_MS - 1), 1);
+}
+
 #[test]
 fn only_version_while_lists_are_unread() {
     let history = VersionHistory::default();
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -19,7 +19,7 @@
     node::Node,
     quarantine,
     relay::Relay,
-    stream_versions::{self, StreamKeys},
+    stream_versions::{self, OriginUnknown, StreamKeys},
 };
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
@@ -136,21 +136,25 @@
         if !self.is_resumable_stream() || self.resume_after.is_none_or(|event| event == 0) {
             return Ok(());
         }
-        let origin =
-            stream_versions::find_origin(&self.node, &self.service, self.stream_keys()).await;
-        self.version = origin;
-        if self.version.is_some() {
-            return Ok(());
-        }
+        let keys = self.stream_keys();
+        let origin = stream_versions::find_origin(&self.node, &self.service, keys).await;
+        let retry_after_ms = match origin {
+            Ok(version) => {
+                self.version = Some(version);
+                return Ok(());
+            }
+            Err(OriginUnknown::Now) => NOT_RUN_RETRY_AFTER_MS,
+            Err(OriginUnknown::ForMs(time_ms)) => time_ms.max(NOT_RUN_RETRY_AFTER_MS),
+        };
         let reason = RefusalReason::VersionUnknown;
         log::warn!(
-            "event=request_not_placed request={} route={} reason={} resumes={} retry_after_ms={NOT_RUN_RETRY_AFTER_MS}",
+            "event=request_not_placed request={} route={} reason={} resumes={} retry_after_ms={retry_after_ms}",
             self.outgoing.request_id,
             self.route.name,
             reason.as_str(),
             process::quote(&self.resumed_attempt.as_deref().unwrap_or("none"))
         );
-        Err(self.refuse(reason, NOT_RUN_RETRY_AFTER_MS))
+        Err(self.refuse(reason, retry_after_ms))
     }
 
     /// Returns the priority of the request: that of its customer, or else that of its route.
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -15,8 +15,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    AttemptHash, HolderUse, ObservedVersions, OriginRecord, RecordHolder, VersionHash,
-    record_holders,
+    AttemptHash, HolderUse, ObservedVersions, OriginRecord, RecordHolder, STREAM_LIFETIME_MS,
+    VersionHash, record_holders,
 };
 use model::{Region, ServiceName, SoftwareVersion};
 use rand::seq::IndexedRandom;
@@ -84,12 +84,26 @@
         [AttemptHash::new(attempt), self.content]
     }
 
+    /// Returns the version of the attempt that the caller names, if this instance knows it.
+    fn named_attempt_version(self, node: &Node) -> Option<VersionHash> {
+        recorded_version(node, AttemptHash::new(self.resumed_attempt?))
+    }
+
     /// Returns the key under which the origin is looked for.
     fn take_up_key(self) -> AttemptHash {
         self.resumed_attempt.map_or(self.content, AttemptHash::new)
     }
 }
 
+/// The version at which a stream began cannot be proven.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginUnknown {
+    /// Those that may know it did not answer.
+    Now,
+    /// Nobody knows it, and it cannot be proven for this time, milliseconds.
+    ForMs(u64),
+}
+
 /// What the holders of a record know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HoldersAnswer {
@@ -190,23 +204,24 @@
     }
 }
 
-/// Finds out at which version a stream must go on that a caller takes up. Returns `None` if it
-/// cannot be proven.
+/// Finds out at which version a stream must go on that a caller takes up.
+///
+/// # Errors
+///
+/// Returns an error if the version cannot be proven.
 pub(crate) async fn find_origin(
     node: &Rc<Node>,
     service: &ServiceName,
     keys: StreamKeys<'_>,
-) -> Option<VersionHash> {
-    let key = keys.take_up_key();
-    let recorded = recorded_version(node, key);
-    if recorded.is_some() || is_contradicted(node, key) {
-        return recorded;
+) -> Result<VersionHash, OriginUnknown> {
+    if let Some(version) = keys.named_attempt_version(node) {
+        return Ok(version);
     }
     let asked = ask_holders(node, keys);
     tokio::pin!(asked);
     tokio::select! {
         holders = &mut asked => version_by_holders(node, service, holders).await,
-        Some(version) = confirmed_only_version(node, service) => Some(version),
+        Ok(version) = confirmed_only_version(node, service) => Ok(version),
     }
 }
 
@@ -214,18 +229,19 @@
     node: &Rc<Node>,
     service: &ServiceName,
     holders: HoldersAnswer,
-) -> Option<VersionHash> {
+) -> Result<VersionHash, OriginUnknown> {
     match holders {
-        HoldersAnswer::Version(version) => Some(version),
-        HoldersAnswer::Contradicted => None,
+        HoldersAnswer::Version(version) => Ok(version),
+        HoldersAnswer::Contradicted => Err(OriginUnknown::ForMs(STREAM_LIFETIME_MS)),
         // Nothing can be registered while no instance reaches the store. A peer that knew of
         // another version would have the record.
         HoldersAnswer::NoRecord if node.store_health.is_unreachable() => {
-            only_version(node, service)
-        }
-        HoldersAnswer::NoRecord | HoldersAnswer::Silent => {
-            confirmed_only_version(node, service).await
+            only_version(node, service).ok_or(OriginUnknown::Now)
         }
+        HoldersAnswer::NoRecord => confirmed_only_version(node, service).await,
+        HoldersAnswer::Silent => confirmed_only_version(node, service)
+            .await
+            .map_err(|_| OriginUnknown::Now),
     }
 }
 
@@ -240,13 +256,20 @@
 }
 
 /// Returns the version at which every stream of a service began that may still be taken up,
-/// by the registrations that the store has now. `None` if there may be several.
-async fn confirmed_only_version(node: &Rc<Node>, service: &ServiceName) -> Option<VersionHash> {
-    only_version(node, service)?;
-    if !registration_check::confirm(node).await {
-        return None;
+/// by the registrations that the store has now.
+async fn confirmed_only_version(
+    node: &Rc<Node>,
+    service: &ServiceName,
+) -> Result<VersionHash, OriginUnknown> {
+    if only_version(node, service).is_some() && !registration_check::confirm(node).await {
+        return Err(OriginUnknown::Now);
     }
-    only_version(node, service)
+    only_version(node, service).ok_or_else(|| {
+        let history = node.version_history.borrow();
+        let upstreams = node.upstreams.borrow();
+        let now_ms = node.store_now_ms();
+        OriginUnknown::ForMs(history.unproven_for_ms(service, &upstreams, now_ms))
+    })
 }
 
 fn only_version(node: &Node, service: &ServiceName) -> Option<VersionHash> {
@@ -284,9 +307,6 @@
     let key = keys.take_up_key();
     let peers = Peers::new(node);
     let holders = peers.holders(key, HolderUse::Ask);
-    if holders.is_empty() {
-        return HoldersAnswer::Silent;
-    }
     let guard = QueryGuard::new(&node.origin_exchange, key, holders.len());
     // Requests of the same content may contradict each other, so all holders must answer.
     guard.query.needs_all.set(keys.resumed_attempt.is_none());
@@ -294,8 +314,10 @@
     for holder in holders {
         send(node, peers.addresses[holder], &Message::Query(key));
     }
-    // After a time-out, what has been answered counts.
-    let _ = timeout(ANSWER_TIMEOUT, guard.query.is_decided.notified()).await;
+    if holder_count > 0 {
+        // After a time-out, what has been answered counts.
+        let _ = timeout(ANSWER_TIMEOUT, guard.query.is_decided.notified()).await;
+    }
     if let Some(version) = recorded_version(node, key) {
         HoldersAnswer::Version(version)
     } else if is_contradicted(node, key) {
--- a/crates/node/tests/streams_after_restart.rs
+++ b/crates/node/tests/streams_after_restart.rs
@@ -186,6 +186,22 @@
     assert_eq!(mixed_count(&cluster).await, 0);
 }
 
+/// Nobody will ever know where the stream began, so callers are not asked back in vain.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_unproven_version_tells_when_it_is_known() {
+    let mut cluster = start_with_two_versions(2).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    let address = restart_all(&mut cluster);
+    cluster.add_node("node-too");
+    cluster.nodes[1].wait_until_ready().await;
+    sleep(TIME_TO_LEARN).await;
+    let answer = take_up(address, 0, "again-0").await.unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let retry_after = answer.headers["retry-after"].to_str().unwrap();
+    let retry_after_s: f64 = retry_after.parse().unwrap();
+    assert!(retry_after_s > 10.0, "{retry_after_s}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn take_up_of_single_version_after_all_were_lost() {
     let mut cluster = TestCluster::start(&[16; 4], 2).await;
@@ -215,9 +231,11 @@
         let headers = [("host", HOST), ("redwingtack-request-id", &*id)];
         assert!(begin_stream(address, &path_of(0), &headers, 2).await);
     }
+    let first = take_up(address, 0, "equal-again").await;
+    assert_eq!(first.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
     drop(cluster.nodes.remove(0));
-    let answer = take_up(cluster.nodes[0].callers_address, 0, "equal-again").await;
-    assert_eq!(answer.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+    let other = take_up(cluster.nodes[0].callers_address, 0, "equal-elsewhere").await;
+    assert_eq!(other.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
 }
 
 /// The store is away when callers come back, and the version was proven before.
