--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -173,7 +173,7 @@
         StreamKeys {
             resumed_attempt: self.resumed_attempt.as_deref(),
             request_id: &self.outgoing.request_id,
-            content: AttemptHash::of_content(fingerprint, &self.prompt_parts),
+            content: AttemptHash::of_content(fingerprint, &self.outgoing.prompt_parts),
         }
     }
 
