redwingtack where: tells where a request or job would go now, and why

Cause: operators could tell from logs where a request went, but not where the next one would go.

Change: an instance answers the question on the listener for readiness checks, which callers do not reach. It decides with the code of placement and of the batch plan on a copy of its table.

Measured: 64 previews each equal the placement that follows, and the table's debug text is the same before and after (test preview); three tests with real processes, three of the command.

--- a/crates/gateway/src/connectivity.rs
+++ b/crates/gateway/src/connectivity.rs
@@ -60,7 +60,7 @@
 }
 
 /// Whether the upstreams of a service can be connected to.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ServiceConnectivity {
     /// Upstreams that were lost lately, since a connection was last opened to any upstream of
     /// the service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod peers;
 mod placement;
 mod prefill_rate;
+mod preview;
 mod probation;
 mod prompt_chain;
 mod prompt_placement;
@@ -75,6 +76,7 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption},
+    preview::{Exclusion, Preview, UpstreamPreview, Weighing},
     probation::RequestTrial,
     prompt_placement::{PromptRead, ServiceMemory},
     proxies::ProxyPeer,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -95,14 +95,14 @@
 }
 
 /// The newest notices of all peers.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct PeerNotices {
     /// Sorted by instance.
     rows: Vec<PeerRow>,
 }
 
 /// The newest notice of one peer.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct PeerRow {
     notice: LoadNotice,
     received_ms: u64,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -248,7 +248,7 @@
     /// Returns the upstreams that are usable and were not tried. If there are
     /// none, returns the usable ones; if there are none of these either, those
     /// that may be used as a last resort, with untried ones first.
-    fn candidates(
+    pub(crate) fn candidates(
         &self,
         request: &PlacementRequest<'_>,
         timings: TimingEstimates,
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -94,7 +94,7 @@
 }
 
 /// The upstreams that state a rate limit.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct RateLimits {
     /// Random id of this process.
     holder: u64,
@@ -102,7 +102,7 @@
     rows: Vec<LimitRow>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct LimitRow {
     incarnation: u64,
     /// `None` if the upstream states no limit any more.
@@ -123,7 +123,7 @@
 }
 
 /// Tokens of this instance for one upstream.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Wallet {
     has_demand: bool,
     granted: u64,
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -8,7 +8,7 @@
 };
 
 /// Measurements shared by all upstreams of a service.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ServiceRow {
     pub(crate) service: ServiceName,
     pub(crate) online_hold_ms: MovingAverage,
--- a/crates/gateway/src/token_issuer.rs
+++ b/crates/gateway/src/token_issuer.rs
@@ -24,7 +24,7 @@
 const MS_PER_S: f64 = 1_000.0;
 
 /// Issues the tokens of one upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct TokenIssuer {
     tokens: f64,
     /// Number of tokens that expired unused and are not in the bucket again yet.
@@ -35,7 +35,7 @@
 }
 
 /// An instance that asks for tokens.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct HolderRow {
     holder: u64,
     settled: SettledTokens,
--- a/crates/gateway/src/upstream_row.rs
+++ b/crates/gateway/src/upstream_row.rs
@@ -15,7 +15,7 @@
 const DELAY_VALIDITY_MS: u64 = 5_000;
 
 /// What this instance knows of one upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct UpstreamRow {
     pub(crate) entry: UpstreamEntry,
     pub(crate) hash: u64,
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -61,7 +61,7 @@
 
 /// The upstreams, with their registrations, loads and health as seen by this
 /// instance.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct UpstreamTable {
     pub(crate) locality: Locality,
     /// Sorted by upstream id.
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -21,6 +21,7 @@
 use crate::{
     dispatch,
     node::{Node, Stage},
+    where_query,
 };
 
 /// Delay before the next connection is accepted after a failure, for example after the
@@ -176,7 +177,14 @@
 }
 
 fn answer_readiness_check(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let is_readiness_path = request.uri().path() == platform::READINESS_PATH;
+    let path = request.uri().path();
+    if path == where_query::WHERE_PATH {
+        let (status, text) = where_query::answer(node, request.uri());
+        let mut response = Response::new(Full::from(text));
+        *response.status_mut() = status;
+        return response;
+    }
+    let is_readiness_path = path == platform::READINESS_PATH;
     let mut response = Response::new(Full::default());
     *response.status_mut() = if !is_readiness_path {
         StatusCode::NOT_FOUND
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -54,6 +54,7 @@
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
+mod where_query;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -198,6 +198,17 @@
 
     /// Stores a configuration whose batch route lets `tokens_max` tokens wait; 0 means no
     /// limit.
+    /// Stores a configuration in which requests name the parts of their prompts, and the
+    /// memory of each server is stated.
+    pub async fn put_config_with_kept_prompts(&self, version: u64) {
+        let mut config = config(version, 0);
+        for route in config["routes"].as_array_mut().unwrap() {
+            route["sticky"] = json!(true);
+        }
+        config["services"][0]["engine"] = json!({"kv_capacity": 100_000, "slots": 4});
+        self.put_row("op", "config", &config).await;
+    }
+
     pub async fn put_config_with_limit(&self, version: u64, tokens_max: u64) {
         self.put_row("op", "config", &config(version, tokens_max))
             .await;
