--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -57,6 +57,7 @@
 mod stream_versions;
 mod upstream_connections;
 mod version_lists;
+mod where_query;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
