--- a/crates/gateway/tests/key_lease.rs
+++ b/crates/gateway/tests/key_lease.rs
@@ -223,7 +223,9 @@
     Answer { instance: usize, is_lost: bool },
     /// The answer arrives.
     Arrive { instance: usize },
-    /// An instance tells another one of its last confirmation.
+    /// An instance reads the configuration without delay.
+    Read { instance: usize },
+    /// An instance tells the others of its last confirmation.
     Tell { from: usize },
     /// The oldest notice that is under way arrives, or is lost.
     Hear { to: usize, is_lost: bool },
@@ -267,13 +269,25 @@
 }
 
 impl Model {
+    /// All instances have read the first version.
     fn new() -> Self {
-        Self {
+        let mut model = Self {
             now_ms: 0,
             versions: vec![(0, true)],
             instances: (0..INSTANCES).map(|_| Instance::new()).collect(),
             notices: Vec::new(),
+        };
+        for instance in 0..INSTANCES {
+            model.read(instance);
         }
+        model
+    }
+
+    fn read(&mut self, instance: usize) {
+        self.apply(&Step::Call { instance });
+        let is_lost = false;
+        self.apply(&Step::Answer { instance, is_lost });
+        self.arrive(instance);
     }
 
     fn apply(&mut self, step: &Step) {
@@ -297,6 +311,7 @@
                 }
             }
             Step::Arrive { instance } => self.arrive(instance),
+            Step::Read { instance } => self.read(instance),
             Step::Tell { from } => self.notices.extend(self.instances[from].lease.notice()),
             Step::Hear { to, is_lost } => {
                 if self.notices.is_empty() {
@@ -360,6 +375,7 @@
         3 => (instance.clone(), prop::bool::weighted(0.1))
             .prop_map(|(instance, is_lost)| Step::Answer { instance, is_lost }),
         3 => instance.clone().prop_map(|instance| Step::Arrive { instance }),
+        2 => instance.clone().prop_map(|instance| Step::Read { instance }),
         2 => instance.clone().prop_map(|from| Step::Tell { from }),
         2 => (instance.clone(), prop::bool::weighted(0.2))
             .prop_map(|(to, is_lost)| Step::Hear { to, is_lost }),
