explain shows what led to the refusal of a key

Cause: the line of a refused request named a version or an expired lease, but not when the version came or the store was lost. Change: explain adds the config_applied line of the version that took the key away, and the last store_lost before a lease expired.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -98,6 +98,38 @@
         .collect()
 }
 
+/// Returns the lines that tell why the requests in `matched` were refused because of their keys:
+/// the version of the configuration that took a key away, and the last loss of the store before
+/// a lease on accepting keys expired.
+fn key_refusal_causes<'a>(
+    lines: &'a [LogLine],
+    clocks: &Clocks,
+    matched: &[(i64, &LogLine)],
+) -> Vec<(i64, &'a LogLine)> {
+    let cause_of = |(refused_ms, refusal): &(i64, &LogLine)| {
+        let reason = refusal.value("reason");
+        let is_cause = |line: &&LogLine| match reason {
+            Some("key_taken_away") => {
+                line.value("event") == Some("config_applied")
+                    && line.value("config_version") == refusal.value("removed_by")
+            }
+            Some("keys_unconfirmed") => line.value("event") == Some("store_lost"),
+            _ => false,
+        };
+        let own_lines = lines.iter().filter(|line| line.source == refusal.source);
+        let causes = own_lines
+            .filter(is_cause)
+            .map(|line| (clocks.corrected_ms(line), line));
+        causes
+            .filter(|(at_ms, _)| at_ms <= refused_ms)
+            .max_by_key(|(at_ms, _)| *at_ms)
+    };
+    let mut causes: Vec<_> = matched.iter().filter_map(cause_of).collect();
+    causes.sort_by_key(|(at_ms, line)| (*at_ms, line.source.clone()));
+    causes.dedup_by(|a, b| std::ptr::eq(a.1, b.1));
+    causes
+}
+
 /// Returns the lines about an id, ordered by corrected time, each with the time
 /// since the first. Notes about corrected clocks follow.
 fn timeline(id: &str, lines: &[LogLine]) -> Vec<String> {
@@ -116,7 +148,9 @@
         return Vec::new();
     };
     let lifecycle = lifecycle_lines(lines, &clocks, &matched);
+    let key_refusal_causes = key_refusal_causes(lines, &clocks, &matched);
     matched.extend(lifecycle);
+    matched.extend(key_refusal_causes);
     matched.sort_by_key(|(at_ms, _)| *at_ms);
     let format_line = |(at_ms, line): &(i64, &LogLine)| {
         let since_ms = at_ms - first_ms;
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -145,3 +145,27 @@
         ]
     );
 }
+
+/// A refusal because of a key is followed back to the version that took the key away, or to the
+/// loss of the store without which the keys would have been confirmed.
+#[test]
+fn explain_refused_key_shows_its_cause() {
+    let text = "\
+time=2026-10-09T15:30:01.000+00:00 level=info event=config_applied config_version=6 customers=2
+time=2026-10-09T15:30:02.000+00:00 level=info event=config_applied config_version=7 customers=2
+time=2026-10-09T15:30:03.000+00:00 level=warn event=request_refused request=r1 reason=key_taken_away customer=one removed_by=6 config_version=7
+time=2026-10-09T15:30:04.000+00:00 level=warn event=store_lost table=op
+time=2026-10-09T15:30:09.000+00:00 level=warn event=request_refused request=r2 reason=keys_unconfirmed customer=one config_version=7
+time=2026-10-09T15:30:10.000+00:00 level=warn event=request_refused request=r3 reason=unknown_key customer=none config_version=7
+";
+    let logs = LogFiles::new("key", &[("a.log", text)]);
+    for (id, expected) in [
+        ("r1", &["config_applied", "request_refused"][..]),
+        ("r2", &["store_lost", "request_refused"]),
+        ("r3", &["request_refused"]),
+    ] {
+        let (lines, _) = logs.explain(id);
+        assert_eq!(events(&lines), expected, "{lines:?}");
+    }
+    assert!(logs.explain("r1").0[0].contains("config_version=6"));
+}
