Tests of public routes beside customers

Cause: no test showed that a public route strips a forged customer and the key, and is served without a lease. Change: one case with processes, and a request in the case of the lost store.

--- a/crates/node/tests/customer_keys.rs
+++ b/crates/node/tests/customer_keys.rs
@@ -40,6 +40,10 @@
 }
 
 async fn send(node: &NodeProcess, id: &str, key: &str) -> Answer {
+    send_to(node, "/long/a", id, key).await
+}
+
+async fn send_to(node: &NodeProcess, path: &str, id: &str, key: &str) -> Answer {
     let headers = [
         ("host", HOST),
         ("redwingtack-request-id", id),
@@ -48,7 +52,7 @@
         ("x-api-key", key),
     ];
     let body = b"prompt".to_vec();
-    send_request(node.callers_address, "POST", "/long/a", &headers, body)
+    send_request(node.callers_address, "POST", path, &headers, body)
         .await
         .unwrap()
 }
@@ -100,6 +104,24 @@
     assert!(!log.contains("key-1") && !log.contains("key-2"), "{log}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn public_route_needs_no_key_and_names_no_customer() {
+    let cluster = start(1).await;
+    let node = &cluster.nodes[0];
+    for (id, key) in [("r1", "key-1"), ("r2", "wrong")] {
+        let answer = send_to(node, "/once/a", id, key).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let answer = node.send_stream_request("/once/a", "r3").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let runs = cluster.server_runs().await;
+    assert_eq!(runs.len(), 3);
+    for run in runs.values().flatten() {
+        assert_eq!(run.customer, None);
+        assert!(!run.has_key);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_and_missing_keys_are_refused_for_good() {
     let cluster = start(1).await;
@@ -245,6 +267,8 @@
         last > Duration::from_millis(200) && last < REVOCATION,
         "{last:?}"
     );
+    let public = node.send_stream_request("/once/a", "p1").await;
+    assert_eq!(public.status, StatusCode::OK, "public routes need no lease");
     proxy.set_state(ProxyState::Open);
     let began = Instant::now();
     wait_until("the node serves again", async || {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -207,13 +207,15 @@
             .await;
     }
 
-    /// Stores a configuration with customers, each a pair of its name and its keys.
+    /// Stores a configuration with customers, each a pair of its name and its keys. The route
+    /// below `/once/` is public.
     pub async fn put_config_with_customers(&self, version: u64, customers: &[(&str, &[&str])]) {
         let mut config = config(version, 0);
         let customers = customers
             .iter()
             .map(|(name, keys)| json!({"name": name, "api_keys": keys}));
         config["tenants"] = customers.collect();
+        config["routes"][2]["public"] = json!(true);
         self.put_row("op", "config", &config).await;
     }
 
