Requests that peers placed unseen are counted by the pause of notices to all regions

Cause: while upstreams are short, requests go to all regions and each change is told to all peers, so notices are three times as far apart as the count of the own region says. Change: the age is that of notices to all peers.

--- a/crates/gateway/src/notice_scheduler.rs
+++ b/crates/gateway/src/notice_scheduler.rs
@@ -183,13 +183,11 @@
     }
 
     /// Returns the mean age of load information from the region of this instance,
-    /// milliseconds. Each instance there sends its notices at the same intervals as
-    /// this one. In a small region, changes are further apart than notices and are
-    /// reported at once.
+    /// milliseconds, at the times when it matters: while upstreams are short, requests go to
+    /// all regions, so that each instance notifies all others of every change. With
+    /// few instances, changes are further apart than notices and are reported at once.
     pub(crate) fn own_region_age_ms(&self) -> f64 {
-        let notices = self.peer_notices.notices();
-        let own_region = notices.filter(|notice| notice.region == self.locality.region);
-        let pause_ms = notice_pause_ms(own_region.count());
+        let pause_ms = notice_pause_ms(self.peer_notices.notices().count());
         as_f64(pause_ms - PAUSE_MIN_MS) / 2.0
     }
 
