Speeds of upstreams learnt from answers, carried in notices, and used for the expected time

Cause: hold times were those of the service, so a slot at an upstream of 0.6 of the speed seemed to be free as soon as one at 1.6; and one late answer kept an upstream out of use for five seconds. Change: median of the time between events over at least three seconds, own and peers' (each sent once), as a factor on the hold times there; the delay of answers is a median too, with a prior.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod token_issuer;
 mod upstream;
 mod upstream_row;
+mod upstream_speed;
 mod upstream_table;
 mod version_history;
 
@@ -86,6 +87,7 @@
     target::Target,
     token_issuer::SettledTokens,
     upstream::{UpstreamEntry, UpstreamState},
+    upstream_speed::PaceReport,
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{ObservedVersions, VanishedVersion, VersionHistory},
 };
--- a/crates/gateway/src/moving_average.rs
+++ b/crates/gateway/src/moving_average.rs
@@ -12,8 +12,13 @@
 impl MovingAverage {
     /// Adds a sample. The first sample sets the average.
     pub(crate) fn add(&mut self, sample: f64) {
+        self.add_weighted(sample, SAMPLE_WEIGHT);
+    }
+
+    /// Adds a sample with a weight between 0 and 1. The first sample sets the average.
+    pub(crate) fn add_weighted(&mut self, sample: f64, weight: f64) {
         let average = self.value.unwrap_or(sample);
-        self.value = Some(average + SAMPLE_WEIGHT * (sample - average));
+        self.value = Some(average + weight * (sample - average));
     }
 
     /// Returns the average, or `default` before the first sample.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -34,7 +34,8 @@
 /// Maximum difference from the lowest cost for an upstream to count as equal to
 /// the best one, milliseconds.
 const TIE_MS: f64 = 3.0;
-/// Additional cost of a full upstream compared to an empty one, milliseconds.
+/// Additional cost of a full upstream of the mean speed compared to an empty one,
+/// milliseconds.
 /// It spreads the requests that several instances place before their notices
 /// report them to each other.
 const FULL_LOAD_COST_MS: f64 = 10.0;
@@ -141,7 +142,8 @@
         let Some(mut chosen) = self.choose(&candidates) else {
             return self.refuse_without_candidate(request, now_ms);
         };
-        // This request is as likely to be the first of the unseen ones as the last.
+        // Drawn at random, so that instances that had the same notices do not all fill the same
+        // upstreams in thought and then choose the same next one.
         let unseen = self.unseen_placements(request.service, timings);
         for _ in 0..self.rng.random_range(0..=unseen) {
             candidates[chosen].unseen += 1;
@@ -318,10 +320,12 @@
         now_ms: u64,
     ) {
         let row = &self.rows[candidate.index];
+        let slowness = row.speed.slowness(now_ms);
+        let timings = timings.at_upstream(slowness);
         let unseen = candidate.unseen;
         let unreported = self.unreported_remote_online(row, timings) + unseen;
         let wait_ms = row.wait_ms(timings, unreported);
-        let expected_ms = candidate.round_trip_ms + wait_ms + row.delay_ms(now_ms);
+        let expected_ms = candidate.round_trip_ms + wait_ms + row.delays.median_ms(now_ms);
         let utilization = f64::from(row.load() + unseen) / f64::from(row.entry.slots);
         let failure_ms = row.health.failure_rate() * as_f64(request.goal_ms);
         let warm_up_ms = if now_ms < row.warmed_up_at_ms {
@@ -329,8 +333,9 @@
         } else {
             0.0
         };
+        let full_load_ms = FULL_LOAD_COST_MS * slowness;
         candidate.expected_ms = expected_ms;
-        candidate.cost_ms = expected_ms + utilization * FULL_LOAD_COST_MS + failure_ms + warm_up_ms;
+        candidate.cost_ms = expected_ms + utilization * full_load_ms + failure_ms + warm_up_ms;
     }
 
     /// Returns the retry delay after a refusal, with jitter. Slots become free
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -2,7 +2,10 @@
 
 use model::ServiceName;
 
-use crate::{UpstreamTable, connectivity::ServiceConnectivity, moving_average::MovingAverage};
+use crate::{
+    UpstreamTable, connectivity::ServiceConnectivity, moving_average::MovingAverage,
+    upstream_speed::ServicePace,
+};
 
 /// Measurements shared by all upstreams of a service.
 #[derive(Debug)]
@@ -10,6 +13,7 @@
     pub(crate) service: ServiceName,
     pub(crate) online_hold_ms: MovingAverage,
     pub(crate) batch_hold_ms: MovingAverage,
+    pub(crate) pace: ServicePace,
     pub(crate) last_online_ms: u64,
     /// When a request was last to be placed, whether it was sent or refused.
     last_wanted_ms: Option<u64>,
@@ -96,6 +100,7 @@
                     service: service.clone(),
                     online_hold_ms: MovingAverage::default(),
                     batch_hold_ms: MovingAverage::default(),
+                    pace: ServicePace::default(),
                     last_online_ms: 0,
                     last_wanted_ms: None,
                     last_refused_ms: None,
--- a/crates/gateway/src/upstream_row.rs
+++ b/crates/gateway/src/upstream_row.rs
@@ -8,11 +8,9 @@
     peer_loads::PeerLoad,
     peers::{incarnation_hash, upstream_hash},
     stream_origins::VersionHash,
+    upstream_speed::{AnswerDelays, UpstreamSpeed},
 };
 
-/// Age from which a measured answer delay is ignored, milliseconds.
-const DELAY_VALIDITY_MS: u64 = 5_000;
-
 /// What this instance knows of one upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamRow {
@@ -35,8 +33,8 @@
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
     pub(crate) round_trip_ms: MovingAverage,
-    pub(crate) delay_ms: MovingAverage,
-    pub(crate) delay_measured_ms: u64,
+    pub(crate) speed: UpstreamSpeed,
+    pub(crate) delays: AnswerDelays,
 }
 
 impl UpstreamRow {
@@ -60,8 +58,8 @@
             own_load: load,
             peer_load,
             round_trip_ms: MovingAverage::default(),
-            delay_ms: MovingAverage::default(),
-            delay_measured_ms: 0,
+            speed: UpstreamSpeed::default(),
+            delays: AnswerDelays::default(),
         }
     }
 
@@ -99,14 +97,4 @@
     pub(crate) fn load(&self) -> u32 {
         self.online() + self.batch()
     }
-
-    /// Returns how much later than expected recent answers began, milliseconds,
-    /// or 0 without a recent measurement.
-    pub(crate) fn delay_ms(&self, now_ms: u64) -> f64 {
-        if now_ms < self.delay_measured_ms + DELAY_VALIDITY_MS {
-            self.delay_ms.value_or(0.0)
-        } else {
-            0.0
-        }
-    }
 }
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -15,6 +15,7 @@
     stream_origins::VersionHash,
     target::Target,
     upstream_row::UpstreamRow,
+    upstream_speed::PaceReport,
 };
 
 /// Grace period of an upstream whose registration may have lapsed because the
@@ -73,6 +74,8 @@
     pub(crate) services: Vec<ServiceRow>,
     /// Waiting batch items of this instance, most urgent first.
     pub(crate) batch_queue: Vec<BatchDemand>,
+    /// Measurements that no notice to peers has had yet.
+    pub(crate) pace_reports: Vec<PaceReport>,
     pub(crate) limits: RateLimits,
     pub(crate) rng: SmallRng,
 }
@@ -91,6 +94,7 @@
             peer_notices: PeerNotices::default(),
             services: Vec::new(),
             batch_queue: Vec::new(),
+            pace_reports: Vec::new(),
             limits: RateLimits::new(holder),
             rng,
         }
@@ -320,8 +324,7 @@
     /// Records how much later than expected an answer began.
     pub fn record_answer_delay(&mut self, target: &Target, delay_ms: f64, now_ms: u64) {
         if let Some(row) = self.incarnation_row(target) {
-            row.delay_ms.add(delay_ms);
-            row.delay_measured_ms = now_ms;
+            row.delays.add(delay_ms, now_ms);
         }
     }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -103,6 +103,8 @@
     transport: Transport,
     /// When the first event arrived, in milliseconds on the node's clock.
     first_event_ms: Option<u64>,
+    /// When the last event arrived, in milliseconds on the node's clock.
+    last_event_ms: u64,
     event_count: u64,
     /// Whether it is recorded that the upstream survived the request.
     has_survived: bool,
@@ -218,13 +220,14 @@
     /// Records that an event arrived. An upstream that goes on sending them has survived
     /// the request.
     pub(crate) fn record_event(&mut self, node: &Node) {
-        if self.has_survived {
-            return;
-        }
         let now_ms = node.now_ms();
         let first_event_ms = *self.first_event_ms.get_or_insert(now_ms);
+        self.last_event_ms = now_ms;
         self.event_count += 1;
-        if self.event_count >= SURVIVAL_EVENTS && now_ms >= first_event_ms + SURVIVAL_MS {
+        if !self.has_survived
+            && self.event_count >= SURVIVAL_EVENTS
+            && now_ms >= first_event_ms + SURVIVAL_MS
+        {
             self.record_survival(node);
         }
     }
@@ -248,6 +251,7 @@
     /// and returns the connection to the pool if it can be reused.
     pub(crate) fn finish(mut self, node: &Node) {
         self.in_flight.record_completion();
+        self.record_pace(node);
         if self.is_delimited() {
             self.record_survival(node);
         }
@@ -256,6 +260,19 @@
         }
     }
 
+    /// Records how fast the events of the answer followed each other.
+    fn record_pace(&self, node: &Node) {
+        if let Some(first_event_ms) = self.first_event_ms {
+            let duration_ms = self.last_event_ms.saturating_sub(first_event_ms);
+            node.upstreams.borrow_mut().record_pace(
+                &self.in_flight.target,
+                self.event_count,
+                duration_ms,
+                node.now_ms(),
+            );
+        }
+    }
+
     /// Records that the answer broke off.
     pub(crate) fn record_lost_answer(&self) {
         match &self.transport {
@@ -310,6 +327,7 @@
         in_flight,
         transport,
         first_event_ms: None,
+        last_event_ms: 0,
         event_count: 0,
         has_survived: false,
     })
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -11,8 +11,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice, QuarantineNotice,
-    notice_pause_ms,
+    LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PaceReport, PathNotice,
+    QuarantineNotice, notice_pause_ms,
 };
 use model::{InstanceId, Region};
 use serde::de::DeserializeOwned;
@@ -67,6 +67,7 @@
                     limits,
                     quarantine,
                     paths,
+                    paces,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -83,6 +84,7 @@
                 }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
+                upstreams.receive_pace_reports(&paces, now_ms);
                 let instance = notice.instance.clone();
                 if upstreams.receive_notice(notice, now_ms) {
                     upstreams.receive_paths(&instance, sender, paths);
@@ -105,6 +107,8 @@
     quarantine: Option<QuarantineNotice>,
     /// `None` if the sender has a path to each upstream and makes no attempts for peers.
     paths: Option<PathNotice>,
+    /// What the sender measured since its last notice.
+    paces: Vec<PaceReport>,
 }
 
 /// Place in a datagram at which an earlier version of the program told what it knew of
@@ -116,12 +120,16 @@
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
         let mut datagram = encode_to_vec(&self.notice, config::standard())?;
         datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
-        if self.quarantine.is_some() || self.limits.is_some() || self.paths.is_some() {
+        let has_paces = !self.paces.is_empty();
+        if self.quarantine.is_some() || self.limits.is_some() || self.paths.is_some() || has_paces {
             let former: FormerQuarantine = None;
             datagram.extend(encode_to_vec(former, config::standard())?);
             datagram.extend(encode_to_vec(&self.limits, config::standard())?);
             datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
             datagram.extend(encode_to_vec(&self.paths, config::standard())?);
+            if has_paces {
+                datagram.extend(encode_to_vec(&self.paces, config::standard())?);
+            }
         }
         Ok(datagram)
     }
@@ -139,13 +147,15 @@
         };
         let (limits, rest) = decode_next(rest)?;
         let (quarantine, rest) = decode_next(rest)?;
-        let (paths, _) = decode_next(rest)?;
+        let (paths, rest) = decode_next(rest)?;
+        let (paces, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
             limits: limits.flatten(),
             quarantine: quarantine.flatten(),
             paths: paths.flatten(),
+            paces: paces.unwrap_or_default(),
         })
     }
 }
@@ -174,7 +184,8 @@
     loop {
         // After a time-out, the notice is repeated with the current load.
         let _ = timeout(NOTICE_INTERVAL_MAX, node.load_changed.notified()).await;
-        let datagram = build_datagram(&node);
+        let paces = node.upstreams.borrow_mut().take_pace_reports();
+        let datagram = build_datagram(&node, paces);
         let addresses = due_addresses(&node, &recent_senders, &mut scheduler);
         send_to(&socket, &addresses, &datagram).await;
         sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
@@ -187,7 +198,7 @@
     loop {
         node.owners_to_notify_changed.notified().await;
         let addresses = peer_addresses(&node, &node.owners_to_notify.take());
-        send_to(&socket, &addresses, &build_datagram(&node)).await;
+        send_to(&socket, &addresses, &build_datagram(&node, Vec::new())).await;
     }
 }
 
@@ -209,7 +220,7 @@
     due.into_iter().map(|index| peers[index].address).collect()
 }
 
-fn build_datagram(node: &Node) -> Vec<u8> {
+fn build_datagram(node: &Node, paces: Vec<PaceReport>) -> Vec<u8> {
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
@@ -219,6 +230,7 @@
             .upstreams
             .borrow()
             .path_notice(node.proxied_count.get()),
+        paces,
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
