--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -40,6 +40,13 @@
 pub enum Ablation {
     /// Requests go to a random upstream.
     Placement,
+    /// Requests go to the upstream with the fewest requests in flight.
+    LeastRequests,
+    /// Requests go to the one of two random upstreams with fewer requests in flight.
+    TwoChoices,
+    /// Requests go to the upstream with the shortest expected delay, from its requests in
+    /// flight and its speed, which every instance knows from the start.
+    ShortestDelay,
     /// No request is refused; all wait as long as it takes.
     Refusals,
     /// Instances send each other no load notices.
@@ -73,7 +80,7 @@
     ablation: Option<Ablation>,
 }
 
-const VARIANTS: [Variant; 9] = [
+const VARIANTS: [Variant; 12] = [
     Variant::new("usual", NoticeDelay::Usual, None),
     Variant::new("one_decider", NoticeDelay::Zero, None),
     Variant::new(
@@ -81,6 +88,21 @@
         NoticeDelay::Usual,
         Some(Ablation::Placement),
     ),
+    Variant::new(
+        "least_requests",
+        NoticeDelay::Usual,
+        Some(Ablation::LeastRequests),
+    ),
+    Variant::new(
+        "two_choices",
+        NoticeDelay::Usual,
+        Some(Ablation::TwoChoices),
+    ),
+    Variant::new(
+        "shortest_delay",
+        NoticeDelay::Usual,
+        Some(Ablation::ShortestDelay),
+    ),
     Variant::new(
         "without_refusals",
         NoticeDelay::Usual,
@@ -125,6 +147,8 @@
     /// Online requests that were answered in time, including those that
     /// succeeded at a retry after a refusal.
     pub online_on_time: u32,
+    /// Online requests that were answered late.
+    pub online_late: u32,
     /// Online requests that were refused again at their retry.
     pub online_refused: u32,
     /// Notices sent to other regions.
@@ -145,6 +169,7 @@
         worst_windows_credit: tally.worst_windows_credit(),
         online_count: tally.online.count,
         online_on_time: tally.online.on_time,
+        online_late: tally.online.late,
         online_refused: tally.online.refused,
         cross_region_notices: tally.cross_region_notices,
     }
@@ -262,6 +287,15 @@
     let regions = numeric_flag("regions", "Spread the fleet over N regions", 3);
     let upstreams = numeric_flag("upstreams", "Simulate N upstreams", 9);
     let lost_upstreams = numeric_flag("lost-upstreams", "Crash N upstreams", 0);
+    let speeds = long("speed")
+        .help("Let upstreams run at N times the usual speed in turn; can be repeated")
+        .argument("N")
+        .many();
+    let slow_share = numeric_flag(
+        "slow-share",
+        "Let each upstream be slow for this share of the time",
+        0.0,
+    );
     let online_per_s = numeric_flag(
         "online-per-s",
         "Send N online requests per second on average",
@@ -282,6 +316,8 @@
         regions,
         upstreams,
         lost_upstreams,
+        speeds,
+        slow_share,
         online_per_s,
         jobs_per_s,
         length_s,
--- a/crates/load/src/replay/arrivals.rs
+++ b/crates/load/src/replay/arrivals.rs
@@ -33,6 +33,11 @@
     pub upstreams: usize,
     /// Number of upstreams that crash, one after the other.
     pub lost_upstreams: usize,
+    /// Speeds of the upstreams, assigned to them in turn: 1 is the usual one. Empty if all
+    /// have the usual one.
+    pub speeds: Vec<f64>,
+    /// Share of the time in which each upstream has a short slow spell, 0 to 1.
+    pub slow_share: f64,
     /// Mean rate of online requests, requests per second.
     pub online_per_s: f64,
     /// Mean rate of jobs, jobs per second.
@@ -41,6 +46,16 @@
     pub length_s: u32,
 }
 
+impl Pattern {
+    /// Returns the speed of an upstream; 1 is the usual one. Each region has upstreams of
+    /// every speed.
+    pub(super) fn speed(&self, upstream: usize) -> f64 {
+        let position = upstream / self.regions;
+        let speed = self.speeds.get(position % self.speeds.len().max(1));
+        speed.copied().unwrap_or(1.0)
+    }
+}
+
 /// Arrival of one request or job.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Arrival {
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -9,12 +9,19 @@
 use model::{FailureDomain, InstanceId, Region, ServiceName, SoftwareVersion, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-use super::{Ablation, arrivals::EVENT_TOKENS};
+use super::{
+    Ablation,
+    arrivals::{EVENT_TOKENS, Pattern},
+};
 
 /// Time within which the first event of an answer should arrive, milliseconds.
 pub(super) const ANSWER_GOAL_MS: u64 = 300;
 /// Number of requests that an upstream serves concurrently.
 pub(super) const SLOTS: u32 = 8;
+/// Mean time until one of the slots of a full upstream becomes free, and until an answer
+/// begins that has a slot, milliseconds at the usual speed.
+const SLOT_RELEASE_MS: f64 = 90.0;
+const FIRST_EVENT_MS: f64 = 25.0;
 const PORT: u16 = 8_000;
 const VERSION: &str = "v1";
 
@@ -30,6 +37,8 @@
     notice_schedule: NoticeScheduler,
     notice_sequence: u64,
     ablation: Option<Ablation>,
+    /// True speed of each upstream, by index.
+    speeds: Vec<f64>,
     rng: SmallRng,
 }
 
@@ -109,11 +118,12 @@
 impl Scheduler {
     pub(super) fn new(
         index: usize,
-        regions: usize,
+        pattern: &Pattern,
         upstreams: &[UpstreamEntry],
         ablation: Option<Ablation>,
         seed: u64,
     ) -> Self {
+        let regions = pattern.regions;
         let instance = InstanceId::new(&format!("instance-{index:05}"));
         let region = region_name(index % regions);
         let regions_by_domain = (0..regions).map(region_name).map(|name| {
@@ -141,6 +151,9 @@
             notice_schedule: NoticeScheduler::default(),
             notice_sequence: 0,
             ablation,
+            speeds: (0..pattern.upstreams)
+                .map(|index| pattern.speed(index))
+                .collect(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -164,14 +177,14 @@
             may_refuse: may_refuse && self.ablation != Some(Ablation::Refusals),
         };
         let placement = self.upstream_table.place(&request, now_ms);
-        if self.ablation != Some(Ablation::Placement) {
+        let Some(upstream) = self.baseline_upstream() else {
             return placement;
-        }
+        };
         match placement {
             Placement::Send {
                 expected_ms, load, ..
             } => Placement::Send {
-                target: self.random_target(),
+                target: self.target(upstream),
                 expected_ms,
                 load,
                 preemption: Preemption::Nothing,
@@ -338,14 +351,39 @@
         Urgency::new(item.due_ms, remaining_ms, now_ms)
     }
 
-    /// Returns a random upstream of the table.
-    fn random_target(&mut self) -> Target {
-        let listed: Vec<_> = self
+    /// Returns the upstream that a baseline would choose, or `None` if this run has none.
+    fn baseline_upstream(&mut self) -> Option<UpstreamId> {
+        let loads: Vec<_> = self
             .upstream_table
             .in_flight()
-            .map(|in_flight| in_flight.upstream)
+            .map(|known| {
+                let load = known.own_online + known.own_batch;
+                (
+                    known.upstream,
+                    load + known.peers_online + known.peers_batch,
+                )
+            })
             .collect();
-        let upstream = listed[self.rng.random_range(0..listed.len())].clone();
+        let first = self.rng.random_range(0..loads.len());
+        let second = self.rng.random_range(0..loads.len());
+        // Ties go to a random upstream.
+        let rotated = (first..loads.len()).chain(0..first);
+        let speed = |index: usize| self.speeds[upstream_index(&loads[index].0)];
+        let delay = |index: usize| {
+            let excess = (loads[index].1 + 1).saturating_sub(SLOTS);
+            (f64::from(excess) * SLOT_RELEASE_MS + FIRST_EVENT_MS) / speed(index)
+        };
+        let index = match self.ablation? {
+            Ablation::Placement => first,
+            Ablation::LeastRequests => rotated.min_by_key(|index| loads[*index].1)?,
+            Ablation::TwoChoices => [first, second].into_iter().min_by_key(|i| loads[*i].1)?,
+            Ablation::ShortestDelay => rotated.min_by(|a, b| delay(*a).total_cmp(&delay(*b)))?,
+            _ => return None,
+        };
+        Some(loads[index].0.clone())
+    }
+
+    fn target(&self, upstream: UpstreamId) -> Target {
         Target {
             upstream,
             service: self.service.clone(),
--- a/crates/load/src/replay/simulation.rs
+++ b/crates/load/src/replay/simulation.rs
@@ -5,10 +5,11 @@
 mod runs;
 mod ticks;
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use gateway::{LoadNotice, Placement, Preemption, Target, WorkKind};
+use gateway::{LoadNotice, PaceReport, Placement, Preemption, Target, WorkKind};
 use model::UpstreamId;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use standin::{EngineCore, EngineParams, SequenceRequest};
 
 use super::{
@@ -30,6 +31,10 @@
 const STEP_US: f64 = 3_090.0;
 const STEP_SEQUENCE_US: f64 = 16.5;
 const PROMPT_TOKEN_US: f64 = 1_000.0 / 61.8;
+/// Length of a spell in which an upstream is slow, microseconds, and how many times longer
+/// its steps then take.
+const SLOW_SPELL_US: u64 = 600 * US_PER_MS;
+const SLOW_SPELL_FACTOR: f64 = 2.5;
 /// Time from a job's arrival to its deadline, milliseconds.
 const JOB_DEADLINE_MS: u64 = 18_000;
 /// Maximum number of upstreams that an online request is sent to.
@@ -71,11 +76,14 @@
     Notice {
         instance: usize,
         notice: Rc<LoadNotice>,
+        paces: Rc<[PaceReport]>,
     },
     /// An upstream crashes.
     Crash { upstream: usize },
     /// The registration of an upstream is removed.
     Deregister { upstream: usize },
+    /// An upstream turns slow, or is no longer slow.
+    ChangeSpeed { upstream: usize, speed: f64 },
 }
 
 #[derive(Debug)]
@@ -94,6 +102,7 @@
     work: SequenceWork,
     request: SequenceRequest,
     began_us: u64,
+    first_event_us: u64,
     /// Expected time from `began_us` to the first event of the answer.
     expected_ms: u64,
     tokens_done: u32,
@@ -158,16 +167,9 @@
             .map(|index| upstream_entry(index, index % pattern.regions))
             .collect();
         let schedulers = (0..pattern.instances)
-            .map(|index| Scheduler::new(index, pattern.regions, &entries, ablation, seed));
-        let params = EngineParams {
-            base_us: STEP_US,
-            per_sequence_us: STEP_SEQUENCE_US,
-            prompt_token_us: PROMPT_TOKEN_US,
-            running_max: SLOTS as usize,
-            ..EngineParams::default()
-        };
-        let upstreams = (0..pattern.upstreams).map(|_| Upstream {
-            core: EngineCore::new(params.clone()),
+            .map(|index| Scheduler::new(index, pattern, &entries, ablation, seed));
+        let upstreams = (0..pattern.upstreams).map(|index| Upstream {
+            core: EngineCore::new(engine_params(pattern.speed(index))),
             is_alive: true,
             step_due_us: None,
         });
@@ -189,6 +191,7 @@
         };
         simulation.queue_arrivals(seed);
         simulation.queue_crashes();
+        simulation.queue_slow_spells(seed);
         for instance in 0..pattern.instances {
             // Staggers the ticks of the instances.
             simulation.push(instance as u64 * 137 % TICK_US, Event::Tick { instance });
@@ -256,6 +259,36 @@
         }
     }
 
+    /// Queues spells in which an upstream is slow, at random times of their own.
+    fn queue_slow_spells(&mut self, seed: u64) {
+        if self.pattern.slow_share <= 0.0 {
+            return;
+        }
+        let mut rng = SmallRng::seed_from_u64(!seed);
+        let end_us = u64::from(self.pattern.length_s) * US_PER_S;
+        let mean_pause_spells = 1.0 / self.pattern.slow_share - 1.0;
+        for upstream in 0..self.pattern.upstreams {
+            let base_speed = self.pattern.speed(upstream);
+            let mut at_us = 0;
+            while at_us < end_us {
+                let pause_spells = rng.random_range(0.0..2.0 * mean_pause_spells);
+                let pause = Duration::from_micros(SLOW_SPELL_US).mul_f64(pause_spells);
+                at_us += u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
+                let slow = Event::ChangeSpeed {
+                    upstream,
+                    speed: base_speed / SLOW_SPELL_FACTOR,
+                };
+                self.push(at_us, slow);
+                at_us += SLOW_SPELL_US;
+                let usual = Event::ChangeSpeed {
+                    upstream,
+                    speed: base_speed,
+                };
+                self.push(at_us, usual);
+            }
+        }
+    }
+
     fn push(&mut self, at_us: u64, event: Event) {
         self.queued_count += 1;
         self.queue.insert((at_us, self.queued_count), event);
@@ -294,10 +327,22 @@
             Event::AnswerEnd { sequence } => self.on_answer_end(sequence),
             Event::Interrupted { sequence } => self.on_interrupted(sequence),
             Event::Tick { instance } => self.on_tick(instance),
-            Event::Notice { instance, notice } => {
+            Event::Notice {
+                instance,
+                notice,
+                paces,
+            } => {
                 let now_ms = self.now_ms();
                 let upstream_table = &mut self.schedulers[instance].upstream_table;
                 upstream_table.receive_notice(LoadNotice::clone(&notice), now_ms);
+                upstream_table.receive_pace_reports(&paces, now_ms);
+            }
+            Event::ChangeSpeed { upstream, speed } => {
+                self.advance(upstream);
+                self.upstreams[upstream]
+                    .core
+                    .set_params(engine_params(speed));
+                self.queue_step(upstream);
             }
             Event::Crash { upstream } => self.crash_upstream(upstream),
             Event::Deregister { upstream } => {
@@ -397,6 +442,17 @@
     }
 }
 
+/// Returns the parameters of an upstream with a speed; 1 is the usual one.
+fn engine_params(speed: f64) -> EngineParams {
+    EngineParams {
+        base_us: STEP_US / speed,
+        per_sequence_us: STEP_SEQUENCE_US / speed,
+        prompt_token_us: PROMPT_TOKEN_US / speed,
+        running_max: SLOTS as usize,
+        ..EngineParams::default()
+    }
+}
+
 impl OnlineRequest {
     fn work_end(&self) -> WorkEnd {
         let goal_us = ANSWER_GOAL_MS * US_PER_MS;
--- a/crates/load/src/replay/simulation/runs.rs
+++ b/crates/load/src/replay/simulation/runs.rs
@@ -44,6 +44,7 @@
                 last_token_index: size.output_tokens,
             },
             began_us: self.now_us,
+            first_event_us: 0,
             expected_ms,
             tokens_done,
             has_begun: false,
@@ -122,7 +123,8 @@
     pub(super) fn on_answer_start(&mut self, sequence: usize) {
         let seen_at_us = self.now_us + CALLER_LINK_US;
         let now_ms = self.now_ms();
-        let run = &self.sequences[sequence];
+        let run = &mut self.sequences[sequence];
+        run.first_event_us = self.now_us;
         let SequenceWork::Online { request } = run.work else {
             return;
         };
@@ -141,6 +143,15 @@
             return;
         }
         let instance = run.instance;
+        let first_token = run.request.first_token_index;
+        let events = u64::from((run.tokens_done + 1 - first_token) / EVENT_TOKENS);
+        let duration_ms = (self.now_us - run.first_event_us) / US_PER_MS;
+        self.schedulers[instance].upstream_table.record_pace(
+            &run.target,
+            events,
+            duration_ms,
+            now_ms,
+        );
         match run.work {
             SequenceWork::Online { request } => {
                 let held_ms = now_ms - run.began_us / US_PER_MS;
--- a/crates/load/src/replay/simulation/ticks.rs
+++ b/crates/load/src/replay/simulation/ticks.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use gateway::{LoadNotice, Target, notice_pause_ms};
+use gateway::{LoadNotice, PaceReport, Target, notice_pause_ms};
 use model::{InstanceId, Region};
 
 use super::{
@@ -88,6 +88,7 @@
             return;
         }
         let notice = Rc::new(scheduler.notice());
+        let paces = scheduler.upstream_table.take_pace_reports();
         let now_ms = self.now_ms();
         let peers: Vec<_> = (0..self.schedulers.len())
             .filter(|other| *other != instance)
@@ -101,7 +102,7 @@
             pause_us: notice_pause_ms(recipients.len()) * US_PER_MS,
             notice: Some(Rc::clone(&notice)),
         };
-        self.deliver(instance, recipients, &notice);
+        self.deliver(instance, recipients, &notice, &paces.into());
     }
 
     /// Sends a load notice at once to the owners of batch items that have to
@@ -111,7 +112,12 @@
             return;
         }
         let notice = Rc::new(self.schedulers[instance].notice());
-        self.deliver(instance, owners.iter().map(instance_index), &notice);
+        self.deliver(
+            instance,
+            owners.iter().map(instance_index),
+            &notice,
+            &Rc::default(),
+        );
     }
 
     fn deliver(
@@ -119,6 +125,7 @@
         instance: usize,
         others: impl IntoIterator<Item = usize>,
         notice: &Rc<LoadNotice>,
+        paces: &Rc<[PaceReport]>,
     ) {
         let regions = self.pattern.regions;
         for other in others {
@@ -127,11 +134,13 @@
             }
             let at_us = self.now_us + self.one_way_link_us(instance, other);
             let notice = Rc::clone(notice);
+            let paces = Rc::clone(paces);
             self.push(
                 at_us,
                 Event::Notice {
                     instance: other,
                     notice,
+                    paces,
                 },
             );
         }
@@ -149,11 +158,15 @@
         }
         let now_ms = self.now_ms();
         let notice = self.schedulers[instance].notice();
+        let paces = self.schedulers[instance].upstream_table.take_pace_reports();
         for (other, scheduler) in self.schedulers.iter_mut().enumerate() {
             if other != instance {
                 scheduler
                     .upstream_table
                     .receive_notice(notice.clone(), now_ms);
+                scheduler
+                    .upstream_table
+                    .receive_pace_reports(&paces, now_ms);
             }
         }
     }
--- a/crates/load/tests/replay.rs
+++ b/crates/load/tests/replay.rs
@@ -12,6 +12,8 @@
         regions: 3,
         upstreams: 9,
         lost_upstreams: 0,
+        speeds: Vec::new(),
+        slow_share: 0.0,
         online_per_s: 41.2,
         jobs_per_s: 0.515,
         length_s: 30,
--- a/crates/standin/src/engine_core.rs
+++ b/crates/standin/src/engine_core.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Replaces the step costs and limits from the next step on. The capacity of the prefix
+    /// cache stays as it is.
+    pub fn set_params(&mut self, params: EngineParams) {
+        self.params = params;
+    }
+
     /// Submits a request and returns how many of its prompt tokens are cached.
     /// Call [`EngineCore::advance`] with the same `now_us` first.
     pub fn submit(&mut self, request: SequenceRequest, now_us: u64) -> u32 {
