--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod unknown_keys;
 mod upstream;
 mod upstream_row;
+mod upstream_speed;
 mod upstream_table;
 mod version_history;
 
@@ -100,6 +101,7 @@
     token_issuer::SettledTokens,
     unknown_keys::{RemovedKey, UnknownKeys},
     upstream::{UpstreamEntry, UpstreamState},
+    upstream_speed::PaceReport,
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{FROM_THE_START_MS, ObservedVersions, VanishedVersion, VersionHistory},
 };
--- a/crates/gateway/src/prompt_placement.rs
+++ b/crates/gateway/src/prompt_placement.rs
@@ -157,7 +157,7 @@
         let usual_ms = self.usual_delay_ms(candidates, now_ms);
         for candidate in candidates {
             let row = &self.rows[candidate.index];
-            candidate.lead_ms = (usual_ms - row.delay_ms(now_ms)).max(0.0);
+            candidate.lead_ms = (usual_ms - row.delays.median_ms(now_ms)).max(0.0);
             candidate.kept_parts = self.kept_parts(row, prompt);
             let kept = &prompt.parts()[..candidate.kept_parts];
             candidate.kept_tokens = kept.iter().map(|part| part.tokens).sum();
@@ -202,7 +202,7 @@
     fn usual_delay_ms(&self, candidates: &[Candidate], now_ms: u64) -> f64 {
         let delays = candidates
             .iter()
-            .map(|candidate| self.rows[candidate.index].delay_ms(now_ms));
+            .map(|candidate| self.rows[candidate.index].delays.median_ms(now_ms));
         let mut measured: Vec<_> = delays.filter(|delay_ms| *delay_ms > 0.0).collect();
         if measured.is_empty() {
             return 0.0;
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -12,8 +12,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    ConfigConfirmation, LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PathNotice,
-    QuarantineNotice, notice_pause_ms,
+    ConfigConfirmation, LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PaceReport,
+    PathNotice, QuarantineNotice, notice_pause_ms,
 };
 use model::{InstanceId, Region};
 use rand::seq::IndexedRandom;
@@ -81,6 +81,7 @@
                     quarantine,
                     paths,
                     confirmation,
+                    paces,
                 } = datagram;
                 let now_ms = node.now_ms();
                 let peer = Peer {
@@ -98,11 +99,12 @@
                 if let Some(confirmation) = &confirmation
                     && config_feed::receive(&node, confirmation)
                 {
-                    let reply = build_datagram(&node, node.key_lease.borrow().notice());
+                    let reply = build_datagram(&node, node.key_lease.borrow().notice(), Vec::new());
                     send_to(&socket, &[sender], &reply).await;
                 }
                 let mut upstreams = node.upstreams.borrow_mut();
                 upstreams.receive_leaving(&leaving);
+                upstreams.receive_pace_reports(&paces, now_ms);
                 let instance = notice.instance.clone();
                 if upstreams.receive_notice(notice, now_ms) {
                     upstreams.receive_paths(&instance, sender, paths);
@@ -128,6 +130,8 @@
     /// When the sender's configuration was the newest one; `None` unless the sender asks for a
     /// later confirmation or answers such a question.
     confirmation: Option<ConfigConfirmation>,
+    /// What the sender measured since its last notice.
+    paces: Vec<PaceReport>,
 }
 
 /// Place in a datagram at which an earlier version of the program told what it knew of
@@ -142,7 +146,8 @@
         let has_more = self.quarantine.is_some()
             || self.limits.is_some()
             || self.paths.is_some()
-            || self.confirmation.is_some();
+            || self.confirmation.is_some()
+            || !self.paces.is_empty();
         if has_more {
             let former: FormerQuarantine = None;
             datagram.extend(encode_to_vec(former, config::standard())?);
@@ -150,6 +155,9 @@
             datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
             datagram.extend(encode_to_vec(&self.paths, config::standard())?);
             datagram.extend(encode_to_vec(self.confirmation, config::standard())?);
+            if !self.paces.is_empty() {
+                datagram.extend(encode_to_vec(&self.paces, config::standard())?);
+            }
         }
         Ok(datagram)
     }
@@ -168,7 +176,8 @@
         let (limits, rest) = decode_next(rest)?;
         let (quarantine, rest) = decode_next(rest)?;
         let (paths, rest) = decode_next(rest)?;
-        let (confirmation, _) = decode_next(rest)?;
+        let (confirmation, rest) = decode_next(rest)?;
+        let (paces, _) = decode_next(rest)?;
         Ok(Self {
             notice,
             leaving: leaving.unwrap_or_default(),
@@ -176,6 +185,7 @@
             quarantine: quarantine.flatten(),
             paths: paths.flatten(),
             confirmation: confirmation.flatten(),
+            paces: paces.unwrap_or_default(),
         })
     }
 }
@@ -204,7 +214,8 @@
     loop {
         // After a time-out, the notice is repeated with the current load.
         let _ = timeout(NOTICE_INTERVAL_MAX, node.load_changed.notified()).await;
-        let datagram = build_datagram(&node, None);
+        let paces = node.upstreams.borrow_mut().take_pace_reports();
+        let datagram = build_datagram(&node, None, paces);
         let addresses = due_addresses(&node, &recent_senders, &mut scheduler);
         send_to(&socket, &addresses, &datagram).await;
         sleep(Duration::from_millis(notice_pause_ms(addresses.len()))).await;
@@ -217,7 +228,12 @@
     loop {
         node.owners_to_notify_changed.notified().await;
         let addresses = peer_addresses(&node, &node.owners_to_notify.take());
-        send_to(&socket, &addresses, &build_datagram(&node, None)).await;
+        send_to(
+            &socket,
+            &addresses,
+            &build_datagram(&node, None, Vec::new()),
+        )
+        .await;
     }
 }
 
@@ -241,7 +257,7 @@
             let peers = known_peers(&node, &recent_senders);
             let asked = peers.sample(&mut rand::rng(), ASKED_PEERS);
             let addresses: Vec<_> = asked.map(|peer| peer.address).collect();
-            let datagram = build_datagram(&node, confirmation);
+            let datagram = build_datagram(&node, confirmation, Vec::new());
             send_to(&socket, &addresses, &datagram).await;
         }
         sleep(ASK_INTERVAL).await;
@@ -266,7 +282,11 @@
     due.into_iter().map(|index| peers[index].address).collect()
 }
 
-fn build_datagram(node: &Node, confirmation: Option<ConfigConfirmation>) -> Vec<u8> {
+fn build_datagram(
+    node: &Node,
+    confirmation: Option<ConfigConfirmation>,
+    paces: Vec<PaceReport>,
+) -> Vec<u8> {
     let datagram = Datagram {
         notice: build_notice(node),
         leaving: node.upstreams.borrow().leaving_upstreams(),
@@ -277,6 +297,7 @@
             .borrow()
             .path_notice(node.proxied_count.get()),
         confirmation,
+        paces,
     };
     // Encoding into memory cannot fail.
     datagram.encode().unwrap_or_default()
