Late answers of the test of kept prompts come more than once

Cause: since the merge of the speeds of upstreams, the median of recent delays counts, and one late answer says nothing; the test gave one. Change: it gives eight; what it asks for stays.

--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -168,7 +168,9 @@
     for (id, _) in EIGHT {
         let upstream = target(&mut table, id);
         let delay_ms = if id == "u1" { 25.0 } else { 5.0 };
-        table.record_answer_delay(&upstream, delay_ms, 0);
+        for _ in 0..8 {
+            table.record_answer_delay(&upstream, delay_ms, 0);
+        }
     }
     let placement = place(&mut table, &prompt(1, 100, 2));
     assert_ne!(target_of(&placement).upstream.as_str(), "u1");
