Kept prompts: callers may name any number of parts of any length

Cause: sums of tokens that a caller names could overflow, and each part costs time. Change: sums saturate, and the first 32 parts of a prompt are told apart.

--- a/crates/gateway/src/prompt_chain.rs
+++ b/crates/gateway/src/prompt_chain.rs
@@ -3,6 +3,10 @@
 use model::PromptPart;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Maximum number of parts of a prompt that are told apart. Callers name the parts, and each
+/// costs time.
+const PARTS_MAX: usize = 32;
+
 /// Identifies a part of a prompt with all parts before it. An upstream can use a kept part
 /// only after the same beginning.
 pub(crate) type ChainHash = u64;
@@ -23,7 +27,7 @@
 impl PromptChain {
     pub(crate) fn new(prompt: &[PromptPart]) -> Self {
         let mut hash = 0;
-        let chained = prompt.iter().map(|part| {
+        let chained = prompt.iter().take(PARTS_MAX).map(|part| {
             hash = xxh3_64_with_seed(&part.id.as_u64().to_le_bytes(), hash);
             ChainedPart {
                 hash,
@@ -58,7 +62,12 @@
 
     /// Returns the length of the prompt in tokens.
     pub(crate) fn tokens(&self) -> u32 {
-        let tokens = self.parts.iter().map(|part| part.tokens);
-        tokens.fold(0, u32::saturating_add)
+        token_sum(&self.parts)
     }
 }
+
+/// Returns the length of parts in tokens. Callers name the lengths, so the sum may be any.
+pub(crate) fn token_sum(parts: &[ChainedPart]) -> u32 {
+    let tokens = parts.iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
--- a/crates/gateway/src/prompt_placement.rs
+++ b/crates/gateway/src/prompt_placement.rs
@@ -22,7 +22,7 @@
     moving_average::MovingAverage,
     placement::TIE_MS,
     prefill_rate::{FirstEvent, PrefillRate},
-    prompt_chain::{ChainHash, PromptChain},
+    prompt_chain::{ChainHash, PromptChain, token_sum},
     recent_prompts::RecentPrompts,
     target::Target,
     upstream_row::UpstreamRow,
@@ -103,7 +103,7 @@
         let read = prompts.classify(&prompt, kept_parts);
         let remembered = prompts.parts_to_remember(&prompt);
         prompts.prompt_tokens.add(f64::from(prompt.tokens()));
-        let read_tokens = prompt.tokens() - read.kept_tokens;
+        let read_tokens = prompt.tokens().saturating_sub(read.kept_tokens);
         prompts.read_tokens.add(f64::from(read_tokens));
         prompts.recent.record(&prompt);
         let remembered = &prompt.parts()[..remembered];
@@ -160,7 +160,7 @@
             candidate.lead_ms = (usual_ms - row.delay_ms(now_ms)).max(0.0);
             candidate.kept_parts = self.kept_parts(row, prompt);
             let kept = &prompt.parts()[..candidate.kept_parts];
-            candidate.kept_tokens = kept.iter().map(|part| part.tokens).sum();
+            candidate.kept_tokens = token_sum(kept);
             candidate.saved_ms =
                 f64::from(candidate.kept_tokens) * self.ms_per_token(&row.entry.service);
         }
@@ -261,7 +261,7 @@
         }
         let read_parts = &prompt.parts()[kept_parts..];
         let answer = FirstEvent {
-            read_tokens: read_parts.iter().map(|part| part.tokens).sum(),
+            read_tokens: token_sum(read_parts),
             after_ms: as_f64(after_ms) - self.round_trip_ms(row),
         };
         let service = row.entry.service.clone();
@@ -304,13 +304,14 @@
     fn classify(&self, prompt: &PromptChain, kept_parts: usize) -> PromptRead {
         let mut read = PromptRead::default();
         for (index, part) in prompt.parts().iter().enumerate() {
-            if index < kept_parts {
-                read.kept_tokens += part.tokens;
+            let tokens = if index < kept_parts {
+                &mut read.kept_tokens
             } else if self.recent.contains(part.hash) {
-                read.repeated_tokens += part.tokens;
+                &mut read.repeated_tokens
             } else {
-                read.new_tokens += part.tokens;
-            }
+                &mut read.new_tokens
+            };
+            *tokens = tokens.saturating_add(part.tokens);
         }
         read
     }
--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -325,6 +325,21 @@
     assert_eq!(kept_tokens(&place(&mut table, &prompt(1, 900, 10))), 0);
 }
 
+/// Callers name parts and lengths as they like.
+#[test]
+fn kept_tokens_any_prompt_is_accepted() {
+    let mut table = table("me", &PAIR, MEMORY_TOKENS);
+    let target = target(&mut table, "u1");
+    let longest = [part(1, u32::MAX), part(2, u32::MAX), part(3, u32::MAX)];
+    let many: Vec<_> = (0..2_000).map(|id| part(id, 1)).collect();
+    for _ in 0..3 {
+        for parts in [&longest[..], &many, &[part(7, 0)], &[]] {
+            table.record_prompt_read(&target, parts, 50, 0);
+            assert!(kept_tokens(&place(&mut table, parts)) <= 32);
+        }
+    }
+}
+
 #[test]
 fn kept_tokens_new_incarnation_keeps_nothing() {
     let mut table = table("me", &PAIR[..1], MEMORY_TOKENS);
