--- a/crates/gateway/src/key_lease.rs
+++ b/crates/gateway/src/key_lease.rs
@@ -230,7 +230,7 @@
     #[must_use]
     pub fn is_news_to(&self, theirs: &ConfigConfirmation) -> bool {
         let own = self.notice();
-        own.is_some_and(|own| own.store_ms >= theirs.store_ms + NEWS_MIN_MS)
+        own.is_some_and(|own| own.store_ms >= theirs.store_ms.saturating_add(NEWS_MIN_MS))
     }
 
     /// Returns the last confirmation in the form in which peers can use it. `None` if the lease
