Quotas of customers: tokens of one issuer, handed out by a delegate of each region

Change: the token issuer of limited upstreams takes terms and lends tokens; delegates hold tokens for the instances of their region, and a request over its quota gets 429.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,11 @@
 mod proxies;
 mod quarantine;
 mod quarantine_notice;
+mod quota_delegate;
+mod quota_fleet;
+mod quota_issuer;
+mod quota_message;
+mod quotas;
 mod rate_limits;
 mod refusal;
 mod request_content;
@@ -52,6 +57,7 @@
 mod stream_origins;
 mod target;
 mod token_issuer;
+mod token_wallet;
 mod upstream;
 mod upstream_row;
 mod upstream_table;
@@ -74,6 +80,9 @@
     proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
+    quota_fleet::QuotaFleet,
+    quota_message::{QuotaAction, QuotaMessage, QuotaPeer, QuotaSource, QuotaVerdict},
+    quotas::{QuotaTerms, Quotas, customer_hash},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -4,7 +4,7 @@
 //! second, and each of them names few upstreams. Adding up all notices again
 //! for each of them would take time proportional to peers times upstreams.
 
-use model::UpstreamId;
+use model::{InstanceId, Region, UpstreamId};
 
 use crate::{
     LoadNotice, UpstreamLoad, UpstreamTable, peers::election_rank, upstream_row::UpstreamRow,
@@ -72,6 +72,12 @@
         })
     }
 
+    /// Returns the peers that sent a notice recently, with their regions.
+    pub fn heard_peers(&self) -> impl Iterator<Item = (InstanceId, Region)> {
+        let notices = self.peer_notices.notices();
+        notices.map(|notice| (notice.instance.clone(), notice.region.clone()))
+    }
+
     /// Returns whether this instance is elected among itself and the peers that sent a
     /// notice recently. For each value of `election`, about one instance is elected.
     #[must_use]
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -10,7 +10,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::token_issuer::{SettledTokens, TokenIssuer};
+use crate::{
+    token_issuer::{Demand, IssueTerms, SettledTokens, TokenIssuer},
+    token_wallet::TokenWallet,
+};
 
 /// Time after which a token that was not used expires, milliseconds.
 const TOKEN_LIFETIME_MS: u64 = 600;
@@ -23,10 +26,6 @@
 /// Maximum rate that is kept as a limit, per second. No upstream gets more requests than
 /// this anyway.
 const LIMIT_MAX_PER_S: f64 = 1_000.0;
-/// Maximum number of tokens that are taken from one grant. A larger number is due to
-/// grants that this instance did not see for long.
-const GRANT_MAX: u64 = 1_000;
-
 /// Maximum number of statements and of grants in a notice.
 const NOTICE_ENTRIES_MAX: usize = 64;
 
@@ -110,7 +109,8 @@
     stated_at_ms: u64,
     /// What the last answer to this instance itself said.
     own_statement: Option<Statement>,
-    wallet: Wallet,
+    wallet: TokenWallet,
+    has_demand: bool,
     /// `None` while another instance issues the tokens.
     issuer: Option<TokenIssuer>,
 }
@@ -122,16 +122,6 @@
     stated_at_ms: u64,
 }
 
-/// Tokens of this instance for one upstream.
-#[derive(Debug, Default)]
-struct Wallet {
-    has_demand: bool,
-    granted: u64,
-    settled: SettledTokens,
-    /// When each token in hand expires, oldest first.
-    expiries_ms: Vec<u64>,
-}
-
 impl RateLimits {
     /// Creates an empty table for the process with a random id.
     pub(crate) fn new(holder: u64) -> Self {
@@ -194,15 +184,13 @@
     fn tokens_until(&self, incarnation: u64, now_ms: u64, until_ms: u64) -> Option<usize> {
         let row = &self.rows[self.find(incarnation).ok()?];
         row.requests_per_s?;
-        let expiries_ms = row.wallet.expiries_ms.iter();
-        let usable = expiries_ms.filter(|expiry_ms| (now_ms + 1..=until_ms).contains(expiry_ms));
-        Some(usable.count())
+        Some(row.wallet.tokens_in(now_ms + 1..=until_ms))
     }
 
     /// Takes the token for a request that is sent to an upstream.
     pub(crate) fn take_token(&mut self, incarnation: u64) {
         if let Ok(index) = self.find(incarnation) {
-            self.rows[index].wallet.settle(1);
+            self.rows[index].wallet.take();
         }
     }
 
@@ -237,7 +225,7 @@
             if let Ok(index) = self.find(demand.incarnation)
                 && let Some(issuer) = &mut self.rows[index].issuer
             {
-                issuer.record_demand(demand.holder, demand.settled, now_ms);
+                issuer.record_demand(demand.into(), now_ms);
             }
         }
         let mut has_tokens = false;
@@ -256,7 +244,7 @@
             return None;
         }
         let statements = self.rows.iter().filter_map(|row| row.statement(now_ms));
-        let demands = self.rows.iter().filter(|row| row.wallet.has_demand);
+        let demands = self.rows.iter().filter(|row| row.has_demand);
         let grants = self.rows.iter().flat_map(LimitRow::grants);
         Some(LimitNotice {
             statements: statements.take(NOTICE_ENTRIES_MAX).collect(),
@@ -289,7 +277,8 @@
             requests_per_s: None,
             stated_at_ms: 0,
             own_statement: None,
-            wallet: Wallet::default(),
+            wallet: TokenWallet::new(TOKEN_LIFETIME_MS),
+            has_demand: false,
             issuer: None,
         }
     }
@@ -306,24 +295,24 @@
         self.requests_per_s = requests_per_s;
         let is_lowered = before.is_none_or(|before| requests_per_s < Some(before));
         if is_lowered {
-            self.wallet.return_tokens(usize::MAX);
+            self.wallet.return_all();
         }
         before != requests_per_s
     }
 
     fn update(&mut self, role: LimitRole, holder: u64, now_ms: u64) -> bool {
         let mut is_news = self.wallet.expire(now_ms);
-        is_news |= self.wallet.has_demand != role.has_demand;
-        self.wallet.has_demand = role.has_demand;
+        is_news |= self.has_demand != role.has_demand;
+        self.has_demand = role.has_demand;
         let Some((share, requests_per_s)) = role.issued_share.zip(self.requests_per_s) else {
             self.issuer = None;
             return is_news;
         };
         let issuer = self.issuer.get_or_insert_with(|| TokenIssuer::new(now_ms));
         if role.has_demand {
-            issuer.record_demand(holder, self.wallet.settled, now_ms);
+            issuer.record_demand(Demand::settled(holder, self.wallet.settled()), now_ms);
         }
-        if issuer.issue(requests_per_s * share, now_ms) {
+        if issuer.issue(IssueTerms::for_upstream(requests_per_s * share), now_ms) {
             is_news = true;
             let own = issuer.unsettled().find(|(other, _)| *other == holder);
             let granted = own.map_or(0, |(_, granted)| granted);
@@ -359,42 +348,13 @@
         TokenDemand {
             incarnation: self.incarnation,
             holder,
-            settled: self.wallet.settled,
+            settled: self.wallet.settled(),
         }
     }
 }
 
-impl Wallet {
-    /// Takes the tokens that were granted since the last grant. Returns whether there are
-    /// any.
-    fn receive(&mut self, granted: u64, now_ms: u64) -> bool {
-        let new_tokens = granted.saturating_sub(self.granted).min(GRANT_MAX);
-        self.granted = self.granted.max(granted);
-        let expiries_ms = (0..new_tokens).map(|_| now_ms + TOKEN_LIFETIME_MS);
-        self.expiries_ms.extend(expiries_ms);
-        self.settled.count = self.granted - self.expiries_ms.len() as u64;
-        new_tokens > 0
-    }
-
-    /// Settles up to `count` tokens, the oldest ones first. Returns how many there were.
-    fn settle(&mut self, count: usize) -> u64 {
-        let count = count.min(self.expiries_ms.len());
-        self.expiries_ms.drain(..count);
-        self.settled.count = self.granted - self.expiries_ms.len() as u64;
-        count as u64
-    }
-
-    /// Settles up to `count` tokens that were not used.
-    fn return_tokens(&mut self, count: usize) {
-        self.settled.unused += self.settle(count);
-    }
-
-    /// Settles the tokens that have expired. Returns whether there were any.
-    fn expire(&mut self, now_ms: u64) -> bool {
-        let expired = self
-            .expiries_ms
-            .partition_point(|expiry_ms| *expiry_ms <= now_ms);
-        self.return_tokens(expired);
-        expired > 0
+impl From<&TokenDemand> for Demand {
+    fn from(demand: &TokenDemand) -> Self {
+        Self::settled(demand.holder, demand.settled)
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -17,6 +17,8 @@
     VersionGone,
     /// It is unknown which version began the stream.
     VersionUnknown,
+    /// The customer has used up its quota.
+    OverQuota,
 }
 
 impl RefusalReason {
@@ -31,6 +33,7 @@
             Self::Quarantined => "quarantined",
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
+            Self::OverQuota => "over_quota",
         }
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "no test file uses all of the helpers")]
 
+pub mod quota_fleet;
+
 use std::sync::Arc;
 
 use gateway::{
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -17,7 +17,7 @@
     crash_detection::join_parts,
     dispatch::{CallerRequest, host_of},
     node::Node,
-    quarantine,
+    quarantine, quotas,
     relay::Relay,
     stream_versions,
 };
@@ -118,7 +118,11 @@
 
 impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
-        let answer = match self.find_version().await {
+        let may_begin = match self.check_quota().await {
+            Ok(()) => self.find_version().await,
+            Err(no_answer) => Err(no_answer),
+        };
+        let answer = match may_begin {
             Ok(()) => self.next_answer(self.resume_after).await,
             Err(no_answer) => Err(no_answer),
         };
@@ -131,6 +135,18 @@
         }
     }
 
+    /// Counts the request against the quota of its customer.
+    async fn check_quota(&self) -> Result<(), NoAnswer> {
+        let Some(customer) = &self.customer else {
+            return Ok(());
+        };
+        let request = &self.outgoing.request_id;
+        match quotas::check(&self.node, request, customer).await {
+            Ok(()) => Ok(()),
+            Err(retry_after_ms) => Err(self.refuse(RefusalReason::OverQuota, retry_after_ms)),
+        }
+    }
+
     /// Finds out at which version the stream must go on that the caller takes up.
     async fn find_version(&mut self) -> Result<(), NoAnswer> {
         if !self.is_resumable_stream() || self.resume_after.is_none_or(|event| event == 0) {
@@ -415,6 +431,10 @@
             retry_after_ms,
             "no upstream is known to run the version that began the stream",
         ),
+        NoAnswer::Refused {
+            reason: RefusalReason::OverQuota,
+            retry_after_ms,
+        } => answer::too_many_requests(retry_after_ms, "the quota is used up"),
         NoAnswer::Refused { retry_after_ms, .. } => {
             answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -47,6 +47,8 @@
 mod proxy_listener;
 mod proxy_message;
 mod quarantine;
+mod quota_metrics;
+mod quotas;
 mod rate_limits;
 mod registration_check;
 mod relay;
@@ -136,6 +138,7 @@
     listener::start(&node).await?;
     load_notices::start(&node).await?;
     stream_versions::start(&node).await?;
+    quotas::start(&node).await?;
     proxy_listener::start(&node).await?;
     spawn_local(path_probes::run(Rc::clone(&node)));
     spawn_local(rate_limits::run(Rc::clone(&node)));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,7 +27,7 @@
 use process::{AdminState, time_histogram};
 use tokio::{net::TcpListener, task::spawn_local};
 
-use crate::node::Node;
+use crate::{node::Node, quota_metrics::QuotaMetrics};
 
 /// HTTP path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -73,6 +73,7 @@
     unreachable_upstreams: Gauge<u64>,
     proxied: Gauge<u64>,
     busiest: BusiestUpstreams,
+    pub(crate) quotas: QuotaMetrics,
 }
 
 impl Metrics {
@@ -95,6 +96,7 @@
             meter.u64_gauge(name).with_description(description).build()
         };
         Self {
+            quotas: QuotaMetrics::new(&meter),
             request_duration: histogram(
                 "http.server.request.duration",
                 "Time from a request to the end of its answer",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,7 @@
     jobs::Runner,
     metrics::Metrics,
     peer_connections::PeerConnections,
+    quotas::QuotaExchange,
     registration_check::RegistrationCheck,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
@@ -58,6 +59,8 @@
     /// Which software versions were registered lately.
     pub(crate) version_history: RefCell<VersionHistory>,
     pub(crate) origin_exchange: OriginExchange,
+    /// Quotas of customers.
+    pub(crate) quotas: QuotaExchange,
     pub(crate) registration_check: RegistrationCheck,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
@@ -137,6 +140,7 @@
         let store = Store::new(settings.store_address);
         Self {
             metrics: Metrics::new(store.call_counts()),
+            quotas: QuotaExchange::new(&settings),
             store,
             store_health: StoreHealth::default(),
             store_clock: Cell::default(),
