--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,8 @@
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
 //! failed attempts. The modules `connectivity` and `proxies` decide which paths
 //! to upstreams are lost and which peer then makes an attempt. [`Quarantine`] decides about requests that crash upstreams,
-//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on.
+//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on, [`Quotas`] whether a
+//! customer may send a request.
 
 mod attempts;
 mod batch_plan;
--- a/crates/gateway/src/quota_issuer.rs
+++ b/crates/gateway/src/quota_issuer.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     customers::Quota,
+    quotas::QuotaTerms,
     token_issuer::{Demand, IssueTerms, TokenIssuer, whole_tokens},
+    upstream_table::as_f64,
 };
 
 /// Number of tokens that a delegate holds beside the first, as the time in which the quota
@@ -16,10 +18,11 @@
 const FREQUENT_PER_S: f64 = 30.0;
 /// Time for which a delegate that no longer asks may still return tokens, milliseconds.
 const RETURN_MS: u64 = 30_000;
-/// Tokens that may be issued beyond the quota, as a part of the slack, and as the time in
-/// which the quota grants them, seconds. They make up for tokens that other delegates hold.
+/// Tokens that may be issued beyond the quota, as parts of the slack and of what the quota
+/// allows in a window. They make up for tokens that other delegates hold.
 const SLACK_SHARE: f64 = 0.25;
-const EXCESS_S: f64 = 0.1;
+const EXCESS_SHARE: f64 = 0.05;
+const MS_PER_S: f64 = 1_000.0;
 
 /// Issues the tokens of one quota.
 #[derive(Debug)]
@@ -82,6 +85,11 @@
         self.issuer.record_demand(demand, now_ms);
         self.issuer.issue(terms, now_ms);
         let granted = self.issuer.issued(holder).unwrap_or(demand.granted);
+        let exhausted_ms = exhausted_ms(&self.issuer, terms);
+        if exhausted_ms > 0 && terms.rate_per_s < FREQUENT_PER_S {
+            // The requests that wait there are refused, and a token would find none.
+            self.issuer.end_demand(holder, now_ms);
+        }
         let row = &mut self.holders[index];
         row.address = address;
         row.told = granted;
@@ -89,7 +97,7 @@
             holder,
             address,
             granted,
-            exhausted_ms: exhausted_ms(&self.issuer, terms),
+            exhausted_ms,
         }
     }
 
@@ -135,14 +143,14 @@
 }
 
 impl IssueTerms {
-    /// Returns the terms for a share of a customer's quota, which may be exceeded by `slack`
-    /// requests.
-    pub(crate) fn for_quota(quota: Quota, slack: f64, share: f64) -> Self {
+    /// Returns the terms for a share of a customer's quota.
+    pub(crate) fn for_quota(quota: Quota, terms: QuotaTerms, share: f64) -> Self {
         let rate_per_s = quota.requests_per_s * share;
+        let in_window = quota.requests_per_s * as_f64(terms.window_ms) / MS_PER_S + quota.burst;
         Self {
             rate_per_s,
             capacity: quota.burst.max(1.0) * share,
-            excess_capacity: (slack * SLACK_SHARE + quota.requests_per_s * EXCESS_S) * share,
+            excess_capacity: (as_f64(terms.slack) * SLACK_SHARE + in_window * EXCESS_SHARE) * share,
             unsettled_max: 1 + whole_tokens(rate_per_s * UNSETTLED_S),
             return_ms: RETURN_MS,
         }
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -27,7 +27,7 @@
     quota_issuer::{QuotaGrant, QuotaIssuer},
     quota_message::{QuotaAction, QuotaMessage, QuotaPeer, QuotaSource, QuotaVerdict},
     token_issuer::{Demand, IssueTerms},
-    upstream_table::{as_f64, round_ms},
+    upstream_table::round_ms,
 };
 
 /// Interval at which a delegate that has no token repeats its demand, milliseconds.
@@ -444,8 +444,7 @@
     }
 
     fn issue_terms(&self, quota: Quota) -> IssueTerms {
-        let slack = as_f64(self.terms.slack);
-        IssueTerms::for_quota(quota, slack, self.fleet.heard_share())
+        IssueTerms::for_quota(quota, self.terms, self.fleet.heard_share())
     }
 
     fn delegate_terms(&self, customer: u64) -> DelegateTerms {
--- a/crates/gateway/src/token_issuer.rs
+++ b/crates/gateway/src/token_issuer.rs
@@ -126,6 +126,14 @@
         self.cover_debt();
     }
 
+    /// Records that a holder has given up those requests for which it asked for tokens.
+    pub(crate) fn end_demand(&mut self, holder: u64, now_ms: u64) {
+        let found = self.holders.binary_search_by_key(&holder, |row| row.holder);
+        if let Ok(index) = found {
+            self.holders[index].wants_until_ms = now_ms;
+        }
+    }
+
     /// Issues the tokens that are available. Returns whether there were any.
     pub(crate) fn issue(&mut self, terms: IssueTerms, now_ms: u64) -> bool {
         self.refill(terms, now_ms);
--- a/crates/gateway/tests/support/quota_fleet.rs
+++ b/crates/gateway/tests/support/quota_fleet.rs
@@ -74,6 +74,7 @@
     allowance: f64,
     /// The same one step before.
     allowance_before: f64,
+    asked_below_quota: usize,
     refused_below_quota: usize,
     refusals: Vec<QuotaVerdict>,
     messages: usize,
@@ -118,6 +119,7 @@
             sent_ms: Vec::new(),
             allowance: burst,
             allowance_before: burst,
+            asked_below_quota: 0,
             refused_below_quota: 0,
             refusals: Vec::new(),
             messages: 0,
@@ -171,6 +173,10 @@
         self.messages
     }
 
+    pub fn asked_below_quota(&self) -> usize {
+        self.asked_below_quota
+    }
+
     pub fn refused_below_quota(&self) -> usize {
         self.refused_below_quota
     }
@@ -311,6 +317,7 @@
         // A token that comes in this very step is not there for all instances yet.
         let is_allowed = self.allowance.min(self.allowance_before) >= 1.0;
         self.allowance -= f64::from(u8::from(is_allowed));
+        self.asked_below_quota += usize::from(is_allowed);
         let ask = self.instances[instance].quotas.next_ask();
         self.waiting.push(Waiting {
             instance,
