--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,8 @@
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
 //! failed attempts. The modules `connectivity` and `proxies` decide which paths
 //! to upstreams are lost and which peer then makes an attempt. [`Quarantine`] decides about requests that crash upstreams,
-//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on.
+//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on, [`Quotas`] whether a
+//! customer may send a request.
 
 mod attempts;
 mod batch_plan;
@@ -50,6 +51,11 @@
 mod proxies;
 mod quarantine;
 mod quarantine_notice;
+mod quota_delegate;
+mod quota_fleet;
+mod quota_issuer;
+mod quota_message;
+mod quotas;
 mod rate_limits;
 mod recent_prompts;
 mod refusal;
@@ -60,6 +66,7 @@
 mod stream_origins;
 mod target;
 mod token_issuer;
+mod token_wallet;
 mod unknown_keys;
 mod upstream;
 mod upstream_row;
@@ -88,6 +95,9 @@
     proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
+    quota_fleet::QuotaFleet,
+    quota_message::{QuotaAction, QuotaMessage, QuotaPeer, QuotaSource, QuotaVerdict},
+    quotas::{QuotaTerms, Quotas, customer_hash},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,7 @@
     jobs::Runner,
     metrics::Metrics,
     peer_connections::PeerConnections,
+    quotas::QuotaExchange,
     store_calls::StoreHealth,
     stream_versions::OriginExchange,
     version_lists::VersionLists,
@@ -69,6 +70,8 @@
     pub(crate) origin_exchange: OriginExchange,
     pub(crate) registration_check: FreshnessCheck,
     pub(crate) config_check: FreshnessCheck,
+    /// Quotas of customers.
+    pub(crate) quotas: QuotaExchange,
     /// Whether both the configuration and the servers have been read.
     has_initial_state: watch::Sender<bool>,
     pub(crate) has_read_servers: Cell<bool>,
@@ -148,6 +151,7 @@
         let key_lease = KeyLease::new(settings.key_revocation_ms);
         Self {
             metrics: Metrics::new(store.call_counts()),
+            quotas: QuotaExchange::new(&settings),
             store,
             store_health: StoreHealth::default(),
             store_clock: Cell::default(),
