--- a/crates/gateway/src/customers.rs
+++ b/crates/gateway/src/customers.rs
@@ -7,6 +7,7 @@
 
 use model::CustomerName;
 use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Size of a digest, bytes.
 const DIGEST_BYTES: usize = 16;
@@ -36,6 +37,15 @@
     pub burst: f64,
 }
 
+/// How quotas are judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaTerms {
+    /// Time over which requests are counted, milliseconds.
+    pub window_ms: u64,
+    /// Number of requests by which a customer may exceed its quota in that time.
+    pub slack: u64,
+}
+
 /// The customers of one version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CustomerTable {
@@ -51,6 +61,12 @@
     customer: Arc<Customer>,
 }
 
+/// Returns the hash that identifies a customer in messages.
+#[must_use]
+pub fn customer_hash(name: &CustomerName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
 impl KeyDigest {
     /// Returns the digest of a key.
     #[must_use]
--- a/crates/gateway/src/quota_delegate.rs
+++ b/crates/gateway/src/quota_delegate.rs
@@ -3,7 +3,11 @@
 
 use std::net::SocketAddr;
 
-use crate::{token_issuer::whole_tokens, token_wallet::TokenWallet};
+use crate::{
+    quota_message::{QuotaAction, QuotaMessage, QuotaPeer, QuotaVerdict},
+    token_issuer::whole_tokens,
+    token_wallet::TokenWallet,
+};
 
 /// Time after which a token that was not used expires, milliseconds.
 const TOKEN_LIFETIME_MS: u64 = 600;
@@ -95,6 +99,19 @@
     Refuse,
 }
 
+impl Asker {
+    /// Returns what to do to answer a question.
+    pub(crate) fn answer(self, ask: u64, verdict: QuotaVerdict) -> QuotaAction {
+        match self {
+            Self::Own => QuotaAction::Decide { ask, verdict },
+            Self::Peer(address) => QuotaAction::Send {
+                to: QuotaPeer::Address(address),
+                message: QuotaMessage::Verdict { ask, verdict },
+            },
+        }
+    }
+}
+
 impl Delegate {
     pub(crate) fn new() -> Self {
         Self {
--- a/crates/gateway/src/quota_issuer.rs
+++ b/crates/gateway/src/quota_issuer.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
-    customers::Quota,
-    quotas::QuotaTerms,
+    customers::{Quota, QuotaTerms},
     token_issuer::{Demand, IssueTerms, TokenIssuer, whole_tokens},
     upstream_table::as_f64,
 };
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -16,12 +16,11 @@
 
 use std::net::SocketAddr;
 
-use model::{CustomerName, InstanceId, Region};
+use model::{InstanceId, Region};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    customers::{Customer, CustomerTable, Quota},
+    customers::{Customer, CustomerTable, Quota, QuotaTerms, customer_hash},
     quota_delegate::{Asker, DEMAND_INTERVAL_MS, Decision, Delegate, DelegateTerms, WaitingAsk},
     quota_fleet::QuotaFleet,
     quota_issuer::{QuotaGrant, QuotaIssuer},
@@ -47,15 +46,6 @@
 const RETRY_MIN_MS: f64 = 100.0;
 const RETRY_MAX_MS: f64 = 5_000.0;
 
-/// How quotas are judged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuotaTerms {
-    /// Time over which requests are counted, milliseconds.
-    pub window_ms: u64,
-    /// Number of requests by which a customer may exceed its quota in that time.
-    pub slack: u64,
-}
-
 /// The quotas of all customers, as far as this instance deals with them.
 #[derive(Debug)]
 pub struct Quotas {
@@ -91,12 +81,6 @@
     used_ms: u64,
 }
 
-/// Returns the hash that identifies a customer in messages.
-#[must_use]
-pub fn customer_hash(name: &CustomerName) -> u64 {
-    xxh3_64(name.as_str().as_bytes())
-}
-
 impl Quotas {
     /// Creates the quotas of a process with a random id.
     #[must_use]
@@ -296,7 +280,7 @@
             return match asker {
                 Asker::Own => {
                     let verdict = QuotaVerdict::Granted(QuotaSource::Unlimited);
-                    vec![answer(asker, ask, verdict)]
+                    vec![asker.answer(ask, verdict)]
                 }
                 Asker::Peer(_) => Vec::new(),
             };
@@ -308,15 +292,15 @@
         match decision {
             Decision::Token => {
                 let verdict = QuotaVerdict::Granted(QuotaSource::Token);
-                actions.push(answer(asker, ask, verdict));
+                actions.push(asker.answer(ask, verdict));
             }
             Decision::Reserve => {
                 let verdict = QuotaVerdict::Granted(QuotaSource::Reserve);
-                actions.push(answer(asker, ask, verdict));
+                actions.push(asker.answer(ask, verdict));
             }
             Decision::Refuse => {
                 let verdict = self.refusal(index, now_ms);
-                actions.push(answer(asker, ask, verdict));
+                actions.push(asker.answer(ask, verdict));
             }
             Decision::Wait => self.rows[index].delegate.wait(asker, ask, now_ms),
         }
@@ -444,7 +428,7 @@
             } else {
                 self.refusal(index, now_ms)
             };
-            answer(asker, ask, verdict)
+            asker.answer(ask, verdict)
         });
         actions.collect()
     }
@@ -512,13 +496,3 @@
         index
     }
 }
-
-fn answer(asker: Asker, ask: u64, verdict: QuotaVerdict) -> QuotaAction {
-    match asker {
-        Asker::Own => QuotaAction::Decide { ask, verdict },
-        Asker::Peer(address) => QuotaAction::Send {
-            to: QuotaPeer::Address(address),
-            message: QuotaMessage::Verdict { ask, verdict },
-        },
-    }
-}
