--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use gateway::ServiceVersion;
 use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, JobId};
 use platform::{
@@ -199,42 +200,60 @@
             return true;
         }
         let versions = version_lists::new_versions(node, &page.rows);
-        let listed = version_lists::look_up(node, &versions).await;
-        self.is_listed(listed, backoff).await && versions.is_empty()
-    }
-
-    /// Returns whether versions were listed. Waits if they could not be.
-    async fn is_listed(self, listed: Result<bool, StoreError>, backoff: &mut Backoff) -> bool {
-        match listed {
-            Ok(must_read_again) => !must_read_again,
-            Err(error) => {
-                log::warn!("event=version_list_failed error={}", process::quote(&error));
-                sleep_after_failure(backoff).await;
-                false
-            }
-        }
+        look_up(node, &versions, backoff).await;
+        versions.is_empty()
     }
 
     /// Reads the whole table. Returns the store version from which changes are to be
     /// followed.
     async fn read_snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
         node.version_lists.forget();
-        let (rows, first_version) = loop {
-            let (rows, first_version) = self.read_rows(node, backoff).await;
-            if self != Self::Servers {
-                break (rows, first_version);
+        loop {
+            let (rows, version) = self.read_rows(node, backoff).await;
+            let Ok(changes) = self.list_versions(node, &rows, version, backoff).await else {
+                continue;
+            };
+            for row in &rows {
+                self.apply(node, row);
             }
-            let versions = version_lists::unknown_versions(node, &rows);
-            let listed = version_lists::look_up(node, &versions).await;
-            if self.is_listed(listed, backoff).await {
-                break (rows, first_version);
+            self.complete_snapshot(node, &rows, version);
+            if let Some(changes) = &changes {
+                self.apply_page(node, changes);
             }
-        };
-        for row in &rows {
-            self.apply(node, row);
+            return version;
+        }
+    }
+
+    /// Lists the versions of the registrations that were read at `version` of the store.
+    /// Returns the changes since then, if they must be known. The pages are not read again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store no longer has the changes.
+    async fn list_versions(
+        self,
+        node: &Node,
+        rows: &[Row],
+        version: u64,
+        backoff: &mut Backoff,
+    ) -> Result<Option<FeedPage>, StoreError> {
+        if self != Self::Servers {
+            return Ok(None);
         }
-        self.complete_snapshot(node, &rows, first_version);
-        first_version
+        let mut versions = version_lists::unknown_versions(node, rows);
+        let mut changes = None;
+        while look_up(node, &versions, backoff).await {
+            let page = loop {
+                match node.store.feed(self.table(), version, 0).await {
+                    Ok(page) => break page,
+                    Err(StoreError::HistoryGone) => return Err(StoreError::HistoryGone),
+                    Err(_) => sleep_after_failure(backoff).await,
+                }
+            };
+            versions = version_lists::unknown_versions(node, &page.rows);
+            changes = Some(page);
+        }
+        Ok(changes)
     }
 
     /// Reads all rows of the table, and the store version of the first page, since rows may
@@ -411,6 +430,19 @@
     min_interval_ms.clamp(FEED_WAIT_MIN_MS, FEED_WAIT_MAX_MS)
 }
 
+/// Looks up versions until they are listed. Returns whether registrations must be read again.
+async fn look_up(node: &Node, versions: &[ServiceVersion], backoff: &mut Backoff) -> bool {
+    loop {
+        match version_lists::look_up(node, versions).await {
+            Ok(must_read_again) => return must_read_again,
+            Err(error) => {
+                log::warn!("event=version_list_failed error={}", process::quote(&error));
+                sleep_after_failure(backoff).await;
+            }
+        }
+    }
+}
+
 /// Sleeps for the backoff time after a failed call.
 async fn sleep_after_failure(backoff: &mut Backoff) {
     sleep(Duration::from_millis(backoff.next_wait_ms())).await;
