--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use gateway::ServiceVersion;
 use ledger::{Heartbeat, call_interval_ms};
 use model::{InstanceId, JobId};
 use platform::{CONFIG_TABLE, FeedPage, Row, RowPage, RowRange, SERVERS_TABLE, StoreError};
@@ -215,20 +216,8 @@
             return true;
         }
         let versions = version_lists::new_versions(node, &page.rows);
-        let listed = version_lists::look_up(node, &versions).await;
-        self.is_listed(listed, backoff).await && versions.is_empty()
-    }
-
-    /// Returns whether versions were listed. Waits if they could not be.
-    async fn is_listed(self, listed: Result<bool, StoreError>, backoff: &mut Backoff) -> bool {
-        match listed {
-            Ok(must_read_again) => !must_read_again,
-            Err(error) => {
-                log::warn!("event=version_list_failed error={}", process::quote(&error));
-                sleep_after_failure(backoff).await;
-                false
-            }
-        }
+        look_up(node, &versions, backoff).await;
+        versions.is_empty()
     }
 
     /// Returns the time for which a call waits for changes.
@@ -244,31 +233,60 @@
     /// followed.
     async fn read_snapshot(self, node: &Rc<Node>, backoff: &mut Backoff) -> u64 {
         node.version_lists.forget();
-        let snapshot = loop {
-            let snapshot = self.read_rows(node, backoff).await;
-            if self != Self::Servers {
-                break snapshot;
-            }
-            let versions = version_lists::unknown_versions(node, &snapshot.rows);
-            let listed = version_lists::look_up(node, &versions).await;
-            if self.is_listed(listed, backoff).await {
-                break snapshot;
-            }
-        };
-        for row in &snapshot.rows {
-            self.apply(node, row);
-        }
-        self.complete_snapshot(node, &snapshot.rows, snapshot.version);
-        if self == Self::Config {
+        loop {
             let Snapshot {
+                rows,
                 version,
                 began_boot_ms,
                 store_ms,
-                ..
-            } = snapshot;
-            config_feed::record_answer(node, version, began_boot_ms, store_ms);
+            } = self.read_rows(node, backoff).await;
+            let Ok(changes) = self.list_versions(node, &rows, version, backoff).await else {
+                continue;
+            };
+            for row in &rows {
+                self.apply(node, row);
+            }
+            self.complete_snapshot(node, &rows, version);
+            if self == Self::Config {
+                config_feed::record_answer(node, version, began_boot_ms, store_ms);
+            }
+            if let Some(changes) = &changes {
+                self.apply_page(node, changes);
+            }
+            return version;
+        }
+    }
+
+    /// Lists the versions of the registrations that were read at `version` of the store.
+    /// Returns the changes since then, if they must be known. The pages are not read again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store no longer has the changes.
+    async fn list_versions(
+        self,
+        node: &Node,
+        rows: &[Row],
+        version: u64,
+        backoff: &mut Backoff,
+    ) -> Result<Option<FeedPage>, StoreError> {
+        if self != Self::Servers {
+            return Ok(None);
+        }
+        let mut versions = version_lists::unknown_versions(node, rows);
+        let mut changes = None;
+        while look_up(node, &versions, backoff).await {
+            let page = loop {
+                match node.store.feed(self.table(), version, 0).await {
+                    Ok(page) => break page,
+                    Err(StoreError::HistoryGone) => return Err(StoreError::HistoryGone),
+                    Err(_) => sleep_after_failure(backoff).await,
+                }
+            };
+            versions = version_lists::unknown_versions(node, &page.rows);
+            changes = Some(page);
         }
-        snapshot.version
+        Ok(changes)
     }
 
     /// Reads all rows of the table.
@@ -429,6 +447,19 @@
     min_interval_ms.clamp(FEED_WAIT_MIN_MS, FEED_WAIT_MAX_MS)
 }
 
+/// Looks up versions until they are listed. Returns whether registrations must be read again.
+async fn look_up(node: &Node, versions: &[ServiceVersion], backoff: &mut Backoff) -> bool {
+    loop {
+        match version_lists::look_up(node, versions).await {
+            Ok(must_read_again) => return must_read_again,
+            Err(error) => {
+                log::warn!("event=version_list_failed error={}", process::quote(&error));
+                sleep_after_failure(backoff).await;
+            }
+        }
+    }
+}
+
 /// Sleeps for the backoff time after a failed call.
 async fn sleep_after_failure(backoff: &mut Backoff) {
     sleep(Duration::from_millis(backoff.next_wait_ms())).await;
