--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,8 @@
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
 //! failed attempts. The modules `connectivity` and `proxies` decide which paths
 //! to upstreams are lost and which peer then makes an attempt. [`Quarantine`] decides about requests that crash upstreams,
-//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on.
+//! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on, [`Quotas`] whether a
+//! customer may send a request.
 
 mod attempts;
 mod batch_plan;
@@ -33,6 +34,7 @@
 mod forecast;
 mod health;
 mod kept_prompts;
+mod key_lease;
 mod leaving;
 mod limited_upstreams;
 mod listed_versions;
@@ -42,12 +44,18 @@
 mod peers;
 mod placement;
 mod prefill_rate;
+mod preview;
 mod probation;
 mod prompt_chain;
 mod prompt_placement;
 mod proxies;
 mod quarantine;
 mod quarantine_notice;
+mod quota_delegate;
+mod quota_fleet;
+mod quota_issuer;
+mod quota_message;
+mod quotas;
 mod rate_limits;
 mod recent_prompts;
 mod refusal;
@@ -58,8 +66,11 @@
 mod stream_origins;
 mod target;
 mod token_issuer;
+mod token_wallet;
+mod unknown_keys;
 mod upstream;
 mod upstream_row;
+mod upstream_speed;
 mod upstream_table;
 mod version_history;
 
@@ -71,17 +82,22 @@
     customers::{Customer, CustomerTable, KeyDigest, Quota},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
+    key_lease::{ConfigAnswer, ConfigConfirmation, ConfirmationSource, KeyLease, PeerNews},
     leaving::LeavingUpstream,
     listed_versions::{ListedVersion, ListedVersions, Listing, ServiceVersion, versions_to_list},
     notice_scheduler::{NoticeScheduler, notice_pause_ms},
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption},
+    preview::{Exclusion, Preview, UpstreamPreview, Weighing},
     probation::RequestTrial,
     prompt_placement::{PromptRead, ServiceMemory},
     proxies::ProxyPeer,
     quarantine::{LostRequest, Quarantine, QuarantineChange, QuarantineCheck},
     quarantine_notice::{QuarantineNotice, Quarantined},
+    quota_fleet::QuotaFleet,
+    quota_message::{QuotaAction, QuotaMessage, QuotaPeer, QuotaSource, QuotaVerdict},
+    quotas::{QuotaTerms, Quotas, customer_hash},
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
@@ -93,7 +109,9 @@
     },
     target::Target,
     token_issuer::SettledTokens,
+    unknown_keys::{RemovedKey, UnknownKeys},
     upstream::{UpstreamEntry, UpstreamState},
+    upstream_speed::PaceReport,
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{FROM_THE_START_MS, ObservedVersions, VanishedVersion, VersionHistory},
 };
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -25,6 +25,7 @@
 mod answer;
 mod attempt;
 mod clock;
+mod config_feed;
 mod connection_pool;
 mod crash_detection;
 mod customers;
@@ -33,6 +34,7 @@
 mod exchange;
 mod feeds;
 mod forward;
+mod freshness_check;
 mod head_limit;
 mod heartbeats;
 mod jobs;
@@ -47,8 +49,9 @@
 mod proxy_listener;
 mod proxy_message;
 mod quarantine;
+mod quota_metrics;
+mod quotas;
 mod rate_limits;
-mod registration_check;
 mod registrations;
 mod relay;
 mod shutdown;
@@ -56,6 +59,7 @@
 mod stream_versions;
 mod upstream_connections;
 mod version_lists;
+mod where_query;
 
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
@@ -138,6 +142,7 @@
     listener::start(&node).await?;
     load_notices::start(&node).await?;
     stream_versions::start(&node).await?;
+    quotas::start(&node).await?;
     proxy_listener::start(&node).await?;
     spawn_local(path_probes::run(Rc::clone(&node)));
     spawn_local(rate_limits::run(Rc::clone(&node)));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,7 +27,7 @@
 use process::{AdminState, time_histogram};
 use tokio::{net::TcpListener, task::spawn_local};
 
-use crate::node::Node;
+use crate::{clock::boot_ms, node::Node, quota_metrics::QuotaMetrics};
 
 /// HTTP path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -69,11 +69,13 @@
     waiting_items: Gauge<u64>,
     config_version: Gauge<u64>,
     store_age: Gauge<f64>,
+    config_confirmed_age: Gauge<f64>,
     ready_upstreams: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
     unreachable_upstreams: Gauge<u64>,
     proxied: Gauge<u64>,
     busiest: BusiestUpstreams,
+    pub(crate) quotas: QuotaMetrics,
 }
 
 impl Metrics {
@@ -96,6 +98,7 @@
             meter.u64_gauge(name).with_description(description).build()
         };
         Self {
+            quotas: QuotaMetrics::new(&meter),
             request_duration: histogram(
                 "http.server.request.duration",
                 "Time from a request to the end of its answer",
@@ -155,6 +158,11 @@
                 .with_unit("s")
                 .with_description("Time since the store last answered")
                 .build(),
+            config_confirmed_age: meter
+                .f64_gauge("redwingtack.config_confirmed_age")
+                .with_unit("s")
+                .with_description("Time since the configuration was known to be the newest")
+                .build(),
             ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
             unreachable_upstreams: gauge(
                 "redwingtack.upstreams_unreachable",
@@ -189,6 +197,11 @@
         self.retry_after.record(seconds(retry_after_ms), &[]);
     }
 
+    /// Counts a request that is refused for good because of its key.
+    pub(crate) fn on_key_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn on_attempt(&self) {
         self.attempts.add(1, &[]);
     }
@@ -303,6 +316,10 @@
         self.config_version.record(version, &[]);
         let age_ms = node.store_health.time_since_answer_ms(node.now_ms());
         self.store_age.record(seconds(age_ms), &[]);
+        let confirmation = node.key_lease.borrow().last_confirmation(boot_ms());
+        if let Some((age_ms, _)) = confirmation {
+            self.config_confirmed_age.record(seconds(age_ms), &[]);
+        }
         *self.busiest.lock().unwrap_or_else(PoisonError::into_inner) =
             busiest_upstreams(&upstreams);
     }
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -28,7 +28,12 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node, registration_check, version_lists};
+use crate::{
+    datagrams,
+    freshness_check::{self, Subject},
+    node::Node,
+    version_lists,
+};
 
 /// Time in which the holders of a record must answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -261,7 +266,9 @@
     node: &Rc<Node>,
     service: &ServiceName,
 ) -> Result<VersionHash, OriginUnknown> {
-    if only_version(node, service).is_some() && !registration_check::confirm(node).await {
+    if only_version(node, service).is_some()
+        && !freshness_check::confirm(node, Subject::Registrations).await
+    {
         return Err(OriginUnknown::Now);
     }
     only_version(node, service).ok_or_else(|| {
