Quotas and keys: faults that a reading of the whole change found

Causes: a delegate that forgot a customer after 30 s took all that its issuer had granted before for new tokens (333 requests in a window, 284 allowed); quotas were unknown for half a second after a start; an unreadable configuration led to final refusals, and to calls of the store without pause; a late answer with an old configuration could end the lease; on a host with public and other jobs, a customer's own jobs were not found; the first configuration with customers could come while a body was read. Changes: customers are remembered for longer than issuers remember holders; quotas come into force with their configuration; only a confirmation leads to 401; rows older than the newest are left; fields that nothing read are gone; wording.

--- a/crates/gateway/src/key_lease.rs
+++ b/crates/gateway/src/key_lease.rs
@@ -206,6 +206,10 @@
         let Some(length_ms) = self.length_ms else {
             return wait_ms;
         };
+        if self.is_superseded || self.config_version.is_none() {
+            // Only a change of the configuration can renew the lease.
+            return wait_ms;
+        }
         let expires_at_ms = self
             .confirmed
             .map_or(0, |confirmed| confirmed.expires_at_ms);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,15 +9,15 @@
 //!
 //! In a large region, notices are older than many requests that peers have placed
 //! meanwhile, and all instances would choose the same upstreams, which seem to be the
-//! least loaded. An instance therefore first places the requests in thought that its
-//! peers are expected to have placed, and then its own.
+//! least loaded. An instance therefore first simulates the placements that its peers are
+//! expected to have made since their last notices, and then places its own request.
 //!
 //! An upstream to which this instance has no path is weighed like any other, with the way
 //! through a peer that has one.
 
 use std::ops::Range;
 
-use model::{CustomerName, InstanceId, PromptPart, ServiceName, UpstreamId};
+use model::{InstanceId, PromptPart, ServiceName, UpstreamId};
 use rand::RngExt;
 
 use crate::{
@@ -68,11 +68,6 @@
 pub struct PlacementRequest<'a> {
     /// Service that the request is for.
     pub service: &'a ServiceName,
-    /// Customer on whose behalf the request is sent; `None` if the configuration names no
-    /// customers, or if the route needs no key.
-    pub customer: Option<&'a CustomerName>,
-    /// Priority of the request; 0 is the most urgent.
-    pub priority: u32,
     /// Parts of the prompt in order; empty if the request names none.
     pub prompt_parts: &'a [PromptPart],
     /// Upstreams that the request was sent to before. Others are preferred.
@@ -141,8 +136,8 @@
             Proxies::default()
         };
         let mut candidates = self.candidates(request, timings, &proxies, now_ms);
-        // Drawn at random, so that instances that had the same notices do not all fill the same
-        // upstreams in thought and then choose the same next one.
+        // Drawn at random, so that instances that had the same notices do not all simulate the
+        // same placements and then choose the same upstream.
         let unseen = self.unseen_placements(request.service, timings);
         for _ in 0..self.rng.random_range(0..=unseen) {
             let Some(unseen_choice) = self.choose(&candidates) else {
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -36,8 +36,10 @@
 /// Time between two updates from which on the process counts as having been frozen,
 /// milliseconds.
 const FROZEN_MS: u64 = 1_200;
-/// Time after which the bucket of a customer that sends nothing is forgotten, milliseconds.
-const IDLE_MS: u64 = 30_000;
+/// Time after which a customer that sends nothing is forgotten, milliseconds. It is longer than
+/// issuers remember a holder: otherwise a holder that begins anew would take what was granted
+/// to it before for new tokens.
+const IDLE_MS: u64 = 60_000;
 /// Number of delegates that are asked before an instance decides itself.
 const DELEGATES_ASKED: usize = 2;
 /// The delegates may together send this part of the slack ahead of grants.
@@ -109,6 +111,9 @@
         });
         self.customers = limited.collect();
         self.customers.sort_unstable_by_key(|row| row.hash);
+        if self.customers.is_empty() {
+            self.rows.clear();
+        }
     }
 
     /// Replaces the registered instances, and those of them that sent a notice recently.
--- a/crates/gateway/src/token_issuer.rs
+++ b/crates/gateway/src/token_issuer.rs
@@ -173,7 +173,7 @@
         if !self.is_empty() {
             return 0;
         }
-        let missing = 1.0 - self.tokens.max(self.excess);
+        let missing = 1.0 - self.tokens;
         whole_tokens(missing * MS_PER_S / rate_per_s.max(f64::MIN_POSITIVE)).saturating_add(1)
     }
 
--- a/crates/gateway/tests/connectivity.rs
+++ b/crates/gateway/tests/connectivity.rs
@@ -291,8 +291,6 @@
         let service = service();
         let request = PlacementRequest {
             service: &service,
-            customer: None,
-            priority: 0,
             prompt_parts: &[],
             tried: &[],
             goal_ms: GOAL_MS,
--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -83,8 +83,6 @@
     let service = service();
     let request = PlacementRequest {
         service: &service,
-        customer: None,
-        priority: 0,
         prompt_parts: parts,
         tried: &[],
         goal_ms: GOAL_MS,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -171,8 +171,6 @@
     let service = service();
     let request = |waited_ms| PlacementRequest {
         service: &service,
-        customer: None,
-        priority: 0,
         prompt_parts: &[],
         tried: &[],
         goal_ms: GOAL_MS,
--- a/crates/gateway/tests/preview.rs
+++ b/crates/gateway/tests/preview.rs
@@ -19,8 +19,6 @@
 fn request(service: &ServiceName) -> PlacementRequest<'_> {
     PlacementRequest {
         service,
-        customer: None,
-        priority: 0,
         prompt_parts: &[],
         tried: &[],
         goal_ms: GOAL_MS,
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -172,6 +172,20 @@
     );
 }
 
+/// Delegates and issuers forget a customer that pauses, each after a time of its own. What was
+/// granted before the pause is not granted again.
+#[test]
+fn pause_grants_nothing_again() {
+    for pause_ms in (29_500..=33_000).step_by(250) {
+        let mut fleet = Fleet::new(9, 40.0, 40.0, 7);
+        let begin_ms = fleet.now_ms();
+        fleet.run_until(begin_ms + 6_000, 40.0);
+        fleet.run_until(begin_ms + 6_000 + pause_ms, 0.0);
+        fleet.run_until(begin_ms + 9_000 + pause_ms, 400.0);
+        fleet.check_windows();
+    }
+}
+
 /// A retry delay lies in the range that callers keep.
 #[test]
 fn refusal_says_when_a_token_is_expected() {
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -50,8 +50,6 @@
 fn place_at(table: &mut UpstreamTable, version: Option<VersionHash>) -> Placement {
     let request = PlacementRequest {
         service: &service(),
-        customer: None,
-        priority: 0,
         prompt_parts: &[],
         tried: &[],
         goal_ms: 300,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -68,8 +68,6 @@
     let service = service();
     let request = PlacementRequest {
         service: &service,
-        customer: None,
-        priority: 0,
         prompt_parts: &[],
         tried,
         goal_ms: GOAL_MS,
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -167,8 +167,6 @@
     ) -> Placement {
         let request = PlacementRequest {
             service: &self.service,
-            customer: None,
-            priority: 0,
             prompt_parts: &[],
             tried,
             goal_ms: ANSWER_GOAL_MS,
--- a/crates/node/src/config_feed.rs
+++ b/crates/node/src/config_feed.rs
@@ -11,13 +11,15 @@
     clock::boot_ms,
     freshness_check::{self, Subject},
     node::Node,
+    quotas,
 };
 
 /// Applies a row of the table unless a newer configuration is in force.
 pub(crate) fn apply_row(node: &Node, row: &Row) {
-    if *row.key != *CONFIG_KEY || row.is_removed {
+    if *row.key != *CONFIG_KEY || row.is_removed || row.version < node.config_row_version.get() {
         return;
     }
+    node.config_row_version.set(row.version);
     let table = match decode_config(&row.value) {
         Ok(table) => table,
         Err(problems) => {
@@ -48,6 +50,7 @@
         customers.as_deref(),
         version,
     );
+    quotas::set_customers(node, customers.as_deref());
     node.update_initial_state();
     log::info!(
         "event=config_applied config_version={version} routes={routes} customers={customer_count}"
--- a/crates/node/src/customers.rs
+++ b/crates/node/src/customers.rs
@@ -93,7 +93,7 @@
     is_public: impl Fn(&RouteTable) -> bool,
 ) -> Result<Option<Arc<Customer>>, KeyRefusal> {
     let arrived_ms = boot_ms();
-    let find = || find_customer(node, call.key, &is_public);
+    let find = || find_customer(node, call, &is_public);
     let Ok(mut customer) = find() else {
         let is_checked = |key| node.unknown_keys.borrow().is_unknown(key, arrived_ms);
         if call.key.is_some_and(is_checked) {
@@ -136,7 +136,7 @@
 
 fn find_customer(
     node: &Node,
-    key: Option<&KeyDigest>,
+    call: KeyedCall<'_>,
     is_public: impl Fn(&RouteTable) -> bool,
 ) -> Result<Option<Arc<Customer>>, NoCustomer> {
     let Some(routes) = node.routes() else {
@@ -145,18 +145,25 @@
     let Some(customers) = &routes.customers else {
         return Ok(None);
     };
-    if is_public(&routes) {
-        return Ok(None);
+    let customer = call.key.and_then(|key| customers.find(key)).cloned();
+    match (is_public(&routes), call.id) {
+        (true, CallId::Request(_)) => Ok(None),
+        // The host may have jobs of both kinds.
+        (true, CallId::Job(_)) => Ok(customer),
+        (false, _) => customer.map(Some).ok_or(NoCustomer),
     }
-    let customer = key.and_then(|key| customers.find(key)).ok_or(NoCustomer)?;
-    Ok(Some(Arc::clone(customer)))
 }
 
 /// Returns whether the configuration in force is the newest one at `since_ms` or later.
 async fn make_sure(node: &Rc<Node>, since_ms: u64) -> bool {
     let is_confirmed = || node.key_lease.borrow().is_confirmed_since(since_ms);
+    if is_confirmed() {
+        return true;
+    }
     let check = freshness_check::confirm(node, Subject::Config);
-    is_confirmed() || timeout(UNKNOWN_KEY_TIMEOUT, check).await == Ok(true) || is_confirmed()
+    // The answer confirms nothing if it brings a configuration that cannot be read.
+    let _ = timeout(UNKNOWN_KEY_TIMEOUT, check).await;
+    is_confirmed()
 }
 
 fn refuse_unknown(node: &Node, call: KeyedCall<'_>) -> KeyRefusal {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -123,8 +123,11 @@
     };
     let call = CallerRequest {
         route,
+        // The first configuration with customers may have come while the body was read.
+        has_customers: node
+            .routes()
+            .is_some_and(|routes| routes.customers.is_some()),
         customer,
-        has_customers: routes.customers.is_some(),
         parts,
         headers: request_headers,
         body,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -173,13 +173,6 @@
         Err(self.refuse(reason, retry_after_ms))
     }
 
-    /// Returns the priority of the request: that of its customer, or else that of its route.
-    fn priority(&self) -> u32 {
-        let customer = self.customer.as_ref();
-        let priority = customer.and_then(|customer| customer.priority);
-        priority.unwrap_or(self.route.priority)
-    }
-
     fn is_resumable_stream(&self) -> bool {
         self.route.is_stream() && self.route.is_retryable()
     }
@@ -267,8 +260,6 @@
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
         let request = PlacementRequest {
             service: &self.service,
-            customer: self.customer.as_ref().map(|customer| &customer.name),
-            priority: self.priority(),
             prompt_parts: &self.outgoing.prompt_parts,
             tried: self.retries.tried(),
             goal_ms: self.route.goal_ms,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,6 +53,8 @@
     routes: RefCell<Option<Arc<RouteTable>>>,
     /// Store version up to which every change of the configuration has been read.
     pub(crate) config_fed_version: Cell<u64>,
+    /// Store version of the newest row of the configuration that was read.
+    pub(crate) config_row_version: Cell<u64>,
     /// Lease on accepting the keys of the configuration in force. Its times are those of
     /// [`crate::clock::boot_ms`].
     pub(crate) key_lease: RefCell<KeyLease>,
@@ -159,6 +161,7 @@
             clock: Clock::new(),
             routes: RefCell::default(),
             config_fed_version: Cell::default(),
+            config_row_version: Cell::default(),
             key_lease: RefCell::new(key_lease),
             unknown_keys: RefCell::default(),
             upstreams: RefCell::new(UpstreamTable::new(locality, rand::random())),
--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -15,8 +15,8 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{
-    Customer, Quota, QuotaAction, QuotaFleet, QuotaMessage, QuotaPeer, QuotaSource, QuotaTerms,
-    QuotaVerdict, Quotas,
+    Customer, CustomerTable, Quota, QuotaAction, QuotaFleet, QuotaMessage, QuotaPeer, QuotaSource,
+    QuotaTerms, QuotaVerdict, Quotas,
 };
 use model::Region;
 use platform::Settings;
@@ -54,8 +54,6 @@
 #[derive(Debug)]
 pub(crate) struct QuotaExchange {
     quotas: RefCell<Quotas>,
-    /// Version of the configuration whose customers are known.
-    config_version: Cell<Option<u64>>,
     peers_updated_ms: Cell<Option<u64>>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     waiting: RefCell<Vec<WaitingRequest>>,
@@ -92,7 +90,6 @@
         };
         Self {
             quotas: RefCell::new(Quotas::new(fleet, terms, rand::random(), 0)),
-            config_version: Cell::default(),
             peers_updated_ms: Cell::default(),
             socket: RefCell::default(),
             waiting: RefCell::default(),
@@ -231,13 +228,25 @@
     }
 }
 
-/// Issues tokens, repeats demands and follows the configuration until the process exits.
+/// Applies the quotas of a configuration that comes into force.
+pub(crate) fn set_customers(node: &Node, customers: Option<&CustomerTable>) {
+    let empty = CustomerTable::default();
+    let mut quotas = node.quotas.quotas.borrow_mut();
+    quotas.set_customers(customers.unwrap_or(&empty));
+}
+
+/// Issues tokens and repeats demands until the process exits.
 async fn keep_up(node: Rc<Node>) {
     loop {
-        follow_configuration(&node);
         let has_quotas = node.quotas.quotas.borrow().has_quotas();
         if !has_quotas {
-            sleep(IDLE_INTERVAL).await;
+            let is_configured = node.routes().is_some();
+            sleep(if is_configured {
+                IDLE_INTERVAL
+            } else {
+                UPDATE_INTERVAL
+            })
+            .await;
             continue;
         }
         follow_peers(&node);
@@ -248,19 +257,6 @@
     }
 }
 
-fn follow_configuration(node: &Node) {
-    let Some(routes) = node.routes() else {
-        return;
-    };
-    let exchange = &node.quotas;
-    if exchange.config_version.replace(Some(routes.version)) == Some(routes.version) {
-        return;
-    }
-    if let Some(customers) = &routes.customers {
-        exchange.quotas.borrow_mut().set_customers(customers);
-    }
-}
-
 fn follow_peers(node: &Node) {
     let exchange = &node.quotas;
     let now_ms = node.now_ms();
--- a/crates/node/src/where_query.rs
+++ b/crates/node/src/where_query.rs
@@ -97,8 +97,6 @@
     };
     let request = PlacementRequest {
         service,
-        customer: name,
-        priority,
         prompt_parts: prompt,
         tried: &[],
         goal_ms: route.goal_ms,
--- a/crates/node/tests/customer_keys.rs
+++ b/crates/node/tests/customer_keys.rs
@@ -174,6 +174,17 @@
     assert!(answer.headers.contains_key("retry-after"));
 }
 
+/// The newest configuration cannot be read, so it may have the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_key_is_not_refused_for_good_by_an_unreadable_configuration() {
+    let cluster = start(1).await;
+    let unreadable = json!({"version": 2, "routes": "none"});
+    cluster.put_row("op", "config", &unreadable).await;
+    sleep(Duration::from_millis(300)).await;
+    let answer = send(&cluster.nodes[0], "r1", "wrong").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// Callers send wrong keys as fast as they can. The calls to the store that this leads to stay
 /// few, and other callers are served.
 #[tokio::test(flavor = "multi_thread")]
