--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -166,8 +166,8 @@
     for (id, _) in EIGHT {
         let upstream = target(&mut table, id);
         let delay_ms = if id == "u1" { 25.0 } else { 5.0 };
-        for _ in 0..8 {
-            table.record_answer_delay(&upstream, delay_ms, 0);
+        for answer in 0..8 {
+            table.record_answer_delay(&upstream, delay_ms, answer * 200);
         }
     }
     let placement = place(&mut table, &prompt(1, 100, 2));
