--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -36,9 +36,8 @@
 /// Time between two updates from which on the process counts as having been frozen,
 /// milliseconds.
 const FROZEN_MS: u64 = 1_200;
-/// Time after which a customer that sends nothing is forgotten, milliseconds. It is longer than
-/// issuers remember a holder: otherwise a holder that begins anew would take what was granted
-/// to it before for new tokens.
+/// Time after which a customer that sends nothing is forgotten, milliseconds: longer than issuers
+/// remember a holder, so that a new row does not take what was granted before for new tokens.
 const IDLE_MS: u64 = 60_000;
 /// Number of delegates that are asked before an instance decides itself.
 const DELEGATES_ASKED: usize = 2;
@@ -243,10 +242,9 @@
         for index in 0..self.rows.len() {
             self.update_row(index, now_ms, &mut actions);
         }
-        let window_ms = self.terms.window_ms;
         self.rows.retain(|row| {
             let is_issuer_idle = row.issuer.as_ref().is_none_or(QuotaIssuer::is_idle);
-            let is_recent = now_ms < row.used_ms + IDLE_MS.max(window_ms);
+            let is_recent = now_ms < row.used_ms + IDLE_MS.max(self.terms.window_ms);
             is_recent || !is_issuer_idle
         });
         actions
@@ -470,10 +468,9 @@
     }
 
     fn quota(&self, customer: u64) -> Option<Quota> {
-        let index = self
-            .customers
-            .binary_search_by_key(&customer, |row| row.hash);
-        Some(self.customers[index.ok()?].quota)
+        let rows = &self.customers;
+        let index = rows.binary_search_by_key(&customer, |row| row.hash);
+        Some(rows[index.ok()?].quota)
     }
 
     fn find(&self, customer: u64) -> Result<usize, usize> {
