--- a/crates/gateway/src/upstream_speed.rs
+++ b/crates/gateway/src/upstream_speed.rs
@@ -30,8 +30,6 @@
 const PACE_LIFETIME_MS: u64 = 30_000;
 /// Maximum number of delays of answers that are kept for an upstream.
 const DELAYS_MAX: usize = 9;
-/// Minimum time between two delays that are kept, milliseconds, for the same reason.
-const DELAY_SPACING_MS: u64 = 200;
 /// Age from which a delay is ignored, milliseconds.
 const DELAY_LIFETIME_MS: u64 = 5_000;
 /// Number of measurements for which the value of the service counts. A new upstream has
@@ -161,10 +159,6 @@
 
 impl AnswerDelays {
     pub(crate) fn add(&mut self, delay_ms: f64, now_ms: u64) {
-        let last = self.delays.last();
-        if last.is_some_and(|(_, measured_ms)| now_ms < measured_ms + DELAY_SPACING_MS) {
-            return;
-        }
         self.delays
             .retain(|(_, measured_ms)| now_ms < measured_ms + DELAY_LIFETIME_MS);
         if self.delays.len() >= DELAYS_MAX {
