--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -184,8 +184,8 @@
     let upstreams = match case.upstream {
         Upstream::Absent => Vec::new(),
         Upstream::Refusing => vec![
-            engine_entry("engine", unused_address().await),
-            service_entry("service", unused_address().await),
+            engine_entry("engine", unused_address()),
+            service_entry("service", unused_address()),
         ],
         _ => vec![
             engine_entry("engine", engine_standin.address()),
@@ -311,7 +311,7 @@
 
 async fn platform_address(platform: Platform, standin: &Standin) -> SocketAddr {
     match platform {
-        Platform::Refusing => unused_address().await,
+        Platform::Refusing => unused_address(),
         Platform::Running => standin.address(),
         Platform::Slow { delay_ms } => {
             let fault = Fault::new(FaultKind::Slow { delay_ms });
@@ -346,7 +346,7 @@
     let resetting = start_engine(EngineSettings::default()).await;
     let resetting = resetting.expect("an engine starts");
     inject_fault(Upstream::Faulty(FaultKind::ResetAfterHeaders), &resetting).await;
-    let refusing = unused_address().await;
+    let refusing = unused_address();
     let mut kinds = BTreeSet::new();
     // The choice between two idle engines is random, hence several entries.
     for _ in 0..ENTRY_COUNT {
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -85,7 +85,7 @@
 async fn call_idempotent_is_retried_at_another_upstream() {
     let fixture = Fixture::start().await;
     let upstreams = vec![
-        service_entry("courts-0", unused_address().await),
+        service_entry("courts-0", unused_address()),
         service_entry("courts-1", fixture.service.address()),
     ];
     let entry = TestEntry::start(upstreams, fixture.platform.address()).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -318,13 +318,14 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Returns an address at which no server listens, so that connections to it are
-/// refused.
-pub async fn unused_address() -> SocketAddr {
-    let listener = tokio::net::TcpListener::bind(any_port())
-        .await
-        .expect("a port is free");
-    listener.local_addr().expect("the socket has an address")
+/// Returns an address at which no server listens, so that connections to it are refused. The
+/// port stays taken until the process ends, so that no other test listens there.
+pub fn unused_address() -> SocketAddr {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket can be opened");
+    socket.bind(any_port()).expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    std::mem::forget(socket);
+    address
 }
 
 fn upstream_entry(id: &str, address: SocketAddr, kind: UpstreamKind) -> UpstreamEntry {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -331,12 +331,24 @@
                         self.table(),
                         process::quote(&error)
                     );
+                    if !self.is_needed_to_serve() && !node.is_ready() {
+                        // While the store's rate is short, the other tables come first.
+                        sleep(Duration::from_millis(RETRY_MAX_MS)).await;
+                    }
                     sleep_after_failure(backoff).await;
                 }
             }
         }
     }
 
+    /// Returns whether no request can be placed before the table has been read.
+    fn is_needed_to_serve(self) -> bool {
+        match self {
+            Self::Config | Self::Servers => true,
+            Self::Heartbeats | Self::Jobs => false,
+        }
+    }
+
     /// Handles the end of a snapshot that began at `version` of the store: removes the
     /// servers and jobs that have no row, and records that the table has been read.
     fn complete_snapshot(self, node: &Rc<Node>, rows: &[Row], version: u64) {
