A start at a low read rate does not repeat feed calls at each recovery of the store

Cause: in the log of a start that took over 11 s, a heartbeat succeeded each second between failed reads, which counted as a recovery and repeated the other feeds' calls; with the two reads of the list of versions, servers were read after up to 20 s. Change: feed calls are repeated at a recovery only once the instance is ready.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -149,7 +149,8 @@
                 let call = node.store.feed(self.table(), version, wait_ms);
                 let changes = tokio::select! {
                     changes = call => changes,
-                    _ = recoveries.changed() => continue,
+                    // At a start, repeated calls would take the reads that other tables need.
+                    _ = recoveries.changed(), if node.is_ready() => continue,
                 };
                 match changes {
                     Ok(page) => {
