--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -61,9 +61,10 @@
 
 
 async def read_chunk(reader):
-    size = int((await reader.readline()).split(b";")[0].strip() or b"0", 16)
+    line = await reader.readuntil(b"\n")
+    size = int(line.split(b";")[0].strip(), 16)
     chunk = await reader.readexactly(size) if size else b""
-    await reader.readline()
+    await reader.readuntil(b"\n")
     return chunk
 
 
