--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -119,15 +119,18 @@
 
     async def apply(self, changes):
         async with self.changed:
-            self.version += 1
-            for row, value in changes:
-                if value is None:
-                    if self.rows.pop(row, None) is None:
-                        continue
-                else:
-                    self.rows[row] = (value, self.version)
-                self.changes.append((self.version, row, value))
-            self.changed.notify_all()
+            self.apply_locked(changes)
+
+    def apply_locked(self, changes):
+        self.version += 1
+        for row, value in changes:
+            if value is None:
+                if self.rows.pop(row, None) is None:
+                    continue
+            else:
+                self.rows[row] = (value, self.version)
+            self.changes.append((self.version, row, value))
+        self.changed.notify_all()
 
     async def serve(self, reader, writer):
         try:
@@ -169,18 +172,20 @@
             return response(403)
         if len(conditions) + len(changes) > 100:
             return response(400)
-        current = []
-        holds = True
-        for entry in conditions:
-            row = row_of(entry)
-            value, version = self.rows.get(row, (None, 0))
-            holds &= version == entry["ver"]
-            if version:
-                current.append(encode_row(row, value, version))
-        if not holds:
-            return response(412, self.stamp({"rows": current}))
-        await self.apply([(row_of(entry), value) for entry, value in changes])
-        return response(200, self.stamp({}))
+        # Conditions and changes are one step: no other transaction comes between them.
+        async with self.changed:
+            current = []
+            holds = True
+            for entry in conditions:
+                row = row_of(entry)
+                value, version = self.rows.get(row, (None, 0))
+                holds &= version == entry["ver"]
+                if version:
+                    current.append(encode_row(row, value, version))
+            if not holds:
+                return response(412, self.stamp({"rows": current}))
+            self.apply_locked([(row_of(entry), value) for entry, value in changes])
+            return response(200, self.stamp({}))
 
     def page(self, query):
         table, part = query["table"], query.get("part", "")
