--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -554,38 +554,3 @@
         sys.exit(2)
     record("the rule was broken" if is_broken else "the rule held")
     sys.exit(1 if is_broken else 0)
-
-
-class Entry:
-    """The address of the platform to which the clients of one zone connect. Forwards new
-    connections to the nodes in rotation; to all of the zone if under half of them are."""
-
-    def __init__(self, fleet, names, record):
-        self.fleet = fleet
-        self.names = list(names)
-        self.misses = {name: 0 for name in names}
-        self.record = record
-
-    async def check(self):
-        """Asks each node once a second whether it is ready; two misses take it out."""
-        while True:
-            await asyncio.gather(*(self.check_node(name) for name in self.names))
-            await asyncio.sleep(1)
-
-    async def check_node(self, name):
-        try:
-            answer = await asyncio.wait_for(
-                call(self.fleet.nodes[name]["ip"], "GET", "/ready", port=8167), 0.9)
-            is_ready = answer.status == 200
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            is_ready = False
-        before = self.misses[name]
-        self.misses[name] = 0 if is_ready else before + 1
-        if self.misses[name] == 2 or (is_ready and before >= 2):
-            self.record(f"{name} is {'in' if is_ready else 'out of'} rotation")
-
-    def choose(self, client):
-        in_rotation = [name for name in self.names if self.misses[name] < 2]
-        if 2 * len(in_rotation) < len(self.names):
-            in_rotation = self.names
-        return in_rotation[hash(("entry", client)) % len(in_rotation)]
