--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -486,6 +487,8 @@
                     except ProcessLookupError:
                         pass
                 await node["process"].wait()
+        if os.environ.get("KEEP") != "1":
+            shutil.rmtree(self.work, ignore_errors=True)
 
 
 class CannotRun(Exception):
