Records of streams are sent while a service has one version, too

Cause: record_origin sent a stream's record to its holders only while versions might be mixed. When the instance that began the stream was lost before the newer version came, the record was lost with it, and no instance could prove the version any more.

Change: the record is sent when the stream begins. Holders are instances with a lease first and, if there are too few, others; an instance that knows no lease asks twice as many, since it cannot tell who had one. origin_found logs how the version of a stream is known.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -4,15 +4,18 @@
 //! any instance to take up streams that broke off. A stream may go on only at the version
 //! that began it, and the instance that knows it may be lost.
 //!
-//! The instance that brings the first event of a stream keeps a record of it. While versions
-//! may be mixed, it also sends the record to a few holders, which any instance finds by
-//! rendezvous hashing of the attempt. So the cost of a stream does not depend on the number
-//! of instances. An instance that finds no record knows nothing: it never takes this as a
-//! sign that a version is the right one.
+//! The instance that brings the first event of a stream keeps a record of it, and sends the
+//! record to a few holders, which any instance finds by rendezvous hashing of the attempt. So
+//! the cost of a stream does not depend on the number of instances. Records are sent while a
+//! service has a single version, too: another one may come after the instance that brought
+//! the stream was lost. An instance that finds no record knows nothing: it never takes this
+//! as a sign that a version is the right one.
 //!
 //! All times are milliseconds on the store's clock.
 
-use model::{InstanceId, PromptPart, Region, ServiceName, SoftwareVersion};
+use std::cmp::Reverse;
+
+use model::{InstanceId, PromptPart, Region, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -29,6 +32,9 @@
 /// instances may have come or gone since the record was sent.
 const REGION_HOLDERS_ASKED: usize = 3;
 const REMOTE_HOLDERS_ASKED: usize = 2;
+/// Factor by which more possible holders are asked while no lease is known: some of those
+/// that rank first may have had none when the record was sent.
+const UNKNOWN_LEASES_FACTOR: usize = 2;
 
 /// Hash of the id of a caller's attempt, or of the content of its request. Callers that do not
 /// name the attempt which they take up send the same request again.
@@ -57,6 +63,8 @@
     pub instance: InstanceId,
     /// Region of the instance.
     pub region: Region,
+    /// Whether the instance is known to hold a valid lease.
+    pub has_lease: bool,
 }
 
 /// Whether a record is to be sent or looked for.
@@ -81,9 +89,9 @@
     /// `None` if there are records of different versions.
     version: Option<VersionHash>,
     expires_at_ms: u64,
-    /// Service of a stream that this instance brought, while its record has not been sent to
-    /// holders.
-    unsent_service: Option<ServiceName>,
+    /// Whether this is the record of a stream that this instance brought, and its holders
+    /// may not have got it.
+    is_unsent: bool,
 }
 
 impl AttemptHash {
@@ -115,21 +123,20 @@
 }
 
 impl StreamOrigins {
-    /// Adds the record of a stream of which this instance brought events. It is sent as soon
-    /// as versions of the service may be mixed; see [`Self::unsent`].
-    pub fn record_own(&mut self, record: OriginRecord, service: &ServiceName, now_ms: u64) {
-        let service = Some(service.clone());
-        self.insert(record.attempt, Some(record.version), service, now_ms);
+    /// Adds the record of a stream of which this instance brought events. It is to be sent to
+    /// its holders; see [`Self::unsent`].
+    pub fn record_own(&mut self, record: OriginRecord, now_ms: u64) {
+        self.insert(record.attempt, Some(record.version), true, now_ms);
     }
 
     /// Adds a record of a peer.
     pub fn receive(&mut self, record: OriginRecord, now_ms: u64) {
-        self.insert(record.attempt, Some(record.version), None, now_ms);
+        self.insert(record.attempt, Some(record.version), false, now_ms);
     }
 
     /// Adds that there are records of different versions under an attempt.
     pub fn receive_contradiction(&mut self, attempt: AttemptHash, now_ms: u64) {
-        self.insert(attempt, None, None, now_ms);
+        self.insert(attempt, None, false, now_ms);
     }
 
     /// Returns whether there are records of different versions under an attempt.
@@ -147,18 +154,13 @@
         row.version.filter(|_| now_ms < row.expires_at_ms)
     }
 
-    /// Returns the records of this instance that have not been sent to holders yet, of the
-    /// services whose versions may be mixed.
+    /// Returns the records of this instance that have not been sent to their holders yet.
     #[must_use]
-    pub fn unsent(
-        &self,
-        may_be_mixed: impl Fn(&ServiceName) -> bool,
-        now_ms: u64,
-    ) -> Vec<OriginRecord> {
-        let unsent = self.rows.iter().filter(|row| {
-            let service = row.unsent_service.as_ref();
-            now_ms < row.expires_at_ms && service.is_some_and(&may_be_mixed)
-        });
+    pub fn unsent(&self, now_ms: u64) -> Vec<OriginRecord> {
+        let unsent = self
+            .rows
+            .iter()
+            .filter(|row| row.is_unsent && now_ms < row.expires_at_ms);
         let records = unsent.filter_map(|row| {
             Some(OriginRecord {
                 attempt: row.attempt,
@@ -171,7 +173,7 @@
     /// Records that the record of an attempt was sent to its holders.
     pub fn record_sent(&mut self, attempt: AttemptHash) {
         if let Ok(index) = self.find(attempt) {
-            self.rows[index].unsent_service = None;
+            self.rows[index].is_unsent = false;
         }
     }
 
@@ -185,7 +187,7 @@
         &mut self,
         attempt: AttemptHash,
         version: Option<VersionHash>,
-        unsent_service: Option<ServiceName>,
+        is_unsent: bool,
         now_ms: u64,
     ) {
         let expires_at_ms = now_ms + STREAM_LIFETIME_MS;
@@ -200,7 +202,7 @@
                     attempt,
                     version,
                     expires_at_ms,
-                    unsent_service,
+                    is_unsent,
                 };
                 self.rows.insert(index, row);
                 self.limit(now_ms);
@@ -227,7 +229,8 @@
 }
 
 /// Returns the positions in `peers` of the holders of an attempt's record, as seen from an
-/// instance in `own_region`. Callers mostly come back within a region.
+/// instance in `own_region`. Callers mostly come back within a region. Those that hold a lease
+/// come first; one without may be alive, but out of touch with the store.
 #[must_use]
 pub fn record_holders(
     attempt: AttemptHash,
@@ -235,14 +238,12 @@
     own_region: &Region,
     holder_use: HolderUse,
 ) -> Vec<usize> {
-    let (region_count, remote_count) = match holder_use {
-        HolderUse::Send => (REGION_HOLDERS, REMOTE_HOLDERS),
-        HolderUse::Ask => (REGION_HOLDERS_ASKED, REMOTE_HOLDERS_ASKED),
-    };
+    let (region_count, remote_count) = holder_counts(peers, holder_use);
     let mut ranked: Vec<_> = (0..peers.len()).collect();
     ranked.sort_by_cached_key(|index| {
-        let rank = election_rank(&peers[*index].instance, attempt.0);
-        std::cmp::Reverse(rank)
+        let peer = &peers[*index];
+        let rank = election_rank(&peer.instance, attempt.0);
+        Reverse((peer.has_lease, rank))
     });
     let (own, remote): (Vec<_>, Vec<_>) = ranked
         .into_iter()
@@ -250,3 +251,19 @@
     let own = own.into_iter().take(region_count);
     own.chain(remote.into_iter().take(remote_count)).collect()
 }
+
+/// Returns the number of holders in the own region and in others.
+fn holder_counts(peers: &[RecordHolder], holder_use: HolderUse) -> (usize, usize) {
+    match holder_use {
+        HolderUse::Send => (REGION_HOLDERS, REMOTE_HOLDERS),
+        HolderUse::Ask => {
+            let knows_leases = peers.iter().any(|peer| peer.has_lease);
+            let factor = if knows_leases {
+                1
+            } else {
+                UNKNOWN_LEASES_FACTOR
+            };
+            (REGION_HOLDERS_ASKED * factor, REMOTE_HOLDERS_ASKED * factor)
+        }
+    }
+}
--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -204,6 +204,14 @@
             .filter(|heartbeat| heartbeat.owner.instance != self.local.instance)
     }
 
+    /// Returns the heartbeats of all other instances, and whether each holds a valid lease.
+    pub fn peers_with_leases(&self, now_ms: u64) -> impl Iterator<Item = (&Heartbeat, bool)> {
+        self.instances
+            .iter()
+            .map(move |row| (&row.heartbeat, row.is_live(now_ms)))
+            .filter(|(heartbeat, _)| heartbeat.owner.instance != self.local.instance)
+    }
+
     /// Returns the address on which callers reach an instance, even if its lease
     /// has expired.
     #[must_use]
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -155,8 +155,13 @@
         let keys = self.stream_keys();
         let origin = stream_versions::find_origin(&self.node, &self.service, keys).await;
         let retry_after_ms = match origin {
-            Ok(version) => {
-                self.version = Some(version);
+            Ok(origin) => {
+                log::info!(
+                    "event=origin_found request={} proof={}",
+                    self.outgoing.request_id,
+                    origin.proof.as_str()
+                );
+                self.version = Some(origin.version);
                 return Ok(());
             }
             Err(OriginUnknown::Now) => NOT_RUN_RETRY_AFTER_MS,
@@ -190,7 +195,7 @@
     pub(crate) fn record_origin(&self, target: &Target) {
         if self.is_resumable_stream() {
             let keys = self.stream_keys();
-            stream_versions::record_origin(&self.node, keys, &self.service, &target.version);
+            stream_versions::record_origin(&self.node, keys, &target.version);
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,10 +26,10 @@
     freshness_check::FreshnessCheck,
     jobs::Runner,
     metrics::Metrics,
+    origin_exchange::OriginExchange,
     peer_connections::PeerConnections,
     quotas::QuotaExchange,
     store_calls::StoreHealth,
-    stream_versions::OriginExchange,
     version_lists::VersionLists,
 };
 
--- /dev/null
+++ b/crates/node/tests/streams_out_of_touch.rs
@@ -0,0 +1,143 @@
+//! Streams that callers take up at an instance that is out of touch: with the store, with its
+//! peers, or because it stood still. What two software versions write does not fit together.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use support::{HOST, TestCluster, begin_stream, send_request, store_proxy::StoreProxy};
+use tokio::time::sleep;
+
+/// Time in which every instance learns of new registrations, and of its peers.
+const TIME_TO_LEARN: Duration = Duration::from_secs(3);
+/// Time after which an instance without a heartbeat has lost its lease.
+const LEASE_LOST: Duration = Duration::from_secs(5);
+/// Number of streams that a test takes up.
+const STREAMS: usize = 16;
+
+/// How many streams went on when they were taken up.
+#[derive(Debug, PartialEq, Eq)]
+struct TakenUp {
+    gone_on: usize,
+    mixed: usize,
+}
+
+/// Starts instances of which the second one reaches the store through a proxy. Every other
+/// server is registered, with one version.
+async fn start(nodes: usize) -> (TestCluster, StoreProxy) {
+    let mut cluster = TestCluster::start(&[16; 6], 1).await;
+    for index in (1..6).step_by(2) {
+        cluster.unregister_server(index).await;
+    }
+    let proxy = cluster.add_proxied_node("node-1").await;
+    for index in 2..nodes {
+        cluster.add_node(&format!("node-{index}"));
+        cluster.nodes[index].wait_until_ready().await;
+    }
+    sleep(TIME_TO_LEARN).await;
+    (cluster, proxy)
+}
+
+fn version_of(server: usize) -> &'static str {
+    if server.is_multiple_of(2) { "v1" } else { "v2" }
+}
+
+async fn register_second_version(cluster: &TestCluster) {
+    for index in (1..6).step_by(2) {
+        cluster.register_version(index, "v2").await;
+    }
+}
+
+fn path_of(stream: usize) -> String {
+    format!("/long/stream-{stream}")
+}
+
+/// Begins all streams at an instance and leaves each after two events.
+async fn begin_all(address: SocketAddr) {
+    for stream in 0..STREAMS {
+        let id = format!("first-{stream}");
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", &*id),
+            ("redwingtack-deadline-ms", "4000"),
+        ];
+        assert!(begin_stream(address, &path_of(stream), &headers, 2).await);
+    }
+}
+
+/// Takes up all streams at an instance, without the id of the attempt that began them.
+async fn take_up_all(cluster: &TestCluster, address: SocketAddr) -> TakenUp {
+    let mut taken_up = TakenUp {
+        gone_on: 0,
+        mixed: 0,
+    };
+    for stream in 0..STREAMS {
+        let id = format!("again-{stream}");
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", &*id),
+            ("redwingtack-deadline-ms", "3000"),
+            ("last-event-id", "2"),
+        ];
+        let body = b"prompt".to_vec();
+        let answer = send_request(address, "POST", &path_of(stream), &headers, body)
+            .await
+            .unwrap();
+        if answer.status == StatusCode::OK {
+            assert!(answer.is_complete, "{answer:?}");
+            taken_up.gone_on += 1;
+        } else {
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        }
+        taken_up.mixed += usize::from(is_mixed(cluster, stream).await);
+    }
+    taken_up
+}
+
+/// Returns whether a stream ran at servers of both versions.
+async fn is_mixed(cluster: &TestCluster, stream: usize) -> bool {
+    let end = format!("-{stream}");
+    let mut versions = Vec::new();
+    for (server, runs) in cluster.runs_by_server().await.iter().enumerate() {
+        if runs.keys().any(|attempt| attempt.ends_with(&end)) {
+            versions.push(version_of(server));
+        }
+    }
+    versions.contains(&"v1") && versions.contains(&"v2")
+}
+
+/// Guards against streams that are refused after a kill because servers of another version
+/// have just registered: their records were sent to holders only once versions were mixed.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_after_a_kill_just_before_another_version() {
+    let (mut cluster, _proxy) = start(4).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    drop(cluster.nodes.remove(0));
+    register_second_version(&cluster).await;
+    sleep(TIME_TO_LEARN).await;
+    let taken_up = take_up_all(&cluster, cluster.nodes[2].callers_address).await;
+    let all = TakenUp {
+        gone_on: STREAMS,
+        mixed: 0,
+    };
+    assert_eq!(taken_up, all);
+}
+
+/// Guards against streams that are joined or refused at an instance that stood still while
+/// servers of another version joined: it must find the holders though it has seen no lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_after_a_pause() {
+    let (mut cluster, _proxy) = start(4).await;
+    cluster.nodes[1].signal(Signal::SIGSTOP);
+    register_second_version(&cluster).await;
+    sleep(LEASE_LOST).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    drop(cluster.nodes.remove(0));
+    let paused = &cluster.nodes[0];
+    paused.signal(Signal::SIGCONT);
+    let taken_up = take_up_all(&cluster, paused.callers_address).await;
+    assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
+    assert!(taken_up.gone_on > STREAMS / 2, "{taken_up:?}");
+}
