An instance out of touch takes no missing record as proof of a version

Cause: an instance that did not reach the store took "no record" of any one holder as proof that the stream began at the only version it knew. It cannot tell an outage for all from being turned away alone: others had registered and used a newer version, their records had gone to holders with a lease, which it was not, and the holders had been killed and had started again.

Change: "no record" proves nothing. The messages are new last variants: the last version passes over them.

--- a/crates/node/src/origin_exchange.rs
+++ b/crates/node/src/origin_exchange.rs
@@ -15,6 +15,7 @@
     serde::{decode_from_slice, encode_to_vec},
 };
 use gateway::{AttemptHash, ObservedVersions, OriginRecord, VersionHash};
+use model::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -27,18 +28,23 @@
     datagrams,
     node::Node,
     record_holders::{self, Peers},
-    stream_versions, version_lists,
+    stream_versions::{self, OriginUnknown},
+    version_lists,
 };
 
 /// Time in which the holders of a record must answer.
 const HOLDERS_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which peers must answer that read the registrations before: a call to the store
+/// and a round trip between regions.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which records are expired, and the history of peers is asked for while the
 /// own one is too short.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of a datagram, bytes.
 const DATAGRAM_MAX_BYTES: usize = 4 * 1024;
 
-/// Contents of a datagram.
+/// Contents of a datagram. Earlier versions of the program know only the first variants, and
+/// pass over a datagram with another one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// Streams that began at the sender, which the receiver shall remember.
@@ -56,6 +62,22 @@
     History(ObservedVersions),
     /// Answers a query: there are records of different versions.
     Contradicted(AttemptHash),
+    /// Asks whether all streams of a service began at one version, by the registrations that
+    /// the store has now.
+    ConfirmationQuery { service: ServiceName, id: u64 },
+    /// Answers a confirmation query with the same id.
+    Confirmation { id: u64, outcome: Confirmation },
+}
+
+/// What an instance says of the versions of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Confirmation {
+    /// It does not reach the store, so it knows nothing for certain.
+    Unconfirmed,
+    /// All streams that may still be taken up began at this version.
+    Only(VersionHash),
+    /// They may have begun at several versions, and will for this time, milliseconds.
+    Several { for_ms: u64 },
 }
 
 /// What the holders of a record know.
@@ -77,13 +99,25 @@
     questions: RefCell<Vec<Rc<PendingQuestion>>>,
 }
 
+/// What peers are asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Subject {
+    /// The record of an attempt.
+    Record(AttemptHash),
+    /// A confirmation, with the id of the question: an answer to an earlier one says nothing
+    /// of now.
+    Confirmation(u64),
+}
+
 /// A question whose answers are awaited.
 #[derive(Debug)]
 struct PendingQuestion {
-    attempt: AttemptHash,
+    subject: Subject,
     missing_answers: Cell<usize>,
     /// Whether a single answer does not decide.
     needs_all: bool,
+    /// The confirmation that decided.
+    confirmation: Cell<Confirmation>,
     is_decided: Notify,
 }
 
@@ -97,14 +131,15 @@
 impl<'a> QuestionGuard<'a> {
     fn new(
         exchange: &'a OriginExchange,
-        attempt: AttemptHash,
+        subject: Subject,
         peer_count: usize,
         needs_all: bool,
     ) -> Self {
         let question = Rc::new(PendingQuestion {
-            attempt,
+            subject,
             missing_answers: Cell::new(peer_count),
             needs_all,
+            confirmation: Cell::new(Confirmation::Unconfirmed),
             is_decided: Notify::new(),
         });
         exchange.questions.borrow_mut().push(Rc::clone(&question));
@@ -150,7 +185,8 @@
     needs_all: bool,
 ) -> HoldersAnswer {
     let holders = Peers::new(node).holders_to_ask(attempt);
-    let guard = QuestionGuard::new(&node.origin_exchange, attempt, holders.len(), needs_all);
+    let subject = Subject::Record(attempt);
+    let guard = QuestionGuard::new(&node.origin_exchange, subject, holders.len(), needs_all);
     for address in &holders {
         send(node, *address, &Message::Query(attempt));
     }
@@ -168,6 +204,24 @@
     }
 }
 
+/// Asks peers whether all streams of a service began at one version. Those that reach the
+/// store read the registrations before they answer.
+pub(crate) async fn ask_for_confirmation(node: &Node, service: &ServiceName) -> Confirmation {
+    let peers = Peers::new(node).addresses_in_touch(node);
+    let id = rand::random();
+    let subject = Subject::Confirmation(id);
+    let guard = QuestionGuard::new(&node.origin_exchange, subject, peers.len(), false);
+    let query = Message::ConfirmationQuery {
+        service: service.clone(),
+        id,
+    };
+    for address in peers {
+        send(node, address, &query);
+    }
+    guard.wait(CONFIRMATION_TIMEOUT).await;
+    guard.question.confirmation.get()
+}
+
 /// Sends a message. A message that cannot be sent is lost.
 pub(crate) fn send(node: &Node, address: SocketAddr, message: &Message) {
     let socket = node.origin_exchange.socket.borrow();
@@ -195,7 +249,7 @@
     }
 }
 
-fn receive(node: &Node, sender: SocketAddr, message: Message) {
+fn receive(node: &Rc<Node>, sender: SocketAddr, message: Message) {
     let now_ms = node.store_now_ms();
     match message {
         Message::Records(records) => {
@@ -210,13 +264,13 @@
                 let record = OriginRecord { attempt, version };
                 node.stream_origins.borrow_mut().receive(record, now_ms);
             }
-            count_answer(node, attempt, version.is_some());
+            count_answer(node, Subject::Record(attempt), version.is_some());
         }
         Message::Contradicted(attempt) => {
             let mut origins = node.stream_origins.borrow_mut();
             origins.receive_contradiction(attempt, now_ms);
             drop(origins);
-            count_answer(node, attempt, true);
+            count_answer(node, Subject::Record(attempt), true);
         }
         Message::HistoryQuery => {
             if let Some(observed) = node.version_history.borrow().observed() {
@@ -224,6 +278,15 @@
             }
         }
         Message::History(observed) => node.version_history.borrow_mut().receive(&observed),
+        Message::ConfirmationQuery { service, id } => {
+            spawn_local(answer_confirmation_query(
+                Rc::clone(node),
+                sender,
+                service,
+                id,
+            ));
+        }
+        Message::Confirmation { id, outcome } => receive_confirmation(node, id, outcome),
     }
 }
 
@@ -237,9 +300,35 @@
     Message::Answer { attempt, version }
 }
 
-fn count_answer(node: &Node, attempt: AttemptHash, is_known: bool) {
+async fn answer_confirmation_query(
+    node: Rc<Node>,
+    sender: SocketAddr,
+    service: ServiceName,
+    id: u64,
+) {
+    let outcome = match stream_versions::confirmed_only_version(&node, &service).await {
+        Ok(version) => Confirmation::Only(version),
+        Err(OriginUnknown::ForMs(for_ms)) => Confirmation::Several { for_ms },
+        Err(OriginUnknown::Now) => Confirmation::Unconfirmed,
+    };
+    send(&node, sender, &Message::Confirmation { id, outcome });
+}
+
+fn receive_confirmation(node: &Node, id: u64, outcome: Confirmation) {
+    let subject = Subject::Confirmation(id);
+    let is_confirmed = outcome != Confirmation::Unconfirmed;
+    if is_confirmed {
+        let questions = node.origin_exchange.questions.borrow();
+        for question in questions.iter().filter(|asked| asked.subject == subject) {
+            question.confirmation.set(outcome);
+        }
+    }
+    count_answer(node, subject, is_confirmed);
+}
+
+fn count_answer(node: &Node, subject: Subject, is_known: bool) {
     let questions = node.origin_exchange.questions.borrow();
-    for question in questions.iter().filter(|asked| asked.attempt == attempt) {
+    for question in questions.iter().filter(|asked| asked.subject == subject) {
         let missing_answers = question.missing_answers.get().saturating_sub(1);
         question.missing_answers.set(missing_answers);
         if missing_answers == 0 || is_known && !question.needs_all {
--- a/crates/node/src/record_holders.rs
+++ b/crates/node/src/record_holders.rs
@@ -3,8 +3,10 @@
 
 use std::net::SocketAddr;
 
-use gateway::{AttemptHash, HolderUse, OriginRecord, RecordHolder, record_holders};
-use model::Region;
+use gateway::{
+    AttemptHash, HolderUse, OriginRecord, RecordHolder, StoreReachability, record_holders,
+};
+use model::{InstanceId, Region};
 use rand::seq::IndexedRandom;
 
 use crate::{
@@ -17,6 +19,9 @@
 const PEERS_SETTLED_MS: u64 = 3_000;
 /// Number of peers that are asked for their history at a time.
 const HISTORY_PEERS: usize = 2;
+/// Number of peers that are asked for a confirmation beside those that are known to reach the
+/// store.
+const CONFIRMATION_PEERS: usize = 3;
 /// Maximum number of records in a datagram.
 const RECORDS_PER_DATAGRAM: usize = 48;
 
@@ -89,12 +94,38 @@
         holders.map(|holder| self.addresses[holder]).collect()
     }
 
+    /// Returns the addresses of peers that reach the store, as far as that is known, and of
+    /// some others.
+    pub(crate) fn addresses_in_touch(&self, node: &Node) -> Vec<SocketAddr> {
+        let has_peers = !self.holders.is_empty();
+        let reachability = node.upstreams.borrow_mut().store_reachability(has_peers);
+        let in_touch = match reachability {
+            StoreReachability::ViaPeers(peers) => peers,
+            StoreReachability::Unreachable | StoreReachability::Isolated => Vec::new(),
+        };
+        let known = in_touch.iter().filter_map(|peer| self.address_of(peer));
+        let others = self
+            .addresses
+            .sample(&mut rand::rng(), CONFIRMATION_PEERS)
+            .copied();
+        let mut addresses: Vec<_> = known.chain(others).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Returns the addresses of the peers that are asked for their history next.
     pub(crate) fn sample_for_history(&self) -> Vec<SocketAddr> {
         let sample = self.addresses.sample(&mut rand::rng(), HISTORY_PEERS);
         sample.copied().collect()
     }
 
+    fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let mut holders = self.holders.iter();
+        let index = holders.position(|holder| holder.instance == *instance)?;
+        Some(self.addresses[index])
+    }
+
     fn holders(&self, attempt: AttemptHash, holder_use: HolderUse) -> Vec<usize> {
         record_holders(attempt, &self.holders, &self.own_region, holder_use)
     }
--- a/crates/node/src/stream_versions.rs
+++ b/crates/node/src/stream_versions.rs
@@ -10,7 +10,7 @@
 use crate::{
     freshness_check::{self, Subject},
     node::Node,
-    origin_exchange::{self, HoldersAnswer},
+    origin_exchange::{self, Confirmation, HoldersAnswer},
     record_holders::Peers,
 };
 
@@ -60,6 +60,8 @@
     Record,
     /// By the registrations that the store has now, all streams began at this version.
     Registrations,
+    /// The same, as confirmed by a peer.
+    PeerRegistrations,
 }
 
 impl OriginProof {
@@ -68,6 +70,7 @@
         match self {
             Self::Record => "record",
             Self::Registrations => "registrations",
+            Self::PeerRegistrations => "peer_registrations",
         }
     }
 
@@ -142,13 +145,7 @@
     match holders {
         HoldersAnswer::Version(version) => Ok(OriginProof::Record.of(version)),
         HoldersAnswer::Contradicted => Err(OriginUnknown::ForMs(STREAM_LIFETIME_MS)),
-        // Nothing can be registered while no instance reaches the store. A peer that knew of
-        // another version would have the record.
-        HoldersAnswer::NoRecord if node.store_health.is_unreachable() => {
-            only_version(node, service)
-                .map(|version| OriginProof::Registrations.of(version))
-                .ok_or(OriginUnknown::Now)
-        }
+        // The holders may have been told nothing, or may have been restarted since.
         HoldersAnswer::NoRecord => origin_by_registrations(node, service).await,
         HoldersAnswer::Silent => origin_by_registrations(node, service)
             .await
@@ -156,20 +153,37 @@
     }
 }
 
+/// Returns the only version, as confirmed by the store or, if this instance does not reach it,
+/// by a peer that does.
 async fn origin_by_registrations(
     node: &Rc<Node>,
     service: &ServiceName,
 ) -> Result<Origin, OriginUnknown> {
-    let version = confirmed_only_version(node, service).await?;
-    Ok(OriginProof::Registrations.of(version))
+    match confirmed_only_version(node, service).await {
+        Ok(version) => return Ok(OriginProof::Registrations.of(version)),
+        Err(OriginUnknown::ForMs(time_ms)) => return Err(OriginUnknown::ForMs(time_ms)),
+        Err(OriginUnknown::Now) => {}
+    }
+    match origin_exchange::ask_for_confirmation(node, service).await {
+        Confirmation::Only(version) => Ok(OriginProof::PeerRegistrations.of(version)),
+        Confirmation::Several { for_ms } => Err(OriginUnknown::ForMs(for_ms)),
+        Confirmation::Unconfirmed => Err(OriginUnknown::Now),
+    }
 }
 
 /// Returns the version at which every stream of a service began that may still be taken up,
 /// by the registrations that the store has now.
-async fn confirmed_only_version(
+///
+/// # Errors
+///
+/// Returns an error if there may be several, or if the store did not confirm it.
+pub(crate) async fn confirmed_only_version(
     node: &Rc<Node>,
     service: &ServiceName,
 ) -> Result<VersionHash, OriginUnknown> {
+    if node.store_health.is_unreachable() {
+        return Err(OriginUnknown::Now);
+    }
     if only_version(node, service).is_some()
         && !freshness_check::confirm(node, Subject::Registrations).await
     {
--- a/crates/node/tests/streams_out_of_touch.rs
+++ b/crates/node/tests/streams_out_of_touch.rs
@@ -7,7 +7,11 @@
 
 use http::StatusCode;
 use nix::sys::signal::Signal;
-use support::{HOST, TestCluster, begin_stream, send_request, store_proxy::StoreProxy};
+use support::{
+    HOST, TestCluster, begin_stream, send_request,
+    store_proxy::{ProxyState, StoreProxy},
+    wait_until,
+};
 use tokio::time::sleep;
 
 /// Time in which every instance learns of new registrations, and of its peers.
@@ -108,6 +112,79 @@
     versions.contains(&"v1") && versions.contains(&"v2")
 }
 
+/// Waits until an instance has noticed that it does not reach the store.
+async fn wait_until_out_of_touch(cluster: &TestCluster, node: usize) {
+    wait_until("the store is lost", async || {
+        cluster.nodes[node].log().contains("event=store_lost")
+    })
+    .await;
+}
+
+/// Guards against streams joined from two versions at an instance that the store turns away:
+/// holders that had just been restarted said that they had no record, which it took as proof
+/// that the only version it knew was the right one.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_after_holders_were_restarted_without_store() {
+    let (mut cluster, proxy) = start(3).await;
+    proxy.set_state(ProxyState::Silent);
+    sleep(LEASE_LOST).await;
+    register_second_version(&cluster).await;
+    sleep(TIME_TO_LEARN).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    for node in [0, 2] {
+        cluster.nodes[node].restart();
+    }
+    for node in [0, 2] {
+        cluster.nodes[node].wait_until_ready().await;
+    }
+    let taken_up = take_up_all(&cluster, cluster.nodes[1].callers_address).await;
+    assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
+    assert!(taken_up.gone_on > 0, "those of its version: {taken_up:?}");
+}
+
+/// Guards against the same where no record was sent to the instance that is out of touch, as
+/// there are enough holders with a lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_without_store_after_all_records_were_lost() {
+    let (mut cluster, proxy) = start(4).await;
+    proxy.set_state(ProxyState::Silent);
+    sleep(LEASE_LOST).await;
+    register_second_version(&cluster).await;
+    sleep(TIME_TO_LEARN).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    for node in [0, 2, 3] {
+        cluster.nodes[node].restart();
+    }
+    for node in [0, 2, 3] {
+        cluster.nodes[node].wait_until_ready().await;
+    }
+    let taken_up = take_up_all(&cluster, cluster.nodes[1].callers_address).await;
+    assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
+}
+
+/// Guards against streams that are refused although their version is the only one: an instance
+/// that the store turns away asks peers that reach the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_of_single_version_by_a_peer_in_touch() {
+    let (mut cluster, proxy) = start(3).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    for node in &mut cluster.nodes {
+        node.restart();
+    }
+    for node in &cluster.nodes {
+        node.wait_until_ready().await;
+    }
+    sleep(TIME_TO_LEARN).await;
+    proxy.set_state(ProxyState::Reset);
+    wait_until_out_of_touch(&cluster, 1).await;
+    let taken_up = take_up_all(&cluster, cluster.nodes[1].callers_address).await;
+    let all = TakenUp {
+        gone_on: STREAMS,
+        mixed: 0,
+    };
+    assert_eq!(taken_up, all);
+}
+
 /// Guards against streams that are refused after a kill because servers of another version
 /// have just registered: their records were sent to holders only once versions were mixed.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -492,6 +492,11 @@
         fs::read_to_string(&self.log_path).unwrap()
     }
 
+    /// Returns the address at which peers exchange where streams began.
+    pub fn exchange_address(&self) -> SocketAddr {
+        SocketAddr::new(self.callers_address.ip(), PEER_PORT + 1)
+    }
+
     pub async fn is_ready(&self) -> bool {
         let answer = send_request(self.readiness_address, "GET", "/ready", &[], Vec::new()).await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
