Streams that go on are admitted at longer waits than new requests

Cause: a take-up was admitted like a new request, that is if its answer was expected to begin within 70 % of the latency goal. The trace shows origin_found proof=record, then reason=saturated with 92 requests at 72 slots, which is what broken streams leave behind while their callers come back.

Change: a request that goes on with a stream is refused as saturated only if it would wait for more than four times the goal. A new request that is refused can come again; a stream that is refused is lost, and the slot that it asks for was its own.

Test: place_stream_that_goes_on_is_sent_where_a_new_request_is_refused (failed before: 0 sent).

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -56,6 +56,10 @@
 /// for requests that peers are placing at the same time, which the estimate
 /// does not include.
 const WAIT_GOAL_PERCENT: u64 = 70;
+/// Maximum expected wait of a request that goes on with a stream, as a multiple of the latency
+/// goal. Its caller has events already and leaves after a longer gap; a refusal would cost it
+/// all of them, and the slot that the stream had is as good as free.
+const RESUMED_WAIT_GOALS: u64 = 4;
 /// Minimum retry delay after a refusal, milliseconds.
 const RETRY_MIN_MS: f64 = 100.0;
 /// Range of the retry delay after a refusal, as a multiple of the time for
@@ -394,7 +398,9 @@
     /// early, because the caller can then retry in time. Later, a late answer is
     /// better for the caller than a refusal.
     fn wait_limit_ms(&self) -> u64 {
-        if self.waited_ms <= self.goal_ms / EARLY_GOAL_DIVISOR {
+        if self.version.is_some() {
+            self.goal_ms * RESUMED_WAIT_GOALS
+        } else if self.waited_ms <= self.goal_ms / EARLY_GOAL_DIVISOR {
             (self.goal_ms * WAIT_GOAL_PERCENT / 100).saturating_sub(self.waited_ms)
         } else {
             self.goal_ms
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use gateway::{
-    ConnectFailure, Placement, PlacementRequest, RefusalReason, UpstreamState, WorkKind,
+    ConnectFailure, Placement, PlacementRequest, RefusalReason, UpstreamState, VersionHash,
+    WorkKind,
 };
 use model::UpstreamId;
 use support::{
@@ -183,6 +184,34 @@
     assert!(matches!(sent, Placement::Send { .. }), "{sent:?}");
 }
 
+/// Guards against streams that are refused when their callers come back in a burst: a new
+/// request can come again, a stream that is refused is lost. One that would wait too long is
+/// refused all the same.
+#[test]
+fn place_stream_that_goes_on_is_sent_where_a_new_request_is_refused() {
+    let service = service();
+    let request = |version| PlacementRequest {
+        service: &service,
+        prompt_parts: &[],
+        tried: &[],
+        goal_ms: GOAL_MS,
+        waited_ms: 0,
+        version,
+        may_refuse: true,
+    };
+    let mut table = upstream_table("me", &SAME_DOMAIN);
+    let version = Some(VersionHash::new(&entry("u1", "north-a").version));
+    while let Placement::Send { target, .. } = table.place(&request(None), 0) {
+        table.record_start(&target, WorkKind::Online, 0);
+    }
+    let mut sent = 0;
+    while let Placement::Send { target, .. } = table.place(&request(version), 0) {
+        table.record_start(&target, WorkKind::Online, 0);
+        sent += 1;
+    }
+    assert!((1..SLOTS * 10).contains(&sent), "{sent}");
+}
+
 /// A batch item at a full upstream is preempted as soon as its owner is
 /// notified, whereas an online request has to end by itself.
 #[test]
