--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -31,6 +31,12 @@
 /// instance can be removed.
 const EXPIRY_LEASES: u64 = 10;
 
+/// Maximum time between two heartbeats for which a row is believed, milliseconds. It is far
+/// longer than that of the largest fleet.
+const INTERVAL_MAX_MS: u64 = 600_000;
+/// Number of ports that an instance uses above that of its load notices.
+const PORTS_ABOVE_NOTICES: u16 = 15;
+
 /// Heartbeat row of an instance, as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -50,6 +56,17 @@
     pub is_stopping: bool,
 }
 
+impl Heartbeat {
+    /// Returns whether an instance of ours can have written the row. Another one could name an
+    /// address or a time with which no peer can work.
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        let port = self.peer_address.port();
+        (1..=INTERVAL_MAX_MS).contains(&self.interval_ms)
+            && (1..=u16::MAX - PORTS_ABOVE_NOTICES).contains(&port)
+    }
+}
+
 /// A job as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredJob {
--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -238,3 +238,25 @@
         0
     );
 }
+
+/// Guards against rows of another writer that name a time or a port with which no peer can
+/// work.
+#[test]
+fn is_plausible_within_limits() {
+    let owner = owner("a", 1);
+    assert!(heartbeat(&owner).is_plausible());
+    for interval_ms in [0, 600_001, u64::MAX] {
+        let odd = Heartbeat {
+            interval_ms,
+            ..heartbeat(&owner)
+        };
+        assert!(!odd.is_plausible(), "{interval_ms} ms");
+    }
+    for address in ["127.0.0.1:0", "127.0.0.1:65521", "127.0.0.1:65535"] {
+        let odd = Heartbeat {
+            peer_address: address.parse().unwrap(),
+            ..heartbeat(&owner)
+        };
+        assert!(!odd.is_plausible(), "{address}");
+    }
+}
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -411,7 +411,17 @@
         return;
     }
     match serde_json::from_slice::<Heartbeat>(&row.value) {
-        Ok(heartbeat) => directory.record_heartbeat(heartbeat, row.version, node.now_ms()),
+        Ok(heartbeat) if heartbeat.is_plausible() => {
+            directory.record_heartbeat(heartbeat, row.version, node.now_ms());
+        }
+        Ok(heartbeat) => log::error!(
+            "event=heartbeat_unreadable instance={} error={}",
+            row.key,
+            process::quote(&format!(
+                "implausible interval {} ms or address {}",
+                heartbeat.interval_ms, heartbeat.peer_address
+            ))
+        ),
         Err(error) => log::error!(
             "event=heartbeat_unreadable instance={} error={}",
             row.key,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -236,14 +236,20 @@
 
     /// Replaces the record of a job.
     pub async fn put_job_record(&self, job: &str, record: &Value) {
-        let byte_sum: usize = job.bytes().map(usize::from).sum();
-        let partition = (byte_sum % 8).to_string();
+        let partition = job_partition(job);
         self.put_row_in_partition("redwingtack_jobs", &partition, job, record)
             .await;
     }
 
     async fn put_row_in_partition(&self, table: &str, partition: &str, key: &str, value: &Value) {
-        let value = BASE64.encode(value.to_string());
+        let value = value.to_string();
+        self.put_bytes(table, partition, key, value.as_bytes())
+            .await;
+    }
+
+    /// Writes a row with any content, as another writer could.
+    pub async fn put_bytes(&self, table: &str, partition: &str, key: &str, value: &[u8]) {
+        let value = BASE64.encode(value);
         let put = json!({"table": table, "part": partition, "key": key, "value": value});
         self.put_rows(&json!({"puts": [put]})).await;
     }
@@ -497,6 +503,11 @@
         SocketAddr::new(self.callers_address.ip(), PEER_PORT + 1)
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let answer = send_request(self.readiness_address, "GET", "/ready", &[], Vec::new()).await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
@@ -759,6 +770,12 @@
     lines.join("\n")
 }
 
+/// Returns the partition of the table of jobs that holds a job.
+pub fn job_partition(job: &str) -> String {
+    let byte_sum: usize = job.bytes().map(usize::from).sum();
+    (byte_sum % 8).to_string()
+}
+
 /// Returns the record of a job of one item without an owner, as an earlier version of the
 /// program stored it.
 pub fn orphaned_job_record() -> Value {
@@ -784,7 +801,9 @@
            "body": BASE64.encode(format!("body of {id}")), "tokens": 9})
 }
 
-fn config(version: u64, tokens_max: u64) -> Value {
+/// Returns a configuration; `tokens_max` tokens may wait on its batch route, or any number if it
+/// is 0.
+pub fn config(version: u64, tokens_max: u64) -> Value {
     let stream = |name: &str, is_resumable: bool| {
         json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": "stream",
                "timeout_ms": 5000, "goal_ms": 300, "gap_aim_ms": 300, "priority": 0,
