What is decoded may take up a limited amount of memory

Callers saw: one datagram of anybody ended a process ("memory allocation of bytes failed"), and with it all its streams.

Cause: bincode without a limit sets memory aside for the length that stands before a text.

What is sent and stored keeps its form.

--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use bincode::{config, serde::decode_from_slice, serde::encode_to_vec};
 use bytes::{Bytes, BytesMut};
 use ledger::{Commit, CommitOutcome, ItemResult, JobRecord, PartialOutput, StoredItems};
 use model::JobId;
@@ -19,7 +18,7 @@
     partial_codec::{decode_partial, encode_partial},
     record_codec::decode_record,
 };
-use crate::node::Node;
+use crate::{codec, node::Node};
 
 /// Table of the job records.
 pub(crate) const JOBS_TABLE: &str = "redwingtack_jobs";
@@ -480,12 +479,11 @@
 }
 
 pub(super) fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
-    encode_to_vec(value, config::standard())
-        .map_err(|error| StoreError::Protocol(error.to_string()))
+    codec::encode(value).map_err(|error| StoreError::Protocol(error.to_string()))
 }
 
 pub(super) fn decode<T: serde::de::DeserializeOwned>(payload: &Bytes) -> Result<T, StoreError> {
-    decode_from_slice(payload, config::standard())
+    codec::decode_stored(payload)
         .map(|(value, _)| value)
         .map_err(|error| StoreError::Protocol(error.to_string()))
 }
--- a/crates/node/src/load_notices.rs
+++ b/crates/node/src/load_notices.rs
@@ -6,11 +6,7 @@
 
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bincode::{
-    config,
-    error::{DecodeError, EncodeError},
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::error::{DecodeError, EncodeError};
 use gateway::{
     ConfigConfirmation, LeavingUpstream, LimitNotice, LoadNotice, NoticeScheduler, PaceReport,
     PathNotice, QuarantineNotice, notice_pause_ms,
@@ -24,7 +20,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{clock::boot_ms, config_feed, datagrams, node::Node, quarantine, rate_limits};
+use crate::{clock::boot_ms, codec, config_feed, datagrams, node::Node, quarantine, rate_limits};
 
 /// Maximum time between two notices. A notice is repeated if the load has not changed,
 /// so that peers detect when an instance is cut off.
@@ -141,8 +137,8 @@
 impl Datagram {
     /// Encodes the notice, followed by the other values.
     fn encode(&self) -> Result<Vec<u8>, EncodeError> {
-        let mut datagram = encode_to_vec(&self.notice, config::standard())?;
-        datagram.extend(encode_to_vec(&self.leaving, config::standard())?);
+        let mut datagram = codec::encode(&self.notice)?;
+        datagram.extend(codec::encode(&self.leaving)?);
         let has_more = self.quarantine.is_some()
             || self.limits.is_some()
             || self.paths.is_some()
@@ -150,13 +146,13 @@
             || !self.paces.is_empty();
         if has_more {
             let former: FormerQuarantine = None;
-            datagram.extend(encode_to_vec(former, config::standard())?);
-            datagram.extend(encode_to_vec(&self.limits, config::standard())?);
-            datagram.extend(encode_to_vec(&self.quarantine, config::standard())?);
-            datagram.extend(encode_to_vec(&self.paths, config::standard())?);
-            datagram.extend(encode_to_vec(self.confirmation, config::standard())?);
+            datagram.extend(codec::encode(former)?);
+            datagram.extend(codec::encode(&self.limits)?);
+            datagram.extend(codec::encode(&self.quarantine)?);
+            datagram.extend(codec::encode(&self.paths)?);
+            datagram.extend(codec::encode(self.confirmation)?);
             if !self.paces.is_empty() {
-                datagram.extend(encode_to_vec(&self.paces, config::standard())?);
+                datagram.extend(codec::encode(&self.paces)?);
             }
         }
         Ok(datagram)
@@ -192,7 +188,7 @@
 
 /// Decodes the first value. Returns it and the bytes that follow it.
 fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
-    let (value, length) = decode_from_slice(bytes, config::standard())?;
+    let (value, length) = codec::decode_message(bytes)?;
     Ok((value, &bytes[length..]))
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -25,6 +25,7 @@
 mod answer;
 mod attempt;
 mod clock;
+mod codec;
 mod config_feed;
 mod connection_pool;
 mod crash_detection;
--- a/crates/node/src/origin_exchange.rs
+++ b/crates/node/src/origin_exchange.rs
@@ -10,10 +10,6 @@
     time::Duration,
 };
 
-use bincode::{
-    config,
-    serde::{decode_from_slice, encode_to_vec},
-};
 use gateway::{AttemptHash, ObservedVersions, OriginRecord, VersionHash};
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -25,7 +21,7 @@
 };
 
 use crate::{
-    datagrams,
+    codec, datagrams,
     node::Node,
     record_holders::{self, Peers},
     stream_versions::{self, OriginUnknown},
@@ -229,7 +225,7 @@
         return;
     };
     // Encoding into memory cannot fail.
-    let datagram = encode_to_vec(message, config::standard()).unwrap_or_default();
+    let datagram = codec::encode(message).unwrap_or_default();
     if let Err(error) = socket.try_send_to(&datagram, address) {
         log::debug!(
             "event=origin_send_failed peer={address} error={}",
@@ -242,7 +238,7 @@
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
         let (length, sender) = datagrams::receive(&socket, &mut buffer).await;
-        match decode_from_slice(&buffer[..length], config::standard()) {
+        match codec::decode_message(&buffer[..length]) {
             Ok((message, _)) => receive(&node, sender, message),
             Err(error) => log::warn!("event=origin_unreadable error={}", process::quote(&error)),
         }
--- a/crates/node/src/proxy_message.rs
+++ b/crates/node/src/proxy_message.rs
@@ -2,15 +2,13 @@
 //! request and its answer. Each message is one header value: `bincode` in base64.
 
 use base64::{Engine as _, engine::general_purpose::STANDARD_NO_PAD as BASE64};
-use bincode::{
-    config,
-    serde::{decode_from_slice, encode_to_vec},
-};
 use gateway::{AttemptEnd, RequestContent, WorkKind};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use model::{InstanceId, UpstreamId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::codec;
+
 /// Header of a request with its [`ProxiedAttempt`].
 const ATTEMPT: HeaderName = HeaderName::from_static("x-redwingtack-attempt");
 /// Header of a request with a [`PathQuery`].
@@ -103,12 +101,12 @@
 
 fn encode(message: &impl Serialize) -> HeaderValue {
     // Encoding into memory cannot fail.
-    let bytes = encode_to_vec(message, config::standard()).unwrap_or_default();
+    let bytes = codec::encode(message).unwrap_or_default();
     HeaderValue::from_str(&BASE64.encode(bytes)).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
 fn decode<T: DeserializeOwned>(value: &HeaderValue) -> Option<T> {
     let bytes = BASE64.decode(value).ok()?;
-    let (message, _) = decode_from_slice(&bytes, config::standard()).ok()?;
+    let (message, _) = codec::decode_message(&bytes).ok()?;
     Some(message)
 }
--- a/crates/node/src/quotas.rs
+++ b/crates/node/src/quotas.rs
@@ -10,10 +10,6 @@
     time::Duration,
 };
 
-use bincode::{
-    config,
-    serde::{decode_from_slice, encode_to_vec},
-};
 use gateway::{
     Customer, CustomerTable, Quota, QuotaAction, QuotaFleet, QuotaMessage, QuotaPeer, QuotaSource,
     QuotaTerms, QuotaVerdict, Quotas,
@@ -27,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{datagrams, node::Node};
+use crate::{codec, datagrams, node::Node};
 
 /// Time after which another delegate is asked. It covers a question that waits for an issuer
 /// in another region.
@@ -212,7 +208,7 @@
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
         let (length, sender) = datagrams::receive(&socket, &mut buffer).await;
-        match decode_from_slice(&buffer[..length], config::standard()) {
+        match codec::decode_message(&buffer[..length]) {
             Ok((message, _)) => {
                 let now_ms = node.now_ms();
                 let mut quotas = node.quotas.quotas.borrow_mut();
@@ -301,7 +297,7 @@
         return;
     };
     // Encoding into memory cannot fail.
-    let datagram = encode_to_vec(message, config::standard()).unwrap_or_default();
+    let datagram = codec::encode(message).unwrap_or_default();
     if let Err(error) = socket.try_send_to(&datagram, address) {
         log::debug!(
             "event=quota_send_failed peer={address} error={}",
--- a/crates/node/tests/odd_inputs.rs
+++ b/crates/node/tests/odd_inputs.rs
@@ -1,20 +1,28 @@
-//! Odd input: rows of other writers among those that every instance reads, and figures in headers. What cannot be read names nothing to use; the rest holds, and no
+//! Odd input: rows of other writers among those that every instance reads, datagrams of anybody,
+//! and figures in headers. What cannot be read names nothing to use; the rest holds, and no
 //! process ends or stops following a table.
 
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use support::{
     HOST, TestCluster, complete_stream, config, job_partition, send_request, wait_until,
 };
-use tokio::time::{sleep, timeout};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
 
 /// Time in which every instance reads a new row.
 const TIME_TO_LEARN: Duration = Duration::from_millis(500);
 const JOBS_TABLE: &str = "redwingtack_jobs";
+/// Number of odd datagrams, and the seed of their bytes.
+const DATAGRAMS: usize = 8_000;
+const SEED: u64 = 43;
 /// Depth of nested arrays.
 const DEPTH: usize = 100_000;
 
@@ -243,6 +251,33 @@
     check_serves(&mut cluster).await;
 }
 
+/// Guards against datagrams of anybody that end a process: each of the ports on which peers
+/// are heard gets random ones, and messages of ours in which single bytes are changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_datagrams_are_passed_over() {
+    let mut cluster = start().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut random = SmallRng::seed_from_u64(SEED);
+    for number in 0..DATAGRAMS {
+        let length = random.random_range(0..200);
+        let mut datagram: Vec<u8> = (0..length).map(|_| random.random()).collect();
+        if let Some(first) = datagram.first_mut() {
+            // Lengths and variants that occur.
+            *first %= 12;
+        }
+        let address = cluster.nodes[number % 2].exchange_address();
+        let port = address.port() - 1 + random.random_range(0..4);
+        let target = SocketAddr::new(address.ip(), port);
+        socket.send_to(&datagram, target).await.unwrap();
+        if number % 64 == 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+    cluster.unregister_server(0).await;
+    cluster.register_server(1, "ready").await;
+    check_serves(&mut cluster).await;
+}
+
 /// Guards against figures in a caller's headers that end a process: each at the end of its
 /// type, alone and all together.
 #[tokio::test(flavor = "multi_thread")]
