A version that cannot be listed does not hold up the other registrations

Callers saw: after entries of another writer with 60 versions, or after another writer had replaced the list of versions, no server that came later was used, and servers that were gone still got requests ("stopped following").

Cause: the changes of registrations are applied once the versions in them are listed. A list that no longer fits into its row, or that cannot be read, was tried again for ever, and every later change waited for it.

Change: upstreams of a version for which the list has no room are passed over, and all registrations are read again after 30 s; they are never used unlisted.

--- a/crates/gateway/src/listed_versions.rs
+++ b/crates/gateway/src/listed_versions.rs
@@ -20,6 +20,9 @@
 /// milliseconds.
 const STALE_COPY_MAX_MS: u64 = 30_000;
 
+/// Name in the list in place of versions that are not known. No upstream has it.
+const UNKNOWN_VERSIONS: &str = "";
+
 /// Versions of a service at which streams may have begun that callers may still take up.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedVersions {
@@ -60,6 +63,13 @@
 }
 
 impl ListedVersions {
+    /// Creates the list that replaces one that cannot be read. It stands for versions that
+    /// nobody knows, so that none counts as the only one.
+    #[must_use]
+    pub fn new_for_unreadable(now_ms: u64) -> Self {
+        Self::default().with_version(&SoftwareVersion::new(UNKNOWN_VERSIONS), now_ms)
+    }
+
     /// Returns what has to be done before requests may be sent to a version.
     #[must_use]
     pub fn listing(&self, version: &SoftwareVersion, now_ms: u64) -> Listing {
--- a/crates/gateway/tests/listed_versions.rs
+++ b/crates/gateway/tests/listed_versions.rs
@@ -114,3 +114,16 @@
         None
     );
 }
+
+/// Guards against a version that counts as the only one because another writer replaced the
+/// list: the list in its place stands for versions that nobody knows.
+#[test]
+fn only_version_is_none_after_an_unreadable_list() {
+    let list = ListedVersions::new_for_unreadable(START_MS);
+    assert_eq!(list.listing(&version("v2"), START_MS), Listing::Write);
+    let list = list.with_version(&version("v2"), START_MS);
+    let (history, table) = started_with(&list, START_MS);
+    let only = |now_ms| history.only_version(&service(), &table, now_ms);
+    assert_eq!(only(START_MS + MEMORY_MS - 1), None);
+    assert_eq!(only(START_MS + MEMORY_MS), Some(version("v2")));
+}
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -141,6 +141,9 @@
         loop {
             let mut version = self.read_snapshot(&node, &mut backoff).await;
             loop {
+                if self == Self::Servers && node.version_lists.is_retry_due(node.now_ms()) {
+                    break;
+                }
                 // Requests read these feeds too.
                 version = version.max(self.fed_version(&node));
                 let wait_ms = self.wait_ms(&node);
--- a/crates/node/src/registrations.rs
+++ b/crates/node/src/registrations.rs
@@ -4,7 +4,7 @@
 
 use gateway::{FROM_THE_START_MS, UpstreamEntry};
 use model::UpstreamId;
-use platform::{FeedPage, Row, SERVERS_TABLE, ServerRow, StoreError, decode_server};
+use platform::{FeedPage, FieldProblem, Row, SERVERS_TABLE, ServerRow, StoreError, decode_server};
 
 use crate::{feeds::Feed, node::Node, stream_versions, version_lists};
 
@@ -53,7 +53,18 @@
 /// Applies the row of one upstream.
 pub(crate) fn apply_row(node: &Node, row: &Row) {
     let now_ms = node.now_ms();
-    let server = decode_server(row);
+    let server = match decode_server(row) {
+        ServerRow::Listed(entry) if node.version_lists.is_unlisted(&entry) => {
+            ServerRow::Unreadable {
+                id: entry.id,
+                problems: vec![FieldProblem {
+                    field: "version".to_owned(),
+                    message: "no room in the list of versions".to_owned(),
+                }],
+            }
+        }
+        server => server,
+    };
     match &server {
         ServerRow::Listed(entry) if node.upstreams.borrow().entry(&entry.id).is_none() => {}
         ServerRow::Listed(UpstreamEntry { id, .. })
--- a/crates/node/src/version_lists.rs
+++ b/crates/node/src/version_lists.rs
@@ -1,7 +1,10 @@
 //! Reads and writes the lists of software versions in the store. The decisions are in
 //! [`gateway::ListedVersions`].
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use gateway::{ListedVersions, Listing, ServiceVersion, UpstreamEntry, versions_to_list};
@@ -18,11 +21,19 @@
 /// meanwhile.
 const LOOKED_UP_MS: u64 = 10_000;
 
+/// Time after which versions for which there was no room are looked up again, milliseconds.
+const UNLISTED_RETRY_MS: u64 = 30_000;
+
 /// The lists as this instance has read them.
 #[derive(Debug, Default)]
 pub(crate) struct VersionLists {
     lists: RefCell<Vec<KnownList>>,
     looked_up: RefCell<Vec<LookedUp>>,
+    /// Versions for which there is no room in the list of their service. Their upstreams are
+    /// not used.
+    unlisted: RefCell<Vec<ServiceVersion>>,
+    /// When all registrations are read again, to list these versions.
+    retry_at_ms: Cell<Option<u64>>,
 }
 
 #[derive(Debug, Clone)]
@@ -40,9 +51,35 @@
 }
 
 impl VersionLists {
-    /// Forgets which versions were looked up, since changes of registrations were missed.
+    /// Forgets which versions were looked up, since all registrations are read anew.
     pub(crate) fn forget(&self) {
         self.looked_up.borrow_mut().clear();
+        self.unlisted.borrow_mut().clear();
+        self.retry_at_ms.set(None);
+    }
+
+    /// Returns whether the version of an upstream could not be listed, so that it must not be
+    /// used.
+    pub(crate) fn is_unlisted(&self, entry: &UpstreamEntry) -> bool {
+        let unlisted = self.unlisted.borrow();
+        unlisted
+            .iter()
+            .any(|known| known.service == entry.service && known.version == entry.version)
+    }
+
+    /// Returns whether it is time to try again to list versions for which there was no room.
+    pub(crate) fn is_retry_due(&self, now_ms: u64) -> bool {
+        self.retry_at_ms
+            .get()
+            .is_some_and(|retry_at_ms| retry_at_ms <= now_ms)
+    }
+
+    fn record_unlisted(&self, version: &ServiceVersion, now_ms: u64) {
+        self.retry_at_ms.set(Some(now_ms + UNLISTED_RETRY_MS));
+        let mut unlisted = self.unlisted.borrow_mut();
+        if !unlisted.contains(version) {
+            unlisted.push(version.clone());
+        }
     }
 
     fn record_looked_up(&self, version: &ServiceVersion, now_ms: u64) {
@@ -115,6 +152,15 @@
             return Ok(listing == Listing::ReadRegistrations);
         }
         let next = known.list.with_version(version, now_ms);
+        if encode(&next).len() > node.settings().store_limits.row_max_bytes {
+            log::warn!(
+                "event=version_not_listed service={service} version={} listed={}",
+                process::quote(version),
+                next.versions.len() - 1
+            );
+            node.version_lists.record_unlisted(wanted, now_ms);
+            return Ok(false);
+        }
         if write_list(node, service, &next, known.row_version).await? {
             log::info!(
                 "event=version_listed service={service} version={}",
@@ -198,9 +244,11 @@
         None => ListedVersions::default(),
         Some(Ok(list)) => list,
         Some(Err(error)) => {
-            return Err(StoreError::Protocol(format!(
-                "unreadable list of versions: {error}"
-            )));
+            log::warn!(
+                "event=version_list_unreadable service={service} error={}",
+                process::quote(&error)
+            );
+            ListedVersions::new_for_unreadable(node.store_now_ms())
         }
     };
     Ok(KnownList {
@@ -217,18 +265,21 @@
     list: &ListedVersions,
     row_version: u64,
 ) -> Result<bool, StoreError> {
-    // Serializing strings and numbers cannot fail.
-    let value = serde_json::to_vec(list).unwrap_or_default();
     let row = row_id(service);
     let transaction = Transaction {
         conditions: vec![row.clone().at_version(row_version)],
-        puts: vec![row.with_value(Bytes::from(value))],
+        puts: vec![row.with_value(Bytes::from(encode(list)))],
         ..Transaction::default()
     };
     let outcome = node.transact(&transaction, 0).await?;
     Ok(matches!(outcome, TransactOutcome::Committed { .. }))
 }
 
+fn encode(list: &ListedVersions) -> Vec<u8> {
+    // Serializing strings and numbers cannot fail.
+    serde_json::to_vec(list).unwrap_or_default()
+}
+
 fn row_id(service: &ServiceName) -> RowId {
     RowId::new(VERSIONS_TABLE, service.as_str(), service.as_str())
 }
--- a/crates/node/tests/odd_inputs.rs
+++ b/crates/node/tests/odd_inputs.rs
@@ -166,6 +166,42 @@
     check_serves(&mut cluster).await;
 }
 
+/// Guards against instances that stop following the servers because the list of versions
+/// cannot take one more: entries of another writer name too many.
+#[tokio::test(flavor = "multi_thread")]
+async fn registrations_of_too_many_versions_are_passed_over() {
+    let mut cluster = start().await;
+    let rows: Vec<_> = (0..60)
+        .map(|number| {
+            let version = format!("\"{number:0>180}\"");
+            registration_with("version", &version)
+        })
+        .collect();
+    check_goes_on(&mut cluster, "servers", &rows).await;
+}
+
+/// Guards against instances that stop following the servers because another writer replaced
+/// the list of versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_list_of_versions_is_replaced() {
+    let mut cluster = start().await;
+    for row in [
+        nested().into_bytes(),
+        b"{\"versions\": 3}".to_vec(),
+        vec![0xff; 9],
+    ] {
+        cluster
+            .put_bytes("redwingtack_versions", "oracle", "oracle", &row)
+            .await;
+        cluster.register_version(1, "v2").await;
+        sleep(TIME_TO_LEARN).await;
+        cluster.unregister_server(1).await;
+    }
+    cluster.unregister_server(0).await;
+    cluster.register_version(1, "v3").await;
+    check_serves(&mut cluster).await;
+}
+
 /// Guards against the same among the rows of the system's own tables.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_rows_of_own_tables_are_passed_over() {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -154,6 +154,9 @@
                     "programs may not write to this table\n",
                 )
             }
+            (&Method::POST, "/rows-tx") if exceeds_limits(&request) => {
+                server::text_response(StatusCode::BAD_REQUEST, "a name or a value is too long\n")
+            }
             (&Method::POST, "/rows-tx") => self.transact(&request),
             (&Method::GET, "/rows-get") => self.read_rows(&request),
             (&Method::GET, "/rows-feed") => self.poll_feed(&request).await,
@@ -296,6 +299,11 @@
 
 /// Returns whether a transaction writes to a table that only the operator, the
 /// servers or the platform itself write, which the programs under test must not do.
+fn exceeds_limits(request: &Request<Bytes>) -> bool {
+    let body = serde_json::from_slice::<TransactionBody>(request.body());
+    body.is_ok_and(|body| !body.is_within_limits())
+}
+
 fn writes_restricted_table(request: &Request<Bytes>) -> bool {
     let Ok(body) = serde_json::from_slice::<TransactionBody>(request.body()) else {
         return false;
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -76,6 +76,27 @@
     pub(crate) ver: u64,
 }
 
+/// Maximum length of the name of a table, a partition or a key, bytes.
+const NAME_MAX_BYTES: usize = 200;
+/// Maximum size of the value of a row, bytes.
+const ROW_MAX_BYTES: usize = 4_096;
+
+impl TransactionBody {
+    /// Returns whether all rows are within the limits of the store.
+    pub(crate) fn is_within_limits(&self) -> bool {
+        let mut rows = self.if_rev.iter().chain(&self.puts).chain(&self.remove);
+        rows.all(RowBody::is_within_limits)
+    }
+}
+
+impl RowBody {
+    fn is_within_limits(&self) -> bool {
+        let names = [&self.table, &self.part, &self.key];
+        names.iter().all(|name| name.len() <= NAME_MAX_BYTES)
+            && self.value.len() <= ROW_MAX_BYTES.div_ceil(3) * 4
+    }
+}
+
 /// Query parameters of a read of rows.
 #[derive(Debug, Default)]
 pub(crate) struct RangeQuery {
