--- a/crates/node/tests/streams_out_of_touch.rs
+++ b/crates/node/tests/streams_out_of_touch.rs
@@ -218,3 +218,27 @@
     assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
     assert!(taken_up.gone_on > STREAMS / 2, "{taken_up:?}");
 }
+
+/// Guards against streams that are joined at an instance that is cut off from the store and from
+/// all others while servers of another version join: nobody can tell it anything.
+#[tokio::test(flavor = "multi_thread")]
+async fn take_up_while_cut_off_from_store_and_peers() {
+    let (cluster, proxy) = start(3).await;
+    proxy.set_state(ProxyState::Silent);
+    register_second_version(&cluster).await;
+    sleep(TIME_TO_LEARN).await;
+    begin_all(cluster.nodes[0].callers_address).await;
+    for node in [0, 2] {
+        cluster.nodes[node].signal(Signal::SIGSTOP);
+    }
+    let cut_off = cluster.nodes[1].callers_address;
+    let taken_up = take_up_all(&cluster, cut_off).await;
+    assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
+    proxy.set_state(ProxyState::Open);
+    wait_until("the store is regained", async || {
+        cluster.nodes[1].log().contains("event=store_regained")
+    })
+    .await;
+    let taken_up = take_up_all(&cluster, cut_off).await;
+    assert_eq!(taken_up.mixed, 0, "{taken_up:?}");
+}
