--- a/crates/node/tests/streams_after_restart.rs
+++ b/crates/node/tests/streams_after_restart.rs
@@ -7,28 +7,22 @@
 
 use http::StatusCode;
 use support::{
-    Answer, HOST, TestCluster, begin_stream, send_request, store_proxy::ProxyState, wait_until,
+    HOST, TestCluster, begin_stream,
+    store_proxy::ProxyState,
+    version_streams::{
+        STREAMS, TIME_TO_LEARN, begin_all, mixed_count, path_of, register_second_version, take_up,
+    },
+    wait_until,
 };
 use tokio::time::{Instant, sleep};
 
-/// Time in which every instance learns of new registrations, and of its peers.
-const TIME_TO_LEARN: Duration = Duration::from_secs(3);
 /// Time for which callers come back after a restart.
 const COMING_BACK: Duration = Duration::from_secs(3);
-/// Number of streams that a test takes up.
-const STREAMS: usize = 16;
-
-fn version_of(server: usize) -> &'static str {
-    if server.is_multiple_of(2) { "v1" } else { "v2" }
-}
-
 /// Starts instances and servers of a single version, and then registers every other server
 /// with another one.
 async fn start_with_two_versions(nodes: usize) -> TestCluster {
     let cluster = TestCluster::start(&[16; 6], nodes).await;
-    for index in (1..6).step_by(2) {
-        cluster.register_version(index, "v2").await;
-    }
+    register_second_version(&cluster).await;
     sleep(TIME_TO_LEARN).await;
     cluster
 }
@@ -39,41 +33,6 @@
     }
 }
 
-fn path_of(stream: usize) -> String {
-    format!("/long/stream-{stream}")
-}
-
-fn first_attempt(stream: usize) -> String {
-    format!("first-{stream}")
-}
-
-/// Begins all streams at an instance and leaves each after two events.
-async fn begin_all(address: SocketAddr) {
-    for stream in 0..STREAMS {
-        let id = first_attempt(stream);
-        let headers = [
-            ("host", HOST),
-            ("redwingtack-request-id", &*id),
-            ("redwingtack-deadline-ms", "4000"),
-        ];
-        assert!(begin_stream(address, &path_of(stream), &headers, 2).await);
-    }
-}
-
-/// Takes up a stream after two events. Returns `None` if the instance cannot be reached.
-async fn take_up(address: SocketAddr, stream: usize, id: &str) -> Option<Answer> {
-    let headers = [
-        ("host", HOST),
-        ("redwingtack-request-id", id),
-        ("redwingtack-deadline-ms", "3000"),
-        ("last-event-id", "2"),
-    ];
-    let body = b"prompt".to_vec();
-    send_request(address, "POST", &path_of(stream), &headers, body)
-        .await
-        .ok()
-}
-
 /// Takes up all streams once, with ids that begin with `prefix`. Returns how many went on.
 async fn take_up_all(address: SocketAddr, prefix: &str) -> usize {
     let mut gone_on = 0;
@@ -106,25 +65,6 @@
     gone_on
 }
 
-/// Returns how many streams ran at servers of both versions.
-async fn mixed_count(cluster: &TestCluster) -> usize {
-    let runs = cluster.runs_by_server().await;
-    let is_of_stream = |attempt: &str, stream: usize| {
-        let end = format!("-{stream}");
-        attempt.ends_with(&end)
-    };
-    let is_mixed = |stream: &usize| {
-        let ran_at = |version: &str| {
-            runs.iter().enumerate().any(|(server, runs)| {
-                version_of(server) == version
-                    && runs.keys().any(|attempt| is_of_stream(attempt, *stream))
-            })
-        };
-        ran_at("v1") && ran_at("v2")
-    };
-    (0..STREAMS).filter(is_mixed).count()
-}
-
 /// Kills every instance at once and starts another one, without waiting for it.
 fn restart_all(cluster: &mut TestCluster) -> SocketAddr {
     cluster.nodes.clear();
@@ -162,9 +102,7 @@
     begin_all(cluster.nodes[0].callers_address).await;
     cluster.nodes.clear();
     unregister_first_version(&cluster).await;
-    for index in (1..6).step_by(2) {
-        cluster.register_version(index, "v2").await;
-    }
+    register_second_version(&cluster).await;
     let address = restart_all(&mut cluster);
     take_up_while_coming_back(address).await;
     assert_eq!(mixed_count(&cluster).await, 0);
--- a/crates/node/tests/streams_out_of_touch.rs
+++ b/crates/node/tests/streams_out_of_touch.rs
@@ -8,19 +8,17 @@
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use support::{
-    HOST, TestCluster, begin_stream, send_request,
+    TestCluster,
     store_proxy::{ProxyState, StoreProxy},
+    version_streams::{
+        STREAMS, TIME_TO_LEARN, begin_all, mixed_count, register_second_version, take_up,
+    },
     wait_until,
 };
 use tokio::time::sleep;
 
-/// Time in which every instance learns of new registrations, and of its peers.
-const TIME_TO_LEARN: Duration = Duration::from_secs(3);
 /// Time after which an instance without a heartbeat has lost its lease.
 const LEASE_LOST: Duration = Duration::from_secs(5);
-/// Number of streams that a test takes up.
-const STREAMS: usize = 16;
-
 /// How many streams went on when they were taken up.
 #[derive(Debug, PartialEq, Eq)]
 struct TakenUp {
@@ -44,72 +42,21 @@
     (cluster, proxy)
 }
 
-fn version_of(server: usize) -> &'static str {
-    if server.is_multiple_of(2) { "v1" } else { "v2" }
-}
-
-async fn register_second_version(cluster: &TestCluster) {
-    for index in (1..6).step_by(2) {
-        cluster.register_version(index, "v2").await;
-    }
-}
-
-fn path_of(stream: usize) -> String {
-    format!("/long/stream-{stream}")
-}
-
-/// Begins all streams at an instance and leaves each after two events.
-async fn begin_all(address: SocketAddr) {
-    for stream in 0..STREAMS {
-        let id = format!("first-{stream}");
-        let headers = [
-            ("host", HOST),
-            ("redwingtack-request-id", &*id),
-            ("redwingtack-deadline-ms", "4000"),
-        ];
-        assert!(begin_stream(address, &path_of(stream), &headers, 2).await);
-    }
-}
-
 /// Takes up all streams at an instance, without the id of the attempt that began them.
 async fn take_up_all(cluster: &TestCluster, address: SocketAddr) -> TakenUp {
-    let mut taken_up = TakenUp {
-        gone_on: 0,
-        mixed: 0,
-    };
+    let mut gone_on = 0;
     for stream in 0..STREAMS {
-        let id = format!("again-{stream}");
-        let headers = [
-            ("host", HOST),
-            ("redwingtack-request-id", &*id),
-            ("redwingtack-deadline-ms", "3000"),
-            ("last-event-id", "2"),
-        ];
-        let body = b"prompt".to_vec();
-        let answer = send_request(address, "POST", &path_of(stream), &headers, body)
-            .await
-            .unwrap();
+        let answer = take_up(address, stream, &format!("again-{stream}")).await;
+        let answer = answer.unwrap();
         if answer.status == StatusCode::OK {
             assert!(answer.is_complete, "{answer:?}");
-            taken_up.gone_on += 1;
+            gone_on += 1;
         } else {
             assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
         }
-        taken_up.mixed += usize::from(is_mixed(cluster, stream).await);
-    }
-    taken_up
-}
-
-/// Returns whether a stream ran at servers of both versions.
-async fn is_mixed(cluster: &TestCluster, stream: usize) -> bool {
-    let end = format!("-{stream}");
-    let mut versions = Vec::new();
-    for (server, runs) in cluster.runs_by_server().await.iter().enumerate() {
-        if runs.keys().any(|attempt| attempt.ends_with(&end)) {
-            versions.push(version_of(server));
-        }
     }
-    versions.contains(&"v1") && versions.contains(&"v2")
+    let mixed = mixed_count(cluster).await;
+    TakenUp { gone_on, mixed }
 }
 
 /// Waits until an instance has noticed that it does not reach the store.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod store_proxy;
 pub mod upstream_proxy;
+pub mod version_streams;
 
 use std::{
     env,
