--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,8 @@
 cargo build --release --package node
 cargo build --release --package standin
 mkdir -p target/review-2
-for case in review/*/case.rs; do
-    name=$(basename "$(dirname "$case")")
-    rustc --edition 2024 -O -o "target/review-2/case-$name" "$case"
+for number in 6 7 8 9 10; do
+    case=review/$number/case.rs
+    [ -f "$case" ] || continue
+    rustc --edition 2024 -O -o "target/review-2/case-$number" "$case"
 done
