--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -25,7 +25,7 @@
 /// The event after which the server breaks off.
 const LAST_BEFORE_BREAK: u32 = 6;
 /// Size of a request's body, bytes: less than `max_body_bytes`.
-const BODY_BYTES: usize = 4_000_000;
+const BODY_BYTES: usize = 4_190_000;
 /// Callers that send at the same time, and requests of each.
 const CALLERS: u32 = 12;
 const REQUESTS: u32 = 300;
