--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicU32, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use common::{
@@ -27,10 +27,14 @@
 /// Size of a request's body, bytes: less than `max_body_bytes`.
 const BODY_BYTES: usize = 4_190_000;
 /// Callers that send at the same time, and requests of each.
-const CALLERS: u32 = 12;
+const CALLERS: u32 = 24;
+const NODES: u32 = 3;
 const REQUESTS: u32 = 300;
-/// The faulty server breaks off one answer in this many: 0.03 of them.
-const BREAK_EVERY: u32 = 33;
+/// One of three servers is faulty (0.33). It breaks off one answer in this many (0.02), in each of
+/// these spans of 5.5 s, seconds since it started: `garble` of the site file.
+const SERVERS: usize = 3;
+const BREAK_EVERY: u32 = 50;
+const FAULTY_SPANS_S: [(f64, f64); 3] = [(4.0, 9.5), (12.0, 17.5), (20.0, 25.5)];
 /// Time between two events, milliseconds.
 const EVENT_INTERVAL_MS: u64 = 5;
 
@@ -41,7 +45,7 @@
 }
 
 /// Answers one request before it has read the body, and reads on afterwards.
-fn serve(mut stream: TcpStream, is_faulty: bool, record: &Record, runs: &AtomicU32) {
+fn serve(mut stream: TcpStream, is_faulty: bool, started: Instant, record: &Record, runs: &Runs) {
     let _ = stream.set_nodelay(true);
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::with_capacity(4_096, copy);
@@ -49,8 +53,13 @@
         return;
     };
     let id = request.header("redwingtack-request-id").unwrap_or("").to_owned();
-    let run = runs.fetch_add(1, Ordering::Relaxed);
-    let breaks_off = is_faulty && run % BREAK_EVERY == BREAK_EVERY - 1;
+    runs.all.fetch_add(1, Ordering::Relaxed);
+    let at_s = started.elapsed().as_secs_f64();
+    let is_in_span = FAULTY_SPANS_S.iter().any(|(from_s, to_s)| (*from_s..*to_s).contains(&at_s));
+    let breaks_off = is_faulty && is_in_span && {
+        let run = runs.in_spans.fetch_add(1, Ordering::Relaxed);
+        run % BREAK_EVERY == BREAK_EVERY - 1
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRedwingtack-Request-Id: {id}\r\nRedwingtack-Server-Stamp: 3e1b.07.5a2\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
@@ -85,15 +94,24 @@
     }
 }
 
-fn start_server(record: &Record, is_faulty: bool) -> (SocketAddr, Arc<AtomicU32>) {
+/// How many requests a server has run.
+#[derive(Default)]
+struct Runs {
+    all: AtomicU32,
+    /// Those in the spans in which the server is faulty.
+    in_spans: AtomicU32,
+}
+
+fn start_server(record: &Record, is_faulty: bool) -> (SocketAddr, Arc<Runs>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let runs = Arc::new(AtomicU32::new(0));
+    let runs = Arc::new(Runs::default());
+    let started = Instant::now();
     let (record, counter) = (record.clone(), Arc::clone(&runs));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (record, counter) = (record.clone(), Arc::clone(&counter));
-            thread::spawn(move || serve(stream, is_faulty, &record, &counter));
+            thread::spawn(move || serve(stream, is_faulty, started, &record, &counter));
         }
     });
     (address, runs)
@@ -144,22 +162,24 @@
     let Ok(store) = Store::start() else {
         finish(&record, NOT_RUN, "the store does not start", &folder)
     };
-    let (faulty, runs) = start_server(&record, has_trouble());
-    let (sound, sound_runs) = start_server(&record, false);
-    let is_stored = store.put("op", "config", &config())
-        && store.register("i-7f3a91c2", "oraculo", faulty, 8)
-        && store.register("i-20b6d4e8", "oraculo", sound, 8);
-    let node = Node::start(&folder, 1, store.address);
-    let Ok(node) = node else {
-        finish(&record, NOT_RUN, "the instance does not start", &folder)
-    };
-    if !is_stored || !node.wait_until_ready(Duration::from_secs(15)) {
-        finish(&record, NOT_RUN, "the instance is not ready", &folder)
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|server| start_server(&record, server == 0 && has_trouble()))
+        .collect();
+    let mut is_stored = store.put("op", "config", &config());
+    for (server, (address, _)) in servers.iter().enumerate() {
+        is_stored &= store.register(&format!("i-{server:08x}"), "oraculo", *address, 8);
+    }
+    let nodes: Vec<_> = (1..=NODES)
+        .filter_map(|number| Node::start(&folder, number, store.address).ok())
+        .collect();
+    let is_ready = |node: &Node| node.wait_until_ready(Duration::from_secs(15));
+    if !is_stored || nodes.len() != NODES as usize || !nodes.iter().all(is_ready) {
+        finish(&record, NOT_RUN, "the instances are not ready", &folder)
     }
     let counts = Arc::new(Counts::default());
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
-            let (record, counts, front) = (record.clone(), Arc::clone(&counts), node.front);
+            let (record, counts, front) = (record.clone(), Arc::clone(&counts), nodes[(caller % NODES) as usize].front);
             thread::spawn(move || call(caller, front, &record, &counts))
         })
         .collect();
@@ -168,10 +188,10 @@
     }
     let answered = counts.answered.load(Ordering::Relaxed);
     let cut_unseen = counts.cut_unseen.load(Ordering::Relaxed);
+    let runs: Vec<_> = servers.iter().map(|(_, runs)| runs.all.load(Ordering::Relaxed)).collect();
+    let in_spans = servers[0].1.in_spans.load(Ordering::Relaxed);
     record.line(&format!(
-        "runs at the faulty server={} at the sound one={} answered={answered} cut but complete={cut_unseen}",
-        runs.load(Ordering::Relaxed),
-        sound_runs.load(Ordering::Relaxed)
+        "runs at the servers={runs:?}, at the faulty one in its spans={in_spans}, answered={answered}, cut but complete={cut_unseen}"
     ));
     if answered == 0 {
         finish(&record, NOT_RUN, "no stream was answered", &folder)
