A stream that is reset with its last events is not complete

Cause: Relay::complete_events read ahead with a pattern that matches data only, so an error that was ready with the data was dropped; the body ends after its error, and the next read took that for the end of a complete body. A second loss stood behind it: the HTTP server meets the error in the pass in which it gets the last events, and closes the caller's connection before it writes them.

Change: FrameReader reads ahead and leaves an error to the next read; before an answer is cut, other tasks run, so that what came before is written. Works because nothing takes a frame now without keeping its error.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -15,6 +15,7 @@
         ExchangeFailure, FailureMeaning, UsedConnection, exchange_on, take_idle_connection,
     },
     forward::forwarded_headers,
+    frame_reader::FrameReader,
     node::Node,
     proxied_attempt::{self, ProxyGuard},
     quarantine, rate_limits,
@@ -107,7 +108,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamAnswer {
     pub(crate) head: http::response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: FrameReader<Incoming>,
     pub(crate) in_flight: InFlightGuard,
     transport: Transport,
     prompt_parts: Rc<[PromptPart]>,
@@ -347,7 +348,7 @@
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
         head,
-        body,
+        body: FrameReader::new(body),
         in_flight,
         transport,
         prompt_parts: Rc::clone(&outgoing.prompt_parts),
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -5,7 +5,6 @@
 
 use gateway::{AttemptEnd, EventSplitter, RequestContent, Route, Target, WorkKind};
 use http::{Method, StatusCode};
-use http_body_util::BodyExt;
 use ledger::{ItemRun, JobItem, PartialOutput, RunOutcome};
 use model::{CustomerName, JobId, PromptPart};
 use tokio::{sync::Notify, time::timeout_at};
@@ -217,8 +216,8 @@
 ) -> Progress {
     let stall_deadline = context.node.clock.instant(stall_deadline_ms);
     let interrupted = |reason: String| Progress::Ended(RunOutcome::Interrupted, reason);
-    match timeout_at(stall_deadline, answer.body.frame()).await {
-        Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
+    match timeout_at(stall_deadline, answer.body.next()).await {
+        Ok(Some(Ok(bytes))) => splitter.push(&bytes),
         Ok(Some(Err(error))) => return interrupted(error.to_string()),
         Ok(None) if splitter.has_partial_event() => {
             return interrupted("the stream ended within an event".to_owned());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -35,6 +35,7 @@
 mod exchange;
 mod feeds;
 mod forward;
+mod frame_reader;
 mod freshness_check;
 mod head_limit;
 mod heartbeats;
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -21,7 +21,7 @@
 use model::UpstreamId;
 use tokio::{
     net::{TcpListener, TcpStream},
-    task::spawn_local,
+    task::{spawn_local, yield_now},
     time::timeout_at,
 };
 
@@ -282,6 +282,8 @@
                     process::quote(&error)
                 );
                 check_upstream(&self.node, &self.target, &self.attempt, self.sent_at_ms);
+                // The HTTP server drops what it has not written when it meets the error.
+                yield_now().await;
                 Some(Err(Truncated))
             }
             None => {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,12 +3,12 @@
 //! complete event.
 
 use bytes::{Bytes, BytesMut};
-use futures::{FutureExt, StreamExt, stream};
+use futures::{StreamExt, stream};
 use gateway::{AttemptEnd, EventSplitter, VersionHash};
 use http::StatusCode;
-use http_body_util::{BodyExt, Either, StreamBody};
-use hyper::body::{Body, Frame};
-use tokio::time::timeout_at;
+use http_body_util::{Either, StreamBody};
+use hyper::body::Frame;
+use tokio::{task::yield_now, time::timeout_at};
 
 use crate::{
     answer::{AnswerBody, Truncated},
@@ -109,10 +109,10 @@
                     return None;
                 }
                 Received::Broken(failure) => failure,
-                Received::DeadlinePassed => return Some(self.truncate("deadline passed")),
+                Received::DeadlinePassed => return Some(self.truncate("deadline passed").await),
             };
             if !self.resume(&failure).await {
-                return Some(self.truncate(&failure.reason));
+                return Some(self.truncate(&failure.reason).await);
             }
         }
     }
@@ -132,9 +132,9 @@
         };
         let wait_until = node.clock.instant(wait_until_ms);
         let answer = self.answer.as_mut()?;
-        let frame = timeout_at(wait_until, answer.body.frame()).await;
+        let frame = timeout_at(wait_until, answer.body.next()).await;
         Some(match frame {
-            Ok(Some(Ok(frame))) => Received::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(bytes))) => Received::Bytes(bytes),
             Ok(Some(Err(error))) => broken_stream(error),
             Ok(None) => self.end_of_body(),
             Err(_) if wait_until_ms >= deadline_ms => Received::DeadlinePassed,
@@ -162,8 +162,8 @@
         };
         splitter.push(&bytes);
         if let Some(answer) = &mut self.answer {
-            while let Some(Some(Ok(frame))) = answer.body.frame().now_or_never() {
-                splitter.push(&frame.into_data().unwrap_or_default());
+            while let Some(bytes) = answer.body.next_ready() {
+                splitter.push(&bytes);
             }
         }
         let mut events = BytesMut::new();
@@ -248,10 +248,7 @@
     /// Finishes a body of known length after its last byte, because the HTTP server does
     /// not poll for the end of such a body.
     fn finish_at_known_length(&mut self) {
-        let is_at_end = |answer: &UpstreamAnswer| {
-            let body = &answer.body;
-            body.is_end_stream() || body.size_hint().exact() == Some(0)
-        };
+        let is_at_end = |answer: &UpstreamAnswer| answer.body.is_at_known_end();
         if self.splitter.is_none() && self.answer.as_ref().is_some_and(is_at_end) {
             self.finish();
         }
@@ -265,9 +262,11 @@
         answer.finish(&self.request.node);
     }
 
-    fn truncate(&mut self, reason: &str) -> Result<Frame<Bytes>, Truncated> {
+    async fn truncate(&mut self, reason: &str) -> Result<Frame<Bytes>, Truncated> {
         self.answer = None;
         self.log_end("cut", reason);
+        // The HTTP server drops what it has not written when it meets the error.
+        yield_now().await;
         Err(Truncated)
     }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses only a part")]
 
+pub mod scripted_server;
 pub mod store_proxy;
 pub mod upstream_proxy;
 pub mod version_streams;
--- /dev/null
+++ b/crates/node/tests/support/scripted_server.rs
@@ -0,0 +1,107 @@
+//! A server whose answers a test writes byte by byte.
+
+use std::net::SocketAddr;
+
+use serde_json::json;
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpSocket, TcpStream},
+};
+
+use super::TestCluster;
+
+/// Number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    pub path: String,
+    pub id: String,
+    /// Event after which the answer goes on.
+    pub after_event: Option<u64>,
+}
+
+/// Address of a running server, which ends with the runtime of the test.
+#[derive(Debug)]
+pub struct ScriptedServer {
+    pub address: SocketAddr,
+}
+
+impl ScriptedServer {
+    /// Starts a server that answers the first request of each connection with `answer`, which
+    /// gets the head of the request and the connection.
+    pub fn start<F, A>(answer: F) -> Self
+    where
+        F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
+        A: Future<Output = ()> + Send + 'static,
+    {
+        Self::start_on(TcpSocket::new_v4().unwrap(), answer)
+    }
+
+    /// Starts a server with a receive buffer of this size, bytes, so that long requests stay
+    /// in part at their senders.
+    pub fn start_with_receive_buffer<F, A>(size_bytes: u32, answer: F) -> Self
+    where
+        F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
+        A: Future<Output = ()> + Send + 'static,
+    {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(size_bytes).unwrap();
+        Self::start_on(socket, answer)
+    }
+
+    fn start_on<F, A>(socket: TcpSocket, answer: F) -> Self
+    where
+        F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
+        A: Future<Output = ()> + Send + 'static,
+    {
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(BACKLOG).unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                if let Some(head) = read_head(&mut stream).await {
+                    tokio::spawn(answer(head, stream));
+                }
+            }
+        });
+        Self { address }
+    }
+
+    /// Registers the server under `id`.
+    pub async fn register(&self, cluster: &TestCluster, id: &str, slots: u32) {
+        let registration = json!({
+            "service": "oracle", "addr": self.address.to_string(), "zone": "a", "version": "v1",
+            "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1
+        });
+        cluster.put_row("servers", id, &registration).await;
+    }
+}
+
+/// Returns the events of the answer to a request, as [`super::complete_stream`] has them.
+pub fn events(id: &str, range: impl Iterator<Item = u64>) -> String {
+    let events: Vec<_> = range
+        .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
+        .collect();
+    events.concat()
+}
+
+/// Reads up to the end of the head, byte by byte. Returns `None` if the connection ends.
+async fn read_head(stream: &mut TcpStream) -> Option<RequestHead> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let value_of = |name: &str| {
+        let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+        let (_, value) = headers.find(|(header, _)| header.eq_ignore_ascii_case(name))?;
+        Some(value.to_owned())
+    };
+    Some(RequestHead {
+        path: head.split_whitespace().nth(1)?.to_owned(),
+        id: value_of("redwingtack-request-id").unwrap_or_default(),
+        after_event: value_of("last-event-id").and_then(|id| id.parse().ok()),
+    })
+}
--- a/crates/node/tests/unreachable_upstreams.rs
+++ b/crates/node/tests/unreachable_upstreams.rs
@@ -95,6 +95,27 @@
     callers_are_served(PathState::RefusingNew, "/once/a").await;
 }
 
+/// Guards against a stream that its server breaks off behind a peer, and that ends as complete
+/// or loses events at the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_through_a_peer_is_cut_or_goes_on() {
+    const EVENTS_BEFORE_BREAK: u64 = 3;
+    let (cluster, mut paths) = start().await;
+    cut_off(&cluster, &mut paths, PathState::Refusing).await;
+    for number in 0..8 {
+        cluster.break_next_streams(EVENTS_BEFORE_BREAK).await;
+        let id = format!("once-{number}");
+        let answer = cluster.nodes[0].send_stream_request("/once/a", &id).await;
+        assert!(!answer.is_complete, "{answer:?}");
+        assert!(complete_stream(&id).starts_with(&answer.body));
+        cluster.break_next_streams(EVENTS_BEFORE_BREAK).await;
+        let id = format!("long-{number}");
+        let answer = cluster.nodes[0].send_stream_request("/long/a", &id).await;
+        assert_eq!(answer.body, complete_stream(&id));
+        assert!(answer.is_complete, "{answer:?}");
+    }
+}
+
 /// Without peers nobody can serve the callers, but they are served once the path is back.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_served_after_connect_timeouts_of_all_upstreams() {
