A job is read and ended after its route was removed

Cause: dispatch took a request for a call about a job only while the host had a route for batch jobs. Evidence: event=request_refused reason=no_route for each read, and no event=job_unknown: the record was never looked for.

Change: jobs/calls.rs decides which requests are calls about jobs. Without a route for jobs on the host it looks for the job's record and the host in it; a store that does not answer makes the call go to a peer or end with 503, never with 404. An ordinary route that covers the path gets what is about no job. A job of nobody needs no key, as the route that said so may be gone. Works because what was accepted is found by its record, which lasts as long as the results.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -101,7 +101,7 @@
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
-    route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare},
+    route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare, normalize_host},
     store_reachability::StoreReachability,
     stream_origins::{
         AttemptHash, HolderUse, OriginRecord, RecordHolder, STREAM_LIFETIME_MS, StreamOrigins,
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -167,8 +167,7 @@
     }
 
     fn host_routes(&self, host: &str) -> &[Arc<Route>] {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let name = name.to_ascii_lowercase();
+        let name = normalize_host(host);
         let first = self.routes.partition_point(|route| *route.host < *name);
         let end = self.routes.partition_point(|route| *route.host <= *name);
         &self.routes[first..end]
@@ -213,3 +212,10 @@
         matches!(self.kind, RouteKind::Stream { .. } | RouteKind::Batch(_))
     }
 }
+
+/// Returns the name of a host as routes hold it: without the port, and in lower case.
+#[must_use]
+pub fn normalize_host(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     answer::{self, AnswerBody},
-    customers::{self, CallId, KeyRefusal, KeyedCall},
+    customers::{self, CallId, KeyedCall},
     forward::forward,
     jobs,
     node::{Node, Stage},
@@ -65,23 +65,10 @@
     arrived_ms: u64,
 ) -> Response<AnswerBody> {
     let host = host_of(&parts).to_owned();
-    let job_query = platform::decode_job_call(&parts.method, &parts.uri, &parts.headers);
     let request_headers = platform::decode_request_headers(&parts.headers);
-    if let Some(query) = job_query
-        && routes.has_batch_route(&host)
-    {
-        let call = KeyedCall {
-            id: CallId::Job(&query.job),
-            key: request_headers.key.as_ref(),
-        };
-        let is_public = |routes: &RouteTable| routes.has_public_batch_route(&host);
-        return match customers::authenticate(node, call, is_public).await {
-            Ok(customer) => jobs::answer_query(node, query, customer.as_deref(), &parts).await,
-            Err(KeyRefusal::Unknown) => KeyRefusal::Unknown.answer(),
-            Err(KeyRefusal::Unconfirmed) => jobs::pass_on_query(node, &query, &parts)
-                .await
-                .unwrap_or_else(|| KeyRefusal::Unconfirmed.answer()),
-        };
+    let key = request_headers.key.as_ref();
+    if let Some(response) = jobs::answer_call(node, routes, &parts, key).await {
+        return response;
     }
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
@@ -99,7 +86,7 @@
     };
     let keyed_call = KeyedCall {
         id: CallId::Request(&request_headers.request_id),
-        key: request_headers.key.as_ref(),
+        key,
     };
     if let Err(refusal) = customers::authenticate(node, keyed_call, is_public).await {
         return refusal.answer();
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod admission;
+mod calls;
 mod item_run;
 mod item_start;
 mod ownership;
@@ -22,8 +23,8 @@
 
 pub(crate) use self::{
     accept::submit,
+    calls::answer_call,
     ownership::{apply_row, release_jobs},
-    query::{answer_query, pass_on_query},
     runner::Runner,
     storage::{JOB_PARTITIONS, JOBS_TABLE},
 };
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -42,7 +42,7 @@
 /// Answers a request about a job. While the store is unreachable, the request is
 /// forwarded to a peer first. A request is also forwarded after a call to the store
 /// failed.
-pub(crate) async fn answer_query(
+pub(super) async fn answer_query(
     node: &Rc<Node>,
     query: JobQuery,
     customer: Option<&Customer>,
@@ -78,7 +78,7 @@
 
 /// Has a peer answer a request about a job, because this instance may not accept the caller's
 /// key now. Returns `None` if no peer answered.
-pub(crate) async fn pass_on_query(
+pub(super) async fn pass_on_query(
     node: &Rc<Node>,
     query: &JobQuery,
     parts: &request::Parts,
@@ -145,7 +145,7 @@
     is_own || !node.has_customers()
 }
 
-fn store_unavailable() -> Response<AnswerBody> {
+pub(super) fn store_unavailable() -> Response<AnswerBody> {
     answer::service_unavailable(STORE_RETRY_AFTER_MS, "the store does not answer")
 }
 
@@ -200,7 +200,10 @@
     }
 }
 
-async fn stored_record(node: &Node, id: &JobId) -> Result<Option<JobRecord>, StoreError> {
+pub(super) async fn stored_record(
+    node: &Node,
+    id: &JobId,
+) -> Result<Option<JobRecord>, StoreError> {
     let stored = JobRows::new(node).read_record(id).await?;
     Ok(stored.map(|(record, _)| record))
 }
@@ -208,7 +211,7 @@
 /// Returns whether the cached records include every change that another instance may have
 /// shown to a caller. Answers of the store to other calls say nothing about that: the feed
 /// may stall alone, as it does after this process was paused.
-fn has_fresh_records(node: &Node) -> bool {
+pub(super) fn has_fresh_records(node: &Node) -> bool {
     let age_ms = node.now_ms().saturating_sub(node.jobs_fed_at_ms.get());
     !node.store_health.is_unreachable() && age_ms < RECORD_FRESH_MS
 }
