The framing of a body may not go on without end

Report of other operators: a faulty server sends bytes without end, and the machine that called it runs out of memory.

Cause: head_limit.rs limited what is read up to the end of the head, and nothing after it; the HTTP library reads leading zeros of a size one by one for as long as they come, within one pass.

Change: read_limit.rs limits the bytes from one frame of a body to the next, for upstreams and callers.

Tests of items now keep the sound server draining until an item has met the faulty one: one of them was seen to pass without that (all items at the sound server).

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
 use http::{HeaderMap, Method, Response, Uri, header, request};
-use hyper::body::Incoming;
 use model::{CustomerName, PromptPart};
 
 use crate::{
@@ -19,6 +18,7 @@
     node::Node,
     proxied_attempt::{self, ProxyGuard},
     quarantine, rate_limits,
+    read_limit::LimitedBody,
 };
 
 /// Time for which no request is sent to an upstream after it answered that it is full,
@@ -108,7 +108,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamAnswer {
     pub(crate) head: http::response::Parts,
-    pub(crate) body: FrameReader<Incoming>,
+    pub(crate) body: FrameReader<LimitedBody>,
     pub(crate) in_flight: InFlightGuard,
     transport: Transport,
     prompt_parts: Rc<[PromptPart]>,
@@ -366,7 +366,7 @@
     target: &Target,
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
-) -> Result<(Response<Incoming>, Transport), ExchangeFailure> {
+) -> Result<(Response<LimitedBody>, Transport), ExchangeFailure> {
     let idle = take_idle_connection(node, target, outgoing, options);
     let proxy = match idle {
         Some(_) => None,
@@ -402,7 +402,7 @@
 fn check_head(
     node: &Node,
     in_flight: &InFlightGuard,
-    response: &Response<Incoming>,
+    response: &Response<LimitedBody>,
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
 ) -> Result<(), AttemptFailure> {
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::head_limit::{HeadLimit, LimitedStream};
+use crate::read_limit::{LimitedStream, ReadLimit};
 
 /// Idle time after which a connection is not reused if the upstream states no
 /// keep-alive time-out, milliseconds.
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    pub(crate) head_limit: Rc<HeadLimit>,
+    pub(crate) read_limit: Rc<ReadLimit>,
     driver: AbortHandle,
 }
 
@@ -130,8 +130,8 @@
     let limit = Duration::from_millis(timeout_ms);
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let head_limit = Rc::new(HeadLimit::new());
-    let stream = LimitedStream::new(stream, Rc::clone(&head_limit));
+    let read_limit = Rc::new(ReadLimit::new());
+    let stream = LimitedStream::new(stream, Rc::clone(&read_limit));
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -141,7 +141,7 @@
     let driver = tokio::task::spawn_local(connection).abort_handle();
     Ok(Connection {
         sender,
-        head_limit,
+        read_limit,
         driver,
     })
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -7,7 +7,6 @@
 use gateway::{Customer, Route, RouteKind, RouteTable};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use platform::RequestHeaders;
 use tokio::time::timeout_at;
 
@@ -17,6 +16,7 @@
     forward::forward,
     jobs,
     node::{Node, Stage},
+    read_limit::LimitedBody,
 };
 
 /// Retry-after hint while this instance has no configuration, milliseconds.
@@ -29,7 +29,7 @@
 /// begins; the body of the answer may be relayed later.
 pub(crate) async fn serve(
     node: Rc<Node>,
-    request: Request<Incoming>,
+    request: Request<LimitedBody>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let _open_request = OpenRequestGuard::new(&node);
     let arrived_ms = node.now_ms();
@@ -61,7 +61,7 @@
     node: &Rc<Node>,
     routes: &RouteTable,
     parts: request::Parts,
-    body: Incoming,
+    body: LimitedBody,
     arrived_ms: u64,
 ) -> Response<AnswerBody> {
     let host = host_of(&parts).to_owned();
@@ -149,7 +149,7 @@
 async fn read_body(
     node: &Node,
     routes: &RouteTable,
-    body: Incoming,
+    body: LimitedBody,
     deadline_ms: u64,
 ) -> Result<Bytes, StatusCode> {
     let limit = usize::try_from(routes.limits.body_max_bytes).unwrap_or(usize::MAX);
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -7,20 +7,21 @@
 use gateway::{AttemptEnd, Target};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use crate::{
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, record_statements},
     connection_pool::Connection,
     node::Node,
-    path_probes, upstream_connections,
+    path_probes,
+    read_limit::LimitedBody,
+    upstream_connections,
 };
 
 /// An answer on a connection to its upstream.
 #[derive(Debug)]
 pub(crate) struct DirectExchange {
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<LimitedBody>,
     pub(crate) connection: UsedConnection,
 }
 
@@ -158,7 +159,7 @@
 
 /// Returns whether an answer says that a request did not run, but not which one: an upstream
 /// may have written an earlier refusal once more.
-fn is_unattributed_refusal(response: &Response<Incoming>) -> bool {
+fn is_unattributed_refusal(response: &Response<LimitedBody>) -> bool {
     let headers = response.headers();
     platform::did_not_run(response.status(), headers)
         && platform::echoed_request_id(headers).is_none()
@@ -190,24 +191,21 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     options: AttemptOptions,
-) -> Result<Response<Incoming>, AttemptFailure> {
-    let head_limit = Rc::clone(&connection.head_limit);
-    head_limit.begin_head();
+) -> Result<Response<LimitedBody>, AttemptFailure> {
+    let read_limit = Rc::clone(&connection.read_limit);
+    read_limit.begin_head();
     let exchange = connection.sender.try_send_request(request);
     let deadline = node.clock.instant(options.head_deadline_ms);
     let result = tokio::select! {
         // A head may be complete in the same bytes that exceed the limit.
         biased;
         result = timeout_at(deadline, exchange) => result,
-        () = head_limit.exceeded() => {
+        () = read_limit.head_exceeded() => {
             return Err(AttemptFailure::new(AttemptEnd::Broken, "the head of the answer is too long"));
         }
     };
     match result {
-        Ok(Ok(response)) => {
-            head_limit.end_head();
-            Ok(response)
-        }
+        Ok(Ok(response)) => Ok(response.map(|body| LimitedBody::new(body, read_limit))),
         Ok(Err(mut error)) => {
             let was_sent = error.take_message().is_none();
             let end = if was_sent {
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -24,6 +24,7 @@
 use crate::{
     dispatch,
     node::{Node, Stage},
+    read_limit::{LimitedBody, LimitedStream, ReadLimit},
     where_query,
 };
 
@@ -102,7 +103,12 @@
 /// connection is closed after the request in progress.
 async fn serve_caller(open_connection: OpenConnectionGuard, stream: TcpStream) {
     let node = Rc::clone(&open_connection.node);
-    let service = service_fn(|request| dispatch::serve(Rc::clone(&node), request));
+    let limit = Rc::new(ReadLimit::new());
+    let stream = LimitedStream::new(stream, Rc::clone(&limit));
+    let service = service_fn(|request: Request<Incoming>| {
+        let request = request.map(|body| LimitedBody::new(body, Rc::clone(&limit)));
+        dispatch::serve(Rc::clone(&node), request)
+    });
     let builder = caller_connection_builder(&node);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     if let Err(error) = serve_until_closing(&node, connection).await {
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -6,7 +6,6 @@
 use gateway::{AttemptEnd, ProxyPeer, Target};
 use http::{Request, Response, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use model::InstanceId;
 use tokio::time::{timeout, timeout_at};
 
@@ -16,6 +15,7 @@
     node::Node,
     peer_connections::PeerSender,
     proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
+    read_limit::LimitedBody,
 };
 
 /// Authority in the URIs of requests to peers, which HTTP/2 requires. The host that the
@@ -73,7 +73,7 @@
     target: &Target,
     outgoing: &OutgoingRequest,
     options: AttemptOptions,
-) -> Result<(Response<Incoming>, ProxyGuard), ExchangeFailure> {
+) -> Result<(Response<LimitedBody>, ProxyGuard), ExchangeFailure> {
     log::info!(
         "event=attempt_proxied request={} upstream={} peer={}",
         outgoing.request_id,
@@ -95,7 +95,7 @@
     let deadline = node.clock.instant(options.head_deadline_ms);
     let failure = match timeout_at(deadline, exchange).await {
         Ok(Ok(response)) => match AttemptError::find_in(response.headers()) {
-            None => return Ok((response, guard)),
+            None => return Ok((response.map(LimitedBody::of_peer), guard)),
             Some(error) => failure_at_peer(&guard, &error),
         },
         Ok(Err(mut error)) => {
--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -30,6 +30,8 @@
 /// Slots of the sound server: room for all of the requests, so that none is refused because
 /// the others came first.
 const SOUND_SLOTS: u32 = 32;
+/// Latency goal of the routes, within which the whole short stream should arrive as well.
+const GOAL: Duration = Duration::from_millis(300);
 /// Maximum growth of the process while it reads such answers, KiB.
 const GROWTH_MAX_KIB: usize = 32 * 1_024;
 
@@ -152,6 +154,14 @@
     format!("HTTP/1.1 {status}\r\nRedwingtack-Server-Stamp: s\r\n")
 }
 
+/// Returns the head of a stream that is sent in chunks.
+fn chunked_head() -> String {
+    format!(
+        "{}Transfer-Encoding: chunked\r\n\r\n",
+        answer_head("200 OK")
+    )
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn head_without_end_is_given_up() {
     let header = b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n".to_vec();
@@ -174,6 +184,37 @@
     assert_requests_are_answered(&server).await;
 }
 
+/// Guards against one connection that takes up the whole processor: the digits of the size of a
+/// chunk come without end, and the HTTP client reads them one by one.
+#[tokio::test(flavor = "multi_thread")]
+async fn size_of_a_chunk_without_end_is_given_up() {
+    let server = EndlessServer::start(chunked_head(), vec![b'0'; 8_192], Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+/// The same behind some events.
+#[tokio::test(flavor = "multi_thread")]
+async fn size_of_a_later_chunk_without_end_is_given_up() {
+    let start = format!("{}9\r\nid: 1\ndat\r\n", chunked_head());
+    let server = EndlessServer::start(start, vec![b'0'; 8_192], Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn extension_of_a_chunk_without_end_is_given_up() {
+    let start = format!("{}5;", chunked_head());
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_without_end_are_given_up() {
+    let start = format!("{}0\r\n", chunked_head());
+    let trailer = b"x-filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n".to_vec();
+    let server = EndlessServer::start(start, trailer, Duration::ZERO).await;
+    assert_requests_are_answered(&server).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn event_without_end_is_given_up() {
     let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
@@ -217,16 +258,21 @@
     .await;
 }
 
-/// Items run again at the sound server.
-#[tokio::test(flavor = "multi_thread")]
-async fn items_that_met_an_event_without_end_are_done() {
-    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
-    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
-    let cluster = start_cluster(&server).await;
+/// Has items run while only the server without end is ready, and then the sound one as well.
+/// All must be done, and the process must not grow.
+async fn assert_items_are_done(server: &EndlessServer) {
+    let cluster = start_cluster(server).await;
+    cluster.register_server(0, "draining").await;
+    sleep(Duration::from_millis(300)).await;
     let before_kib = resident_kib(&cluster);
     let ids: Vec<_> = (0..REQUESTS).map(|index| format!("i{index}")).collect();
     let items: Vec<_> = ids.iter().map(|id| (id.as_str(), "/batch/x/0")).collect();
     cluster.nodes[0].submit_job("j", &items).await;
+    wait_until("an item met the server", async || {
+        server.requests.load(Ordering::Acquire) > 0
+    })
+    .await;
+    cluster.register_server_with_slots(0, SOUND_SLOTS).await;
     let results = cluster.nodes[0].wait_for_results("j").await;
     assert!(results.iter().all(|result| result["state"] == "done"));
     let growth_kib = resident_kib(&cluster).saturating_sub(before_kib);
@@ -236,6 +282,21 @@
     );
 }
 
+/// Items run again at the sound server.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_met_an_event_without_end_are_done() {
+    let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
+    let server = EndlessServer::start(start, vec![b'x'; 8_192], Duration::ZERO).await;
+    assert_items_are_done(&server).await;
+}
+
+/// The same for the size of a chunk.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_met_a_chunk_size_without_end_are_done() {
+    let server = EndlessServer::start(chunked_head(), vec![b'0'; 8_192], Duration::ZERO).await;
+    assert_items_are_done(&server).await;
+}
+
 /// A server goes on with events that have no end.
 #[tokio::test(flavor = "multi_thread")]
 async fn events_without_end_do_not_fill_the_memory_of_an_items_run() {
@@ -266,10 +327,32 @@
     let start = format!("{}\r\nid: 1\ndata: ", answer_head("200 OK"));
     let pause = Duration::from_millis(10);
     let server = EndlessServer::start(start, vec![b'x'], pause).await;
-    let cluster = start_cluster(&server).await;
-    let ids: Vec<_> = (0..REQUESTS).map(|index| format!("i{index}")).collect();
-    let items: Vec<_> = ids.iter().map(|id| (id.as_str(), "/batch/x/0")).collect();
-    cluster.nodes[0].submit_job("j", &items).await;
-    let results = cluster.nodes[0].wait_for_results("j").await;
-    assert!(results.iter().all(|result| result["state"] == "done"));
+    assert_items_are_done(&server).await;
+}
+
+/// Callers whose requests have no end hold up nobody else.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunk_size_of_callers_without_end_holds_up_no_other() {
+    const CALLERS: usize = 8;
+    let cluster = TestCluster::start(&[SOUND_SLOTS], 1).await;
+    let address = cluster.nodes[0].callers_address;
+    let mut callers = JoinSet::new();
+    for _ in 0..CALLERS {
+        callers.spawn(async move {
+            let mut socket = TcpStream::connect(address).await.unwrap();
+            let head = format!(
+                "POST /long/x HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            socket.write_all(head.as_bytes()).await.unwrap();
+            while socket.write_all(&[b'0'; 8_192]).await.is_ok() {}
+        });
+    }
+    sleep(Duration::from_millis(300)).await;
+    for index in 0..REQUESTS {
+        let started = Instant::now();
+        let id = format!("r{index}");
+        let answer = support::send_stream_request(address, "/long/x", &id).await;
+        assert_eq!(answer.body, complete_stream(&id));
+        assert!(started.elapsed() < GOAL, "{:?}", started.elapsed());
+    }
 }
