A stopping instance answers the first request of a new connection

Cause: at Stage::Closing each connection is told to close after the request in progress, and a connection that is opened later is told so at once: the HTTP server closes it unless its request is there already.

Change: a connection that has had no request is closed only when the listener is (Stage::Closed). Its one answer closes it, as all answers of a stopping instance do.

Measured: short_request_is_served_until_the_end_of_a_stop and request_of_a_second_is_served_while_in_rotation failed before (no answer to a request sent 2.7 s after the signal), and pass now.

--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections and answers the platform's readiness checks.
 
-use std::{convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -99,19 +99,29 @@
     }
 }
 
-/// Serves a connection of a caller until it ends. During a planned stop, the
-/// connection is closed after the request in progress.
+/// Serves a connection of a caller until it ends. During a planned stop, the connection is
+/// closed after the request in progress, or after its first one if none has come yet: the
+/// caller would get no answer to a request that is on its way.
 async fn serve_caller(open_connection: OpenConnectionGuard, stream: TcpStream) {
     let node = Rc::clone(&open_connection.node);
     let limit = Rc::new(ReadLimit::new());
+    let has_request = Cell::new(false);
     let stream = LimitedStream::new(stream, Rc::clone(&limit));
     let service = service_fn(|request: Request<Incoming>| {
+        has_request.set(true);
         let request = request.map(|body| LimitedBody::new(body, Rc::clone(&limit)));
         dispatch::serve(Rc::clone(&node), request)
     });
     let builder = caller_connection_builder(&node);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = serve_until_closing(&node, connection).await {
+    let last_stage = || {
+        if has_request.get() {
+            Stage::Closing
+        } else {
+            Stage::Closed
+        }
+    };
+    if let Err(error) = serve_until(&node, connection, last_stage).await {
         log::debug!(
             "event=caller_connection_ended error={}",
             process::quote(&error)
@@ -124,12 +134,27 @@
 pub(crate) async fn serve_until_closing<C: GracefulConnection>(
     node: &Node,
     connection: C,
+) -> C::Output {
+    serve_until(node, connection, || Stage::Closing).await
+}
+
+/// Serves a connection until it ends, or until the process has reached the stage that
+/// `last_stage` returns as soon as connections are closed. It is closed then after the requests
+/// in progress.
+async fn serve_until<C: GracefulConnection>(
+    node: &Node,
+    connection: C,
+    last_stage: impl Fn() -> Stage,
 ) -> C::Output {
     let mut connection = pin!(connection);
     let mut stage = node.stage.subscribe();
+    let last_stage_reached = async {
+        wait_for_stage(&mut stage, Stage::Closing).await;
+        wait_for_stage(&mut stage, last_stage()).await;
+    };
     tokio::select! {
         result = connection.as_mut() => result,
-        () = wait_for_stage(&mut stage, Stage::Closing) => {
+        () = last_stage_reached => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- /dev/null
+++ b/crates/node/tests/planned_stop.rs
@@ -0,0 +1,198 @@
+//! Callers that still come while an instance stops as planned.
+
+mod support;
+
+use std::{
+    collections::BTreeSet,
+    io::ErrorKind,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use support::{
+    Answer, EVENTS_PER_STREAM, HOST, TestCluster, complete_stream,
+    scripted_server::{RequestHead, ScriptedServer, events},
+    send_request,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Time from the signal for which callers come: until the instance accepts no connections.
+const CALLERS_COME: Duration = Duration::from_millis(3_900);
+/// Time from the signal until the platform sends no more callers to the instance.
+const OUT_OF_ROTATION: Duration = Duration::from_millis(2_600);
+/// Pause between two callers.
+const PAUSE: Duration = Duration::from_millis(30);
+/// Time that callers wait, which is longer than the rest of the stop for most of them.
+const DEADLINE_MS: &str = "4500";
+
+/// A server that takes the same time for each answer, and the ids of requests that it got.
+struct SlowServer {
+    server: ScriptedServer,
+    requests: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl SlowServer {
+    /// Starts a server whose streams begin at once and end after `duration`.
+    fn start(duration: Duration) -> Self {
+        let requests = Arc::new(Mutex::new(BTreeSet::new()));
+        let ids = Arc::clone(&requests);
+        let server = ScriptedServer::start(move |head, stream| {
+            ids.lock().unwrap().insert(head.id.clone());
+            answer_slowly(head, stream, duration)
+        });
+        Self { server, requests }
+    }
+
+    fn has_got(&self, id: &str) -> bool {
+        self.requests.lock().unwrap().contains(id)
+    }
+}
+
+async fn answer_slowly(head: RequestHead, mut stream: TcpStream, duration: Duration) {
+    let first = head.after_event.unwrap_or(0) + 1;
+    let id = &head.id;
+    let begin = "HTTP/1.1 200 OK\r\nRedwingtack-Server-Stamp: stamp\r\n\
+                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let pause = duration / u32::try_from(EVENTS_PER_STREAM).unwrap();
+    // The other side may have closed the connection.
+    let _ = stream.write_all(begin.as_bytes()).await;
+    for event in first..=EVENTS_PER_STREAM {
+        sleep(pause).await;
+        let event = events(id, event..=event);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        let _ = stream.write_all(chunk.as_bytes()).await;
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+}
+
+/// What came of a request that was sent during the stop.
+#[derive(Debug)]
+struct Outcome {
+    id: String,
+    /// Time from the signal to the request.
+    sent_after: Duration,
+    /// `None` if the connection ended without an answer.
+    answer: Option<Answer>,
+}
+
+async fn send(cluster: &TestCluster, path: &'static str, id: String) -> std::io::Result<Answer> {
+    let address = cluster.nodes[0].callers_address;
+    let headers = [
+        ("host", HOST),
+        ("redwingtack-request-id", id.as_str()),
+        ("redwingtack-deadline-ms", DEADLINE_MS),
+    ];
+    send_request(address, "POST", path, &headers, b"prompt".to_vec()).await
+}
+
+/// Starts an instance, which learns how long requests last, stops it, and sends requests on new
+/// connections meanwhile.
+async fn outcomes_of_a_stop(
+    path: &'static str,
+    duration: Duration,
+) -> (Vec<Outcome>, SlowServer, TestCluster) {
+    let slow = SlowServer::start(duration);
+    let cluster = TestCluster::start(&[8], 1).await;
+    cluster.unregister_server(0).await;
+    slow.server.register(&cluster, "slow", 400).await;
+    sleep(Duration::from_millis(300)).await;
+    for number in 0..2 {
+        let answer = send(&cluster, path, format!("before-{number}")).await;
+        assert!(answer.unwrap().is_complete);
+    }
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let stopped_at = Instant::now();
+    let cluster = Arc::new(cluster);
+    let mut requests = JoinSet::new();
+    while stopped_at.elapsed() < CALLERS_COME {
+        let id = format!("r{}", requests.len());
+        let cluster = Arc::clone(&cluster);
+        requests.spawn(async move {
+            let sent_after = stopped_at.elapsed();
+            let answer = match send(&cluster, path, id.clone()).await {
+                Ok(answer) => Some(answer),
+                Err(error) => {
+                    assert_ne!(error.kind(), ErrorKind::ConnectionRefused, "{sent_after:?}");
+                    None
+                }
+            };
+            Outcome {
+                id,
+                sent_after,
+                answer,
+            }
+        });
+        sleep(PAUSE).await;
+    }
+    let outcomes = requests.join_all().await;
+    let mut cluster = Arc::into_inner(cluster).unwrap();
+    assert!(cluster.nodes[0].wait_for_exit().await);
+    (outcomes, slow, cluster)
+}
+
+/// Each request must be answered in full, or refused before it was passed on.
+fn assert_none_is_cut(outcomes: &[Outcome], slow: &SlowServer) {
+    for Outcome {
+        id,
+        sent_after,
+        answer,
+    } in outcomes
+    {
+        let Some(answer) = answer else {
+            panic!("{id}, sent {sent_after:?} after the signal, got no answer");
+        };
+        match answer.status {
+            StatusCode::OK => {
+                assert!(
+                    answer.is_complete,
+                    "{id}, sent after {sent_after:?}, is cut"
+                );
+                assert_eq!(answer.body, complete_stream(id));
+            }
+            StatusCode::SERVICE_UNAVAILABLE => {
+                assert!(answer.headers.contains_key("retry-after"));
+                assert!(!slow.has_got(id), "{id} was refused and has run");
+            }
+            status => panic!("{id}, sent after {sent_after:?}: {status}"),
+        }
+    }
+    let closes = |answer: &Answer| answer.headers["connection"] == "close";
+    let mut answers = outcomes
+        .iter()
+        .filter_map(|outcome| outcome.answer.as_ref());
+    assert!(answers.all(closes));
+}
+
+/// A stop refuses nothing that it can still do, and answers on new connections until it accepts
+/// none.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_request_is_served_until_the_end_of_a_stop() {
+    let duration = Duration::from_millis(400);
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
+    assert_none_is_cut(&outcomes, &slow);
+    for outcome in outcomes {
+        let answer = outcome.answer.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{:?}", outcome.sent_after);
+    }
+}
+
+/// Requests that last longer are served as long as the platform sends them.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_a_second_is_served_while_in_rotation() {
+    let duration = Duration::from_millis(1_000);
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
+    assert_none_is_cut(&outcomes, &slow);
+    for outcome in outcomes {
+        if outcome.sent_after < OUT_OF_ROTATION {
+            let answer = outcome.answer.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{:?}", outcome.sent_after);
+        }
+    }
+}
