A stopping instance takes no request that it would cut, and answers those that it ends

Callers saw (report of a planned stop; measured on, grace 8 s): requests sent 4.2 to 6.1 s after SIGTERM were passed on and cut without an answer: 6 and 3 of those of 2 s that may not be repeated, 23 streams of 3 s, 35 requests of 3.5 s.

Cause: until the listener was closed, each request was taken, however long requests of its kind last; what had no answer when the process ended got none.

During a stop a request is taken if it ends by then, with a margin, or by its deadline, before the stop cuts it; any other is refused as not run with a short Retry-After. Attempts for peers likewise. What has no answer 0.4 s before the end of the grace gets 503 if nothing may have begun, or else 502. Works because the margin is taken from what the route's requests last here, and the deadline decides while nothing is known.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 mod recent_prompts;
 mod refusal;
 mod request_content;
+mod request_durations;
 mod route;
 mod service_timings;
 mod store_reachability;
@@ -101,6 +102,7 @@
     rate_limits::{LimitNotice, LimitStatement, TokenDemand, TokenGrant},
     refusal::RefusalReason,
     request_content::{CrashCause, RequestContent, RequestFingerprint},
+    request_durations::RequestDurations,
     route::{BatchTerms, CallerLimits, Route, RouteKind, RouteTable, ServiceShare, normalize_host},
     store_reachability::StoreReachability,
     stream_origins::{
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -19,6 +19,8 @@
     VersionUnknown,
     /// The customer has used up its quota.
     OverQuota,
+    /// The answer is not expected to end before this instance stops.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -34,6 +36,7 @@
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
             Self::OverQuota => "over_quota",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -10,10 +10,10 @@
 
 use crate::{
     crash_detection,
+    end_to_end_headers::forwarded_headers,
     exchange::{
         ExchangeFailure, FailureMeaning, UsedConnection, exchange_on, take_idle_connection,
     },
-    forward::forwarded_headers,
     frame_reader::FrameReader,
     node::Node,
     proxied_attempt::{self, ProxyGuard},
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatches callers' requests: requests about jobs and submissions of jobs go to
 //! the `jobs` module, requests of other routes are forwarded to upstreams.
 
-use std::{convert::Infallible, rc::Rc, sync::Arc};
+use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use gateway::{Customer, Route, RouteKind, RouteTable};
@@ -15,12 +15,16 @@
     customers::{self, CallId, KeyedCall},
     forward::forward,
     jobs,
+    listener::wait_for_stage,
     node::{Node, Stage},
     read_limit::LimitedBody,
 };
 
 /// Retry-after hint while this instance has no configuration, milliseconds.
 const NOT_CONFIGURED_RETRY_AFTER_MS: u64 = 500;
+/// Retry-after hint for a request that a planned stop ended, milliseconds. The hint is short
+/// because other instances can serve the request.
+const STOPPED_RETRY_AFTER_MS: u64 = 10;
 /// Time-out for reading a request body if the caller sets no deadline,
 /// milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -33,11 +37,12 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let _open_request = OpenRequestGuard::new(&node);
     let arrived_ms = node.now_ms();
-    let (parts, body) = request.into_parts();
-    node.wait_for_initial_state().await;
-    let mut response = match node.routes() {
-        Some(routes) => answer_request(&node, &routes, parts, body, arrived_ms).await,
-        None => answer_not_configured(&parts),
+    let may_have_begun = Cell::new(false);
+    let answer = answer_request(&node, request, arrived_ms, &may_have_begun);
+    let mut stage = node.stage.subscribe();
+    let mut response = tokio::select! {
+        response = answer => response,
+        () = wait_for_stage(&mut stage, Stage::Ending) => answer_ended(may_have_begun.get()),
     };
     if node.stage() != Stage::Serving {
         let close = HeaderValue::from_static("close");
@@ -46,6 +51,17 @@
     Ok(response)
 }
 
+/// Returns the answer to a request that a planned stop ends. Without one, the caller could not
+/// tell whether the request was read.
+fn answer_ended(may_have_begun: bool) -> Response<AnswerBody> {
+    log::warn!("event=request_ended_by_stop may_have_begun={may_have_begun}");
+    if may_have_begun {
+        answer::text(StatusCode::BAD_GATEWAY, "this instance has stopped")
+    } else {
+        answer::service_unavailable(STOPPED_RETRY_AFTER_MS, "this instance has stopped")
+    }
+}
+
 fn answer_not_configured(parts: &request::Parts) -> Response<AnswerBody> {
     log::warn!(
         "event=request_refused request={} reason=no_configuration retry_after_ms={NOT_CONFIGURED_RETRY_AFTER_MS}",
@@ -57,19 +73,28 @@
     )
 }
 
+/// Answers one request. Sets `may_have_begun` as soon as something may be done that the caller
+/// asked for.
 async fn answer_request(
     node: &Rc<Node>,
-    routes: &RouteTable,
-    parts: request::Parts,
-    body: LimitedBody,
+    request: Request<LimitedBody>,
     arrived_ms: u64,
+    may_have_begun: &Cell<bool>,
 ) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    node.wait_for_initial_state().await;
+    let Some(routes) = node.routes() else {
+        return answer_not_configured(&parts);
+    };
+    let routes = &*routes;
     let host = host_of(&parts).to_owned();
     let request_headers = platform::decode_request_headers(&parts.headers);
     let key = request_headers.key.as_ref();
+    may_have_begun.set(true);
     if let Some(response) = jobs::answer_call(node, routes, &parts, key).await {
         return response;
     }
+    may_have_begun.set(false);
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
             "event=request_refused request={} reason=no_route config_version={}",
@@ -120,6 +145,7 @@
         body,
         arrived_ms,
     };
+    may_have_begun.set(true);
     if is_job_submission(&call.route) {
         return jobs::submit(node, &call).await;
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -8,7 +8,7 @@
     PlacementRequest, QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint,
     RetryState, Route, Target, VersionHash, WorkKind,
 };
-use http::{HeaderMap, Response, StatusCode, header, request};
+use http::{Response, StatusCode, header, request};
 use model::{ServiceName, shared_parts};
 
 use crate::{
@@ -16,6 +16,7 @@
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
     dispatch::{CallerRequest, host_of},
+    end_to_end_headers::copy_end_to_end_headers,
     node::Node,
     quarantine, quotas,
     relay::Relay,
@@ -24,6 +25,9 @@
 
 /// Retry-after hint for a request that no upstream ran, milliseconds.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 300;
+/// Retry-after hint for a request that this instance has no time for before it stops,
+/// milliseconds. The hint is short because other instances can serve the request.
+const STOPPING_RETRY_AFTER_MS: u64 = 10;
 /// Retry-after hint while a trial of a quarantined part waits for an idle upstream,
 /// milliseconds.
 const TRIAL_RETRY_AFTER_MS: u64 = 5_000;
@@ -118,15 +122,7 @@
 
 impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
-        let may_begin = match self.check_quota().await {
-            Ok(()) => self.find_version().await,
-            Err(no_answer) => Err(no_answer),
-        };
-        let answer = match may_begin {
-            Ok(()) => self.next_answer(self.resume_after).await,
-            Err(no_answer) => Err(no_answer),
-        };
-        match answer {
+        match self.first_answer().await {
             Ok(answer) => self.relay_answer(answer),
             Err(no_answer) => {
                 self.record_unanswered(no_answer);
@@ -135,6 +131,29 @@
         }
     }
 
+    async fn first_answer(&mut self) -> Result<UpstreamAnswer, NoAnswer> {
+        self.check_time()?;
+        self.check_quota().await?;
+        self.find_version().await?;
+        self.next_answer(self.resume_after).await
+    }
+
+    /// Refuses the request if this instance is expected to stop before its answer ends.
+    fn check_time(&self) -> Result<(), NoAnswer> {
+        if self.node.has_time_for(&self.route, self.deadline_ms) {
+            return Ok(());
+        }
+        let reason = RefusalReason::Stopping;
+        log::warn!(
+            "event=request_not_placed request={} route={} reason={} left_ms={} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
+            self.outgoing.request_id,
+            self.route.name,
+            reason.as_str(),
+            self.deadline_ms.saturating_sub(self.node.now_ms())
+        );
+        Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
+    }
+
     /// Counts the request against the quota of its customer.
     async fn check_quota(&self) -> Result<(), NoAnswer> {
         let Some(customer) = &self.customer else {
@@ -440,6 +459,10 @@
             reason: RefusalReason::OverQuota,
             retry_after_ms,
         } => answer::too_many_requests(retry_after_ms, "the quota is used up"),
+        NoAnswer::Refused {
+            reason: RefusalReason::Stopping,
+            retry_after_ms,
+        } => answer::service_unavailable(retry_after_ms, "this instance is stopping"),
         NoAnswer::Refused { retry_after_ms, .. } => {
             answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
         }
@@ -462,32 +485,3 @@
     let path_and_query = path_and_query.map_or("", |path_and_query| path_and_query.as_str());
     RequestFingerprint::new(parts.method.as_str(), host_of(parts), path_and_query, body)
 }
-
-/// Returns the caller's headers without the hop-by-hop headers.
-pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = HeaderMap::with_capacity(headers.len() + 2);
-    copy_end_to_end_headers(headers, &mut forwarded);
-    // The body is buffered, so the HTTP client sets its length.
-    forwarded.remove(header::CONTENT_LENGTH);
-    forwarded
-}
-
-/// Copies the end-to-end headers. Leaves out the hop-by-hop headers and those
-/// that the `Connection` header names.
-pub(crate) fn copy_end_to_end_headers(from: &HeaderMap, to: &mut HeaderMap) {
-    let connection_specific: Vec<_> = from
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|list| list.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for (name, value) in from {
-        let is_connection_specific = connection_specific
-            .iter()
-            .any(|listed| listed == name.as_str());
-        if !platform::is_hop_by_hop(name) && !is_connection_specific {
-            to.append(name.clone(), value.clone());
-        }
-    }
-}
--- a/crates/node/src/jobs/peer_forwarding.rs
+++ b/crates/node/src/jobs/peer_forwarding.rs
@@ -11,8 +11,8 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    attempt::OutgoingRequest, connection_pool::connect, forward::copy_end_to_end_headers,
-    node::Node,
+    attempt::OutgoingRequest, connection_pool::connect,
+    end_to_end_headers::copy_end_to_end_headers, node::Node,
 };
 
 /// Marks a request that a peer forwarded. The receiving instance does not forward it
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -32,6 +32,7 @@
 mod customers;
 mod datagrams;
 mod dispatch;
+mod end_to_end_headers;
 mod exchange;
 mod feeds;
 mod forward;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,8 +9,8 @@
 };
 
 use gateway::{
-    KeyLease, Locality, Preemption, Quarantine, RouteTable, StreamOrigins, Target, UnknownKeys,
-    UpstreamTable, VersionHistory,
+    KeyLease, Locality, Preemption, Quarantine, RequestDurations, Route, RouteTable, StreamOrigins,
+    Target, UnknownKeys, UpstreamTable, VersionHistory,
 };
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
@@ -115,6 +115,11 @@
     /// Number of changes of job records so far; receivers wait for the next change.
     pub(crate) jobs_changed: watch::Sender<u64>,
     pub(crate) stage: watch::Sender<Stage>,
+    /// When a planned stop ends the requests in progress, in milliseconds on the node's clock;
+    /// `None` while none has begun.
+    pub(crate) stop_deadline_ms: Cell<Option<u64>>,
+    /// How long requests have lasted lately.
+    pub(crate) request_durations: RefCell<RequestDurations>,
     /// Number of callers' requests whose answer has not begun. Answers that are being
     /// relayed count by their connection only.
     pub(crate) open_requests: Cell<usize>,
@@ -134,6 +139,8 @@
     Closing,
     /// Accepts no connections.
     Closed,
+    /// Ends the requests whose answers have not begun.
+    Ending,
 }
 
 impl Node {
@@ -194,6 +201,8 @@
             batch_state_changed: Notify::new(),
             jobs_changed: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
+            stop_deadline_ms: Cell::default(),
+            request_durations: RefCell::default(),
             open_requests: Cell::default(),
             open_connections: Cell::default(),
             owner_id,
@@ -292,6 +301,16 @@
         *self.stage.borrow()
     }
 
+    /// Returns whether a request of a route with this deadline is expected to end before a
+    /// planned stop, if one has begun, cuts its answer.
+    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
+        self.stop_deadline_ms.get().is_none_or(|stop_deadline_ms| {
+            let now_ms = self.now_ms();
+            let durations = self.request_durations.borrow();
+            durations.is_expected_to_end_by(stop_deadline_ms, route, deadline_ms, now_ms)
+        })
+    }
+
     /// Records what the store's clock read when it sent an answer that has just arrived.
     pub(crate) fn record_store_time(&self, store_ms: Option<u64>) {
         if let Some(store_ms) = store_ms {
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
-use gateway::{LostRequest, Target};
+use gateway::{LostRequest, Target, WorkKind};
 use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Either, Limited, StreamBody};
 use hyper::{
@@ -29,8 +29,9 @@
     answer::{self, AnswerBody, Truncated},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
     crash_detection,
+    dispatch::host_of,
+    end_to_end_headers::copy_end_to_end_headers,
     exchange::{DirectExchange, ExchangeFailure, FailureMeaning, exchange_directly},
-    forward::copy_end_to_end_headers,
     listener::{OpenConnectionGuard, accept, bind, serve_until_closing, wait_for_stage},
     node::{Node, Stage},
     peer_connections::{HEADERS_MAX_BYTES, LocalExecutor, PING_INTERVAL, PING_TIMEOUT},
@@ -177,6 +178,9 @@
     let body = read_body(node, body, deadline_ms).await;
     let body = body.ok_or_else(|| not_sent("the body cannot be read"))?;
     let target = find_target(node, &attempt.upstream, attempt.started_unix_ms)?;
+    if !has_time(node, attempt, &parts, deadline_ms) {
+        return Err(not_sent("the instance is stopping"));
+    }
     let may_be_succeeded = node.upstreams.borrow().may_be_succeeded(&target, now_ms);
     if attempt.resume_after.is_some() && may_be_succeeded {
         return Err(not_sent("another version may listen at the address"));
@@ -214,6 +218,22 @@
     }
 }
 
+/// Returns whether an attempt is expected to end before a planned stop cuts it. Items are taken
+/// all the same: they go on elsewhere after the events that their owner has.
+fn has_time(
+    node: &Node,
+    attempt: &ProxiedAttempt,
+    parts: &http::request::Parts,
+    deadline_ms: u64,
+) -> bool {
+    let routes = node.routes();
+    let route = routes
+        .as_ref()
+        .and_then(|routes| routes.find(host_of(parts), parts.uri.path()));
+    attempt.kind == WorkKind::Batch
+        || route.is_none_or(|route| node.has_time_for(route, deadline_ms))
+}
+
 /// Returns an incarnation of an upstream by its registration here.
 fn find_target(
     node: &Node,
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -281,6 +281,8 @@
         let since_arrival = |at_ms: u64| at_ms.saturating_sub(request.arrived_ms);
         let metrics = &request.node.metrics;
         metrics.on_request_end(&request.route, outcome, since_arrival(now_ms));
+        let mut durations = request.node.request_durations.borrow_mut();
+        durations.record(&request.route.name, since_arrival(now_ms), now_ms);
         if let Some(first_ms) = self.first_bytes_ms {
             metrics.on_first_event(&request.route, since_arrival(first_ms));
             metrics.on_longest_pause(&request.route, self.longest_pause_ms);
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -18,9 +18,11 @@
 /// this instance. The platform checks readiness once a second and needs two failed
 /// checks.
 const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
-/// The process exits this long before the platform's grace period for a planned stop
-/// ends.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// The requests in progress end this long before the platform's grace period for a planned
+/// stop does, milliseconds.
+const END_MARGIN_MS: u64 = 400;
+/// Time in which the last answers are written, after the requests in progress were ended.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Time reserved at the end for requests that arrive just before connections are
 /// refused.
 const LAST_REQUESTS_MARGIN: Duration = Duration::from_millis(1_500);
@@ -44,11 +46,13 @@
             _ = hangup.recv() => feeds::reload_settings(node),
         }
     }
-    let grace = Duration::from_millis(node.settings().stop_grace_ms);
-    let exit_deadline = Instant::now() + grace.saturating_sub(EXIT_MARGIN);
-    log::info!("event=stopping grace_ms={}", grace.as_millis());
+    let grace_ms = node.settings().stop_grace_ms;
+    let end_ms = node.now_ms() + grace_ms.saturating_sub(END_MARGIN_MS);
+    node.stop_deadline_ms.set(Some(end_ms));
+    let end = node.clock.instant(end_ms);
+    log::info!("event=stopping grace_ms={grace_ms}");
     node.stage.send_replace(Stage::Draining);
-    let out_of_rotation_at = exit_deadline.min(Instant::now() + ROTATION_DELAY);
+    let out_of_rotation_at = end.min(Instant::now() + ROTATION_DELAY);
     spawn_local(heartbeats::announce_stop(Rc::clone(node)));
     jobs::release_jobs(node, out_of_rotation_at).await;
     // The jobs are released, so none depends on the lease. The removal runs in
@@ -56,9 +60,11 @@
     spawn_local(heartbeats::remove_heartbeat(Rc::clone(node)));
     sleep_until(out_of_rotation_at).await;
     node.stage.send_replace(Stage::Closing);
-    wait_until_connections_close(node, exit_deadline - LAST_REQUESTS_MARGIN).await;
+    wait_until_connections_close(node, end - LAST_REQUESTS_MARGIN).await;
     node.stage.send_replace(Stage::Closed);
-    wait_until_connections_close(node, exit_deadline).await;
+    wait_until_connections_close(node, end).await;
+    node.stage.send_replace(Stage::Ending);
+    wait_until_connections_close(node, end + LAST_ANSWERS_TIME).await;
     log::info!(
         "event=stopped open_requests={} open_connections={}",
         node.open_requests.get(),
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -11,13 +11,14 @@
 
 use http::StatusCode;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use support::{
-    Answer, EVENTS_PER_STREAM, HOST, TestCluster, complete_stream,
+    Answer, EVENTS_PER_STREAM, HOST, TestCluster, complete_stream, config,
     scripted_server::{RequestHead, ScriptedServer, events},
-    send_request,
+    send_request, wait_until,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::JoinSet,
     time::{Instant, sleep},
@@ -170,6 +171,23 @@
     assert!(answers.all(closes));
 }
 
+/// Guards against requests that are passed on late in a planned stop and cut at its end: they
+/// may not be repeated, so that nobody can tell what became of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_not_be_repeated_is_not_cut_by_a_stop() {
+    let duration = Duration::from_secs(2);
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
+    assert_none_is_cut(&outcomes, &slow);
+}
+
+/// The same for streams that another instance could resume.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumable_stream_is_not_cut_by_a_stop() {
+    let duration = Duration::from_millis(2_400);
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/long/x", duration).await;
+    assert_none_is_cut(&outcomes, &slow);
+}
+
 /// A stop refuses nothing that it can still do, and answers on new connections until it accepts
 /// none.
 #[tokio::test(flavor = "multi_thread")]
@@ -186,7 +204,7 @@
 /// Requests that last longer are served as long as the platform sends them.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_of_a_second_is_served_while_in_rotation() {
-    let duration = Duration::from_millis(1_000);
+    let duration = Duration::from_secs(1);
     let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
     assert_none_is_cut(&outcomes, &slow);
     for outcome in outcomes {
@@ -196,3 +214,86 @@
         }
     }
 }
+
+/// A request that is at work when the stop ends its time gets an answer, and no promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_without_an_answer_at_the_end_of_a_stop_is_told() {
+    let silent = ScriptedServer::start(async |_, stream| {
+        sleep(Duration::from_secs(30)).await;
+        drop(stream);
+    });
+    let mut cluster = start_with_long_time_outs().await;
+    silent.register(&cluster, "silent", 8).await;
+    sleep(Duration::from_millis(300)).await;
+    let request = tokio::spawn(send_with_long_deadline(&cluster));
+    sleep(Duration::from_millis(300)).await;
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let answer = request.await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
+/// A request whose body is still being read has not run, and is told so.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_body_is_read_at_the_end_of_a_stop_has_not_run() {
+    let mut cluster = start_with_long_time_outs().await;
+    let address = cluster.nodes[0].callers_address;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nRedwingtack-Deadline-Ms: 15000\r\n\
+         Content-Length: 9\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("\r\nretry-after: "), "{answer}");
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
+/// A request that comes during a stop before the first configuration is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_if_the_stop_comes_before_the_configuration() {
+    let mut cluster = TestCluster::start_without_config(&[8], 1).await;
+    wait_until("the instance accepts connections", async || {
+        TcpStream::connect(cluster.nodes[0].callers_address)
+            .await
+            .is_ok()
+    })
+    .await;
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    for _ in 0..2 {
+        let answer = send(&cluster, "/once/x", "r".to_owned()).await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
+/// Starts an instance whose routes let requests last longer than a stop, without a server.
+async fn start_with_long_time_outs() -> TestCluster {
+    let cluster = TestCluster::start(&[8], 1).await;
+    cluster.unregister_server(0).await;
+    let mut config = config(2, 0);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(20_000);
+    }
+    cluster.put_row("op", "config", &config).await;
+    sleep(Duration::from_millis(300)).await;
+    cluster
+}
+
+/// Returns a request that may last longer than a stop.
+fn send_with_long_deadline(
+    cluster: &TestCluster,
+) -> impl Future<Output = std::io::Result<Answer>> + use<> {
+    let address = cluster.nodes[0].callers_address;
+    async move {
+        let headers = [
+            ("host", HOST),
+            ("redwingtack-request-id", "r"),
+            ("redwingtack-deadline-ms", "15000"),
+        ];
+        send_request(address, "POST", "/once/x", &headers, b"prompt".to_vec()).await
+    }
+}
