An empty continuation is believed only if a second upstream confirms it

Cause: a continuation that ends properly without an event was taken for the end of the stream. That is what a sound server sends after the last event, and also what one sends that lost the rest.

Change: such a continuation is a failed attempt once, and the end if another upstream repeats it; without an attempt left the answer is cut. Items run again until another upstream confirms, or the third time.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -23,6 +23,7 @@
 mod call_timeouts;
 mod customer_backlog;
 mod directory;
+mod end_statements;
 mod heartbeat_monitor;
 mod item;
 mod owned_job;
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -1,8 +1,9 @@
 //! State machine of a job on the instance that owns and runs it.
 
-use model::{JobId, SoftwareVersion};
+use model::{JobId, SoftwareVersion, UpstreamId};
 
 use crate::{
+    end_statements::EndStatements,
     item::{ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, RunOutcome, StoredItems},
     record::{JobPhase, JobRecord, OwnerId},
 };
@@ -45,6 +46,7 @@
     last_saved_event: Option<u64>,
     /// Number of reruns that were delayed by the backoff.
     delayed_reruns: u32,
+    end_statements: EndStatements,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,6 +122,7 @@
                 partial: PartialOutput::new(index),
                 last_saved_event: None,
                 delayed_reruns: 0,
+                end_statements: EndStatements::default(),
             })
             .collect();
         for index in &record.committed {
@@ -232,6 +235,13 @@
         }
     }
 
+    /// Records that an upstream ended a run of an item without an event, as if nothing followed
+    /// the output so far. Returns whether that is confirmed, by another upstream as a rule.
+    pub fn record_stated_end(&mut self, partial: &PartialOutput, upstream: &UpstreamId) -> bool {
+        let row = self.items.get_mut(partial.item_index as usize);
+        row.is_some_and(|row| row.end_statements.record(partial.last_event, upstream))
+    }
+
     /// Records the end of a run. An item fails after `errors_max` server errors.
     /// Runs of items that were given up meanwhile are ignored.
     pub fn finish_run(
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -6,7 +6,7 @@
     Commit, CommitOutcome, CommitStep, ItemOutcome, JobItem, JobPhase, JobRecord, OwnedJob,
     OwnerId, PartialOutput, RunOutcome, StoredItems,
 };
-use model::{InstanceId, JobId, SoftwareVersion};
+use model::{InstanceId, JobId, SoftwareVersion, UpstreamId};
 
 const ERRORS_MAX: u32 = 3;
 const TOKENS_PER_ITEM: u32 = 100;
@@ -339,3 +339,25 @@
     assert_eq!(job.output_version(0), Some(&SoftwareVersion::new("v1")));
     assert_eq!(job.partials(), [partial_at("v1", 4)]);
 }
+
+/// Two upstreams, or three statements of one, confirm that nothing follows the same event.
+#[test]
+fn record_stated_end_by_upstreams_and_event() {
+    let cases = [
+        (vec![(4, "u1")], false),
+        (vec![(4, "u1"), (4, "u1")], false),
+        (vec![(4, "u1"), (4, "u2")], true),
+        (vec![(4, "u1"), (4, "u1"), (4, "u1")], true),
+        (vec![(4, "u1"), (5, "u2")], false),
+        (vec![(4, "u1"), (5, "u2"), (5, "u1")], true),
+    ];
+    for (statements, is_confirmed) in cases {
+        let mut job = job(1);
+        let mut last = false;
+        for (event, upstream) in &statements {
+            let partial = partial_at("v1", *event);
+            last = job.record_stated_end(&partial, &UpstreamId::new(upstream));
+        }
+        assert_eq!(last, is_confirmed, "{statements:?}");
+    }
+}
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -104,6 +104,7 @@
             partial.last_event.unwrap_or(0)
         );
         let ended_run = runner::EndedRun {
+            upstream: context.target.upstream.clone(),
             outcome,
             max_errors: context.route.attempts_max,
             duration_ms: context.node.now_ms().saturating_sub(started_ms),
@@ -112,7 +113,7 @@
                 .unwrap_or(0)
                 .saturating_sub(events_before),
         };
-        runner::finish_run(&context.node, &context.job, partial, ended_run);
+        runner::finish_run(&context.node, &context.job, partial, &ended_run);
     }
 }
 
@@ -173,6 +174,7 @@
     partial: &mut PartialOutput,
 ) -> (RunOutcome, String) {
     let mut splitter = EventSplitter::new().with_last_id(partial.last_event);
+    let first_after = partial.last_event;
     let stall_timeout_ms = STALL_TIMEOUT_GOALS * context.route.pause_goal_ms;
     let mut stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
     loop {
@@ -195,6 +197,11 @@
                 stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
                 runner::update_partial(&context.node, &context.job, partial);
             }
+            Progress::Ended(RunOutcome::Done, _) if partial.last_event == first_after => {
+                // Another upstream is to confirm the end.
+                answer.in_flight.record_failure();
+                return (RunOutcome::Done, "no events".to_owned());
+            }
             Progress::Ended(RunOutcome::Done, reason) => {
                 answer.finish(&context.node);
                 return (RunOutcome::Done, reason);
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -83,8 +83,9 @@
 }
 
 /// A run that has ended.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct EndedRun {
+    pub(super) upstream: UpstreamId,
     pub(super) outcome: RunOutcome,
     /// Number of upstream errors after which the item has failed.
     pub(super) max_errors: u32,
@@ -396,7 +397,12 @@
 
 /// Records the outcome of a run, which makes its item startable again if needed, and
 /// updates the forecast.
-pub(super) fn finish_run(node: &Rc<Node>, id: &JobId, partial: PartialOutput, ended_run: EndedRun) {
+pub(super) fn finish_run(
+    node: &Rc<Node>,
+    id: &JobId,
+    partial: PartialOutput,
+    ended_run: &EndedRun,
+) {
     node.metrics.on_item_run(ended_run.outcome);
     let now_ms = node.now_ms();
     let mut runner = node.runner.borrow_mut();
@@ -410,9 +416,10 @@
     if let Ok(index) = runner.find_job(id) {
         let events = partial.last_event.unwrap_or(0);
         let job = &mut runner.jobs[index];
-        job.finish_run(partial, ended_run.outcome, ended_run.max_errors, now_ms);
+        let outcome = confirm_outcome(job, &partial, ended_run);
+        job.finish_run(partial, outcome, ended_run.max_errors, now_ms);
         let (tokens, _) = job.output_progress(item_index);
-        if ended_run.outcome == RunOutcome::Done {
+        if outcome == RunOutcome::Done {
             runner.forecast.record_completed_item(tokens, events);
         }
     }
@@ -420,6 +427,23 @@
     node.batch_state_changed.notify_one();
 }
 
+/// Returns the outcome of a run. One that ended as complete without an event counts as
+/// interrupted until that is confirmed: the upstream may have lost the rest of the output.
+fn confirm_outcome(job: &mut OwnedJob, partial: &PartialOutput, run: &EndedRun) -> RunOutcome {
+    let is_empty = run.outcome == RunOutcome::Done && run.event_count == 0;
+    if !is_empty || job.record_stated_end(partial, &run.upstream) {
+        return run.outcome;
+    }
+    log::warn!(
+        "event=item_end_unconfirmed job={} item={} upstream={} after_event={}",
+        job.id(),
+        job.item_at(partial.item_index).map_or("", |item| &*item.id),
+        run.upstream,
+        partial.last_event.unwrap_or(0)
+    );
+    RunOutcome::Interrupted
+}
+
 /// Keeps the partial output of a run in progress in memory, from where it is saved
 /// periodically.
 pub(super) fn update_partial(node: &Node, id: &JobId, partial: &PartialOutput) {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -38,6 +38,10 @@
     last_bytes_ms: u64,
     longest_pause_ms: u64,
     resume_count: u32,
+    /// Whether the current answer has brought an event.
+    has_event: bool,
+    /// Whether an upstream that was to resume the stream has said that nothing follows.
+    is_end_stated: bool,
     has_ended: bool,
 }
 
@@ -54,6 +58,8 @@
 enum Received {
     Bytes(Bytes),
     End,
+    /// The stream broke off before, and this is the first upstream to say that nothing follows.
+    UnconfirmedEnd,
     Broken(AttemptFailure),
     DeadlinePassed,
 }
@@ -77,6 +83,8 @@
             last_bytes_ms: 0,
             longest_pause_ms: 0,
             resume_count: 0,
+            has_event: false,
+            is_end_stated: false,
             has_ended: false,
         }
     }
@@ -108,6 +116,10 @@
                     self.finish();
                     return None;
                 }
+                Received::UnconfirmedEnd => {
+                    self.is_end_stated = true;
+                    AttemptFailure::new(AttemptEnd::Failed, "the resumed stream has no events")
+                }
                 Received::Broken(failure) => failure,
                 Received::DeadlinePassed => return Some(self.truncate("deadline passed").await),
             };
@@ -149,6 +161,8 @@
         let is_partial = |splitter: &EventSplitter| splitter.has_partial_event();
         if self.splitter.as_ref().is_some_and(is_partial) {
             broken_stream("the stream ended within an event")
+        } else if self.resume_count > 0 && !self.has_event && !self.is_end_stated {
+            Received::UnconfirmedEnd
         } else {
             Received::End
         }
@@ -171,6 +185,8 @@
             match splitter.next_event() {
                 Ok(Some(event)) => {
                     events.extend_from_slice(&event.bytes);
+                    self.has_event = true;
+                    self.is_end_stated = false;
                     if let Some(answer) = &mut self.answer {
                         answer.record_event(&self.request.node);
                     }
@@ -188,7 +204,10 @@
         let Some(answer) = self.answer.take() else {
             return false;
         };
-        answer.record_lost_answer();
+        match failure.end {
+            AttemptEnd::Failed => answer.in_flight.record_failure(),
+            _ => answer.record_lost_answer(),
+        }
         let target = answer.in_flight.target.clone();
         // Closes the connection, which makes the upstream abort the request.
         drop(answer);
@@ -218,6 +237,7 @@
         );
         self.splitter = Some(EventSplitter::new().with_last_id(last_event));
         self.stall_deadline_ms = None;
+        self.has_event = false;
         self.answer = Some(answer);
         self.request.node.metrics.on_stream_resumed();
         self.resume_count += 1;
