--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,7 +1,12 @@
 //! Dispatches callers' requests: requests about jobs and submissions of jobs go to
 //! the `jobs` module, requests of other routes are forwarded to upstreams.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    rc::Rc,
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use gateway::{Customer, Route, RouteKind, RouteTable};
@@ -37,12 +42,12 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let _open_request = OpenRequestGuard::new(&node);
     let arrived_ms = node.now_ms();
-    let may_have_begun = Cell::new(false);
-    let answer = answer_request(&node, request, arrived_ms, &may_have_begun);
+    let progress = Progress::default();
+    let answer = answer_request(&node, request, arrived_ms, &progress);
     let mut stage = node.stage.subscribe();
     let mut response = tokio::select! {
         response = answer => response,
-        () = wait_for_stage(&mut stage, Stage::Ending) => answer_ended(may_have_begun.get()),
+        () = wait_for_stage(&mut stage, Stage::Ending) => answer_ended(&progress),
     };
     if node.stage() != Stage::Serving {
         let close = HeaderValue::from_static("close");
@@ -51,10 +56,22 @@
     Ok(response)
 }
 
+/// How far the answer to a request has come, in case a planned stop ends it.
+#[derive(Debug, Default)]
+struct Progress {
+    request_id: RefCell<Arc<str>>,
+    /// Whether something may have been done that the caller asked for.
+    may_have_begun: Cell<bool>,
+}
+
 /// Returns the answer to a request that a planned stop ends. Without one, the caller could not
 /// tell whether the request was read.
-fn answer_ended(may_have_begun: bool) -> Response<AnswerBody> {
-    log::warn!("event=request_ended_by_stop may_have_begun={may_have_begun}");
+fn answer_ended(progress: &Progress) -> Response<AnswerBody> {
+    let may_have_begun = progress.may_have_begun.get();
+    log::warn!(
+        "event=request_ended_by_stop request={} may_have_begun={may_have_begun}",
+        progress.request_id.borrow()
+    );
     if may_have_begun {
         answer::text(StatusCode::BAD_GATEWAY, "this instance has stopped")
     } else {
@@ -73,13 +90,11 @@
     )
 }
 
-/// Answers one request. Sets `may_have_begun` as soon as something may be done that the caller
-/// asked for.
 async fn answer_request(
     node: &Rc<Node>,
     request: Request<LimitedBody>,
     arrived_ms: u64,
-    may_have_begun: &Cell<bool>,
+    progress: &Progress,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     node.wait_for_initial_state().await;
@@ -90,11 +105,15 @@
     let host = host_of(&parts).to_owned();
     let request_headers = platform::decode_request_headers(&parts.headers);
     let key = request_headers.key.as_ref();
-    may_have_begun.set(true);
+    progress
+        .request_id
+        .replace(Arc::clone(&request_headers.request_id));
+    // A call about a job may end it.
+    progress.may_have_begun.set(true);
     if let Some(response) = jobs::answer_call(node, routes, &parts, key).await {
         return response;
     }
-    may_have_begun.set(false);
+    progress.may_have_begun.set(false);
     let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
         log::info!(
             "event=request_refused request={} reason=no_route config_version={}",
@@ -145,7 +164,7 @@
         body,
         arrived_ms,
     };
-    may_have_begun.set(true);
+    progress.may_have_begun.set(true);
     if is_job_submission(&call.route) {
         return jobs::submit(node, &call).await;
     }
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -174,7 +174,7 @@
     partial: &mut PartialOutput,
 ) -> (RunOutcome, String) {
     let mut splitter = EventSplitter::new().with_last_id(partial.last_event);
-    let first_after = partial.last_event;
+    let resumed_after = partial.last_event;
     let stall_timeout_ms = STALL_TIMEOUT_GOALS * context.route.pause_goal_ms;
     let mut stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
     loop {
@@ -197,7 +197,7 @@
                 stall_deadline_ms = context.node.now_ms() + stall_timeout_ms;
                 runner::update_partial(&context.node, &context.job, partial);
             }
-            Progress::Ended(RunOutcome::Done, _) if partial.last_event == first_after => {
+            Progress::Ended(RunOutcome::Done, _) if partial.last_event == resumed_after => {
                 // Another upstream is to confirm the end.
                 answer.in_flight.record_failure();
                 return (RunOutcome::Done, "no events".to_owned());
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -205,6 +205,7 @@
             return false;
         };
         match failure.end {
+            // An upstream that says that nothing follows has not crashed.
             AttemptEnd::Failed => answer.in_flight.record_failure(),
             _ => answer.record_lost_answer(),
         }
