--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -207,9 +207,8 @@
 
     /// Returns the heartbeats of the other instances that hold a valid lease.
     pub fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &Heartbeat> {
-        let live = self.instances.iter().filter(move |row| row.is_live(now_ms));
-        live.map(|row| &row.heartbeat)
-            .filter(|heartbeat| heartbeat.owner.instance != self.local.instance)
+        let peers = self.peers_with_leases(now_ms);
+        peers.filter_map(|(heartbeat, has_lease)| has_lease.then_some(heartbeat))
     }
 
     /// Returns the heartbeats of all other instances, including those whose lease
--- a/crates/node/tests/odd_inputs.rs
+++ b/crates/node/tests/odd_inputs.rs
@@ -41,6 +41,12 @@
     "[".repeat(DEPTH) + &"]".repeat(DEPTH)
 }
 
+/// Returns rows that no table of ours has.
+fn unreadable_rows() -> Vec<Vec<u8>> {
+    let nested = nested().into_bytes();
+    vec![nested, vec![0xff; 300], Vec::new(), b"{}".to_vec()]
+}
+
 /// Returns rows that name no server, or one that nobody can connect to.
 fn odd_registrations() -> Vec<Vec<u8>> {
     let digits = "9".repeat(400);
@@ -210,12 +216,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_rows_of_own_tables_are_passed_over() {
     let mut cluster = start().await;
-    let mut rows = vec![
-        nested().into_bytes(),
-        vec![0xff; 300],
-        Vec::new(),
-        b"{}".to_vec(),
-    ];
+    let mut rows = unreadable_rows();
     let heartbeat = |interval: &str, address: &str| {
         json!({
             "owner": {"instance": "odd", "started_unix_ms": u64::MAX}, "peer_address": address,
@@ -237,12 +238,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_records_of_jobs_are_passed_over() {
     let mut cluster = start().await;
-    let mut rows = vec![
-        nested().into_bytes(),
-        vec![0xff; 300],
-        Vec::new(),
-        b"{}".to_vec(),
-    ];
+    let mut rows = unreadable_rows();
     for (field, value) in [
         ("item_count", json!(u32::MAX)),
         ("accepted_at_ms", json!(u64::MAX)),
--- a/crates/node/tests/software_versions.rs
+++ b/crates/node/tests/software_versions.rs
@@ -3,34 +3,28 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use http::StatusCode;
-use support::{Answer, HOST, TestCluster, begin_stream, complete_output, send_request, wait_until};
+use support::{
+    Answer, HOST, TestCluster, begin_stream, complete_output, send_request,
+    version_streams::{STREAMS, TIME_TO_LEARN, register_second_version, version_of},
+    wait_until,
+};
 use tokio::time::sleep;
 
-/// Time in which every instance learns of new registrations, and of its peers.
-const TIME_TO_LEARN: Duration = Duration::from_secs(3);
 /// Number of events after which servers break off a stream: more than half of them, so that
 /// the rest arrives in one piece.
 const EVENTS_BEFORE_BREAK: u64 = 5;
-/// Number of streams that a test takes up.
-const STREAMS: usize = 16;
 
 /// Starts instances and six servers, every other one of which runs another version.
 async fn start_with_two_versions(nodes: usize) -> TestCluster {
     let cluster = TestCluster::start(&[16; 6], nodes).await;
-    for index in (1..6).step_by(2) {
-        cluster.register_version(index, "v2").await;
-    }
+    register_second_version(&cluster).await;
     sleep(TIME_TO_LEARN).await;
     cluster
 }
 
-fn version_of(server: usize) -> &'static str {
-    if server.is_multiple_of(2) { "v1" } else { "v2" }
-}
-
 /// Returns the versions of all servers that ran any of these attempts, each once.
 async fn versions_that_ran(cluster: &TestCluster, attempts: &[&str]) -> Vec<&'static str> {
     let mut versions = Vec::new();
@@ -151,9 +145,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_new_instance_that_is_lost_goes_on_at_its_version() {
     let mut cluster = TestCluster::start(&[16; 6], 4).await;
-    for index in (1..6).step_by(2) {
-        cluster.register_version(index, "v2").await;
-    }
+    register_second_version(&cluster).await;
     let address = cluster.nodes[0].callers_address;
     begin_all(address, "early").await;
     sleep(TIME_TO_LEARN).await;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -148,16 +148,9 @@
             }
         }
         Ok(match (request.method(), path.as_str()) {
-            (&Method::POST, "/rows-tx") if writes_restricted_table(&request) => {
-                server::text_response(
-                    StatusCode::FORBIDDEN,
-                    "programs may not write to this table\n",
-                )
+            (&Method::POST, "/rows-tx") => {
+                refusal_to_program(&request).unwrap_or_else(|| self.transact(&request))
             }
-            (&Method::POST, "/rows-tx") if exceeds_limits(&request) => {
-                server::text_response(StatusCode::BAD_REQUEST, "a name or a value is too long\n")
-            }
-            (&Method::POST, "/rows-tx") => self.transact(&request),
             (&Method::GET, "/rows-get") => self.read_rows(&request),
             (&Method::GET, "/rows-feed") => self.poll_feed(&request).await,
             _ => server::text_response(StatusCode::NOT_FOUND, "no such path\n"),
@@ -297,17 +290,19 @@
     }
 }
 
-/// Returns whether a transaction writes to a table that only the operator, the
-/// servers or the platform itself write, which the programs under test must not do.
-fn exceeds_limits(request: &Request<Bytes>) -> bool {
-    let body = serde_json::from_slice::<TransactionBody>(request.body());
-    body.is_ok_and(|body| !body.is_within_limits())
-}
-
-fn writes_restricted_table(request: &Request<Bytes>) -> bool {
-    let Ok(body) = serde_json::from_slice::<TransactionBody>(request.body()) else {
-        return false;
+/// Returns the refusal of a transaction that the programs under test must not make: it writes to
+/// a table that only the operator, the servers or the platform itself write, or it is not within
+/// the limits of the store.
+fn refusal_to_program(request: &Request<Bytes>) -> Option<Response<Body>> {
+    let body = serde_json::from_slice::<TransactionBody>(request.body()).ok()?;
+    let is_restricted = |row: &RowBody| matches!(&*row.table, "op" | "servers" | INSTANCES_TABLE);
+    let (status, message) = if body.changed_rows().any(is_restricted) {
+        let message = "programs may not write to this table\n";
+        (StatusCode::FORBIDDEN, message)
+    } else if !body.is_within_limits() {
+        (StatusCode::BAD_REQUEST, "a name or a value is too long\n")
+    } else {
+        return None;
     };
-    body.changed_rows()
-        .any(|row| matches!(&*row.table, "op" | "servers" | INSTANCES_TABLE))
+    Some(server::text_response(status, message))
 }
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -12,6 +12,10 @@
 
 /// What the steady clock reads at the start of the process, milliseconds.
 const CLOCK_START_MS: u64 = 5_000_000_000;
+/// Maximum length of the name of a table, a partition or a key, bytes.
+const NAME_MAX_BYTES: usize = 200;
+/// Maximum size of the value of a row, bytes.
+const ROW_MAX_BYTES: usize = 4_096;
 
 /// Rows of all tables and the history of their changes.
 ///
@@ -76,27 +80,6 @@
     pub(crate) ver: u64,
 }
 
-/// Maximum length of the name of a table, a partition or a key, bytes.
-const NAME_MAX_BYTES: usize = 200;
-/// Maximum size of the value of a row, bytes.
-const ROW_MAX_BYTES: usize = 4_096;
-
-impl TransactionBody {
-    /// Returns whether all rows are within the limits of the store.
-    pub(crate) fn is_within_limits(&self) -> bool {
-        let mut rows = self.if_rev.iter().chain(&self.puts).chain(&self.remove);
-        rows.all(RowBody::is_within_limits)
-    }
-}
-
-impl RowBody {
-    fn is_within_limits(&self) -> bool {
-        let names = [&self.table, &self.part, &self.key];
-        names.iter().all(|name| name.len() <= NAME_MAX_BYTES)
-            && self.value.len() <= ROW_MAX_BYTES.div_ceil(3) * 4
-    }
-}
-
 /// Query parameters of a read of rows.
 #[derive(Debug, Default)]
 pub(crate) struct RangeQuery {
@@ -271,6 +254,12 @@
     pub(crate) fn changed_rows(&self) -> impl Iterator<Item = &RowBody> {
         self.puts.iter().chain(&self.remove)
     }
+
+    /// Returns whether all rows are within the limits of the store.
+    pub(crate) fn is_within_limits(&self) -> bool {
+        let mut rows = self.if_rev.iter().chain(self.changed_rows());
+        rows.all(RowBody::is_within_limits)
+    }
 }
 
 impl RowBody {
@@ -284,6 +273,12 @@
     fn id(&self) -> RowId {
         (self.table.clone(), self.part.clone(), self.key.clone())
     }
+
+    fn is_within_limits(&self) -> bool {
+        let names = [&self.table, &self.part, &self.key];
+        names.iter().all(|name| name.len() <= NAME_MAX_BYTES)
+            && self.value.len() <= ROW_MAX_BYTES.div_ceil(3) * 4
+    }
 }
 
 /// Returns the steady clock of the stand-in, in milliseconds. It is far from the time of
