Tests of answers without a length use the scripted server

It reads whole requests now unless it is told to leave bodies unread: a server that closes with unread bytes resets the connection, and complete_undelimited_stream_is_forwarded rightly failed with that.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -758,10 +758,7 @@
 
 /// Returns the complete stream that answers a request.
 pub fn complete_stream(id: &str) -> String {
-    let events: Vec<_> = (1..=EVENTS_PER_STREAM)
-        .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
-        .collect();
-    events.concat()
+    scripted_server::events(id, 1..=EVENTS_PER_STREAM)
 }
 
 /// Returns the complete output of an item.
--- a/crates/node/tests/support/scripted_server.rs
+++ b/crates/node/tests/support/scripted_server.rs
@@ -20,6 +20,15 @@
     pub id: String,
     /// Event after which the answer goes on.
     pub after_event: Option<u64>,
+    /// Length of the body, bytes.
+    body_length: usize,
+}
+
+/// How much of a request a server reads before it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reads {
+    Head,
+    Everything,
 }
 
 /// Address of a running server, which ends with the runtime of the test.
@@ -29,18 +38,18 @@
 }
 
 impl ScriptedServer {
-    /// Starts a server that answers the first request of each connection with `answer`, which
-    /// gets the head of the request and the connection.
+    /// Starts a server that reads the first request of each connection and has `answer` write to
+    /// the connection.
     pub fn start<F, A>(answer: F) -> Self
     where
         F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
         A: Future<Output = ()> + Send + 'static,
     {
-        Self::start_on(TcpSocket::new_v4().unwrap(), answer)
+        Self::start_on(TcpSocket::new_v4().unwrap(), Reads::Everything, answer)
     }
 
-    /// Starts a server with a receive buffer of this size, bytes, so that long requests stay
-    /// in part at their senders.
+    /// Starts a server that reads only the heads of requests, with a receive buffer of this size,
+    /// bytes, so that long bodies stay in part at their senders.
     pub fn start_with_receive_buffer<F, A>(size_bytes: u32, answer: F) -> Self
     where
         F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
@@ -48,10 +57,10 @@
     {
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(size_bytes).unwrap();
-        Self::start_on(socket, answer)
+        Self::start_on(socket, Reads::Head, answer)
     }
 
-    fn start_on<F, A>(socket: TcpSocket, answer: F) -> Self
+    fn start_on<F, A>(socket: TcpSocket, reads: Reads, answer: F) -> Self
     where
         F: Fn(RequestHead, TcpStream) -> A + Send + 'static,
         A: Future<Output = ()> + Send + 'static,
@@ -61,7 +70,7 @@
         let address = listener.local_addr().unwrap();
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                if let Some(head) = read_head(&mut stream).await {
+                if let Some(head) = read_request(&mut stream, reads).await {
                     tokio::spawn(answer(head, stream));
                 }
             }
@@ -87,6 +96,16 @@
     events.concat()
 }
 
+/// Returns `None` if the connection ends.
+async fn read_request(stream: &mut TcpStream, reads: Reads) -> Option<RequestHead> {
+    let head = read_head(stream).await?;
+    if reads == Reads::Everything {
+        let mut body = vec![0; head.body_length];
+        stream.read_exact(&mut body).await.ok()?;
+    }
+    Some(head)
+}
+
 /// Reads up to the end of the head, byte by byte. Returns `None` if the connection ends.
 async fn read_head(stream: &mut TcpStream) -> Option<RequestHead> {
     let mut head = Vec::new();
@@ -103,5 +122,6 @@
         path: head.split_whitespace().nth(1)?.to_owned(),
         id: value_of("redwingtack-request-id").unwrap_or_default(),
         after_event: value_of("last-event-id").and_then(|id| id.parse().ok()),
+        body_length: value_of("content-length").map_or(0, |length| length.parse().unwrap()),
     })
 }
--- a/crates/node/tests/undelimited_answers.rs
+++ b/crates/node/tests/undelimited_answers.rs
@@ -2,16 +2,14 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use http::StatusCode;
-use serde_json::json;
-use support::{EVENTS_PER_STREAM, TestCluster, complete_output, complete_stream};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    time::sleep,
+use support::{
+    EVENTS_PER_STREAM, TestCluster, complete_output, complete_stream,
+    scripted_server::{RequestHead, ScriptedServer, events},
 };
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 /// How the server ends its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,53 +20,24 @@
     WithinEvent,
 }
 
-/// Starts a server whose answers end with their connections.
-async fn start_server(end: End) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((socket, _)) = listener.accept().await {
-            tokio::spawn(answer(socket, end));
-        }
-    });
-    address
-}
-
-async fn answer(mut socket: TcpStream, end: End) {
-    let mut buffer = vec![0; 4_096];
-    let length = socket.read(&mut buffer).await.unwrap_or(0);
-    let request = String::from_utf8_lossy(&buffer[..length]).into_owned();
-    let lines = request.lines().filter_map(|line| line.split_once(": "));
-    let Some((_, id)) = lines
-        .clone()
-        .find(|(name, _)| *name == "redwingtack-request-id")
-    else {
-        return;
-    };
-    let events: Vec<_> = (1..=EVENTS_PER_STREAM)
-        .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
-        .collect();
+/// Answers without a length, so that the answer ends with its connection.
+async fn answer(request: RequestHead, mut stream: TcpStream, end: End) {
+    let id = &request.id;
     let body = match end {
-        End::Complete => events.concat(),
-        End::WithinEvent => format!("{}id: 3\ndata: {id}", events[..2].concat()),
+        End::Complete => events(id, 1..=EVENTS_PER_STREAM),
+        End::WithinEvent => format!("{}id: 3\ndata: {id}", events(id, 1..=2)),
     };
     let head = "HTTP/1.1 200 OK\r\nRedwingtack-Server-Stamp: stamp\r\n\r\n";
     // The other side may have closed the connection.
-    let _ = socket.write_all(format!("{head}{body}").as_bytes()).await;
+    let _ = stream.write_all(format!("{head}{body}").as_bytes()).await;
 }
 
 /// Starts a cluster with a server of this kind. Its sound server is draining at first.
 async fn start_cluster(end: End) -> TestCluster {
     let cluster = TestCluster::start(&[8], 1).await;
     cluster.register_server(0, "draining").await;
-    let address = start_server(end).await;
-    let registration = json!({
-        "service": "oracle", "addr": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1
-    });
-    cluster
-        .put_row("servers", "undelimited", &registration)
-        .await;
+    let server = ScriptedServer::start(move |request, stream| answer(request, stream, end));
+    server.register(&cluster, "undelimited", 8).await;
     sleep(Duration::from_millis(300)).await;
     cluster
 }
