--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -15,7 +15,9 @@
 use support::{
     Answer, EVENTS_PER_STREAM, HOST, TestCluster, complete_stream, config,
     scripted_server::{RequestHead, ScriptedServer, events},
-    send_request, wait_until,
+    send_request,
+    store_proxy::ProxyState,
+    wait_until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,6 +30,8 @@
 const CALLERS_COME: Duration = Duration::from_millis(3_900);
 /// Time from the signal until the platform sends no more callers to the instance.
 const OUT_OF_ROTATION: Duration = Duration::from_millis(2_600);
+/// Grace period of a planned stop.
+const GRACE: Duration = Duration::from_secs(6);
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(30);
 /// Time that callers wait, which is longer than the rest of the stop for most of them.
@@ -270,6 +274,54 @@
     assert!(cluster.nodes[0].wait_for_exit().await);
 }
 
+/// A stop does not wait for a store that has fallen silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_beside_a_silent_store_serves_and_ends_in_time() {
+    let mut cluster = TestCluster::start_without_config(&[8], 0).await;
+    cluster.put_config(1).await;
+    let proxy = cluster.add_proxied_node("alone").await;
+    assert!(send(&cluster, "/once/x", "before".to_owned()).await.is_ok());
+    proxy.set_state(ProxyState::Silent);
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let stopped_at = Instant::now();
+    for number in 0..8 {
+        let answer = send(&cluster, "/once/x", format!("r{number}"))
+            .await
+            .unwrap();
+        assert_eq!(answer.body, complete_stream(&format!("r{number}")));
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert!(cluster.nodes[0].wait_for_exit().await);
+    assert!(stopped_at.elapsed() < GRACE, "{:?}", stopped_at.elapsed());
+}
+
+/// Two instances that stop at once refuse nothing that they can still do.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_stops_at_once_cut_nothing() {
+    let mut cluster = TestCluster::start(&[32], 2).await;
+    for node in &cluster.nodes {
+        let answer = node.send_stream_request("/once/x", "before").await;
+        assert!(answer.is_complete);
+    }
+    for node in &cluster.nodes {
+        node.signal(Signal::SIGTERM);
+    }
+    let stopped_at = Instant::now();
+    let mut number = 0;
+    while stopped_at.elapsed() < OUT_OF_ROTATION {
+        for node in &cluster.nodes {
+            let id = format!("r{number}");
+            let answer = node.send_stream_request("/once/x", &id).await;
+            assert_eq!(answer.body, complete_stream(&id), "{answer:?}");
+            assert!(answer.is_complete);
+            number += 1;
+        }
+    }
+    for node in &mut cluster.nodes {
+        assert!(node.wait_for_exit().await);
+    }
+}
+
 /// Starts an instance whose routes let requests last longer than a stop, without a server.
 async fn start_with_long_time_outs() -> TestCluster {
     let cluster = TestCluster::start(&[8], 1).await;
