node tests: crowds of clients that do not behave, at a process with little memory

Each checks that the process lives, that its peak of resident memory and its resident memory together with unread bytes stay within 64 MB, that its descriptors stay under the crowd's connections and 150 more, that an ordinary request is answered beside and after the crowd, and that nothing refused runs.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,6 +3,11 @@
 
 #![allow(dead_code, reason = "each test file uses only a part")]
 
+pub mod crowd;
+pub mod crowd_cluster;
+pub mod crowd_load;
+pub mod discarding_server;
+pub mod process_usage;
 pub mod scripted_server;
 pub mod store_proxy;
 pub mod upstream_proxy;
