The bodies of all requests together stay within a share of the memory

What callers saw: clients with many bodies at once, most short of their end, ended a process, as it ran out of memory; the requests of all other clients on that machine ended with it.

Cause: each body was limited by itself, and their sum by nothing. A body was collected as the pieces that came, and each piece keeps the buffer alive that it was read into, so small chunks cost many times their size.

Change: gateway::BodyBudget divides a quarter of the process's memory (limits.memory_mb) among the bodies that are being read or in use. Room is taken as bytes come, in whole buffers to which they are copied, and returned with the last holder of the body. If there is none, the body that has occupied the most for the longest makes room: it is still being read, so its request certainly has not run and is answered 503. Attempts for peers read their bodies in the same way.

--- /dev/null
+++ b/crates/gateway/src/body_budget.rs
@@ -0,0 +1,200 @@
+//! Divides the memory for the bodies of callers' requests among these bodies.
+//!
+//! A body takes room as its bytes arrive, not when its length is announced: idle connections
+//! would hold all room otherwise. If no room is left, a body that is still being read has to
+//! make room, the one that has occupied the most for the longest. That is a body whose caller
+//! stopped just short of its end, not one that has just begun or is small, and never one whose
+//! request may have run.
+
+/// Room that a body takes up besides its bytes, for its connection and its request, bytes.
+const OVERHEAD_BYTES: u64 = 8 * 1_024;
+/// Maximum size of a body that may use the reserve, bytes.
+const SMALL_BODY_MAX_BYTES: u64 = 64 * 1_024;
+/// The reserve for small bodies is the budget divided by this number.
+const RESERVE_DIVISOR: u64 = 4;
+
+/// Identifies a body of a [`BodyBudget`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BodyId(u64);
+
+/// Whether a body gets the room that it needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Room {
+    /// The body has the room.
+    Granted,
+    /// It can have it as soon as the bodies that were told to make room have been dropped.
+    /// Contains those that have to be told now.
+    Awaited(Vec<BodyId>),
+    /// There is no room: the request must be refused.
+    Refused,
+}
+
+/// The memory for bodies and who occupies it. Sizes are bytes, times milliseconds.
+#[derive(Debug)]
+pub struct BodyBudget {
+    max_bytes: u64,
+    used_bytes: u64,
+    /// Part of `used_bytes` that bodies occupy which were told to make room.
+    leaving_bytes: u64,
+    /// Sorted by id.
+    bodies: Vec<BodyRow>,
+    next_id: u64,
+}
+
+#[derive(Debug)]
+struct BodyRow {
+    id: BodyId,
+    room_bytes: u64,
+    began_ms: u64,
+    state: BodyState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyState {
+    /// Being read, so its request has certainly not run.
+    Reading,
+    /// Told to make room.
+    Leaving,
+    /// Read to its end and in use.
+    Complete,
+}
+
+impl BodyBudget {
+    /// Creates a budget of `max_bytes`.
+    #[must_use]
+    pub fn new(max_bytes: u64) -> Self {
+        Self {
+            max_bytes,
+            used_bytes: 0,
+            leaving_bytes: 0,
+            bodies: Vec::new(),
+            next_id: 0,
+        }
+    }
+
+    /// Replaces the size of the budget. Bodies that occupy more than that keep their room.
+    pub fn set_max_bytes(&mut self, max_bytes: u64) {
+        self.max_bytes = max_bytes;
+    }
+
+    /// Returns how much the bodies occupy.
+    #[must_use]
+    pub fn used_bytes(&self) -> u64 {
+        self.used_bytes
+    }
+
+    /// Adds a body that is about to be read. It has no room yet.
+    pub fn begin(&mut self, now_ms: u64) -> BodyId {
+        let id = BodyId(self.next_id);
+        self.next_id += 1;
+        self.bodies.push(BodyRow {
+            id,
+            room_bytes: 0,
+            began_ms: now_ms,
+            state: BodyState::Reading,
+        });
+        id
+    }
+
+    /// Asks for room for `size_bytes` of a body, all of its bytes. While the answer is
+    /// [`Room::Awaited`], the caller asks again after each [`BodyBudget::end`].
+    pub fn reserve(&mut self, id: BodyId, size_bytes: u64, now_ms: u64) -> Room {
+        let Some(index) = self.find(id) else {
+            return Room::Refused;
+        };
+        let room_bytes = size_bytes + OVERHEAD_BYTES;
+        let held_bytes = self.bodies[index].room_bytes;
+        let added_bytes = room_bytes.saturating_sub(held_bytes);
+        if self.bodies[index].state == BodyState::Leaving {
+            return Room::Refused;
+        }
+        let max_bytes = self.max_bytes_for(size_bytes);
+        if self.used_bytes + added_bytes <= max_bytes {
+            self.used_bytes += added_bytes;
+            self.bodies[index].room_bytes = held_bytes.max(room_bytes);
+            return Room::Granted;
+        }
+        let staying_bytes = self.used_bytes - self.leaving_bytes;
+        let excess_bytes = (staying_bytes + added_bytes).saturating_sub(max_bytes);
+        match self.choose_leaving(index, excess_bytes, now_ms) {
+            Some(leaving) => Room::Awaited(leaving),
+            None => Room::Refused,
+        }
+    }
+
+    /// Records that a body has been read to its end. It keeps its room then until it is dropped.
+    /// Returns false if it was told to make room before.
+    pub fn complete(&mut self, id: BodyId) -> bool {
+        let Some(index) = self.find(id) else {
+            return false;
+        };
+        let row = &mut self.bodies[index];
+        if row.state == BodyState::Reading {
+            row.state = BodyState::Complete;
+        }
+        row.state == BodyState::Complete
+    }
+
+    /// Records that a body was dropped, so that its room is free.
+    pub fn end(&mut self, id: BodyId) {
+        let Some(index) = self.find(id) else { return };
+        let row = self.bodies.remove(index);
+        self.used_bytes -= row.room_bytes;
+        if row.state == BodyState::Leaving {
+            self.leaving_bytes -= row.room_bytes;
+        }
+    }
+
+    /// Returns how much all bodies together may occupy for a body of this size to get room. A
+    /// body may always have the whole budget if it is the only one.
+    fn max_bytes_for(&self, size_bytes: u64) -> u64 {
+        if size_bytes <= SMALL_BODY_MAX_BYTES {
+            return self.max_bytes;
+        }
+        let shared_bytes = self.max_bytes - self.max_bytes / RESERVE_DIVISOR;
+        shared_bytes.max(size_bytes + OVERHEAD_BYTES)
+    }
+
+    /// Tells bodies to make room until `excess_bytes` are to be freed, and returns them. Returns
+    /// `None` if there are too few that occupy more than the one that asks does.
+    fn choose_leaving(
+        &mut self,
+        asking: usize,
+        excess_bytes: u64,
+        now_ms: u64,
+    ) -> Option<Vec<BodyId>> {
+        let asking_occupancy = self.bodies[asking].occupancy(now_ms);
+        let mut candidates: Vec<_> = (0..self.bodies.len())
+            .filter(|index| *index != asking)
+            .filter(|index| self.bodies[*index].state == BodyState::Reading)
+            .map(|index| (self.bodies[index].occupancy(now_ms), index))
+            .filter(|(occupancy, _)| *occupancy > asking_occupancy)
+            .collect();
+        candidates.sort_unstable();
+        let mut freed_bytes = 0;
+        let mut chosen = Vec::new();
+        while freed_bytes < excess_bytes {
+            let (_, index) = candidates.pop()?;
+            freed_bytes += self.bodies[index].room_bytes;
+            chosen.push(index);
+        }
+        self.leaving_bytes += freed_bytes;
+        let ids = chosen.into_iter().map(|index| {
+            self.bodies[index].state = BodyState::Leaving;
+            self.bodies[index].id
+        });
+        Some(ids.collect())
+    }
+
+    fn find(&self, id: BodyId) -> Option<usize> {
+        self.bodies.binary_search_by_key(&id, |row| row.id).ok()
+    }
+}
+
+impl BodyRow {
+    /// Returns how much memory the body has occupied for how long, in byte-milliseconds.
+    fn occupancy(&self, now_ms: u64) -> u64 {
+        let age_ms = now_ms.saturating_sub(self.began_ms) + 1;
+        self.room_bytes.saturating_mul(age_ms)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod attempts;
 mod batch_plan;
+mod body_budget;
 mod candidate;
 mod connectivity;
 mod crash_evidence;
@@ -78,6 +79,7 @@
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
+    body_budget::{BodyBudget, BodyId, Room},
     connectivity::{ConnectFailure, PathLoss, PathNotice, ServiceState},
     crash_evidence::{CrashReport, RequestInFlight, Survival},
     customers::{Customer, CustomerTable, KeyDigest, Quota, QuotaTerms, customer_hash},
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -11,12 +11,13 @@
 use bytes::Bytes;
 use gateway::{Customer, Route, RouteKind, RouteTable};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
 use platform::RequestHeaders;
-use tokio::time::timeout_at;
+use tokio::task::spawn_local;
 
 use crate::{
     answer::{self, AnswerBody},
+    body_memory::{self, BodyError},
     customers::{self, CallId, KeyedCall},
     forward::forward,
     jobs,
@@ -33,6 +34,14 @@
 /// Time-out for reading a request body if the caller sets no deadline,
 /// milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
+/// Retry-after hint if there is no memory for a body, milliseconds. Other instances may have
+/// some.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 300;
+/// Number of copies of its body that a request needs.
+const REQUEST_COPIES: usize = 1;
+/// Number of copies of its body that the submission of a job needs: as sent, decoded, and as
+/// rows of the store in two forms.
+const JOB_COPIES: usize = 4;
 
 /// Answers one request of a caller. The request counts as open until its answer
 /// begins; the body of the answer may be relayed later.
@@ -43,25 +52,38 @@
     let _open_request = OpenRequestGuard::new(&node);
     let arrived_ms = node.now_ms();
     let progress = Progress::default();
-    let answer = answer_request(&node, request, arrived_ms, &progress);
+    let (parts, mut body) = request.into_parts();
+    let awaits_consent = parts.headers.contains_key(header::EXPECT);
+    let answer = answer_request(&node, parts, &mut body, arrived_ms, &progress);
     let mut stage = node.stage.subscribe();
     let mut response = tokio::select! {
         response = answer => response,
         () = wait_for_stage(&mut stage, Stage::Ending) => answer_ended(&progress),
     };
     if node.stage() != Stage::Serving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close_connection(&mut response);
+    }
+    // A caller that waits for consent has sent nothing that would have to be read.
+    if !progress.is_body_read.get() && !body.is_end_stream() && !awaits_consent {
+        spawn_local(body_memory::discard(body));
     }
     Ok(response)
 }
 
+/// Tells the caller that its connection is closed after this answer.
+fn close_connection(response: &mut Response<AnswerBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// How far the answer to a request has come, in case a planned stop ends it.
 #[derive(Debug, Default)]
 struct Progress {
     request_id: RefCell<Arc<str>>,
     /// Whether something may have been done that the caller asked for.
     may_have_begun: Cell<bool>,
+    /// Whether the body has been read to its end.
+    is_body_read: Cell<bool>,
 }
 
 /// Returns the answer to a request that a planned stop ends. Without one, the caller could not
@@ -92,11 +114,11 @@
 
 async fn answer_request(
     node: &Rc<Node>,
-    request: Request<LimitedBody>,
+    parts: request::Parts,
+    body: &mut LimitedBody,
     arrived_ms: u64,
     progress: &Progress,
 ) -> Response<AnswerBody> {
-    let (parts, body) = request.into_parts();
     node.wait_for_initial_state().await;
     let Some(routes) = node.routes() else {
         return answer_not_configured(&parts);
@@ -136,17 +158,18 @@
         return refusal.answer();
     }
     let read_deadline_ms = arrived_ms + request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
-    let body = match read_body(node, routes, body, read_deadline_ms).await {
+    let copies = if is_job_submission(&route) {
+        JOB_COPIES
+    } else {
+        REQUEST_COPIES
+    };
+    let max_bytes = routes.limits.body_max_bytes;
+    let memory = &node.body_memory;
+    let body = match memory.read(body, max_bytes, copies, read_deadline_ms).await {
         Ok(body) => body,
-        Err(status) => {
-            log::warn!(
-                "event=request_refused request={} reason=body status={}",
-                request_headers.request_id,
-                status.as_u16()
-            );
-            return answer::text(status, "the body cannot be read");
-        }
+        Err(error) => return answer_unread(node, &request_headers, error),
     };
+    progress.is_body_read.set(true);
     // The body may have taken long, and the process may have been paused meanwhile.
     let customer = match customers::authenticate(node, keyed_call, is_public).await {
         Ok(customer) => customer,
@@ -189,24 +212,28 @@
     matches!(route.kind, RouteKind::Batch(_))
 }
 
-/// Reads the whole body. Returns the status for the caller if the body exceeds the
-/// configured limit, does not arrive in time or cannot be read.
-async fn read_body(
-    node: &Node,
-    routes: &RouteTable,
-    body: LimitedBody,
-    deadline_ms: u64,
-) -> Result<Bytes, StatusCode> {
-    let limit = usize::try_from(routes.limits.body_max_bytes).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, limit).collect();
-    match timeout_at(node.clock.instant(deadline_ms), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
+/// Returns the answer to a request whose body was not read to its end, so that nothing has run.
+fn answer_unread(node: &Node, headers: &RequestHeaders, error: BodyError) -> Response<AnswerBody> {
+    log::warn!(
+        "event=request_refused request={} reason=body error={}",
+        headers.request_id,
+        process::quote(&error)
+    );
+    let mut response = match error {
+        BodyError::TooLong => answer::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"),
+        BodyError::NoRoom | BodyError::Evicted => {
+            node.metrics
+                .on_refusal("no_body_memory", NO_ROOM_RETRY_AFTER_MS);
+            answer::service_unavailable(NO_ROOM_RETRY_AFTER_MS, "there is no memory for the body")
         }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
+        BodyError::TimedOut => answer::text(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        ),
+        BodyError::Broken => answer::text(StatusCode::BAD_REQUEST, "the body cannot be read"),
+    };
+    close_connection(&mut response);
+    response
 }
 
 /// Returns the host that a caller's request names.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -24,6 +24,7 @@
 
 mod answer;
 mod attempt;
+mod body_memory;
 mod clock;
 mod codec;
 mod config_feed;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -74,6 +74,7 @@
     limited_upstreams: Gauge<u64>,
     unreachable_upstreams: Gauge<u64>,
     proxied: Gauge<u64>,
+    body_memory: Gauge<u64>,
     busiest: BusiestUpstreams,
     pub(crate) quotas: QuotaMetrics,
 }
@@ -169,6 +170,11 @@
                 "Upstreams that this instance cannot connect to",
             ),
             proxied: gauge("redwingtack.proxied", "Attempts in progress for peers"),
+            body_memory: meter
+                .u64_gauge("redwingtack.body_memory")
+                .with_unit("By")
+                .with_description("Memory that the bodies of requests take up")
+                .build(),
             limited_upstreams: gauge(
                 "redwingtack.upstreams_limited",
                 "Upstreams that state a rate limit",
@@ -309,6 +315,7 @@
         self.unreachable_upstreams
             .record(upstreams.unreachable_count() as u64, &[]);
         self.proxied.record(node.proxied_count.get().into(), &[]);
+        self.body_memory.record(node.body_memory.used_bytes(), &[]);
         self.limited_upstreams
             .record(upstreams.limited_count() as u64, &[]);
         self.record_quarantined(node.quarantine.borrow().quarantined());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    body_memory::BodyMemory,
     clock::{Clock, unix_ms},
     connection_pool::ConnectionPool,
     freshness_check::FreshnessCheck,
@@ -93,6 +94,8 @@
     pub(crate) has_lease: Cell<bool>,
     /// Jobs that this instance owns and the runs of their items.
     pub(crate) runner: RefCell<Runner>,
+    /// Memory for the bodies of callers' requests and of attempts for peers.
+    pub(crate) body_memory: BodyMemory,
     pub(crate) connection_pool: ConnectionPool,
     pub(crate) peer_connections: PeerConnections,
     /// Notified when an upstream cannot be connected to, or can be again.
@@ -158,14 +161,16 @@
         };
         let store = Store::new(settings.store_address);
         let key_lease = KeyLease::new(settings.key_revocation_ms);
+        let clock = Clock::new();
         Self {
+            body_memory: BodyMemory::new(settings.memory_max_bytes, clock),
             metrics: Metrics::new(store.call_counts()),
             quotas: QuotaExchange::new(&settings),
             store,
             store_health: StoreHealth::default(),
             store_clock: Cell::default(),
             settings: RefCell::new(Rc::new(settings)),
-            clock: Clock::new(),
+            clock,
             routes: RefCell::default(),
             config_fed_version: Cell::default(),
             config_row_version: Cell::default(),
@@ -219,6 +224,8 @@
         self.key_lease
             .borrow_mut()
             .set_revocation_ms(settings.key_revocation_ms);
+        self.body_memory
+            .set_process_max_bytes(settings.memory_max_bytes);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -11,7 +11,7 @@
 use futures::{StreamExt, stream};
 use gateway::{LostRequest, Target, WorkKind};
 use http::{Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Either, Limited, StreamBody};
+use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::{
     body::{Frame, Incoming},
     server::conn::http2::Builder,
@@ -22,12 +22,12 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::{spawn_local, yield_now},
-    time::timeout_at,
 };
 
 use crate::{
     answer::{self, AnswerBody, Truncated},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
+    body_memory::BodyError,
     crash_detection,
     dispatch::host_of,
     end_to_end_headers::copy_end_to_end_headers,
@@ -44,6 +44,8 @@
 const PROXIED_MAX: u32 = 512;
 /// Maximum size of a request body, bytes, until a configuration has been read.
 const BODY_MAX_DEFAULT_BYTES: u64 = 4 * 1024 * 1024;
+/// Number of copies of a body that an attempt needs.
+const BODY_COPIES: usize = 1;
 
 /// Opens the listener and starts accepting connections of peers.
 ///
@@ -167,7 +169,7 @@
     node: &Rc<Node>,
     attempt: &ProxiedAttempt,
     mut parts: http::request::Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<ProxiedAnswer, AttemptError> {
     let not_sent = AttemptError::not_sent;
     if node.proxied_count.get() > PROXIED_MAX {
@@ -175,8 +177,8 @@
     }
     let now_ms = node.now_ms();
     let deadline_ms = now_ms + attempt.time_left_ms;
-    let body = read_body(node, body, deadline_ms).await;
-    let body = body.ok_or_else(|| not_sent("the body cannot be read"))?;
+    let body = read_body(node, &mut body, deadline_ms).await;
+    let body = body.map_err(AttemptError::not_sent)?;
     let target = find_target(node, &attempt.upstream, attempt.started_unix_ms)?;
     if !has_time(node, attempt, &parts, deadline_ms) {
         return Err(not_sent("the instance is stopping"));
@@ -263,14 +265,12 @@
     crash_detection::check_upstream(node, target, lost);
 }
 
-async fn read_body(node: &Node, body: Incoming, deadline_ms: u64) -> Option<Bytes> {
-    let limit = node.routes().map_or(BODY_MAX_DEFAULT_BYTES, |routes| {
+async fn read_body(node: &Node, body: &mut Incoming, deadline_ms: u64) -> Result<Bytes, BodyError> {
+    let max_bytes = node.routes().map_or(BODY_MAX_DEFAULT_BYTES, |routes| {
         routes.limits.body_max_bytes
     });
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, limit).collect();
-    let collected = timeout_at(node.clock.instant(deadline_ms), collected).await;
-    Some(collected.ok()?.ok()?.to_bytes())
+    let memory = &node.body_memory;
+    memory.read(body, max_bytes, BODY_COPIES, deadline_ms).await
 }
 
 impl ProxiedAnswer {
