A body that stops coming is answered at the time-out of its route

What callers saw: a request that stated a deadline of an hour and stopped short of its body's end held its connection for that hour, without an answer.

Cause: the body was awaited until the deadline that the caller states; only what comes after the body kept to the time-out of the route.

Change: the earlier of both holds for the body, too.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -157,7 +157,8 @@
     if let Err(refusal) = customers::authenticate(node, keyed_call, is_public).await {
         return refusal.answer();
     }
-    let read_deadline_ms = arrived_ms + request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
+    let time_left_ms = request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
+    let read_deadline_ms = arrived_ms + time_left_ms.min(route.timeout_ms);
     let copies = if is_job_submission(&route) {
         JOB_COPIES
     } else {
