Log when an upstream is ejected, and the time left when a run of an item ends

The log showed that runs of items ended, but not that an upstream got nothing afterwards, so three hypotheses on batch work that stands still could not be told apart: ejected upstreams, runs without enough time left, and slots that the plan gives to a peer.

--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -37,16 +37,15 @@
         self.failure_rate.add(0.0);
     }
 
-    /// Records that a request failed.
-    pub(crate) fn record_failure(&mut self, now_ms: u64) {
+    /// Records that a request failed. Returns until when the upstream is ejected, if it is.
+    pub(crate) fn record_failure(&mut self, now_ms: u64) -> Option<u64> {
         self.consecutive_failures += 1;
         self.has_probe_in_flight = false;
         self.failure_rate.add(1.0);
-        if self.consecutive_failures >= FAILURES_TO_EJECT {
-            let doublings = (self.consecutive_failures - FAILURES_TO_EJECT).min(8);
-            let ejection_ms = (EJECTION_BASE_MS << doublings).min(EJECTION_MAX_MS);
-            self.ejected_until_ms = now_ms + ejection_ms;
-        }
+        let doublings = self.consecutive_failures.checked_sub(FAILURES_TO_EJECT)?;
+        let ejection_ms = (EJECTION_BASE_MS << doublings.min(8)).min(EJECTION_MAX_MS);
+        self.ejected_until_ms = now_ms + ejection_ms;
+        Some(self.ejected_until_ms)
     }
 
     /// Suspends the upstream until `until_ms`, or until a later time that was
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -246,11 +246,11 @@
         }
     }
 
-    /// Records that a request failed at an upstream.
-    pub fn record_failure(&mut self, target: &Target, now_ms: u64) {
-        if let Some(row) = self.incarnation_row(target) {
-            row.health.record_failure(now_ms);
-        }
+    /// Records that a request failed at an upstream. Returns until when the upstream is ejected,
+    /// if it is.
+    pub fn record_failure(&mut self, target: &Target, now_ms: u64) -> Option<u64> {
+        let row = self.incarnation_row(target)?;
+        row.health.record_failure(now_ms)
     }
 
     /// Records that an incarnation of an upstream has crashed.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -191,10 +191,14 @@
     /// Records that the upstream failed the request.
     pub(crate) fn record_failure(&self) {
         let now_ms = self.node.now_ms();
-        self.node
-            .upstreams
-            .borrow_mut()
-            .record_failure(&self.target, now_ms);
+        let mut upstreams = self.node.upstreams.borrow_mut();
+        if let Some(until_ms) = upstreams.record_failure(&self.target, now_ms) {
+            log::warn!(
+                "event=upstream_ejected upstream={} ejection_ms={}",
+                self.target.upstream,
+                until_ms.saturating_sub(now_ms)
+            );
+        }
     }
 
     /// Records that the upstream failed the request and that its answer is lost, which
@@ -416,10 +420,9 @@
         ));
     }
     let now_ms = node.now_ms();
-    let mut upstreams = node.upstreams.borrow_mut();
     if platform::did_not_run(status, headers) {
         record_not_run(
-            &mut upstreams,
+            &mut node.upstreams.borrow_mut(),
             in_flight,
             platform::is_wrong_instance(status),
             now_ms,
@@ -427,13 +430,14 @@
         return Err(AttemptFailure::new(AttemptEnd::NotRun, status));
     }
     if status.is_success() && !platform::is_signed(headers) {
-        upstreams.record_failure(&in_flight.target, now_ms);
+        in_flight.record_failure();
         return Err(AttemptFailure::new(
             AttemptEnd::Broken,
             "the successful answer is not signed",
         ));
     }
     let delay_ms = now_ms.saturating_sub(options.expected_at_ms);
+    let mut upstreams = node.upstreams.borrow_mut();
     #[expect(clippy::cast_precision_loss, reason = "delays are short")]
     upstreams.record_answer_delay(&in_flight.target, delay_ms as f64, now_ms);
     Ok(())
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -63,6 +63,11 @@
 }
 
 impl RunContext {
+    /// Returns the time until the item is given up, milliseconds.
+    fn time_left_ms(&self) -> u64 {
+        self.give_up_at_ms.saturating_sub(self.node.store_now_ms())
+    }
+
     /// Counts the item as in flight at its upstream.
     pub(super) fn count_in_flight(self) -> CountedRun {
         let in_flight = InFlightGuard::new(
@@ -96,12 +101,13 @@
             () = preempt_signal.notified() => (RunOutcome::Preempted, "preempted".to_owned()),
         };
         log::info!(
-            "event=item_run_ended job={} item={} upstream={} end={outcome:?} reason={} events={}",
+            "event=item_run_ended job={} item={} upstream={} end={outcome:?} reason={} events={} left_ms={}",
             context.job,
             context.item_run.item.id,
             context.target.upstream,
             process::quote(&reason),
-            partial.last_event.unwrap_or(0)
+            partial.last_event.unwrap_or(0),
+            context.time_left_ms()
         );
         let ended_run = runner::EndedRun {
             upstream: context.target.upstream.clone(),
@@ -131,9 +137,7 @@
         );
     };
     let now_ms = context.node.now_ms();
-    let time_left_ms = context
-        .give_up_at_ms
-        .saturating_sub(context.node.store_now_ms());
+    let time_left_ms = context.time_left_ms();
     let options = AttemptOptions {
         kind: WorkKind::Batch,
         deadline_ms: now_ms + time_left_ms,
