Batch items leave no slot to online requests that nobody has sent

A process left one slot of each upstream free in its first 5 s, as soon as it had measured an item: a new row of a service had 0 as the time of the last online request, which counts as recent while the node's clock is below 5 s. Upstreams with one slot got no second item until then. The time is now absent until a request is sent.

batch_plan_after_first_item_takes_all_slots failed before: 21 of 24 slots.

--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -14,7 +14,8 @@
     pub(crate) online_hold_ms: MovingAverage,
     pub(crate) batch_hold_ms: MovingAverage,
     pub(crate) pace: ServicePace,
-    pub(crate) last_online_ms: u64,
+    /// When this instance last sent an online request.
+    pub(crate) last_online_ms: Option<u64>,
     /// When a request was last to be placed, whether it was sent or refused.
     last_wanted_ms: Option<u64>,
     /// When a request was last refused because no upstream could answer in time.
@@ -58,7 +59,7 @@
 
     /// Returns when this instance last sent an online request to a service.
     pub(crate) fn last_online_ms(&self, service: &ServiceName) -> Option<u64> {
-        self.known_service(service).map(|row| row.last_online_ms)
+        self.known_service(service)?.last_online_ms
     }
 
     /// Records that a request for a service is to be placed.
@@ -102,7 +103,7 @@
                     online_hold_ms: MovingAverage::default(),
                     batch_hold_ms: MovingAverage::default(),
                     pace: ServicePace::default(),
-                    last_online_ms: 0,
+                    last_online_ms: None,
                     last_wanted_ms: None,
                     last_refused_ms: None,
                     connectivity: ServiceConnectivity::default(),
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -204,7 +204,7 @@
     /// Records that a request was sent to an upstream.
     pub fn record_start(&mut self, target: &Target, kind: WorkKind, now_ms: u64) {
         if kind == WorkKind::Online {
-            self.service_row(&target.service).last_online_ms = now_ms;
+            self.service_row(&target.service).last_online_ms = Some(now_ms);
         }
         let Some(index) = self.find_incarnation(target) else {
             return;
--- a/crates/gateway/tests/batch_plan.rs
+++ b/crates/gateway/tests/batch_plan.rs
@@ -56,6 +56,20 @@
     assert!(table.batch_plan(&service(), 0).is_empty());
 }
 
+/// Guards against slots that a process leaves free in its first seconds for online requests that
+/// nobody has sent: what it had measured of items counted as an online request at time 0.
+#[test]
+fn batch_plan_after_first_item_takes_all_slots() {
+    let mut table = upstream_table("me", &UPSTREAMS);
+    table.set_batch_queue(vec![demand(DUE_MS, 1)]);
+    let target = table.batch_plan(&service(), 0).remove(0);
+    table.record_start(&target, WorkKind::Batch, 0);
+    table.record_completion(&target, WorkKind::Batch, 100);
+    table.record_end(&target, WorkKind::Batch);
+    table.set_batch_queue(vec![demand(DUE_MS, 100)]);
+    assert_eq!(start_plan(&mut table), (SLOTS * 3) as usize);
+}
+
 #[test]
 fn batch_plan_starts_only_waiting_items() {
     let mut table = upstream_table("me", &UPSTREAMS);
