The end of a request's own time is no failure of its upstream

Cause: an upstream stops work at the deadline that it is told. The answer that broke off then, the silence up to a deadline that is shorter than the time in which an answer is expected, and a 5xx at the deadline were recorded as failures of the upstream. The items of a job end at the same moment, so four of them ejected a sound upstream for 4 s, and five for 8 s. They also started a search for a crash.

In the log of the first test the items of the second job waited for an ejection that followed the end of the first job's time.

Now what ends an attempt is weighed against its own deadline in one place for each moment: the head (FailureMeaning::of) and the body (UpstreamAnswer). An upstream that is silent counts as failed only after the time in which it should have answered, whatever the deadline; a shorter deadline says nothing. The same holds for attempts through peers and for what peers find out about crashes. A run of an item ends by itself at the deadline.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -95,6 +95,9 @@
     pub(crate) deadline_ms: u64,
     /// Time at which the attempt fails if the head of the answer has not arrived.
     pub(crate) head_deadline_ms: u64,
+    /// From when on an upstream that is still silent is considered failed. It may be later than
+    /// the deadline, whose end says nothing about the upstream.
+    pub(crate) unresponsive_at_ms: u64,
     /// When the head of the answer is expected.
     pub(crate) expected_at_ms: u64,
     /// Id of the event after which the upstream resumes the stream.
@@ -110,6 +113,9 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: FrameReader<LimitedBody>,
     pub(crate) in_flight: InFlightGuard,
+    /// When the answer must be complete, in milliseconds on the node's clock. Upstreams stop
+    /// work then.
+    pub(crate) deadline_ms: u64,
     transport: Transport,
     prompt_parts: Rc<[PromptPart]>,
     /// When the first event arrived, in milliseconds on the node's clock.
@@ -302,8 +308,24 @@
         }
     }
 
-    /// Records that the answer broke off.
+    /// Returns whether the time of the request is up, so that the end of the answer is not a
+    /// failure of the upstream.
+    pub(crate) fn is_out_of_time(&self) -> bool {
+        self.in_flight.node.now_ms() >= self.deadline_ms
+    }
+
+    /// Records that the upstream failed the request, unless its time is up.
+    pub(crate) fn record_failure(&self) {
+        if !self.is_out_of_time() {
+            self.in_flight.record_failure();
+        }
+    }
+
+    /// Records that the answer broke off, unless its time is up.
     pub(crate) fn record_lost_answer(&self) {
+        if self.is_out_of_time() {
+            return;
+        }
         match &self.transport {
             Transport::Direct(_) => self.in_flight.record_lost_answer(),
             Transport::Proxied(guard) => {
@@ -354,6 +376,7 @@
         head,
         body: FrameReader::new(body),
         in_flight,
+        deadline_ms: options.deadline_ms,
         transport,
         prompt_parts: Rc::clone(&outgoing.prompt_parts),
         first_event_ms: None,
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -51,6 +51,22 @@
     AnswerLost,
 }
 
+impl FailureMeaning {
+    /// Returns what an exchange that failed at `now_ms`, in milliseconds on the node's clock, says
+    /// about the upstream. Upstreams stop work at the deadline that they are told.
+    pub(crate) fn of(end: AttemptEnd, options: AttemptOptions, now_ms: u64) -> Self {
+        let is_own_end = match end {
+            AttemptEnd::Silent => now_ms < options.unresponsive_at_ms,
+            _ => now_ms >= options.deadline_ms,
+        };
+        match end {
+            _ if is_own_end => Self::Nothing,
+            AttemptEnd::Broken => Self::AnswerLost,
+            _ => Self::Failed,
+        }
+    }
+}
+
 impl ExchangeFailure {
     pub(crate) fn new(failure: AttemptFailure, meaning: FailureMeaning) -> Self {
         Self { failure, meaning }
@@ -127,12 +143,8 @@
     let response = match exchange_head(node, &mut connection, request, options).await {
         Ok(response) => response,
         Err(failure) => {
-            let meaning = if failure.end == AttemptEnd::Broken {
-                FailureMeaning::AnswerLost
-            } else {
-                FailureMeaning::Failed
-            };
-            if failure.end == AttemptEnd::Silent {
+            let meaning = FailureMeaning::of(failure.end, options, node.now_ms());
+            if failure.end == AttemptEnd::Silent && meaning != FailureMeaning::Nothing {
                 // Either the upstream or the path is silent.
                 path_probes::start(node, target.clone());
             }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -232,7 +232,7 @@
             let options = self.attempt_options(expected_ms, resume_after);
             let failure = match send_attempt(&self.node, &target, &self.outgoing, options).await {
                 Ok(answer) if self.should_retry(&answer) => {
-                    answer.in_flight.record_failure();
+                    answer.record_failure();
                     AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
                 }
                 Ok(answer) => return Ok(answer),
@@ -377,9 +377,9 @@
 
     fn attempt_options(&self, expected_ms: u64, resume_after: Option<u64>) -> AttemptOptions {
         let expected_at_ms = self.node.now_ms() + expected_ms;
+        let unresponsive_at_ms = expected_at_ms + HEAD_DELAY_GOALS * self.route.goal_ms;
         let head_deadline_ms = if self.retries.has_spare_attempt() {
-            let delay_max_ms = HEAD_DELAY_GOALS * self.route.goal_ms;
-            (expected_at_ms + delay_max_ms).min(self.deadline_ms)
+            unresponsive_at_ms.min(self.deadline_ms)
         } else {
             self.deadline_ms
         };
@@ -387,6 +387,7 @@
             kind: WorkKind::Online,
             deadline_ms: self.deadline_ms,
             head_deadline_ms,
+            unresponsive_at_ms,
             expected_at_ms,
             resume_after,
             is_retryable: self.route.is_retryable(),
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -138,10 +138,13 @@
     };
     let now_ms = context.node.now_ms();
     let time_left_ms = context.time_left_ms();
+    let deadline_ms = now_ms + time_left_ms;
+    let unresponsive_at_ms = now_ms + HEAD_TIMEOUT_GOALS * context.route.goal_ms;
     let options = AttemptOptions {
         kind: WorkKind::Batch,
-        deadline_ms: now_ms + time_left_ms,
-        head_deadline_ms: now_ms + HEAD_TIMEOUT_GOALS * context.route.goal_ms,
+        deadline_ms,
+        head_deadline_ms: unresponsive_at_ms.min(deadline_ms),
+        unresponsive_at_ms,
         expected_at_ms: now_ms,
         resume_after: partial.last_event,
         is_retryable: true,
@@ -166,6 +169,8 @@
     match answer.head.status {
         StatusCode::OK => read_stream(context, answer, partial).await,
         StatusCode::UNPROCESSABLE_ENTITY => (RunOutcome::Impossible, "status 422".to_owned()),
+        // An upstream may answer with an error because it stops at the deadline.
+        status if answer.is_out_of_time() => (RunOutcome::Interrupted, format!("status {status}")),
         status => (RunOutcome::Error, format!("status {status}")),
     }
 }
@@ -194,7 +199,7 @@
             Progress::Events if partial.output.len() > OUTPUT_MAX_BYTES => {
                 // What this server sent is not the item's output.
                 partial.clone_from(&context.item_run.partial);
-                answer.in_flight.record_failure();
+                answer.record_failure();
                 return (RunOutcome::Interrupted, "the output is too long".to_owned());
             }
             Progress::Events => {
@@ -203,7 +208,7 @@
             }
             Progress::Ended(RunOutcome::Done, _) if partial.last_event == resumed_after => {
                 // Another upstream is to confirm the end.
-                answer.in_flight.record_failure();
+                answer.record_failure();
                 return (RunOutcome::Done, "no events".to_owned());
             }
             Progress::Ended(RunOutcome::Done, reason) => {
@@ -225,15 +230,19 @@
     partial: &mut PartialOutput,
     stall_deadline_ms: u64,
 ) -> Progress {
-    let stall_deadline = context.node.clock.instant(stall_deadline_ms);
+    let wait_until_ms = stall_deadline_ms.min(answer.deadline_ms);
+    let wait_until = context.node.clock.instant(wait_until_ms);
     let interrupted = |reason: String| Progress::Ended(RunOutcome::Interrupted, reason);
-    match timeout_at(stall_deadline, answer.body.next()).await {
+    match timeout_at(wait_until, answer.body.next()).await {
         Ok(Some(Ok(bytes))) => splitter.push(&bytes),
         Ok(Some(Err(error))) => return interrupted(error.to_string()),
         Ok(None) if splitter.has_partial_event() => {
             return interrupted("the stream ended within an event".to_owned());
         }
         Ok(None) => return Progress::Ended(RunOutcome::Done, "complete".to_owned()),
+        Err(_) if answer.is_out_of_time() => {
+            return interrupted("the time of the item is up".to_owned());
+        }
         Err(_) => return interrupted(AttemptEnd::Silent.as_str().to_owned()),
     }
     let mut progress = Progress::NoEvent;
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -96,7 +96,7 @@
     let failure = match timeout_at(deadline, exchange).await {
         Ok(Ok(response)) => match AttemptError::find_in(response.headers()) {
             None => return Ok((response.map(LimitedBody::of_peer), guard)),
-            Some(error) => failure_at_peer(&guard, &error),
+            Some(error) => failure_at_peer(&guard, &error, options),
         },
         Ok(Err(mut error)) => {
             record_proxy_failure(node, &guard.peer);
@@ -113,8 +113,8 @@
                 "peer {}: the head of the answer did not arrive in time",
                 guard.peer
             );
-            let failure = AttemptFailure::new(AttemptEnd::Silent, reason);
-            ExchangeFailure::new(failure, FailureMeaning::Failed)
+            let meaning = FailureMeaning::of(AttemptEnd::Silent, options, node.now_ms());
+            ExchangeFailure::new(AttemptFailure::new(AttemptEnd::Silent, reason), meaning)
         }
     };
     Err(failure)
@@ -137,14 +137,22 @@
 }
 
 /// Returns the failure that the peer reports.
-fn failure_at_peer(guard: &ProxyGuard, error: &AttemptError) -> ExchangeFailure {
+fn failure_at_peer(
+    guard: &ProxyGuard,
+    error: &AttemptError,
+    options: AttemptOptions,
+) -> ExchangeFailure {
     let meaning = match error.end {
         AttemptEnd::NotSent => {
             // Its next notice says which paths it has lost as well.
             record_proxy_failure(&guard.node, &guard.peer);
             FailureMeaning::Nothing
         }
-        _ => FailureMeaning::Failed,
+        // The peer finds out whether the upstream has crashed.
+        end => match FailureMeaning::of(end, options, guard.node.now_ms()) {
+            FailureMeaning::AnswerLost => FailureMeaning::Failed,
+            meaning => meaning,
+        },
     };
     let reason = format!("peer {}: {}", guard.peer, error.reason);
     ExchangeFailure::new(AttemptFailure::new(error.end, reason), meaning)
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -137,6 +137,8 @@
     target: Target,
     attempt: ProxiedAttempt,
     sent_at_ms: u64,
+    /// When the answer must be complete, in milliseconds on the node's clock.
+    deadline_ms: u64,
     exchange: DirectExchange,
 }
 
@@ -196,6 +198,7 @@
         kind: attempt.kind,
         deadline_ms,
         head_deadline_ms: now_ms + attempt.head_time_left_ms,
+        unresponsive_at_ms: now_ms + attempt.head_time_left_ms,
         expected_at_ms: now_ms,
         resume_after: attempt.resume_after,
         is_retryable: attempt.is_retryable,
@@ -208,6 +211,7 @@
             target,
             attempt: attempt.clone(),
             sent_at_ms,
+            deadline_ms,
             exchange,
         }),
         Err(ExchangeFailure { failure, meaning }) => {
@@ -301,7 +305,10 @@
                     self.attempt.upstream,
                     process::quote(&error)
                 );
-                check_upstream(&self.node, &self.target, &self.attempt, self.sent_at_ms);
+                // An upstream that stops at the deadline has not crashed.
+                if self.node.now_ms() < self.deadline_ms {
+                    check_upstream(&self.node, &self.target, &self.attempt, self.sent_at_ms);
+                }
                 // The HTTP server drops what it has not written when it meets the error.
                 yield_now().await;
                 Some(Err(Truncated))
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -206,7 +206,7 @@
         };
         match failure.end {
             // An upstream that says that nothing follows has not crashed.
-            AttemptEnd::Failed => answer.in_flight.record_failure(),
+            AttemptEnd::Failed => answer.record_failure(),
             _ => answer.record_lost_answer(),
         }
         let target = answer.in_flight.target.clone();
--- a/crates/node/tests/reset_streams.rs
+++ b/crates/node/tests/reset_streams.rs
@@ -12,7 +12,7 @@
 use nix::sys::signal::Signal;
 use support::{
     Answer, HOST, TestCluster, complete_output, complete_stream,
-    scripted_server::{RequestHead, ScriptedServer, events},
+    scripted_server::{RequestHead, ScriptedServer, chunk, events},
     send_request, wait_until,
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
@@ -54,10 +54,6 @@
     open.lock().unwrap().push((head, stream));
 }
 
-fn chunk(data: &str) -> String {
-    format!("{:x}\r\n{data}\r\n", data.len())
-}
-
 /// Sends further events on each connection while the process is paused, and closes the
 /// connection, which resets it as the request has not been read. The process then finds the
 /// events and the reset at the same time.
--- a/crates/node/tests/resumed_streams.rs
+++ b/crates/node/tests/resumed_streams.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use support::{
     Answer, EVENTS_PER_STREAM, TestCluster, complete_output, complete_stream,
-    scripted_server::{RequestHead, ScriptedServer, events},
+    scripted_server::{RequestHead, ScriptedServer, chunk, events},
 };
 use tokio::{io::AsyncWriteExt, time::sleep};
 
@@ -37,10 +37,6 @@
     format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-fn chunk(data: &str) -> String {
-    format!("{:x}\r\n{data}\r\n", data.len())
-}
-
 fn following_events(request: &RequestHead) -> String {
     let first = request.after_event.unwrap_or(0) + 1;
     events(&request.id, first..=EVENTS_PER_STREAM)
--- a/crates/node/tests/support/scripted_server.rs
+++ b/crates/node/tests/support/scripted_server.rs
@@ -20,6 +20,8 @@
     pub id: String,
     /// Event after which the answer goes on.
     pub after_event: Option<u64>,
+    /// Time that the sender waits for the complete answer, milliseconds.
+    pub time_left_ms: Option<u64>,
     /// Length of the body, bytes.
     body_length: usize,
 }
@@ -96,6 +98,11 @@
     events.concat()
 }
 
+/// Returns a chunk of a body in chunks.
+pub fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
 /// Returns `None` if the connection ends.
 async fn read_request(stream: &mut TcpStream, reads: Reads) -> Option<RequestHead> {
     let head = read_head(stream).await?;
@@ -122,6 +129,7 @@
         path: head.split_whitespace().nth(1)?.to_owned(),
         id: value_of("redwingtack-request-id").unwrap_or_default(),
         after_event: value_of("last-event-id").and_then(|id| id.parse().ok()),
+        time_left_ms: value_of("redwingtack-deadline-ms").and_then(|time| time.parse().ok()),
         body_length: value_of("content-length").map_or(0, |length| length.parse().unwrap()),
     })
 }
