Tests can have servers reply by attempt and reset connections

Moves the servers that reply by the number of the attempt from `resumed_streams` to the support of all tests, as `ScriptedFleet`, and lets a test give a node proxies to servers of any kind. No change of a check.

--- a/crates/node/tests/resumed_streams.rs
+++ b/crates/node/tests/resumed_streams.rs
@@ -2,18 +2,14 @@
 
 mod support;
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::time::Duration;
 
 use serde_json::Value;
 use support::{
     Answer, EVENTS_PER_STREAM, TestCluster, complete_output, complete_stream,
-    scripted_server::{RequestHead, ScriptedServer, chunk, events},
+    scripted_server::{Reply, RequestHead, ScriptedFleet, chunk, events},
 };
-use tokio::{io::AsyncWriteExt, time::sleep};
+use tokio::time::sleep;
 
 /// Events that the first server sends before it breaks off.
 const EVENTS_BEFORE_BREAK: u64 = 3;
@@ -150,31 +146,16 @@
 
 /// Starts servers of which each answers by the number of attempts that a request has had at any
 /// of them: with the script of that number, or the last one.
-async fn start(scripts: &[Script]) -> (TestCluster, Vec<ScriptedServer>) {
+async fn start(scripts: &[Script]) -> (TestCluster, ScriptedFleet) {
     let cluster = TestCluster::start(&[8], 1).await;
     cluster.unregister_server(0).await;
-    let attempts: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
-    let mut servers = Vec::new();
-    for index in 0..SERVERS {
-        let attempts = Arc::clone(&attempts);
-        let scripts = scripts.to_vec();
-        let server = ScriptedServer::start(move |request, mut stream| {
-            let mut attempts = attempts.lock().unwrap();
-            let number = attempts.entry(request.id.clone()).or_default();
-            let script = scripts[(*number).min(scripts.len() - 1)];
-            *number += 1;
-            async move {
-                // The other side may have closed the connection.
-                let _ = stream.write_all(script(&request).as_bytes()).await;
-            }
-        });
-        server
-            .register(&cluster, &format!("scripted-{index}"), 8)
-            .await;
-        servers.push(server);
-    }
+    let scripts = scripts.to_vec();
+    let fleet = ScriptedFleet::start(&cluster, SERVERS, move |request, attempt| {
+        Reply::closed(scripts[attempt.min(scripts.len() - 1)](request))
+    });
+    let fleet = fleet.await;
     sleep(Duration::from_millis(300)).await;
-    (cluster, servers)
+    (cluster, fleet)
 }
 
 /// The caller must get events of the stream alone, in order, and the end only with the last.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -185,12 +185,21 @@
     /// Starts a process that reaches the servers through proxies of its own, and waits until
     /// it is ready.
     pub async fn add_node_with_own_paths(&mut self, name: &str) -> Paths {
+        let addresses = self.servers.iter().map(|server| server.standin.address());
+        let addresses: Vec<_> = addresses.collect();
+        let paths = self.add_node_with_paths_to(name, &addresses).await;
+        self.nodes[self.nodes.len() - 1].wait_until_ready().await;
+        paths
+    }
+
+    /// Starts a process that reaches the servers at these addresses through proxies of its own.
+    pub async fn add_node_with_paths_to(&mut self, name: &str, servers: &[SocketAddr]) -> Paths {
         let mut proxies = Vec::new();
         let mut replacements = Vec::new();
-        for server in &self.servers {
-            let proxy = UpstreamProxy::start(server.standin.address()).await;
+        for server in servers {
+            let proxy = UpstreamProxy::start(*server).await;
             replacements.push(Replacement {
-                from: encoded_address(server.standin.address()),
+                from: encoded_address(*server),
                 to: encoded_address(proxy.address()),
             });
             proxies.push(proxy);
@@ -198,7 +207,6 @@
         let store = StoreProxy::start_replacing(self.store.address(), replacements).await;
         let ip = self.addresses.next_ip();
         let node = NodeProcess::start(name, ip, store.address(), self.revocation_ms, None);
-        node.wait_until_ready().await;
         self.nodes.push(node);
         Paths { proxies, store }
     }
--- a/crates/node/tests/support/scripted_server.rs
+++ b/crates/node/tests/support/scripted_server.rs
@@ -1,10 +1,14 @@
 //! A server whose answers a test writes byte by byte.
 
-use std::net::SocketAddr;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use serde_json::json;
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
 };
 
@@ -33,6 +37,28 @@
     Everything,
 }
 
+/// How a server ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    Close,
+    Reset,
+}
+
+/// What a server sends before it ends the connection.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    bytes: Arc<str>,
+    end: ConnectionEnd,
+}
+
+/// Servers of which each replies by the number of attempts that a request has had at any of them.
+#[derive(Debug)]
+pub struct ScriptedFleet {
+    pub servers: Vec<ScriptedServer>,
+    /// Number of attempts by request id.
+    attempts: Arc<Mutex<HashMap<String, usize>>>,
+}
+
 /// Address of a running server, which ends with the runtime of the test.
 #[derive(Debug)]
 pub struct ScriptedServer {
@@ -90,6 +116,62 @@
     }
 }
 
+impl Reply {
+    pub fn new(bytes: &str, end: ConnectionEnd) -> Self {
+        Self {
+            bytes: Arc::from(bytes),
+            end,
+        }
+    }
+
+    /// Creates a reply after which the server closes the connection.
+    pub fn closed(bytes: impl AsRef<str>) -> Self {
+        Self::new(bytes.as_ref(), ConnectionEnd::Close)
+    }
+
+    async fn send(self, mut stream: TcpStream) {
+        // The other side may have closed the connection.
+        let _ = stream.write_all(self.bytes.as_bytes()).await;
+        if self.end == ConnectionEnd::Reset {
+            let _ = stream.set_zero_linger();
+        }
+    }
+}
+
+impl ScriptedFleet {
+    /// Starts and registers `count` servers. `reply` gets the number of earlier attempts of the
+    /// request.
+    pub async fn start<F>(cluster: &TestCluster, count: usize, reply: F) -> Self
+    where
+        F: Fn(&RequestHead, usize) -> Reply + Clone + Send + 'static,
+    {
+        let mut fleet = Self {
+            servers: Vec::new(),
+            attempts: Arc::default(),
+        };
+        for index in 0..count {
+            let reply = reply.clone();
+            let attempts = Arc::clone(&fleet.attempts);
+            let server = ScriptedServer::start(move |request, stream| {
+                let mut attempts = attempts.lock().unwrap();
+                let attempt = attempts.entry(request.id.clone()).or_default();
+                let reply = reply(&request, *attempt);
+                *attempt += 1;
+                reply.send(stream)
+            });
+            let id = format!("scripted-{index}");
+            server.register(cluster, &id, 8).await;
+            fleet.servers.push(server);
+        }
+        fleet
+    }
+
+    /// Returns the number of attempts that a request has had.
+    pub fn attempts_of(&self, id: &str) -> usize {
+        self.attempts.lock().unwrap().get(id).copied().unwrap_or(0)
+    }
+}
+
 /// Returns the events of the answer to a request, as [`super::complete_stream`] has them.
 pub fn events(id: &str, range: impl Iterator<Item = u64>) -> String {
     let events: Vec<_> = range
