Empty answers that end with their connection are confirmed

Callers saw a 200 with an empty body, framed as whole, if a server sent a whole head without length or chunks and then closed: on routes that may be repeated and on others, as streams without an event, and through peers.

Cause: the HTTP client takes the close for the end of such a body, and the relay passed it on in chunks of its own, which say more than the server did. A server that dies after such a head, or a head that lost the line of its length, sends the same bytes as a server that has nothing to say.

Evidence: of nine new tests in `broken_heads`, four failed on (`empty_undelimited_answer_is_replaced_by_that_of_the_next_server`, `..._of_a_single_run_is_no_success`, `..._is_complete_if_two_servers_send_it`, `undelimited_answer_through_a_peer_is_whole_or_no_success`: status 200, empty, complete). Heads that end early, resets and items passed.

Fix: a body knows whether its end was marked, also behind a peer, which says so in a header that callers never see. An empty success without a marked end is a failed attempt that may have run; the next server decides, and a second one that says the same is believed. Without a second one the caller gets 502 or a cut stream, which promise nothing.

All nine pass after the change.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
-use http::{HeaderMap, Method, Response, Uri, header, request};
+use http::{HeaderMap, Method, Response, Uri, request};
 use model::{CustomerName, PromptPart};
 
 use crate::{
@@ -112,6 +112,9 @@
 pub(crate) struct UpstreamAnswer {
     pub(crate) head: http::response::Parts,
     pub(crate) body: FrameReader<LimitedBody>,
+    /// Whether the body ends with its connection, so that it looks whole if the upstream breaks
+    /// off.
+    pub(crate) is_undelimited: bool,
     pub(crate) in_flight: InFlightGuard,
     /// When the answer must be complete, in milliseconds on the node's clock. Upstreams stop
     /// work then.
@@ -275,19 +278,12 @@
         }
     }
 
-    /// Returns whether the end of the body can be told from the end of the connection.
-    fn is_delimited(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
-    }
-
     /// Records the completion of an answer whose body has been read to its end,
     /// and returns the connection to the pool if it can be reused.
     pub(crate) fn finish(mut self, node: &Node) {
         self.in_flight.record_completion();
         self.record_pace(node);
-        if self.is_delimited() {
+        if !self.is_undelimited {
             self.record_survival(node);
         }
         if let Transport::Direct(connection) = &mut self.transport {
@@ -374,6 +370,7 @@
     let (head, body) = response.into_parts();
     Ok(UpstreamAnswer {
         head,
+        is_undelimited: body.is_undelimited(),
         body: FrameReader::new(body),
         in_flight,
         deadline_ms: options.deadline_ms,
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -14,7 +14,7 @@
     connection_pool::Connection,
     node::Node,
     path_probes,
-    read_limit::LimitedBody,
+    read_limit::{LimitedBody, limit_answer},
     upstream_connections,
 };
 
@@ -217,7 +217,7 @@
         }
     };
     match result {
-        Ok(Ok(response)) => Ok(response.map(|body| LimitedBody::new(body, read_limit))),
+        Ok(Ok(response)) => Ok(limit_answer(response, read_limit)),
         Ok(Err(mut error)) => {
             let was_sent = error.take_message().is_none();
             let end = if was_sent {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -54,6 +54,8 @@
     pub(crate) resumed_attempt: Option<Arc<str>>,
     /// Version at which the stream must go on; `None` if it may begin anywhere.
     pub(crate) version: Option<VersionHash>,
+    /// Whether an upstream has sent an empty body whose end is uncertain.
+    pub(crate) is_empty_stated: bool,
 }
 
 /// Why the caller gets no answer of an upstream.
@@ -116,6 +118,7 @@
         resume_after: request_headers.resume_after,
         resumed_attempt: request_headers.resumed_attempt.clone(),
         version: None,
+        is_empty_stated: false,
     };
     request.run().await
 }
@@ -235,7 +238,10 @@
                     answer.record_failure();
                     AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
                 }
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => match self.check_body(answer).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(failure) => failure,
+                },
                 Err(failure) => failure,
             };
             self.record_failed_attempt(&target, &failure)?;
@@ -400,11 +406,16 @@
         answer.head.status.is_server_error() && self.retries.has_spare_attempt()
     }
 
+    /// Returns whether the body of an answer is relayed event by event.
+    pub(crate) fn is_event_stream(&self, answer: &UpstreamAnswer) -> bool {
+        self.route.is_stream() && answer.head.status == StatusCode::OK
+    }
+
     fn relay_answer(self, answer: UpstreamAnswer) -> Response<AnswerBody> {
         let mut head = Response::new(());
         *head.status_mut() = answer.head.status;
         copy_end_to_end_headers(&answer.head.headers, head.headers_mut());
-        let is_event_stream = self.route.is_stream() && answer.head.status == StatusCode::OK;
+        let is_event_stream = self.is_event_stream(&answer);
         if is_event_stream {
             // If another upstream resumes the stream, the length may differ.
             head.headers_mut().remove(header::CONTENT_LENGTH);
--- a/crates/node/src/frame_reader.rs
+++ b/crates/node/src/frame_reader.rs
@@ -12,14 +12,29 @@
 #[derive(Debug)]
 pub(crate) struct FrameReader<B: Body> {
     body: B,
-    /// An error that came while reading ahead, after data that was returned first.
-    error: Option<B::Error>,
+    /// What came while reading ahead.
+    next: Option<Result<Bytes, B::Error>>,
+    has_ended: bool,
 }
 
 impl<B: Body<Data = Bytes> + Unpin> FrameReader<B> {
     /// Creates a reader of `body`.
     pub(crate) fn new(body: B) -> Self {
-        Self { body, error: None }
+        Self {
+            body,
+            next: None,
+            has_ended: false,
+        }
+    }
+
+    /// Waits for the next data, which is left to [`Self::next`], and skips what is empty.
+    pub(crate) async fn peek(&mut self) -> Option<&Result<Bytes, B::Error>> {
+        loop {
+            match self.next().await? {
+                Ok(data) if data.is_empty() => {}
+                next => return Some(self.next.insert(next)),
+            }
+        }
     }
 
     /// Waits for the next data, which is empty for a frame of trailers. Returns `None` at the
@@ -29,22 +44,20 @@
     ///
     /// Returns an error if the body broke off.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, B::Error>> {
-        if let Some(error) = self.error.take() {
-            return Some(Err(error));
+        if self.next.is_some() || self.has_ended {
+            return self.next.take();
         }
-        let frame = self.body.frame().await?;
-        Some(frame.map(|frame| frame.into_data().unwrap_or_default()))
+        let frame = self.body.frame().await;
+        self.has_ended = frame.is_none();
+        Some(frame?.map(|frame| frame.into_data().unwrap_or_default()))
     }
 
     /// Returns data that has already arrived. An error or the end is left to [`Self::next`].
     pub(crate) fn next_ready(&mut self) -> Option<Bytes> {
-        if self.error.is_some() {
-            return None;
-        }
         match self.next().now_or_never()?? {
             Ok(data) => Some(data),
             Err(error) => {
-                self.error = Some(error);
+                self.next = Some(Err(error));
                 None
             }
         }
@@ -52,6 +65,7 @@
 
     /// Returns whether all bytes of a body of known length have been read.
     pub(crate) fn is_at_known_end(&self) -> bool {
-        self.body.is_end_stream() || self.body.size_hint().exact() == Some(0)
+        let is_at_end = self.body.is_end_stream() || self.body.size_hint().exact() == Some(0);
+        is_at_end && self.next.is_none()
     }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -33,6 +33,7 @@
 mod customers;
 mod datagrams;
 mod dispatch;
+mod empty_answers;
 mod end_to_end_headers;
 mod exchange;
 mod feeds;
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -6,6 +6,7 @@
 use gateway::{AttemptEnd, ProxyPeer, Target};
 use http::{Request, Response, Uri};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use model::InstanceId;
 use tokio::time::{timeout, timeout_at};
 
@@ -14,7 +15,7 @@
     exchange::{ExchangeFailure, FailureMeaning},
     node::Node,
     peer_connections::PeerSender,
-    proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
+    proxy_message::{AttemptError, PathQuery, ProxiedAttempt, take_undelimited_mark},
     read_limit::LimitedBody,
 };
 
@@ -95,7 +96,7 @@
     let deadline = node.clock.instant(options.head_deadline_ms);
     let failure = match timeout_at(deadline, exchange).await {
         Ok(Ok(response)) => match AttemptError::find_in(response.headers()) {
-            None => return Ok((response.map(LimitedBody::of_peer), guard)),
+            None => return Ok((answer_of_peer(response), guard)),
             Some(error) => failure_at_peer(&guard, &error, options),
         },
         Ok(Err(mut error)) => {
@@ -120,6 +121,11 @@
     Err(failure)
 }
 
+fn answer_of_peer(mut response: Response<Incoming>) -> Response<LimitedBody> {
+    let is_undelimited = take_undelimited_mark(response.headers_mut());
+    response.map(|body| LimitedBody::of_peer(body, is_undelimited))
+}
+
 /// Asks a peer whether it can connect to an upstream. Returns `None` if the peer does not
 /// answer.
 pub(crate) async fn query_path(node: &Node, peer: &ProxyPeer, target: &Target) -> Option<bool> {
--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -35,7 +35,7 @@
     listener::{OpenConnectionGuard, accept, bind, serve_until_closing, wait_for_stage},
     node::{Node, Stage},
     peer_connections::{HEADERS_MAX_BYTES, LocalExecutor, PING_INTERVAL, PING_TIMEOUT},
-    proxy_message::{AttemptError, PathQuery, ProxiedAttempt},
+    proxy_message::{AttemptError, PathQuery, ProxiedAttempt, mark_undelimited},
     upstream_connections,
 };
 
@@ -285,6 +285,8 @@
         *head.status_mut() = self.exchange.response.status();
         copy_end_to_end_headers(self.exchange.response.headers(), head.headers_mut());
         AttemptError::strip(head.headers_mut());
+        let is_undelimited = self.exchange.response.body().is_undelimited();
+        mark_undelimited(head.headers_mut(), is_undelimited);
         let frames = stream::unfold(Some((self, guard)), |state| async move {
             let (mut answer, guard) = state?;
             match answer.next_frame().await? {
--- a/crates/node/src/proxy_message.rs
+++ b/crates/node/src/proxy_message.rs
@@ -16,6 +16,24 @@
 /// Header of an answer with an [`AttemptError`], if no upstream answered.
 const ATTEMPT_ERROR: HeaderName = HeaderName::from_static("x-redwingtack-attempt-error");
 
+/// Header of an answer of an upstream that has neither a length nor chunks and ends with its
+/// connection. Between peers each answer has an end.
+const UNDELIMITED: HeaderName = HeaderName::from_static("x-redwingtack-undelimited");
+
+/// Marks an answer as undelimited, or removes what the upstream has sent under the name of the
+/// mark.
+pub(crate) fn mark_undelimited(headers: &mut HeaderMap, is_undelimited: bool) {
+    headers.remove(UNDELIMITED);
+    if is_undelimited {
+        headers.insert(UNDELIMITED, HeaderValue::from_static("1"));
+    }
+}
+
+/// Takes the mark out of the headers of an answer. Returns whether there was one.
+pub(crate) fn take_undelimited_mark(headers: &mut HeaderMap) -> bool {
+    headers.remove(UNDELIMITED).is_some()
+}
+
 /// An attempt that a peer makes. Times count from the arrival of the message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ProxiedAttempt {
--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use http::{HeaderMap, Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -125,6 +126,31 @@
     body: Incoming,
     /// `None` for an answer that comes from a peer.
     limit: Option<Rc<ReadLimit>>,
+    is_undelimited: bool,
+}
+
+/// Limits an answer on a connection with this limit, once its head has been read.
+pub(crate) fn limit_answer(
+    answer: Response<Incoming>,
+    limit: Rc<ReadLimit>,
+) -> Response<LimitedBody> {
+    let is_chunked = is_chunked(answer.headers());
+    answer.map(|body| {
+        let has_length = body.size_hint().exact().is_some();
+        LimitedBody {
+            is_undelimited: !is_chunked && !has_length,
+            ..LimitedBody::new(body, limit)
+        }
+    })
+}
+
+/// Returns whether the last of the transfer codings marks the end of the body.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING);
+    let codings = codings.iter().next_back();
+    let codings = codings.and_then(|codings| codings.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 impl LimitedBody {
@@ -138,12 +164,23 @@
         Self {
             body,
             limit: Some(limit),
+            is_undelimited: false,
         }
     }
 
     /// Creates the body of an answer that comes from a peer, which has limited it.
-    pub(crate) fn of_peer(body: Incoming) -> Self {
-        Self { body, limit: None }
+    pub(crate) fn of_peer(body: Incoming, is_undelimited: bool) -> Self {
+        Self {
+            body,
+            limit: None,
+            is_undelimited,
+        }
+    }
+
+    /// Returns whether the body has neither a length nor chunks and ends with its connection,
+    /// so that it looks whole if the upstream breaks off.
+    pub(crate) fn is_undelimited(&self) -> bool {
+        self.is_undelimited
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -40,7 +40,7 @@
     resume_count: u32,
     /// Whether the current answer has brought an event.
     has_event: bool,
-    /// Whether an upstream that was to resume the stream has said that nothing follows.
+    /// Whether an upstream has said that nothing follows, and that end was uncertain.
     is_end_stated: bool,
     has_ended: bool,
 }
@@ -58,7 +58,8 @@
 enum Received {
     Bytes(Bytes),
     End,
-    /// The stream broke off before, and this is the first upstream to say that nothing follows.
+    /// The stream ended without an event and may have broken off, and this is the first upstream
+    /// to say that nothing follows.
     UnconfirmedEnd,
     Broken(AttemptFailure),
     DeadlinePassed,
@@ -118,7 +119,7 @@
                 }
                 Received::UnconfirmedEnd => {
                     self.is_end_stated = true;
-                    AttemptFailure::new(AttemptEnd::Failed, "the resumed stream has no events")
+                    AttemptFailure::new(self.end_without_events(), "the stream has no events")
                 }
                 Received::Broken(failure) => failure,
                 Received::DeadlinePassed => return Some(self.truncate("deadline passed").await),
@@ -161,13 +162,35 @@
         let is_partial = |splitter: &EventSplitter| splitter.has_partial_event();
         if self.splitter.as_ref().is_some_and(is_partial) {
             broken_stream("the stream ended within an event")
-        } else if self.resume_count > 0 && !self.has_event && !self.is_end_stated {
+        } else if self.may_lack_events() {
             Received::UnconfirmedEnd
         } else {
             Received::End
         }
     }
 
+    /// Returns whether a stream that has ended without an event may have broken off.
+    fn may_lack_events(&self) -> bool {
+        let is_stream = self.splitter.is_some();
+        let is_uncertain = self.resume_count > 0 || self.is_undelimited();
+        is_stream && is_uncertain && !self.has_event && !self.is_end_stated
+    }
+
+    fn is_undelimited(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_some_and(|answer| answer.is_undelimited)
+    }
+
+    /// Returns how the attempt ended that has brought no event. An upstream that marked the end
+    /// of its answer has not crashed.
+    fn end_without_events(&self) -> AttemptEnd {
+        if self.is_undelimited() {
+            AttemptEnd::Broken
+        } else {
+            AttemptEnd::Failed
+        }
+    }
+
     /// Returns the events that are complete with `bytes` and with the frames that are
     /// already buffered on the connection, so that they are sent in one write.
     fn complete_events(&mut self, bytes: Bytes) -> Result<Bytes, String> {
--- /dev/null
+++ b/crates/node/tests/broken_heads.rs
@@ -0,0 +1,334 @@
+//! Answers of servers that break off in their heads, or that lost a line of them.
+
+mod support;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use http::StatusCode;
+use serde_json::json;
+use support::{
+    Answer, EVENTS_PER_STREAM, HOST, Paths, TestCluster, complete_output, complete_stream, config,
+    scripted_server::{ConnectionEnd, Reply, ScriptedFleet, events},
+    upstream_proxy::PathState,
+};
+use tokio::time::sleep;
+
+/// Number of servers: one for each attempt of a request.
+const SERVERS: usize = 3;
+/// Time after which the nodes know a change of the configuration or of the servers.
+const PROPAGATION: Duration = Duration::from_millis(400);
+/// Time between two tries to reach a server.
+const TRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Routes of which a request may be repeated, and of which it may not.
+const REPEATABLE: [&str; 2] = ["/idempotent/x", "/long/x"];
+const NOT_REPEATABLE: [&str; 2] = ["/non_idempotent/x", "/once/x"];
+
+/// What comes before the headers of an answer.
+const HEAD_STARTS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+    "HTTP/1.0 200 OK\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n",
+];
+/// Headers of an answer, which say nothing about its length.
+const HEADERS: &str = "Redwingtack-Server-Stamp: stamp\r\nContent-Type: text/event-stream\r\n";
+/// The name in the data of all events.
+const NAME: &str = "a";
+
+/// Servers that send the replies that a test sets, by the number of the attempt.
+struct Fixture {
+    cluster: TestCluster,
+    fleet: ScriptedFleet,
+    replies: Arc<Mutex<Vec<Reply>>>,
+    /// Paths of the first node to the servers, if it has paths of its own.
+    _paths: Option<Paths>,
+    request_count: usize,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let cluster = TestCluster::start(&[8], 1).await;
+        cluster.unregister_server(0).await;
+        let (fleet, replies) = start_fleet(&cluster).await;
+        sleep(PROPAGATION).await;
+        Self {
+            cluster,
+            fleet,
+            replies,
+            _paths: None,
+            request_count: 0,
+        }
+    }
+
+    /// Starts three nodes, of which the first one reaches the servers only through the others.
+    async fn start_behind_peers() -> Self {
+        let mut cluster = TestCluster::start_without_config(&[], 0).await;
+        let (fleet, replies) = start_fleet(&cluster).await;
+        let addresses: Vec<_> = fleet.servers.iter().map(|server| server.address).collect();
+        let mut paths = cluster.add_node_with_paths_to("cut-off", &addresses).await;
+        for name in ["peer-1", "peer-2"] {
+            cluster.add_node(name);
+        }
+        for node in &cluster.nodes {
+            node.wait_until_ready().await;
+        }
+        sleep(PROPAGATION).await;
+        paths.set_all(PathState::Refusing).await;
+        Self {
+            cluster,
+            fleet,
+            replies,
+            _paths: Some(paths),
+            request_count: 0,
+        }
+    }
+
+    /// Has the servers send these replies, the last one to all further attempts.
+    fn set_replies(&self, replies: &[Reply]) {
+        *self.replies.lock().unwrap() = replies.to_vec();
+    }
+
+    /// Sends requests until one reaches a server. Returns its answer and the number of attempts.
+    async fn exchange(&mut self, path: &str, replies: &[Reply]) -> (Answer, usize) {
+        self.set_replies(replies);
+        loop {
+            self.request_count += 1;
+            let id = format!("r{}", self.request_count);
+            let answer = self.cluster.nodes[0].send_stream_request(path, &id).await;
+            let attempts = self.fleet.attempts_of(&id);
+            if attempts > 0 {
+                return (answer, attempts);
+            }
+            sleep(TRY_INTERVAL).await;
+        }
+    }
+}
+
+async fn start_fleet(cluster: &TestCluster) -> (ScriptedFleet, Arc<Mutex<Vec<Reply>>>) {
+    let mut config = config(2, 0);
+    let routes = config["routes"].as_array_mut().unwrap();
+    for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
+        routes.push(json!({
+            "name": kind, "host": HOST, "path_prefix": format!("/{kind}/"), "kind": kind,
+            "timeout_ms": 5000, "goal_ms": 300, "priority": 0, "max_attempts": attempts_max,
+            "service": "oracle"
+        }));
+    }
+    cluster.put_row("op", "config", &config).await;
+    let replies: Arc<Mutex<Vec<Reply>>> = Arc::default();
+    let replies_of_fleet = Arc::clone(&replies);
+    let fleet = ScriptedFleet::start(cluster, SERVERS, move |_, attempt| {
+        let replies = replies_of_fleet.lock().unwrap();
+        replies[attempt.min(replies.len() - 1)].clone()
+    });
+    (fleet.await, replies)
+}
+
+fn body() -> String {
+    complete_stream(NAME)
+}
+
+/// Returns an answer that says its length.
+fn delimited(body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{}{HEADERS}Content-Length: {length}\r\n\r\n{body}",
+        HEAD_STARTS[0]
+    )
+}
+
+/// Returns an answer that ends with its connection.
+fn undelimited(body: &str) -> String {
+    format!("{}{HEADERS}\r\n{body}", HEAD_STARTS[0])
+}
+
+/// Returns heads without a body that end with their connections.
+fn empty_undelimited() -> impl Iterator<Item = Reply> {
+    HEAD_STARTS
+        .map(|start| Reply::closed(format!("{start}{HEADERS}\r\n")))
+        .into_iter()
+}
+
+/// Returns whether a caller takes an answer for the whole answer of a server.
+fn is_whole_success(answer: &Answer) -> bool {
+    answer.status.is_success() && answer.is_complete
+}
+
+/// The caller must not be told that the request has not run.
+fn assert_is_lost(answer: &Answer, case: &str) {
+    assert!(!is_whole_success(answer), "{case}: {answer:?}");
+    assert!(
+        answer.status == StatusCode::BAD_GATEWAY || answer.status.is_success(),
+        "{case}: {answer:?}"
+    );
+}
+
+/// Guards against a success for an answer whose head never ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_breaks_off_in_its_head_is_no_success() {
+    let mut fixture = Fixture::start().await;
+    for start in HEAD_STARTS {
+        let head = format!("{start}{HEADERS}Content-Length: 0\r\n\r\n");
+        for length in (1..head.len()).step_by(12).chain([head.len() - 1]) {
+            for end in [ConnectionEnd::Close, ConnectionEnd::Reset] {
+                for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
+                    let reply = Reply::new(&head[..length], end);
+                    let (answer, _) = fixture.exchange(path, &[reply]).await;
+                    let case = format!("{path}, {end:?} after {:?}", &head[..length]);
+                    assert_is_lost(&answer, &case);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a success with an empty body because the server died after its head.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_undelimited_answer_is_replaced_by_that_of_the_next_server() {
+    let mut fixture = Fixture::start().await;
+    for path in REPEATABLE {
+        for empty in empty_undelimited() {
+            for next in [delimited(&body()), undelimited(&body())] {
+                let replies = [empty.clone(), Reply::closed(next)];
+                let (answer, attempts) = fixture.exchange(path, &replies).await;
+                assert!(is_whole_success(&answer), "{path}, {empty:?}: {answer:?}");
+                assert_eq!(answer.body, body(), "{path}, {empty:?}");
+                assert_eq!(attempts, 2, "{path}, {empty:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a success with an empty body that only one server has sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_undelimited_answer_of_a_single_run_is_no_success() {
+    let mut fixture = Fixture::start().await;
+    for path in NOT_REPEATABLE {
+        for empty in empty_undelimited() {
+            let (answer, attempts) = fixture.exchange(path, &[empty]).await;
+            assert_is_lost(&answer, path);
+            assert_eq!(attempts, 1, "{path}");
+        }
+    }
+}
+
+/// A sound server may have nothing to send.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_undelimited_answer_is_complete_if_two_servers_send_it() {
+    let mut fixture = Fixture::start().await;
+    for path in REPEATABLE {
+        let (answer, attempts) = fixture
+            .exchange(path, &[Reply::closed(undelimited(""))])
+            .await;
+        assert!(is_whole_success(&answer), "{path}: {answer:?}");
+        assert_eq!(answer.body, "", "{path}");
+        assert_eq!(attempts, 2, "{path}");
+    }
+}
+
+/// The end of these answers is told by their own words.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_delimited_answer_is_complete() {
+    let mut fixture = Fixture::start().await;
+    let chunked = format!(
+        "{}{HEADERS}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        HEAD_STARTS[0]
+    );
+    let no_content = format!("HTTP/1.1 204 No Content\r\n{HEADERS}\r\n");
+    for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
+        for reply in [&delimited(""), &chunked, &no_content] {
+            let (answer, attempts) = fixture.exchange(path, &[Reply::closed(reply)]).await;
+            assert!(is_whole_success(&answer), "{path}, {reply}: {answer:?}");
+            assert_eq!(answer.body, "", "{path}, {reply}");
+            assert_eq!(attempts, 1, "{path}, {reply}");
+        }
+    }
+}
+
+/// Guards against the loss of sound answers: the pages allow an answer without a length.
+#[tokio::test(flavor = "multi_thread")]
+async fn undelimited_answer_with_a_body_is_complete() {
+    let mut fixture = Fixture::start().await;
+    for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
+        for start in HEAD_STARTS {
+            let reply = Reply::closed(format!("{start}{HEADERS}\r\n{}", body()));
+            let (answer, attempts) = fixture.exchange(path, &[reply]).await;
+            assert!(is_whole_success(&answer), "{path}: {answer:?}");
+            assert_eq!(answer.body, body(), "{path}");
+            assert_eq!(attempts, 1, "{path}");
+        }
+    }
+}
+
+/// Guards against an answer that ends with its connection and looks whole although the
+/// connection was reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn undelimited_answer_that_is_reset_is_not_complete() {
+    let mut fixture = Fixture::start().await;
+    for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
+        for sent in [String::new(), events(NAME, 1..=3), body()] {
+            let reply = Reply::new(&undelimited(&sent), ConnectionEnd::Reset);
+            let (answer, _) = fixture.exchange(path, &[reply]).await;
+            assert_is_lost(&answer, path);
+        }
+    }
+}
+
+/// Guards against empty and reset answers that look whole because a peer has passed them on.
+#[tokio::test(flavor = "multi_thread")]
+async fn undelimited_answer_through_a_peer_is_whole_or_no_success() {
+    let mut fixture = Fixture::start_behind_peers().await;
+    let whole = Reply::closed(delimited(&body()));
+    for empty in empty_undelimited() {
+        for path in REPEATABLE {
+            let (answer, attempts) = fixture
+                .exchange(path, &[empty.clone(), whole.clone()])
+                .await;
+            assert!(is_whole_success(&answer), "{path}, {empty:?}: {answer:?}");
+            assert_eq!(answer.body, body(), "{path}, {empty:?}");
+            assert_eq!(attempts, 2, "{path}, {empty:?}");
+        }
+        for path in NOT_REPEATABLE {
+            let (answer, _) = fixture.exchange(path, &[empty.clone()]).await;
+            assert_is_lost(&answer, path);
+        }
+    }
+    for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
+        let (answer, _) = fixture
+            .exchange(path, &[Reply::closed(undelimited(&body()))])
+            .await;
+        assert!(is_whole_success(&answer), "{path}: {answer:?}");
+        assert_eq!(answer.body, body(), "{path}");
+        let reset = Reply::new(&undelimited(&body()), ConnectionEnd::Reset);
+        let (answer, _) = fixture.exchange(path, &[reset]).await;
+        assert_is_lost(&answer, path);
+    }
+    let log = fixture.cluster.nodes[0].log();
+    assert!(log.contains("event=attempt_proxied "), "{log}");
+}
+
+/// Guards against an item that is done with the output of a run that broke off.
+#[tokio::test(flavor = "multi_thread")]
+async fn item_whose_undelimited_answer_broke_off_is_done_with_its_whole_output() {
+    let breaks = [
+        (0, ConnectionEnd::Close),
+        (0, ConnectionEnd::Reset),
+        (3, ConnectionEnd::Reset),
+    ];
+    for (number, (sent, end)) in breaks.into_iter().enumerate() {
+        let fixture = Fixture::start().await;
+        let broken = Reply::new(&undelimited(&events(NAME, 1..=sent)), end);
+        let rest = delimited(&events(NAME, sent + 1..=EVENTS_PER_STREAM));
+        fixture.set_replies(&[broken, Reply::closed(rest)]);
+        let job = format!("j{number}");
+        let node = &fixture.cluster.nodes[0];
+        node.submit_job(&job, &[("i0", "/batch/x/0")]).await;
+        let results = node.wait_for_results(&job).await;
+        assert_eq!(results[0]["state"], "done");
+        assert_eq!(results[0]["output"], complete_output(NAME));
+    }
+}
--- a/crates/node/tests/frame_reader.rs
+++ b/crates/node/tests/frame_reader.rs
@@ -73,3 +73,15 @@
     assert_eq!(data, Some(Ok("a".into())));
     assert!(reader.is_at_known_end());
 }
+
+#[tokio::test]
+async fn peek_leaves_the_data_to_the_next_read() {
+    let mut reader = reader([Ok(""), Ok("a"), Err("reset")]);
+    assert_eq!(reader.peek().await, Some(&Ok(Bytes::from_static(b"a"))));
+    assert_eq!(reader.next().await, Some(Ok(Bytes::from_static(b"a"))));
+    assert_eq!(reader.peek().await, Some(&Err("reset")));
+    assert_eq!(reader.next_ready(), None);
+    assert_eq!(reader.next().await, Some(Err("reset")));
+    assert_eq!(reader.peek().await, None);
+    assert_eq!(reader.next().await, None);
+}
