--- a/crates/node/tests/broken_heads.rs
+++ b/crates/node/tests/broken_heads.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    slice,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -293,7 +294,7 @@
             assert_eq!(attempts, 2, "{path}, {empty:?}");
         }
         for path in NOT_REPEATABLE {
-            let (answer, _) = fixture.exchange(path, &[empty.clone()]).await;
+            let (answer, _) = fixture.exchange(path, slice::from_ref(&empty)).await;
             assert_is_lost(&answer, path);
         }
     }
