--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     GossipFrame, NodeRecord, UpstreamRecord,
-    digest::{BUCKET_COUNT, bucket_of},
     fleet::{
         Action, CROSS_REGION_TIMEOUT_MS, Fleet, GossipRequest, ISOLATION_TIMEOUT_MS,
         PROBE_TIMEOUT_MS, PendingRequest,
@@ -21,11 +20,7 @@
 const CONFIG_FETCH_TIMEOUT_MS: u64 = 400;
 /// Time without changes after which differing digests start anti-entropy. Also
 /// the limit on how far received upstream records may lie in the future.
-const QUIET_PERIOD_MS: u64 = 1_000;
-/// Minimum interval between bucket comparisons.
-const ANTI_ENTROPY_INTERVAL_MS: u64 = 2_000;
-/// Maximum number of rows in an anti-entropy frame with buckets of average size.
-const ANTI_ENTROPY_ROWS_MAX: usize = 2_048;
+pub(crate) const QUIET_PERIOD_MS: u64 = 1_000;
 /// Maximum number of records in a received frame for them to be propagated as
 /// rumors. The records of a larger frame spread by anti-entropy only.
 const PROPAGATED_RECORDS_MAX: usize = 64;
@@ -334,7 +329,7 @@
         }
     }
 
-    fn request_frame(&mut self, target: &Target) -> GossipFrame {
+    pub(crate) fn request_frame(&mut self, target: &Target) -> GossipFrame {
         let region = target.remote_region.clone();
         let region = region.unwrap_or_else(|| self.local_node.region.clone());
         self.build_frame(target.scope, &region, target.id.as_ref())
@@ -391,7 +386,13 @@
         }
     }
 
-    fn send_frame(&mut self, target: Target, kind: RequestKind, frame: GossipFrame, now_ms: u64) {
+    pub(crate) fn send_frame(
+        &mut self,
+        target: Target,
+        kind: RequestKind,
+        frame: GossipFrame,
+        now_ms: u64,
+    ) {
         let timeout_ms = match target.scope {
             Scope::InRegion => PROBE_TIMEOUT_MS,
             Scope::CrossRegion => CROSS_REGION_TIMEOUT_MS,
@@ -433,53 +434,6 @@
         }
     }
 
-    /// Marks the region as known if the sync is complete, and otherwise compares
-    /// buckets with `target` again.
-    fn continue_region_sync(&mut self, is_complete: bool, target: Target, now_ms: u64) {
-        if is_complete {
-            self.mark_region_known();
-        } else {
-            self.send_request(target, RequestKind::CompareBuckets, now_ms);
-        }
-    }
-
-    fn start_anti_entropy(&mut self, target: Target, now_ms: u64) {
-        let is_quiet = self.timers.changed_at_ms + QUIET_PERIOD_MS <= now_ms;
-        if self.confirmed.region && is_quiet && self.timers.anti_entropy_at_ms <= now_ms {
-            self.timers.anti_entropy_at_ms = now_ms + ANTI_ENTROPY_INTERVAL_MS;
-            self.send_request(target, RequestKind::CompareBuckets, now_ms);
-        }
-    }
-
-    fn send_differing_rows(&mut self, peer_bucket_digests: &[u32], target: Target, now_ms: u64) {
-        let mut frame = self.request_frame(&target);
-        self.add_differing_rows(peer_bucket_digests, &mut frame);
-        if !frame.nodes.is_empty() || !frame.upstreams.is_empty() {
-            self.send_frame(target, RequestKind::Gossip, frame, now_ms);
-        }
-    }
-
-    fn add_differing_rows(&self, peer_bucket_digests: &[u32], frame: &mut GossipFrame) {
-        let rows = self.nodes.rows().len() + self.upstreams.len();
-        // Only whole buckets are sent: a partly sent bucket would still differ.
-        let buckets_max = (ANTI_ENTROPY_ROWS_MAX / (rows / BUCKET_COUNT + 1)).max(1);
-        let differing = self.digest.differing(peer_bucket_digests, buckets_max);
-        let nodes = self
-            .nodes
-            .rows()
-            .iter()
-            .map(|row| &row.record)
-            .filter(|record| record.liveness != Liveness::Dead)
-            .filter(|record| differing[bucket_of(record.id.as_str())]);
-        frame.nodes.extend(nodes.cloned());
-        let upstreams = self
-            .upstreams
-            .records()
-            .filter(|record| record.entry.liveness != Liveness::Dead)
-            .filter(|record| differing[bucket_of(record.entry.id.as_str())]);
-        frame.upstreams.extend(upstreams.cloned());
-    }
-
     fn record_change(&mut self, now_ms: u64) {
         self.timers.changed_at_ms = now_ms;
         self.revision += 1;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -32,6 +32,7 @@
 //! - *Anti-entropy*: the comparison of digests by which two nodes find and send
 //!   records that did not spread as rumors.
 
+mod anti_entropy;
 mod digest;
 mod exchange;
 mod fleet;
