--- a/crates/node/tests/broken_heads.rs
+++ b/crates/node/tests/broken_heads.rs
@@ -279,6 +279,17 @@
     }
 }
 
+/// Guards against a caller that waits beyond its deadline for a body that never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn undelimited_answer_without_body_until_the_deadline_is_timed_out() {
+    let mut fixture = Fixture::start().await;
+    for path in ["/idempotent/x", "/non_idempotent/x"] {
+        let silent = Reply::new(&undelimited(""), ConnectionEnd::Wait);
+        let (answer, _) = fixture.exchange(path, &[silent]).await;
+        assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{answer:?}");
+    }
+}
+
 /// Guards against empty and reset answers that look whole because a peer has passed them on.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_through_a_peer_is_whole_or_no_success() {
--- a/crates/node/tests/support/scripted_server.rs
+++ b/crates/node/tests/support/scripted_server.rs
@@ -42,6 +42,8 @@
 pub enum ConnectionEnd {
     Close,
     Reset,
+    /// Not at all: the server waits until the other side has closed.
+    Wait,
 }
 
 /// What a server sends before it ends the connection.
@@ -132,8 +134,14 @@
     async fn send(self, mut stream: TcpStream) {
         // The other side may have closed the connection.
         let _ = stream.write_all(self.bytes.as_bytes()).await;
-        if self.end == ConnectionEnd::Reset {
-            let _ = stream.set_zero_linger();
+        match self.end {
+            ConnectionEnd::Close => {}
+            ConnectionEnd::Reset => {
+                let _ = stream.set_zero_linger();
+            }
+            ConnectionEnd::Wait => {
+                let _ = stream.read_u8().await;
+            }
         }
     }
 }
