--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "no test file uses all of the helpers")]
 
+pub mod quarantine_fleet;
 pub mod quota_fleet;
 
 use std::sync::Arc;
