Test proxies keep their address while their state changes

`instance_uses_its_own_path_again_after_a_cut` failed once in a run beside other work: "Address already in use" as the proxy bound its address again. Between the close of the old socket and the next bind, another socket could get the port. The next socket is now bound before the old one is closed.

--- a/crates/node/tests/support/crowd_cluster.rs
+++ b/crates/node/tests/support/crowd_cluster.rs
@@ -76,7 +76,7 @@
     pub async fn start_cut_off() -> (Self, StoreProxy, UpstreamProxy) {
         let mut cluster = Self::start_without_nodes(Duration::ZERO).await;
         let server_address = cluster.server.address;
-        let mut path = UpstreamProxy::start(server_address).await;
+        let mut path = UpstreamProxy::start(server_address);
         let replacement = Replacement {
             from: encoded_address(server_address),
             to: encoded_address(path.address()),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -197,7 +197,7 @@
         let mut proxies = Vec::new();
         let mut replacements = Vec::new();
         for server in servers {
-            let proxy = UpstreamProxy::start(*server).await;
+            let proxy = UpstreamProxy::start(*server);
             replacements.push(Replacement {
                 from: encoded_address(*server),
                 to: encoded_address(proxy.address()),
--- a/crates/node/tests/support/upstream_proxy.rs
+++ b/crates/node/tests/support/upstream_proxy.rs
@@ -44,8 +44,9 @@
 }
 
 impl UpstreamProxy {
-    pub async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    pub fn start(target: SocketAddr) -> Self {
+        let socket = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1024).unwrap();
         let address = listener.local_addr().unwrap();
         let mut proxy = Self {
             address,
@@ -61,7 +62,9 @@
         self.address
     }
 
+    /// The address stays bound meanwhile, so that nobody else takes it.
     pub async fn set_state(&mut self, state: PathState) {
+        let socket = bind(self.address).unwrap();
         if let Entrance::Open(task) = &mut self.entrance {
             task.abort();
             // Waits until the listener is closed.
@@ -73,30 +76,23 @@
                 // Connections that the cut has hit do not come back.
                 self.connections.send_replace(ProxyState::Reset);
                 self.connections = Arc::new(watch::Sender::new(ProxyState::Open));
-                let listener = self.bind().unwrap().listen(1024).unwrap();
+                let listener = socket.listen(1024).unwrap();
                 self.accept(listener);
             }
             PathState::Hanging => {
                 self.connections.send_replace(ProxyState::Silent);
-                let listener = self.bind().unwrap().listen(0).unwrap();
+                let listener = socket.listen(0).unwrap();
                 let queued = fill_queue(self.address).await;
                 self.entrance = Entrance::Hanging((listener, queued));
             }
             PathState::Refusing => {
                 self.connections.send_replace(ProxyState::Reset);
-                self.entrance = Entrance::Refusing(self.bind().unwrap());
+                self.entrance = Entrance::Refusing(socket);
             }
-            PathState::RefusingNew => self.entrance = Entrance::Refusing(self.bind().unwrap()),
+            PathState::RefusingNew => self.entrance = Entrance::Refusing(socket),
         }
     }
 
-    fn bind(&self) -> io::Result<TcpSocket> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(self.address)?;
-        Ok(socket)
-    }
-
     fn accept(&mut self, listener: TcpListener) {
         let target = self.target;
         let connections = Arc::clone(&self.connections);
@@ -108,6 +104,15 @@
     }
 }
 
+/// Binds a socket to an address that other sockets of this kind may have.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Opens connections that nobody accepts until no further one can be opened.
 async fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
     let mut queued = Vec::new();
