A repeat of an accepted job is answered 202 after its route was removed

Callers saw: a job was accepted, the operator removed the route for jobs, and the job that came again (its 202 had been lost, or another client sent it) was answered 404 "no such route" at every instance, at every try. If an ordinary route covers the path, the repeat was passed on to a server of that route and run there.

Cause: dispatch looked for the route first, and only then for the job (`event=request_refused reason=no_route`, never `event=job_known`). It is the class of: a job outlives its route, so what is owed for it must be found by the job, not by the configuration in force.

Now a submission that no route for jobs covers is answered as a repeat if a job of this id was submitted on this host and path. The record is looked up among those that the instance follows; the store is asked only while these are behind and no route covers the path, so that ordinary requests never wait for it. If the store does not answer, the request is refused with 503 instead of 404.

`repeat_of_a_job_is_accepted_after_the_route_is_removed` and the lines added to three tests of the same file failed before (404; 200 by a server of the ordinary route), and pass.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -136,7 +136,26 @@
         return response;
     }
     progress.may_have_begun.set(false);
-    let Some(route) = routes.find(&host, parts.uri.path()).cloned() else {
+    let route = routes.find(&host, parts.uri.path()).cloned();
+    if !route.as_ref().is_some_and(is_job_submission) {
+        match jobs::repeated_job(node, routes, &parts, &request_headers.request_id).await {
+            Ok(Some(job)) => {
+                progress.may_have_begun.set(true);
+                let time_left_ms = request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
+                let deadline_ms = arrived_ms + time_left_ms.min(BODY_TIMEOUT_MS);
+                return match read_body(node, routes, body, REQUEST_COPIES, deadline_ms).await {
+                    Ok(_) => {
+                        progress.is_body_read.set(true);
+                        jobs::answer_repeated_job(node, &job, key, deadline_ms).await
+                    }
+                    Err(error) => answer_unread(node, &request_headers, error),
+                };
+            }
+            Ok(None) => {}
+            Err(_) => return jobs::store_unavailable(),
+        }
+    }
+    let Some(route) = route else {
         log::info!(
             "event=request_refused request={} reason=no_route config_version={}",
             request_headers.request_id,
@@ -164,9 +183,7 @@
     } else {
         REQUEST_COPIES
     };
-    let max_bytes = routes.limits.body_max_bytes;
-    let memory = &node.body_memory;
-    let body = match memory.read(body, max_bytes, copies, read_deadline_ms).await {
+    let body = match read_body(node, routes, body, copies, read_deadline_ms).await {
         Ok(body) => body,
         Err(error) => return answer_unread(node, &request_headers, error),
     };
@@ -213,6 +230,18 @@
     matches!(route.kind, RouteKind::Batch(_))
 }
 
+async fn read_body(
+    node: &Node,
+    routes: &RouteTable,
+    body: &mut LimitedBody,
+    copies: usize,
+    deadline_ms: u64,
+) -> Result<Bytes, BodyError> {
+    let max_bytes = routes.limits.body_max_bytes;
+    let memory = &node.body_memory;
+    memory.read(body, max_bytes, copies, deadline_ms).await
+}
+
 /// Returns the answer to a request whose body was not read to its end, so that nothing has run.
 fn answer_unread(node: &Node, headers: &RequestHeaders, error: BodyError) -> Response<AnswerBody> {
     log::warn!(
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -12,6 +12,7 @@
 mod peer_forwarding;
 mod query;
 mod record_codec;
+mod repeats;
 mod runner;
 mod storage;
 mod takeover_pace;
@@ -25,6 +26,8 @@
     accept::submit,
     calls::answer_call,
     ownership::{apply_row, release_jobs},
+    query::store_unavailable,
+    repeats::{answer_repeated_job, repeated_job},
     runner::Runner,
     storage::{JOB_PARTITIONS, JOBS_TABLE},
 };
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -122,7 +122,7 @@
 
 /// Answers the submission of a job that this instance knows. Returns `None` if it knows no
 /// such job.
-async fn answer_repeat(
+pub(super) async fn answer_repeat(
     node: &Rc<Node>,
     id: &JobId,
     caller: Option<&CustomerName>,
--- a/crates/node/src/jobs/calls.rs
+++ b/crates/node/src/jobs/calls.rs
@@ -96,7 +96,7 @@
     is_covered && (has_fresh_records(node) || !has_jobs())
 }
 
-fn cached_record(node: &Node, id: &JobId) -> Option<Arc<JobRecord>> {
+pub(super) fn cached_record(node: &Node, id: &JobId) -> Option<Arc<JobRecord>> {
     let directory = node.directory.borrow();
     directory.job(id).map(|job| Arc::clone(&job.record))
 }
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -145,7 +145,7 @@
     is_own || !node.has_customers()
 }
 
-pub(super) fn store_unavailable() -> Response<AnswerBody> {
+pub(crate) fn store_unavailable() -> Response<AnswerBody> {
     answer::service_unavailable(STORE_RETRY_AFTER_MS, "the store does not answer")
 }
 
--- a/crates/node/tests/removed_routes.rs
+++ b/crates/node/tests/removed_routes.rs
@@ -52,7 +52,17 @@
 
 /// Sends a call about the job, with a key if it is not empty.
 async fn call_with_key(node: &NodeProcess, method: &str, path: &str, key: &str) -> Answer {
-    let mut headers = vec![("host", HOST)];
+    call_with_key_and_id(node, method, path, key, "call").await
+}
+
+async fn call_with_key_and_id(
+    node: &NodeProcess,
+    method: &str,
+    path: &str,
+    key: &str,
+    id: &str,
+) -> Answer {
+    let mut headers = vec![("host", HOST), ("redwingtack-request-id", id)];
     if !key.is_empty() {
         headers.push(("x-api-key", key));
     }
@@ -83,6 +93,26 @@
     assert_results_are_read(&cluster.nodes[0]).await;
 }
 
+/// Guards against accepted jobs that are turned away when they are submitted again, because
+/// their route has been removed.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_of_a_job_is_accepted_after_the_route_is_removed() {
+    let mut cluster = start_with_finished_job().await;
+    apply(&cluster, &config_without_batch_route(2)).await;
+    // An instance that has never known the route reads the job from the store.
+    cluster.nodes[1].restart();
+    cluster.nodes[1].wait_until_ready().await;
+    for node in &cluster.nodes {
+        for _ in 0..3 {
+            let answer = node.submit_job("j", &ITEMS).await;
+            assert_eq!(answer.status, StatusCode::ACCEPTED, "{answer:?}");
+        }
+        assert_results_are_read(node).await;
+        let answer = node.submit_job("new", &ITEMS).await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    }
+}
+
 /// The same for a job that is open when its route is removed.
 #[tokio::test(flavor = "multi_thread")]
 async fn open_job_is_listed_and_ended_after_the_route_is_removed() {
@@ -113,6 +143,9 @@
     apply(&cluster, &config).await;
     for (number, node) in cluster.nodes.iter().enumerate() {
         assert_results_are_read(node).await;
+        let repeat = node.submit_job("j", &ITEMS).await;
+        assert_eq!(repeat.status, StatusCode::ACCEPTED);
+        assert!(!cluster.server_runs().await.contains_key("j"));
         let id = format!("r{number}");
         let headers = [
             ("host", HOST),
@@ -155,9 +188,12 @@
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
     proxy.set_state(support::store_proxy::ProxyState::Reset);
     sleep(Duration::from_secs(1)).await;
-    let answer = node.read_results("unknown", 0).await;
-    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
-    assert!(answer.headers.contains_key("retry-after"));
+    let read = node.read_results("unknown", 0).await;
+    let repeat = node.submit_job("unknown", &ITEMS).await;
+    for answer in [read, repeat] {
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
 }
 
 /// A job of a customer is shown to the customer alone, and a job of nobody to everybody, after
@@ -201,6 +237,14 @@
         assert_eq!(status("GET", own, "key-2").await, StatusCode::NOT_FOUND);
         assert_eq!(status("GET", own, "").await, StatusCode::UNAUTHORIZED);
         assert_eq!(status("GET", own, "wrong").await, StatusCode::UNAUTHORIZED);
+        let repeat = async |key: &str| {
+            call_with_key_and_id(node, "POST", "/batch/x", key, "own")
+                .await
+                .status
+        };
+        assert_eq!(repeat("key-1").await, StatusCode::ACCEPTED);
+        assert_eq!(repeat("key-2").await, StatusCode::NOT_FOUND);
+        assert_eq!(repeat("").await, StatusCode::UNAUTHORIZED);
         let of_nobody = "/lots/j?after=0";
         for key in ["", "key-1", "key-2"] {
             assert_eq!(status("GET", of_nobody, key).await, StatusCode::OK);
