Late items that will be given up before they are done leave slots to others

Cause: late items went by due time alone, so under overload the next one always was that with the least time left, and it was started however little that was. All slots were taken by runs in vain.

A late item whose time until it is given up is less than one and a half times its forecast run time now goes behind all others, those with the most time left first. It still runs where a slot stays free and is listed as dead only after max_wait_s. Until an instance has completed an item, the longest output that it has seen bounds the forecast from below; before, it took all items for short.

items_without_time_to_finish_leave_slots_to_others failed on the parent commit (an item was sent with 861 ms left of the 1,000 that it needs) and passes now.

--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: more items are due than can be completed in time. An item that
 //! can still meet its due time goes before one that cannot, so that one late
-//! item does not delay all others past their due times. Where jobs belong to customers, the
+//! item does not delay all others past their due times. Late items that will probably be given
+//! up before they are complete go last, so that a long queue does not end with runs in vain. Where jobs belong to customers, the
 //! items of a customer that has many in front of them count as due later, so that the jobs of
 //! the others need not wait until one customer's jobs are all done.
 
@@ -14,6 +15,13 @@
 /// Offset added to the urgency key of items that cannot meet their due time,
 /// milliseconds. It sorts them after all others.
 const LATE_KEY_OFFSET_MS: u64 = 1 << 42;
+/// Offset of the urgency keys of late items that will probably be given up, from which the time
+/// of that is subtracted, milliseconds. It sorts them after all others, and those with the most
+/// time left first.
+const GIVEN_UP_KEY_OFFSET_MS: u64 = 3 * LATE_KEY_OFFSET_MS;
+/// Time that a late item needs before it is given up, in percent of its expected remaining run
+/// time. Runs differ in length, and those with just enough time on average often end in vain.
+const GIVE_UP_MARGIN_PERCENT: u64 = 150;
 /// How much later an item counts as due for each item of the same customer in front of it,
 /// milliseconds.
 const DEFERRAL_PER_ITEM_MS: u64 = 50;
@@ -25,6 +33,8 @@
 pub struct RunForecast {
     ms_per_event: MovingAverage,
     events_per_token: MovingAverage,
+    /// Greatest number of events per token that an item has had, whether it was completed or not.
+    most_events_per_token: f64,
 }
 
 /// Urgency of a batch item.
@@ -52,11 +62,21 @@
         }
     }
 
+    /// Records the output so far of an item that was expected to have `tokens` tokens of output.
+    /// Until an item is completed, the longest output tells how long they are at least.
+    pub fn record_progress(&mut self, tokens: u32, events: u64) {
+        if tokens > 0 {
+            let events_per_token = ratio(events, u64::from(tokens));
+            self.most_events_per_token = self.most_events_per_token.max(events_per_token);
+        }
+    }
+
     /// Returns the expected remaining run time of an item, milliseconds, or 0
     /// before the first measurements.
     #[must_use]
     pub fn remaining_ms(&self, tokens: u32, events_so_far: u64) -> u64 {
-        let events = f64::from(tokens) * self.events_per_token.value_or(0.0);
+        let events_per_token = self.events_per_token.value_or(self.most_events_per_token);
+        let events = f64::from(tokens) * events_per_token;
         let remaining_events = (events - ratio(events_so_far, 1)).max(0.0);
         truncate(remaining_events * self.ms_per_event.value_or(0.0))
     }
@@ -81,6 +101,21 @@
         }
     }
 
+    /// Puts the item behind all others if it is late and has probably too little time left: it is
+    /// given up at `give_up_at_ms` and has to run for another `remaining_ms`.
+    #[must_use]
+    pub fn with_give_up_at(self, give_up_at_ms: u64, remaining_ms: u64, now_ms: u64) -> Self {
+        let needed_ms = remaining_ms.saturating_mul(GIVE_UP_MARGIN_PERCENT) / 100;
+        let is_late = self.key >= LATE_KEY_OFFSET_MS;
+        if !is_late || now_ms.saturating_add(needed_ms) <= give_up_at_ms {
+            return self;
+        }
+        Self {
+            key: GIVEN_UP_KEY_OFFSET_MS.saturating_sub(give_up_at_ms),
+            lacks_slack: false,
+        }
+    }
+
     /// Defers the item because `items_ahead` items of its customer are due before it.
     #[must_use]
     pub fn deferred_behind(mut self, items_ahead: u64) -> Self {
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -279,7 +279,12 @@
     fn urgency(&self, job: &OwnedJob, item_index: u32, store_now_ms: u64) -> Urgency {
         let (tokens, events) = job.output_progress(item_index);
         let remaining_ms = self.forecast.remaining_ms(tokens, events);
-        Urgency::new(job.record().due_at_ms, remaining_ms, store_now_ms)
+        let record = job.record();
+        Urgency::new(record.due_at_ms, remaining_ms, store_now_ms).with_give_up_at(
+            record.give_up_at_ms,
+            remaining_ms,
+            store_now_ms,
+        )
     }
 
     /// Returns the upstream and the urgency of each running item.
@@ -421,6 +426,8 @@
         let (tokens, _) = job.output_progress(item_index);
         if outcome == RunOutcome::Done {
             runner.forecast.record_completed_item(tokens, events);
+        } else {
+            runner.forecast.record_progress(tokens, events);
         }
     }
     drop(runner);
--- a/crates/node/tests/item_deadlines.rs
+++ b/crates/node/tests/item_deadlines.rs
@@ -12,7 +12,7 @@
 use support::{
     HOST, TestCluster, config,
     scripted_server::{RequestHead, ScriptedServer, chunk, events},
-    send_request,
+    send_request, wait_until,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -150,3 +150,26 @@
     let results = cluster.nodes[0].wait_for_results("job").await;
     assert_eq!(states(&results), ["done"; SLOTS as usize - 1]);
 }
+
+/// Guards against slots that are taken by items which are given up before they can be done, while
+/// others wait that can still be done.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_without_time_to_finish_leave_slots_to_others() {
+    let (cluster, runs) = start(1).await;
+    put_max_wait(&cluster, 2, 4).await;
+    submit(&cluster, "first", PATH, 8).await;
+    wait_until("an item is done", async || {
+        let answer = cluster.nodes[0].read_results("first", 0).await;
+        answer.body.contains("done")
+    })
+    .await;
+    put_max_wait(&cluster, 3, 60).await;
+    submit(&cluster, "second", PATH, 4).await;
+    cluster.nodes[0].wait_for_results("first").await;
+    let results = cluster.nodes[0].wait_for_results("second").await;
+    assert_eq!(states(&results), ["done"; 4]);
+    let runs = runs.lock().unwrap();
+    let needed_ms = EVENTS * EVENT_INTERVAL_MS;
+    let is_vain = |run: &&(String, u64)| run.1 < needed_ms;
+    assert_eq!(runs.iter().filter(is_vain).count(), 0, "{runs:?}");
+}
