ledger, node, platform: hold the bodies of accepted jobs within a quarter of the memory

What callers saw: a process that accepts enough sound jobs, or takes over those of a peer, runs out of memory and ends; all that it serves breaks off.

Cause: an owner held the decoded bodies of all items of its jobs until the jobs ended, though the store has them, and nothing limited their sum. On acceptance the caller's text, the texts of the JSON document, the decoded items, their encoded list and all rows were in memory at once; a takeover read any number of jobs at the same time.

Why it works: ledger::BodyRoom decides which jobs hold bodies, within limits.memory_mb / 4 (512 if the settings have none). Below that nothing changes: no further call to the store. Beyond it a job is held without bodies. When one of its items has a slot, they are read with one read, one job at a time; only after that do jobs without waiting items, and then those whose items wait farthest behind, make room. A read that fails leaves the item waiting. Runs have bodies of their own. GET /items reads what is not held from the store, as other instances do, now without the partial outputs. Base64 is decoded from the caller's text, rows are encoded one transaction after the other in the same form, and at most two jobs are read at once for takeovers and callers.

Left: what was freed is not given back to the system, only used again; ids, paths, headers and partial outputs have no limit; a submission in progress still holds text and items.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -19,6 +19,7 @@
 //! runs a job on its owner, and [`Directory`] decides which instance takes over
 //! an orphaned job.
 
+mod body_room;
 mod call_interval;
 mod call_timeouts;
 mod customer_backlog;
@@ -32,6 +33,7 @@
 mod waiting_tokens;
 
 pub use crate::{
+    body_room::{BodyRoom, HeldBodies},
     call_interval::call_interval_ms,
     call_timeouts::CallTimeouts,
     directory::{Directory, Heartbeat, StoredJob},
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -1,9 +1,12 @@
 //! State machine of a job on the instance that owns and runs it.
 
+mod item_bodies;
+mod item_row;
+
 use model::{JobId, SoftwareVersion, UpstreamId};
 
+use self::item_row::{ItemRow, ItemState};
 use crate::{
-    end_statements::EndStatements,
     item::{ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, RunOutcome, StoredItems},
     record::{JobPhase, JobRecord, OwnerId},
 };
@@ -13,12 +16,6 @@
 /// Maximum output in one commit, in bytes. A single larger result still gets a
 /// commit of its own.
 const COMMIT_MAX_BYTES: usize = 256 * 1024;
-/// Initial backoff before an item runs again after a failed or interrupted
-/// run, in milliseconds. It doubles with every further such run.
-const RERUN_DELAY_MS: u64 = 100;
-/// Maximum backoff before an item runs again, in milliseconds.
-const RERUN_DELAY_MAX_MS: u64 = 2_000;
-
 /// A job that the local instance owns and runs.
 #[derive(Debug)]
 pub struct OwnedJob {
@@ -27,6 +24,10 @@
     record: JobRecord,
     version: u64,
     items: Vec<ItemRow>,
+    /// Size of the bodies of all items, bytes.
+    body_bytes: usize,
+    /// Whether `items` has the bodies. Otherwise only the store has them.
+    has_bodies: bool,
     /// Indices of the items that have ended but whose results are not stored yet,
     /// in the order in which the items ended.
     uncommitted: Vec<u32>,
@@ -35,28 +36,6 @@
     has_lost_ownership: bool,
 }
 
-#[derive(Debug)]
-struct ItemRow {
-    item: JobItem,
-    /// Tokens that count towards the limit of the route while the item waits.
-    tokens: u32,
-    state: ItemState,
-    partial: PartialOutput,
-    /// Last event of the output that was returned for saving.
-    last_saved_event: Option<u64>,
-    /// Number of reruns that were delayed by the backoff.
-    delayed_reruns: u32,
-    end_statements: EndStatements,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ItemState {
-    Waiting { not_before_ms: u64 },
-    Running,
-    Ended(ItemOutcome),
-    Committed,
-}
-
 /// A write of results, conditional on the version of the job's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Commit {
@@ -113,16 +92,12 @@
             item_tokens,
             partials,
         } = stored;
+        let body_bytes = items.iter().map(|item| item.body.len()).sum();
         let mut rows: Vec<_> = (0..)
             .zip(items)
-            .map(|(index, item)| ItemRow {
-                item,
-                tokens: item_tokens.get(index as usize).copied().unwrap_or(0),
-                state: ItemState::Waiting { not_before_ms: 0 },
-                partial: PartialOutput::new(index),
-                last_saved_event: None,
-                delayed_reruns: 0,
-                end_statements: EndStatements::default(),
+            .map(|(index, item)| {
+                let tokens = item_tokens.get(index as usize).copied().unwrap_or(0);
+                ItemRow::new(index, item, tokens)
             })
             .collect();
         for index in &record.committed {
@@ -142,6 +117,8 @@
             record,
             version,
             items: rows,
+            body_bytes,
+            has_bodies: true,
             uncommitted: Vec::new(),
             commit: None,
             has_lost_ownership: false,
@@ -214,8 +191,12 @@
         Some(&row.item)
     }
 
-    /// Starts a run of a waiting item. Returns `None` if the item is not waiting.
+    /// Starts a run of a waiting item. Returns `None` if the item is not waiting, or if the
+    /// bodies of the items have been dropped.
     pub fn start_item(&mut self, item_index: u32) -> Option<ItemRun> {
+        if !self.has_bodies {
+            return None;
+        }
         let row = self.items.get_mut(item_index as usize)?;
         if !matches!(row.state, ItemState::Waiting { .. }) {
             return None;
@@ -465,31 +446,3 @@
         }
     }
 }
-
-impl ItemRow {
-    fn is_startable(&self, now_ms: u64) -> bool {
-        matches!(self.state, ItemState::Waiting { not_before_ms } if not_before_ms <= now_ms)
-    }
-
-    fn rerun_delay_ms(&mut self) -> u64 {
-        let doublings = self.delayed_reruns.min(8);
-        self.delayed_reruns += 1;
-        (RERUN_DELAY_MS << doublings).min(RERUN_DELAY_MAX_MS)
-    }
-
-    fn result(&self) -> ItemResult {
-        let outcome = match self.state {
-            ItemState::Ended(outcome) => outcome,
-            _ => ItemOutcome::Failed,
-        };
-        let output = match outcome {
-            ItemOutcome::Done => self.partial.output.clone(),
-            ItemOutcome::Failed => String::new(),
-        };
-        ItemResult {
-            item: self.item.id.clone(),
-            outcome,
-            output,
-        }
-    }
-}
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -5,6 +5,8 @@
 mod accept;
 mod admission;
 mod calls;
+mod item_bodies;
+mod item_rows;
 mod item_run;
 mod item_start;
 mod ownership;
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -2,13 +2,13 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use gateway::{QuarantineCheck, RequestContent, RequestFingerprint, Target, WorkKind};
+use gateway::{QuarantineCheck, RequestContent, RequestFingerprint, Target, Urgency, WorkKind};
 use ledger::OwnedJob;
 use model::{PromptPartId, shared_parts};
 use tokio::{sync::Notify, task::spawn_local};
 
 use super::{
-    item_run,
+    item_bodies, item_run,
     runner::{ActiveRun, Runner, WaitingItem},
 };
 use crate::{node::Node, quarantine};
@@ -21,17 +21,27 @@
     services.sort();
     services.dedup();
     let waiting_before = waiting.len();
+    // The most urgent item that has a slot, but whose body is not in memory.
+    let mut without_body: Option<(Urgency, usize)> = None;
     for service in services {
         let mut plan = node.upstreams.borrow().batch_plan(&service, now_ms);
         waiting.retain(|item| {
             if item.service != service || plan.is_empty() {
                 return true;
             }
+            if !node.runner.borrow().jobs[item.job_index].has_bodies() {
+                let candidate = (item.urgency, item.job_index);
+                without_body = Some(without_body.map_or(candidate, |first| first.min(candidate)));
+                return true;
+            }
             let target = plan.remove(preferred_target(node, item, &plan));
             start_item(node, item, target);
             false
         });
     }
+    if let Some((_, job_index)) = without_body {
+        item_bodies::begin_read(node, waiting, job_index);
+    }
     waiting.len() < waiting_before
 }
 
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -216,10 +216,13 @@
     node.runner.borrow_mut().loading.push(id.clone());
     let node = Rc::clone(node);
     spawn_local(async move {
-        let stored = loop {
+        let permits = node.runner.borrow().item_reads.permits();
+        let (stored, permit) = loop {
+            let permit = permits.acquire().await;
             match JobRows::new(&node).read_items(&id).await {
-                Ok(stored) => break stored,
+                Ok(stored) => break (stored, permit),
                 Err(error) => {
+                    drop(permit);
                     log::warn!(
                         "event=items_not_read job={id} error={}",
                         process::quote(&error)
@@ -242,6 +245,7 @@
             job.observe_record(&newest.record, newest.version);
         }
         runner::add_job(&node, job);
+        drop(permit);
     });
 }
 
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -253,8 +253,10 @@
     if JobRows::new(node).read_record(id).await?.is_none() {
         return Ok(not_found(id));
     }
-    let stored = JobRows::new(node).read_items(id).await?;
-    let found = stored.items.iter().find(|other| *other.id == *item);
+    let permits = node.runner.borrow().item_reads.permits();
+    let _permit = permits.acquire().await;
+    let items = JobRows::new(node).read_bodies(id).await?;
+    let found = items.iter().find(|other| *other.id == *item);
     Ok(match found {
         Some(item) => answer::bytes(platform::encode_item_body(item)),
         None => not_found(id),
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{
+    item_bodies::{self, ItemReads},
     item_start::{item_content, start_items},
     takeover_pace::TakeoverPace,
     writes,
@@ -50,6 +51,7 @@
     /// task loads these jobs.
     pub(super) loading: Vec<JobId>,
     pub(super) takeover_pace: TakeoverPace,
+    pub(super) item_reads: ItemReads,
     forecast: RunForecast,
     recent_takeovers: Vec<RecentTakeover>,
 }
@@ -97,10 +99,11 @@
 
 impl Runner {
     /// Returns the encoded body of an item, or `None` if this instance does not own the
-    /// job or the job has no such item.
+    /// job, does not hold the bodies of its items or the job has no such item.
     pub(crate) fn item_body(&self, id: &JobId, item: &str) -> Option<Bytes> {
         let job = &self.jobs[self.find_job(id).ok()?];
-        job.item(item).map(platform::encode_item_body)
+        let item = job.item(item).filter(|_| job.has_bodies());
+        item.map(platform::encode_item_body)
     }
 
     /// Applies a newer version of the record to a job, if this instance owns the job.
@@ -301,9 +304,10 @@
 }
 
 /// Adds a job unless the runner already contains it, and triggers a scheduling pass.
-pub(super) fn add_job(node: &Node, job: OwnedJob) {
+pub(super) fn add_job(node: &Node, mut job: OwnedJob) {
     let mut runner = node.runner.borrow_mut();
     if let Err(index) = runner.find_job(job.id()) {
+        item_bodies::fit_bodies(node, &runner, &mut job);
         runner.jobs.insert(index, job);
     }
     drop(runner);
--- a/crates/node/src/jobs/storage.rs
+++ b/crates/node/src/jobs/storage.rs
@@ -14,40 +14,34 @@
 };
 use serde_json::to_vec;
 
-use super::{
-    partial_codec::{decode_partial, encode_partial},
-    record_codec::decode_record,
-};
+use super::{partial_codec::encode_partial, record_codec::decode_record};
 use crate::{codec, node::Node};
 
 /// Table of the job records.
 pub(crate) const JOBS_TABLE: &str = "redwingtack_jobs";
-const ITEMS_TABLE: &str = "redwingtack_items";
+pub(super) const ITEMS_TABLE: &str = "redwingtack_items";
 const RESULTS_TABLE: &str = "redwingtack_results";
-const PARTIALS_TABLE: &str = "redwingtack_partials";
+pub(super) const PARTIALS_TABLE: &str = "redwingtack_partials";
 /// Partitions among which jobs are distributed, so that each partition takes a share of
 /// the store's transactions. All instances must use the same partitions, and these must
 /// never change, because they determine where the rows of stored jobs are.
 pub(crate) const JOB_PARTITIONS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
 /// Maximum bytes of row values in one transaction. The encoded transaction then stays
 /// below the store's limit.
-const TRANSACTION_MAX_BYTES: usize = 600_000;
+pub(super) const TRANSACTION_MAX_BYTES: usize = 600_000;
 /// Maximum number of rows in one transaction.
-const TRANSACTION_MAX_ROWS: usize = 90;
+pub(super) const TRANSACTION_MAX_ROWS: usize = 90;
 /// First byte of the last row of a payload.
 const LAST_ROW: u8 = 1;
 /// First byte of every other row of a payload.
 const NOT_LAST_ROW: u8 = 0;
-/// Prefix of the keys of the rows that hold the tokens of the items. It sorts after the
-/// rows of the items.
-const TOKENS_KEY_PREFIX: &str = "tokens/";
 /// Number of bytes of results after which a read of results ends.
 const RESULTS_READ_MAX_BYTES: usize = 800_000;
 
 /// Reads and writes the rows of jobs through the store client of a node.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct JobRows<'a> {
-    node: &'a Node,
+    pub(super) node: &'a Node,
     row_max_bytes: usize,
     /// Number of earlier tries of the same write that timed out.
     tries: u32,
@@ -97,14 +91,7 @@
         record: &JobRecord,
         items: &StoredItems,
     ) -> Result<InsertOutcome, StoreError> {
-        let mut puts = self.item_puts(id, items)?;
-        // Large jobs need several transactions. Only the last one writes the record,
-        // which makes the job exist.
-        while total_bytes(&puts) > TRANSACTION_MAX_BYTES || puts.len() >= TRANSACTION_MAX_ROWS {
-            let remaining = puts.split_off(first_batch_len(&puts));
-            self.put_rows(std::mem::replace(&mut puts, remaining))
-                .await?;
-        }
+        let mut puts = self.put_items(id, items).await?;
         puts.push(record_put(id, record)?);
         let transaction = Transaction {
             conditions: vec![record_condition(id, 0)],
@@ -125,14 +112,6 @@
         }
     }
 
-    /// Returns the rows of the items of a job and of their tokens.
-    fn item_puts(&self, id: &JobId, items: &StoredItems) -> Result<Vec<RowChange>, StoreError> {
-        let mut puts = self.split_into_rows(ITEMS_TABLE, id, "", &encode(&items.items)?);
-        let tokens = encode(&items.item_tokens)?;
-        puts.extend(self.split_into_rows(ITEMS_TABLE, id, TOKENS_KEY_PREFIX, &tokens));
-        Ok(puts)
-    }
-
     /// Removes a job that was stored with `version` but not admitted, unless its record
     /// has changed since. Rows that do not fit into the transaction stay. They belong to
     /// no job, and are overwritten if the job is submitted again.
@@ -262,41 +241,6 @@
         payloads.iter().map(decode).collect()
     }
 
-    /// Reads the items of a job and the partial outputs that earlier owners saved.
-    pub(crate) async fn read_items(&self, id: &JobId) -> Result<StoredItems, StoreError> {
-        let mut payloads = Vec::new();
-        self.read_payloads(ITEMS_TABLE, id, format!("{id}/"), |payload| {
-            payloads.push(payload);
-            true
-        })
-        .await?;
-        let items = decode(payloads.first().unwrap_or(&Bytes::new()))?;
-        // Jobs that were stored by earlier versions of the program have no tokens.
-        let item_tokens = payloads.get(1).map(decode).transpose()?;
-        let mut partials = Vec::new();
-        self.read_payloads(PARTIALS_TABLE, id, format!("{id}/"), |payload| {
-            partials.push(payload);
-            true
-        })
-        .await?;
-        // A payload that is shorter than the one before may be followed by a rest of that.
-        let partials = partials.iter().filter_map(|payload| {
-            decode_partial(payload)
-                .inspect_err(|error| {
-                    log::warn!(
-                        "event=partial_unreadable job={id} error={}",
-                        process::quote(error)
-                    );
-                })
-                .ok()
-        });
-        Ok(StoredItems {
-            items,
-            item_tokens: item_tokens.unwrap_or_default(),
-            partials: partials.collect(),
-        })
-    }
-
     /// Removes all rows of a job. The record is removed last, so that an interrupted
     /// removal can be repeated.
     pub(crate) async fn remove(&self, id: &JobId, version: u64) -> Result<(), StoreError> {
@@ -355,7 +299,7 @@
         })
     }
 
-    async fn put_rows(&self, puts: Vec<RowChange>) -> Result<(), StoreError> {
+    pub(super) async fn put_rows(&self, puts: Vec<RowChange>) -> Result<(), StoreError> {
         let transaction = Transaction {
             puts,
             ..Transaction::default()
@@ -368,7 +312,7 @@
 
     /// Reads payloads in key order, each reassembled from its rows, until `on_payload`
     /// returns false.
-    async fn read_payloads(
+    pub(super) async fn read_payloads(
         &self,
         table: &'static str,
         id: &JobId,
@@ -398,29 +342,41 @@
 
     /// Splits a payload into rows. The first byte of each row tells whether the row is the
     /// last one.
-    fn split_into_rows(
+    pub(super) fn split_into_rows(
         &self,
         table: &'static str,
         id: &JobId,
         suffix: &str,
         payload: &[u8],
     ) -> Vec<RowChange> {
-        let part_bytes = self.row_max_bytes - 1;
-        let parts: Vec<_> = payload.chunks(part_bytes).collect();
+        let parts: Vec<_> = payload.chunks(self.part_bytes()).collect();
         let last_index = parts.len().saturating_sub(1);
         let to_row = |(index, part): (usize, &&[u8])| {
-            let mut value = Vec::with_capacity(part.len() + 1);
-            value.push(if index == last_index {
-                LAST_ROW
-            } else {
-                NOT_LAST_ROW
-            });
-            value.extend_from_slice(part);
-            let key = format!("{id}/{suffix}{index:04}");
-            row_id(table, id, &key).with_value(Bytes::from(value))
+            payload_row(table, id, suffix, index, part, index == last_index)
         };
         parts.iter().enumerate().map(to_row).collect()
     }
+
+    /// Returns the size of the part of a payload in one row, bytes.
+    pub(super) fn part_bytes(&self) -> usize {
+        self.row_max_bytes - 1
+    }
+}
+
+/// Returns the row with a part of a payload.
+pub(super) fn payload_row(
+    table: &'static str,
+    id: &JobId,
+    suffix: &str,
+    index: usize,
+    part: &[u8],
+    is_last: bool,
+) -> RowChange {
+    let mut value = Vec::with_capacity(part.len() + 1);
+    value.push(if is_last { LAST_ROW } else { NOT_LAST_ROW });
+    value.extend_from_slice(part);
+    let key = format!("{id}/{suffix}{index:04}");
+    row_id(table, id, &key).with_value(Bytes::from(value))
 }
 
 /// Returns the partition of all rows of a job.
@@ -460,18 +416,6 @@
     RowId::new(table, partition(id), key)
 }
 
-/// Returns how many of the first rows fit into one transaction, at least one.
-fn first_batch_len(puts: &[RowChange]) -> usize {
-    let mut bytes = 0;
-    for (index, put) in puts.iter().enumerate() {
-        bytes += put.value.as_ref().map_or(0, Bytes::len);
-        if index > 0 && (bytes > TRANSACTION_MAX_BYTES || index >= TRANSACTION_MAX_ROWS) {
-            return index;
-        }
-    }
-    puts.len()
-}
-
 fn total_bytes(puts: &[RowChange]) -> usize {
     puts.iter()
         .map(|put| put.value.as_ref().map_or(0, Bytes::len))
--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -4,8 +4,11 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use bincode::serde::decode_from_slice;
 use http::StatusCode;
+use ledger::JobItem;
 use nix::sys::signal::Signal;
+use platform::{RowRange, Store};
 use serde_json::{Value, json};
 use support::{HOST, TestCluster, complete_output, send_request, wait_until};
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
@@ -321,3 +324,41 @@
     let time_left_ms = runs["i0"].last().unwrap().time_left_ms;
     assert!(time_left_ms.is_some_and(|ms| (50_000..=60_000).contains(&ms)));
 }
+
+/// Instances of the last version read the items of a job as one encoded list, split into rows,
+/// and may take the job over during an upgrade.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_are_stored_as_one_encoded_list() {
+    let cluster = TestCluster::start(&[4], 1).await;
+    // Items that end within a row, at its end and in a later one.
+    let items: Vec<_> = (0..200_usize)
+        .map(|index| {
+            let body = "QUJD".repeat(index * index / 7);
+            json!({"id": format!("i{index}"), "path": "/batch/x/0", "body": body,
+                   "headers": {"X-A": "b"}, "tokens": 9})
+        })
+        .collect();
+    let answer = cluster.nodes[0].submit_items("j1", &items).await;
+    assert_eq!(answer.status, StatusCode::ACCEPTED);
+    let mut encoded = Vec::new();
+    let store = Store::new(cluster.store.address());
+    let range = RowRange::new("redwingtack_items", &support::job_partition("j1"));
+    let mut remaining = Some(range.with_from_key("j1/".to_owned()));
+    let mut markers = Vec::new();
+    while let Some(range) = remaining {
+        let page = store.rows(&range).await.unwrap();
+        for row in page.rows.iter().filter(|row| !row.key.contains("tokens")) {
+            markers.push(row.value[0]);
+            encoded.extend_from_slice(&row.value[1..]);
+        }
+        remaining = range.after(&page);
+    }
+    assert!(markers.len() > 100);
+    assert_eq!(markers.pop(), Some(1));
+    assert!(markers.iter().all(|marker| *marker == 0));
+    let (stored, length): (Vec<JobItem>, usize) =
+        decode_from_slice(&encoded, bincode::config::standard()).unwrap();
+    assert_eq!(length, encoded.len());
+    let job = json!({"items": items}).to_string();
+    assert_eq!(stored, platform::decode_job(job.as_bytes()).unwrap().items);
+}
--- a/crates/node/tests/support/crowd_cluster.rs
+++ b/crates/node/tests/support/crowd_cluster.rs
@@ -89,7 +89,13 @@
         let store_address = cluster.cluster.store.address();
         let store = StoreProxy::start_replacing(store_address, vec![replacement]).await;
         let ip = cluster.cluster.addresses.next_ip();
-        let node = NodeProcess::start("cut-off", ip, store.address(), None, None);
+        let node = NodeProcess::start(
+            "cut-off",
+            ip,
+            store.address(),
+            cluster.cluster.process_bounds(),
+            None,
+        );
         cluster.cluster.nodes.push(node);
         cluster.limit_last_node().await;
         cluster.cluster.add_node("peer");
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -67,11 +67,20 @@
     /// Time within which processes that are started next must cease to accept a key that was
     /// taken away, milliseconds.
     pub revocation_ms: Option<u64>,
+    /// Memory that the settings of processes that are started next state, MB.
+    pub memory_mb: Option<u64>,
     /// Dropped last: another test may take the block and write settings files for its
     /// addresses as soon as the block is free.
     addresses: AddressBlock,
 }
 
+/// Bounds that the settings of a process state.
+#[derive(Debug, Clone, Copy)]
+struct ProcessBounds {
+    revocation_ms: Option<u64>,
+    memory_mb: Option<u64>,
+}
+
 /// The paths from one process to the servers, in their order, and to the store.
 pub struct Paths {
     pub proxies: Vec<UpstreamProxy>,
@@ -150,6 +159,7 @@
             servers,
             nodes: Vec::new(),
             revocation_ms: None,
+            memory_mb: None,
         };
         for index in 0..cluster.servers.len() {
             cluster.register_server(index, "ready").await;
@@ -167,16 +177,29 @@
     /// Starts a process that writes its log to `output`, or to a file if it is `None`.
     pub fn add_node_with_output(&mut self, name: &str, output: Option<Stdio>) {
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, self.store.address(), self.revocation_ms, output);
+        let node = NodeProcess::start(
+            name,
+            ip,
+            self.store.address(),
+            self.process_bounds(),
+            output,
+        );
         self.nodes.push(node);
     }
 
+    fn process_bounds(&self) -> ProcessBounds {
+        ProcessBounds {
+            revocation_ms: self.revocation_ms,
+            memory_mb: self.memory_mb,
+        }
+    }
+
     /// Starts a process that reaches the store through a proxy, and waits until it
     /// is ready.
     pub async fn add_proxied_node(&mut self, name: &str) -> StoreProxy {
         let proxy = StoreProxy::start(self.store.address()).await;
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, proxy.address(), self.revocation_ms, None);
+        let node = NodeProcess::start(name, ip, proxy.address(), self.process_bounds(), None);
         node.wait_until_ready().await;
         self.nodes.push(node);
         proxy
@@ -206,7 +229,7 @@
         }
         let store = StoreProxy::start_replacing(self.store.address(), replacements).await;
         let ip = self.addresses.next_ip();
-        let node = NodeProcess::start(name, ip, store.address(), self.revocation_ms, None);
+        let node = NodeProcess::start(name, ip, store.address(), self.process_bounds(), None);
         self.nodes.push(node);
         Paths { proxies, store }
     }
@@ -458,12 +481,16 @@
         name: &str,
         ip: IpAddr,
         store: SocketAddr,
-        revocation_ms: Option<u64>,
+        bounds: ProcessBounds,
         output: Option<Stdio>,
     ) -> Self {
+        let ProcessBounds {
+            revocation_ms,
+            memory_mb,
+        } = bounds;
         let callers_address = SocketAddr::new(ip, CALLERS_PORT);
         let readiness_address = SocketAddr::new(ip, READINESS_PORT);
-        let document = json!({
+        let mut document = json!({
             "node_name": name, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": callers_address.to_string(), "ready_addr": readiness_address.to_string()},
             "port_range": [PEER_PORT, PEER_PORT + 15],
@@ -472,6 +499,9 @@
             "platform": {"addr": store.to_string(), "writes_per_s": 800, "reads_per_s": 2000,
                          "row_bytes": 4096}
         });
+        if let Some(memory_mb) = memory_mb {
+            document["limits"] = json!({"memory_mb": memory_mb});
+        }
         let settings_path = env::temp_dir().join(format!("redwingtack-{ip}.json"));
         fs::write(&settings_path, document.to_string()).unwrap();
         let log_path = settings_path.with_extension("log");
@@ -508,6 +538,14 @@
         &self.settings_path
     }
 
+    /// Returns the most memory that the process has taken up so far, bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak_kib = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        peak_kib.unwrap().trim().parse::<u64>().unwrap() * 1_024
+    }
+
     /// Returns the lines that the process has logged so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log_path).unwrap()
@@ -603,7 +641,7 @@
         self.submit_items(id, &items).await
     }
 
-    async fn submit_items(&self, id: &str, items: &[Value]) -> Answer {
+    pub async fn submit_items(&self, id: &str, items: &[Value]) -> Answer {
         let headers = [
             ("host", HOST),
             ("redwingtack-request-id", id),
