--- a/crates/node/src/body_memory.rs
+++ b/crates/node/src/body_memory.rs
@@ -49,8 +49,8 @@
 #[derive(Debug)]
 struct Readers {
     budget: BodyBudget,
-    /// How each body is told to make room, sorted by id.
-    notifies: Vec<(BodyId, Arc<Notify>)>,
+    /// What is notified when a body is evicted, sorted by id.
+    evictions: Vec<(BodyId, Arc<Notify>)>,
 }
 
 /// Why a body could not be read.
@@ -63,7 +63,7 @@
     #[error("there is no memory for the body")]
     NoRoom,
     /// It had to make room for others.
-    #[error("the body had to make room")]
+    #[error("the body was evicted")]
     Evicted,
     /// It did not arrive before its deadline.
     #[error("the body did not arrive in time")]
@@ -78,8 +78,8 @@
 struct BodyBuffer {
     shared: Arc<Shared>,
     id: BodyId,
-    /// Notified when the body has to make room.
-    has_to_leave: Arc<Notify>,
+    /// Notified when the body is evicted.
+    eviction: Arc<Notify>,
     bytes: Vec<u8>,
 }
 
@@ -88,7 +88,7 @@
     pub(crate) fn new(process_max_bytes: u64, clock: Clock) -> Self {
         let readers = Readers {
             budget: BodyBudget::new(process_max_bytes / MEMORY_DIVISOR),
-            notifies: Vec::new(),
+            evictions: Vec::new(),
         };
         Self {
             shared: Arc::new(Shared {
@@ -117,7 +117,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is too long, does not arrive, or has to make room.
+    /// Returns an error if the body is too long, does not arrive, or gets or keeps no room.
     pub(crate) async fn read<B>(
         &self,
         body: &mut B,
@@ -155,37 +155,37 @@
 impl Readers {
     fn reserve(&mut self, id: BodyId, size_bytes: usize, now_ms: u64) -> Room {
         let room = self.budget.reserve(id, size_bytes as u64, now_ms);
-        if let Room::Awaited(leaving) = &room {
-            for id in leaving {
-                self.tell_to_leave(*id);
+        if let Room::AfterEviction(evicted) = &room {
+            for id in evicted {
+                self.notify_evicted(*id);
             }
         }
         room
     }
 
-    fn tell_to_leave(&self, id: BodyId) {
+    fn notify_evicted(&self, id: BodyId) {
         if let Ok(index) = self.find(id) {
-            self.notifies[index].1.notify_one();
+            self.evictions[index].1.notify_one();
         }
     }
 
     fn find(&self, id: BodyId) -> Result<usize, usize> {
-        self.notifies.binary_search_by_key(&id, |(id, _)| *id)
+        self.evictions.binary_search_by_key(&id, |(id, _)| *id)
     }
 }
 
 impl BodyBuffer {
     fn new(memory: &BodyMemory) -> Self {
-        let has_to_leave = Arc::new(Notify::new());
+        let eviction = Arc::new(Notify::new());
         let mut readers = memory.shared.readers();
         let id = readers.budget.begin(memory.clock.now_ms());
         // Ids only grow, so the list stays sorted.
-        readers.notifies.push((id, Arc::clone(&has_to_leave)));
+        readers.evictions.push((id, Arc::clone(&eviction)));
         drop(readers);
         Self {
             shared: Arc::clone(&memory.shared),
             id,
-            has_to_leave,
+            eviction,
             bytes: Vec::new(),
         }
     }
@@ -200,11 +200,11 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let has_to_leave = Arc::clone(&self.has_to_leave);
+        let eviction = Arc::clone(&self.eviction);
         loop {
             let frame = tokio::select! {
                 biased;
-                () = has_to_leave.notified() => return Err(BodyError::Evicted),
+                () = eviction.notified() => return Err(BodyError::Evicted),
                 frame = body.frame() => frame,
             };
             match frame {
@@ -220,8 +220,8 @@
             let size_bytes = self.bytes.len().saturating_mul(copies);
             self.reserve(size_bytes, clock).await?;
         }
-        let may_stay = self.shared.readers().budget.complete(self.id);
-        if may_stay {
+        let is_kept = self.shared.readers().budget.complete(self.id);
+        if is_kept {
             Ok(Bytes::from_owner(self))
         } else {
             Err(BodyError::Evicted)
@@ -259,11 +259,11 @@
             match room {
                 Room::Granted => return Ok(()),
                 Room::Refused => return Err(BodyError::NoRoom),
-                Room::Awaited(_) => {}
+                Room::AfterEviction(_) => {}
             }
             tokio::select! {
                 biased;
-                () = self.has_to_leave.notified() => return Err(BodyError::Evicted),
+                () = self.eviction.notified() => return Err(BodyError::Evicted),
                 () = room_freed => {}
             }
         }
@@ -282,7 +282,7 @@
         let mut readers = self.shared.readers();
         readers.budget.end(self.id);
         if let Ok(index) = readers.find(self.id) {
-            readers.notifies.remove(index);
+            readers.evictions.remove(index);
         }
         drop(readers);
         self.shared.room_freed.notify_waiters();
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -40,8 +40,8 @@
 /// Number of copies of its body that a request needs.
 const REQUEST_COPIES: usize = 1;
 /// Number of copies of its body that the submission of a job needs: as sent, decoded, and as
-/// rows of the store in two forms.
-const JOB_COPIES: usize = 4;
+/// one transaction of the store.
+const JOB_COPIES: usize = 3;
 
 /// Answers one request of a caller. The request counts as open until its answer
 /// begins; the body of the answer may be relayed later.
