A repeat is looked for in the store only where it may be

Each POST to a path without a route cost a read of the store while the feed of job records was quiet, on any host, so that a crowd of such requests could use up the calls of all instances. And the refusal while the store is away had no log line.

Change: the store is asked only if this instance knows a job of the host, has not read the records yet, or does not reach the store.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -138,21 +138,13 @@
     progress.may_have_begun.set(false);
     let route = routes.find(&host, parts.uri.path()).cloned();
     if !route.as_ref().is_some_and(is_job_submission) {
-        match jobs::repeated_job(node, routes, &parts, &request_headers.request_id).await {
-            Ok(Some(job)) => {
-                progress.may_have_begun.set(true);
-                let time_left_ms = request_headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
-                let deadline_ms = arrived_ms + time_left_ms.min(BODY_TIMEOUT_MS);
-                return match read_body(node, routes, body, REQUEST_COPIES, deadline_ms).await {
-                    Ok(_) => {
-                        progress.is_body_read.set(true);
-                        jobs::answer_repeated_job(node, &job, key, deadline_ms).await
-                    }
-                    Err(error) => answer_unread(node, &request_headers, error),
-                };
-            }
-            Ok(None) => {}
-            Err(_) => return jobs::store_unavailable(),
+        let call = RepeatCall {
+            parts: &parts,
+            headers: &request_headers,
+            arrived_ms,
+        };
+        if let Some(response) = answer_if_repeat(node, routes, &call, body, progress).await {
+            return response;
         }
     }
     let Some(route) = route else {
@@ -212,6 +204,50 @@
     forward(node, call).await
 }
 
+/// A request that may submit a job again whose route is gone.
+#[derive(Debug, Clone, Copy)]
+struct RepeatCall<'a> {
+    parts: &'a request::Parts,
+    headers: &'a RequestHeaders,
+    arrived_ms: u64,
+}
+
+/// Answers a request that submits a job again whose route is gone. Returns `None` for any other
+/// request.
+async fn answer_if_repeat(
+    node: &Rc<Node>,
+    routes: &RouteTable,
+    call: &RepeatCall<'_>,
+    body: &mut LimitedBody,
+    progress: &Progress,
+) -> Option<Response<AnswerBody>> {
+    let request_id = &call.headers.request_id;
+    let job = match jobs::repeated_job(node, routes, call.parts, request_id).await {
+        Ok(job) => job?,
+        Err(error) => {
+            log::warn!(
+                "event=request_refused request={request_id} reason=store error={}",
+                process::quote(&error)
+            );
+            return Some(jobs::store_unavailable());
+        }
+    };
+    // The job has been accepted, so its items may run.
+    progress.may_have_begun.set(true);
+    let time_left_ms = call.headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
+    let deadline_ms = call.arrived_ms + time_left_ms.min(BODY_TIMEOUT_MS);
+    Some(
+        match read_body(node, routes, body, REQUEST_COPIES, deadline_ms).await {
+            Ok(_) => {
+                progress.is_body_read.set(true);
+                let key = call.headers.key.as_ref();
+                jobs::answer_repeated_job(node, &job, key, deadline_ms).await
+            }
+            Err(error) => answer_unread(node, call.headers, error),
+        },
+    )
+}
+
 /// A caller's request whose body has been read.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
--- a/crates/node/src/jobs/calls.rs
+++ b/crates/node/src/jobs/calls.rs
@@ -89,11 +89,13 @@
 /// this host is known.
 fn is_left_to_route(node: &Node, routes: &RouteTable, parts: &request::Parts, host: &str) -> bool {
     let is_covered = routes.find(host, parts.uri.path()).is_some();
-    let has_jobs = || {
-        let directory = node.directory.borrow();
-        directory.jobs().any(|job| *job.record.host == *host)
-    };
-    is_covered && (has_fresh_records(node) || !has_jobs())
+    is_covered && (has_fresh_records(node) || !knows_jobs_on(node, host))
+}
+
+/// Returns whether this instance knows a job that was submitted on `host`.
+pub(super) fn knows_jobs_on(node: &Node, host: &str) -> bool {
+    let directory = node.directory.borrow();
+    directory.jobs().any(|job| *job.record.host == *host)
 }
 
 pub(super) fn cached_record(node: &Node, id: &JobId) -> Option<Arc<JobRecord>> {
--- a/crates/node/src/jobs/repeats.rs
+++ b/crates/node/src/jobs/repeats.rs
@@ -10,7 +10,7 @@
 
 use super::{
     accept::answer_repeat,
-    calls::cached_record,
+    calls::{cached_record, knows_jobs_on},
     ownership,
     query::{has_fresh_records, not_found},
     storage::JobRows,
@@ -23,8 +23,9 @@
 };
 
 /// Returns the id of the job that a request submits again although no route for jobs covers its
-/// path any more. The store is asked only about a path that no route covers, while the records
-/// that this instance follows are behind.
+/// path any more. The store is asked only about a path that no route covers on a host with jobs,
+/// while the records that this instance follows are behind: a crowd of requests to paths that
+/// never existed must not use up the calls to the store.
 ///
 /// # Errors
 ///
@@ -39,14 +40,17 @@
         return Ok(None);
     }
     let id = JobId::new(request_id);
-    let host = host_of(parts);
+    let host = &*normalize_host(host_of(parts));
     let path = parts.uri.path();
-    let is_same =
-        |record: &JobRecord| *record.path == *path && *record.host == *normalize_host(host);
+    let is_same = |record: &JobRecord| *record.path == *path && *record.host == *host;
     if let Some(record) = cached_record(node, &id) {
         return Ok(is_same(&record).then_some(id));
     }
-    if routes.find(host, path).is_some() || has_fresh_records(node) {
+    let may_have_jobs = knows_jobs_on(node, host)
+        || !node.has_read_jobs.get()
+        || node.store_health.is_unreachable();
+    let may_be_unknown = may_have_jobs && !has_fresh_records(node);
+    if routes.find(host, path).is_some() || !may_be_unknown {
         return Ok(None);
     }
     let stored = JobRows::new(node).read_record(&id).await?;
