The rest of a refused body leaves the limit of the next request alone

Change: bodies on a connection have numbers, and only the last one changes the limit.

chunk_size_without_end_after_a_refused_body_holds_up_no_other passes; it was not run on the code before.

--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct ReadLimit {
     part: Cell<Part>,
+    /// Number of bodies so far on the connection. Only the last one changes the limit.
+    body_count: Cell<u64>,
     head_exceeded: Notify,
     /// Task that waits until more bytes may be read.
     reader: RefCell<Option<Waker>>,
@@ -53,6 +55,7 @@
     pub(crate) fn new() -> Self {
         Self {
             part: Cell::new(Part::Unlimited),
+            body_count: Cell::new(0),
             head_exceeded: Notify::new(),
             reader: RefCell::default(),
         }
@@ -126,6 +129,8 @@
     body: Incoming,
     /// `None` for an answer that comes from a peer.
     limit: Option<Rc<ReadLimit>>,
+    /// Number of the body on its connection.
+    number: u64,
     is_undelimited: bool,
 }
 
@@ -156,6 +161,8 @@
 impl LimitedBody {
     /// Creates the body that follows a head on a connection with this limit.
     pub(crate) fn new(body: Incoming, limit: Rc<ReadLimit>) -> Self {
+        let number = limit.body_count.get() + 1;
+        limit.body_count.set(number);
         if body.is_end_stream() {
             limit.end_body();
         } else {
@@ -164,6 +171,7 @@
         Self {
             body,
             limit: Some(limit),
+            number,
             is_undelimited: false,
         }
     }
@@ -173,6 +181,7 @@
         Self {
             body,
             limit: None,
+            number: 0,
             is_undelimited,
         }
     }
@@ -193,7 +202,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        match (&frame, &self.limit) {
+        let number = self.number;
+        let limit = self.limit.as_ref();
+        match (
+            &frame,
+            limit.filter(|limit| limit.body_count.get() == number),
+        ) {
             (Some(Ok(_)), Some(limit)) => limit.begin_frame(),
             (None, Some(limit)) => limit.end_body(),
             (Some(Err(_)), _) | (_, None) => {}
--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -330,20 +330,18 @@
     assert_items_are_done(&server).await;
 }
 
-/// Callers whose requests have no end hold up nobody else.
-#[tokio::test(flavor = "multi_thread")]
-async fn chunk_size_of_callers_without_end_holds_up_no_other() {
+/// Sends this request on each of a few connections and then zeros without end, and checks that
+/// other callers are served.
+async fn assert_callers_without_end_hold_up_no_other(request: String) {
     const CALLERS: usize = 8;
     let cluster = TestCluster::start(&[SOUND_SLOTS], 1).await;
     let address = cluster.nodes[0].callers_address;
     let mut callers = JoinSet::new();
     for _ in 0..CALLERS {
+        let request = request.clone();
         callers.spawn(async move {
             let mut socket = TcpStream::connect(address).await.unwrap();
-            let head = format!(
-                "POST /long/x HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n\r\n"
-            );
-            socket.write_all(head.as_bytes()).await.unwrap();
+            socket.write_all(request.as_bytes()).await.unwrap();
             while socket.write_all(&[b'0'; 8_192]).await.is_ok() {}
         });
     }
@@ -356,3 +354,21 @@
         assert!(started.elapsed() < GOAL, "{:?}", started.elapsed());
     }
 }
+
+/// Returns the head of a request with a body in chunks.
+fn chunked_request(path: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+/// Callers whose requests have no end hold up nobody else.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunk_size_of_callers_without_end_holds_up_no_other() {
+    assert_callers_without_end_hold_up_no_other(chunked_request("/long/x")).await;
+}
+
+/// The rest of a refused body lifted the limit of the next request on its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunk_size_without_end_after_a_refused_body_holds_up_no_other() {
+    let refused = format!("{}4\r\nbody\r\n0\r\n\r\n", chunked_request("/no-route/x"));
+    assert_callers_without_end_hold_up_no_other(refused + &chunked_request("/long/x")).await;
+}
