The end of a peer is no failure of the upstream

What callers saw: if a peer that passed streams or items on for an instance ended, their upstream was ejected there for up to 4 s in the runs below, though another peer reached it. Batch work has no other way then and stands still.

Cause: the class of the standstill: an end that has another reason counted as a failure of the upstream. Before the head of an answer, the loss of a peer was told apart; within the body it was not.

Evidence: without the change to attempt.rs, peers_that_die_do_not_eject_the_upstreams fails in three of three runs: four streams that broke off with their peer eject a sound upstream for 500, 1,000, 2,000 and 4,000 ms.

Change: a body that comes from a peer knows whether it broke off because the peer reset its stream, as it does when the upstream broke off, or because the connection to the peer is lost. Asking whether the connection is closed does not do: its task learns of the end after the streams (tried).

The test passes, as do the others of its file, in three runs.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -324,10 +324,10 @@
         }
         match &self.transport {
             Transport::Direct(_) => self.in_flight.record_lost_answer(),
-            Transport::Proxied(guard) => {
-                self.in_flight.record_failure();
-                guard.record_lost_answer();
-            }
+            // The end of a peer says nothing about the upstream.
+            Transport::Proxied(guard) if self.body.body().has_lost_peer() => guard.record_lost(),
+            // The peer finds out what happened to the upstream.
+            Transport::Proxied(_) => self.in_flight.record_failure(),
         }
     }
 }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -59,8 +59,10 @@
             AttemptEnd::Silent => now_ms < options.unresponsive_at_ms,
             _ => now_ms >= options.deadline_ms,
         };
+        if is_own_end {
+            return Self::Nothing;
+        }
         match end {
-            _ if is_own_end => Self::Nothing,
             AttemptEnd::Broken => Self::AnswerLost,
             _ => Self::Failed,
         }
--- a/crates/node/src/frame_reader.rs
+++ b/crates/node/src/frame_reader.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Returns the body.
+    pub(crate) fn body(&self) -> &B {
+        &self.body
+    }
+
     /// Waits for the next data, which is left to [`Self::next`], and skips what is empty.
     pub(crate) async fn peek(&mut self) -> Option<&Result<Bytes, B::Error>> {
         loop {
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -45,12 +45,9 @@
         }
     }
 
-    /// Records that an answer broke off. Unless the connection to the peer is lost, the peer
-    /// finds out what happened to the upstream.
-    pub(crate) fn record_lost_answer(&self) {
-        if self.sender.is_closed() {
-            record_proxy_failure(&self.node, &self.peer);
-        }
+    /// Records that the connection to the peer is lost.
+    pub(crate) fn record_lost(&self) {
+        record_proxy_failure(&self.node, &self.peer);
     }
 }
 
--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -6,6 +6,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    error::Error,
     io,
     pin::Pin,
     rc::Rc,
@@ -132,6 +133,8 @@
     /// Number of the body on its connection.
     number: u64,
     is_undelimited: bool,
+    /// Whether the body broke off because the connection to the peer is lost.
+    has_lost_peer: bool,
 }
 
 /// Limits an answer on a connection with this limit, once its head has been read.
@@ -158,6 +161,19 @@
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
+/// Returns whether a peer ended an answer because the upstream broke off. Without that, the
+/// connection to the peer is lost.
+fn is_reset_by_peer(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<h2::Error>() {
+            return error.is_reset();
+        }
+        source = error.source();
+    }
+    false
+}
+
 impl LimitedBody {
     /// Creates the body that follows a head on a connection with this limit.
     pub(crate) fn new(body: Incoming, limit: Rc<ReadLimit>) -> Self {
@@ -173,6 +189,7 @@
             limit: Some(limit),
             number,
             is_undelimited: false,
+            has_lost_peer: false,
         }
     }
 
@@ -183,6 +200,7 @@
             limit: None,
             number: 0,
             is_undelimited,
+            has_lost_peer: false,
         }
     }
 
@@ -191,6 +209,12 @@
     pub(crate) fn is_undelimited(&self) -> bool {
         self.is_undelimited
     }
+
+    /// Returns whether the body broke off because the connection to the peer that passed it on is
+    /// lost.
+    pub(crate) fn has_lost_peer(&self) -> bool {
+        self.has_lost_peer
+    }
 }
 
 impl Body for LimitedBody {
@@ -202,6 +226,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if let (Some(Err(error)), None) = (&frame, &self.limit) {
+            self.has_lost_peer = !is_reset_by_peer(error);
+        }
         let number = self.number;
         let limit = self.limit.as_ref();
         match (
--- a/crates/node/tests/frame_reader.rs
+++ b/crates/node/tests/frame_reader.rs
@@ -85,3 +85,11 @@
     assert_eq!(reader.peek().await, None);
     assert_eq!(reader.next().await, None);
 }
+
+#[tokio::test]
+async fn body_is_the_one_that_is_read() {
+    let mut reader = FrameReader::new(Full::new(Bytes::from_static(b"data")));
+    assert!(!reader.body().is_end_stream());
+    reader.next().await.unwrap().unwrap();
+    assert!(reader.body().is_end_stream());
+}
--- a/crates/node/tests/unreachable_upstreams.rs
+++ b/crates/node/tests/unreachable_upstreams.rs
@@ -244,6 +244,22 @@
     }
 }
 
+/// The end of peers counted as failures of the upstreams to which they passed streams on, so that
+/// sound upstreams were ejected.
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_that_die_do_not_eject_the_upstreams() {
+    let (mut cluster, mut paths) = start().await;
+    cut_off(&cluster, &mut paths, PathState::Refusing).await;
+    serve_while_peers_are_killed(&mut cluster, "/long/a").await;
+    let log = cluster.nodes[0].log();
+    assert!(log.contains("event=stream_resumed"), "no stream broke off");
+    let ejections: Vec<_> = log
+        .lines()
+        .filter(|line| line.contains("event=upstream_ejected"))
+        .collect();
+    assert!(ejections.is_empty(), "{ejections:#?}");
+}
+
 /// If the peer dies, nobody knows whether the request has run.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_must_not_be_repeated_runs_once_when_its_peer_dies() {
