--- a/crates/gateway/src/forecast.rs
+++ b/crates/gateway/src/forecast.rs
@@ -33,8 +33,6 @@
 pub struct RunForecast {
     ms_per_event: MovingAverage,
     events_per_token: MovingAverage,
-    /// Greatest number of events per token that an item has had, whether it was completed or not.
-    most_events_per_token: f64,
 }
 
 /// Urgency of a batch item.
@@ -62,21 +60,11 @@
         }
     }
 
-    /// Records the output so far of an item that was expected to have `tokens` tokens of output.
-    /// Until an item is completed, the longest output tells how long they are at least.
-    pub fn record_progress(&mut self, tokens: u32, events: u64) {
-        if tokens > 0 {
-            let events_per_token = ratio(events, u64::from(tokens));
-            self.most_events_per_token = self.most_events_per_token.max(events_per_token);
-        }
-    }
-
     /// Returns the expected remaining run time of an item, milliseconds, or 0
     /// before the first measurements.
     #[must_use]
     pub fn remaining_ms(&self, tokens: u32, events_so_far: u64) -> u64 {
-        let events_per_token = self.events_per_token.value_or(self.most_events_per_token);
-        let events = f64::from(tokens) * events_per_token;
+        let events = f64::from(tokens) * self.events_per_token.value_or(0.0);
         let remaining_events = (events - ratio(events_so_far, 1)).max(0.0);
         truncate(remaining_events * self.ms_per_event.value_or(0.0))
     }
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -430,8 +430,6 @@
         let (tokens, _) = job.output_progress(item_index);
         if outcome == RunOutcome::Done {
             runner.forecast.record_completed_item(tokens, events);
-        } else {
-            runner.forecast.record_progress(tokens, events);
         }
     }
     drop(runner);
