The product records when bytes of a body come

What callers saw: a whole body of 2 MB that took 4 s was answered 503 beside 200 small bodies that had stopped.

Change: BodyBuffer::append records it, before it asks for room.

--- a/crates/node/src/body_memory.rs
+++ b/crates/node/src/body_memory.rs
@@ -238,6 +238,10 @@
         if size_bytes > max_bytes {
             return Err(BodyError::TooLong);
         }
+        self.shared
+            .readers()
+            .budget
+            .record_progress(self.id, clock.now_ms());
         if size_bytes > self.bytes.capacity() {
             let doubled_bytes = size_bytes.next_power_of_two().max(BUFFER_MIN_BYTES);
             let capacity_bytes = doubled_bytes.min(max_bytes);
--- a/crates/node/tests/crowds.rs
+++ b/crates/node/tests/crowds.rs
@@ -3,10 +3,10 @@
 
 mod support;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use support::{
-    crowd::Outcome,
+    crowd::{Crowd, Outcome},
     crowd_cluster::{BODY_MAX_BYTES, CLIENTS, CrowdCluster},
     crowd_load::Load,
 };
@@ -24,6 +24,9 @@
 const ANNOUNCED_BYTES: usize = 8 << 30;
 /// How much clients over the limit send, bytes.
 const OVER_LIMIT_BYTES: usize = 16 << 20;
+/// Size of small bodies, bytes, and number of the clients that send them.
+const SMALL_BODY_BYTES: usize = 65_000;
+const SMALL_CLIENTS: usize = 200;
 const BATCH_PATH: &str = "/batch/x";
 /// Number of items of a job.
 const JOB_ITEMS: usize = 200;
@@ -171,13 +174,40 @@
     cluster.assert_holds();
 }
 
+/// Guards against room that a body which goes on does not get from small ones that have stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_client_is_served_beside_small_bodies_that_stopped() {
+    let _turn = take_turn().await;
+    let cluster = CrowdCluster::start(Duration::ZERO).await;
+    let SocketAddr::V4(address) = cluster.cluster.nodes[0].callers_address else {
+        panic!("the address of the process is not an IPv4 address");
+    };
+    let stopped = Load::unfinished(SMALL_BODY_BYTES, MISSING_BYTES);
+    let crowd = Crowd::start(address, "stopped", SMALL_CLIENTS, &stopped);
+    crowd.press().await;
+    let load = slow_upload();
+    let upload = Crowd::start(address, "upload", 1, &load);
+    assert!(upload.wait_for_outcomes(load.timeout()).await);
+    let served = Outcome::Answered(load.success());
+    assert_eq!(
+        upload.outcomes().into_values().collect::<Vec<_>>(),
+        [served]
+    );
+    drop(crowd);
+    cluster.assert_holds();
+}
+
+/// A body of the maximum size that comes in small parts.
+fn slow_upload() -> Load {
+    Load::whole(BODY_MAX_BYTES)
+        .with_write_bytes(BODY_MAX_BYTES / 40)
+        .with_pause(Duration::from_millis(100))
+}
+
 /// Guards against a limit that a slow client with a legal body meets.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_client_with_largest_body_is_served() {
-    let load = Load::whole(BODY_MAX_BYTES)
-        .with_write_bytes(BODY_MAX_BYTES / 40)
-        .with_pause(Duration::from_millis(100));
-    client_is_served(&load).await;
+    client_is_served(&slow_upload()).await;
 }
 
 /// Guards against a limit that a slow client with a legal body in small chunks meets.
