--- a/crates/node/src/jobs/calls.rs
+++ b/crates/node/src/jobs/calls.rs
@@ -12,7 +12,7 @@
 use platform::StoreError;
 
 use super::query::{
-    answer_query, has_fresh_records, pass_on_query, store_unavailable, stored_record,
+    answer_query, cached_record, has_fresh_records, pass_on_query, store_unavailable, stored_record,
 };
 use crate::{
     answer::AnswerBody,
@@ -79,7 +79,7 @@
     let record = match cached_record(node, id) {
         Some(record) => Some(record),
         None if is_left_to_route(node, routes, parts, &host) => None,
-        None => stored_record(node, id).await?.map(Arc::new),
+        None => stored_record(node, id).await?,
     };
     Ok(record.filter(|record| *record.host == *host))
 }
@@ -97,8 +97,3 @@
     let directory = node.directory.borrow();
     directory.jobs().any(|job| *job.record.host == *host)
 }
-
-pub(super) fn cached_record(node: &Node, id: &JobId) -> Option<Arc<JobRecord>> {
-    let directory = node.directory.borrow();
-    directory.job(id).map(|job| Arc::clone(&job.record))
-}
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -1,7 +1,7 @@
 //! Answers requests about submitted jobs: reads of results and item bodies, and
 //! requests to end a job.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use gateway::{Customer, StoreReachability};
@@ -188,24 +188,25 @@
     node: &Node,
     id: &JobId,
     from_position: u64,
-) -> Result<Option<JobRecord>, StoreError> {
-    let cached = node
-        .directory
-        .borrow()
-        .job(id)
-        .map(|job| JobRecord::clone(&job.record));
-    match cached {
+) -> Result<Option<Arc<JobRecord>>, StoreError> {
+    match cached_record(node, id) {
         Some(record) if record.committed_count() >= from_position => Ok(Some(record)),
         _ => stored_record(node, id).await,
     }
 }
 
+/// Returns the newest record of a job that this instance has followed.
+pub(super) fn cached_record(node: &Node, id: &JobId) -> Option<Arc<JobRecord>> {
+    let directory = node.directory.borrow();
+    directory.job(id).map(|job| Arc::clone(&job.record))
+}
+
 pub(super) async fn stored_record(
     node: &Node,
     id: &JobId,
-) -> Result<Option<JobRecord>, StoreError> {
+) -> Result<Option<Arc<JobRecord>>, StoreError> {
     let stored = JobRows::new(node).read_record(id).await?;
-    Ok(stored.map(|(record, _)| record))
+    Ok(stored.map(|(record, _)| Arc::new(record)))
 }
 
 /// Returns whether the cached records include every change that another instance may have
@@ -221,10 +222,10 @@
 async fn wait_for_result(
     node: &Rc<Node>,
     id: &JobId,
-    mut record: JobRecord,
+    mut record: Arc<JobRecord>,
     from_position: u64,
     wait_ms: u64,
-) -> JobRecord {
+) -> Arc<JobRecord> {
     let deadline_ms = node.now_ms() + wait_ms.min(WAIT_MAX_MS);
     let deadline = node.clock.instant(deadline_ms);
     let mut changes = node.jobs_changed.subscribe();
@@ -232,10 +233,10 @@
         if timeout_at(deadline, changes.changed()).await.is_err() {
             break;
         }
-        if let Some(job) = node.directory.borrow().job(id)
-            && job.record.committed_count() >= record.committed_count()
+        if let Some(newest) = cached_record(node, id)
+            && newest.committed_count() >= record.committed_count()
         {
-            record = JobRecord::clone(&job.record);
+            record = newest;
         }
     }
     record
--- a/crates/node/src/jobs/repeats.rs
+++ b/crates/node/src/jobs/repeats.rs
@@ -10,9 +10,9 @@
 
 use super::{
     accept::answer_repeat,
-    calls::{cached_record, knows_jobs_on},
+    calls::knows_jobs_on,
     ownership,
-    query::{has_fresh_records, not_found},
+    query::{cached_record, has_fresh_records, not_found},
     storage::JobRows,
 };
 use crate::{
