A job that an unanswered write may still store is not refused

Cause: the first write of the job got no answer; until the second one another job had taken the room. The refusal for want of room passed on the decision about the second write, though the first could still take effect once the record was removed.

Evidence: job_whose_first_write_was_not_answered_is_not_refused failed before (429) and passes.

Why it works: 504 promises nothing, so no caller was told at each attempt that nothing runs.

--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -245,7 +245,18 @@
         }
         ownership::apply_record(&self.node, &self.id, record, version);
         let decision = settle_job(&self.node, &self.id, self.answer_by_ms).await;
-        answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
+        self.answer_settled(decision)
+    }
+
+    /// Answers for a job about which was decided. A refusal promises that nothing runs, but a
+    /// write that was not answered may still take effect, also after the job was removed.
+    fn answer_settled(&self, decision: Decision) -> Response<AnswerBody> {
+        match decision {
+            Decision::Refused(_) if self.may_be_stored => self.refuse(),
+            decision => {
+                answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
+            }
+        }
     }
 
     /// Decides about the job, which was stored with `version`, and runs it if it is
@@ -262,9 +273,7 @@
                 let record = JobRecord::clone(&record);
                 Self { record, ..self }.finish_inserted(version)
             }
-            decision => {
-                answer_decision(&self.node, &self.id, decision).unwrap_or_else(unknown_response)
-            }
+            decision => self.answer_settled(decision),
         }
     }
 
--- a/crates/node/src/jobs/admission.rs
+++ b/crates/node/src/jobs/admission.rs
@@ -49,7 +49,8 @@
 pub(super) enum Decision {
     /// The job is admitted and stays stored.
     Accepted(StoredJob),
-    /// The job did not fit and is certainly not stored any more.
+    /// The job did not fit and was removed. A write with an unknown outcome may still store it
+    /// again.
     Refused(Excess),
     /// There is no such job.
     Absent,
--- a/crates/node/tests/waiting_tokens.rs
+++ b/crates/node/tests/waiting_tokens.rs
@@ -155,3 +155,26 @@
         [StatusCode::ACCEPTED, StatusCode::TOO_MANY_REQUESTS]
     );
 }
+
+/// Guards against a refusal of a job whose first write may still take effect, as it runs then.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_whose_first_write_was_not_answered_is_not_refused() {
+    let cluster = start_with_limit(2, 1).await;
+    let unanswered_write = json!({"kind": "hang", "path": "/rows-tx",
+                                  "contains": "\"key\":\"j1\"", "times": 1});
+    cluster
+        .inject_fault(cluster.store.address(), unanswered_write)
+        .await;
+    let submit_other_job = async || {
+        sleep(Duration::from_millis(100)).await;
+        submit_one_item(&cluster.nodes[1], "j2").await
+    };
+    let (unanswered, other) =
+        tokio::join!(submit_one_item(&cluster.nodes[0], "j1"), submit_other_job());
+    assert_eq!(other.status, StatusCode::ACCEPTED, "{other:?}");
+    assert_eq!(
+        unanswered.status,
+        StatusCode::GATEWAY_TIMEOUT,
+        "{unanswered:?}"
+    );
+}
