A refused write of a job is not given up as unknown while its refusal comes

Cause: the store refused every call, but a feed call that it had accepted before was answered 2.5 s later. The process took that answer for the end of an outage and abandoned all transactions in flight at once, also the write of the job that it had sent a moment before on a live connection. Its outcome then counted as unknown, and a job that may be stored is never refused with 503, so all later refusals of the store did not help.

Change: a transaction that is in flight when an outage ends is abandoned only after it has had the time-out of a first try (CallTimeouts::first_timeout_ms). Calls with the longer time-outs of an outage are still cut short. Reads of rows and feeds start again as before; nothing hangs on their outcome.

The new test job_refused_by_store_that_answers_feeds_is_refused has the store refuse the write 60 ms late (new fault refuse_late of the stand-in) and ends feed calls meanwhile.

--- a/crates/ledger/src/call_timeouts.rs
+++ b/crates/ledger/src/call_timeouts.rs
@@ -54,18 +54,23 @@
         self.consecutive_timeouts
     }
 
+    /// Returns the time-out of a call if none timed out before it, in milliseconds.
+    #[must_use]
+    pub fn first_timeout_ms(&self) -> u64 {
+        self.response_ms
+            .map_or(TIMEOUT_UNMEASURED_MS, |response_ms| {
+                (response_ms * TIMEOUT_FACTOR).max(TIMEOUT_MIN_MS)
+            })
+            .min(TIMEOUT_MAX_MS)
+    }
+
     /// Returns the time-out of the next call, in milliseconds. `tries` is the
     /// number of earlier attempts of the same call that timed out. It counts
     /// even if other calls were answered meanwhile, since one partition of the
     /// store may be slower than the others.
     #[must_use]
     pub fn timeout_ms(&self, tries: u32) -> u64 {
-        let base_ms = self
-            .response_ms
-            .map_or(TIMEOUT_UNMEASURED_MS, |response_ms| {
-                (response_ms * TIMEOUT_FACTOR).max(TIMEOUT_MIN_MS)
-            });
         let doublings = self.consecutive_timeouts.max(tries).min(DOUBLINGS_MAX);
-        (base_ms << doublings).min(TIMEOUT_MAX_MS)
+        (self.first_timeout_ms() << doublings).min(TIMEOUT_MAX_MS)
     }
 }
--- a/crates/ledger/tests/call_timeouts.rs
+++ b/crates/ledger/tests/call_timeouts.rs
@@ -63,6 +63,18 @@
     );
 }
 
+/// A call in flight when an outage ends gets the time-out that it would have without the
+/// time-outs of the outage.
+#[test]
+fn first_timeout_ms_disregards_timeouts() {
+    for (response_ms, first_timeout_ms) in [(5, 150), (66, 264), (3_000, 2_000)] {
+        let mut timeouts = after_responses(&[response_ms]);
+        timeouts.record_timeout(0, 150);
+        timeouts.record_timeout(150, 450);
+        assert_eq!(timeouts.first_timeout_ms(), first_timeout_ms);
+    }
+}
+
 /// Five concurrent calls that are lost together are one failure of the store.
 /// Counting each of them would raise the time-out too far.
 #[test]
--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -5,7 +5,7 @@
 
 use ledger::CallTimeouts;
 use platform::{RowPage, RowRange, Store, StoreError, TransactOutcome, Transaction};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep_until};
 
 use crate::node::Node;
 
@@ -67,8 +67,8 @@
     /// # Errors
     ///
     /// Returns an error if the store did not confirm the transaction. If the store
-    /// recovers from an outage while the call is in flight, the call is abandoned and
-    /// its outcome is unknown.
+    /// recovers from an outage while the call is in flight, the call is abandoned once it
+    /// has had the time-out of a first try, and its outcome is unknown.
     pub(crate) async fn transact(
         &self,
         transaction: &Transaction,
@@ -121,14 +121,24 @@
         call: impl Future<Output = Result<TransactOutcome, StoreError>>,
     ) -> Result<TransactOutcome, StoreError> {
         let began_ms = self.now_ms();
-        let mut recoveries = self.store_health.recoveries();
+        let recoveries = self.store_health.recoveries();
         let table = first_table(transaction);
         tokio::select! {
             outcome = call => self.record_outcome(table, began_ms, outcome),
-            _ = recoveries.changed() => Err(StoreError::Unknown("the store was unreachable during the call".to_owned())),
+            () = self.wait_until_stale(began_ms, recoveries) => Err(StoreError::Unknown("the store was unreachable during the call".to_owned())),
         }
     }
 
+    /// Waits until the store has recovered from an outage and a call that began at `began_ms`
+    /// has had the time-out of a first try. A younger call is not given up: its connection
+    /// need not be silent, and the store may be about to answer that it did nothing.
+    async fn wait_until_stale(&self, began_ms: u64, mut recoveries: watch::Receiver<u64>) {
+        // The sender lives as long as the node.
+        let _ = recoveries.changed().await;
+        let timeout_ms = self.store_health.call_timeouts.borrow().first_timeout_ms();
+        sleep_until(self.clock.instant(began_ms + timeout_ms)).await;
+    }
+
     fn record_outcome<T>(
         &self,
         table: &str,
--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use bincode::serde::decode_from_slice;
 use http::StatusCode;
@@ -21,6 +21,13 @@
     ("i4", "/batch/x/impossible"),
 ];
 const SUCCEEDING_ITEMS: [(&str, &str); 3] = [ITEMS[0], ITEMS[1], ITEMS[2]];
+/// Time that a store takes to refuse a write, milliseconds. It is below the shortest time-out
+/// of a call, 150 ms, and far above the time from a change to the answer of a feed.
+const LATE_REFUSAL_MS: u64 = 60;
+/// Time without an answer of the store after which the next answer ends an outage that
+/// abandons calls in flight. The outage has to last 500 ms, and begins with the first
+/// refused call.
+const OUTAGE_BETWEEN_FEED_ANSWERS: Duration = Duration::from_millis(800);
 
 /// Asserts that each item has exactly one result, and that succeeding items have
 /// their complete output.
@@ -273,6 +280,54 @@
     assert!(cluster.server_runs().await.is_empty());
 }
 
+/// Guards against doubt about a write that the store refuses: the store answers feeds, but
+/// refuses all other calls. Each answer to a feed looks like the end of an outage while a
+/// write of the job is in flight. The process must still receive the refusal of that write.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_refused_by_store_that_answers_feeds_is_refused() {
+    let cluster = TestCluster::start(&[4], 1).await;
+    let store = cluster.store.address();
+    let late_refusal = json!({"kind": {"refuse_late": {"delay_ms": LATE_REFUSAL_MS}},
+                              "path": "/rows-tx", "contains": "redwingtack_items"});
+    cluster.inject_fault(store, late_refusal).await;
+    for path in ["/rows-tx", "/rows-get"] {
+        let fault = json!({"kind": "refuse", "path": path});
+        cluster.inject_fault(store, fault).await;
+    }
+    let change_servers = async {
+        for _ in 0..3 {
+            sleep(OUTAGE_BETWEEN_FEED_ANSWERS).await;
+            wait_for_next_fault(store).await;
+            // The change ends the feed calls of the table of servers.
+            cluster.register_server(0, "ready").await;
+        }
+    };
+    let submission = cluster.nodes[0].submit_job("j1", &SUCCEEDING_ITEMS);
+    let (answer, ()) = tokio::join!(submission, change_servers);
+    let log = cluster.nodes[0].log();
+    assert!(log.contains("event=store_regained table=servers"), "{log}");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{log}");
+    cluster.clear_faults(store).await;
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(
+        cluster.nodes[0].read_results("j1", 0).await.status,
+        StatusCode::NOT_FOUND
+    );
+    assert!(cluster.server_runs().await.is_empty());
+}
+
+/// Waits until a fault applies to one more request at a stand-in.
+async fn wait_for_next_fault(address: SocketAddr) {
+    let fault_count = async || {
+        let answer = send_request(address, "GET", "/standin/faults", &[], Vec::new()).await;
+        answer.unwrap().body
+    };
+    let count_before = fault_count().await;
+    while fault_count().await == count_before {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
 /// Guards against stale tables: after an outage, the store discards its change
 /// history before an instance has followed the change that drains a server. The
 /// instance must read the tables again and send that server no more requests.
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -51,6 +51,11 @@
     Disconnect,
     /// Answers 503 with `x-ran: no`; the request has no effect.
     Refuse,
+    /// Like [`FaultKind::Refuse`], but the answer comes after a delay.
+    RefuseLate {
+        /// Delay before the answer, in milliseconds.
+        delay_ms: u64,
+    },
     /// Answers 500 after the request has taken effect.
     Fail,
     /// Closes the connection once the headers have been read; the request has
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -196,6 +196,10 @@
 async fn apply_fault<H: Handler>(handler: &H, request: Request<Bytes>, kind: FaultKind) -> Reply {
     match kind {
         FaultKind::Refuse => Ok(refusal(StatusCode::SERVICE_UNAVAILABLE)),
+        FaultKind::RefuseLate { delay_ms } => {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            Ok(refusal(StatusCode::SERVICE_UNAVAILABLE))
+        }
         FaultKind::Limit { .. } => Ok(refusal(StatusCode::TOO_MANY_REQUESTS)),
         FaultKind::ResetAfterHeaders | FaultKind::Down | FaultKind::Disconnect => {
             Err(ConnectionDropped)
