Tests of ledger: the record of a job stands once

The fixture stood in job_bodies, directory, owned_job and waiting_tokens. It is in a support module now; each file states only what differs. No test changes.

--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -1,5 +1,7 @@
 //! Leases of instances, orphaned jobs and the order of takeovers.
 
+mod support;
+
 use std::sync::Arc;
 
 use ledger::{Directory, Heartbeat, JobPhase, JobRecord, OwnerId, StoredJob};
@@ -26,22 +28,7 @@
 fn job(id: &str, owner: Option<OwnerId>, version: u64) -> StoredJob {
     StoredJob {
         id: JobId::new(id),
-        record: Arc::new(JobRecord {
-            owner,
-            phase: JobPhase::Open,
-            host: "h".into(),
-            path: "/b/1".into(),
-            route: "b".into(),
-            customer: None,
-            unfinished_tokens: 0,
-            is_admitted: true,
-            item_count: 1,
-            accepted_at_ms: 0,
-            due_at_ms: 0,
-            give_up_at_ms: 0,
-            committed: Vec::new(),
-            failures: Vec::new(),
-        }),
+        record: Arc::new(support::record(owner)),
         version,
     }
 }
--- a/crates/ledger/tests/job_bodies.rs
+++ b/crates/ledger/tests/job_bodies.rs
@@ -1,8 +1,10 @@
 //! Bodies of an owned job's items that are dropped and read again.
 
+mod support;
+
 use std::sync::Arc;
 
-use ledger::{JobItem, JobPhase, JobRecord, OwnedJob, OwnerId, RunOutcome, StoredItems};
+use ledger::{JobItem, JobRecord, OwnedJob, OwnerId, RunOutcome, StoredItems};
 use model::{InstanceId, JobId};
 
 const ERRORS_MAX: u32 = 3;
@@ -27,20 +29,10 @@
 
 fn job(bodies: &[&str]) -> OwnedJob {
     let record = JobRecord {
-        owner: Some(owner()),
-        phase: JobPhase::Open,
-        host: "h".into(),
-        path: "/b/1".into(),
-        route: "b".into(),
-        customer: None,
-        unfinished_tokens: 0,
-        is_admitted: true,
         item_count: u32::try_from(bodies.len()).unwrap(),
-        accepted_at_ms: 0,
         due_at_ms: 18_000,
         give_up_at_ms: 60_000,
-        committed: Vec::new(),
-        failures: Vec::new(),
+        ..support::record(Some(owner()))
     };
     let stored = StoredItems {
         items: items(bodies),
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -1,5 +1,7 @@
 //! Runs of a job's items on its owner, with every outcome of a commit.
 
+mod support;
+
 use std::sync::Arc;
 
 use ledger::{
@@ -20,20 +22,11 @@
 
 fn record(items: u32) -> JobRecord {
     JobRecord {
-        owner: Some(owner("me")),
-        phase: JobPhase::Open,
-        host: "h".into(),
-        path: "/b/1".into(),
-        route: "b".into(),
-        customer: None,
         unfinished_tokens: u64::from(items * TOKENS_PER_ITEM),
-        is_admitted: true,
         item_count: items,
-        accepted_at_ms: 0,
         due_at_ms: 18_000,
         give_up_at_ms: 60_000,
-        committed: Vec::new(),
-        failures: Vec::new(),
+        ..support::record(Some(owner("me")))
     }
 }
 
--- a/crates/ledger/tests/waiting_tokens.rs
+++ b/crates/ledger/tests/waiting_tokens.rs
@@ -1,6 +1,8 @@
 //! Admission of jobs to a route with a limit on waiting tokens: single decisions, and a
 //! model of several instances over one store with random interleavings.
 
+mod support;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -22,20 +24,10 @@
 
 fn record(unfinished_tokens: u64, is_admitted: bool) -> JobRecord {
     JobRecord {
-        owner: Some(owner(0)),
-        phase: JobPhase::Open,
-        host: "h".into(),
-        path: "/b/1".into(),
         route: ROUTE.into(),
-        customer: None,
         unfinished_tokens,
         is_admitted,
-        item_count: 1,
-        accepted_at_ms: 0,
-        due_at_ms: 0,
-        give_up_at_ms: 0,
-        committed: Vec::new(),
-        failures: Vec::new(),
+        ..support::record(Some(owner(0)))
     }
 }
 
