--- /dev/null
+++ b/crates/node/tests/many_items.rs
@@ -0,0 +1,101 @@
+//! Jobs of many small items or headers, at a process with little memory. The pages allow 200 items.
+
+mod support;
+
+use std::{fmt::Write as _, net::SocketAddr, time::Duration};
+
+use support::{
+    HOST,
+    crowd_cluster::{BODY_MAX_BYTES, CrowdCluster},
+    send_request,
+};
+
+/// Number of jobs, one after the other.
+const JOBS: usize = 6;
+/// Number of items that the pages allow in a job.
+const ITEMS_MAX: usize = 200;
+/// Time that an item runs, so that no job ends meanwhile.
+const ITEM_DURATION: Duration = Duration::from_secs(20);
+
+/// Returns a job of as many items as fit into the maximum size of a body.
+fn job_of_small_items(headers: &str) -> String {
+    let mut body = String::from("{\"items\":[");
+    for number in 0.. {
+        let start = if number == 0 { "" } else { "," };
+        let item = format!(
+            "{start}{{\"id\":\"{number:x}\",\"path\":\"/batch/\",\"headers\":{{{headers}}}}}"
+        );
+        if body.len() + item.len() + 2 > BODY_MAX_BYTES {
+            break;
+        }
+        body.push_str(&item);
+    }
+    body.push_str("]}");
+    body
+}
+
+/// Returns a job of as many items as the pages allow, which have so many headers that the body
+/// almost has the maximum size.
+fn job_of_many_headers() -> String {
+    let item_bytes = BODY_MAX_BYTES / ITEMS_MAX - 100;
+    let mut headers = String::from("\"h\":\"\"");
+    for number in 0.. {
+        if headers.len() > item_bytes {
+            break;
+        }
+        write!(headers, ",\"{number:x}\":\"\"").unwrap();
+    }
+    let item =
+        |number| format!("{{\"id\":\"{number}\",\"path\":\"/batch/\",\"headers\":{{{headers}}}}}");
+    let items: Vec<_> = (0..ITEMS_MAX).map(item).collect();
+    format!("{{\"items\":[{}]}}", items.join(","))
+}
+
+async fn submit(address: SocketAddr, id: &str, body: &str) -> Option<u16> {
+    let headers = [
+        ("host", HOST),
+        ("redwingtack-request-id", id),
+        ("redwingtack-deadline-ms", "20000"),
+    ];
+    let body = body.as_bytes().to_vec();
+    let answer = send_request(address, "POST", "/batch/x", &headers, body).await;
+    answer.ok().map(|answer| answer.status.as_u16())
+}
+
+/// Submits jobs one after the other and checks what must hold.
+async fn process_withstands_jobs(body: &str) {
+    assert!(body.len() <= BODY_MAX_BYTES);
+    let mut cluster = CrowdCluster::start(ITEM_DURATION).await;
+    let address = cluster.cluster.nodes[0].callers_address;
+    let mut statuses = Vec::new();
+    for number in 0..JOBS {
+        statuses.push(submit(address, &format!("job-{number}"), body).await);
+    }
+    println!("{statuses:?}");
+    cluster.serve_ordinary("after").await;
+    cluster.assert_holds();
+    assert!(statuses.iter().all(Option::is_some), "{statuses:?}");
+}
+
+/// Guards against what an item costs besides its bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_small_items_stay_within_memory() {
+    process_withstands_jobs(&job_of_small_items("\"a\":\"\"")).await;
+}
+
+/// Guards against what a header of an item costs besides its bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_many_headers_stay_within_memory() {
+    process_withstands_jobs(&job_of_many_headers()).await;
+}
+
+/// An item with more headers than a request can have ended the task that decoded it.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_with_one_item_of_many_headers_is_answered() {
+    let headers: Vec<_> = (0..40_000)
+        .map(|number| format!("\"{number}\":\"\""))
+        .collect();
+    let headers = headers.join(",");
+    let item = format!("{{\"id\":\"i\",\"path\":\"/batch/\",\"headers\":{{{headers}}}}}");
+    process_withstands_jobs(&format!("{{\"items\":[{item}]}}")).await;
+}
