--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -40,6 +40,11 @@
 const HEADER_MAX_DEFAULT_BYTES: u64 = 16_384;
 /// Minimum buffer size that the HTTP library accepts, bytes.
 const BUFFER_MIN_BYTES: usize = 8_192;
+/// Maximum size of the head of a readiness check, bytes.
+const CHECK_HEAD_MAX_BYTES: usize = 16_384;
+/// Time within which the head of a readiness check must arrive, and after which an idle
+/// connection for such checks is closed.
+const CHECK_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Opens the listeners for callers and for readiness checks, and starts accepting
 /// connections on both.
@@ -210,7 +215,12 @@
 async fn serve_readiness_checks(node: Rc<Node>, stream: TcpStream) {
     let service =
         service_fn(async |request| Ok::<_, Infallible>(answer_readiness_check(&node, &request)));
-    let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut builder = Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(CHECK_TIMEOUT)
+        .max_buf_size(CHECK_HEAD_MAX_BYTES);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
         log::debug!(
             "event=check_connection_ended error={}",
