Items without a route wait until the configuration is surely newer than their job

What callers saw: a new version of the configuration adds a batch route, and jobs are accepted on it (202). Their owner stops, and an instance whose feed of the configuration has just gone silent takes jobs over.

Cause: give_up_items took a route that is missing in the configuration in force for a removed one. The configuration and the jobs come by two feeds, so the one in force may be older than the job.

The new test of removed_routes fails before this change, with all items dead within 15 ms of the takeover.

Why this works: the version on which a job was accepted is stored before the job, the job before its next owner knows it, and calls to the store are linearizable. So a read of the configuration that begins after the owner loaded the job brings that version or a newer one, and an instance never goes back. Items are given up for a missing route only after such a read. No clock and no field of the record is involved, so records of the last version of the program are treated alike in both directions. One read serves all jobs, and there is none unless a route is missing.

Tests of ledger and jobs, and removed_routes (8 of 8), pass.

--- a/crates/gateway/src/key_lease.rs
+++ b/crates/gateway/src/key_lease.rs
@@ -145,6 +145,12 @@
         self.is_superseded = true;
     }
 
+    /// Returns whether a newer configuration exists that cannot be read.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded
+    }
+
     /// Renews the lease by an answer of the store.
     pub fn record_answer(&mut self, answer: &ConfigAnswer) {
         let ConfigAnswer {
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -1,11 +1,15 @@
 //! State machine of a job on the instance that owns and runs it.
 
+mod config_check;
 mod item_bodies;
 mod item_row;
 
 use model::{JobId, SoftwareVersion, UpstreamId};
 
-use self::item_row::{ItemRow, ItemState};
+use self::{
+    config_check::ConfigCheck,
+    item_row::{ItemRow, ItemState},
+};
 use crate::{
     item::{ItemOutcome, ItemResult, ItemRun, JobItem, PartialOutput, RunOutcome, StoredItems},
     record::{JobPhase, JobRecord, OwnerId},
@@ -34,6 +38,7 @@
     /// The commit to be written; kept until its outcome is settled.
     commit: Option<Commit>,
     has_lost_ownership: bool,
+    config_check: ConfigCheck,
 }
 
 /// A write of results, conditional on the version of the job's record.
@@ -122,6 +127,7 @@
             uncommitted: Vec::new(),
             commit: None,
             has_lost_ownership: false,
+            config_check: ConfigCheck::default(),
         }
     }
 
@@ -276,8 +282,7 @@
     pub fn give_up_unfinished_where(&mut self, condition: impl Fn(&JobItem) -> bool) {
         for index in 0..self.items.len() {
             let row = &self.items[index];
-            let is_unfinished = matches!(row.state, ItemState::Waiting { .. } | ItemState::Running);
-            if is_unfinished && condition(&row.item) {
+            if row.is_unfinished() && condition(&row.item) {
                 let index = u32::try_from(index).unwrap_or(u32::MAX);
                 self.end_item(index, ItemOutcome::Failed);
             }
--- a/crates/ledger/src/owned_job/item_row.rs
+++ b/crates/ledger/src/owned_job/item_row.rs
@@ -54,6 +54,11 @@
         matches!(self.state, ItemState::Waiting { not_before_ms } if not_before_ms <= now_ms)
     }
 
+    /// Returns whether the item waits or runs.
+    pub(super) fn is_unfinished(&self) -> bool {
+        matches!(self.state, ItemState::Waiting { .. } | ItemState::Running)
+    }
+
     /// Returns the backoff before the next run, and counts it.
     pub(super) fn rerun_delay_ms(&mut self) -> u64 {
         let doublings = self.delayed_reruns.min(8);
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -361,3 +361,25 @@
         assert_eq!(last, is_confirmed, "{statements:?}");
     }
 }
+
+#[test]
+fn items_without_a_route_are_given_up_only_by_a_configuration_read_after_loading() {
+    let mut job = job(2);
+    let has_route = |item: &JobItem| &*item.id == "i0";
+    assert!(!job.give_up_without_route(|_| true));
+    assert!(job.give_up_without_route(has_route));
+    // The read began before the job was loaded.
+    job.confirm_config();
+    assert!(job.give_up_without_route(has_route));
+    // The first read fails.
+    job.begin_config_read();
+    assert!(job.give_up_without_route(has_route));
+    job.begin_config_read();
+    job.confirm_config();
+    assert!(job.next_commit().is_none());
+    assert!(!job.give_up_without_route(has_route));
+    let results = &job.next_commit().unwrap().results;
+    assert_eq!(results.len(), 1);
+    assert_eq!(&*results[0].item, "i1");
+    assert_eq!(results[0].outcome, ItemOutcome::Failed);
+}
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -5,6 +5,7 @@
 mod accept;
 mod admission;
 mod calls;
+mod config_check;
 mod item_bodies;
 mod item_rows;
 mod item_run;
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{
+    config_check::{self, ConfigReads},
     item_bodies::{self, ItemReads},
     item_start::{item_content, start_items},
     takeover_pace::TakeoverPace,
@@ -52,6 +53,7 @@
     pub(super) loading: Vec<JobId>,
     pub(super) takeover_pace: TakeoverPace,
     pub(super) item_reads: ItemReads,
+    pub(super) config_reads: ConfigReads,
     forecast: RunForecast,
     recent_takeovers: Vec<RecentTakeover>,
 }
@@ -364,16 +366,22 @@
     writes::start_commits(node);
 }
 
-/// Gives up items whose deadline has passed or whose route was removed.
-fn give_up_items(node: &Node) {
+/// Gives up items whose deadline has passed or whose route was removed. If a route is missing
+/// but the configuration in force may be older than the job, the newest one is read first.
+fn give_up_items(node: &Rc<Node>) {
     let Some(routes) = node.routes() else { return };
     let store_now_ms = node.store_now_ms();
+    let mut must_read_config = false;
     for job in &mut node.runner.borrow_mut().jobs {
         if store_now_ms >= job.record().give_up_at_ms {
             job.give_up_unfinished();
         }
         let host = job.record().host.clone();
-        job.give_up_unfinished_where(|item| routes.find(&host, &item.path).is_none());
+        must_read_config |=
+            job.give_up_without_route(|item| routes.find(&host, &item.path).is_some());
+    }
+    if must_read_config {
+        config_check::begin_read(node);
     }
 }
 
--- a/crates/node/tests/removed_routes.rs
+++ b/crates/node/tests/removed_routes.rs
@@ -5,15 +5,21 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use support::{
-    Answer, HOST, NodeProcess, TestCluster, complete_output, config, send_request, wait_until,
+    Answer, HOST, NodeProcess, TestCluster, complete_output, config, send_request,
+    store_proxy::ProxyState, wait_until,
 };
 use tokio::time::sleep;
 
 const ITEMS: [(&str, &str); 2] = [("i0", "/batch/x/0"), ("i1", "/batch/x/1")];
 /// Time in which every instance applies a configuration.
 const TIME_TO_APPLY: Duration = Duration::from_millis(500);
+/// Time in which a call ends that waits for changes of a table.
+const FEED_CALL_TIME: Duration = Duration::from_millis(3_500);
+/// Jobs whose route an instance does not know.
+const JOBS: [&str; 3] = ["j0", "j1", "j2"];
 
 /// Returns a configuration without a route for jobs.
 fn config_without_batch_route(version: u64) -> Value {
@@ -133,6 +139,44 @@
     }
 }
 
+/// Guards against items that are given up by a new owner whose configuration is older than their
+/// route: it took the route for a removed one.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_of_a_new_route_are_not_given_up_by_an_owner_with_an_older_configuration() {
+    let mut cluster = TestCluster::start_without_config(&[8], 1).await;
+    cluster
+        .put_row("op", "config", &config_without_batch_route(1))
+        .await;
+    cluster.nodes[0].wait_until_ready().await;
+    let proxy = cluster.add_proxied_node("stale").await;
+    proxy.set_state(ProxyState::ConfigFeedSilent);
+    sleep(FEED_CALL_TIME).await;
+    cluster.register_server(0, "draining").await;
+    apply(&cluster, &config(2, 0)).await;
+    for job in JOBS {
+        let answer = cluster.nodes[0].submit_job(job, &ITEMS).await;
+        assert_eq!(answer.status, StatusCode::ACCEPTED, "{answer:?}");
+    }
+    let stale = &cluster.nodes[1];
+    assert!(
+        !stale
+            .log()
+            .contains("event=config_applied config_version=2")
+    );
+
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    wait_until("the jobs are taken over", async || {
+        stale.log().matches("event=job_taken_over").count() == JOBS.len()
+    })
+    .await;
+    sleep(TIME_TO_APPLY).await;
+    cluster.register_server(0, "ready").await;
+    for job in JOBS {
+        let results = stale.wait_for_results(job).await;
+        assert!(results.iter().all(|result| result["state"] == "done"));
+    }
+}
+
 /// Another route of the host covers the paths of calls about jobs. It gets what is about no
 /// job.
 #[tokio::test(flavor = "multi_thread")]
@@ -186,7 +230,7 @@
     let node = &cluster.nodes[0];
     let answer = node.read_results("unknown", 0).await;
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
-    proxy.set_state(support::store_proxy::ProxyState::Reset);
+    proxy.set_state(ProxyState::Reset);
     sleep(Duration::from_secs(1)).await;
     let read = node.read_results("unknown", 0).await;
     let repeat = node.submit_job("unknown", &ITEMS).await;
--- a/crates/node/tests/support/store_proxy.rs
+++ b/crates/node/tests/support/store_proxy.rs
@@ -21,6 +21,23 @@
     Reset,
     /// Accepts connections and bytes, but forwards nothing in either direction.
     Silent,
+    /// Like [`ProxyState::Silent`] for connections on which a call that waits for changes of
+    /// the configuration begins from now on; forwards all others.
+    ConfigFeedSilent,
+}
+
+impl ProxyState {
+    /// Returns whether a connection goes silent on which these bytes arrive.
+    fn silences(self, bytes: &[u8]) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::ConfigFeedSilent => {
+                let text = String::from_utf8_lossy(bytes);
+                text.starts_with("GET /rows-feed?table=op&") && !text.contains("wait_ms=0 ")
+            }
+            Self::Open | Self::Reset => false,
+        }
+    }
 }
 
 /// Bytes of the store's answers that are replaced by others of the same length.
@@ -148,7 +165,7 @@
         if length == 0 {
             return;
         }
-        is_silent |= *state.borrow() == ProxyState::Silent;
+        is_silent |= state.borrow().silences(&buffer[..length]);
         unsent.extend_from_slice(&buffer[..length]);
         for replacement in replacements.iter() {
             replacement.apply(&mut unsent);
