--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod discarding_server;
 pub mod process_usage;
 pub mod scripted_server;
+pub mod soak;
 pub mod store_proxy;
 pub mod upstream_proxy;
 pub mod version_streams;
@@ -56,6 +57,8 @@
 const CALLERS_PORT: u16 = 8_161;
 const READINESS_PORT: u16 = 8_167;
 const PEER_PORT: u16 = 7_720;
+/// Grace period of a planned stop unless a test states another, seconds.
+const DEFAULT_GRACE_S: u64 = 6;
 /// Maximum time that a test waits for a condition or an answer.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -69,6 +72,8 @@
     pub revocation_ms: Option<u64>,
     /// Memory that the settings of processes that are started next state, MB.
     pub memory_mb: Option<u64>,
+    /// Grace period of a planned stop of processes that are started next, seconds.
+    pub grace_s: u64,
     /// Dropped last: another test may take the block and write settings files for its
     /// addresses as soon as the block is free.
     addresses: AddressBlock,
@@ -79,6 +84,7 @@
 struct ProcessBounds {
     revocation_ms: Option<u64>,
     memory_mb: Option<u64>,
+    grace_s: u64,
 }
 
 /// The paths from one process to the servers, in their order, and to the store.
@@ -160,6 +166,7 @@
             nodes: Vec::new(),
             revocation_ms: None,
             memory_mb: None,
+            grace_s: DEFAULT_GRACE_S,
         };
         for index in 0..cluster.servers.len() {
             cluster.register_server(index, "ready").await;
@@ -191,6 +198,7 @@
         ProcessBounds {
             revocation_ms: self.revocation_ms,
             memory_mb: self.memory_mb,
+            grace_s: self.grace_s,
         }
     }
 
@@ -487,6 +495,7 @@
         let ProcessBounds {
             revocation_ms,
             memory_mb,
+            grace_s,
         } = bounds;
         let callers_address = SocketAddr::new(ip, CALLERS_PORT);
         let readiness_address = SocketAddr::new(ip, READINESS_PORT);
@@ -494,7 +503,7 @@
             "node_name": name, "zone": "a", "region": "north", "zones": {"a": "north"},
             "listen": {"front": callers_address.to_string(), "ready_addr": readiness_address.to_string()},
             "port_range": [PEER_PORT, PEER_PORT + 15],
-            "bounds": {"grace_s": 6, "status_s": 120, "strict_revoke": revocation_ms.is_some(),
+            "bounds": {"grace_s": grace_s, "status_s": 120, "strict_revoke": revocation_ms.is_some(),
                        "revoke_ms": revocation_ms.unwrap_or(0)},
             "platform": {"addr": store.to_string(), "writes_per_s": 800, "reads_per_s": 2000,
                          "row_bytes": 4096}
@@ -519,8 +528,18 @@
 
     /// Kills the process and starts it again at once, at the same addresses.
     pub fn restart(&mut self) {
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the process, if it has not ended by itself.
+    pub fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
+    }
+
+    /// Starts the process again, which has ended, at the same addresses.
+    pub fn start_again(&mut self) {
         let log_file = File::options().append(true).open(&self.log_path).unwrap();
         self.child = spawn_node(&self.settings_path, log_file.into());
     }
--- /dev/null
+++ b/crates/node/tests/support/soak/judge_requests.rs
@@ -0,0 +1,138 @@
+//! Judges requests whose connection ended without a complete answer.
+
+use std::collections::BTreeMap;
+
+use standin::EventRuns;
+
+use super::{
+    Finding, Shared,
+    callers::{DEADLINE_MS, RequestRecord},
+    exchange::Ending,
+    history::{GRACE_S, History, Span},
+};
+
+/// Time after its last byte in which a request may be closed that was not passed on,
+/// milliseconds.
+const LOSS_SLACK_MS: u64 = 200;
+/// A request sent no later than this after a signal to stop may be cut in the last sixth of the
+/// grace period, milliseconds.
+const EARLY_IN_STOP_MS: u64 = 3_000;
+/// Time by which a client may end its wait too early, milliseconds.
+const DEADLINE_SLACK_MS: u64 = 50;
+
+/// Why a request may have ended without a complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Excuse {
+    /// It crossed the close of the connection and was not passed on.
+    Crossed,
+    /// The instance or the store was disrupted.
+    Unplanned,
+    /// The instance was not in touch, and no planned work was near.
+    OutOfTouch,
+    /// A server that ran it, or might have, was disrupted.
+    ServerBrokeOff,
+    DeadlineReached,
+    /// It was sent early in a planned stop, and lasted up to its end.
+    LastedAsLongAsStop,
+}
+
+/// Judges all requests, given the runs at each server.
+pub fn judge(shared: &Shared, runs: &[EventRuns]) -> Vec<Finding> {
+    let history = shared.history.lock().unwrap();
+    let requests = shared.requests.lock().unwrap();
+    let mut findings = Vec::new();
+    let mut counts = BTreeMap::<String, usize>::new();
+    for request in &*requests {
+        let judge = RequestJudge {
+            request,
+            history: &history,
+            runs,
+        };
+        let is_cut = matches!(request.ending, Ending::Cut | Ending::Closed);
+        let excuse = is_cut.then(|| judge.excuse());
+        let outcome = format!("{:?} {:?} {excuse:?}", request.ending, request.status);
+        *counts.entry(outcome).or_default() += 1;
+        if excuse == Some(None) {
+            findings.push(judge.finding("ended without a complete answer"));
+        }
+        if request.is_wrong {
+            findings.push(judge.finding("was answered with other events"));
+        }
+    }
+    println!("requests: {}", requests.len());
+    for (outcome, count) in counts {
+        println!("  {outcome}: {count}");
+    }
+    findings
+}
+
+struct RequestJudge<'a> {
+    request: &'a RequestRecord,
+    history: &'a History,
+    runs: &'a [EventRuns],
+}
+
+impl RequestJudge<'_> {
+    fn finding(&self, what: &str) -> Finding {
+        let servers: Vec<_> = self.servers().collect();
+        Finding {
+            at_ms: self.request.span.to_ms,
+            text: format!(
+                "request {what}; ran at servers {servers:?}: {:?}",
+                self.request
+            ),
+        }
+    }
+
+    fn excuse(&self) -> Option<Excuse> {
+        let RequestRecord { instance, span, .. } = *self.request;
+        let lasted_ms = span.to_ms - span.from_ms;
+        if self.servers().next().is_none() && lasted_ms <= LOSS_SLACK_MS {
+            return Some(Excuse::Crossed);
+        }
+        if self.history.is_unplanned(instance, span) {
+            return Some(Excuse::Unplanned);
+        }
+        let is_near = self.history.is_around_planned_work(instance, span);
+        if !is_near && !self.history.is_in_touch(instance, span) {
+            return Some(Excuse::OutOfTouch);
+        }
+        if self.has_server_broken_off() {
+            return Some(Excuse::ServerBrokeOff);
+        }
+        if lasted_ms + DEADLINE_SLACK_MS >= DEADLINE_MS {
+            return Some(Excuse::DeadlineReached);
+        }
+        self.lasted_as_long_as_stop()
+            .then_some(Excuse::LastedAsLongAsStop)
+    }
+
+    /// Returns the servers that ran the request.
+    fn servers(&self) -> impl Iterator<Item = usize> {
+        let id = &self.request.id;
+        (0..self.runs.len()).filter(move |server| self.runs[*server].contains_key(id))
+    }
+
+    /// Any server counts if none is known to have run the request.
+    fn has_server_broken_off(&self) -> bool {
+        let is_disrupted =
+            |server: usize| self.history.is_server_disrupted(server, self.request.span);
+        if self.servers().next().is_some() {
+            self.servers().any(is_disrupted)
+        } else {
+            (0..self.runs.len()).any(is_disrupted)
+        }
+    }
+
+    fn lasted_as_long_as_stop(&self) -> bool {
+        let Span { from_ms, to_ms } = self.request.span;
+        let grace_ms = GRACE_S * 1_000;
+        let mut stops = self.history.stops(self.request.instance);
+        stops.any(|stop_ms| {
+            let last_sixth_ms = stop_ms + grace_ms - grace_ms / 6;
+            from_ms <= stop_ms + EARLY_IN_STOP_MS
+                && to_ms >= last_sixth_ms
+                && to_ms <= stop_ms + grace_ms + LOSS_SLACK_MS
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/soak/mod.rs
@@ -0,0 +1,180 @@
+//! A soak: instances, servers, callers, batch jobs and an operator who does to them what a seed
+//! draws. Afterwards each sentence of the rule that nothing accepted is lost and no request ends
+//! without an answer is judged by what the clients saw.
+
+pub mod callers;
+pub mod exchange;
+pub mod finish;
+pub mod history;
+pub mod job_clients;
+pub mod job_log;
+pub mod judge_jobs;
+pub mod judge_requests;
+pub mod operator;
+pub mod plan;
+pub mod store_writes;
+
+use std::{
+    env,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{task::JoinSet, time::sleep};
+
+use callers::RequestRecord;
+use history::{History, SoakClock};
+use job_log::JobLog;
+use operator::Operator;
+use plan::Family;
+
+/// Number of callers of streams.
+const CALLERS: usize = 14;
+/// Number of clients that submit jobs, and of those that visit them.
+const SUBMITTERS: usize = 3;
+const VISITORS: usize = 5;
+/// Interval at which the operator looks at what is due.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What a soak is drawn from.
+#[derive(Debug, Clone, Copy)]
+pub struct SoakSettings {
+    pub seed: u64,
+    /// Time in which clients come and things are done to the parts.
+    pub duration: Duration,
+    pub instances: usize,
+}
+
+/// What all tasks of a soak share.
+#[derive(Debug)]
+pub struct Shared {
+    pub clock: SoakClock,
+    /// Addresses for callers, by instance.
+    pub addresses: Vec<SocketAddr>,
+    pub requests: Mutex<Vec<RequestRecord>>,
+    pub jobs: Mutex<Vec<JobLog>>,
+    pub history: Mutex<History>,
+    seed: u64,
+    has_stopped: AtomicBool,
+}
+
+/// A sentence of a rule that was broken.
+#[derive(Debug)]
+pub struct Finding {
+    pub at_ms: u64,
+    pub text: String,
+}
+
+impl SoakSettings {
+    /// Returns these settings, or those that the environment names in their place.
+    #[must_use]
+    pub fn or_from_environment(self) -> Self {
+        let named = |name: &str| env::var(name).ok()?.parse::<u64>().ok();
+        let seed = named("REDWINGTACK_SOAK_SEED");
+        let duration = named("REDWINGTACK_SOAK_SECONDS").map(Duration::from_secs);
+        let instances = named("REDWINGTACK_SOAK_INSTANCES");
+        Self {
+            seed: seed.unwrap_or(self.seed),
+            duration: duration.unwrap_or(self.duration),
+            instances: instances.map_or(self.instances, |count| usize::try_from(count).unwrap()),
+        }
+    }
+}
+
+impl Shared {
+    fn new(seed: u64, addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            clock: SoakClock::start(),
+            addresses,
+            requests: Mutex::default(),
+            jobs: Mutex::default(),
+            history: Mutex::default(),
+            seed,
+            has_stopped: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns whether the clients are to stop.
+    pub fn has_stopped(&self) -> bool {
+        self.has_stopped.load(Ordering::Acquire)
+    }
+
+    /// Returns the seed of one client.
+    pub fn seed_of(&self, role: &str, number: usize) -> u64 {
+        let role: u64 = role.bytes().map(u64::from).sum();
+        let number = u64::try_from(number).unwrap();
+        self.seed
+            .wrapping_mul(1_000_003)
+            .wrapping_add(role * 1_000 + number)
+    }
+
+    pub fn add_request(&self, record: RequestRecord) {
+        self.requests.lock().unwrap().push(record);
+    }
+
+    /// Returns the number of the job.
+    pub fn add_job(&self, job: JobLog) -> usize {
+        let mut jobs = self.jobs.lock().unwrap();
+        jobs.push(job);
+        jobs.len() - 1
+    }
+
+    pub fn with_job<T>(&self, job: usize, action: impl FnOnce(&mut JobLog) -> T) -> T {
+        action(&mut self.jobs.lock().unwrap()[job])
+    }
+}
+
+/// Plays a soak. Returns what broke a rule; prints what was done and seen.
+pub async fn run(settings: SoakSettings) -> Vec<Finding> {
+    let family = Family::of_seed(settings.seed);
+    println!("{settings:?} {family:?}");
+    let (cluster, addresses) = operator::start_cluster(settings.instances).await;
+    let shared = Arc::new(Shared::new(settings.seed, addresses));
+    let until_ms = u64::try_from(settings.duration.as_millis()).unwrap();
+    let plan = plan::draw(settings.seed, family, settings.instances, until_ms);
+    let mut operator = Operator::new(cluster, Arc::clone(&shared), plan);
+    let clients = start_clients(&shared);
+    while shared.clock.now_ms() < until_ms {
+        operator.tick().await;
+        sleep(TICK).await;
+    }
+    shared.has_stopped.store(true, Ordering::Release);
+    operator.heal().await;
+    clients.join_all().await;
+    finish::finish(&shared).await;
+    let mut findings = operator.take_findings();
+    let runs = operator.cluster.runs_by_server().await;
+    findings.extend(judge_requests::judge(&shared, &runs));
+    findings.extend(judge_jobs::judge(&shared));
+    findings.sort_by_key(|finding| finding.at_ms);
+    if !findings.is_empty() {
+        print_history(&shared);
+    }
+    findings
+}
+
+fn start_clients(shared: &Arc<Shared>) -> JoinSet<()> {
+    let mut clients = JoinSet::new();
+    for number in 0..CALLERS {
+        clients.spawn(callers::call(Arc::clone(shared), number));
+    }
+    for number in 0..SUBMITTERS {
+        clients.spawn(job_clients::submit_jobs(Arc::clone(shared), number));
+    }
+    for number in 0..VISITORS {
+        clients.spawn(job_clients::visit_jobs(Arc::clone(shared), number));
+    }
+    clients
+}
+
+fn print_history(shared: &Shared) {
+    let mut entries = shared.history.lock().unwrap().entries().to_vec();
+    entries.sort_by_key(|entry| entry.span.from_ms);
+    for entry in entries {
+        println!("{entry:?}");
+    }
+}
