A job of nobody that comes again needs no key after customers are configured

What callers saw: a job was accepted while the configuration named no customers. After the first configuration with customers, its submission came again without a key and was answered 401 at every instance, while reads of the same job were answered 200.

Cause: the check of the key of a submission looked only at the route in force, not at the job. It is the class of docs/incidents/removed-route.md: what is owed for accepted work was decided by the configuration in force. A repeat after the route is removed was already decided by the job.

Evidence: repeat_of_a_job_of_nobody_needs_no_key failed before (401 in place of 202).

Why it works: a submission on a route for jobs is let in without a key if this instance follows an accepted record of nobody with the same id, host and path. A new job still needs a key, as the test checks, and so does the repeat of a job of a customer.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -156,10 +156,11 @@
         return answer::text(StatusCode::NOT_FOUND, "no such route");
     };
     let path = parts.uri.path();
+    let repeats_job_of_nobody = is_job_submission(&route)
+        && jobs::repeats_job_of_nobody(node, &parts, &request_headers.request_id);
     let is_public = |routes: &RouteTable| {
-        routes
-            .find(&host, path)
-            .is_some_and(|route| route.is_public)
+        let route = routes.find(&host, path);
+        repeats_job_of_nobody || route.is_some_and(|route| route.is_public)
     };
     let keyed_call = KeyedCall {
         id: CallId::Request(&request_headers.request_id),
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -29,7 +29,7 @@
     calls::answer_call,
     ownership::{apply_row, release_jobs},
     query::store_unavailable,
-    repeats::{answer_repeated_job, repeated_job},
+    repeats::{answer_repeated_job, repeated_job, repeats_job_of_nobody},
     runner::Runner,
     storage::{JOB_PARTITIONS, JOBS_TABLE},
 };
--- a/crates/node/src/jobs/repeats.rs
+++ b/crates/node/src/jobs/repeats.rs
@@ -1,4 +1,5 @@
-//! Answers submissions that come again after their route is gone: a job outlives its route.
+//! Answers submissions that come again after their route is gone, and tells which of them need no
+//! key: a job outlives its route, and the configuration that it was accepted by.
 
 use std::rc::Rc;
 
@@ -42,7 +43,7 @@
     let id = JobId::new(request_id);
     let host = &*normalize_host(host_of(parts));
     let path = parts.uri.path();
-    let is_same = |record: &JobRecord| *record.path == *path && *record.host == *host;
+    let is_same = |record: &JobRecord| is_submitted_at(record, host, path);
     if let Some(record) = cached_record(node, &id) {
         return Ok(is_same(&record).then_some(id));
     }
@@ -61,6 +62,21 @@
     Ok(Some(id))
 }
 
+/// Returns whether a request submits an accepted job of nobody again. It was accepted before the
+/// first configuration with customers, and its callers may have no key.
+pub(crate) fn repeats_job_of_nobody(node: &Node, parts: &request::Parts, request_id: &str) -> bool {
+    let host = normalize_host(host_of(parts));
+    cached_record(node, &JobId::new(request_id)).is_some_and(|record| {
+        record.is_admitted
+            && record.customer.is_none()
+            && is_submitted_at(&record, &host, parts.uri.path())
+    })
+}
+
+fn is_submitted_at(record: &JobRecord, host: &str, path: &str) -> bool {
+    *record.path == *path && *record.host == *host
+}
+
 /// Answers the repeat of a submission once its body has been read. `key` is the digest of the
 /// caller's key.
 pub(crate) async fn answer_repeated_job(
--- a/crates/node/tests/removed_routes.rs
+++ b/crates/node/tests/removed_routes.rs
@@ -261,3 +261,20 @@
         assert_eq!(status("DELETE", "/lots/own", "key-1").await, StatusCode::OK);
     }
 }
+
+/// A job that was accepted before the first configuration with customers belongs to nobody. It
+/// comes again as it was accepted, without a key, whether or not its route is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_of_a_job_of_nobody_needs_no_key() {
+    let cluster = start_with_finished_job().await;
+    cluster
+        .put_config_with_customers(2, &[("one", &["key-1"])])
+        .await;
+    sleep(TIME_TO_APPLY).await;
+    for node in &cluster.nodes {
+        let repeat = node.submit_job("j", &ITEMS).await;
+        assert_eq!(repeat.status, StatusCode::ACCEPTED);
+        let new = node.submit_job("new", &ITEMS).await;
+        assert_eq!(new.status, StatusCode::UNAUTHORIZED);
+    }
+}
