--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod callers;
 pub mod exchange;
+pub mod fault_operations;
 pub mod finish;
 pub mod history;
 pub mod job_clients;
@@ -12,10 +13,11 @@
 pub mod judge_requests;
 pub mod operator;
 pub mod plan;
+pub mod process_operations;
 pub mod store_writes;
 
 use std::{
-    env,
+    env, mem,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -132,11 +134,13 @@
 pub async fn run(settings: SoakSettings) -> Vec<Finding> {
     let family = Family::of_seed(settings.seed);
     println!("{settings:?} {family:?}");
-    let (cluster, addresses) = operator::start_cluster(settings.instances).await;
+    let (cluster, store_paths) = operator::start_cluster(settings.instances).await;
+    let nodes = cluster.nodes.iter();
+    let addresses = nodes.map(|node| node.callers_address).collect();
     let shared = Arc::new(Shared::new(settings.seed, addresses));
     let until_ms = u64::try_from(settings.duration.as_millis()).unwrap();
     let plan = plan::draw(settings.seed, family, settings.instances, until_ms);
-    let mut operator = Operator::new(cluster, Arc::clone(&shared), plan);
+    let mut operator = Operator::new(cluster, store_paths, Arc::clone(&shared), plan);
     let clients = start_clients(&shared);
     while shared.clock.now_ms() < until_ms {
         operator.tick().await;
@@ -146,7 +150,7 @@
     operator.heal().await;
     clients.join_all().await;
     finish::finish(&shared).await;
-    let mut findings = operator.take_findings();
+    let mut findings = mem::take(&mut operator.findings);
     let runs = operator.cluster.runs_by_server().await;
     findings.extend(judge_requests::judge(&shared, &runs));
     findings.extend(judge_jobs::judge(&shared));
--- a/crates/node/tests/support/soak/plan.rs
+++ b/crates/node/tests/support/soak/plan.rs
@@ -41,6 +41,17 @@
         instance: usize,
         for_ms: u64,
     },
+    /// Lets a process run only a part of the time.
+    Slow {
+        instance: usize,
+        for_ms: u64,
+    },
+    /// Cuts the path of an instance to the store, by resets or by silence.
+    CutOff {
+        instance: usize,
+        is_silent: bool,
+        for_ms: u64,
+    },
     Configure(Shape),
     Store {
         fault: StoreFault,
@@ -207,6 +218,10 @@
             _ => {
                 let shape = self.shape();
                 self.add(at_ms, Operation::Configure(shape));
+                if self.rng.random_bool(0.6) {
+                    let back_ms = at_ms + self.rng.random_range(200..4_000);
+                    self.add(back_ms, Operation::Configure(USUAL_SHAPE));
+                }
             }
         }
     }
@@ -229,20 +244,25 @@
 
     fn draw_disrupted_process(&mut self, at_ms: u64) {
         let down_ms = self.rng.random_range(0..4_000);
-        match self.rng.random_range(0..8) {
+        let instance = self.instance();
+        let for_ms = self.rng.random_range(200..7_000);
+        match self.rng.random_range(0..10) {
             0 => {
                 for instance in 0..self.instances {
                     self.add(at_ms, Operation::Kill { instance, down_ms });
                 }
             }
-            1..4 => {
-                let instance = self.instance();
-                self.add(at_ms, Operation::Kill { instance, down_ms });
-            }
+            1..4 => self.add(at_ms, Operation::Kill { instance, down_ms }),
+            4..7 => self.add(at_ms, Operation::Freeze { instance, for_ms }),
+            7 => self.add(at_ms, Operation::Slow { instance, for_ms }),
             _ => {
-                let instance = self.instance();
-                let for_ms = self.rng.random_range(200..7_000);
-                self.add(at_ms, Operation::Freeze { instance, for_ms });
+                let is_silent = self.rng.random_bool(0.5);
+                let cut_off = Operation::CutOff {
+                    instance,
+                    is_silent,
+                    for_ms,
+                };
+                self.add(at_ms, cut_off);
             }
         }
     }
@@ -281,7 +301,7 @@
 
     fn shape(&mut self) -> Shape {
         Shape {
-            batch: self.place(0.35),
+            batch: self.place(0.3),
             once: self.place(0.15),
             long: self.place(0.1),
             has_cover: self.rng.random_bool(0.25),
