--- a/crates/node/tests/support/soak/history.rs
+++ b/crates/node/tests/support/soak/history.rs
@@ -135,6 +135,15 @@
         })
     }
 
+    /// Returns whether the instance itself was disrupted otherwise than by planned work, or
+    /// started.
+    pub fn is_instance_disrupted(&self, instance: usize, span: Span) -> bool {
+        self.any(span.with_stable_time(), |entry| {
+            entry.part == Part::Instance(instance)
+                && matches!(entry.deed, Deed::Start | Deed::Disrupt(_))
+        })
+    }
+
     /// Returns whether a server was disrupted.
     pub fn is_server_disrupted(&self, server: usize, span: Span) -> bool {
         self.any(span, |entry| entry.part == Part::Server(server))
--- a/crates/node/tests/support/soak/judge_jobs.rs
+++ b/crates/node/tests/support/soak/judge_jobs.rs
@@ -69,6 +69,17 @@
         self.findings.push(Finding { at_ms, text });
     }
 
+    /// Adds a finding if an instance in touch was asked when something known since `known_ms` had
+    /// settled, and prints a note if the instance was out of touch.
+    fn add_if_settled(&mut self, observation: &Observation, known_ms: u64, text: &str) {
+        let text = format!("{text}: {observation:?}");
+        if self.is_settled(observation, known_ms) {
+            self.add(observation.span.to_ms, &text);
+        } else if observation.span.from_ms > known_ms + SETTLE_MS {
+            println!("NOTE out of touch: job {}: {text}", self.job.id);
+        }
+    }
+
     /// Returns whether an instance in touch was asked when something known since `known_ms` had
     /// settled.
     fn is_settled(&self, observation: &Observation, known_ms: u64) -> bool {
@@ -85,12 +96,8 @@
             let is_about_job = !matches!(observation.seen, Seen::Submission { .. });
             let is_body = matches!(observation.seen, Seen::Body { .. });
             let is_gone = matches!(observation.status, Some(404 | 410));
-            if is_about_job && !is_body && is_gone && self.is_settled(observation, self.accepted_ms)
-            {
-                self.add(
-                    observation.span.to_ms,
-                    &format!("is not known: {observation:?}"),
-                );
+            if is_about_job && !is_body && is_gone {
+                self.add_if_settled(observation, self.accepted_ms, "is not known");
             }
             match &observation.seen {
                 Seen::Read {
@@ -110,12 +117,9 @@
         }
         if page.results.is_empty()
             && let Some(Some((_, read_ms))) = self.listed.get(after)
-            && self.is_settled(observation, *read_ms)
         {
-            self.add(
-                at_ms,
-                &format!("has nothing at a position: {observation:?}"),
-            );
+            let read_ms = *read_ms;
+            self.add_if_settled(observation, read_ms, "has nothing at a position");
         }
         for (offset, result) in page.results.iter().enumerate() {
             self.judge_result(at_ms, after + offset, result);
@@ -164,9 +168,8 @@
         }
         let is_open = self.job.end_sent_ms.is_none_or(|end_ms| at_ms < end_ms);
         let is_gone = matches!(observation.status, Some(404 | 410));
-        let is_settled = self.is_settled(observation, self.accepted_ms);
-        if is_gone && *is_listed == Some(false) && is_open && is_settled {
-            self.add(at_ms, &format!("gives no body: {observation:?}"));
+        if is_gone && *is_listed == Some(false) && is_open {
+            self.add_if_settled(observation, self.accepted_ms, "gives no body");
         }
     }
 
--- a/crates/node/tests/support/soak/judge_requests.rs
+++ b/crates/node/tests/support/soak/judge_requests.rs
@@ -20,13 +20,24 @@
 /// Time by which a client may end its wait too early, milliseconds.
 const DEADLINE_SLACK_MS: u64 = 50;
 
+/// What is to be said of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Verdict {
+    /// Its connection did not end without a complete answer.
+    NotCut,
+    Excused(Excuse),
+    Broken,
+}
+
 /// Why a request may have ended without a complete answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Excuse {
     /// It crossed the close of the connection and was not passed on.
     Crossed,
-    /// The instance or the store was disrupted.
+    /// The instance was disrupted.
     Unplanned,
+    /// The store was disrupted, and the instance was not.
+    StoreUnplanned,
     /// The instance was not in touch, and no planned work was near.
     OutOfTouch,
     /// A server that ran it, or might have, was disrupted.
@@ -48,13 +59,15 @@
             history: &history,
             runs,
         };
-        let is_cut = matches!(request.ending, Ending::Cut | Ending::Closed);
-        let excuse = is_cut.then(|| judge.excuse());
-        let outcome = format!("{:?} {:?} {excuse:?}", request.ending, request.status);
+        let verdict = judge.verdict();
+        let outcome = format!("{:?} {:?} {verdict:?}", request.ending, request.status);
         *counts.entry(outcome).or_default() += 1;
-        if excuse == Some(None) {
+        if verdict == Verdict::Broken {
             findings.push(judge.finding("ended without a complete answer"));
         }
+        if judge.is_noteworthy(verdict) {
+            println!("NOTE {}", judge.finding("has an excuse").text);
+        }
         if request.is_wrong {
             findings.push(judge.finding("was answered with other events"));
         }
@@ -84,6 +97,24 @@
         }
     }
 
+    fn verdict(&self) -> Verdict {
+        if matches!(self.request.ending, Ending::Cut | Ending::Closed) {
+            self.excuse().map_or(Verdict::Broken, Verdict::Excused)
+        } else {
+            Verdict::NotCut
+        }
+    }
+
+    /// Returns whether a request breaks no rule and may still show a fault: nobody harmed the
+    /// instance or a server that ran the request.
+    fn is_noteworthy(&self, verdict: Verdict) -> bool {
+        let RequestRecord { instance, span, .. } = *self.request;
+        let is_unanswered = self.request.ending == Ending::TimedOut
+            && !self.history.is_instance_disrupted(instance, span);
+        let is_beside_store = verdict == Verdict::Excused(Excuse::StoreUnplanned);
+        (is_unanswered || is_beside_store) && !self.has_server_broken_off()
+    }
+
     fn excuse(&self) -> Option<Excuse> {
         let RequestRecord { instance, span, .. } = *self.request;
         let lasted_ms = span.to_ms - span.from_ms;
@@ -91,7 +122,12 @@
             return Some(Excuse::Crossed);
         }
         if self.history.is_unplanned(instance, span) {
-            return Some(Excuse::Unplanned);
+            let is_own = self.history.is_instance_disrupted(instance, span);
+            return Some(if is_own {
+                Excuse::Unplanned
+            } else {
+                Excuse::StoreUnplanned
+            });
         }
         let is_near = self.history.is_around_planned_work(instance, span);
         if !is_near && !self.history.is_in_touch(instance, span) {
--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -88,7 +88,7 @@
 }
 
 impl Shared {
-    fn new(seed: u64, addresses: Vec<SocketAddr>) -> Self {
+    pub fn new(seed: u64, addresses: Vec<SocketAddr>) -> Self {
         Self {
             clock: SoakClock::start(),
             addresses,
@@ -155,9 +155,7 @@
     findings.extend(judge_requests::judge(&shared, &runs));
     findings.extend(judge_jobs::judge(&shared));
     findings.sort_by_key(|finding| finding.at_ms);
-    if !findings.is_empty() {
-        print_history(&shared);
-    }
+    print_history(&shared);
     findings
 }
 
