--- a/crates/node/tests/many_items.rs
+++ b/crates/node/tests/many_items.rs
@@ -9,9 +9,14 @@
     crowd_cluster::{BODY_MAX_BYTES, CrowdCluster},
     send_request,
 };
+use tokio::sync::Mutex;
 
 /// Number of jobs, one after the other.
 const JOBS: usize = 6;
+/// Number of jobs whose items have long headers.
+const LONG_JOBS: usize = 40;
+/// Size of a long header, bytes. The pages allow 16 KB.
+const HEADER_BYTES: usize = 9_000;
 /// Number of items that the pages allow in a job.
 const ITEMS_MAX: usize = 200;
 /// Time that an item runs, so that no job ends meanwhile.
@@ -34,6 +39,16 @@
     body
 }
 
+/// Returns a job that the pages allow, which consists of long headers.
+fn job_of_long_headers() -> String {
+    let header = "h".repeat(HEADER_BYTES);
+    let item = |number| {
+        format!("{{\"id\":\"{number}\",\"path\":\"/batch/\",\"headers\":{{\"a\":\"{header}\"}}}}")
+    };
+    let items: Vec<_> = (0..ITEMS_MAX).map(item).collect();
+    format!("{{\"items\":[{}]}}", items.join(","))
+}
+
 /// Returns a job of as many items as the pages allow, which have so many headers that the body
 /// almost has the maximum size.
 fn job_of_many_headers() -> String {
@@ -51,6 +66,9 @@
     format!("{{\"items\":[{}]}}", items.join(","))
 }
 
+/// Only one test of this file runs at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 async fn submit(address: SocketAddr, id: &str, body: &str) -> Option<u16> {
     let headers = [
         ("host", HOST),
@@ -63,12 +81,13 @@
 }
 
 /// Submits jobs one after the other and checks what must hold.
-async fn process_withstands_jobs(body: &str) {
+async fn process_withstands_jobs(jobs: usize, body: &str) {
     assert!(body.len() <= BODY_MAX_BYTES);
+    let _turn = TURN.lock().await;
     let mut cluster = CrowdCluster::start(ITEM_DURATION).await;
     let address = cluster.cluster.nodes[0].callers_address;
     let mut statuses = Vec::new();
-    for number in 0..JOBS {
+    for number in 0..jobs {
         statuses.push(submit(address, &format!("job-{number}"), body).await);
     }
     println!("{statuses:?}");
@@ -80,13 +99,19 @@
 /// Guards against what an item costs besides its bytes.
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_of_small_items_stay_within_memory() {
-    process_withstands_jobs(&job_of_small_items("\"a\":\"\"")).await;
+    process_withstands_jobs(JOBS, &job_of_small_items("\"a\":\"\"")).await;
 }
 
 /// Guards against what a header of an item costs besides its bytes.
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_of_many_headers_stay_within_memory() {
-    process_withstands_jobs(&job_of_many_headers()).await;
+    process_withstands_jobs(JOBS, &job_of_many_headers()).await;
+}
+
+/// Guards against the headers of accepted jobs, which stay in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_long_headers_stay_within_memory() {
+    process_withstands_jobs(LONG_JOBS, &job_of_long_headers()).await;
 }
 
 /// An item with more headers than a request can have ended the task that decoded it.
@@ -97,5 +122,5 @@
         .collect();
     let headers = headers.join(",");
     let item = format!("{{\"id\":\"i\",\"path\":\"/batch/\",\"headers\":{{{headers}}}}}");
-    process_withstands_jobs(&format!("{{\"items\":[{item}]}}")).await;
+    process_withstands_jobs(JOBS, &format!("{{\"items\":[{item}]}}")).await;
 }
--- a/crates/node/tests/support/crowd_cluster.rs
+++ b/crates/node/tests/support/crowd_cluster.rs
@@ -268,11 +268,20 @@
     }
 
     /// Checks everything that must hold after the crowds of a test.
-    pub fn assert_holds(mut self) {
+    pub fn assert_holds(self) {
+        self.assert_holds_after(CLIENTS);
+    }
+
+    /// Checks everything that must hold after crowds of `clients` clients. A process may have a
+    /// descriptor for each of them, up to those of the machine.
+    pub fn assert_holds_after(mut self, clients: usize) {
         for (index, monitor) in self.monitors.iter().enumerate() {
             let has_exited = self.cluster.nodes[index].has_exited();
             match monitor.peak().filter(|_| !has_exited) {
-                Some(peak) => self.problems.extend(problems_of_usage(index, peak)),
+                Some(peak) => {
+                    self.problems
+                        .extend(problems_of_usage(index, peak, clients));
+                }
                 None => self.problems.push(format!("process {index} ended")),
             }
         }
@@ -305,7 +314,7 @@
     run.rsplit_once(ITEM_SEPARATOR).map_or(run, |(job, _)| job)
 }
 
-fn problems_of_usage(index: usize, peak: PeakUsage) -> Vec<String> {
+fn problems_of_usage(index: usize, peak: PeakUsage, clients: usize) -> Vec<String> {
     println!("process {index}: {peak:?}");
     let memory_max_bytes = MEMORY_MB * BYTES_PER_MB;
     let mut problems = Vec::new();
@@ -314,7 +323,7 @@
             "process {index} has more than {MEMORY_MB} MB: {peak:?}"
         ));
     }
-    let descriptors_max = DESCRIPTORS_MAX.min(CLIENTS + OTHER_DESCRIPTORS_MAX);
+    let descriptors_max = DESCRIPTORS_MAX.min(clients + OTHER_DESCRIPTORS_MAX);
     if peak.descriptors > descriptors_max {
         problems.push(format!(
             "process {index} has more than {descriptors_max} descriptors: {peak:?}"
--- a/crates/node/tests/unfinished_heads.rs
+++ b/crates/node/tests/unfinished_heads.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use support::crowd_cluster::CrowdCluster;
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout};
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Mutex, time::timeout};
 
 /// Number of connections.
 const CONNECTIONS: usize = 150;
@@ -14,6 +14,9 @@
 /// Time for which a connection is written to.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Only one test of this file runs at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 /// Opens a connection and sends the beginning of a head. An error means that the process closed
 /// the connection.
 async fn send_head(address: SocketAddr) -> TcpStream {
@@ -27,6 +30,7 @@
 }
 
 async fn process_withstands_heads(address_of: impl Fn(&CrowdCluster) -> SocketAddr) {
+    let _turn = TURN.lock().await;
     let mut cluster = CrowdCluster::start(Duration::ZERO).await;
     let address = address_of(&cluster);
     let mut streams = Vec::new();
