The soak knows when its own process stalls

Gaps of the soak's own process are recorded; a cut during one is excused, and one of a second or more counts as a disruption of the machine. After a failure the logs of the instances are printed, which were lost.

--- a/crates/node/tests/soak_judge.rs
+++ b/crates/node/tests/soak_judge.rs
@@ -132,6 +132,20 @@
     assert_eq!(count_cuts(&shared, span, &passed_on()), 1);
 }
 
+#[test]
+fn cut_is_excused_while_the_soak_itself_stalls() {
+    let span = Span::new(CALM_MS, CALM_MS + 50);
+    let short = |from_ms| {
+        let stall = Span::new(from_ms, from_ms + 100);
+        with_deed(Part::Machine, Deed::Stall, stall)
+    };
+    assert_eq!(count_cuts(&short(CALM_MS), span, &passed_on()), 0);
+    assert_eq!(count_cuts(&short(CALM_MS - 200), span, &passed_on()), 1);
+    let long = Span::new(CALM_MS - 4_000, CALM_MS - 3_000);
+    let long = with_deed(Part::Machine, Deed::Stall, long);
+    assert_eq!(count_cuts(&long, span, &passed_on()), 0);
+}
+
 #[test]
 fn request_at_its_deadline_is_excused() {
     let span = Span::new(CALM_MS, CALM_MS + 5_000);
--- a/crates/node/tests/support/soak/judge_requests.rs
+++ b/crates/node/tests/support/soak/judge_requests.rs
@@ -43,6 +43,8 @@
     /// A server that ran it, or might have, was disrupted.
     ServerBrokeOff,
     DeadlineReached,
+    /// The soak's own process stalled meanwhile.
+    Stalled,
     /// It was sent early in a planned stop, and lasted up to its end.
     LastedAsLongAsStop,
 }
@@ -133,6 +135,9 @@
         if !is_near && !self.history.is_in_touch(instance, span) {
             return Some(Excuse::OutOfTouch);
         }
+        if self.history.is_stalled(span) {
+            return Some(Excuse::Stalled);
+        }
         if self.has_server_broken_off() {
             return Some(Excuse::ServerBrokeOff);
         }
--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -29,7 +29,7 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use callers::RequestRecord;
-use history::{History, SoakClock};
+use history::{Deed, History, Part, STALL_MIN_MS, SoakClock, Span};
 use job_log::JobLog;
 use operator::Operator;
 use plan::Family;
@@ -141,6 +141,7 @@
     let until_ms = u64::try_from(settings.duration.as_millis()).unwrap();
     let plan = plan::draw(settings.seed, family, settings.instances, until_ms);
     let mut operator = Operator::new(cluster, store_paths, Arc::clone(&shared), plan);
+    tokio::spawn(watch_for_stalls(Arc::clone(&shared)));
     let clients = start_clients(&shared);
     while shared.clock.now_ms() < until_ms {
         operator.tick().await;
@@ -156,6 +157,11 @@
     findings.extend(judge_jobs::judge(&shared));
     findings.sort_by_key(|finding| finding.at_ms);
     print_history(&shared);
+    if !findings.is_empty() {
+        for node in &operator.cluster.nodes {
+            println!("log of {}:\n{}", node.callers_address, node.log());
+        }
+    }
     findings
 }
 
@@ -173,6 +179,20 @@
     clients
 }
 
+/// Records when this process had no processor.
+async fn watch_for_stalls(shared: Arc<Shared>) {
+    let mut last_ms = shared.clock.now_ms();
+    loop {
+        sleep(TICK).await;
+        let now_ms = shared.clock.now_ms();
+        if now_ms >= last_ms + STALL_MIN_MS {
+            let mut history = shared.history.lock().unwrap();
+            history.record(Part::Machine, Deed::Stall, Span::new(last_ms, now_ms));
+        }
+        last_ms = now_ms;
+    }
+}
+
 fn print_history(shared: &Shared) {
     let mut entries = shared.history.lock().unwrap().entries().to_vec();
     entries.sort_by_key(|entry| entry.span.from_ms);
