--- a/crates/node/tests/support/soak/operator.rs
+++ b/crates/node/tests/support/soak/operator.rs
@@ -32,6 +32,10 @@
     pub cluster: TestCluster,
     pub shared: Arc<Shared>,
     pub states: Vec<ProcessState>,
+    /// When each process was last started, milliseconds since the soak began.
+    pub started_ms: Vec<u64>,
+    /// How long each process has waited for a processor, milliseconds.
+    pub waited_ms: Vec<u64>,
     /// Paths to the store, by instance.
     pub store_paths: Vec<StoreProxy>,
     /// Instances that are cut off from the store, each with the time at which that ends.
@@ -88,6 +92,8 @@
     ) -> Self {
         Self {
             states: vec![ProcessState::Running; cluster.nodes.len()],
+            started_ms: vec![0; cluster.nodes.len()],
+            waited_ms: vec![0; cluster.nodes.len()],
             cluster,
             shared,
             store_paths,
@@ -108,6 +114,7 @@
         }
         for instance in 0..self.states.len() {
             self.advance(instance);
+            self.watch_for_stall(instance);
         }
         self.end_cut_offs();
         self.write_due().await;
