Signals are handled before a process opens its ports

What callers saw: a process that had just accepted their connections ended without an answer (SIGHUP), or without the rest of a planned stop (SIGTERM).

Cause: the handlers were installed after all listeners had been opened; until then the kernel's default action ends the process.

Why it works: the handlers are installed before the settings are read, and a signal that comes before it is waited for is kept.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -68,15 +68,15 @@
 mod version_lists;
 mod where_query;
 
-use std::{net::SocketAddr, process::ExitCode, rc::Rc};
+use std::{io, net::SocketAddr, process::ExitCode, rc::Rc};
 
 use process::AdminState;
 use tokio::{
-    runtime::Builder,
+    runtime::{Builder, Runtime},
     task::{LocalSet, spawn_local},
 };
 
-use crate::{node::Node, options::Options};
+use crate::{node::Node, options::Options, shutdown::Signals};
 
 const PROGRAM: &str = "redwingtack-node";
 /// Exit code if the settings or the log level are invalid.
@@ -84,6 +84,13 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
+    let (runtime, signals) = match start_runtime() {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("{PROGRAM}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let settings = match platform::read_settings() {
         Ok(settings) => settings,
         Err(problems) => {
@@ -105,15 +112,8 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let runtime = match Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            log::error!("event=exit error={}", process::quote(&error));
-            return ExitCode::FAILURE;
-        }
-    };
     let tasks = LocalSet::new();
-    let result = tasks.block_on(&runtime, run(settings, options.metrics_port));
+    let result = tasks.block_on(&runtime, run(settings, options.metrics_port, signals));
     if let Err(error) = &result {
         log::error!("event=exit error={}", process::quote(error));
     }
@@ -124,15 +124,24 @@
     }
 }
 
+/// Creates the runtime and installs the signal handlers.
+fn start_runtime() -> io::Result<(Runtime, Signals)> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let context = runtime.enter();
+    let signals = Signals::new()?;
+    drop(context);
+    Ok((runtime, signals))
+}
+
 /// Starts all tasks and returns after a planned stop.
 ///
 /// # Errors
 ///
-/// Returns an error if a listener cannot be opened or a signal handler cannot be
-/// installed.
+/// Returns an error if a listener cannot be opened.
 async fn run(
     settings: platform::Settings,
     metrics_port: Option<u16>,
+    signals: Signals,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let admin = AdminState::new()?;
     let node = Rc::new(Node::new(settings));
@@ -155,6 +164,6 @@
     spawn_local(rate_limits::run(Rc::clone(&node)));
     feeds::start(&node);
     jobs::start(&node);
-    shutdown::run_until_stopped(&node).await?;
+    shutdown::run_until_stopped(&node, signals).await;
     Ok(())
 }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -4,7 +4,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     task::spawn_local,
     time::{Instant, sleep, sleep_until},
 };
@@ -29,21 +29,39 @@
 /// Interval of checking whether all connections are closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The signals that the process handles. Until they exist, each of them ends the process at
+/// once, so they are created before anything else. A signal that comes before it is waited for
+/// is kept.
+#[derive(Debug)]
+pub(crate) struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Installs the signal handlers. Must be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a handler cannot be installed.
+    pub(crate) fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for a signal that begins a planned stop, and returns when the stop is
 /// complete.
-///
-/// # Errors
-///
-/// Returns an error if signal handlers cannot be installed.
-pub(crate) async fn run_until_stopped(node: &Rc<Node>) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+pub(crate) async fn run_until_stopped(node: &Rc<Node>, mut signals: Signals) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => feeds::reload_settings(node),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => feeds::reload_settings(node),
         }
     }
     let grace_ms = node.settings().stop_grace_ms;
@@ -70,7 +88,6 @@
         node.open_requests.get(),
         node.open_connections.get()
     );
-    Ok(())
 }
 
 async fn wait_until_connections_close(node: &Node, deadline: Instant) {
--- a/crates/node/tests/early_signals.rs
+++ b/crates/node/tests/early_signals.rs
@@ -15,9 +15,8 @@
 /// Time in which a signal ends a process that does not handle it.
 const TIME_TO_END: Duration = Duration::from_millis(200);
 
-/// Callers may connect as soon as the port is open, so from then on the settings may be reloaded.
-#[tokio::test(flavor = "multi_thread")]
-async fn settings_may_be_reloaded_as_soon_as_callers_connect() {
+/// Returns how many processes end at once if they get a signal as soon as their port is open.
+async fn count_ended_by(signal: Signal) -> usize {
     let mut cluster = TestCluster::start_without_config(&[4], 0).await;
     let mut ended = 0;
     for number in 0..STARTS {
@@ -27,10 +26,24 @@
         while TcpStream::connect(node.callers_address).is_err() {
             assert!(Instant::now() < deadline, "the port does not open");
         }
-        node.signal(Signal::SIGHUP);
+        node.signal(signal);
         sleep(TIME_TO_END).await;
         ended += usize::from(node.has_exited());
         cluster.nodes.clear();
     }
+    ended
+}
+
+/// Callers may connect as soon as the port is open, so from then on the settings may be reloaded.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_may_be_reloaded_as_soon_as_callers_connect() {
+    let ended = count_ended_by(Signal::SIGHUP).await;
+    assert_eq!(ended, 0, "processes ended, of {STARTS}");
+}
+
+/// Guards against a process that ends without serving the requests that it has taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_is_planned_as_soon_as_callers_connect() {
+    let ended = count_ended_by(Signal::SIGTERM).await;
     assert_eq!(ended, 0, "processes ended, of {STARTS}");
 }
