--- a/crates/node/tests/many_connections.rs
+++ b/crates/node/tests/many_connections.rs
@@ -11,6 +11,7 @@
 use tokio::{
     net::TcpStream,
     sync::{Mutex, MutexGuard},
+    time::sleep,
 };
 
 /// Number of connections. The machine has 400 descriptors.
@@ -21,6 +22,9 @@
 const ANNOUNCED_BYTES: usize = 8 << 30;
 const OVER_LIMIT_BYTES: usize = 16 << 20;
 
+/// Time for which idle connections stay open, so that the usage of the process is seen meanwhile.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+
 /// Only one test of this file runs at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
@@ -60,6 +64,7 @@
         streams.extend(TcpStream::connect(address).await.ok());
     }
     cluster.serve_ordinary("beside").await;
+    sleep(IDLE_TIME).await;
     drop(streams);
     cluster.serve_ordinary("after").await;
     cluster.assert_holds_after(CONNECTIONS);
