--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -4,9 +4,9 @@
 use std::{rc::Rc, sync::Arc};
 
 use gateway::{
-    AttemptEnd, AttemptHash, CrashCause, Customer, FinalAnswer, NextStep, Placement,
-    PlacementRequest, QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint,
-    RetryState, Route, Target, VersionHash, WorkKind,
+    AttemptEnd, AttemptHash, CrashCause, Customer, NextStep, Placement, PlacementRequest,
+    QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target,
+    VersionHash, WorkKind,
 };
 use http::{Response, StatusCode, header, request};
 use model::{ServiceName, shared_parts};
@@ -17,14 +17,13 @@
     crash_detection::join_parts,
     dispatch::{CallerRequest, host_of},
     end_to_end_headers::copy_end_to_end_headers,
+    no_answer::{NOT_RUN_RETRY_AFTER_MS, NoAnswer},
     node::Node,
     quarantine, quotas,
     relay::Relay,
     stream_versions::{self, OriginUnknown, StreamKeys},
 };
 
-/// Retry-after hint for a request that no upstream ran, milliseconds.
-const NOT_RUN_RETRY_AFTER_MS: u64 = 300;
 /// Retry-after hint for a request that this instance has no time for before it stops,
 /// milliseconds. The hint is short because other instances can serve the request.
 const STOPPING_RETRY_AFTER_MS: u64 = 10;
@@ -58,18 +57,6 @@
     pub(crate) is_empty_stated: bool,
 }
 
-/// Why the caller gets no answer of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoAnswer {
-    /// The request was not placed at any upstream, so nothing ran.
-    Refused {
-        reason: RefusalReason,
-        retry_after_ms: u64,
-    },
-    /// All attempts failed.
-    Failed(FinalAnswer),
-}
-
 /// Forwards a request to an upstream of its route, and returns the answer for the caller.
 pub(crate) async fn forward(node: &Rc<Node>, call: CallerRequest) -> Response<AnswerBody> {
     let CallerRequest {
@@ -129,7 +116,7 @@
             Ok(answer) => self.relay_answer(answer),
             Err(no_answer) => {
                 self.record_unanswered(no_answer);
-                response_for(no_answer)
+                no_answer.response()
             }
         }
     }
@@ -440,56 +427,6 @@
     }
 }
 
-impl NoAnswer {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused { reason, .. } => reason.as_str(),
-            Self::Failed(FinalAnswer::NotRun) => "not_run",
-            Self::Failed(FinalAnswer::Unknown) => "unknown",
-            Self::Failed(FinalAnswer::TimedOut) => "timed_out",
-        }
-    }
-}
-
-fn response_for(no_answer: NoAnswer) -> Response<AnswerBody> {
-    match no_answer {
-        NoAnswer::Refused {
-            reason: RefusalReason::Quarantined,
-            retry_after_ms,
-        } => answer::service_unavailable(
-            retry_after_ms,
-            "the request or a part of its prompt crashes upstreams",
-        ),
-        NoAnswer::Refused {
-            reason: RefusalReason::VersionGone | RefusalReason::VersionUnknown,
-            retry_after_ms,
-        } => answer::service_unavailable(
-            retry_after_ms,
-            "no upstream is known to run the version that began the stream",
-        ),
-        NoAnswer::Refused {
-            reason: RefusalReason::OverQuota,
-            retry_after_ms,
-        } => answer::too_many_requests(retry_after_ms, "the quota is used up"),
-        NoAnswer::Refused {
-            reason: RefusalReason::Stopping,
-            retry_after_ms,
-        } => answer::service_unavailable(retry_after_ms, "this instance is stopping"),
-        NoAnswer::Refused { retry_after_ms, .. } => {
-            answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
-        }
-        NoAnswer::Failed(FinalAnswer::NotRun) => {
-            answer::service_unavailable(NOT_RUN_RETRY_AFTER_MS, "no upstream ran the request")
-        }
-        NoAnswer::Failed(FinalAnswer::Unknown) => {
-            answer::text(StatusCode::BAD_GATEWAY, "the upstream's answer was lost")
-        }
-        NoAnswer::Failed(FinalAnswer::TimedOut) => {
-            answer::text(StatusCode::GATEWAY_TIMEOUT, "no answer before the deadline")
-        }
-    }
-}
-
 /// Returns the fingerprint of a caller's request. Headers but for the host do not count,
 /// since many of them differ between a request and its repetition.
 fn fingerprint(parts: &request::Parts, body: &[u8]) -> RequestFingerprint {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -45,6 +45,7 @@
 mod listener;
 mod load_notices;
 mod metrics;
+mod no_answer;
 mod node;
 mod options;
 mod origin_exchange;
