Logs tell why a request is taken during a planned stop, and which answers its end cuts

An answer that the end of the process cut was logged as closed by its caller, if at all: the log was flushed before the answers in progress were dropped. And nothing said whether a request was taken because its deadline bounds it or because others of its route were short.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod peer_loads;
 mod peers;
 mod placement;
+mod planned_stop;
 mod prefill_rate;
 mod preview;
 mod probation;
@@ -92,6 +93,7 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption},
+    planned_stop::{EndBound, PlannedStop},
     preview::{Exclusion, Preview, UpstreamPreview, Weighing},
     probation::RequestTrial,
     prompt_placement::{PromptRead, ServiceMemory},
--- /dev/null
+++ b/crates/gateway/src/planned_stop.rs
@@ -0,0 +1,49 @@
+//! Which requests an instance still takes during a planned stop.
+
+use crate::{request_durations::RequestDurations, route::Route};
+
+/// A planned stop that has begun. Times are milliseconds on the clock of the instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannedStop {
+    /// When the requests in progress are ended.
+    pub end_ms: u64,
+}
+
+/// Why a request is expected to end before a planned stop does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndBound {
+    /// Its deadline is earlier.
+    Deadline,
+    /// The requests of its route have not lasted so long lately.
+    Durations,
+}
+
+impl EndBound {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Durations => "durations",
+        }
+    }
+}
+
+impl PlannedStop {
+    /// Returns why a request that begins now is expected to end in time, or `None` if it must
+    /// not be taken any more.
+    #[must_use]
+    pub fn find_bound(
+        &self,
+        route: &Route,
+        deadline_ms: u64,
+        durations: &RequestDurations,
+        now_ms: u64,
+    ) -> Option<EndBound> {
+        if deadline_ms <= self.end_ms {
+            return Some(EndBound::Deadline);
+        }
+        let is_expected = durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
+        is_expected.then_some(EndBound::Durations)
+    }
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -24,9 +24,6 @@
     stream_versions::{self, OriginUnknown, StreamKeys},
 };
 
-/// Retry-after hint for a request that this instance has no time for before it stops,
-/// milliseconds. The hint is short because other instances can serve the request.
-const STOPPING_RETRY_AFTER_MS: u64 = 10;
 /// Retry-after hint while a trial of a quarantined part waits for an idle upstream,
 /// milliseconds.
 const TRIAL_RETRY_AFTER_MS: u64 = 5_000;
@@ -128,22 +125,6 @@
         self.next_answer(self.resume_after).await
     }
 
-    /// Refuses the request if this instance is expected to stop before its answer ends.
-    fn check_time(&self) -> Result<(), NoAnswer> {
-        if self.node.has_time_for(&self.route, self.deadline_ms) {
-            return Ok(());
-        }
-        let reason = RefusalReason::Stopping;
-        log::warn!(
-            "event=request_not_placed request={} route={} reason={} left_ms={} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
-            self.outgoing.request_id,
-            self.route.name,
-            reason.as_str(),
-            self.deadline_ms.saturating_sub(self.node.now_ms())
-        );
-        Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
-    }
-
     /// Counts the request against the quota of its customer.
     async fn check_quota(&self) -> Result<(), NoAnswer> {
         let Some(customer) = &self.customer else {
@@ -354,7 +335,7 @@
 
     /// Counts a refusal. Returns the answer for the caller, which says that the request did
     /// not run only if no attempt may have run it.
-    fn refuse(&self, reason: RefusalReason, retry_after_ms: u64) -> NoAnswer {
+    pub(crate) fn refuse(&self, reason: RefusalReason, retry_after_ms: u64) -> NoAnswer {
         self.node
             .metrics
             .on_refusal(reason.as_str(), retry_after_ms);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -63,6 +63,7 @@
 mod registrations;
 mod relay;
 mod shutdown;
+mod stop_admission;
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
@@ -118,6 +119,8 @@
     if let Err(error) = &result {
         log::error!("event=exit error={}", process::quote(error));
     }
+    // Answers in progress log that they are cut.
+    drop(tasks);
     logs.flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,8 +9,8 @@
 };
 
 use gateway::{
-    KeyLease, Locality, Preemption, Quarantine, RequestDurations, Route, RouteTable, StreamOrigins,
-    Target, UnknownKeys, UpstreamTable, VersionHistory,
+    KeyLease, Locality, PlannedStop, Preemption, Quarantine, RequestDurations, RouteTable,
+    StreamOrigins, Target, UnknownKeys, UpstreamTable, VersionHistory,
 };
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
@@ -308,13 +308,10 @@
         *self.stage.borrow()
     }
 
-    /// Returns whether a request of a route with this deadline is expected to end before a
-    /// planned stop, if one has begun, cuts its answer.
-    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
-        self.stop_deadline_ms.get().is_none_or(|stop_deadline_ms| {
-            let now_ms = self.now_ms();
-            let durations = self.request_durations.borrow();
-            durations.is_expected_to_end_by(stop_deadline_ms, route, deadline_ms, now_ms)
+    /// Returns the planned stop, if one has begun.
+    pub(crate) fn planned_stop(&self) -> Option<PlannedStop> {
+        Some(PlannedStop {
+            end_ms: self.stop_deadline_ms.get()?,
         })
     }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,6 +14,7 @@
     answer::{AnswerBody, Truncated},
     attempt::{AttemptFailure, UpstreamAnswer},
     forward::OnlineRequest,
+    node::Stage,
 };
 
 /// Time-out between complete events if another upstream can resume the stream, in
@@ -47,7 +48,12 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if !self.has_ended {
+        if self.has_ended {
+            return;
+        }
+        if self.request.node.stage() == Stage::Ending {
+            self.log_outcome("cut", "this instance has stopped");
+        } else {
             self.log_outcome("abandoned", "the caller closed the connection");
         }
     }
--- /dev/null
+++ b/crates/node/src/stop_admission.rs
@@ -0,0 +1,62 @@
+//! Applies to online requests what is decided about the time that a planned stop leaves.
+
+use gateway::{EndBound, PlannedStop, RefusalReason, Route};
+
+use crate::{forward::OnlineRequest, no_answer::NoAnswer, node::Node};
+
+/// Retry-after hint for a request that this instance has no time for before it stops,
+/// milliseconds. The hint is short because other instances can serve the request.
+const STOPPING_RETRY_AFTER_MS: u64 = 10;
+
+impl Node {
+    /// Returns whether a request of a route with this deadline is expected to end before a
+    /// planned stop, if one has begun, cuts its answer.
+    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
+        self.planned_stop()
+            .is_none_or(|stop| self.find_end_bound(stop, route, deadline_ms).is_some())
+    }
+
+    fn find_end_bound(
+        &self,
+        stop: PlannedStop,
+        route: &Route,
+        deadline_ms: u64,
+    ) -> Option<EndBound> {
+        let durations = self.request_durations.borrow();
+        stop.find_bound(route, deadline_ms, &durations, self.now_ms())
+    }
+}
+
+impl OnlineRequest {
+    /// Refuses the request if this instance is expected to stop before its answer ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub(crate) fn check_time(&self) -> Result<(), NoAnswer> {
+        let Some(stop) = self.node.planned_stop() else {
+            return Ok(());
+        };
+        let now_ms = self.node.now_ms();
+        let left_ms = self.deadline_ms.saturating_sub(now_ms);
+        let stop_left_ms = stop.end_ms.saturating_sub(now_ms);
+        let request = &self.outgoing.request_id;
+        let route = &self.route.name;
+        if let Some(bound) = self
+            .node
+            .find_end_bound(stop, &self.route, self.deadline_ms)
+        {
+            log::info!(
+                "event=request_taken_while_stopping request={request} route={route} bound={} left_ms={left_ms} stop_left_ms={stop_left_ms}",
+                bound.as_str()
+            );
+            return Ok(());
+        }
+        let reason = RefusalReason::Stopping;
+        log::warn!(
+            "event=request_not_placed request={request} route={route} reason={} left_ms={left_ms} stop_left_ms={stop_left_ms} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
+            reason.as_str()
+        );
+        Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
+    }
+}
