--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -36,6 +36,8 @@
 /// whether an instance is ready, and takes it out of rotation after two misses. An instance
 /// without connections may end soon after.
 const IN_ROTATION: Duration = Duration::from_secs(2);
+/// Time from the signal in which requests are sent that a stop may cut at its end.
+const MAY_BE_CUT: Duration = Duration::from_secs(3);
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(30);
 /// Time that callers wait, which is longer than the rest of the stop for most of them.
@@ -48,12 +50,14 @@
 }
 
 impl SlowServer {
-    /// Starts a server whose streams begin at once and end after `duration`.
-    fn start(duration: Duration) -> Self {
+    /// Starts a server whose streams begin at once and end after the duration that `duration_of`
+    /// returns for the id of the request.
+    fn start(duration_of: impl Fn(&str) -> Duration + Send + 'static) -> Self {
         let requests = Arc::new(Mutex::new(BTreeSet::new()));
         let ids = Arc::clone(&requests);
         let server = ScriptedServer::start(move |head, stream| {
             ids.lock().unwrap().insert(head.id.clone());
+            let duration = duration_of(&head.id);
             answer_slowly(head, stream, duration)
         });
         Self { server, requests }
@@ -81,6 +85,18 @@
     let _ = stream.write_all(b"0\r\n\r\n").await;
 }
 
+/// Answers with the whole stream at once, after a silence.
+async fn answer_after(head: RequestHead, mut stream: TcpStream, silence: Duration) {
+    sleep(silence).await;
+    let body = complete_stream(&head.id);
+    let length = body.len();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nRedwingtack-Server-Stamp: stamp\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    // The other side may have closed the connection.
+    let _ = stream.write_all(answer.as_bytes()).await;
+}
+
 /// What came of a request that was sent during the stop.
 #[derive(Debug)]
 struct Outcome {
@@ -92,11 +108,20 @@
 }
 
 async fn send(cluster: &TestCluster, path: &'static str, id: String) -> std::io::Result<Answer> {
+    send_with_deadline(cluster, path, id, DEADLINE_MS).await
+}
+
+async fn send_with_deadline(
+    cluster: &TestCluster,
+    path: &'static str,
+    id: String,
+    deadline_ms: &str,
+) -> std::io::Result<Answer> {
     let address = cluster.nodes[0].callers_address;
     let headers = [
         ("host", HOST),
         ("redwingtack-request-id", id.as_str()),
-        ("redwingtack-deadline-ms", DEADLINE_MS),
+        ("redwingtack-deadline-ms", deadline_ms),
     ];
     send_request(address, "POST", path, &headers, b"prompt".to_vec()).await
 }
@@ -107,9 +132,16 @@
     path: &'static str,
     duration: Duration,
 ) -> (Vec<Outcome>, SlowServer, TestCluster) {
-    let slow = SlowServer::start(duration);
-    let cluster = TestCluster::start(&[8], 1).await;
-    cluster.unregister_server(0).await;
+    outcomes_beside(SlowServer::start(move |_| duration), path, DEADLINE_MS).await
+}
+
+/// Like [`outcomes_of_a_stop`], with callers that wait for another time.
+async fn outcomes_beside(
+    slow: SlowServer,
+    path: &'static str,
+    deadline_ms: &'static str,
+) -> (Vec<Outcome>, SlowServer, TestCluster) {
+    let cluster = start_with_all_kinds().await;
     slow.server.register(&cluster, "slow", 400).await;
     sleep(Duration::from_millis(300)).await;
     for number in 0..2 {
@@ -125,7 +157,8 @@
         let cluster = Arc::clone(&cluster);
         requests.spawn(async move {
             let sent_after = stopped_at.elapsed();
-            let answer = match send(&cluster, path, id.clone()).await {
+            let answer = send_with_deadline(&cluster, path, id.clone(), deadline_ms);
+            let answer = match answer.await {
                 Ok(answer) => Some(answer),
                 Err(error) => {
                     assert_ne!(error.kind(), ErrorKind::ConnectionRefused, "{sent_after:?}");
@@ -196,6 +229,77 @@
     assert_none_is_cut(&outcomes, &slow);
 }
 
+/// Returns how long a stream lasts on a route of short streams, of which one in four is long once
+/// the stop has begun.
+fn duration_with_long_ones(id: &str) -> Duration {
+    let number: Option<u32> = id.strip_prefix('r').and_then(|number| number.parse().ok());
+    if number.is_some_and(|number| number % 4 == 0) {
+        Duration::from_millis(3_500)
+    } else {
+        Duration::from_millis(750)
+    }
+}
+
+/// Guards against a stream that is taken late in a planned stop because those before it were short,
+/// and cut after some of its events.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_outlasts_those_before_it_is_not_cut_by_a_stop() {
+    for path in ["/once/x", "/long/x"] {
+        let slow = SlowServer::start(duration_with_long_ones);
+        let (mut outcomes, slow, _cluster) = outcomes_beside(slow, path, DEADLINE_MS).await;
+        outcomes.retain(|outcome| outcome.sent_after > MAY_BE_CUT);
+        assert!(!outcomes.is_empty());
+        assert_none_is_cut(&outcomes, &slow);
+    }
+}
+
+/// Guards against an answer that is cut although it could still have been replaced by a failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_outlasts_a_stop_is_a_failure_and_not_cut() {
+    for path in ["/idempotent/x", "/non_idempotent/x"] {
+        let slow = SlowServer::start(duration_with_long_ones);
+        let (mut outcomes, _slow, _cluster) = outcomes_beside(slow, path, DEADLINE_MS).await;
+        outcomes.retain(|outcome| outcome.sent_after > MAY_BE_CUT);
+        assert!(!outcomes.is_empty());
+        for outcome in outcomes {
+            let answer = outcome.answer.expect("an answer");
+            assert!(answer.is_complete, "{}: {answer:?}", outcome.id);
+            if answer.status == StatusCode::OK {
+                assert_eq!(answer.body, complete_stream(&outcome.id));
+            }
+        }
+    }
+}
+
+/// Guards against a second attempt that replaces one of a sound server and cannot end in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_request_does_not_begin_again_late_in_a_stop() {
+    let servers = [(); 2].map(|()| {
+        ScriptedServer::start(async |head, stream| {
+            let duration = if head.id == "late" { 2_200 } else { 100 };
+            answer_after(head, stream, Duration::from_millis(duration)).await;
+        })
+    });
+    let mut cluster = start_with_all_kinds().await;
+    for (server, id) in servers.iter().zip(["a", "b"]) {
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    for number in 0..4 {
+        let id = format!("before-{number}");
+        let answer = send(&cluster, "/idempotent/x", id).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    // An instance without connections may end early.
+    let kept = TcpStream::connect(cluster.nodes[0].callers_address).await;
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    sleep(MAY_BE_CUT).await;
+    let answer = send(&cluster, "/idempotent/x", "late".to_owned()).await;
+    drop(kept);
+    assert_eq!(answer.unwrap().body, complete_stream("late"));
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
 /// A stop refuses nothing that it can still do, and answers on new connections until it accepts
 /// none.
 #[tokio::test(flavor = "multi_thread")]
@@ -324,6 +428,23 @@
     }
 }
 
+/// Starts an instance with routes of all kinds, without a server.
+async fn start_with_all_kinds() -> TestCluster {
+    let cluster = TestCluster::start(&[8], 1).await;
+    cluster.unregister_server(0).await;
+    let mut config = config(2, 0);
+    let routes = config["routes"].as_array_mut().unwrap();
+    for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
+        routes.push(json!({
+            "name": kind, "host": HOST, "path_prefix": format!("/{kind}/"), "kind": kind,
+            "timeout_ms": 5000, "goal_ms": 300, "priority": 0, "max_attempts": attempts_max,
+            "service": "oracle"
+        }));
+    }
+    cluster.put_row("op", "config", &config).await;
+    cluster
+}
+
 /// Starts an instance whose routes let requests last longer than a stop, without a server.
 async fn start_with_long_time_outs() -> TestCluster {
     let cluster = TestCluster::start(&[8], 1).await;
