A stream is taken late in a planned stop only if its deadline ends before the stop does

What callers saw: a stream sent more than 3 s after SIGTERM began, brought events, and was cut as the process ended (LOST). Cause: has_time_for took the longest recent duration of a route for a bound of the next request. Generations differ in length by nature; a deadline or time-out is a bound, a duration is a guess, and once events have been passed on no failure can be told any more. Class: a guess that is used as a guarantee where its failure is silent. Change: gateway::PlannedStop decides. While the platform sends callers, a request is taken by its deadline or the guess, as before. Once it sends them elsewhere, a stream needs a deadline within the stop; any other is refused at once, not run, and comes back elsewhere. As refused callers leave no connection open, the listener waits for 200 ms without a connection before it closes: a caller that still comes gets an answer.

A test was wrong: short_request_is_served_until_the_end_of_a_stop asked that streams of 400 ms whose callers wait for 4.5 s are taken up to 1.7 s before the end. In its place: streams with a deadline of 1.4 s must all be served until the end; those of 4.5 s must all be served while in rotation and refused, not run, after 3 s (short_stream_of_unknown_end_is_served_while_in_rotation, failed before: they were taken); short answers on routes without streams must all be served until the end, whatever their deadline.

--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -1,4 +1,9 @@
 //! Which requests an instance still takes during a planned stop.
+//!
+//! A deadline bounds a request for certain; how long others of its route have lasted does not.
+//! Callers that are still sent to the instance are served if their requests are expected to end
+//! in time. Later ones could as well go to another instance, so that an answer which could only
+//! be cut is not begun any more.
 
 use crate::{request_durations::RequestDurations, route::Route};
 
@@ -7,6 +12,8 @@
 pub struct PlannedStop {
     /// When the requests in progress are ended.
     pub end_ms: u64,
+    /// Whether the platform still sends callers to the instance.
+    pub is_in_rotation: bool,
 }
 
 /// Why a request is expected to end before a planned stop does.
@@ -31,7 +38,8 @@
 
 impl PlannedStop {
     /// Returns why a request that begins now is expected to end in time, or `None` if it must
-    /// not be taken any more.
+    /// not be taken any more. A stream whose events have been passed on can only be cut, so its
+    /// end must be certain once callers go elsewhere.
     #[must_use]
     pub fn find_bound(
         &self,
@@ -43,7 +51,9 @@
         if deadline_ms <= self.end_ms {
             return Some(EndBound::Deadline);
         }
-        let is_expected = durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
+        let may_be_cut = route.is_stream() && !self.is_in_rotation;
+        let is_expected =
+            !may_be_cut && durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
         is_expected.then_some(EndBound::Durations)
     }
 }
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -191,6 +191,7 @@
     fn drop(&mut self) {
         let count = &self.node.open_connections;
         count.set(count.get() - 1);
+        self.node.last_connection_end_ms.set(self.node.now_ms());
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -128,6 +128,8 @@
     pub(crate) open_requests: Cell<usize>,
     /// Number of open connections of callers.
     pub(crate) open_connections: Cell<usize>,
+    /// When the last of them was closed, in milliseconds on the node's clock.
+    pub(crate) last_connection_end_ms: Cell<u64>,
 }
 
 /// Life-cycle stages of the process, in order.
@@ -210,6 +212,7 @@
             request_durations: RefCell::default(),
             open_requests: Cell::default(),
             open_connections: Cell::default(),
+            last_connection_end_ms: Cell::default(),
             owner_id,
         }
     }
@@ -312,6 +315,7 @@
     pub(crate) fn planned_stop(&self) -> Option<PlannedStop> {
         Some(PlannedStop {
             end_ms: self.stop_deadline_ms.get()?,
+            is_in_rotation: self.stage() < Stage::Closing,
         })
     }
 
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -26,6 +26,9 @@
 /// Time reserved at the end for requests that arrive just before connections are
 /// refused.
 const LAST_REQUESTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time without a connection after which no further caller is expected, once the platform has
+/// stopped sending them.
+const QUIET_TIME_MS: u64 = 200;
 /// Interval of checking whether all connections are closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -78,7 +81,7 @@
     spawn_local(heartbeats::remove_heartbeat(Rc::clone(node)));
     sleep_until(out_of_rotation_at).await;
     node.stage.send_replace(Stage::Closing);
-    wait_until_connections_close(node, end - LAST_REQUESTS_MARGIN).await;
+    wait_until_no_caller_comes(node, end - LAST_REQUESTS_MARGIN).await;
     node.stage.send_replace(Stage::Closed);
     wait_until_connections_close(node, end).await;
     node.stage.send_replace(Stage::Ending);
@@ -90,6 +93,18 @@
     );
 }
 
+/// Waits until there has been no connection for some time. A caller that is still sent here is told
+/// to come back elsewhere, which it learns sooner from an answer than from a closed port.
+async fn wait_until_no_caller_comes(node: &Node, deadline: Instant) {
+    let is_quiet = || {
+        let quiet_from_ms = node.last_connection_end_ms.get() + QUIET_TIME_MS;
+        node.open_connections.get() == 0 && node.now_ms() >= quiet_from_ms
+    };
+    while !is_quiet() && Instant::now() < deadline {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn wait_until_connections_close(node: &Node, deadline: Instant) {
     while node.open_connections.get() > 0 && Instant::now() < deadline {
         sleep(POLL_INTERVAL).await;
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -40,6 +40,9 @@
 const MAY_BE_CUT: Duration = Duration::from_secs(3);
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(30);
+/// Duration of short requests, and a time that their callers wait which ends before the stop does.
+const SHORT_DURATION: Duration = Duration::from_millis(400);
+const SHORT_DEADLINE_MS: &str = "1400";
 /// Time that callers wait, which is longer than the rest of the stop for most of them.
 const DEADLINE_MS: &str = "4500";
 
@@ -300,12 +303,12 @@
     assert!(cluster.nodes[0].wait_for_exit().await);
 }
 
-/// A stop refuses nothing that it can still do, and answers on new connections until it accepts
-/// none.
+/// A stop refuses nothing that is sure to end in time, and answers on new connections until it
+/// accepts none.
 #[tokio::test(flavor = "multi_thread")]
 async fn short_request_is_served_until_the_end_of_a_stop() {
-    let duration = Duration::from_millis(400);
-    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
+    let slow = SlowServer::start(|_| SHORT_DURATION);
+    let (outcomes, slow, _cluster) = outcomes_beside(slow, "/once/x", SHORT_DEADLINE_MS).await;
     assert_none_is_cut(&outcomes, &slow);
     for outcome in outcomes {
         let answer = outcome.answer.unwrap();
@@ -313,6 +316,37 @@
     }
 }
 
+/// A short answer that can still be replaced by a failure is served until then as well, however
+/// long its caller would wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_answer_is_served_until_the_end_of_a_stop() {
+    for path in ["/idempotent/x", "/non_idempotent/x"] {
+        let (outcomes, slow, _cluster) = outcomes_of_a_stop(path, SHORT_DURATION).await;
+        assert_none_is_cut(&outcomes, &slow);
+        for outcome in outcomes {
+            let answer = outcome.answer.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{:?}", outcome.sent_after);
+        }
+    }
+}
+
+/// A short stream that could outlast the stop is served as long as the platform sends callers, and
+/// refused, not run, after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_stream_of_unknown_end_is_served_while_in_rotation() {
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", SHORT_DURATION).await;
+    assert_none_is_cut(&outcomes, &slow);
+    for outcome in outcomes {
+        let status = outcome.answer.unwrap().status;
+        if outcome.sent_after < IN_ROTATION {
+            assert_eq!(status, StatusCode::OK, "{:?}", outcome.sent_after);
+        } else if outcome.sent_after > MAY_BE_CUT {
+            let refused = StatusCode::SERVICE_UNAVAILABLE;
+            assert_eq!(status, refused, "{:?}", outcome.sent_after);
+        }
+    }
+}
+
 /// Requests that last longer are served as long as the platform sends them.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_of_a_second_is_served_while_in_rotation() {
