An answer that a planned stop may outrun is passed on once it is complete

What callers saw: on routes without streams, a request sent more than 3 s after SIGTERM got its head and some bytes, and was cut as the process ended (LOST). Events of streams aren't held. Evidence: answer_that_outlasts_a_stop_is_a_failure_and_not_cut failed before (cut after 2,567 ms) and passes now.

--- a/crates/node/src/stop_admission.rs
+++ b/crates/node/src/stop_admission.rs
@@ -2,7 +2,7 @@
 
 use gateway::{EndBound, PlannedStop, RefusalReason, Route};
 
-use crate::{forward::OnlineRequest, no_answer::NoAnswer, node::Node};
+use crate::{attempt::UpstreamAnswer, forward::OnlineRequest, no_answer::NoAnswer, node::Node};
 
 /// Retry-after hint for a request that this instance has no time for before it stops,
 /// milliseconds. The hint is short because other instances can serve the request.
@@ -59,4 +59,13 @@
         );
         Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
     }
+
+    /// Returns whether an answer is passed on only once it is complete, so that a planned stop can
+    /// still replace it by a failure. The events of a stream are not held up.
+    pub(crate) fn must_hold(&self, answer: &UpstreamAnswer) -> bool {
+        let is_late = |stop: PlannedStop| !stop.is_in_rotation;
+        self.node.planned_stop().is_some_and(is_late)
+            && !self.is_event_stream(answer)
+            && !answer.body.is_at_known_end()
+    }
 }
