During a planned stop, an attempt is begun again only if it can end in time

What callers saw: a silent request, sent 3 s after SIGTERM, was answered 502 at the end of the stop, though its first server would have answered in time. Change: an attempt that is silent is replaced only if the time after that is four times its silence, which shows that this request lasts longer than others, or if its deadline ends before the stop. After any failed attempt, the time for another is checked again; if there is none, the caller is told at once: 503 if nothing ran, or else 502.

--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -1,4 +1,4 @@
-//! Which requests are taken during a planned stop.
+//! Which requests are taken during a planned stop, and which silent attempts are replaced.
 
 mod support;
 
@@ -61,3 +61,20 @@
     let found = stop(true).find_bound(&route, END_MS + 1, &durations, NOW_MS);
     assert_eq!(found, None);
 }
+
+#[test]
+fn may_replace_silent_by_time_of_silence() {
+    let deadline_ms = END_MS + 5_000;
+    let may_replace = |silence_ms| {
+        let silent_until_ms = NOW_MS + silence_ms;
+        stop(true).may_replace_silent(NOW_MS, silent_until_ms, deadline_ms)
+    };
+    assert!(may_replace(600));
+    assert!(!may_replace(601));
+}
+
+#[test]
+fn may_replace_silent_before_deadline_within_stop() {
+    let silent_until_ms = NOW_MS + 2_000;
+    assert!(stop(false).may_replace_silent(NOW_MS, silent_until_ms, END_MS));
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -123,7 +123,12 @@
         self.check_time()?;
         self.check_quota().await?;
         self.find_version().await?;
-        self.next_answer(self.resume_after).await
+        loop {
+            if let Some(answer) = self.make_attempt(self.resume_after).await? {
+                return Ok(answer);
+            }
+            self.check_time_again()?;
+        }
     }
 
     /// Counts the request against the quota of its customer.
@@ -200,23 +205,34 @@
         resume_after: Option<u64>,
     ) -> Result<UpstreamAnswer, NoAnswer> {
         loop {
-            let (target, expected_ms) = self.place()?;
-            let options = self.attempt_options(expected_ms, resume_after);
-            let failure = match send_attempt(&self.node, &target, &self.outgoing, options).await {
-                Ok(answer) if self.should_retry(&answer) => {
-                    answer.record_failure();
-                    AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
-                }
-                Ok(answer) => match self.check_body(answer).await {
-                    Ok(answer) => return Ok(answer),
-                    Err(failure) => failure,
-                },
-                Err(failure) => failure,
-            };
-            self.record_failed_attempt(&target, &failure)?;
+            if let Some(answer) = self.make_attempt(resume_after).await? {
+                return Ok(answer);
+            }
         }
     }
 
+    /// Makes an attempt. Returns `None` if it failed and another one may be made.
+    async fn make_attempt(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<Option<UpstreamAnswer>, NoAnswer> {
+        let (target, expected_ms) = self.place()?;
+        let options = self.attempt_options(expected_ms, resume_after);
+        let failure = match send_attempt(&self.node, &target, &self.outgoing, options).await {
+            Ok(answer) if self.should_retry(&answer) => {
+                answer.record_failure();
+                AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
+            }
+            Ok(answer) => match self.check_body(answer).await {
+                Ok(answer) => return Ok(Some(answer)),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        self.record_failed_attempt(&target, &failure)?;
+        Ok(None)
+    }
+
     /// Records a failed attempt. Returns an error if no further attempt may be made.
     pub(crate) fn record_failed_attempt(
         &mut self,
@@ -353,7 +369,9 @@
     fn attempt_options(&self, expected_ms: u64, resume_after: Option<u64>) -> AttemptOptions {
         let expected_at_ms = self.node.now_ms() + expected_ms;
         let unresponsive_at_ms = expected_at_ms + HEAD_DELAY_GOALS * self.route.goal_ms;
-        let head_deadline_ms = if self.retries.has_spare_attempt() {
+        let may_replace =
+            self.retries.has_spare_attempt() && self.may_replace_silent(unresponsive_at_ms);
+        let head_deadline_ms = if may_replace {
             unresponsive_at_ms.min(self.deadline_ms)
         } else {
             self.deadline_ms
--- a/crates/node/src/stop_admission.rs
+++ b/crates/node/src/stop_admission.rs
@@ -37,6 +37,25 @@
         let Some(stop) = self.node.planned_stop() else {
             return Ok(());
         };
+        self.check_time_before(stop)
+    }
+
+    /// Like [`Self::check_time`], before another attempt for a request that has been taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for the caller.
+    pub(crate) fn check_time_again(&self) -> Result<(), NoAnswer> {
+        let Some(stop) = self.node.planned_stop() else {
+            return Ok(());
+        };
+        self.check_time_before(PlannedStop {
+            is_in_rotation: true,
+            ..stop
+        })
+    }
+
+    fn check_time_before(&self, stop: PlannedStop) -> Result<(), NoAnswer> {
         let now_ms = self.node.now_ms();
         let left_ms = self.deadline_ms.saturating_sub(now_ms);
         let stop_left_ms = stop.end_ms.saturating_sub(now_ms);
@@ -60,6 +79,14 @@
         Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
     }
 
+    /// Returns whether an attempt that begins now and is silent until `silent_until_ms` may be
+    /// replaced by another one then.
+    pub(crate) fn may_replace_silent(&self, silent_until_ms: u64) -> bool {
+        self.node.planned_stop().is_none_or(|stop| {
+            stop.may_replace_silent(self.node.now_ms(), silent_until_ms, self.deadline_ms)
+        })
+    }
+
     /// Returns whether an answer is passed on only once it is complete, so that a planned stop can
     /// still replace it by a failure. The events of a stream are not held up.
     pub(crate) fn must_hold(&self, answer: &UpstreamAnswer) -> bool {
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -38,6 +38,8 @@
 const IN_ROTATION: Duration = Duration::from_secs(2);
 /// Time from the signal in which requests are sent that a stop may cut at its end.
 const MAY_BE_CUT: Duration = Duration::from_secs(3);
+/// Time from the signal until the rest of the stop is shorter than requests of 750 ms.
+const UNTIL_LATE: Duration = Duration::from_secs(5);
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(30);
 /// Duration of short requests, and a time that their callers wait which ends before the stop does.
@@ -303,6 +305,40 @@
     assert!(cluster.nodes[0].wait_for_exit().await);
 }
 
+/// Guards against another attempt for a request that failed shortly before the end of a stop: it
+/// would run in vain.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_request_does_not_begin_again_at_the_end_of_a_stop() {
+    let late_attempts = Arc::new(Mutex::new(0));
+    let servers = [(); 2].map(|()| {
+        let late_attempts = Arc::clone(&late_attempts);
+        ScriptedServer::start(move |head, stream| {
+            let is_late = head.id == "late";
+            *late_attempts.lock().unwrap() += u32::from(is_late);
+            async move {
+                if is_late {
+                    sleep(UNTIL_LATE).await;
+                    drop(stream);
+                } else {
+                    answer_after(head, stream, Duration::from_millis(750)).await;
+                }
+            }
+        })
+    });
+    let mut cluster = start_with_all_kinds().await;
+    for (server, id) in servers.iter().zip(["a", "b"]) {
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let answer = send(&cluster, "/patient/x", "before".to_owned()).await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let answer = send_with_deadline(&cluster, "/patient/x", "late".to_owned(), "9000").await;
+    assert_eq!(answer.unwrap().status, StatusCode::BAD_GATEWAY);
+    assert_eq!(*late_attempts.lock().unwrap(), 1);
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
 /// A stop refuses nothing that is sure to end in time, and answers on new connections until it
 /// accepts none.
 #[tokio::test(flavor = "multi_thread")]
@@ -468,13 +504,16 @@
     cluster.unregister_server(0).await;
     let mut config = config(2, 0);
     let routes = config["routes"].as_array_mut().unwrap();
-    for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
+    let mut add_route = |name: &str, kind: &str, timeout_ms: u64, goal_ms: u64| {
         routes.push(json!({
-            "name": kind, "host": HOST, "path_prefix": format!("/{kind}/"), "kind": kind,
-            "timeout_ms": 5000, "goal_ms": 300, "priority": 0, "max_attempts": attempts_max,
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": timeout_ms, "goal_ms": goal_ms, "priority": 0, "max_attempts": 3,
             "service": "oracle"
         }));
-    }
+    };
+    add_route("idempotent", "idempotent", 5_000, 300);
+    add_route("non_idempotent", "non_idempotent", 5_000, 300);
+    add_route("patient", "idempotent", 20_000, 5_000);
     cluster.put_row("op", "config", &config).await;
     cluster
 }
