An undelimited answer ends once the upstream has received the request

Callers got a part of an answer as a complete 200: a server answered a long upload at once without a length, ended its side of the connection (FIN) and reset it while the upload was still being written; or it closed when it had read what had arrived. Seen on idempotent, non_idempotent and stream routes, through a peer, and as an item that was done with 3 of 8 events. A reset that comes alone was cut before as well, bytes unread or not.

Cause: the end of an undelimited answer was taken from the half that reads, while 1 MB (of 3.9 MB) was still to be handed to the socket, or 200 kB lay in its buffer. A trace of the system calls shows recv = 0, then a write of 32 kB, then EPIPE, then the last chunk to the caller. The guess that the writing half takes the error away from the reading half did not hold.

Change: the connection holds its end back while an answer is read. The HTTP library goes on writing; when all is written, the connection is closed for writing, and the answer ends when the upstream's system has acknowledged everything (the socket has no peer and no error). A reset before that fails the answer, and an error is kept whichever half meets it. This works because a socket that nobody reads any more resets its connection when more of the request comes. Sound servers that answer early and read on are believed, and now get the whole request. Delimited answers and requests without a body do not wait.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -9,7 +9,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::read_limit::{LimitedStream, ReadLimit};
+use crate::{
+    read_limit::ReadLimit,
+    upstream_stream::{RequestProgress, UpstreamStream},
+};
 
 /// Idle time after which a connection is not reused if the upstream states no
 /// keep-alive time-out, milliseconds.
@@ -45,6 +48,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) read_limit: Rc<ReadLimit>,
+    pub(crate) request_progress: Rc<RequestProgress>,
     driver: AbortHandle,
 }
 
@@ -131,7 +135,8 @@
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let read_limit = Rc::new(ReadLimit::new());
-    let stream = LimitedStream::new(stream, Rc::clone(&read_limit));
+    let request_progress = Rc::new(RequestProgress::default());
+    let stream = UpstreamStream::new(stream, Rc::clone(&read_limit), Rc::clone(&request_progress));
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -142,6 +147,7 @@
     Ok(Connection {
         sender,
         read_limit,
+        request_progress,
         driver,
     })
 }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -7,6 +7,7 @@
 use gateway::{AttemptEnd, Target};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
+use hyper::body::Body;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -208,6 +209,8 @@
 ) -> Result<Response<LimitedBody>, AttemptFailure> {
     let read_limit = Rc::clone(&connection.read_limit);
     read_limit.begin_head();
+    let has_body = !request.body().is_end_stream();
+    connection.request_progress.begin(has_body);
     let exchange = connection.sender.try_send_request(request);
     let deadline = node.clock.instant(options.head_deadline_ms);
     let result = tokio::select! {
--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -76,6 +76,11 @@
         });
     }
 
+    /// Returns whether no limit is in force, as no answer is being read.
+    pub(crate) fn is_lifted(&self) -> bool {
+        matches!(self.part.get(), Part::Unlimited)
+    }
+
     /// Lifts the limit at the end of a body.
     fn end_body(&self) {
         self.set_part(Part::Unlimited);
@@ -263,6 +268,11 @@
     pub(crate) fn new(stream: TcpStream, limit: Rc<ReadLimit>) -> Self {
         Self { stream, limit }
     }
+
+    /// Returns the connection.
+    pub(crate) fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
 }
 
 impl AsyncRead for LimitedStream {
