An answer whose status is none is a failed attempt and never passed on

Callers got answers with the status 101, 600 or 999 with the server's stamp (MIXED), as the HTTP client takes 101 and everything up to 999 for a status. A refusal (Redwingtack-Not-Run) with such a status was believed, so a request that must not run twice was sent to the next server. Items were dead after max_attempts such answers. The upstream client returned them as a service's answer; the store's client took them for breaches of its protocol.

RFC 9110 has a status outside 100 to 599 treated like a server error (section 15), and nobody asks for a 101 (15.2.2). Final answers have 200 to 599 now, checked where an answer arrives, before anything else in its head is believed: directly, at the peer that makes an attempt, and at the sender of that attempt, whose peer may be of the last version. A request that may be repeated goes to the next server, any other gets 502, which promises nothing. The connection is closed. "Not run" isn't believed with such a status: with 000 it never was, and a wrong promise costs a second run, a true one that isn't believed a 502.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,6 +23,7 @@
 mod name;
 mod notice;
 mod prompt;
+mod status;
 mod view;
 
 pub use crate::{
@@ -35,6 +36,7 @@
     },
     notice::DispatchNotice,
     prompt::{PromptPart, PromptPartId, shared_parts},
+    status::is_valid_status,
     view::{
         InstanceEntry, InstanceRole, Liveness, UpstreamEntry, UpstreamKind, View, ViewRevision,
     },
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use gateway::{AttemptEnd, Target};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
+use model::is_valid_status;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -153,6 +154,7 @@
             return Err(ExchangeFailure::new(failure, meaning));
         }
     };
+    check_status(node, response.status(), options)?;
     if is_reused && is_unattributed_refusal(&response) {
         let reason = "a refusal on a connection that was used before names no request";
         let failure = AttemptFailure::new(AttemptEnd::Broken, reason);
@@ -171,6 +173,26 @@
     })
 }
 
+/// Rejects an answer whose status is invalid, whatever its headers say. The request may have run.
+///
+/// # Errors
+///
+/// Returns the failure of an upstream that answered with a server error.
+pub(crate) fn check_status(
+    node: &Node,
+    status: StatusCode,
+    options: AttemptOptions,
+) -> Result<(), ExchangeFailure> {
+    let status = status.as_u16();
+    if is_valid_status(status) {
+        return Ok(());
+    }
+    let reason = format!("the status {status} is invalid");
+    let failure = AttemptFailure::new(AttemptEnd::Failed, reason);
+    let meaning = FailureMeaning::of(failure.end, options, node.now_ms());
+    Err(ExchangeFailure::new(failure, meaning))
+}
+
 /// Returns whether an answer says that a request did not run, but not which one: an upstream
 /// may have written an earlier refusal once more.
 fn is_unattributed_refusal(response: &Response<LimitedBody>) -> bool {
--- a/crates/node/src/proxied_attempt.rs
+++ b/crates/node/src/proxied_attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
-    exchange::{ExchangeFailure, FailureMeaning},
+    exchange::{ExchangeFailure, FailureMeaning, check_status},
     node::Node,
     peer_connections::PeerSender,
     proxy_message::{AttemptError, PathQuery, ProxiedAttempt, take_undelimited_mark},
@@ -93,7 +93,11 @@
     let deadline = node.clock.instant(options.head_deadline_ms);
     let failure = match timeout_at(deadline, exchange).await {
         Ok(Ok(response)) => match AttemptError::find_in(response.headers()) {
-            None => return Ok((answer_of_peer(response), guard)),
+            None => {
+                // An earlier version of the program passes on answers with an invalid status.
+                check_status(node, response.status(), options)?;
+                return Ok((answer_of_peer(response), guard));
+            }
             Some(error) => failure_at_peer(&guard, &error, options),
         },
         Ok(Err(mut error)) => {
--- a/crates/node/tests/broken_heads.rs
+++ b/crates/node/tests/broken_heads.rs
@@ -2,31 +2,14 @@
 
 mod support;
 
-use std::{
-    slice,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::slice;
 
 use http::StatusCode;
-use serde_json::json;
 use support::{
-    Answer, EVENTS_PER_STREAM, HOST, Paths, TestCluster, complete_output, complete_stream, config,
-    scripted_server::{ConnectionEnd, Reply, ScriptedFleet, events},
-    upstream_proxy::PathState,
+    Answer, EVENTS_PER_STREAM, complete_output, complete_stream,
+    scripted_cluster::{NOT_REPEATABLE, REPEATABLE, ScriptedCluster},
+    scripted_server::{ConnectionEnd, Reply, events},
 };
-use tokio::time::sleep;
-
-/// Number of servers: one for each attempt of a request.
-const SERVERS: usize = 3;
-/// Time after which the nodes know a change of the configuration or of the servers.
-const PROPAGATION: Duration = Duration::from_millis(400);
-/// Time between two tries to reach a server.
-const TRY_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Routes of which a request may be repeated, and of which it may not.
-const REPEATABLE: [&str; 2] = ["/idempotent/x", "/long/x"];
-const NOT_REPEATABLE: [&str; 2] = ["/non_idempotent/x", "/once/x"];
 
 /// What comes before the headers of an answer.
 const HEAD_STARTS: [&str; 4] = [
@@ -40,95 +23,6 @@
 /// The name in the data of all events.
 const NAME: &str = "a";
 
-/// Servers that send the replies that a test sets, by the number of the attempt.
-struct Fixture {
-    cluster: TestCluster,
-    fleet: ScriptedFleet,
-    replies: Arc<Mutex<Vec<Reply>>>,
-    /// Paths of the first node to the servers, if it has paths of its own.
-    _paths: Option<Paths>,
-    request_count: usize,
-}
-
-impl Fixture {
-    async fn start() -> Self {
-        let cluster = TestCluster::start(&[8], 1).await;
-        cluster.unregister_server(0).await;
-        let (fleet, replies) = start_fleet(&cluster).await;
-        sleep(PROPAGATION).await;
-        Self {
-            cluster,
-            fleet,
-            replies,
-            _paths: None,
-            request_count: 0,
-        }
-    }
-
-    /// Starts three nodes, of which the first one reaches the servers only through the others.
-    async fn start_behind_peers() -> Self {
-        let mut cluster = TestCluster::start_without_config(&[], 0).await;
-        let (fleet, replies) = start_fleet(&cluster).await;
-        let addresses: Vec<_> = fleet.servers.iter().map(|server| server.address).collect();
-        let mut paths = cluster.add_node_with_paths_to("cut-off", &addresses).await;
-        for name in ["peer-1", "peer-2"] {
-            cluster.add_node(name);
-        }
-        for node in &cluster.nodes {
-            node.wait_until_ready().await;
-        }
-        sleep(PROPAGATION).await;
-        paths.set_all(PathState::Refusing).await;
-        Self {
-            cluster,
-            fleet,
-            replies,
-            _paths: Some(paths),
-            request_count: 0,
-        }
-    }
-
-    /// Has the servers send these replies, the last one to all further attempts.
-    fn set_replies(&self, replies: &[Reply]) {
-        *self.replies.lock().unwrap() = replies.to_vec();
-    }
-
-    /// Sends requests until one reaches a server. Returns its answer and the number of attempts.
-    async fn exchange(&mut self, path: &str, replies: &[Reply]) -> (Answer, usize) {
-        self.set_replies(replies);
-        loop {
-            self.request_count += 1;
-            let id = format!("r{}", self.request_count);
-            let answer = self.cluster.nodes[0].send_stream_request(path, &id).await;
-            let attempts = self.fleet.attempts_of(&id);
-            if attempts > 0 {
-                return (answer, attempts);
-            }
-            sleep(TRY_INTERVAL).await;
-        }
-    }
-}
-
-async fn start_fleet(cluster: &TestCluster) -> (ScriptedFleet, Arc<Mutex<Vec<Reply>>>) {
-    let mut config = config(2, 0);
-    let routes = config["routes"].as_array_mut().unwrap();
-    for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
-        routes.push(json!({
-            "name": kind, "host": HOST, "path_prefix": format!("/{kind}/"), "kind": kind,
-            "timeout_ms": 5000, "goal_ms": 300, "priority": 0, "max_attempts": attempts_max,
-            "service": "oracle"
-        }));
-    }
-    cluster.put_row("op", "config", &config).await;
-    let replies: Arc<Mutex<Vec<Reply>>> = Arc::default();
-    let replies_of_fleet = Arc::clone(&replies);
-    let fleet = ScriptedFleet::start(cluster, SERVERS, move |_, attempt| {
-        let replies = replies_of_fleet.lock().unwrap();
-        replies[attempt.min(replies.len() - 1)].clone()
-    });
-    (fleet.await, replies)
-}
-
 fn body() -> String {
     complete_stream(NAME)
 }
@@ -171,7 +65,7 @@
 /// Guards against a success for an answer whose head never ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_breaks_off_in_its_head_is_no_success() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for start in HEAD_STARTS {
         let head = format!("{start}{HEADERS}Content-Length: 0\r\n\r\n");
         for length in (1..head.len()).step_by(12).chain([head.len() - 1]) {
@@ -190,7 +84,7 @@
 /// Guards against a success with an empty body because the server died after its head.
 #[tokio::test(flavor = "multi_thread")]
 async fn empty_undelimited_answer_is_replaced_by_that_of_the_next_server() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in REPEATABLE {
         for empty in empty_undelimited() {
             for next in [delimited(&body()), undelimited(&body())] {
@@ -207,7 +101,7 @@
 /// Guards against a success with an empty body that only one server has sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn empty_undelimited_answer_of_a_single_run_is_no_success() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in NOT_REPEATABLE {
         for empty in empty_undelimited() {
             let (answer, attempts) = fixture.exchange(path, &[empty]).await;
@@ -220,7 +114,7 @@
 /// A sound server may have nothing to send.
 #[tokio::test(flavor = "multi_thread")]
 async fn empty_undelimited_answer_is_complete_if_two_servers_send_it() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in REPEATABLE {
         let (answer, attempts) = fixture
             .exchange(path, &[Reply::closed(undelimited(""))])
@@ -234,7 +128,7 @@
 /// The end of these answers is told by their own words.
 #[tokio::test(flavor = "multi_thread")]
 async fn empty_delimited_answer_is_complete() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     let chunked = format!(
         "{}{HEADERS}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         HEAD_STARTS[0]
@@ -253,7 +147,7 @@
 /// Guards against the loss of sound answers: the pages allow an answer without a length.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_with_a_body_is_complete() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
         for start in HEAD_STARTS {
             let reply = Reply::closed(format!("{start}{HEADERS}\r\n{}", body()));
@@ -269,7 +163,7 @@
 /// connection was reset.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_that_is_reset_is_not_complete() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in REPEATABLE.into_iter().chain(NOT_REPEATABLE) {
         for sent in [String::new(), events(NAME, 1..=3), body()] {
             let reply = Reply::new(&undelimited(&sent), ConnectionEnd::Reset);
@@ -282,7 +176,7 @@
 /// Guards against a caller that waits beyond its deadline for a body that never comes.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_without_body_until_the_deadline_is_timed_out() {
-    let mut fixture = Fixture::start().await;
+    let mut fixture = ScriptedCluster::start().await;
     for path in ["/idempotent/x", "/non_idempotent/x"] {
         let silent = Reply::new(&undelimited(""), ConnectionEnd::Wait);
         let (answer, _) = fixture.exchange(path, &[silent]).await;
@@ -293,7 +187,7 @@
 /// Guards against empty and reset answers that look whole because a peer has passed them on.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_through_a_peer_is_whole_or_no_success() {
-    let mut fixture = Fixture::start_behind_peers().await;
+    let mut fixture = ScriptedCluster::start_behind_peers().await;
     let whole = Reply::closed(delimited(&body()));
     for empty in empty_undelimited() {
         for path in REPEATABLE {
@@ -332,7 +226,7 @@
         (3, ConnectionEnd::Reset),
     ];
     for (number, (sent, end)) in breaks.into_iter().enumerate() {
-        let fixture = Fixture::start().await;
+        let fixture = ScriptedCluster::start().await;
         let broken = Reply::new(&undelimited(&events(NAME, 1..=sent)), end);
         let rest = delimited(&events(NAME, sent + 1..=EVENTS_PER_STREAM));
         fixture.set_replies(&[broken, Reply::closed(rest)]);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod crowd_load;
 pub mod discarding_server;
 pub mod process_usage;
+pub mod scripted_cluster;
 pub mod scripted_server;
 pub mod soak;
 pub mod store_proxy;
--- a/crates/node/tests/support/scripted_server.rs
+++ b/crates/node/tests/support/scripted_server.rs
@@ -193,6 +193,11 @@
     format!("{:x}\r\n{data}\r\n", data.len())
 }
 
+/// Reads a further request of a connection. Returns `None` if the connection ends.
+pub async fn read_next_request(stream: &mut TcpStream) -> Option<RequestHead> {
+    read_request(stream, Reads::Everything).await
+}
+
 /// Returns `None` if the connection ends.
 async fn read_request(stream: &mut TcpStream, reads: Reads) -> Option<RequestHead> {
     let head = read_head(stream).await?;
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -10,7 +10,7 @@
     client::legacy::{self, Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use model::ErrorKind;
+use model::{ErrorKind, is_valid_status};
 use tokio::time::Instant;
 
 use crate::{UpstreamError, headers};
@@ -37,7 +37,7 @@
         .build(connector)
 }
 
-/// Sends a request and waits for the head of its response.
+/// Sends a request and waits for the head of its response, whose status is valid.
 pub(crate) async fn send(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
@@ -51,12 +51,25 @@
         ));
     }
     match tokio::time::timeout_at(deadline, client.request(request)).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => check_status(response),
         Ok(Err(error)) => Err(classify(&error)),
         Err(_) => Err(deadline_exceeded()),
     }
 }
 
+/// Rejects a response whose status is invalid, whatever its headers say.
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, UpstreamError> {
+    let status = response.status().as_u16();
+    if is_valid_status(status) {
+        return Ok(response);
+    }
+    let message = format!("the status {status} is invalid");
+    Err(UpstreamError {
+        status: Some(status),
+        ..UpstreamError::new(ErrorKind::UpstreamFailed, message)
+    })
+}
+
 pub(crate) fn deadline_exceeded() -> UpstreamError {
     UpstreamError::new(
         ErrorKind::DeadlineExceeded,
