Out of rotation, a request of any kind is taken only if its deadline ends before the stop does

So the guess decides only while the platform sends callers, for every kind of route. Later callers come on connections that were opened before and not used yet; they are refused, not run, and come back elsewhere. Nothing is held any more.

The log says end=certain or end=likely in place of bound=, as a duration is no bound.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,7 +93,7 @@
     peer_loads::InFlight,
     peers::{JobTakeover, LoadNotice, UpstreamLoad, job_hash, upstream_hash},
     placement::{Placement, PlacementRequest, Preemption},
-    planned_stop::{EndBound, PlannedStop},
+    planned_stop::{ExpectedEnd, PlannedStop},
     preview::{Exclusion, Preview, UpstreamPreview, Weighing},
     probation::RequestTrial,
     prompt_placement::{PromptRead, ServiceMemory},
--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -1,9 +1,8 @@
 //! Which requests an instance still takes during a planned stop, and which attempts it replaces.
 //!
 //! A deadline bounds a request for certain; how long others of its route have lasted does not.
-//! Callers that are still sent to the instance are served if their requests are expected to end
-//! in time. Later ones could as well go to another instance, so that an answer which could only
-//! be cut is not begun any more.
+//! Callers that are still sent to the instance are served if their requests are likely to end in
+//! time. Later ones can go to other instances, so only those that are certain to end are taken.
 
 use crate::{request_durations::RequestDurations, route::Route};
 
@@ -20,45 +19,43 @@
     pub is_in_rotation: bool,
 }
 
-/// Why a request is expected to end before a planned stop does.
+/// How sure it is that a request ends before a planned stop does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndBound {
+pub enum ExpectedEnd {
     /// Its deadline is earlier.
-    Deadline,
+    Certain,
     /// The requests of its route have not lasted so long lately.
-    Durations,
+    Likely,
 }
 
-impl EndBound {
+impl ExpectedEnd {
     /// Returns the name used in logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Deadline => "deadline",
-            Self::Durations => "durations",
+            Self::Certain => "certain",
+            Self::Likely => "likely",
         }
     }
 }
 
 impl PlannedStop {
-    /// Returns why a request that begins now is expected to end in time, or `None` if it must
-    /// not be taken any more. A stream whose events have been passed on can only be cut, so its
-    /// end must be certain once callers go elsewhere.
+    /// Returns how sure it is that a request which begins now ends in time, or `None` if it must
+    /// not be taken any more.
     #[must_use]
-    pub fn find_bound(
+    pub fn find_expected_end(
         &self,
         route: &Route,
         deadline_ms: u64,
         durations: &RequestDurations,
         now_ms: u64,
-    ) -> Option<EndBound> {
+    ) -> Option<ExpectedEnd> {
         if deadline_ms <= self.end_ms {
-            return Some(EndBound::Deadline);
+            return Some(ExpectedEnd::Certain);
         }
-        let may_be_cut = route.is_stream() && !self.is_in_rotation;
-        let is_expected =
-            !may_be_cut && durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
-        is_expected.then_some(EndBound::Durations)
+        let is_likely = self.is_in_rotation
+            && durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
+        is_likely.then_some(ExpectedEnd::Likely)
     }
 
     /// Returns whether another attempt may replace one that was sent at `sent_at_ms` and has been
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -4,20 +4,19 @@
 use std::{rc::Rc, sync::Arc};
 
 use gateway::{
-    AttemptEnd, AttemptHash, CrashCause, Customer, FinalAnswer, NextStep, Placement,
-    PlacementRequest, QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint,
-    RetryState, Route, Target, VersionHash, WorkKind,
+    AttemptEnd, AttemptHash, CrashCause, Customer, NextStep, Placement, PlacementRequest,
+    QuarantineCheck, RefusalReason, RequestContent, RequestFingerprint, RetryState, Route, Target,
+    VersionHash, WorkKind,
 };
 use http::{Response, StatusCode, header, request};
 use model::{ServiceName, shared_parts};
 
 use crate::{
-    answer::{self, AnswerBody, Truncated},
+    answer::{self, AnswerBody},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
     dispatch::{CallerRequest, host_of},
     end_to_end_headers::copy_end_to_end_headers,
-    held_answers,
     no_answer::{NOT_RUN_RETRY_AFTER_MS, NoAnswer},
     node::Node,
     quarantine, quotas,
@@ -111,7 +110,7 @@
 impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
         match self.first_answer().await {
-            Ok(answer) => self.relay_answer(answer).await,
+            Ok(answer) => self.relay_answer(answer),
             Err(no_answer) => {
                 self.record_unanswered(no_answer);
                 no_answer.response()
@@ -398,7 +397,7 @@
         self.route.is_stream() && answer.head.status == StatusCode::OK
     }
 
-    async fn relay_answer(self, answer: UpstreamAnswer) -> Response<AnswerBody> {
+    fn relay_answer(self, answer: UpstreamAnswer) -> Response<AnswerBody> {
         let mut head = Response::new(());
         *head.status_mut() = answer.head.status;
         copy_end_to_end_headers(&answer.head.headers, head.headers_mut());
@@ -407,15 +406,8 @@
             // If another upstream resumes the stream, the length may differ.
             head.headers_mut().remove(header::CONTENT_LENGTH);
         }
-        let is_held = self.must_hold(&answer);
-        let relay = Relay::new(self, answer, is_event_stream);
-        if !is_held {
-            return head.map(|()| relay.into_body());
-        }
-        match held_answers::hold(relay).await {
-            Ok(body) => head.map(|()| body),
-            Err(Truncated) => NoAnswer::Failed(FinalAnswer::Unknown).response(),
-        }
+        let body = Relay::new(self, answer, is_event_stream).into_body();
+        head.map(|()| body)
     }
 
     /// Records that the caller gets no answer of an upstream.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -41,7 +41,6 @@
 mod frame_reader;
 mod freshness_check;
 mod heartbeats;
-mod held_answers;
 mod jobs;
 mod listener;
 mod load_notices;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,7 +3,7 @@
 //! complete event.
 
 use bytes::{Bytes, BytesMut};
-use futures::{Stream, StreamExt, stream};
+use futures::{StreamExt, stream};
 use gateway::{AttemptEnd, EventSplitter, VersionHash};
 use http::StatusCode;
 use http_body_util::{Either, StreamBody};
@@ -98,29 +98,14 @@
 
     /// Converts the relay into the body for the caller.
     pub(crate) fn into_body(self) -> AnswerBody {
-        Either::Right(StreamBody::new(self.into_frames().boxed_local()))
-    }
-
-    /// Like [`Self::into_body`], if the beginning of the body has been read already.
-    pub(crate) fn into_body_after(self, beginning: Bytes) -> AnswerBody {
-        let beginning = stream::iter([Ok(Frame::data(beginning))]);
-        let frames = beginning.chain(self.into_frames());
-        Either::Right(StreamBody::new(frames.boxed_local()))
-    }
-
-    fn into_frames(self) -> impl Stream<Item = Result<Frame<Bytes>, Truncated>> {
-        stream::unfold(self, |mut relay| async move {
+        let frames = stream::unfold(self, |mut relay| async move {
             let frame = relay.next_frame().await?;
             Some((frame, relay))
-        })
+        });
+        Either::Right(StreamBody::new(frames.boxed_local()))
     }
 
-    /// Waits for the next part of the body. Returns `None` at the end of a complete body.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the body broke off.
-    pub(crate) async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, Truncated>> {
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, Truncated>> {
         loop {
             let received = self.receive().await?;
             let failure = match received {
--- a/crates/node/src/stop_admission.rs
+++ b/crates/node/src/stop_admission.rs
@@ -1,8 +1,8 @@
 //! Applies to online requests what is decided about the time that a planned stop leaves.
 
-use gateway::{EndBound, PlannedStop, RefusalReason, Route};
+use gateway::{ExpectedEnd, PlannedStop, RefusalReason, Route};
 
-use crate::{attempt::UpstreamAnswer, forward::OnlineRequest, no_answer::NoAnswer, node::Node};
+use crate::{forward::OnlineRequest, no_answer::NoAnswer, node::Node};
 
 /// Retry-after hint for a request that this instance has no time for before it stops,
 /// milliseconds. The hint is short because other instances can serve the request.
@@ -13,17 +13,17 @@
     /// planned stop, if one has begun, cuts its answer.
     pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
         self.planned_stop()
-            .is_none_or(|stop| self.find_end_bound(stop, route, deadline_ms).is_some())
+            .is_none_or(|stop| self.find_expected_end(stop, route, deadline_ms).is_some())
     }
 
-    fn find_end_bound(
+    fn find_expected_end(
         &self,
         stop: PlannedStop,
         route: &Route,
         deadline_ms: u64,
-    ) -> Option<EndBound> {
+    ) -> Option<ExpectedEnd> {
         let durations = self.request_durations.borrow();
-        stop.find_bound(route, deadline_ms, &durations, self.now_ms())
+        stop.find_expected_end(route, deadline_ms, &durations, self.now_ms())
     }
 }
 
@@ -61,13 +61,13 @@
         let stop_left_ms = stop.end_ms.saturating_sub(now_ms);
         let request = &self.outgoing.request_id;
         let route = &self.route.name;
-        if let Some(bound) = self
+        if let Some(end) = self
             .node
-            .find_end_bound(stop, &self.route, self.deadline_ms)
+            .find_expected_end(stop, &self.route, self.deadline_ms)
         {
             log::info!(
-                "event=request_taken_while_stopping request={request} route={route} bound={} left_ms={left_ms} stop_left_ms={stop_left_ms}",
-                bound.as_str()
+                "event=request_taken_while_stopping request={request} route={route} end={} left_ms={left_ms} stop_left_ms={stop_left_ms}",
+                end.as_str()
             );
             return Ok(());
         }
@@ -86,13 +86,4 @@
             stop.may_replace_silent(self.node.now_ms(), silent_until_ms, self.deadline_ms)
         })
     }
-
-    /// Returns whether an answer is passed on only once it is complete, so that a planned stop can
-    /// still replace it by a failure. The events of a stream are not held up.
-    pub(crate) fn must_hold(&self, answer: &UpstreamAnswer) -> bool {
-        let is_late = |stop: PlannedStop| !stop.is_in_rotation;
-        self.node.planned_stop().is_some_and(is_late)
-            && !self.is_event_stream(answer)
-            && !answer.body.is_at_known_end()
-    }
 }
