During a planned stop, silence and failures are handled as at other times while there may be time

A frozen server and a sound one that takes long look alike, and no threshold satisfies both. Late in a stop the question is gone: what isn't certain to end isn't taken. The check before another attempt refused a request that had broken off, 502, if nothing was known of its route, though 5 s were left. Now only a known duration that doesn't fit keeps a request that may have run from another attempt. request_that_broke_at_the_beginning_of_a_stop_goes_on_elsewhere failed before (502) and passes now; failed_request_does_not_begin_again_at_the_end_of_a_stop still passes.

--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -1,4 +1,4 @@
-//! Which requests an instance still takes during a planned stop, and which attempts it replaces.
+//! Which requests an instance still takes during a planned stop, and when it makes another attempt.
 //!
 //! A deadline bounds a request for certain; how long others of its route have lasted does not.
 //! Callers that are still sent to the instance are served if their requests are likely to end in
@@ -6,10 +6,6 @@
 
 use crate::{request_durations::RequestDurations, route::Route};
 
-/// A request that has been silent for some time is expected to last this many times as long,
-/// once more, if another attempt replaces the silent one.
-const SILENCE_MULTIPLE: u64 = 4;
-
 /// A planned stop that has begun. Times are milliseconds on the clock of the instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
@@ -58,18 +54,20 @@
         is_likely.then_some(ExpectedEnd::Likely)
     }
 
-    /// Returns whether another attempt may replace one that was sent at `sent_at_ms` and has been
-    /// silent until `silent_until_ms`. It takes at least as long as the first one would have, and
-    /// the silence shows that this request may last longer than others.
+    /// Returns whether another attempt for a request that has been taken may begin now. If the
+    /// request may have run, the caller would have to be told of a failure, so only a known
+    /// duration that is too long keeps it from being tried again.
     #[must_use]
-    pub fn may_replace_silent(
+    pub fn has_time_to_retry(
         &self,
-        sent_at_ms: u64,
-        silent_until_ms: u64,
+        route: &Route,
         deadline_ms: u64,
+        may_have_run: bool,
+        durations: &RequestDurations,
+        now_ms: u64,
     ) -> bool {
-        let silence_ms = silent_until_ms.saturating_sub(sent_at_ms);
-        let expected_ms = silence_ms.saturating_mul(SILENCE_MULTIPLE);
-        silent_until_ms.saturating_add(expected_ms).min(deadline_ms) <= self.end_ms
+        let is_unknown = !durations.is_known(route, now_ms);
+        (may_have_run && is_unknown)
+            || durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms)
     }
 }
--- a/crates/gateway/src/request_durations.rs
+++ b/crates/gateway/src/request_durations.rs
@@ -64,6 +64,12 @@
         expected_end_ms.unwrap_or(u64::MAX).min(deadline_ms) <= end_ms
     }
 
+    /// Returns whether a request of a route has ended lately.
+    #[must_use]
+    pub fn is_known(&self, route: &Route, now_ms: u64) -> bool {
+        self.longest_ms(&route.name, now_ms).is_some()
+    }
+
     fn longest_ms(&self, route: &str, now_ms: u64) -> Option<u64> {
         let durations = &self.routes[self.find(route).ok()?];
         durations.longest_ms(now_ms)
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -126,7 +126,7 @@
             if let Some(answer) = self.make_attempt(self.resume_after).await? {
                 return Ok(answer);
             }
-            self.check_time_again()?;
+            self.check_time_to_retry()?;
         }
     }
 
@@ -368,9 +368,7 @@
     fn attempt_options(&self, expected_ms: u64, resume_after: Option<u64>) -> AttemptOptions {
         let expected_at_ms = self.node.now_ms() + expected_ms;
         let unresponsive_at_ms = expected_at_ms + HEAD_DELAY_GOALS * self.route.goal_ms;
-        let may_replace =
-            self.retries.has_spare_attempt() && self.may_replace_silent(unresponsive_at_ms);
-        let head_deadline_ms = if may_replace {
+        let head_deadline_ms = if self.retries.has_spare_attempt() {
             unresponsive_at_ms.min(self.deadline_ms)
         } else {
             self.deadline_ms
--- a/crates/node/src/stop_admission.rs
+++ b/crates/node/src/stop_admission.rs
@@ -28,7 +28,7 @@
 }
 
 impl OnlineRequest {
-    /// Refuses the request if this instance is expected to stop before its answer ends.
+    /// Refuses the request if this instance may stop before its answer ends.
     ///
     /// # Errors
     ///
@@ -37,53 +37,57 @@
         let Some(stop) = self.node.planned_stop() else {
             return Ok(());
         };
-        self.check_time_before(stop)
+        let expected_end = self
+            .node
+            .find_expected_end(stop, &self.route, self.deadline_ms);
+        let Some(end) = expected_end else {
+            return Err(self.refuse_stopping(stop));
+        };
+        let now_ms = self.node.now_ms();
+        log::info!(
+            "event=request_taken_while_stopping request={} route={} end={} left_ms={} stop_left_ms={}",
+            self.outgoing.request_id,
+            self.route.name,
+            end.as_str(),
+            self.deadline_ms.saturating_sub(now_ms),
+            stop.end_ms.saturating_sub(now_ms)
+        );
+        Ok(())
     }
 
-    /// Like [`Self::check_time`], before another attempt for a request that has been taken.
+    /// Checks whether there is time for another attempt before this instance stops.
     ///
     /// # Errors
     ///
-    /// Returns the answer for the caller.
-    pub(crate) fn check_time_again(&self) -> Result<(), NoAnswer> {
+    /// Returns the answer for the caller if there is none.
+    pub(crate) fn check_time_to_retry(&self) -> Result<(), NoAnswer> {
         let Some(stop) = self.node.planned_stop() else {
             return Ok(());
         };
-        self.check_time_before(PlannedStop {
-            is_in_rotation: true,
-            ..stop
-        })
-    }
-
-    fn check_time_before(&self, stop: PlannedStop) -> Result<(), NoAnswer> {
-        let now_ms = self.node.now_ms();
-        let left_ms = self.deadline_ms.saturating_sub(now_ms);
-        let stop_left_ms = stop.end_ms.saturating_sub(now_ms);
-        let request = &self.outgoing.request_id;
-        let route = &self.route.name;
-        if let Some(end) = self
-            .node
-            .find_expected_end(stop, &self.route, self.deadline_ms)
-        {
-            log::info!(
-                "event=request_taken_while_stopping request={request} route={route} end={} left_ms={left_ms} stop_left_ms={stop_left_ms}",
-                end.as_str()
-            );
+        let has_time = stop.has_time_to_retry(
+            &self.route,
+            self.deadline_ms,
+            self.retries.may_have_run(),
+            &self.node.request_durations.borrow(),
+            self.node.now_ms(),
+        );
+        if has_time {
             return Ok(());
         }
+        Err(self.refuse_stopping(stop))
+    }
+
+    fn refuse_stopping(&self, stop: PlannedStop) -> NoAnswer {
         let reason = RefusalReason::Stopping;
+        let now_ms = self.node.now_ms();
         log::warn!(
-            "event=request_not_placed request={request} route={route} reason={} left_ms={left_ms} stop_left_ms={stop_left_ms} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
-            reason.as_str()
+            "event=request_not_placed request={} route={} reason={} left_ms={} stop_left_ms={} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
+            self.outgoing.request_id,
+            self.route.name,
+            reason.as_str(),
+            self.deadline_ms.saturating_sub(now_ms),
+            stop.end_ms.saturating_sub(now_ms)
         );
-        Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
-    }
-
-    /// Returns whether an attempt that begins now and is silent until `silent_until_ms` may be
-    /// replaced by another one then.
-    pub(crate) fn may_replace_silent(&self, silent_until_ms: u64) -> bool {
-        self.node.planned_stop().is_none_or(|stop| {
-            stop.may_replace_silent(self.node.now_ms(), silent_until_ms, self.deadline_ms)
-        })
+        self.refuse(reason, STOPPING_RETRY_AFTER_MS)
     }
 }
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -335,6 +335,41 @@
     assert!(cluster.nodes[0].wait_for_exit().await);
 }
 
+/// Guards against a failure in place of another attempt because nothing is known of the route: there
+/// is much time left.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_broke_at_the_beginning_of_a_stop_goes_on_elsewhere() {
+    let attempts = Arc::new(Mutex::new(0));
+    let mut cluster = start_with_all_kinds().await;
+    for id in ["a", "b"] {
+        let attempts = Arc::clone(&attempts);
+        let server = ScriptedServer::start(move |head, stream| {
+            let mut attempts = attempts.lock().unwrap();
+            *attempts += 1;
+            let breaks_off = *attempts == 1;
+            async move {
+                if breaks_off {
+                    sleep(Duration::from_millis(200)).await;
+                } else {
+                    answer_after(head, stream, Duration::ZERO).await;
+                }
+            }
+        });
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let cluster_ref = &cluster;
+    let request = send_with_deadline(cluster_ref, "/patient/x", "r".to_owned(), "9000");
+    let stop = async {
+        sleep(Duration::from_millis(100)).await;
+        cluster_ref.nodes[0].signal(Signal::SIGTERM);
+    };
+    let (answer, ()) = tokio::join!(request, stop);
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    assert_eq!(*attempts.lock().unwrap(), 2);
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
 /// A stop refuses nothing that is sure to end in time, and answers on new connections until it
 /// accepts none.
 #[tokio::test(flavor = "multi_thread")]
