A stopping instance makes an attempt for a peer only if its deadline ends before the stop does

Items are taken as before, as they go on elsewhere. long_stream_through_a_peer_that_stops_is_not_cut failed before (200 and events, cut) and passes now.

--- a/crates/node/src/proxy_listener.rs
+++ b/crates/node/src/proxy_listener.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::{StreamExt, stream};
-use gateway::{LostRequest, Target, WorkKind};
+use gateway::{LostRequest, PlannedStop, Target, WorkKind};
 use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::{
@@ -29,7 +29,6 @@
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest},
     body_memory::BodyError,
     crash_detection,
-    dispatch::host_of,
     end_to_end_headers::copy_end_to_end_headers,
     exchange::{DirectExchange, ExchangeFailure, FailureMeaning, exchange_directly},
     listener::{OpenConnectionGuard, accept, bind, serve_until_closing, wait_for_stage},
@@ -182,7 +181,7 @@
     let body = read_body(node, &mut body, deadline_ms).await;
     let body = body.map_err(AttemptError::not_sent)?;
     let target = find_target(node, &attempt.upstream, attempt.started_unix_ms)?;
-    if !has_time(node, attempt, &parts, deadline_ms) {
+    if !has_time(node, attempt, deadline_ms) {
         return Err(not_sent("the instance is stopping"));
     }
     let may_be_succeeded = node.upstreams.borrow().may_be_succeeded(&target, now_ms);
@@ -224,20 +223,12 @@
     }
 }
 
-/// Returns whether an attempt is expected to end before a planned stop cuts it. Items are taken
-/// all the same: they go on elsewhere after the events that their owner has.
-fn has_time(
-    node: &Node,
-    attempt: &ProxiedAttempt,
-    parts: &http::request::Parts,
-    deadline_ms: u64,
-) -> bool {
-    let routes = node.routes();
-    let route = routes
-        .as_ref()
-        .and_then(|routes| routes.find(host_of(parts), parts.uri.path()));
-    attempt.kind == WorkKind::Batch
-        || route.is_none_or(|route| node.has_time_for(route, deadline_ms))
+/// Returns whether an attempt is certain to end before a planned stop cuts it. The sender can ask
+/// another peer. Items are taken all the same: they go on elsewhere after the events that their
+/// owner has.
+fn has_time(node: &Node, attempt: &ProxiedAttempt, deadline_ms: u64) -> bool {
+    let ends_in_time = |stop: PlannedStop| deadline_ms <= stop.end_ms;
+    attempt.kind == WorkKind::Batch || node.planned_stop().is_none_or(ends_in_time)
 }
 
 /// Returns an incarnation of an upstream by its registration here.
--- a/crates/node/src/stop_admission.rs
+++ b/crates/node/src/stop_admission.rs
@@ -1,32 +1,13 @@
 //! Applies to online requests what is decided about the time that a planned stop leaves.
 
-use gateway::{ExpectedEnd, PlannedStop, RefusalReason, Route};
+use gateway::{PlannedStop, RefusalReason};
 
-use crate::{forward::OnlineRequest, no_answer::NoAnswer, node::Node};
+use crate::{forward::OnlineRequest, no_answer::NoAnswer};
 
 /// Retry-after hint for a request that this instance has no time for before it stops,
 /// milliseconds. The hint is short because other instances can serve the request.
 const STOPPING_RETRY_AFTER_MS: u64 = 10;
 
-impl Node {
-    /// Returns whether a request of a route with this deadline is expected to end before a
-    /// planned stop, if one has begun, cuts its answer.
-    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
-        self.planned_stop()
-            .is_none_or(|stop| self.find_expected_end(stop, route, deadline_ms).is_some())
-    }
-
-    fn find_expected_end(
-        &self,
-        stop: PlannedStop,
-        route: &Route,
-        deadline_ms: u64,
-    ) -> Option<ExpectedEnd> {
-        let durations = self.request_durations.borrow();
-        stop.find_expected_end(route, deadline_ms, &durations, self.now_ms())
-    }
-}
-
 impl OnlineRequest {
     /// Refuses the request if this instance may stop before its answer ends.
     ///
@@ -37,13 +18,13 @@
         let Some(stop) = self.node.planned_stop() else {
             return Ok(());
         };
-        let expected_end = self
-            .node
-            .find_expected_end(stop, &self.route, self.deadline_ms);
+        let now_ms = self.node.now_ms();
+        let durations = self.node.request_durations.borrow();
+        let expected_end =
+            stop.find_expected_end(&self.route, self.deadline_ms, &durations, now_ms);
         let Some(end) = expected_end else {
             return Err(self.refuse_stopping(stop));
         };
-        let now_ms = self.node.now_ms();
         log::info!(
             "event=request_taken_while_stopping request={} route={} end={} left_ms={} stop_left_ms={}",
             self.outgoing.request_id,
--- a/crates/node/tests/unreachable_upstreams.rs
+++ b/crates/node/tests/unreachable_upstreams.rs
@@ -363,3 +363,38 @@
         assert_eq!(answer.body, complete_stream(&id), "{answer:?}");
     }
 }
+
+/// Guards against streams that a peer takes while it stops, because those before were short, and
+/// that its end cuts.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_stream_through_a_peer_that_stops_is_not_cut() {
+    let mut cluster = TestCluster::start_without_config(&[8, 8, 8], 0).await;
+    // The peers stop within 4 s, so that streams of 1.6 s may outlast them.
+    cluster.grace_s = 4;
+    cluster.put_config(1).await;
+    let mut paths = cluster.add_node_with_own_paths("cut-off").await;
+    for name in ["peer-1", "peer-2"] {
+        cluster.add_node(name);
+    }
+    for node in &cluster.nodes {
+        node.wait_until_ready().await;
+        serve_path(node, "/once/a", "short", 4).await;
+    }
+    cut_off(&cluster, &mut paths, PathState::Refusing).await;
+    for peer in &cluster.nodes[1..] {
+        peer.signal(Signal::SIGTERM);
+    }
+    sleep(Duration::from_millis(2_450)).await;
+    let node = &cluster.nodes[0];
+    let streams = (0..8).map(|number| async move {
+        let id = format!("late-{number}");
+        let answer = node.send_stream_request("/once/slow", &id).await;
+        (id, answer)
+    });
+    for (id, answer) in join_all(streams).await {
+        assert!(answer.is_complete, "{id}: {answer:?}");
+        if answer.status == StatusCode::OK {
+            assert_eq!(answer.body, complete_stream(&id));
+        }
+    }
+}
