Headers of accepted jobs count and are read from the store like the bodies of their items

An item's contents are its headers and body now. A running item keeps its own, and so does what is known of its prompt's parts (ActiveRun::content): it was looked up in the job.

--- a/crates/ledger/src/item.rs
+++ b/crates/ledger/src/item.rs
@@ -5,6 +5,9 @@
 use model::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
+/// Memory that a header takes up besides its name and value, bytes.
+const HEADER_BYTES: usize = size_of::<(String, String)>();
+
 /// One request of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobItem {
@@ -106,6 +109,16 @@
     Preempted,
 }
 
+impl JobItem {
+    /// Returns how much memory the headers and the body take up, bytes.
+    #[must_use]
+    pub fn content_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let text_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        self.headers.len() * HEADER_BYTES + text_bytes + self.body.len()
+    }
+}
+
 impl PartialOutput {
     /// Creates an empty output for an item.
     #[must_use]
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -19,9 +19,9 @@
 //! runs a job on its owner, and [`Directory`] decides which instance takes over
 //! an orphaned job.
 
-mod body_room;
 mod call_interval;
 mod call_timeouts;
+mod content_room;
 mod customer_backlog;
 mod directory;
 mod end_statements;
@@ -33,9 +33,9 @@
 mod waiting_tokens;
 
 pub use crate::{
-    body_room::{BodyRoom, HeldBodies},
     call_interval::call_interval_ms,
     call_timeouts::CallTimeouts,
+    content_room::{ContentRoom, HeldContents},
     directory::{Directory, Heartbeat, StoredJob},
     heartbeat_monitor::HeartbeatMonitor,
     item::{
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -1,7 +1,7 @@
 //! State machine of a job on the instance that owns and runs it.
 
 mod config_check;
-mod item_bodies;
+mod item_contents;
 mod item_row;
 
 use model::{JobId, SoftwareVersion, UpstreamId};
@@ -28,10 +28,10 @@
     record: JobRecord,
     version: u64,
     items: Vec<ItemRow>,
-    /// Size of the bodies of all items, bytes.
-    body_bytes: usize,
-    /// Whether `items` has the bodies. Otherwise only the store has them.
-    has_bodies: bool,
+    /// Size of the contents of all items, bytes.
+    content_bytes: usize,
+    /// Whether `items` has the contents. Otherwise only the store has them.
+    has_contents: bool,
     /// Indices of the items that have ended but whose results are not stored yet,
     /// in the order in which the items ended.
     uncommitted: Vec<u32>,
@@ -97,7 +97,7 @@
             item_tokens,
             partials,
         } = stored;
-        let body_bytes = items.iter().map(|item| item.body.len()).sum();
+        let content_bytes = items.iter().map(JobItem::content_bytes).sum();
         let mut rows: Vec<_> = (0..)
             .zip(items)
             .map(|(index, item)| {
@@ -122,8 +122,8 @@
             record,
             version,
             items: rows,
-            body_bytes,
-            has_bodies: true,
+            content_bytes,
+            has_contents: true,
             uncommitted: Vec::new(),
             commit: None,
             has_lost_ownership: false,
@@ -198,9 +198,9 @@
     }
 
     /// Starts a run of a waiting item. Returns `None` if the item is not waiting, or if the
-    /// bodies of the items have been dropped.
+    /// contents of the items have been dropped.
     pub fn start_item(&mut self, item_index: u32) -> Option<ItemRun> {
-        if !self.has_bodies {
+        if !self.has_contents {
             return None;
         }
         let row = self.items.get_mut(item_index as usize)?;
--- a/crates/ledger/tests/body_room.rs
+++ b/crates/ledger/tests/content_room.rs
@@ -1,15 +1,15 @@
 //! Which jobs hold the bodies of their items in memory.
 
-use ledger::{BodyRoom, HeldBodies};
+use ledger::{ContentRoom, HeldContents};
 
 const ROOM_BYTES: usize = 100;
 
-fn held(bytes: usize, position: Option<usize>) -> HeldBodies {
-    HeldBodies { bytes, position }
+fn held(bytes: usize, position: Option<usize>) -> HeldContents {
+    HeldContents { bytes, position }
 }
 
-fn drops(held: &[HeldBodies], bytes: usize) -> Vec<usize> {
-    BodyRoom::new(ROOM_BYTES).drops_for(held, bytes)
+fn drops(held: &[HeldContents], bytes: usize) -> Vec<usize> {
+    ContentRoom::new(ROOM_BYTES).drops_for(held, bytes)
 }
 
 /// Returns the next number of a sequence (linear congruential generator).
@@ -22,7 +22,7 @@
 
 #[test]
 fn fits_up_to_the_limit() {
-    let room = BodyRoom::new(ROOM_BYTES);
+    let room = ContentRoom::new(ROOM_BYTES);
     assert!(room.fits(60, 40));
     assert!(!room.fits(60, 41));
     assert!(!room.fits(usize::MAX, usize::MAX));
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -6,7 +6,7 @@
 mod admission;
 mod calls;
 mod config_check;
-mod item_bodies;
+mod item_contents;
 mod item_rows;
 mod item_run;
 mod item_start;
--- a/crates/node/src/jobs/item_rows.rs
+++ b/crates/node/src/jobs/item_rows.rs
@@ -109,7 +109,7 @@
     }
 
     /// Reads the items of a job without what was saved beside them.
-    pub(super) async fn read_bodies(&self, id: &JobId) -> Result<Vec<JobItem>, StoreError> {
+    pub(super) async fn read_contents(&self, id: &JobId) -> Result<Vec<JobItem>, StoreError> {
         let payloads = self.read_item_payloads(id, 1).await?;
         decode(payloads.first().unwrap_or(&Bytes::new()))
     }
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::Notify, task::spawn_local};
 
 use super::{
-    item_bodies, item_run,
+    item_contents, item_run,
     runner::{ActiveRun, Runner, WaitingItem},
 };
 use crate::{node::Node, quarantine};
@@ -21,17 +21,18 @@
     services.sort();
     services.dedup();
     let waiting_before = waiting.len();
-    // The most urgent item that has a slot, but whose body is not in memory.
-    let mut without_body: Option<(Urgency, usize)> = None;
+    // The most urgent item that has a slot, but whose contents are not in memory.
+    let mut without_contents: Option<(Urgency, usize)> = None;
     for service in services {
         let mut plan = node.upstreams.borrow().batch_plan(&service, now_ms);
         waiting.retain(|item| {
             if item.service != service || plan.is_empty() {
                 return true;
             }
-            if !node.runner.borrow().jobs[item.job_index].has_bodies() {
+            if !node.runner.borrow().jobs[item.job_index].has_contents() {
                 let candidate = (item.urgency, item.job_index);
-                without_body = Some(without_body.map_or(candidate, |first| first.min(candidate)));
+                without_contents =
+                    Some(without_contents.map_or(candidate, |first| first.min(candidate)));
                 return true;
             }
             let target = plan.remove(preferred_target(node, item, &plan));
@@ -39,8 +40,8 @@
             false
         });
     }
-    if let Some((_, job_index)) = without_body {
-        item_bodies::begin_read(node, waiting, job_index);
+    if let Some((_, job_index)) = without_contents {
+        item_contents::begin_read(node, waiting, job_index);
     }
     waiting.len() < waiting_before
 }
@@ -64,7 +65,7 @@
 
 fn start_item(node: &Rc<Node>, item: &WaitingItem, target: Target) {
     let mut runner = node.runner.borrow_mut();
-    let content = item_content(&runner.jobs[item.job_index], item.item_index);
+    let content = Rc::new(item_content(&runner.jobs[item.job_index], item.item_index));
     let suspected = node.quarantine.borrow().suspected_parts(&content);
     if !suspected.is_empty() && runs_any_part(&runner, &suspected) {
         return;
@@ -89,7 +90,7 @@
         host: Arc::clone(&job.record().host),
         customer: job.record().customer.clone(),
         give_up_at_ms: job.record().give_up_at_ms,
-        content: Rc::new(content),
+        content: Rc::clone(&content),
         item_run,
         target,
         route: Arc::clone(&item.route),
@@ -102,6 +103,7 @@
     runner.runs.push(ActiveRun {
         job: id,
         item_index: item.item_index,
+        content,
         upstream,
         preempt_signal,
         task,
@@ -111,11 +113,7 @@
 /// Returns whether an item with one of these parts is running.
 fn runs_any_part(runner: &Runner, parts: &[PromptPartId]) -> bool {
     runner.runs.iter().any(|run| {
-        let Ok(index) = runner.find_job(&run.job) else {
-            return false;
-        };
-        let content = item_content(&runner.jobs[index], run.item_index);
-        let mut running = content.shared_parts.iter();
+        let mut running = run.content.shared_parts.iter();
         running.any(|part| parts.contains(part))
     })
 }
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -256,7 +256,7 @@
     }
     let permits = node.runner.borrow().item_reads.permits();
     let _permit = permits.acquire().await;
-    let items = JobRows::new(node).read_bodies(id).await?;
+    let items = JobRows::new(node).read_contents(id).await?;
     let found = items.iter().find(|other| *other.id == *item);
     Ok(match found {
         Some(item) => answer::bytes(platform::encode_item_body(item)),
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, Route, RouteTable, RunForecast, Urgency,
-    WorkKind, job_hash, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, RequestContent, Route, RouteTable,
+    RunForecast, Urgency, WorkKind, job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{Directory, JobRecord, OwnedJob, PartialOutput, RunOutcome};
 use model::{JobId, ServiceName, UpstreamId};
@@ -18,7 +18,7 @@
 
 use super::{
     config_check::{self, ConfigReads},
-    item_bodies::{self, ItemReads},
+    item_contents::{self, ItemReads},
     item_start::{item_content, start_items},
     takeover_pace::TakeoverPace,
     writes,
@@ -71,6 +71,7 @@
 pub(super) struct ActiveRun {
     pub(super) job: JobId,
     pub(super) item_index: u32,
+    pub(super) content: Rc<RequestContent>,
     pub(super) upstream: UpstreamId,
     pub(super) preempt_signal: Rc<Notify>,
     pub(super) task: AbortHandle,
@@ -101,10 +102,10 @@
 
 impl Runner {
     /// Returns the encoded body of an item, or `None` if this instance does not own the
-    /// job, does not hold the bodies of its items or the job has no such item.
+    /// job, does not hold the contents of its items or the job has no such item.
     pub(crate) fn item_body(&self, id: &JobId, item: &str) -> Option<Bytes> {
         let job = &self.jobs[self.find_job(id).ok()?];
-        let item = job.item(item).filter(|_| job.has_bodies());
+        let item = job.item(item).filter(|_| job.has_contents());
         item.map(platform::encode_item_body)
     }
 
@@ -309,7 +310,7 @@
 pub(super) fn add_job(node: &Node, mut job: OwnedJob) {
     let mut runner = node.runner.borrow_mut();
     if let Err(index) = runner.find_job(job.id()) {
-        item_bodies::fit_bodies(node, &runner, &mut job);
+        item_contents::fit_contents(node, &runner, &mut job);
         runner.jobs.insert(index, job);
     }
     drop(runner);
