A red test of paths of accepted jobs, which stay in memory

Paths aren't dropped like headers and bodies: by its path an item has its route, with each configuration anew. Product code is unchanged.

--- a/crates/node/tests/many_items.rs
+++ b/crates/node/tests/many_items.rs
@@ -13,10 +13,10 @@
 
 /// Number of jobs, one after the other.
 const JOBS: usize = 6;
-/// Number of jobs whose items have long headers.
+/// Number of jobs whose items have long headers or paths.
 const LONG_JOBS: usize = 40;
-/// Size of a long header, bytes. The pages allow 16 KB.
-const HEADER_BYTES: usize = 9_000;
+/// Size of a long header or path, bytes. The pages allow 16 KB.
+const LONG_BYTES: usize = 9_000;
 /// Number of items that the pages allow in a job.
 const ITEMS_MAX: usize = 200;
 /// Time that an item runs, so that no job ends meanwhile.
@@ -41,7 +41,7 @@
 
 /// Returns a job that the pages allow, which consists of long headers.
 fn job_of_long_headers() -> String {
-    let header = "h".repeat(HEADER_BYTES);
+    let header = "h".repeat(LONG_BYTES);
     let item = |number| {
         format!("{{\"id\":\"{number}\",\"path\":\"/batch/\",\"headers\":{{\"a\":\"{header}\"}}}}")
     };
@@ -49,6 +49,14 @@
     format!("{{\"items\":[{}]}}", items.join(","))
 }
 
+/// Returns a job that the pages allow, which consists of long paths.
+fn job_of_long_paths() -> String {
+    let path = "h".repeat(LONG_BYTES);
+    let item = |number| format!("{{\"id\":\"{number}\",\"path\":\"/batch/{path}\"}}");
+    let items: Vec<_> = (0..ITEMS_MAX).map(item).collect();
+    format!("{{\"items\":[{}]}}", items.join(","))
+}
+
 /// Returns a job of as many items as the pages allow, which have so many headers that the body
 /// almost has the maximum size.
 fn job_of_many_headers() -> String {
@@ -114,6 +122,12 @@
     process_withstands_jobs(LONG_JOBS, &job_of_long_headers()).await;
 }
 
+/// Guards against the paths of accepted jobs, which stay in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_long_paths_stay_within_memory() {
+    process_withstands_jobs(LONG_JOBS, &job_of_long_paths()).await;
+}
+
 /// An item with more headers than a request can have ended the task that decoded it.
 #[tokio::test(flavor = "multi_thread")]
 async fn job_with_one_item_of_many_headers_is_answered() {
