--- a/crates/node/src/upstream_stream.rs
+++ b/crates/connection/src/upstream_stream.rs
@@ -1,25 +1,21 @@
-//! A connection to an upstream. Its end is reported once the upstream has received the request.
-//!
-//! An upstream may answer while a long request is still being sent. If it closes the connection
-//! then, the end of its answer arrives first. The reset follows when more of the request reaches
-//! the closed socket. In between, an answer that has neither a length nor chunks would look whole.
+//! The stream of a connection to an upstream.
 
 use std::{
-    cell::Cell,
     io,
     pin::Pin,
-    rc::Rc,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::{Sleep, sleep},
 };
 
-use crate::read_limit::{LimitedStream, ReadLimit};
+use crate::{RequestProgress, progress::RequestState};
 
 /// Interval between the first two checks whether the upstream has received the request. It
 /// doubles from check to check.
@@ -27,75 +23,22 @@
 /// Maximum interval between two checks.
 const CHECK_INTERVAL_MAX: Duration = Duration::from_millis(16);
 
-/// How far the last request on a connection has been sent.
-#[derive(Debug, Default)]
-pub(crate) struct RequestProgress {
-    state: Cell<RequestState>,
-}
-
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum RequestState {
-    /// There is no request with a body, so nothing can be missing at the end of an answer.
-    #[default]
-    Unobserved,
-    /// No part of it has been written.
-    Queued,
-    /// The socket has taken a part of it.
-    PartlyWritten,
-    /// The socket has taken it all, and may still hold a part.
-    Written,
-    /// The connection has failed. The socket tells its error only once.
-    Failed,
-}
-
-impl RequestProgress {
-    /// Observes a request that is sent next.
-    pub(crate) fn begin(&self, has_body: bool) {
-        self.state.set(if has_body {
-            RequestState::Queued
-        } else {
-            RequestState::Unobserved
-        });
-    }
-
-    fn record_write(&self, write: &Poll<io::Result<usize>>) {
-        if self.state.get() != RequestState::Unobserved {
-            self.state.set(match write {
-                Poll::Ready(Err(_)) => RequestState::Failed,
-                Poll::Ready(Ok(_)) | Poll::Pending => RequestState::PartlyWritten,
-            });
-        }
-    }
-
-    /// Records that the HTTP library has nothing left to write.
-    fn record_flush(&self) {
-        if self.state.get() == RequestState::PartlyWritten {
-            self.state.set(RequestState::Written);
-        }
-    }
-}
-
 /// A connection to an upstream.
 #[derive(Debug)]
-pub(crate) struct UpstreamStream {
-    stream: LimitedStream,
-    limit: Rc<ReadLimit>,
-    progress: Rc<RequestProgress>,
+pub struct UpstreamStream {
+    stream: TcpStream,
+    progress: Arc<RequestProgress>,
     /// When to check again whether the upstream has received the request; `None` before the end.
     next_check: Option<Pin<Box<Sleep>>>,
     check_interval: Duration,
 }
 
 impl UpstreamStream {
-    /// Limits the reads of a connection, and observes the requests on it.
-    pub(crate) fn new(
-        stream: TcpStream,
-        limit: Rc<ReadLimit>,
-        progress: Rc<RequestProgress>,
-    ) -> Self {
+    /// Observes the requests on a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, progress: Arc<RequestProgress>) -> Self {
         Self {
-            stream: LimitedStream::new(stream, Rc::clone(&limit)),
-            limit,
+            stream,
             progress,
             next_check: None,
             check_interval: CHECK_INTERVAL_MIN,
@@ -116,16 +59,13 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Returns whether the upstream has received the request, or none is being answered.
+    /// Returns whether the upstream has received the request, or is not observed.
     ///
     /// # Errors
     ///
     /// Returns an error if the upstream has reset the connection.
     fn has_received_request(&mut self, context: &mut Context<'_>) -> io::Result<bool> {
-        if self.limit.is_lifted() {
-            return Ok(true);
-        }
-        match self.progress.state.get() {
+        match self.progress.state() {
             RequestState::Unobserved | RequestState::Queued => Ok(true),
             // The HTTP library goes on writing, which fails if the connection is reset.
             RequestState::PartlyWritten => Ok(false),
@@ -144,12 +84,11 @@
         if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_shutdown(context) {
             result?;
         }
-        let socket = self.stream.socket();
         // A closed socket has no peer. A reset closes it as well, and leaves an error.
-        let is_closed = socket.peer_addr().is_err();
-        match socket.take_error()? {
+        let is_closed = self.stream.peer_addr().is_err();
+        match self.stream.take_error()? {
             Some(error) => {
-                self.progress.state.set(RequestState::Failed);
+                self.progress.record_failure();
                 Err(error)
             }
             None => Ok(is_closed),
@@ -208,3 +147,9 @@
         self.stream.is_write_vectored()
     }
 }
+
+impl Connection for UpstreamStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
+}
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -1,18 +1,16 @@
 //! Pool of idle HTTP connections to upstreams. A connection is reused only while
 //! the upstream is expected to keep it open.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use connection::{RequestProgress, UpstreamStream};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::{
-    read_limit::ReadLimit,
-    upstream_stream::{RequestProgress, UpstreamStream},
-};
+use crate::read_limit::{LimitedStream, ReadLimit};
 
 /// Idle time after which a connection is not reused if the upstream states no
 /// keep-alive time-out, milliseconds.
@@ -48,7 +46,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) read_limit: Rc<ReadLimit>,
-    pub(crate) request_progress: Rc<RequestProgress>,
+    pub(crate) request_progress: Arc<RequestProgress>,
     driver: AbortHandle,
 }
 
@@ -135,8 +133,9 @@
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let read_limit = Rc::new(ReadLimit::new());
-    let request_progress = Rc::new(RequestProgress::default());
-    let stream = UpstreamStream::new(stream, Rc::clone(&read_limit), Rc::clone(&request_progress));
+    let request_progress = Arc::new(RequestProgress::default());
+    let stream = UpstreamStream::new(stream, Arc::clone(&request_progress));
+    let stream = LimitedStream::new(stream, Rc::clone(&read_limit));
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -99,6 +99,7 @@
             && let Some(connection) = self.connection.take()
         {
             let keep_alive_ms = platform::keep_alive_timeout_ms(headers);
+            connection.request_progress.end();
             node.connection_pool
                 .put_idle(target.address, connection, keep_alive_ms, node.now_ms());
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -65,7 +65,6 @@
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
-mod upstream_stream;
 mod version_lists;
 mod where_query;
 
--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -18,7 +18,6 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     sync::Notify,
 };
 
@@ -76,11 +75,6 @@
         });
     }
 
-    /// Returns whether no limit is in force, as no answer is being read.
-    pub(crate) fn is_lifted(&self) -> bool {
-        matches!(self.part.get(), Part::Unlimited)
-    }
-
     /// Lifts the limit at the end of a body.
     fn end_body(&self) {
         self.set_part(Part::Unlimited);
@@ -258,24 +252,19 @@
 
 /// A connection whose reads are limited.
 #[derive(Debug)]
-pub(crate) struct LimitedStream {
-    stream: TcpStream,
+pub(crate) struct LimitedStream<S> {
+    stream: S,
     limit: Rc<ReadLimit>,
 }
 
-impl LimitedStream {
+impl<S> LimitedStream<S> {
     /// Limits the reads of a connection.
-    pub(crate) fn new(stream: TcpStream, limit: Rc<ReadLimit>) -> Self {
+    pub(crate) fn new(stream: S, limit: Rc<ReadLimit>) -> Self {
         Self { stream, limit }
     }
-
-    /// Returns the connection.
-    pub(crate) fn socket(&self) -> &TcpStream {
-        &self.stream
-    }
 }
 
-impl AsyncRead for LimitedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -300,7 +289,7 @@
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod chat;
 mod client;
+mod connector;
 mod error;
 mod events;
 mod protocol;
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -13,7 +13,7 @@
 use model::ErrorKind;
 use tokio::time::Instant;
 
-use crate::{UpstreamError, headers};
+use crate::{UpstreamError, connector::Connector, headers};
 
 /// Time-out for opening a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -25,7 +25,7 @@
 /// Time-out for reading the body of an error response, in milliseconds.
 const ERROR_BODY_TIMEOUT_MS: u64 = 1_000;
 
-pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub(crate) type HttpClient = Client<Connector, Full<Bytes>>;
 
 pub(crate) fn http_client() -> HttpClient {
     let mut connector = HttpConnector::new();
@@ -34,7 +34,7 @@
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
         .pool_timer(TokioTimer::new())
-        .build(connector)
+        .build(Connector::new(connector))
 }
 
 /// Sends a request and waits for the head of its response.
