--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -67,7 +67,6 @@
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
-mod upstream_stream;
 mod version_lists;
 mod where_query;
 
