Connections of callers are limited, and some give way before the limit is reached

Nothing limited the connections of callers: each takes a descriptor, buffers and received bytes that have not been read. Connections without a request give way first, then those whose refused bodies are read on, then bodies that have stopped, whose requests are answered 503. A connection whose request may have run is never closed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! [`UpstreamTable::batch_plan`] about batch items, and [`RetryState`] about
 //! failed attempts. The modules `connectivity` and `proxies` decide which paths
 //! to upstreams are lost and which peer then makes an attempt. [`Quarantine`] decides about requests that crash upstreams,
+//! [`ConnectionLimit`] which connections of callers are closed when there are too many,
 //! [`StreamOrigins`] and [`VersionHistory`] where a stream may go on, [`Quotas`] whether a
 //! customer may send a request.
 
@@ -27,6 +28,7 @@
 mod batch_plan;
 mod body_budget;
 mod candidate;
+mod connection_limit;
 mod connectivity;
 mod crash_evidence;
 mod crash_suspects;
@@ -80,6 +82,10 @@
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
     batch_plan::{BatchDemand, runs_to_preempt, service_hash},
     body_budget::{BodyBudget, BodyId, Room},
+    connection_limit::{
+        Activity, Admission, ConnectionEviction, ConnectionId, ConnectionLimit,
+        RECEIVE_BUFFER_BYTES,
+    },
     connectivity::{ConnectFailure, PathLoss, PathNotice, ServiceState},
     crash_evidence::{CrashReport, RequestInFlight, Survival},
     customers::{Customer, CustomerTable, KeyDigest, Quota, QuotaTerms, customer_hash},
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,7 +3,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    convert::Infallible,
     rc::Rc,
     sync::Arc,
 };
@@ -18,6 +17,7 @@
 use crate::{
     answer::{self, AnswerBody},
     body_memory::{self, BodyError},
+    caller_connections::CallerConnection,
     customers::{self, CallId, KeyedCall},
     forward::forward,
     jobs,
@@ -46,15 +46,16 @@
 /// Answers one request of a caller. The request counts as open until its answer
 /// begins; the body of the answer may be relayed later.
 pub(crate) async fn serve(
-    node: Rc<Node>,
+    caller: &CallerConnection,
     request: Request<LimitedBody>,
-) -> Result<Response<AnswerBody>, Infallible> {
-    let _open_request = OpenRequestGuard::new(&node);
+) -> Response<AnswerBody> {
+    let node = caller.node();
+    let _open_request = OpenRequestGuard::new(node);
     let arrived_ms = node.now_ms();
-    let progress = Progress::default();
+    let progress = Progress::new(caller);
     let (parts, mut body) = request.into_parts();
     let awaits_consent = parts.headers.contains_key(header::EXPECT);
-    let answer = answer_request(&node, parts, &mut body, arrived_ms, &progress);
+    let answer = answer_request(node, parts, &mut body, arrived_ms, &progress);
     let mut stage = node.stage.subscribe();
     let mut response = tokio::select! {
         response = answer => response,
@@ -63,11 +64,13 @@
     if node.stage() != Stage::Serving {
         close_connection(&mut response);
     }
+    caller.end_body();
     // A caller that waits for consent has sent nothing that would have to be read.
-    if !progress.is_body_read.get() && !body.is_end_stream() && !awaits_consent {
+    let is_read = progress.is_body_read.get() || body.is_end_stream() || awaits_consent;
+    if !is_read && caller.begin_discarding() {
         spawn_local(body_memory::discard(body));
     }
-    Ok(response)
+    response
 }
 
 /// Tells the caller that its connection is closed after this answer.
@@ -77,8 +80,9 @@
 }
 
 /// How far the answer to a request has come, in case a planned stop ends it.
-#[derive(Debug, Default)]
-struct Progress {
+#[derive(Debug)]
+struct Progress<'a> {
+    caller: &'a CallerConnection,
     request_id: RefCell<Arc<str>>,
     /// Whether something may have been done that the caller asked for.
     may_have_begun: Cell<bool>,
@@ -86,9 +90,20 @@
     is_body_read: Cell<bool>,
 }
 
+impl<'a> Progress<'a> {
+    fn new(caller: &'a CallerConnection) -> Self {
+        Self {
+            caller,
+            request_id: RefCell::default(),
+            may_have_begun: Cell::new(false),
+            is_body_read: Cell::new(false),
+        }
+    }
+}
+
 /// Returns the answer to a request that a planned stop ends. Without one, the caller could not
 /// tell whether the request was read.
-fn answer_ended(progress: &Progress) -> Response<AnswerBody> {
+fn answer_ended(progress: &Progress<'_>) -> Response<AnswerBody> {
     let may_have_begun = progress.may_have_begun.get();
     log::warn!(
         "event=request_ended_by_stop request={} may_have_begun={may_have_begun}",
@@ -117,7 +132,7 @@
     parts: request::Parts,
     body: &mut LimitedBody,
     arrived_ms: u64,
-    progress: &Progress,
+    progress: &Progress<'_>,
 ) -> Response<AnswerBody> {
     node.wait_for_initial_state().await;
     let Some(routes) = node.routes() else {
@@ -176,11 +191,10 @@
     } else {
         REQUEST_COPIES
     };
-    let body = match read_body(node, routes, body, copies, read_deadline_ms).await {
+    let body = match read_body(routes, body, copies, read_deadline_ms, progress).await {
         Ok(body) => body,
         Err(error) => return answer_unread(node, &request_headers, error),
     };
-    progress.is_body_read.set(true);
     // The body may have taken long, and the process may have been paused meanwhile.
     let customer = match customers::authenticate(node, keyed_call, is_public).await {
         Ok(customer) => customer,
@@ -220,7 +234,7 @@
     routes: &RouteTable,
     call: &RepeatCall<'_>,
     body: &mut LimitedBody,
-    progress: &Progress,
+    progress: &Progress<'_>,
 ) -> Option<Response<AnswerBody>> {
     let request_id = &call.headers.request_id;
     let job = match jobs::repeated_job(node, routes, call.parts, request_id).await {
@@ -238,9 +252,8 @@
     let time_left_ms = call.headers.time_left_ms.unwrap_or(BODY_TIMEOUT_MS);
     let deadline_ms = call.arrived_ms + time_left_ms.min(BODY_TIMEOUT_MS);
     Some(
-        match read_body(node, routes, body, REQUEST_COPIES, deadline_ms).await {
+        match read_body(routes, body, REQUEST_COPIES, deadline_ms, progress).await {
             Ok(_) => {
-                progress.is_body_read.set(true);
                 let key = call.headers.key.as_ref();
                 jobs::answer_repeated_job(node, &job, key, deadline_ms).await
             }
@@ -268,15 +281,26 @@
 }
 
 async fn read_body(
-    node: &Node,
     routes: &RouteTable,
     body: &mut LimitedBody,
     copies: usize,
     deadline_ms: u64,
+    progress: &Progress<'_>,
 ) -> Result<Bytes, BodyError> {
+    let caller = progress.caller;
     let max_bytes = routes.limits.body_max_bytes;
-    let memory = &node.body_memory;
-    memory.read(body, max_bytes, copies, deadline_ms).await
+    if !body.is_end_stream() && !caller.begin_body() {
+        return Err(BodyError::NoRoom);
+    }
+    let memory = &caller.node().body_memory;
+    let read = tokio::select! {
+        biased;
+        () = caller.must_evict_body() => Err(BodyError::Evicted),
+        read = memory.read(body, max_bytes, copies, deadline_ms) => read,
+    };
+    caller.end_body();
+    progress.is_body_read.set(read.is_ok());
+    read
 }
 
 /// Returns the answer to a request whose body was not read to its end, so that nothing has run.
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use gateway::RECEIVE_BUFFER_BYTES;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{
@@ -15,13 +16,15 @@
     server::graceful::GracefulConnection,
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::spawn_local,
     time::sleep,
 };
 
 use crate::{
+    caller_connections::{self, CallerConnection},
+    caller_stream::{CallerAnswerBody, CallerStream},
     dispatch,
     node::{Node, Stage},
     read_limit::{LimitedBody, LimitedStream, ReadLimit},
@@ -54,7 +57,10 @@
 /// Returns an error if an address cannot be bound.
 pub(crate) async fn start(node: &Rc<Node>) -> io::Result<()> {
     let settings = node.settings();
-    let caller_listener = bind(settings.front_listen).await?;
+    let caller_listener = bind_for_callers(
+        settings.front_listen,
+        caller_connections::backlog(&settings),
+    )?;
     let readiness_listener = bind(settings.readiness_listen).await?;
     spawn_local(accept_callers(Rc::clone(node), caller_listener));
     spawn_local(accept_readiness_checks(Rc::clone(node), readiness_listener));
@@ -64,7 +70,31 @@
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind(address)
         .await
-        .map_err(|error| io::Error::new(error.kind(), format!("cannot bind {address}: {error}")))
+        .map_err(|error| bind_error(address, &error))
+}
+
+/// Opens the listener for callers. The receive buffers of its connections are limited, and so is
+/// the number of connections that wait to be accepted.
+fn bind_for_callers(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!(
+            "event=receive_buffer_not_limited error={}",
+            process::quote(&error)
+        );
+    }
+    socket
+        .bind(address)
+        .and_then(|()| socket.listen(backlog))
+        .map_err(|error| bind_error(address, &error))
+}
+
+fn bind_error(address: SocketAddr, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("cannot bind {address}: {error}"))
 }
 
 async fn accept_callers(node: Rc<Node>, listener: TcpListener) {
@@ -76,8 +106,9 @@
         };
         // Counted before the task starts, so that a planned stop cannot miss an
         // accepted connection.
-        let open_connection = OpenConnectionGuard::new(Rc::clone(&node));
-        spawn_local(serve_caller(open_connection, stream));
+        if let Some(connection) = CallerConnection::open(&node).await {
+            spawn_local(serve_caller(connection, stream));
+        }
     }
 }
 
@@ -107,17 +138,19 @@
 /// Serves a connection of a caller until it ends. During a planned stop, the connection is
 /// closed after the request in progress, or after its first one if none has come yet: the
 /// caller would get no answer to a request that is on its way.
-async fn serve_caller(open_connection: OpenConnectionGuard, stream: TcpStream) {
-    let node = Rc::clone(&open_connection.node);
+async fn serve_caller(caller: Rc<CallerConnection>, stream: TcpStream) {
+    let node = caller.node();
     let limit = Rc::new(ReadLimit::new());
     let has_request = Cell::new(false);
     let stream = LimitedStream::new(stream, Rc::clone(&limit));
+    let stream = CallerStream::new(stream, Rc::clone(&caller));
     let service = service_fn(|request: Request<Incoming>| {
         has_request.set(true);
+        caller.begin_request();
         let request = request.map(|body| LimitedBody::new(body, Rc::clone(&limit)));
-        dispatch::serve(Rc::clone(&node), request)
+        serve_request(Rc::clone(&caller), request)
     });
-    let builder = caller_connection_builder(&node);
+    let builder = caller_connection_builder(node);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let last_stage = || {
         if has_request.get() {
@@ -126,7 +159,12 @@
             Stage::Closed
         }
     };
-    if let Err(error) = serve_until(&node, connection, last_stage).await {
+    let result = tokio::select! {
+        biased;
+        () = caller.must_close() => return,
+        result = serve_until(node, connection, last_stage) => result,
+    };
+    if let Err(error) = result {
         log::debug!(
             "event=caller_connection_ended error={}",
             process::quote(&error)
@@ -134,6 +172,14 @@
     }
 }
 
+async fn serve_request(
+    caller: Rc<CallerConnection>,
+    request: Request<LimitedBody>,
+) -> Result<Response<CallerAnswerBody>, Infallible> {
+    let response = dispatch::serve(&caller, request).await;
+    Ok(response.map(|body| CallerAnswerBody::new(body, caller)))
+}
+
 /// Serves a connection until it ends. During a planned stop, it is closed after the requests
 /// in progress.
 pub(crate) async fn serve_until_closing<C: GracefulConnection>(
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -25,6 +25,8 @@
 mod answer;
 mod attempt;
 mod body_memory;
+mod caller_connections;
+mod caller_stream;
 mod clock;
 mod codec;
 mod config_feed;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,8 @@
     unreachable_upstreams: Gauge<u64>,
     proxied: Gauge<u64>,
     body_memory: Gauge<u64>,
+    caller_connections: Gauge<u64>,
+    connections_closed: Counter<u64>,
     busiest: BusiestUpstreams,
     pub(crate) quotas: QuotaMetrics,
 }
@@ -89,15 +91,9 @@
         observe_upstreams(&meter, Arc::clone(&busiest));
         let histogram =
             |name, description| time_histogram(&meter, name, description, &TIME_BOUNDS_S);
-        let counter = |name: &'static str, description: &'static str| {
-            meter
-                .u64_counter(name)
-                .with_description(description)
-                .build()
-        };
-        let gauge = |name: &'static str, description: &'static str| {
-            meter.u64_gauge(name).with_description(description).build()
-        };
+        let counter = |name, description| counter(&meter, name, description);
+        let gauge = |name, description| gauge(&meter, name, description);
+        let age_gauge = |name, description| age_gauge(&meter, name, description);
         Self {
             quotas: QuotaMetrics::new(&meter),
             request_duration: histogram(
@@ -154,16 +150,14 @@
             in_flight: gauge("redwingtack.in_flight", "Own requests at upstreams"),
             waiting_items: gauge("redwingtack.items_waiting", "Own items that wait"),
             config_version: gauge("redwingtack.config_version", "Version in force"),
-            store_age: meter
-                .f64_gauge("redwingtack.store_age")
-                .with_unit("s")
-                .with_description("Time since the store last answered")
-                .build(),
-            config_confirmed_age: meter
-                .f64_gauge("redwingtack.config_confirmed_age")
-                .with_unit("s")
-                .with_description("Time since the configuration was known to be the newest")
-                .build(),
+            store_age: age_gauge(
+                "redwingtack.store_age",
+                "Time since the store last answered",
+            ),
+            config_confirmed_age: age_gauge(
+                "redwingtack.config_confirmed_age",
+                "Time since the configuration was known to be the newest",
+            ),
             ready_upstreams: gauge("redwingtack.upstreams", "Upstreams that take work"),
             unreachable_upstreams: gauge(
                 "redwingtack.upstreams_unreachable",
@@ -175,6 +169,11 @@
                 .with_unit("By")
                 .with_description("Memory that the bodies of requests take up")
                 .build(),
+            caller_connections: gauge("redwingtack.connections", "Connections of callers"),
+            connections_closed: counter(
+                "redwingtack.connections_closed",
+                "Connections of callers that were closed because there are too many",
+            ),
             limited_upstreams: gauge(
                 "redwingtack.upstreams_limited",
                 "Upstreams that state a rate limit",
@@ -208,6 +207,12 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a connection that was closed or refused to make room for others.
+    pub(crate) fn on_connection_closed(&self, activity: &'static str) {
+        self.connections_closed
+            .add(1, &[KeyValue::new("activity", activity)]);
+    }
+
     pub(crate) fn on_attempt(&self) {
         self.attempts.add(1, &[]);
     }
@@ -316,6 +321,8 @@
             .record(upstreams.unreachable_count() as u64, &[]);
         self.proxied.record(node.proxied_count.get().into(), &[]);
         self.body_memory.record(node.body_memory.used_bytes(), &[]);
+        self.caller_connections
+            .record(node.caller_connections.count() as u64, &[]);
         self.limited_upstreams
             .record(upstreams.limited_count() as u64, &[]);
         self.record_quarantined(node.quarantine.borrow().quarantined());
@@ -332,6 +339,22 @@
     }
 }
 
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
+fn age_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
+    let gauge = meter.f64_gauge(name).with_unit("s");
+    gauge.with_description(description).build()
+}
+
 /// Serves the metrics at `address` until the process exits. If the address cannot be
 /// bound, logs the error and returns.
 pub(crate) async fn serve(node: Rc<Node>, address: SocketAddr, admin: AdminState) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     body_memory::BodyMemory,
+    caller_connections::CallerConnections,
     clock::{Clock, unix_ms},
     connection_pool::ConnectionPool,
     freshness_check::FreshnessCheck,
@@ -96,6 +97,7 @@
     pub(crate) runner: RefCell<Runner>,
     /// Memory for the bodies of callers' requests and of attempts for peers.
     pub(crate) body_memory: BodyMemory,
+    pub(crate) caller_connections: CallerConnections,
     pub(crate) connection_pool: ConnectionPool,
     pub(crate) peer_connections: PeerConnections,
     /// Notified when an upstream cannot be connected to, or can be again.
@@ -126,7 +128,7 @@
     /// Number of callers' requests whose answer has not begun. Answers that are being
     /// relayed count by their connection only.
     pub(crate) open_requests: Cell<usize>,
-    /// Number of open connections of callers.
+    /// Number of open connections of callers and peers.
     pub(crate) open_connections: Cell<usize>,
 }
 
@@ -164,6 +166,7 @@
         let clock = Clock::new();
         Self {
             body_memory: BodyMemory::new(settings.memory_max_bytes, clock),
+            caller_connections: CallerConnections::new(&settings),
             metrics: Metrics::new(store.call_counts()),
             quotas: QuotaExchange::new(&settings),
             store,
@@ -226,6 +229,7 @@
             .set_revocation_ms(settings.key_revocation_ms);
         self.body_memory
             .set_process_max_bytes(settings.memory_max_bytes);
+        self.caller_connections.set_settings(&settings);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
