Test: an answer that its caller reads slowly is whole beside idle connections

A connection counts as idle only when its answer has been written to the system, not when the HTTP library has all of it.

--- a/crates/node/tests/connection_limit.rs
+++ b/crates/node/tests/connection_limit.rs
@@ -6,14 +6,15 @@
 
 use http::StatusCode;
 use support::{
-    EVENTS_PER_STREAM, complete_stream,
+    EVENTS_PER_STREAM, HOST, complete_stream,
     crowd_cluster::CrowdCluster,
+    crowd_load::Load,
     scripted_server::{RequestHead, ScriptedServer, events},
     send_stream_request,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     sync::Mutex,
     task::JoinSet,
     time::sleep,
@@ -31,6 +32,15 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of connections that callers may have: half of the 200 sockets of the machine.
 const CALLERS_MAX: usize = 100;
+/// Time that the server takes for an item, which is longer than the test.
+const ITEM_DURATION: Duration = Duration::from_secs(60);
+/// Size of an item, bytes.
+const ITEM_BYTES: usize = 1_200_000;
+/// Number of requests that a caller sends without reading an answer. The system does not buffer
+/// so many answers.
+const UNREAD_ANSWERS: usize = 3;
+/// Size of the receive buffer of a caller that does not read, bytes.
+const CALLER_BUFFER_BYTES: u32 = 4_096;
 
 /// Only one test of this file runs at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
@@ -110,3 +120,47 @@
     drop(streams);
     cluster.assert_holds_after(CONNECTIONS);
 }
+
+/// Sends requests for the body of an item and leaves the answers unread.
+async fn request_items(address: SocketAddr, job: &str, item: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(CALLER_BUFFER_BYTES).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
+    for number in 1..=UNREAD_ANSWERS {
+        let connection = if number < UNREAD_ANSWERS {
+            "keep-alive"
+        } else {
+            "close"
+        };
+        let head = format!(
+            "GET /items/{job}?id={item} HTTP/1.1\r\nHost: {HOST}\r\nConnection: {connection}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+    }
+    stream
+}
+
+/// Guards against an answer that is lost because its caller reads it slowly: the connection looks
+/// idle to those who know only that the answer is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_is_read_slowly_is_whole_beside_idle_connections() {
+    let _turn = TURN.lock().await;
+    let mut cluster = CrowdCluster::start(ITEM_DURATION).await;
+    let load = Load::jobs(1, ITEM_BYTES);
+    let outcomes = cluster.press("job", 1, &load).await;
+    let job = outcomes.keys().next().unwrap();
+    let address = cluster.cluster.nodes[0].callers_address;
+    let mut caller = request_items(address, job, &load.last_item_id(job)).await;
+    sleep(BEGIN_TIME).await;
+    let streams = open_connections(address).await;
+    let open = count_open(streams).await;
+    assert!(open > 0 && open < CALLERS_MAX, "{open}");
+    let mut answer = Vec::new();
+    // An error means that the answers are cut.
+    let _ = caller.read_to_end(&mut answer).await;
+    assert!(answer.starts_with(b"HTTP/1.1 200 "));
+    let answer_bytes = answer.len();
+    assert!(answer_bytes > UNREAD_ANSWERS * ITEM_BYTES, "{answer_bytes}");
+    assert!(answer.ends_with(&load.item_content()));
+    cluster.assert_holds_after(CONNECTIONS);
+}
