--- a/crates/node/tests/connection_limit.rs
+++ b/crates/node/tests/connection_limit.rs
@@ -33,7 +33,7 @@
 /// Number of connections that callers may have: half of the 200 sockets of the machine.
 const CALLERS_MAX: usize = 100;
 /// Time that the server takes for an item, which is longer than the test.
-const ITEM_DURATION: Duration = Duration::from_secs(60);
+const ITEM_DURATION: Duration = Duration::from_mins(1);
 /// Size of an item, bytes.
 const ITEM_BYTES: usize = 1_200_000;
 /// Number of requests that a caller sends without reading an answer. The system does not buffer
