An announced body over the limit is answered 413 even if there is no room for it

The limit of connections refuses a body for which there is no room with 503, which tells the caller to come again, before its announced length was checked.

--- a/crates/node/src/body_memory.rs
+++ b/crates/node/src/body_memory.rs
@@ -128,14 +128,12 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let size = body.size_hint();
-        if size.lower() > max_bytes {
-            return Err(BodyError::TooLong);
-        }
+        check_announced(body, max_bytes)?;
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        let max_bytes = size.upper().unwrap_or(u64::MAX).min(max_bytes);
+        let announced_bytes = body.size_hint().upper().unwrap_or(u64::MAX);
+        let max_bytes = announced_bytes.min(max_bytes);
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
         let buffer = BodyBuffer::new(self);
         let read = buffer.read(body, max_bytes, copies, self.clock);
@@ -145,6 +143,18 @@
     }
 }
 
+/// Checks the announced length of a body, if it has one.
+///
+/// # Errors
+///
+/// Returns an error if it exceeds `max_bytes`.
+pub(crate) fn check_announced<B: Body>(body: &B, max_bytes: u64) -> Result<(), BodyError> {
+    if body.size_hint().lower() > max_bytes {
+        return Err(BodyError::TooLong);
+    }
+    Ok(())
+}
+
 impl Shared {
     fn readers(&self) -> MutexGuard<'_, Readers> {
         // The table is consistent after each of its methods.
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -289,6 +289,8 @@
 ) -> Result<Bytes, BodyError> {
     let caller = progress.caller;
     let max_bytes = routes.limits.body_max_bytes;
+    // Whether or not there is room, such a body need not come again.
+    body_memory::check_announced(body, max_bytes)?;
     if !body.is_end_stream() && !caller.begin_body() {
         return Err(BodyError::NoRoom);
     }
--- a/crates/node/tests/connection_limit.rs
+++ b/crates/node/tests/connection_limit.rs
@@ -6,7 +6,8 @@
 
 use http::StatusCode;
 use support::{
-    EVENTS_PER_STREAM, HOST, complete_stream,
+    EVENTS_PER_STREAM, HOST, TestCluster, complete_stream,
+    crowd::{Crowd, Outcome},
     crowd_cluster::CrowdCluster,
     crowd_load::Load,
     scripted_server::{RequestHead, ScriptedServer, events},
@@ -41,6 +42,11 @@
 const UNREAD_ANSWERS: usize = 3;
 /// Size of the receive buffer of a caller that does not read, bytes.
 const CALLER_BUFFER_BYTES: u32 = 4_096;
+/// Memory of a machine that has room for few bodies that come at a time, MB.
+const SMALL_MEMORY_MB: u64 = 8;
+/// Number of clients that announce bodies over the limit, and their length, bytes.
+const CLIENTS_OVER_LIMIT: usize = 60;
+const ANNOUNCED_BYTES: usize = 8 << 30;
 
 /// Only one test of this file runs at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
@@ -164,3 +170,24 @@
     assert!(answer.ends_with(&load.item_content()));
     cluster.assert_holds_after(CONNECTIONS);
 }
+
+/// Guards against a promise that a body over the limit may come again, because there is no room
+/// for what its caller may send.
+#[tokio::test(flavor = "multi_thread")]
+async fn announced_bodies_over_the_limit_are_told_so_without_room_for_them() {
+    let _turn = TURN.lock().await;
+    let mut cluster = TestCluster::start_without_config(&[8], 0).await;
+    cluster.put_config(1).await;
+    cluster.memory_mb = Some(SMALL_MEMORY_MB);
+    cluster.add_node("small");
+    cluster.nodes[0].wait_until_ready().await;
+    let SocketAddr::V4(address) = cluster.nodes[0].callers_address else {
+        panic!("the address of the process is not an IPv4 address");
+    };
+    let load = Load::unfinished(ANNOUNCED_BYTES, ANNOUNCED_BYTES).over_limit();
+    let crowd = Crowd::start(address, "over", CLIENTS_OVER_LIMIT, &load);
+    assert!(crowd.wait_for_outcomes(load.timeout()).await);
+    for (id, outcome) in crowd.outcomes() {
+        assert_eq!(outcome, Outcome::Answered(413), "{id}");
+    }
+}
