Soak: requests of unusual length, and callers that come late in a planned stop

Now one request in forty lasts 2 to 4.5 s (streams) or 1.5 to 3.7 s (answers in one piece, of an idempotent and a non_idempotent route, which are new in the soak). Twenty more callers keep idle connections to all instances, wait for a signal to stop and send once, mostly 2.6 to 6.2 s after it, or open a connection and write in the last second of the grace; six in ten of their requests are long. Deadlines differ (3.5 to 9 s). The stand-in reads from the path how long an answer lasts and whether it comes in one piece.

Checks: the excuse "deadline reached" took any request that lasted 5 s; it takes each request's own deadline now, or the time-out of its route (answers in one piece: 4 s), as the rule says. A 5xx other than 503 that ends a request that came late in a stop is printed as a NOTE. Time-outs of stream routes are longer, as they exceed the longest deadline as before.

--- a/crates/node/tests/soak_judge.rs
+++ b/crates/node/tests/soak_judge.rs
@@ -7,11 +7,11 @@
 use standin::{EventRun, EventRuns};
 use support::soak::{
     Finding, Shared,
-    callers::RequestRecord,
     exchange::Ending,
     history::{Deed, Part, Span},
     job_log::{ItemResult, JobLog, Observation, Page, Seen},
     judge_jobs, judge_requests,
+    requests::RequestRecord,
 };
 
 /// A moment in calm, milliseconds.
@@ -31,6 +31,7 @@
     RequestRecord {
         id: "r".to_owned(),
         path: "/once/x".to_owned(),
+        limit_ms: 5_000,
         instance: 0,
         earlier: 0,
         ending,
@@ -152,6 +153,22 @@
     assert_eq!(count_cuts(&shared(), span, &passed_on()), 0);
 }
 
+#[test]
+fn request_is_excused_at_its_own_limit_only() {
+    let count = |limit_ms, lasted_ms| {
+        let shared = shared();
+        let span = Span::new(CALM_MS, CALM_MS + lasted_ms);
+        let mut request = request(Ending::Cut, span);
+        request.limit_ms = limit_ms;
+        shared.add_request(request);
+        judge_requests::judge(&shared, &passed_on()).len()
+    };
+    assert_eq!(count(9_000, 5_000), 1);
+    assert_eq!(count(9_000, 9_000), 0);
+    assert_eq!(count(3_000, 2_900), 1);
+    assert_eq!(count(3_000, 3_000), 0);
+}
+
 fn observation(at_ms: u64, status: u16, seen: Seen) -> Observation {
     Observation {
         instance: 0,
--- a/crates/node/tests/support/soak/job_clients.rs
+++ b/crates/node/tests/support/soak/job_clients.rs
@@ -10,15 +10,17 @@
 
 use super::{
     Shared,
-    callers::RequestRecord,
     exchange::{Call, Ending, Exchange, send_once},
     history::Span,
     job_log::{JobLog, Observation, Page, Seen},
+    requests::RequestRecord,
 };
 use crate::support::HOST;
 
 /// Time that a client gives a submission, milliseconds.
 const SUBMIT_DEADLINE_MS: u64 = 4_000;
+/// Time after which a call about a job has reached its deadline in any case, milliseconds.
+const CALL_LIMIT_MS: u64 = 5_000;
 /// Time that a read may be kept waiting, milliseconds.
 const READ_WAIT_MS: u64 = 1_000;
 /// Time that a client waits for an answer beyond what it allows.
@@ -215,7 +217,8 @@
 async fn send_call(shared: &Shared, instance: usize, call: Call<'_>) -> Exchange {
     let path = format!("{} {}", call.method, call.path);
     let exchange = send_once(shared.addresses[instance], shared.clock, call).await;
-    shared.add_request(RequestRecord::new("", &path, instance, &exchange));
+    let record = RequestRecord::new("", &path, CALL_LIMIT_MS, instance, &exchange);
+    shared.add_request(record);
     exchange
 }
 
--- a/crates/node/tests/support/soak/judge_requests.rs
+++ b/crates/node/tests/support/soak/judge_requests.rs
@@ -6,9 +6,9 @@
 
 use super::{
     Finding, Shared,
-    callers::{DEADLINE_MS, RequestRecord},
     exchange::Ending,
     history::{GRACE_S, History, Span},
+    requests::RequestRecord,
 };
 
 /// Time after its last byte in which a request may be closed that was not passed on,
@@ -42,7 +42,8 @@
     OutOfTouch,
     /// A server that ran it, or might have, was disrupted.
     ServerBrokeOff,
-    DeadlineReached,
+    /// The time of its deadline or of its route was over.
+    LimitReached,
     /// The instance or the soak's own process stalled meanwhile.
     Stalled,
     /// It was sent early in a planned stop, and lasted up to its end.
@@ -63,6 +64,11 @@
         };
         let verdict = judge.verdict();
         let outcome = format!("{:?} {:?} {verdict:?}", request.ending, request.status);
+        if judge.is_late_in_stop() {
+            *counts
+                .entry(format!("late in a stop: {outcome}"))
+                .or_default() += 1;
+        }
         *counts.entry(outcome).or_default() += 1;
         if verdict == Verdict::Broken {
             findings.push(judge.finding("ended without a complete answer"));
@@ -70,6 +76,9 @@
         if judge.is_noteworthy(verdict) {
             println!("NOTE {}", judge.finding("has an excuse").text);
         }
+        if judge.has_failed_late_in_stop() {
+            println!("NOTE {}", judge.finding("failed late in a stop").text);
+        }
         if request.is_wrong {
             findings.push(judge.finding("was answered with other events"));
         }
@@ -117,6 +126,29 @@
         (is_unanswered || is_beside_store) && !self.has_server_broken_off()
     }
 
+    /// Returns whether a request that came late in a stop was passed on and ended in vain, though
+    /// it was told so and nobody harmed the instance or a server that ran it.
+    fn has_failed_late_in_stop(&self) -> bool {
+        let RequestRecord { instance, span, .. } = *self.request;
+        self.is_late_in_stop()
+            && self.request.ending == Ending::Answered
+            && self.request.status.is_some_and(is_failure_after_run)
+            && self.servers().next().is_some()
+            && !self.has_server_broken_off()
+            && !self.history.is_instance_disrupted(instance, span)
+            && !self.has_reached_limit()
+    }
+
+    /// Returns whether a request was sent so late in a stop that its end is no excuse.
+    fn is_late_in_stop(&self) -> bool {
+        let RequestRecord { instance, span, .. } = *self.request;
+        let grace_ms = GRACE_S * 1_000;
+        let mut stops = self.history.stops(instance);
+        stops.any(|stop_ms| {
+            (stop_ms + EARLY_IN_STOP_MS + 1..stop_ms + grace_ms).contains(&span.from_ms)
+        })
+    }
+
     fn excuse(&self) -> Option<Excuse> {
         let RequestRecord { instance, span, .. } = *self.request;
         let lasted_ms = span.to_ms - span.from_ms;
@@ -141,13 +173,18 @@
         if self.has_server_broken_off() {
             return Some(Excuse::ServerBrokeOff);
         }
-        if lasted_ms + DEADLINE_SLACK_MS >= DEADLINE_MS {
-            return Some(Excuse::DeadlineReached);
+        if self.has_reached_limit() {
+            return Some(Excuse::LimitReached);
         }
         self.lasted_as_long_as_stop()
             .then_some(Excuse::LastedAsLongAsStop)
     }
 
+    fn has_reached_limit(&self) -> bool {
+        let RequestRecord { span, limit_ms, .. } = *self.request;
+        span.to_ms - span.from_ms + DEADLINE_SLACK_MS >= limit_ms
+    }
+
     /// Returns the servers that ran the request. Calls about jobs have no id.
     fn servers(&self) -> impl Iterator<Item = usize> {
         let id = &self.request.id;
@@ -178,3 +215,8 @@
         })
     }
 }
+
+/// Returns whether a status is a failure that does not promise that nothing ran.
+fn is_failure_after_run(status: u16) -> bool {
+    status >= 500 && status != 503
+}
--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -11,9 +11,11 @@
 pub mod job_log;
 pub mod judge_jobs;
 pub mod judge_requests;
+pub mod late_callers;
 pub mod operator;
 pub mod plan;
 pub mod process_operations;
+pub mod requests;
 pub mod store_writes;
 
 use std::{
@@ -28,14 +30,15 @@
 
 use tokio::{task::JoinSet, time::sleep};
 
-use callers::RequestRecord;
 use history::{Deed, History, Part, STALL_MIN_MS, SoakClock, Span};
 use job_log::JobLog;
 use operator::Operator;
 use plan::Family;
+use requests::RequestRecord;
 
-/// Number of callers of streams.
+/// Number of callers that call all the time, and of those that wait for a stop.
 const CALLERS: usize = 14;
+const LATE_CALLERS: usize = 20;
 /// Number of clients that submit jobs, and of those that visit them.
 const SUBMITTERS: usize = 3;
 const VISITORS: usize = 5;
@@ -170,6 +173,9 @@
     for number in 0..CALLERS {
         clients.spawn(callers::call(Arc::clone(shared), number));
     }
+    for number in 0..LATE_CALLERS {
+        clients.spawn(late_callers::call(Arc::clone(shared), number));
+    }
     for number in 0..SUBMITTERS {
         clients.spawn(job_clients::submit_jobs(Arc::clone(shared), number));
     }
--- a/crates/node/tests/support/soak/plan.rs
+++ b/crates/node/tests/support/soak/plan.rs
@@ -5,9 +5,9 @@
 /// Number of servers of the usual service; one more belongs to the other service.
 pub const SERVERS: usize = 3;
 
-/// Shortest time-out of a route for streams, milliseconds. It exceeds the deadline of callers, so
-/// that no request is cut by the time-out of its route.
-const TIMEOUT_MIN_MS: u64 = 5_500;
+/// Shortest time-out of a route for streams, milliseconds. It exceeds the deadlines of callers, so
+/// that no stream is cut by the time-out of its route.
+const TIMEOUT_MIN_MS: u64 = 9_500;
 
 /// Kinds of trouble that a soak draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/tests/support/soak/store_writes.rs
+++ b/crates/node/tests/support/soak/store_writes.rs
@@ -7,8 +7,11 @@
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
-use super::plan::{Place, Shape};
-use crate::support::{config, send_request};
+use super::{
+    plan::{Place, Shape},
+    requests::ANSWER_TIMEOUT_MS,
+};
+use crate::support::{HOST, config, send_request};
 
 /// Time that a write may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,6 +75,8 @@
         }
         routes.push(route);
     }
+    routes.push(answer_route("lookup", "idempotent", 3));
+    routes.push(answer_route("order", "non_idempotent", 1));
     if shape.has_cover {
         let mut cover = config["routes"][0].clone();
         cover["name"] = json!("cover");
@@ -82,3 +87,12 @@
     config["routes"] = json!(routes);
     config
 }
+
+/// Returns a route for answers in one piece.
+fn answer_route(name: &str, kind: &str, attempts_max: u32) -> Value {
+    json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": ANSWER_TIMEOUT_MS, "goal_ms": 500, "priority": 0,
+        "max_attempts": attempts_max, "service": USUAL_SERVICE
+    })
+}
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -1,6 +1,8 @@
 //! Stand-in for a model server of the platform. It answers with resumable streams
 //! of numbered server-sent events, and refuses requests beyond its capacity with
-//! the header `redwingtack-not-run`, which says that nothing ran.
+//! the header `redwingtack-not-run`, which says that nothing ran. A path says how an
+//! answer differs: `/slow` makes it slower, `/lasts-N` makes it last `N` milliseconds,
+//! `/whole` has it sent in one piece at its end.
 //!
 //! `GET /standin/runs` returns the runs of each request, `GET /standin/running`
 //! the number of streams in progress, `POST /standin/cut?after=N` breaks the next
@@ -27,11 +29,12 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     Fault, FaultKind, FaultScript, Standin,
-    http::{self as server, Body, Handler, Reply},
+    http::{self as server, Body, ConnectionDropped, Handler, Reply},
 };
 
 /// A request whose path contains this text is answered with a 500 status.
@@ -42,6 +45,12 @@
 /// The events of a stream whose path contains this text come at longer intervals.
 const SLOW_PATH_PART: &str = "slow";
 const SLOW_INTERVALS: u32 = 20;
+/// A segment of the path that begins with this text says how long a whole stream
+/// lasts, in milliseconds.
+const DURATION_SEGMENT_PREFIX: &str = "lasts-";
+/// A request whose path contains this text is answered in one piece, once the last
+/// event is due.
+const WHOLE_PATH_PART: &str = "whole";
 
 /// How long a server that crashed stays down if its port is closed, milliseconds.
 const CRASH_MS: u64 = 600_000;
@@ -228,6 +237,9 @@
             return std::future::pending().await;
         }
         let mut response = self.answer(&request);
+        if request.uri().path().contains(WHOLE_PATH_PART) {
+            response = in_one_piece(response).await?;
+        }
         if self.is_leaving.load(Ordering::Acquire) {
             let leaving = HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", leaving);
@@ -284,12 +296,7 @@
         let last_event = self.settings.events;
         let cut_after_events = u64::from(self.cut_after_events.swap(0, Ordering::AcqRel));
         let cut_event = (cut_after_events > 0).then(|| first_event + cut_after_events);
-        let slowness = if path.contains(SLOW_PATH_PART) {
-            SLOW_INTERVALS
-        } else {
-            1
-        };
-        let interval = Duration::from_millis(self.settings.interval_ms) * slowness;
+        let interval = self.interval(path);
         let trigger = self.lock_crash_trigger().clone();
         let crash = trigger.matches(request).then(|| self.crash(trigger));
         let id = header_str(request.headers(), "redwingtack-request-id")
@@ -323,6 +330,19 @@
         Response::new(server::stream_body(SyncStream::new(counted_events)))
     }
 
+    /// Returns the time before each event of the answer to a path.
+    fn interval(&self, path: &str) -> Duration {
+        if let Some(duration_ms) = stated_duration_ms(path) {
+            return Duration::from_millis(duration_ms / self.settings.events.max(1));
+        }
+        let slowness = if path.contains(SLOW_PATH_PART) {
+            SLOW_INTERVALS
+        } else {
+            1
+        };
+        Duration::from_millis(self.settings.interval_ms) * slowness
+    }
+
     fn record_run(&self, request: &Request<Bytes>) {
         let headers = request.headers();
         let id = header_str(headers, "redwingtack-request-id").unwrap_or_default();
@@ -395,6 +415,19 @@
     }
 }
 
+fn stated_duration_ms(path: &str) -> Option<u64> {
+    let mut segments = path.split('/');
+    segments.find_map(|segment| segment.strip_prefix(DURATION_SEGMENT_PREFIX)?.parse().ok())
+}
+
+/// Waits for the whole body of a response. A body that breaks closes the connection.
+async fn in_one_piece(response: Response<Body>) -> Reply {
+    let (parts, body) = response.into_parts();
+    let content = body.collect().await.map_err(|_| ConnectionDropped)?;
+    let body = server::full_body(content.to_bytes());
+    Ok(Response::from_parts(parts, body))
+}
+
 fn header_str<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
