--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -12,22 +12,19 @@
 use model::{ServiceName, shared_parts};
 
 use crate::{
-    answer::{self, AnswerBody},
+    answer::{self, AnswerBody, Truncated},
     attempt::{AttemptFailure, AttemptOptions, OutgoingRequest, UpstreamAnswer, send_attempt},
     crash_detection::join_parts,
     dispatch::{CallerRequest, host_of},
     end_to_end_headers::copy_end_to_end_headers,
+    held_answers,
+    no_answer::{NOT_RUN_RETRY_AFTER_MS, NoAnswer},
     node::Node,
     quarantine, quotas,
     relay::Relay,
     stream_versions::{self, OriginUnknown, StreamKeys},
 };
 
-/// Retry-after hint for a request that no upstream ran, milliseconds.
-const NOT_RUN_RETRY_AFTER_MS: u64 = 300;
-/// Retry-after hint for a request that this instance has no time for before it stops,
-/// milliseconds. The hint is short because other instances can serve the request.
-const STOPPING_RETRY_AFTER_MS: u64 = 10;
 /// Retry-after hint while a trial of a quarantined part waits for an idle upstream,
 /// milliseconds.
 const TRIAL_RETRY_AFTER_MS: u64 = 5_000;
@@ -58,18 +55,6 @@
     pub(crate) is_empty_stated: bool,
 }
 
-/// Why the caller gets no answer of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoAnswer {
-    /// The request was not placed at any upstream, so nothing ran.
-    Refused {
-        reason: RefusalReason,
-        retry_after_ms: u64,
-    },
-    /// All attempts failed.
-    Failed(FinalAnswer),
-}
-
 /// Forwards a request to an upstream of its route, and returns the answer for the caller.
 pub(crate) async fn forward(node: &Rc<Node>, call: CallerRequest) -> Response<AnswerBody> {
     let CallerRequest {
@@ -126,10 +111,10 @@
 impl OnlineRequest {
     async fn run(mut self) -> Response<AnswerBody> {
         match self.first_answer().await {
-            Ok(answer) => self.relay_answer(answer),
+            Ok(answer) => self.relay_answer(answer).await,
             Err(no_answer) => {
                 self.record_unanswered(no_answer);
-                response_for(no_answer)
+                no_answer.response()
             }
         }
     }
@@ -138,23 +123,12 @@
         self.check_time()?;
         self.check_quota().await?;
         self.find_version().await?;
-        self.next_answer(self.resume_after).await
-    }
-
-    /// Refuses the request if this instance is expected to stop before its answer ends.
-    fn check_time(&self) -> Result<(), NoAnswer> {
-        if self.node.has_time_for(&self.route, self.deadline_ms) {
-            return Ok(());
+        loop {
+            if let Some(answer) = self.make_attempt(self.resume_after).await? {
+                return Ok(answer);
+            }
+            self.check_time_again()?;
         }
-        let reason = RefusalReason::Stopping;
-        log::warn!(
-            "event=request_not_placed request={} route={} reason={} left_ms={} retry_after_ms={STOPPING_RETRY_AFTER_MS}",
-            self.outgoing.request_id,
-            self.route.name,
-            reason.as_str(),
-            self.deadline_ms.saturating_sub(self.node.now_ms())
-        );
-        Err(self.refuse(reason, STOPPING_RETRY_AFTER_MS))
     }
 
     /// Counts the request against the quota of its customer.
@@ -231,23 +205,34 @@
         resume_after: Option<u64>,
     ) -> Result<UpstreamAnswer, NoAnswer> {
         loop {
-            let (target, expected_ms) = self.place()?;
-            let options = self.attempt_options(expected_ms, resume_after);
-            let failure = match send_attempt(&self.node, &target, &self.outgoing, options).await {
-                Ok(answer) if self.should_retry(&answer) => {
-                    answer.record_failure();
-                    AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
-                }
-                Ok(answer) => match self.check_body(answer).await {
-                    Ok(answer) => return Ok(answer),
-                    Err(failure) => failure,
-                },
-                Err(failure) => failure,
-            };
-            self.record_failed_attempt(&target, &failure)?;
+            if let Some(answer) = self.make_attempt(resume_after).await? {
+                return Ok(answer);
+            }
         }
     }
 
+    /// Makes an attempt. Returns `None` if it failed and another one may be made.
+    async fn make_attempt(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<Option<UpstreamAnswer>, NoAnswer> {
+        let (target, expected_ms) = self.place()?;
+        let options = self.attempt_options(expected_ms, resume_after);
+        let failure = match send_attempt(&self.node, &target, &self.outgoing, options).await {
+            Ok(answer) if self.should_retry(&answer) => {
+                answer.record_failure();
+                AttemptFailure::new(AttemptEnd::Failed, answer.head.status)
+            }
+            Ok(answer) => match self.check_body(answer).await {
+                Ok(answer) => return Ok(Some(answer)),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        self.record_failed_attempt(&target, &failure)?;
+        Ok(None)
+    }
+
     /// Records a failed attempt. Returns an error if no further attempt may be made.
     pub(crate) fn record_failed_attempt(
         &mut self,
@@ -367,7 +352,7 @@
 
     /// Counts a refusal. Returns the answer for the caller, which says that the request did
     /// not run only if no attempt may have run it.
-    fn refuse(&self, reason: RefusalReason, retry_after_ms: u64) -> NoAnswer {
+    pub(crate) fn refuse(&self, reason: RefusalReason, retry_after_ms: u64) -> NoAnswer {
         self.node
             .metrics
             .on_refusal(reason.as_str(), retry_after_ms);
@@ -384,7 +369,9 @@
     fn attempt_options(&self, expected_ms: u64, resume_after: Option<u64>) -> AttemptOptions {
         let expected_at_ms = self.node.now_ms() + expected_ms;
         let unresponsive_at_ms = expected_at_ms + HEAD_DELAY_GOALS * self.route.goal_ms;
-        let head_deadline_ms = if self.retries.has_spare_attempt() {
+        let may_replace =
+            self.retries.has_spare_attempt() && self.may_replace_silent(unresponsive_at_ms);
+        let head_deadline_ms = if may_replace {
             unresponsive_at_ms.min(self.deadline_ms)
         } else {
             self.deadline_ms
@@ -411,7 +398,7 @@
         self.route.is_stream() && answer.head.status == StatusCode::OK
     }
 
-    fn relay_answer(self, answer: UpstreamAnswer) -> Response<AnswerBody> {
+    async fn relay_answer(self, answer: UpstreamAnswer) -> Response<AnswerBody> {
         let mut head = Response::new(());
         *head.status_mut() = answer.head.status;
         copy_end_to_end_headers(&answer.head.headers, head.headers_mut());
@@ -420,8 +407,15 @@
             // If another upstream resumes the stream, the length may differ.
             head.headers_mut().remove(header::CONTENT_LENGTH);
         }
-        let body = Relay::new(self, answer, is_event_stream).into_body();
-        head.map(|()| body)
+        let is_held = self.must_hold(&answer);
+        let relay = Relay::new(self, answer, is_event_stream);
+        if !is_held {
+            return head.map(|()| relay.into_body());
+        }
+        match held_answers::hold(relay).await {
+            Ok(body) => head.map(|()| body),
+            Err(Truncated) => NoAnswer::Failed(FinalAnswer::Unknown).response(),
+        }
     }
 
     /// Records that the caller gets no answer of an upstream.
@@ -440,56 +434,6 @@
     }
 }
 
-impl NoAnswer {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused { reason, .. } => reason.as_str(),
-            Self::Failed(FinalAnswer::NotRun) => "not_run",
-            Self::Failed(FinalAnswer::Unknown) => "unknown",
-            Self::Failed(FinalAnswer::TimedOut) => "timed_out",
-        }
-    }
-}
-
-fn response_for(no_answer: NoAnswer) -> Response<AnswerBody> {
-    match no_answer {
-        NoAnswer::Refused {
-            reason: RefusalReason::Quarantined,
-            retry_after_ms,
-        } => answer::service_unavailable(
-            retry_after_ms,
-            "the request or a part of its prompt crashes upstreams",
-        ),
-        NoAnswer::Refused {
-            reason: RefusalReason::VersionGone | RefusalReason::VersionUnknown,
-            retry_after_ms,
-        } => answer::service_unavailable(
-            retry_after_ms,
-            "no upstream is known to run the version that began the stream",
-        ),
-        NoAnswer::Refused {
-            reason: RefusalReason::OverQuota,
-            retry_after_ms,
-        } => answer::too_many_requests(retry_after_ms, "the quota is used up"),
-        NoAnswer::Refused {
-            reason: RefusalReason::Stopping,
-            retry_after_ms,
-        } => answer::service_unavailable(retry_after_ms, "this instance is stopping"),
-        NoAnswer::Refused { retry_after_ms, .. } => {
-            answer::service_unavailable(retry_after_ms, "no upstream can answer in time")
-        }
-        NoAnswer::Failed(FinalAnswer::NotRun) => {
-            answer::service_unavailable(NOT_RUN_RETRY_AFTER_MS, "no upstream ran the request")
-        }
-        NoAnswer::Failed(FinalAnswer::Unknown) => {
-            answer::text(StatusCode::BAD_GATEWAY, "the upstream's answer was lost")
-        }
-        NoAnswer::Failed(FinalAnswer::TimedOut) => {
-            answer::text(StatusCode::GATEWAY_TIMEOUT, "no answer before the deadline")
-        }
-    }
-}
-
 /// Returns the fingerprint of a caller's request. Headers but for the host do not count,
 /// since many of them differ between a request and its repetition.
 fn fingerprint(parts: &request::Parts, body: &[u8]) -> RequestFingerprint {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -41,10 +41,12 @@
 mod frame_reader;
 mod freshness_check;
 mod heartbeats;
+mod held_answers;
 mod jobs;
 mod listener;
 mod load_notices;
 mod metrics;
+mod no_answer;
 mod node;
 mod options;
 mod origin_exchange;
@@ -62,9 +64,11 @@
 mod registrations;
 mod relay;
 mod shutdown;
+mod stop_admission;
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
+mod upstream_stream;
 mod version_lists;
 mod where_query;
 
@@ -117,6 +121,8 @@
     if let Err(error) = &result {
         log::error!("event=exit error={}", process::quote(error));
     }
+    // Answers in progress log that they are cut.
+    drop(tasks);
     logs.flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,8 +9,8 @@
 };
 
 use gateway::{
-    KeyLease, Locality, Preemption, Quarantine, RequestDurations, Route, RouteTable, StreamOrigins,
-    Target, UnknownKeys, UpstreamTable, VersionHistory,
+    KeyLease, Locality, PlannedStop, Preemption, Quarantine, RequestDurations, RouteTable,
+    StreamOrigins, Target, UnknownKeys, UpstreamTable, VersionHistory,
 };
 use ledger::{Directory, OwnerId, StoreClock};
 use model::InstanceId;
@@ -128,6 +128,8 @@
     pub(crate) open_requests: Cell<usize>,
     /// Number of open connections of callers.
     pub(crate) open_connections: Cell<usize>,
+    /// When the last of them was closed, in milliseconds on the node's clock.
+    pub(crate) last_connection_end_ms: Cell<u64>,
 }
 
 /// Life-cycle stages of the process, in order.
@@ -210,6 +212,7 @@
             request_durations: RefCell::default(),
             open_requests: Cell::default(),
             open_connections: Cell::default(),
+            last_connection_end_ms: Cell::default(),
             owner_id,
         }
     }
@@ -308,13 +311,11 @@
         *self.stage.borrow()
     }
 
-    /// Returns whether a request of a route with this deadline is expected to end before a
-    /// planned stop, if one has begun, cuts its answer.
-    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
-        self.stop_deadline_ms.get().is_none_or(|stop_deadline_ms| {
-            let now_ms = self.now_ms();
-            let durations = self.request_durations.borrow();
-            durations.is_expected_to_end_by(stop_deadline_ms, route, deadline_ms, now_ms)
+    /// Returns the planned stop, if one has begun.
+    pub(crate) fn planned_stop(&self) -> Option<PlannedStop> {
+        Some(PlannedStop {
+            end_ms: self.stop_deadline_ms.get()?,
+            is_in_rotation: self.stage() < Stage::Closing,
         })
     }
 
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -36,8 +36,15 @@
 /// whether an instance is ready, and takes it out of rotation after two misses. An instance
 /// without connections may end soon after.
 const IN_ROTATION: Duration = Duration::from_secs(2);
+/// Time from the signal in which requests are sent that a stop may cut at its end.
+const MAY_BE_CUT: Duration = Duration::from_secs(3);
+/// Time from the signal until the rest of the stop is shorter than requests of 750 ms.
+const UNTIL_LATE: Duration = Duration::from_secs(5);
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(30);
+/// Duration of short requests, and a time that their callers wait which ends before the stop does.
+const SHORT_DURATION: Duration = Duration::from_millis(400);
+const SHORT_DEADLINE_MS: &str = "1400";
 /// Time that callers wait, which is longer than the rest of the stop for most of them.
 const DEADLINE_MS: &str = "4500";
 
@@ -48,12 +55,14 @@
 }
 
 impl SlowServer {
-    /// Starts a server whose streams begin at once and end after `duration`.
-    fn start(duration: Duration) -> Self {
+    /// Starts a server whose streams begin at once and end after the duration that `duration_of`
+    /// returns for the id of the request.
+    fn start(duration_of: impl Fn(&str) -> Duration + Send + 'static) -> Self {
         let requests = Arc::new(Mutex::new(BTreeSet::new()));
         let ids = Arc::clone(&requests);
         let server = ScriptedServer::start(move |head, stream| {
             ids.lock().unwrap().insert(head.id.clone());
+            let duration = duration_of(&head.id);
             answer_slowly(head, stream, duration)
         });
         Self { server, requests }
@@ -81,6 +90,18 @@
     let _ = stream.write_all(b"0\r\n\r\n").await;
 }
 
+/// Answers with the whole stream at once, after a silence.
+async fn answer_after(head: RequestHead, mut stream: TcpStream, silence: Duration) {
+    sleep(silence).await;
+    let body = complete_stream(&head.id);
+    let length = body.len();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nRedwingtack-Server-Stamp: stamp\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    // The other side may have closed the connection.
+    let _ = stream.write_all(answer.as_bytes()).await;
+}
+
 /// What came of a request that was sent during the stop.
 #[derive(Debug)]
 struct Outcome {
@@ -92,11 +113,20 @@
 }
 
 async fn send(cluster: &TestCluster, path: &'static str, id: String) -> std::io::Result<Answer> {
+    send_with_deadline(cluster, path, id, DEADLINE_MS).await
+}
+
+async fn send_with_deadline(
+    cluster: &TestCluster,
+    path: &'static str,
+    id: String,
+    deadline_ms: &str,
+) -> std::io::Result<Answer> {
     let address = cluster.nodes[0].callers_address;
     let headers = [
         ("host", HOST),
         ("redwingtack-request-id", id.as_str()),
-        ("redwingtack-deadline-ms", DEADLINE_MS),
+        ("redwingtack-deadline-ms", deadline_ms),
     ];
     send_request(address, "POST", path, &headers, b"prompt".to_vec()).await
 }
@@ -107,9 +137,16 @@
     path: &'static str,
     duration: Duration,
 ) -> (Vec<Outcome>, SlowServer, TestCluster) {
-    let slow = SlowServer::start(duration);
-    let cluster = TestCluster::start(&[8], 1).await;
-    cluster.unregister_server(0).await;
+    outcomes_beside(SlowServer::start(move |_| duration), path, DEADLINE_MS).await
+}
+
+/// Like [`outcomes_of_a_stop`], with callers that wait for another time.
+async fn outcomes_beside(
+    slow: SlowServer,
+    path: &'static str,
+    deadline_ms: &'static str,
+) -> (Vec<Outcome>, SlowServer, TestCluster) {
+    let cluster = start_with_all_kinds().await;
     slow.server.register(&cluster, "slow", 400).await;
     sleep(Duration::from_millis(300)).await;
     for number in 0..2 {
@@ -125,7 +162,8 @@
         let cluster = Arc::clone(&cluster);
         requests.spawn(async move {
             let sent_after = stopped_at.elapsed();
-            let answer = match send(&cluster, path, id.clone()).await {
+            let answer = send_with_deadline(&cluster, path, id.clone(), deadline_ms);
+            let answer = match answer.await {
                 Ok(answer) => Some(answer),
                 Err(error) => {
                     assert_ne!(error.kind(), ErrorKind::ConnectionRefused, "{sent_after:?}");
@@ -196,12 +234,117 @@
     assert_none_is_cut(&outcomes, &slow);
 }
 
-/// A stop refuses nothing that it can still do, and answers on new connections until it accepts
-/// none.
+/// Returns how long a stream lasts on a route of short streams, of which one in four is long once
+/// the stop has begun.
+fn duration_with_long_ones(id: &str) -> Duration {
+    let number: Option<u32> = id.strip_prefix('r').and_then(|number| number.parse().ok());
+    if number.is_some_and(|number| number % 4 == 0) {
+        Duration::from_millis(3_500)
+    } else {
+        Duration::from_millis(750)
+    }
+}
+
+/// Guards against a stream that is taken late in a planned stop because those before it were short,
+/// and cut after some of its events.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_outlasts_those_before_it_is_not_cut_by_a_stop() {
+    for path in ["/once/x", "/long/x"] {
+        let slow = SlowServer::start(duration_with_long_ones);
+        let (mut outcomes, slow, _cluster) = outcomes_beside(slow, path, DEADLINE_MS).await;
+        outcomes.retain(|outcome| outcome.sent_after > MAY_BE_CUT);
+        assert!(!outcomes.is_empty());
+        assert_none_is_cut(&outcomes, &slow);
+    }
+}
+
+/// Guards against an answer that is cut although it could still have been replaced by a failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_outlasts_a_stop_is_a_failure_and_not_cut() {
+    for path in ["/idempotent/x", "/non_idempotent/x"] {
+        let slow = SlowServer::start(duration_with_long_ones);
+        let (mut outcomes, _slow, _cluster) = outcomes_beside(slow, path, DEADLINE_MS).await;
+        outcomes.retain(|outcome| outcome.sent_after > MAY_BE_CUT);
+        assert!(!outcomes.is_empty());
+        for outcome in outcomes {
+            let answer = outcome.answer.expect("an answer");
+            assert!(answer.is_complete, "{}: {answer:?}", outcome.id);
+            if answer.status == StatusCode::OK {
+                assert_eq!(answer.body, complete_stream(&outcome.id));
+            }
+        }
+    }
+}
+
+/// Guards against a second attempt that replaces one of a sound server and cannot end in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_request_does_not_begin_again_late_in_a_stop() {
+    let servers = [(); 2].map(|()| {
+        ScriptedServer::start(async |head, stream| {
+            let duration = if head.id == "late" { 2_200 } else { 100 };
+            answer_after(head, stream, Duration::from_millis(duration)).await;
+        })
+    });
+    let mut cluster = start_with_all_kinds().await;
+    for (server, id) in servers.iter().zip(["a", "b"]) {
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    for number in 0..4 {
+        let id = format!("before-{number}");
+        let answer = send(&cluster, "/idempotent/x", id).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    // An instance without connections may end early.
+    let kept = TcpStream::connect(cluster.nodes[0].callers_address).await;
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    sleep(MAY_BE_CUT).await;
+    let answer = send(&cluster, "/idempotent/x", "late".to_owned()).await;
+    drop(kept);
+    assert_eq!(answer.unwrap().body, complete_stream("late"));
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
+/// Guards against another attempt for a request that failed shortly before the end of a stop: it
+/// would run in vain.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_request_does_not_begin_again_at_the_end_of_a_stop() {
+    let late_attempts = Arc::new(Mutex::new(0));
+    let servers = [(); 2].map(|()| {
+        let late_attempts = Arc::clone(&late_attempts);
+        ScriptedServer::start(move |head, stream| {
+            let is_late = head.id == "late";
+            *late_attempts.lock().unwrap() += u32::from(is_late);
+            async move {
+                if is_late {
+                    sleep(UNTIL_LATE).await;
+                    drop(stream);
+                } else {
+                    answer_after(head, stream, Duration::from_millis(750)).await;
+                }
+            }
+        })
+    });
+    let mut cluster = start_with_all_kinds().await;
+    for (server, id) in servers.iter().zip(["a", "b"]) {
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let answer = send(&cluster, "/patient/x", "before".to_owned()).await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let answer = send_with_deadline(&cluster, "/patient/x", "late".to_owned(), "9000").await;
+    assert_eq!(answer.unwrap().status, StatusCode::BAD_GATEWAY);
+    assert_eq!(*late_attempts.lock().unwrap(), 1);
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
+/// A stop refuses nothing that is sure to end in time, and answers on new connections until it
+/// accepts none.
 #[tokio::test(flavor = "multi_thread")]
 async fn short_request_is_served_until_the_end_of_a_stop() {
-    let duration = Duration::from_millis(400);
-    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", duration).await;
+    let slow = SlowServer::start(|_| SHORT_DURATION);
+    let (outcomes, slow, _cluster) = outcomes_beside(slow, "/once/x", SHORT_DEADLINE_MS).await;
     assert_none_is_cut(&outcomes, &slow);
     for outcome in outcomes {
         let answer = outcome.answer.unwrap();
@@ -209,6 +352,37 @@
     }
 }
 
+/// A short answer that can still be replaced by a failure is served until then as well, however
+/// long its caller would wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_answer_is_served_until_the_end_of_a_stop() {
+    for path in ["/idempotent/x", "/non_idempotent/x"] {
+        let (outcomes, slow, _cluster) = outcomes_of_a_stop(path, SHORT_DURATION).await;
+        assert_none_is_cut(&outcomes, &slow);
+        for outcome in outcomes {
+            let answer = outcome.answer.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{:?}", outcome.sent_after);
+        }
+    }
+}
+
+/// A short stream that could outlast the stop is served as long as the platform sends callers, and
+/// refused, not run, after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_stream_of_unknown_end_is_served_while_in_rotation() {
+    let (outcomes, slow, _cluster) = outcomes_of_a_stop("/once/x", SHORT_DURATION).await;
+    assert_none_is_cut(&outcomes, &slow);
+    for outcome in outcomes {
+        let status = outcome.answer.unwrap().status;
+        if outcome.sent_after < IN_ROTATION {
+            assert_eq!(status, StatusCode::OK, "{:?}", outcome.sent_after);
+        } else if outcome.sent_after > MAY_BE_CUT {
+            let refused = StatusCode::SERVICE_UNAVAILABLE;
+            assert_eq!(status, refused, "{:?}", outcome.sent_after);
+        }
+    }
+}
+
 /// Requests that last longer are served as long as the platform sends them.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_of_a_second_is_served_while_in_rotation() {
@@ -324,6 +498,26 @@
     }
 }
 
+/// Starts an instance with routes of all kinds, without a server.
+async fn start_with_all_kinds() -> TestCluster {
+    let cluster = TestCluster::start(&[8], 1).await;
+    cluster.unregister_server(0).await;
+    let mut config = config(2, 0);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let mut add_route = |name: &str, kind: &str, timeout_ms: u64, goal_ms: u64| {
+        routes.push(json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": timeout_ms, "goal_ms": goal_ms, "priority": 0, "max_attempts": 3,
+            "service": "oracle"
+        }));
+    };
+    add_route("idempotent", "idempotent", 5_000, 300);
+    add_route("non_idempotent", "non_idempotent", 5_000, 300);
+    add_route("patient", "idempotent", 20_000, 5_000);
+    cluster.put_row("op", "config", &config).await;
+    cluster
+}
+
 /// Starts an instance whose routes let requests last longer than a stop, without a server.
 async fn start_with_long_time_outs() -> TestCluster {
     let cluster = TestCluster::start(&[8], 1).await;
