--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -75,18 +75,22 @@
 }
 
 impl SoakSettings {
-    /// Returns these settings, or those that the environment names in their place.
+    /// Returns the settings that the environment names, with those of `default` for what it does
+    /// not name, or `None` if it names none.
     #[must_use]
-    pub fn or_from_environment(self) -> Self {
+    pub fn from_environment(default: Self) -> Option<Self> {
         let named = |name: &str| env::var(name).ok()?.parse::<u64>().ok();
         let seed = named("REDWINGTACK_SOAK_SEED");
         let duration = named("REDWINGTACK_SOAK_SECONDS").map(Duration::from_secs);
         let instances = named("REDWINGTACK_SOAK_INSTANCES");
-        Self {
-            seed: seed.unwrap_or(self.seed),
-            duration: duration.unwrap_or(self.duration),
-            instances: instances.map_or(self.instances, |count| usize::try_from(count).unwrap()),
+        if seed.is_none() && duration.is_none() && instances.is_none() {
+            return None;
         }
+        Some(Self {
+            seed: seed.unwrap_or(default.seed),
+            duration: duration.unwrap_or(default.duration),
+            instances: instances.map_or(default.instances, |count| usize::try_from(count).unwrap()),
+        })
     }
 }
 
