--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -1,16 +1,11 @@
-//! Which requests an instance still takes during a planned stop, and which attempts it replaces.
+//! Which requests an instance still takes during a planned stop, and when it makes another attempt.
 //!
 //! A deadline bounds a request for certain; how long others of its route have lasted does not.
-//! Callers that are still sent to the instance are served if their requests are expected to end
-//! in time. Later ones could as well go to another instance, so that an answer which could only
-//! be cut is not begun any more.
+//! Callers that are still sent to the instance are served if their requests are likely to end in
+//! time. Later ones can go to other instances, so only those that are certain to end are taken.
 
 use crate::{request_durations::RequestDurations, route::Route};
 
-/// A request that has been silent for some time is expected to last this many times as long,
-/// once more, if another attempt replaces the silent one.
-const SILENCE_MULTIPLE: u64 = 4;
-
 /// A planned stop that has begun. Times are milliseconds on the clock of the instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
@@ -20,59 +15,59 @@
     pub is_in_rotation: bool,
 }
 
-/// Why a request is expected to end before a planned stop does.
+/// How sure it is that a request ends before a planned stop does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndBound {
+pub enum ExpectedEnd {
     /// Its deadline is earlier.
-    Deadline,
+    Certain,
     /// The requests of its route have not lasted so long lately.
-    Durations,
+    Likely,
 }
 
-impl EndBound {
+impl ExpectedEnd {
     /// Returns the name used in logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Deadline => "deadline",
-            Self::Durations => "durations",
+            Self::Certain => "certain",
+            Self::Likely => "likely",
         }
     }
 }
 
 impl PlannedStop {
-    /// Returns why a request that begins now is expected to end in time, or `None` if it must
-    /// not be taken any more. A stream whose events have been passed on can only be cut, so its
-    /// end must be certain once callers go elsewhere.
+    /// Returns how sure it is that a request which begins now ends in time, or `None` if it must
+    /// not be taken any more.
     #[must_use]
-    pub fn find_bound(
+    pub fn find_expected_end(
         &self,
         route: &Route,
         deadline_ms: u64,
         durations: &RequestDurations,
         now_ms: u64,
-    ) -> Option<EndBound> {
+    ) -> Option<ExpectedEnd> {
         if deadline_ms <= self.end_ms {
-            return Some(EndBound::Deadline);
+            return Some(ExpectedEnd::Certain);
         }
-        let may_be_cut = route.is_stream() && !self.is_in_rotation;
-        let is_expected =
-            !may_be_cut && durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
-        is_expected.then_some(EndBound::Durations)
+        let is_likely = self.is_in_rotation
+            && durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms);
+        is_likely.then_some(ExpectedEnd::Likely)
     }
 
-    /// Returns whether another attempt may replace one that was sent at `sent_at_ms` and has been
-    /// silent until `silent_until_ms`. It takes at least as long as the first one would have, and
-    /// the silence shows that this request may last longer than others.
+    /// Returns whether another attempt for a request that has been taken may begin now. If the
+    /// request may have run, the caller would have to be told of a failure, so only a known
+    /// duration that is too long keeps it from being tried again.
     #[must_use]
-    pub fn may_replace_silent(
+    pub fn has_time_to_retry(
         &self,
-        sent_at_ms: u64,
-        silent_until_ms: u64,
+        route: &Route,
         deadline_ms: u64,
+        may_have_run: bool,
+        durations: &RequestDurations,
+        now_ms: u64,
     ) -> bool {
-        let silence_ms = silent_until_ms.saturating_sub(sent_at_ms);
-        let expected_ms = silence_ms.saturating_mul(SILENCE_MULTIPLE);
-        silent_until_ms.saturating_add(expected_ms).min(deadline_ms) <= self.end_ms
+        let is_unknown = !durations.is_known(route, now_ms);
+        (may_have_run && is_unknown)
+            || durations.is_expected_to_end_by(self.end_ms, route, deadline_ms, now_ms)
     }
 }
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -1,8 +1,8 @@
-//! Which requests are taken during a planned stop, and which silent attempts are replaced.
+//! Which requests are taken during a planned stop, and when another attempt is made.
 
 mod support;
 
-use gateway::{EndBound, PlannedStop, RequestDurations, Route, RouteKind};
+use gateway::{ExpectedEnd, PlannedStop, RequestDurations, Route, RouteKind};
 use support::route;
 
 const STREAM: RouteKind = RouteKind::Stream { is_resumable: true };
@@ -23,58 +23,65 @@
     durations
 }
 
-fn bound(kind: RouteKind, is_in_rotation: bool, deadline_ms: u64) -> Option<EndBound> {
+fn expected_end(kind: RouteKind, is_in_rotation: bool, deadline_ms: u64) -> Option<ExpectedEnd> {
     let route = route(kind);
     let durations = short_durations(&route);
-    stop(is_in_rotation).find_bound(&route, deadline_ms, &durations, NOW_MS)
+    stop(is_in_rotation).find_expected_end(&route, deadline_ms, &durations, NOW_MS)
 }
 
 #[test]
-fn find_bound_takes_deadline_before_end() {
+fn find_expected_end_takes_deadline_before_end() {
     for kind in [STREAM, RouteKind::Idempotent, RouteKind::NonIdempotent] {
         for is_in_rotation in [true, false] {
-            let found = bound(kind, is_in_rotation, END_MS);
-            assert_eq!(found, Some(EndBound::Deadline));
+            let found = expected_end(kind, is_in_rotation, END_MS);
+            assert_eq!(found, Some(ExpectedEnd::Certain));
         }
     }
 }
 
 #[test]
-fn find_bound_takes_expected_end_in_rotation() {
+fn find_expected_end_takes_expected_end_in_rotation() {
     for kind in [STREAM, RouteKind::Idempotent, RouteKind::NonIdempotent] {
-        let found = bound(kind, true, END_MS + 1);
-        assert_eq!(found, Some(EndBound::Durations));
+        let found = expected_end(kind, true, END_MS + 1);
+        assert_eq!(found, Some(ExpectedEnd::Likely));
     }
 }
 
 #[test]
-fn find_bound_takes_only_deadline_of_stream_out_of_rotation() {
-    assert_eq!(bound(STREAM, false, END_MS + 1), None);
-    let found = bound(RouteKind::Idempotent, false, END_MS + 1);
-    assert_eq!(found, Some(EndBound::Durations));
+fn find_expected_end_takes_only_deadline_out_of_rotation() {
+    for kind in [STREAM, RouteKind::Idempotent, RouteKind::NonIdempotent] {
+        assert_eq!(expected_end(kind, false, END_MS + 1), None);
+    }
 }
 
 #[test]
-fn find_bound_takes_nothing_unknown() {
+fn find_expected_end_takes_nothing_unknown() {
     let route = route(RouteKind::Idempotent);
     let durations = RequestDurations::default();
-    let found = stop(true).find_bound(&route, END_MS + 1, &durations, NOW_MS);
+    let found = stop(true).find_expected_end(&route, END_MS + 1, &durations, NOW_MS);
     assert_eq!(found, None);
 }
 
+fn has_time_to_retry(last_ms: Option<u64>, may_have_run: bool, deadline_ms: u64) -> bool {
+    let route = route(RouteKind::Idempotent);
+    let mut durations = RequestDurations::default();
+    if let Some(last_ms) = last_ms {
+        durations.record(&route.name, last_ms, NOW_MS - 10);
+    }
+    stop(false).has_time_to_retry(&route, deadline_ms, may_have_run, &durations, NOW_MS)
+}
+
 #[test]
-fn may_replace_silent_by_time_of_silence() {
-    let deadline_ms = END_MS + 5_000;
-    let may_replace = |silence_ms| {
-        let silent_until_ms = NOW_MS + silence_ms;
-        stop(true).may_replace_silent(NOW_MS, silent_until_ms, deadline_ms)
-    };
-    assert!(may_replace(600));
-    assert!(!may_replace(601));
+fn has_time_to_retry_by_known_duration() {
+    for may_have_run in [true, false] {
+        assert!(has_time_to_retry(Some(2_400), may_have_run, END_MS + 1));
+        assert!(!has_time_to_retry(Some(2_401), may_have_run, END_MS + 1));
+        assert!(has_time_to_retry(Some(2_401), may_have_run, END_MS));
+    }
 }
 
 #[test]
-fn may_replace_silent_before_deadline_within_stop() {
-    let silent_until_ms = NOW_MS + 2_000;
-    assert!(stop(false).may_replace_silent(NOW_MS, silent_until_ms, END_MS));
+fn has_time_to_retry_what_may_have_run_without_known_duration() {
+    assert!(has_time_to_retry(None, true, END_MS + 1));
+    assert!(!has_time_to_retry(None, false, END_MS + 1));
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -25,6 +25,8 @@
 mod answer;
 mod attempt;
 mod body_memory;
+mod caller_connections;
+mod caller_stream;
 mod clock;
 mod codec;
 mod config_feed;
@@ -41,7 +43,6 @@
 mod frame_reader;
 mod freshness_check;
 mod heartbeats;
-mod held_answers;
 mod jobs;
 mod listener;
 mod load_notices;
@@ -68,7 +69,6 @@
 mod store_calls;
 mod stream_versions;
 mod upstream_connections;
-mod upstream_stream;
 mod version_lists;
 mod where_query;
 
