--- a/crates/node/tests/support/soak/mod.rs
+++ b/crates/node/tests/support/soak/mod.rs
@@ -11,9 +11,11 @@
 pub mod job_log;
 pub mod judge_jobs;
 pub mod judge_requests;
+pub mod late_callers;
 pub mod operator;
 pub mod plan;
 pub mod process_operations;
+pub mod requests;
 pub mod store_writes;
 
 use std::{
@@ -28,14 +30,15 @@
 
 use tokio::{task::JoinSet, time::sleep};
 
-use callers::RequestRecord;
 use history::{Deed, History, Part, STALL_MIN_MS, SoakClock, Span};
 use job_log::JobLog;
 use operator::Operator;
 use plan::Family;
+use requests::RequestRecord;
 
-/// Number of callers of streams.
+/// Number of callers that call all the time, and of those that wait for a stop.
 const CALLERS: usize = 14;
+const LATE_CALLERS: usize = 20;
 /// Number of clients that submit jobs, and of those that visit them.
 const SUBMITTERS: usize = 3;
 const VISITORS: usize = 5;
@@ -72,18 +75,22 @@
 }
 
 impl SoakSettings {
-    /// Returns these settings, or those that the environment names in their place.
+    /// Returns the settings that the environment names, with those of `default` for what it does
+    /// not name, or `None` if it names none.
     #[must_use]
-    pub fn or_from_environment(self) -> Self {
+    pub fn from_environment(default: Self) -> Option<Self> {
         let named = |name: &str| env::var(name).ok()?.parse::<u64>().ok();
         let seed = named("REDWINGTACK_SOAK_SEED");
         let duration = named("REDWINGTACK_SOAK_SECONDS").map(Duration::from_secs);
         let instances = named("REDWINGTACK_SOAK_INSTANCES");
-        Self {
-            seed: seed.unwrap_or(self.seed),
-            duration: duration.unwrap_or(self.duration),
-            instances: instances.map_or(self.instances, |count| usize::try_from(count).unwrap()),
+        if seed.is_none() && duration.is_none() && instances.is_none() {
+            return None;
         }
+        Some(Self {
+            seed: seed.unwrap_or(default.seed),
+            duration: duration.unwrap_or(default.duration),
+            instances: instances.map_or(default.instances, |count| usize::try_from(count).unwrap()),
+        })
     }
 }
 
@@ -170,6 +177,9 @@
     for number in 0..CALLERS {
         clients.spawn(callers::call(Arc::clone(shared), number));
     }
+    for number in 0..LATE_CALLERS {
+        clients.spawn(late_callers::call(Arc::clone(shared), number));
+    }
     for number in 0..SUBMITTERS {
         clients.spawn(job_clients::submit_jobs(Arc::clone(shared), number));
     }
