A red test of a silent request that is begun again early in a planned stop

A threshold on the silence did harm beside a frozen server; what would do is a second attempt beside the first.

--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -301,6 +301,29 @@
     assert!(cluster.nodes[0].wait_for_exit().await);
 }
 
+/// Guards against the same early in a stop: the first attempt would have ended in time, the last one
+/// does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_request_is_answered_by_a_sound_server_early_in_a_stop() {
+    let servers = [(); 2].map(|()| {
+        ScriptedServer::start(|head, stream| {
+            let silence_ms = if head.id == "early" { 4_600 } else { 100 };
+            answer_after(head, stream, Duration::from_millis(silence_ms))
+        })
+    });
+    let mut cluster = start_with_all_kinds().await;
+    for (server, id) in servers.iter().zip(["a", "b"]) {
+        server.register(&cluster, id, 8).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let answer = send(&cluster, "/lasting/x", "before".to_owned()).await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    cluster.nodes[0].signal(Signal::SIGTERM);
+    let answer = send_with_deadline(&cluster, "/lasting/x", "early".to_owned(), "9000").await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    assert!(cluster.nodes[0].wait_for_exit().await);
+}
+
 /// Guards against another attempt for a request that failed shortly before the end of a stop: it
 /// would run in vain.
 #[tokio::test(flavor = "multi_thread")]
@@ -535,6 +558,7 @@
     add_route("idempotent", "idempotent", 5_000, 300);
     add_route("non_idempotent", "non_idempotent", 5_000, 300);
     add_route("patient", "idempotent", 20_000, 5_000);
+    add_route("lasting", "idempotent", 20_000, 300);
     cluster.put_row("op", "config", &config).await;
     cluster
 }
