Tests share the routes of all kinds, the nodes behind peers, and what a lost answer looks like

Moved from broken_heads.rs and early_answers.rs to support/scripted_cluster.rs; planned_stop.rs uses the routes too.

--- a/crates/node/tests/broken_heads.rs
+++ b/crates/node/tests/broken_heads.rs
@@ -6,8 +6,10 @@
 
 use http::StatusCode;
 use support::{
-    Answer, EVENTS_PER_STREAM, complete_output, complete_stream,
-    scripted_cluster::{NOT_REPEATABLE, REPEATABLE, ScriptedCluster},
+    EVENTS_PER_STREAM, complete_output, complete_stream,
+    scripted_cluster::{
+        NOT_REPEATABLE, REPEATABLE, ScriptedCluster, assert_is_lost, is_whole_success,
+    },
     scripted_server::{ConnectionEnd, Reply, events},
 };
 
@@ -48,20 +50,6 @@
         .into_iter()
 }
 
-/// Returns whether a caller takes an answer for the whole answer of a server.
-fn is_whole_success(answer: &Answer) -> bool {
-    answer.status.is_success() && answer.is_complete
-}
-
-/// The caller must not be told that the request has not run.
-fn assert_is_lost(answer: &Answer, case: &str) {
-    assert!(!is_whole_success(answer), "{case}: {answer:?}");
-    assert!(
-        answer.status == StatusCode::BAD_GATEWAY || answer.status.is_success(),
-        "{case}: {answer:?}"
-    );
-}
-
 /// Guards against a success for an answer whose head never ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_breaks_off_in_its_head_is_no_success() {
--- a/crates/node/tests/early_answers.rs
+++ b/crates/node/tests/early_answers.rs
@@ -10,15 +10,16 @@
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
-use http::StatusCode;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use support::{
-    Answer, EVENTS_PER_STREAM, HOST, Paths, TestCluster, complete_output, complete_stream, config,
+    Answer, EVENTS_PER_STREAM, HOST, Paths, TestCluster, complete_output, complete_stream,
+    scripted_cluster::{
+        NOT_REPEATABLE, PROPAGATION, REPEATABLE, SERVERS, TRY_INTERVAL, add_nodes_behind_peers,
+        assert_is_lost, config_of_all_kinds, is_whole_success,
+    },
     scripted_server::{RequestHead, ScriptedServer, chunk, events},
-    send_request,
-    upstream_proxy::PathState,
-    wait_until,
+    send_request, wait_until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,8 +27,6 @@
     time::{sleep, timeout},
 };
 
-/// Number of servers: one for each attempt of a request.
-const SERVERS: usize = 3;
 /// Receive buffer of the servers, bytes.
 const RECEIVE_BUFFER_BYTES: u32 = 4_096;
 /// Size of a request that exceeds what the connections hold, and of one that the socket of its
@@ -40,14 +39,6 @@
 const QUIET_TIME: Duration = Duration::from_millis(100);
 /// Time after which no request is answered any more.
 const LONGEST_REQUEST: Duration = Duration::from_secs(5);
-/// Time after which the nodes know a change of the configuration or of the servers.
-const PROPAGATION: Duration = Duration::from_millis(400);
-/// Time between two tries to reach a server.
-const TRY_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Routes of which a request may be repeated, and of which it may not.
-const REPEATABLE: [&str; 2] = ["/idempotent/x", "/long/x"];
-const NOT_REPEATABLE: [&str; 2] = ["/non_idempotent/x", "/once/x"];
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nRedwingtack-Server-Stamp: stamp\r\n\
                     Content-Type: text/event-stream\r\n";
@@ -168,36 +159,15 @@
     async fn start_behind_peers() -> Self {
         let cluster = TestCluster::start_without_config(&[], 0).await;
         let mut fixture = Self::with_servers(cluster).await;
-        let addresses: Vec<_> = fixture
-            .servers
-            .iter()
-            .map(|server| server.address)
-            .collect();
-        let cluster = &mut fixture.cluster;
-        let mut paths = cluster.add_node_with_paths_to("cut-off", &addresses).await;
-        for name in ["peer-1", "peer-2"] {
-            cluster.add_node(name);
-        }
-        for node in &cluster.nodes {
-            node.wait_until_ready().await;
-        }
-        sleep(PROPAGATION).await;
-        paths.set_all(PathState::Refusing).await;
+        let paths = add_nodes_behind_peers(&mut fixture.cluster, &fixture.servers).await;
         fixture.paths = Some(paths);
         fixture
     }
 
     async fn with_servers(cluster: TestCluster) -> Self {
-        let mut config = config(2, 0);
-        let routes = config["routes"].as_array_mut().unwrap();
-        for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
-            routes.push(json!({
-                "name": kind, "host": HOST, "path_prefix": format!("/{kind}/"), "kind": kind,
-                "timeout_ms": 5000, "goal_ms": 300, "priority": 0, "max_attempts": attempts_max,
-                "service": "oracle"
-            }));
-        }
-        cluster.put_row("op", "config", &config).await;
+        cluster
+            .put_row("op", "config", &config_of_all_kinds())
+            .await;
         let replies: Arc<Mutex<Vec<Reply>>> = Arc::default();
         let attempts = Attempts::default();
         let mut servers = Vec::new();
@@ -294,20 +264,6 @@
     body
 }
 
-/// Returns whether a caller takes an answer for the whole answer of a server.
-fn is_whole_success(answer: &Answer) -> bool {
-    answer.status.is_success() && answer.is_complete
-}
-
-/// The caller must not be told that the request has not run.
-fn assert_is_lost(answer: &Answer, case: &str) {
-    assert!(!is_whole_success(answer), "{case}: {answer:?}");
-    assert!(
-        answer.status == StatusCode::BAD_GATEWAY || answer.status.is_success(),
-        "{case}: {answer:?}"
-    );
-}
-
 /// Guards against a part of an answer that looks whole because its end came before the reset.
 #[tokio::test(flavor = "multi_thread")]
 async fn undelimited_answer_that_ends_before_its_reset_is_not_complete() {
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use support::{
     Answer, EVENTS_PER_STREAM, HOST, TestCluster, complete_stream, config,
+    scripted_cluster::config_of_all_kinds,
     scripted_server::{RequestHead, ScriptedServer, events},
     send_request,
     store_proxy::ProxyState,
@@ -546,19 +547,15 @@
 async fn start_with_all_kinds() -> TestCluster {
     let cluster = TestCluster::start(&[8], 1).await;
     cluster.unregister_server(0).await;
-    let mut config = config(2, 0);
+    let mut config = config_of_all_kinds();
     let routes = config["routes"].as_array_mut().unwrap();
-    let mut add_route = |name: &str, kind: &str, timeout_ms: u64, goal_ms: u64| {
+    for (name, goal_ms) in [("patient", 5_000), ("lasting", 300)] {
         routes.push(json!({
-            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": timeout_ms, "goal_ms": goal_ms, "priority": 0, "max_attempts": 3,
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": "idempotent",
+            "timeout_ms": 20_000, "goal_ms": goal_ms, "priority": 0, "max_attempts": 3,
             "service": "oracle"
         }));
-    };
-    add_route("idempotent", "idempotent", 5_000, 300);
-    add_route("non_idempotent", "non_idempotent", 5_000, 300);
-    add_route("patient", "idempotent", 20_000, 5_000);
-    add_route("lasting", "idempotent", 20_000, 300);
+    }
     cluster.put_row("op", "config", &config).await;
     cluster
 }
--- a/crates/node/tests/support/scripted_cluster.rs
+++ b/crates/node/tests/support/scripted_cluster.rs
@@ -5,21 +5,22 @@
     time::Duration,
 };
 
-use serde_json::json;
+use http::StatusCode;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use super::{
     Answer, HOST, Paths, TestCluster, config,
-    scripted_server::{Reply, ScriptedFleet},
+    scripted_server::{Reply, ScriptedFleet, ScriptedServer},
     upstream_proxy::PathState,
 };
 
 /// Number of servers: one for each attempt of a request.
-const SERVERS: usize = 3;
+pub const SERVERS: usize = 3;
 /// Time after which the nodes know a change of the configuration or of the servers.
-const PROPAGATION: Duration = Duration::from_millis(400);
+pub const PROPAGATION: Duration = Duration::from_millis(400);
 /// Time between two tries to reach a server.
-const TRY_INTERVAL: Duration = Duration::from_millis(50);
+pub const TRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Routes of which a request may be repeated, and of which it may not.
 pub const REPEATABLE: [&str; 2] = ["/idempotent/x", "/long/x"];
@@ -54,16 +55,7 @@
     pub async fn start_behind_peers() -> Self {
         let mut cluster = TestCluster::start_without_config(&[], 0).await;
         let (fleet, replies) = start_fleet(&cluster).await;
-        let addresses: Vec<_> = fleet.servers.iter().map(|server| server.address).collect();
-        let mut paths = cluster.add_node_with_paths_to("cut-off", &addresses).await;
-        for name in ["peer-1", "peer-2"] {
-            cluster.add_node(name);
-        }
-        for node in &cluster.nodes {
-            node.wait_until_ready().await;
-        }
-        sleep(PROPAGATION).await;
-        paths.set_all(PathState::Refusing).await;
+        let paths = add_nodes_behind_peers(&mut cluster, &fleet.servers).await;
         Self {
             cluster,
             fleet,
@@ -94,7 +86,26 @@
     }
 }
 
-async fn start_fleet(cluster: &TestCluster) -> (ScriptedFleet, Arc<Mutex<Vec<Reply>>>) {
+/// Adds three nodes, of which the first one reaches the servers only through the others.
+pub async fn add_nodes_behind_peers(
+    cluster: &mut TestCluster,
+    servers: &[ScriptedServer],
+) -> Paths {
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    let mut paths = cluster.add_node_with_paths_to("cut-off", &addresses).await;
+    for name in ["peer-1", "peer-2"] {
+        cluster.add_node(name);
+    }
+    for node in &cluster.nodes {
+        node.wait_until_ready().await;
+    }
+    sleep(PROPAGATION).await;
+    paths.set_all(PathState::Refusing).await;
+    paths
+}
+
+/// Returns a configuration with routes of all kinds. The path of each begins with its name.
+pub fn config_of_all_kinds() -> Value {
     let mut config = config(2, 0);
     let routes = config["routes"].as_array_mut().unwrap();
     for (kind, attempts_max) in [("idempotent", 3), ("non_idempotent", 1)] {
@@ -104,7 +115,27 @@
             "service": "oracle"
         }));
     }
-    cluster.put_row("op", "config", &config).await;
+    config
+}
+
+/// Returns whether a caller takes an answer for the whole answer of a server.
+pub fn is_whole_success(answer: &Answer) -> bool {
+    answer.status.is_success() && answer.is_complete
+}
+
+/// The caller must not be told that the request has not run.
+pub fn assert_is_lost(answer: &Answer, case: &str) {
+    assert!(!is_whole_success(answer), "{case}: {answer:?}");
+    assert!(
+        answer.status == StatusCode::BAD_GATEWAY || answer.status.is_success(),
+        "{case}: {answer:?}"
+    );
+}
+
+async fn start_fleet(cluster: &TestCluster) -> (ScriptedFleet, Arc<Mutex<Vec<Reply>>>) {
+    cluster
+        .put_row("op", "config", &config_of_all_kinds())
+        .await;
     let replies: Arc<Mutex<Vec<Reply>>> = Arc::default();
     let replies_of_fleet = Arc::clone(&replies);
     let fleet = ScriptedFleet::start(cluster, SERVERS, move |_, attempt| {
