--- a/crates/node/tests/support/soak/judge_requests.rs
+++ b/crates/node/tests/support/soak/judge_requests.rs
@@ -122,7 +122,8 @@
         let RequestRecord { instance, span, .. } = *self.request;
         let is_unanswered = self.request.ending == Ending::TimedOut
             && !self.history.is_instance_disrupted(instance, span);
-        let is_beside_store = verdict == Verdict::Excused(Excuse::StoreUnplanned);
+        let is_beside_store =
+            verdict == Verdict::Excused(Excuse::StoreUnplanned) && !self.has_reached_limit();
         (is_unanswered || is_beside_store) && !self.has_server_broken_off()
     }
 
