--- a/crates/node/src/caller_connections.rs
+++ b/crates/node/src/caller_connections.rs
@@ -39,13 +39,13 @@
 pub(crate) struct CallerConnections {
     limit: RefCell<ConnectionLimit>,
     /// Sorted by id.
-    signals: RefCell<Vec<(ConnectionId, Rc<Signals>)>>,
+    signals: RefCell<Vec<(ConnectionId, Rc<EvictionSignals>)>>,
     report: RefCell<LimitReport>,
 }
 
 /// Tells the task of a connection to make room.
 #[derive(Debug, Default)]
-struct Signals {
+struct EvictionSignals {
     close: Notify,
     evict_body: Notify,
 }
@@ -178,7 +178,7 @@
 pub(crate) struct CallerConnection {
     open: OpenConnectionGuard,
     id: ConnectionId,
-    signals: Rc<Signals>,
+    signals: Rc<EvictionSignals>,
     activity: Cell<Activity>,
     /// Whether the rest of a body is discarded after the answer.
     discards_body: Cell<bool>,
@@ -197,7 +197,7 @@
             connections.log(node.now_ms());
             return None;
         };
-        let signals = Rc::new(Signals::default());
+        let signals = Rc::new(EvictionSignals::default());
         // Ids only grow, so the list stays sorted.
         let row = (id, Rc::clone(&signals));
         connections.signals.borrow_mut().push(row);
