A new connection waits a second for others to give way

The log shows 155 bodies that made room within 0.2 s, and no word of the upload; by reading, it was given up after 8 tries, which are 10 ms apart while others are being closed. Now both 8 tries and a second must have passed.

--- a/crates/node/src/caller_connections.rs
+++ b/crates/node/src/caller_connections.rs
@@ -27,10 +27,11 @@
 /// Minimum and maximum number of connections that wait to be accepted.
 const BACKLOG_MIN: u64 = 64;
 const BACKLOG_MAX: u64 = 1_024;
-/// Maximum number of attempts to admit a new connection. Another one that gives way may have to
-/// stop, to be answered and then to be closed, so there are several, and their number does not
-/// depend on whether the process was held up.
+/// Number of attempts to admit a new connection, and time that it waits, milliseconds, before it
+/// is refused. Another one that gives way may have to stop, to be answered and then to be closed.
+/// If the process was held up meanwhile, the time has passed without enough attempts.
 const ADMISSION_ATTEMPTS: usize = 8;
+const ADMISSION_WAIT_MS: u64 = 1_000;
 /// Minimum time between two log lines about the limit, milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
@@ -158,19 +159,23 @@
 
 /// Waits until a new connection is admitted. Returns `None` if it is refused.
 async fn admit(node: &Node) -> Option<ConnectionId> {
-    for _ in 0..ADMISSION_ATTEMPTS {
+    let wait_until_ms = node.now_ms() + ADMISSION_WAIT_MS;
+    let mut attempts = 0;
+    loop {
         make_room(node);
         let now_ms = node.now_ms();
+        attempts += 1;
         let admission = node.caller_connections.limit.borrow_mut().admit(now_ms);
         match admission {
             Admission::Admitted(id) => return Some(id),
-            Admission::Later { retry_at_ms } => {
+            Admission::Later { retry_at_ms }
+                if attempts < ADMISSION_ATTEMPTS || now_ms < wait_until_ms =>
+            {
                 sleep_until(node.clock.instant(retry_at_ms)).await;
             }
-            Admission::Refused => return None,
+            Admission::Later { .. } | Admission::Refused => return None,
         }
     }
-    None
 }
 
 /// A connection of a caller. It counts as open until it is dropped.
