review: show that requests for old weights take all servers out of use

Cause: an upstream that answers 421 is taken for another server at its address, and gets nothing until it starts again. A 421 also answers a request that requires other weights.

--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -1,101 +1,86 @@
-//! Two machines store the same large job at the same time, because its client came back at the
-//! second one after its connection was broken. The first one refuses the job and removes rows of
-//! its items, among them rows that the second one has written. The second one accepts the job.
-//! No machine can finish it after the second one was killed.
+//! After a release, a few clients still require the weights of before. Their requests are answered
+//! 421 by each server. The machines must go on using these servers for all others.
 
 #[path = "../lib-3/stand.rs"]
 mod stand;
 
-use std::{
-    io::Write,
-    net::TcpStream,
-    process::ExitCode,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    thread,
-};
+use std::{process::ExitCode, time::Duration};
 
 use stand::*;
 
-/// Usual time of a transaction: an answer takes 4 ms and the transaction 5 ms.
-const TRANSACTION_MS: u64 = 9;
-/// Usual time of a read.
-const READ_MS: u64 = 4;
-/// The store is slow by this factor.
-const SLOW_FACTOR: u64 = 22;
-/// Number of tokens of the tenant that may wait.
-const WAITING_MAX: u64 = 65_000;
-/// The large job: 60 items of 50,000 bytes, with 1,000 tokens each.
-const ITEMS: usize = 60;
-const ITEM_BYTES: usize = 50_000;
-/// Time for which the killed process is down.
-const DOWN_MS: u64 = 3_500;
+/// Time that a server goes on after it has reported that it is draining.
+const DRAIN_MS: u64 = 3_000;
+const STABLE_MS: u64 = 4_000;
+const CONFIG_APPLY_MS: u64 = 3_000;
 /// Time in which open jobs have to be finished.
 const FINISH_MS: u64 = 18_000;
+const ITEMS: usize = 10;
+const SERVERS: usize = 4;
 
-/// What the store has seen of the two jobs.
-#[derive(Default)]
-struct Seen {
-    /// Transactions of machine 0 with items of the large job.
-    first_writes: AtomicU64,
-    /// The same of machine 1.
-    second_writes: AtomicU64,
-    /// Whether machine 0 has removed the large job.
-    is_removed: AtomicBool,
-}
-
-fn usual_fate(call: &StoreCall<'_>) -> Fate {
-    Fate::late(if call.kind == "tx" {
-        TRANSACTION_MS
-    } else {
-        READ_MS
-    })
-}
-
-fn slow_fate(call: &StoreCall<'_>) -> Fate {
-    let usual = usual_fate(call);
-    Fate::late(usual.after_ms * SLOW_FACTOR)
+fn start_server(store: &Store, record: &Record, index: usize, weights: u64) -> Server {
+    let zones = ["lima-a", "arequipa-a", "cusco-a"];
+    let options = ServerOptions {
+        id: format!("i-{weights}{index}"),
+        service: "oraculo".to_owned(),
+        zone: zones[index % 3].to_owned(),
+        version: format!("v{weights}"),
+        slots: 8,
+        events: 40,
+        event_ms: 10,
+        first_ms: 10,
+        event_bytes: 60,
+        weights,
+    };
+    let server = Server::start(free_listener(), options, record);
+    server.register(store, "ready", 1);
+    server
 }
 
-fn wait_for(record: &Record, what: &str, is_seen: impl Fn() -> bool) -> bool {
-    for _ in 0..800 {
-        if is_seen() {
-            return true;
-        }
-        sleep_ms(5);
-    }
-    record.line(format!("not seen: {what}"));
-    false
+/// Sends a request for a stream. Returns the status, and whether the stream was whole.
+fn stream(machine: &Machine, id: &str, required: Option<&str>, record: &Record) -> (u16, bool) {
+    let mut headers = vec![
+        ("Host", HOST),
+        ("Redwingtack-Request-Id", id),
+        ("Redwingtack-Deadline-Ms", "5000"),
+        ("Redwingtack-Model", "m"),
+        ("Redwingtack-Token-Counts", "350,240"),
+        ("Redwingtack-Prompt-Prefix", "5c1e07a2:100,91bd3f06:250"),
+        ("Connection", "close"),
+    ];
+    headers.extend(required.map(|version| ("Redwingtack-Required-Version", version)));
+    let timeout = Duration::from_millis(5_500);
+    let answer = call(
+        machine.front,
+        "POST",
+        "/gono990/2f",
+        &headers,
+        b"hint",
+        timeout,
+    );
+    let (status, is_whole) = answer.map_or((0, false), |answer| {
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        (
+            answer.status,
+            answer.is_complete && text.contains("id: 40\n"),
+        )
+    });
+    let required = required.unwrap_or("none");
+    record.line(format!(
+        "request {id} to {}, required weights: {required}: {status}, whole: {is_whole}",
+        machine.name
+    ));
+    (status, is_whole)
 }
 
 fn main() -> ExitCode {
     let record = Record::new();
     let folder = Folder::new();
     let store = Store::new();
-    store.put("op", "config", &config_with_tenant(7, 18_000, WAITING_MAX));
-    let servers: Vec<_> = ["rs-a", "sc-a", "pr-a"]
-        .into_iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let options = ServerOptions {
-                id: format!("i-{index}"),
-                service: "oraculo".to_owned(),
-                zone: zone.to_owned(),
-                version: "v1".to_owned(),
-                slots: 8,
-                events: 120,
-                event_ms: 20,
-                first_ms: 20,
-                event_bytes: 60,
-            };
-            let server = Server::start(free_listener(), options, &record);
-            server.beat(&store);
-            server
-        })
+    store.put("op", "config", &config(7, 18_000));
+    let old: Vec<_> = (0..SERVERS)
+        .map(|index| start_server(&store, &record, index, 1))
         .collect();
-    let deployment = Deployment::with_tenants();
+    let deployment = Deployment::small();
     let mut machines: Vec<_> = (0..3)
         .map(|machine| deployment.machine(&folder, &store, machine))
         .collect();
@@ -105,182 +90,91 @@
             return ExitCode::from(2);
         }
     }
-    store.set_fates(usual_fate);
     if !wait_until_ready(&machines, &record) {
         return ExitCode::from(2);
     }
-    sleep_ms(6_000);
+    sleep_ms(5_000);
+    let mut next = 0;
+    let mut new_id = || {
+        next += 1;
+        hex_id("dd", next)
+    };
+    for machine in &machines {
+        if !stream(machine, &new_id(), Some("1"), &record).1 {
+            return ExitCode::from(2);
+        }
+    }
 
-    let large = hex_id("aa", 1);
-    let small = hex_id("bb", 2);
-    let item_body: Vec<u8> = (0..ITEM_BYTES)
-        .map(|index| (index * 31 % 251) as u8)
-        .collect();
-    let (large_ids, large_body) = job_body_of(&large, ITEMS, 108, &item_body);
-    let (_, small_body) = job_body(&small, 10, 108);
-    let seen = Arc::new(Seen::default());
-    let watch = {
-        let seen = Arc::clone(&seen);
-        let (items, removal) = (
-            format!("put redwingtack_items {large}/"),
-            format!("remove redwingtack_jobs {large};"),
-        );
-        move |call: &StoreCall<'_>| {
-            if call.kind == "tx" && call.text.contains(&items) {
-                match call.machine {
-                    0 => seen.first_writes.fetch_add(1, Ordering::SeqCst),
-                    _ => seen.second_writes.fetch_add(1, Ordering::SeqCst),
-                };
+    // Two releases, each of half of the servers, one after the other: the new one starts first, the
+    // old one drains.
+    let mut new = Vec::new();
+    if has_trouble() {
+        for half in old.chunks(SERVERS / 2) {
+            for server in half {
+                record.line(format!("server {} is replaced", server.options.id));
+                new.push(start_server(&store, &record, new.len(), 2));
+                server.register(&store, "draining", 2);
+                sleep_ms(1_000);
             }
-            if call.kind == "tx" && call.text.contains(&removal) {
-                seen.is_removed.store(true, Ordering::SeqCst);
+            sleep_ms(DRAIN_MS);
+            for server in half {
+                store.remove("servers", &server.options.id);
             }
+            record.line("the old servers of a release have left");
         }
-    };
-    if has_trouble() {
-        record.line("the store becomes slow");
-        store.set_fates(move |call| {
-            watch(call);
-            slow_fate(call)
-        });
-        sleep_ms(1_600);
-    } else {
-        store.set_fates(move |call| {
-            watch(call);
-            usual_fate(call)
-        });
     }
+    sleep_ms(STABLE_MS + CONFIG_APPLY_MS);
 
-    // The client submits the large job at machine 0.
-    record.line(format!(
-        "client submits job {large} to {}",
-        machines[0].name
-    ));
-    let path = format!("/pule252/{}", &large[..6]);
-    let headers = job_headers(&large, "4000");
-    let request = encode_request("POST", &path, &headers, &large_body);
-    let Ok(mut connection) = TcpStream::connect(machines[0].front) else {
-        return ExitCode::from(2);
-    };
-    if connection.write_all(&request).is_err() {
-        return ExitCode::from(2);
-    }
-    if !has_trouble() {
-        let status = read_answer(connection).map_or(0, |answer| answer.status);
-        record.line(format!(
-            "{} answers {status} for job {large}",
-            machines[0].name
-        ));
-        if submit(&machines[2], &small, &small_body, &record) == 202 {
-            end_job(&machines[2], &small, &record);
-        }
-        for _ in 0..10 {
-            if submit(&machines[1], &large, &large_body, &record) == 202 {
-                break;
-            }
-            sleep_ms(300);
+    // One client of each machine still requires the weights of before, twice.
+    for _ in 0..2 {
+        for machine in &machines {
+            stream(machine, &new_id(), Some("1"), &record);
         }
-        return judge(&mut machines, &large, &large_ids, &item_body, &record);
-    }
-    if !wait_for(&record, "writes of machine 0", || {
-        seen.first_writes.load(Ordering::SeqCst) >= 3
-    }) {
-        return ExitCode::from(2);
     }
-    drop(connection);
-    record.line("the client's connection is broken, and it submits the job again");
-    let status = thread::scope(|scope| {
-        let again = scope.spawn(|| submit(&machines[1], &large, &large_body, &record));
-        // Another client of the tenant submits a small job meanwhile, and ends it.
-        let is_seen = || seen.second_writes.load(Ordering::SeqCst) >= 1;
-        if wait_for(&record, "a write of machine 1", is_seen) {
-            submit(&machines[2], &small, &small_body, &record);
-            wait_for(&record, "a removal by machine 0", || {
-                seen.is_removed.load(Ordering::SeqCst)
-            });
-            end_job(&machines[2], &small, &record);
+    sleep_ms(2_000);
+
+    // Other clients know nothing of weights.
+    for machine in &machines {
+        for _ in 0..3 {
+            stream(machine, &new_id(), None, &record);
         }
-        again.join().unwrap_or(0)
-    });
-    store.set_fates(usual_fate);
-    record.line("the store is as fast as usual");
-    if status != 202 {
-        record.line("the job was not accepted");
-        return ExitCode::from(2);
     }
-    sleep_ms(1_000);
-    record.line(format!("the process on {} is killed", machines[1].name));
-    machines[1].signal(SIGKILL);
-    machines[1].end();
-    sleep_ms(DOWN_MS);
-    if machines[1].start().is_err() {
+    let job = hex_id("aa", 1);
+    let (ids, body) = job_body(&job, ITEMS, 40);
+    if submit(&machines[0], &job, &body, &record) != 202 {
         return ExitCode::from(2);
     }
-    record.line(format!(
-        "the process on {} is started again",
-        machines[1].name
-    ));
-    drop(servers);
-    judge(&mut machines, &large, &large_ids, &item_body, &record)
-}
-
-/// Waits until the job is finished, or until the time for that is up.
-fn judge(
-    machines: &mut [Machine],
-    job: &str,
-    ids: &[String],
-    item_body: &[u8],
-    record: &Record,
-) -> ExitCode {
-    let begun_ms = now_ms();
-    // The bound counts from the end of all disruptions; machines are in touch 5 s after it.
-    let until_ms = begun_ms + 5_000 + FINISH_MS;
+    let until_ms = now_ms() + FINISH_MS + STABLE_MS;
     let mut is_complete = false;
     while now_ms() < until_ms && !is_complete {
-        sleep_ms(1_000);
-        is_complete = machines
-            .iter()
-            .all(|machine| read_results(machine, job).1.len() == ids.len());
+        sleep_ms(500);
+        is_complete = read_results(&machines[1], &job).1.len() == ITEMS;
     }
-    for machine in machines.iter() {
-        let (status, listed) = read_results(machine, job);
-        let done = listed.iter().filter(|(_, state)| state == "done").count();
+    for machine in &machines {
+        let (status, listed) = read_results(machine, &job);
         record.line(format!(
-            "{}: status {status}, {} of {} items of job {job} are listed, {done} as done",
+            "{}: status {status}, {} of {ITEMS} items of job {job} are listed",
             machine.name,
-            listed.len(),
-            ids.len()
+            listed.len()
         ));
-        if let Some(open) = ids
+        stream(machine, &new_id(), None, &record);
+    }
+    let servers = if new.is_empty() { &old } else { &new };
+    for server in servers {
+        let arrivals = server.arrivals.lock().unwrap();
+        let items = arrivals
             .iter()
-            .find(|id| !listed.iter().any(|(item, _)| item == *id))
-        {
-            let (status, body) = read_item(machine, job, open);
-            let is_same = status == 200 && body == item_body;
-            record.line(format!(
-                "{}: status {status} for the body of the open item {open}, right bytes: {is_same}",
-                machine.name
-            ));
-        }
-        for word in [
-            "items_not_read",
-            "job_taken_over",
-            "job_accepted",
-            "job_refused",
-        ] {
-            let lines: Vec<_> = machine.log_lines(word);
-            let lines: Vec<_> = lines.iter().filter(|line| line.contains(job)).collect();
-            if let Some(line) = lines.last() {
-                record.line(format!(
-                    "log of {}, {} times: {line}",
-                    machine.name,
-                    lines.len()
-                ));
-            }
-        }
+            .filter(|arrival| ids.contains(&arrival.id))
+            .count();
+        record.line(format!(
+            "server {}: {items} items of the job ran, {} of {} places are taken",
+            server.options.id,
+            *server.busy.lock().unwrap(),
+            server.options.slots
+        ));
     }
     if is_complete {
-        record.line("held: all items of the accepted job are listed");
+        record.line("held: all items of the job are listed");
         ExitCode::SUCCESS
     } else {
         record.line("broken: LOST");
--- a/review/lib-3/stand.rs
+++ b/review/lib-3/stand.rs
@@ -946,6 +946,8 @@
     pub first_ms: u64,
     /// Size of the data of an event, at least that of its name.
     pub event_bytes: usize,
+    /// Version of the weights.
+    pub weights: u64,
 }
 
 /// A model server, which runs `slots` requests at once and answers with a stream of events.
@@ -1022,6 +1024,17 @@
             respond(stream, 421, &headers, b"")?;
             return Ok(true);
         }
+        let weights = options.weights.to_string();
+        let required = request.header("redwingtack-required-version");
+        if required.is_some_and(|required| required != weights) {
+            record.line(format!(
+                "server {} has other weights: 421 for {id}",
+                options.id
+            ));
+            let headers = [("Redwingtack-Request-Id", id)];
+            respond(stream, 421, &headers, b"")?;
+            return Ok(true);
+        }
         {
             let mut busy = self.busy.lock().unwrap();
             if *busy >= options.slots {
@@ -1062,8 +1075,9 @@
         sleep_ms(options.first_ms);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRedwingtack-Request-Id: {id}\r\n\
-             Redwingtack-Server-Stamp: {}.1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
-            options.id
+             Redwingtack-Server-Stamp: {}.1.1\r\nRedwingtack-Weight-Versions: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            options.id, options.weights
         );
         stream.write_all(head.as_bytes())?;
         for event in first..=options.events {
