jobs: compare versions wherever a state of a job enters

Cause: the change feed delivered the end (version 36) before the answer to the write of the job (version 35). The directory ignored the older record, but the list of jobs that are run was filled from it, and nothing that came later would correct it.

Evidence: the trace of the case: `job_accepted version=35 took_ms=541`, items sent 8 s later, and only at the first commit `results_not_stored Conflict(phase: Ended, 36)`. A late answer to a commit also replaced a newer record in `OwnedJob`; a removal was applied without a look at versions, and its owner went on.

Change: jobs enter the list at one place, with the newest record that the directory knows or not at all; `OwnedJob` compares in the function that replaces its record; removals have a version, fence the owner, and keep a job that was stored again. Why it works: of two states the one that the store committed later counts, whichever is heard of first.

--- a/crates/ledger/src/directory.rs
+++ b/crates/ledger/src/directory.rs
@@ -86,6 +86,8 @@
     instances: Vec<InstanceRow>,
     /// Sorted by job id.
     jobs: Vec<JobRow>,
+    /// Version of the store up to which all changes of jobs are known.
+    known_version: u64,
     /// Waiting tokens of `jobs`.
     pub(crate) waiting: WaitingTokens,
 }
@@ -114,6 +116,7 @@
             local,
             instances: Vec::new(),
             jobs: Vec::new(),
+            known_version: 0,
             waiting: WaitingTokens::default(),
         }
     }
@@ -147,8 +150,22 @@
         }
     }
 
-    /// Records a stored job. Returns whether it is new or newer than the known
-    /// version.
+    /// Returns the version of the store up to which all changes of jobs are known.
+    #[must_use]
+    pub fn known_version(&self) -> u64 {
+        self.known_version
+    }
+
+    /// Records that all changes of jobs up to a version of the store have been recorded.
+    pub fn record_known_version(&mut self, version: u64) {
+        self.known_version = self.known_version.max(version);
+    }
+
+    /// Records a stored job. Returns whether it is new or newer than the known version.
+    ///
+    /// The state may be outdated, because it comes from any answer of the store. A job that is
+    /// not in the table although all changes up to its version are known has been removed
+    /// since.
     pub fn record_job(&mut self, job: StoredJob, now_ms: u64) -> bool {
         let row = JobRow {
             job,
@@ -162,6 +179,7 @@
                 true
             }
             Ok(_) => false,
+            Err(_) if row.job.version <= self.known_version => false,
             Err(index) => {
                 self.waiting.replace(None, Some(&row.job), now_ms);
                 self.jobs.insert(index, row);
@@ -170,17 +188,30 @@
         }
     }
 
-    /// Removes a job whose record was removed from the store.
-    pub fn remove_job(&mut self, id: &JobId, now_ms: u64) {
-        if let Ok(index) = self.find_job(id) {
-            let removed = self.jobs.remove(index).job;
-            self.waiting.replace(Some(&removed), None, now_ms);
+    /// Removes a job whose record with `version`, or one before it, was the last one before it
+    /// was removed from the store. A job that was stored again since is kept. Returns whether
+    /// the job was removed.
+    pub fn remove_job(&mut self, id: &JobId, version: u64, now_ms: u64) -> bool {
+        let Ok(index) = self.find_job(id) else {
+            return false;
+        };
+        if self.jobs[index].job.version > version {
+            return false;
         }
+        let removed = self.jobs.remove(index).job;
+        self.waiting.replace(Some(&removed), None, now_ms);
+        true
     }
 
     /// Removes the jobs that are not in `stored`, the sorted ids of all jobs in the store
-    /// when its version was `version` or later. Jobs with a higher version are kept.
-    pub fn retain_stored_jobs(&mut self, stored: &[JobId], version: u64, now_ms: u64) {
+    /// when its version was `version` or later. Jobs with a higher version are kept. Returns
+    /// the ids of the removed jobs.
+    pub fn retain_stored_jobs(
+        &mut self,
+        stored: &[JobId],
+        version: u64,
+        now_ms: u64,
+    ) -> Vec<JobId> {
         let is_gone =
             |job: &StoredJob| job.version <= version && stored.binary_search(&job.id).is_err();
         let gone: Vec<_> = self
@@ -188,9 +219,10 @@
             .filter(|job| is_gone(job))
             .map(|job| job.id.clone())
             .collect();
-        for id in gone {
-            self.remove_job(&id, now_ms);
+        for id in &gone {
+            self.remove_job(id, version, now_ms);
         }
+        gone
     }
 
     /// Returns a job by its id.
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -332,7 +332,8 @@
     }
 
     /// Fences the job if another instance took it over with a newer `version` of the
-    /// record. Returns whether the local instance lost the job by this call.
+    /// record, or if the record was removed with that version. Returns whether the local
+    /// instance lost the job by this call.
     pub fn fence(&mut self, version: u64) -> bool {
         let is_newly_fenced = !self.has_lost_ownership && version > self.version;
         self.has_lost_ownership |= is_newly_fenced;
@@ -342,9 +343,6 @@
     /// Adopts a newer version of the record, unless it results from the commit being
     /// written.
     pub fn observe_record(&mut self, record: &JobRecord, version: u64) {
-        if version <= self.version {
-            return;
-        }
         let is_own_commit = self
             .commit
             .as_ref()
@@ -391,7 +389,12 @@
         self.uncommitted.push(index);
     }
 
+    /// Replaces the record unless a newer one is known. Answers of the store to writes of this
+    /// instance may arrive after the change feed has delivered what happened later.
     fn adopt_record(&mut self, record: JobRecord, version: u64) {
+        if version <= self.version {
+            return;
+        }
         if record.owner.as_ref() != Some(&self.owner) {
             self.has_lost_ownership = true;
         }
@@ -440,11 +443,10 @@
             row.partial = PartialOutput::new(index);
         }
         // Keep the errors that were counted after the commit was built.
-        let failures = std::mem::take(&mut self.record.failures);
-        self.record = commit.record;
-        self.record.failures = failures;
-        self.version = version;
-        if self.record.is_open() {
+        let mut record = commit.record;
+        record.failures.clone_from(&self.record.failures);
+        self.adopt_record(record, version);
+        if self.is_active() {
             CommitStep::Stored
         } else {
             CommitStep::Stop
--- a/crates/ledger/tests/directory.rs
+++ b/crates/ledger/tests/directory.rs
@@ -148,6 +148,30 @@
     assert_eq!(directory.job(&JobId::new("j")).unwrap().version, 10);
 }
 
+/// An answer of the store to a write of the job may come after the change feed has delivered
+/// the removal of the job.
+#[test]
+fn record_job_ignores_state_from_before_a_removal() {
+    let local = owner("me", 1);
+    let mut directory = directory(&local, &[]);
+    directory.record_job(job("j", Some(local.clone()), 10), 0);
+    directory.remove_job(&JobId::new("j"), 12, 0);
+    directory.record_known_version(12);
+    assert!(!directory.record_job(job("j", Some(local.clone()), 10), 0));
+    assert!(directory.record_job(job("j", Some(local), 13), 0));
+}
+
+/// A late answer may say that a job was removed, which was stored again since.
+#[test]
+fn remove_job_keeps_job_that_was_stored_again() {
+    let local = owner("me", 1);
+    let mut directory = directory(&local, &[]);
+    directory.record_job(job("j", None, 20), 0);
+    assert!(!directory.remove_job(&JobId::new("j"), 15, 0));
+    assert_eq!(directory.job(&JobId::new("j")).unwrap().version, 20);
+    assert!(directory.remove_job(&JobId::new("j"), 20, 0));
+}
+
 #[test]
 fn expired_instances_after_many_leases() {
     let (local, peer) = (owner("me", 1), owner("peer", 1));
@@ -182,7 +206,8 @@
     for (id, version) in [("gone", 10), ("stored", 11), ("newer", 21)] {
         directory.record_job(job(id, Some(local.clone()), version), 0);
     }
-    directory.retain_stored_jobs(&[JobId::new("stored")], 20, 0);
+    let gone = directory.retain_stored_jobs(&[JobId::new("stored")], 20, 0);
+    assert_eq!(gone, [JobId::new("gone")]);
     let ids: Vec<_> = directory.jobs().map(|job| job.id.clone()).collect();
     assert_eq!(ids, [JobId::new("newer"), JobId::new("stored")]);
 }
--- a/crates/ledger/tests/owned_job.rs
+++ b/crates/ledger/tests/owned_job.rs
@@ -180,6 +180,40 @@
     assert_eq!(job.record().committed, [0]);
 }
 
+/// The change feed may deliver the end of a job before the response to the commit that was
+/// stored before it. The job must stay ended.
+#[test]
+fn finish_commit_stored_before_the_known_end_stops() {
+    let mut job = job(2);
+    run_item(&mut job, 0, RunOutcome::Done);
+    let commit = next_commit(&mut job);
+    let ended_record = JobRecord {
+        phase: JobPhase::Ended,
+        ..commit.record
+    };
+    job.observe_record(&ended_record, 12);
+    let committed = CommitOutcome::Committed { version: 11 };
+    assert_eq!(job.finish_commit(committed), CommitStep::Stop);
+    assert_eq!((job.version(), job.is_active()), (12, false));
+    assert_eq!(job.startable_items(0).next(), None);
+}
+
+/// Like a late success, a late conflict must not bring an older record back.
+#[test]
+fn finish_commit_with_conflict_older_than_the_known_end_stops() {
+    let mut job = job(2);
+    run_item(&mut job, 0, RunOutcome::Done);
+    next_commit(&mut job);
+    let ended_record = JobRecord {
+        phase: JobPhase::Ended,
+        ..record(2)
+    };
+    job.observe_record(&ended_record, 12);
+    let conflict = CommitOutcome::Conflict(Some((record(2), 11)));
+    assert_eq!(job.finish_commit(conflict), CommitStep::Stop);
+    assert_eq!((job.version(), job.is_active()), (12, false));
+}
+
 #[test]
 fn finish_run_fails_item_after_error_limit() {
     let mut job = job(1);
--- a/crates/ledger/tests/waiting_tokens.rs
+++ b/crates/ledger/tests/waiting_tokens.rs
@@ -70,7 +70,7 @@
     directory.record_job(stored("b", 2, record(60, false)), 10);
     let decide = |directory: &Directory| directory.decide_admission(&request(30, Some(3)), 20);
     assert_eq!(decide(&directory), Admission::Undecided);
-    directory.remove_job(&JobId::new("b"), 30);
+    directory.remove_job(&JobId::new("b"), 2, 30);
     assert_eq!(decide(&directory), Admission::Admitted);
 }
 
@@ -262,7 +262,9 @@
                 Some(record) => {
                     directory.record_job(stored(id.as_str(), *version, record.clone()), now_ms);
                 }
-                None => directory.remove_job(id, now_ms),
+                None => {
+                    directory.remove_job(id, *version, now_ms);
+                }
             }
         }
         *read_version = self.version;
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -363,8 +363,7 @@
             Self::Jobs => {
                 let mut stored: Vec<_> = rows.iter().map(|row| JobId::new(&row.key)).collect();
                 stored.sort_unstable();
-                let mut directory = node.directory.borrow_mut();
-                directory.retain_stored_jobs(&stored, version, node.now_ms());
+                jobs::retain_stored_jobs(node, &stored, version);
                 node.has_read_jobs.set(true);
                 node.record_jobs_fed(version);
             }
@@ -378,7 +377,7 @@
             Self::Heartbeats => 0,
             Self::Config => node.config_fed_version.get(),
             Self::Servers => node.servers_fed_version.get(),
-            Self::Jobs => node.jobs_fed_version.get(),
+            Self::Jobs => node.jobs_fed_version(),
         }
     }
 
@@ -450,7 +449,7 @@
 /// [`StoreError::HistoryGone`], the task that follows the feed reads all jobs again.
 pub(crate) async fn read_job_changes(node: &Rc<Node>, wait_ms: u64) -> Result<(), StoreError> {
     let began_ms = node.now_ms();
-    let version = node.jobs_fed_version.get();
+    let version = node.jobs_fed_version();
     let changes = node.store.feed(JOBS_TABLE, version, wait_ms).await;
     match changes {
         Ok(page) => {
--- a/crates/node/src/jobs.rs
+++ b/crates/node/src/jobs.rs
@@ -28,7 +28,7 @@
 pub(crate) use self::{
     accept::submit,
     calls::answer_call,
-    ownership::{apply_row, release_jobs},
+    ownership::{apply_row, release_jobs, retain_stored_jobs},
     query::store_unavailable,
     repeats::{answer_repeated_job, repeated_job, repeats_job_of_nobody},
     runner::Runner,
--- a/crates/node/src/jobs/accept.rs
+++ b/crates/node/src/jobs/accept.rs
@@ -17,7 +17,6 @@
     ownership,
     peer_forwarding::{PeerOutcome, forward_to_peers, is_refusal, store_reachability},
     query::{is_visible_to, not_found},
-    runner,
     storage::{InsertOutcome, JobRows},
 };
 use crate::{
@@ -290,7 +289,7 @@
         if self.record.owner.is_some() {
             let owner = self.node.owner_id.clone();
             let job = OwnedJob::new(self.id, owner, self.record, version, self.items);
-            runner::add_job(&self.node, job);
+            ownership::add_job(&self.node, job);
         }
         accepted_response()
     }
--- a/crates/node/src/jobs/admission.rs
+++ b/crates/node/src/jobs/admission.rs
@@ -121,7 +121,7 @@
         if job.record.is_admitted || !job.record.is_open() {
             return Decision::Accepted(job);
         }
-        let must_read = wait_ms > 0 || node.jobs_fed_version.get() < job.version;
+        let must_read = wait_ms > 0 || node.jobs_fed_version() < job.version;
         if must_read && let Err(error) = read_job_changes(node, wait_ms).await {
             log::warn!(
                 "event=job_not_decided job={id} error={}",
@@ -130,7 +130,7 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
-        if !node.has_read_jobs.get() || node.jobs_fed_version.get() < job.version {
+        if !node.has_read_jobs.get() || node.jobs_fed_version() < job.version {
             sleep(POLL_INTERVAL).await;
             continue;
         }
@@ -207,7 +207,10 @@
         CommitOutcome::Conflict(Some((record, version))) => {
             ownership::apply_record(node, &job.id, record, version);
         }
-        CommitOutcome::Conflict(None) | CommitOutcome::NotConfirmed => forget(node, &job.id),
+        CommitOutcome::Conflict(None) => {
+            ownership::apply_removal(node, &job.id, job.version);
+        }
+        CommitOutcome::NotConfirmed => {}
     }
     Ok(())
 }
@@ -217,7 +220,7 @@
     let rows = JobRows::new(node);
     match rows.remove_refused(&job.id, job.version).await? {
         RemoveOutcome::Removed => {
-            forget(node, &job.id);
+            ownership::apply_removal(node, &job.id, job.version);
             Ok(true)
         }
         RemoveOutcome::Changed { record, version } => {
@@ -226,8 +229,3 @@
         }
     }
 }
-
-fn forget(node: &Node, id: &JobId) {
-    let now_ms = node.now_ms();
-    node.directory.borrow_mut().remove_job(id, now_ms);
-}
--- a/crates/node/src/jobs/ownership.rs
+++ b/crates/node/src/jobs/ownership.rs
@@ -13,8 +13,8 @@
 
 use super::{
     admission::{Decision, settle_job},
+    item_contents,
     record_codec::decode_record,
-    runner,
     storage::JobRows,
 };
 use crate::{
@@ -44,7 +44,7 @@
 pub(crate) fn apply_row(node: &Rc<Node>, row: &Row) {
     let id = JobId::new(&row.key);
     if row.is_removed {
-        node.directory.borrow_mut().remove_job(&id, node.now_ms());
+        apply_removal(node, &id, row.version);
         return;
     }
     match decode_record(node, row) {
@@ -74,6 +74,66 @@
     node.runner
         .borrow_mut()
         .observe_record(id, &record, version);
+    notify_of_change(node);
+}
+
+/// Applies the removal of a job whose record had `version` at most, unless the job is known to
+/// have been stored again since.
+pub(super) fn apply_removal(node: &Node, id: &JobId, version: u64) {
+    let now_ms = node.now_ms();
+    let is_news = node.directory.borrow_mut().remove_job(id, version, now_ms);
+    if is_news {
+        node.runner.borrow_mut().fence_job(id, version);
+        notify_of_change(node);
+    }
+}
+
+/// Removes the jobs that are not in `stored`, the sorted ids of all jobs in the store when its
+/// version was `version` or later.
+pub(crate) fn retain_stored_jobs(node: &Node, stored: &[JobId], version: u64) {
+    let now_ms = node.now_ms();
+    let gone = node
+        .directory
+        .borrow_mut()
+        .retain_stored_jobs(stored, version, now_ms);
+    for id in &gone {
+        node.runner.borrow_mut().fence_job(id, version);
+    }
+    notify_of_change(node);
+}
+
+/// Adds a job to the runner unless it is there already, and triggers a scheduling pass. Every
+/// job that this instance runs enters here, and only with the newest state that is known of it:
+/// the answer of the store that made this instance its owner may be older.
+pub(super) fn add_job(node: &Node, mut job: OwnedJob) {
+    let owned_version = job.version();
+    let newest_version = observe_newest_record(node, &mut job);
+    if newest_version.is_none() || !job.is_active() {
+        log::info!(
+            "event=job_outdated job={} version={owned_version} newest_version={newest_version:?}",
+            job.id()
+        );
+        return;
+    }
+    let mut runner = node.runner.borrow_mut();
+    if let Err(index) = runner.find_job(job.id()) {
+        item_contents::fit_contents(node, &runner, &mut job);
+        runner.jobs.insert(index, job);
+    }
+    drop(runner);
+    node.batch_state_changed.notify_one();
+}
+
+/// Returns the version of the newest known record of a job, or `None` if the record was
+/// removed.
+fn observe_newest_record(node: &Node, job: &mut OwnedJob) -> Option<u64> {
+    let directory = node.directory.borrow();
+    let newest = directory.job(job.id())?;
+    job.observe_record(&newest.record, newest.version);
+    Some(newest.version)
+}
+
+fn notify_of_change(node: &Node) {
     node.jobs_changed.send_modify(|count| *count += 1);
     node.batch_state_changed.notify_one();
 }
@@ -239,12 +299,8 @@
             stored.partials.len()
         );
         let owner = node.owner_id.clone();
-        let mut job = OwnedJob::new(id, owner, record, version, stored);
-        // The record may have changed while the items were read.
-        if let Some(newest) = node.directory.borrow().job(job.id()) {
-            job.observe_record(&newest.record, newest.version);
-        }
-        runner::add_job(&node, job);
+        let job = OwnedJob::new(id, owner, record, version, stored);
+        add_job(&node, job);
         drop(permit);
     });
 }
--- a/crates/node/src/jobs/query.rs
+++ b/crates/node/src/jobs/query.rs
@@ -311,6 +311,8 @@
         return Ok(Some(not_found(id)));
     };
     if !record.is_open() {
+        // The write of an earlier try may have taken effect without an answer.
+        ownership::apply_record(node, id, record, version);
         return Ok(Some(answer::text(StatusCode::OK, "")));
     }
     record.phase = JobPhase::Ended;
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -18,7 +18,7 @@
 
 use super::{
     config_check::{self, ConfigReads},
-    item_contents::{self, ItemReads},
+    item_contents::ItemReads,
     item_start::{item_content, start_items},
     takeover_pace::TakeoverPace,
     writes,
@@ -116,6 +116,15 @@
         }
     }
 
+    /// Gives up a job whose record was removed, if this instance owns the job.
+    pub(super) fn fence_job(&mut self, id: &JobId, version: u64) {
+        if let Ok(index) = self.find_job(id)
+            && self.jobs[index].fence(version)
+        {
+            log::warn!("event=job_lost job={id} version={version}");
+        }
+    }
+
     /// Records that this instance took over a job, so that peers are notified.
     pub(super) fn record_takeover(&mut self, id: &JobId, version: u64, now_ms: u64) {
         let takeover = JobTakeover {
@@ -306,17 +315,6 @@
     }
 }
 
-/// Adds a job unless the runner already contains it, and triggers a scheduling pass.
-pub(super) fn add_job(node: &Node, mut job: OwnedJob) {
-    let mut runner = node.runner.borrow_mut();
-    if let Err(index) = runner.find_job(job.id()) {
-        item_contents::fit_contents(node, &runner, &mut job);
-        runner.jobs.insert(index, job);
-    }
-    drop(runner);
-    node.batch_state_changed.notify_one();
-}
-
 /// Makes scheduling passes after changes and at regular intervals, until the process
 /// exits.
 pub(super) async fn schedule_items(node: Rc<Node>) {
--- a/crates/node/src/jobs/writes.rs
+++ b/crates/node/src/jobs/writes.rs
@@ -53,10 +53,12 @@
         let outcome = rows.commit(&id, &commit).await;
         log_commit(&id, commit.first_position, commit.results.len(), &outcome);
         let outcome = outcome.unwrap_or(CommitOutcome::NotConfirmed);
-        let stored_version = match outcome {
-            CommitOutcome::Committed { version } => Some(version),
-            CommitOutcome::Conflict(_) | CommitOutcome::NotConfirmed => None,
+        let stored = match &outcome {
+            CommitOutcome::Committed { version } => Some((commit.record.clone(), *version)),
+            CommitOutcome::Conflict(current) => current.clone(),
+            CommitOutcome::NotConfirmed => None,
         };
+        let is_committed = matches!(outcome, CommitOutcome::Committed { .. });
         let step = {
             let mut runner = node.runner.borrow_mut();
             let job_index = runner.find_job(&id);
@@ -64,8 +66,10 @@
                 .ok()
                 .map(|index| runner.jobs[index].finish_commit(outcome))
         };
-        if let Some(version) = stored_version {
-            ownership::apply_record(&node, &id, commit.record, version);
+        if let Some((record, version)) = stored {
+            ownership::apply_record(&node, &id, record, version);
+        }
+        if is_committed {
             for result in &commit.results {
                 node.metrics.on_item_ended(result.outcome);
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -88,8 +88,6 @@
     /// When the feed of job records was last answered, in milliseconds on the node's
     /// clock.
     pub(crate) jobs_fed_at_ms: Cell<u64>,
-    /// Store version up to which every change of a job record is in `directory`.
-    pub(crate) jobs_fed_version: Cell<u64>,
     /// Whether a heartbeat has been written, so that peers can see that this
     /// incarnation is alive.
     pub(crate) has_lease: Cell<bool>,
@@ -196,7 +194,6 @@
             has_read_heartbeats: Cell::default(),
             has_read_jobs: Cell::default(),
             jobs_fed_at_ms: Cell::default(),
-            jobs_fed_version: Cell::default(),
             has_lease: Cell::default(),
             runner: RefCell::default(),
             connection_pool: ConnectionPool::default(),
@@ -284,11 +281,16 @@
     /// Records that the directory includes every change of a job record up to `version`
     /// of the store.
     pub(crate) fn record_jobs_fed(&self, version: u64) {
-        let known_version = self.jobs_fed_version.get();
-        self.jobs_fed_version.set(known_version.max(version));
+        self.directory.borrow_mut().record_known_version(version);
         self.jobs_fed_at_ms.set(self.now_ms());
     }
 
+    /// Returns the version of the store up to which the directory includes every change of a
+    /// job record.
+    pub(crate) fn jobs_fed_version(&self) -> u64 {
+        self.directory.borrow().known_version()
+    }
+
     /// Returns whether callers should be routed to this instance.
     pub(crate) fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving && *self.has_initial_state.borrow()
--- a/crates/node/tests/jobs.rs
+++ b/crates/node/tests/jobs.rs
@@ -368,7 +368,7 @@
         .await;
     assert_eq!(answer.status, StatusCode::ACCEPTED);
     cluster.nodes.clear();
-    let record = support::orphaned_job_record();
+    let record = support::jobs::orphaned_job_record();
     cluster.put_job_record("j1", &record).await;
     cluster.clear_faults(server).await;
     cluster.add_node("node-1");
@@ -397,7 +397,7 @@
     assert_eq!(answer.status, StatusCode::ACCEPTED);
     let mut encoded = Vec::new();
     let store = Store::new(cluster.store.address());
-    let range = RowRange::new("redwingtack_items", &support::job_partition("j1"));
+    let range = RowRange::new("redwingtack_items", &support::jobs::job_partition("j1"));
     let mut remaining = Some(range.with_from_key("j1/".to_owned()));
     let mut markers = Vec::new();
     while let Some(range) = remaining {
--- a/crates/node/tests/odd_inputs.rs
+++ b/crates/node/tests/odd_inputs.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use support::{
-    HOST, TestCluster, complete_stream, config, job_partition, send_request, wait_until,
+    HOST, TestCluster, complete_stream, config, jobs::job_partition, send_request, wait_until,
 };
 use tokio::{
     net::UdpSocket,
@@ -253,7 +253,7 @@
         ("path", json!("/batch/ \u{0}")),
         ("host", json!(HOST)),
     ] {
-        let mut record = support::orphaned_job_record();
+        let mut record = support::jobs::orphaned_job_record();
         for time in ["accepted_at_ms", "due_at_ms", "give_up_at_ms"] {
             record[time] = json!(u32::MAX);
         }
--- a/crates/node/tests/store_faults.rs
+++ b/crates/node/tests/store_faults.rs
@@ -150,7 +150,7 @@
 async fn orphaned_jobs_do_not_flood_a_store_that_rejects_writes() {
     let mut cluster = TestCluster::start(&[4], 0).await;
     let rejected_writes = json!({"kind": {"limit": {"writes_per_s": 0, "reads_per_s": 1_000_000}}, "contains": "redwingtack_jobs"});
-    let record = support::orphaned_job_record();
+    let record = support::jobs::orphaned_job_record();
     for job in 0..ORPHANED_JOBS {
         cluster.put_job_record(&format!("j{job}"), &record).await;
     }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -73,6 +73,11 @@
         /// Delay before the request takes effect, in milliseconds.
         delay_ms: u64,
     },
+    /// Handles the request normally, and answers after a delay.
+    SlowAnswer {
+        /// Delay after the request has taken effect, in milliseconds.
+        delay_ms: u64,
+    },
     /// Answers 429 with `x-ran: no` to requests beyond a rate limit. Requests are
     /// counted in windows of at least 1 s.
     Limit {
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -222,6 +222,11 @@
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             handler.handle(request).await
         }
+        FaultKind::SlowAnswer { delay_ms } => {
+            let response = handler.handle(request).await?;
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            Ok(response)
+        }
     }
 }
 
