gateway: judge a 421 by what it proves

Later requests were answered 503, and an accepted job was never run, though four servers were idle.

Cause: each 421 was taken as proof that another server has the address, and suspended the upstream until its next start. A server that has other weights than the request requires answers 421 as well; nothing read `Redwingtack-Required-Version`.

Evidence: the trace of the case: four `attempt_failed reason="421 Misdirected Request"` in a millisecond, then only `request_not_placed reason=no_upstream upstreams=4 load=0 slots=32`.

Change: what upstreams state of their weights, in answers and registrations, and what they refuse for lack of them is kept for each version; requests, items and streams that are taken up go where the weights are, and get a true "not run" at once, or wait as items, if they are nowhere. Any other 421 leads to a doubt that ends with the upstream's next answer, or with a health check which asks the process at the address who it is. Only its answer takes an upstream out of use. Why it works: one caller's requests can no longer say anything about an upstream that answers others or the check.

--- a/crates/gateway/src/batch_plan.rs
+++ b/crates/gateway/src/batch_plan.rs
@@ -20,6 +20,7 @@
     target::Target,
     upstream_row::UpstreamRow,
     upstream_table::{UpstreamTable, round_count},
+    weights::WeightVersion,
 };
 
 /// Slots that batch items leave free at each upstream of a service while the
@@ -139,6 +140,24 @@
         own_targets
     }
 
+    /// Returns the upstream with the most free slots for an item that requires a version of the
+    /// weights, and that the plan may have at an upstream with other ones.
+    #[must_use]
+    pub fn batch_target_with_weights(
+        &self,
+        service: &ServiceName,
+        version: WeightVersion,
+        now_ms: u64,
+    ) -> Option<Target> {
+        let free_slots = self.free_slots(service, now_ms).into_iter();
+        let best = free_slots
+            .filter(|free| free.slots > 0)
+            .map(|free| (free.row.weights.fit(version, now_ms), free.slots, free.row))
+            .filter(|(fit, _, row)| row.weights.takes_item(*fit, now_ms))
+            .max_by_key(|(fit, slots, _)| (*fit, *slots));
+        best.map(|(.., row)| Target::new(&row.entry))
+    }
+
     /// Returns the upstreams at which this instance has to preempt items of its
     /// own, with the number of items.
     #[must_use]
@@ -227,7 +246,7 @@
         self.rows
             .iter()
             .filter(|row| row.entry.service == *service)
-            .filter(|row| row.is_ready() && row.health.is_usable(now_ms))
+            .filter(|row| row.is_ready() && row.is_usable(now_ms))
             .filter(|row| !self.is_path_lost(row) || self.has_proxy(row, now_ms))
             .map(|row| FreeSlots {
                 row,
--- a/crates/gateway/src/candidate.rs
+++ b/crates/gateway/src/candidate.rs
@@ -1,5 +1,7 @@
 //! An upstream that is weighed for an online request.
 
+use crate::weights::WeightsFit;
+
 /// An upstream that may serve a request.
 #[derive(Debug)]
 pub(crate) struct Candidate {
@@ -63,4 +65,6 @@
     pub(crate) is_usable: bool,
     /// Whether the request was not sent there before.
     pub(crate) is_untried: bool,
+    /// Whether the upstream has the weights that the request requires.
+    pub(crate) weights: WeightsFit,
 }
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -19,14 +19,6 @@
 }
 
 impl UpstreamTable {
-    /// Records that another server has the address of an upstream. The upstream gets no
-    /// requests until it registers as a new incarnation.
-    pub fn record_replaced(&mut self, target: &Target) {
-        if let Some(row) = self.incarnation_row(target) {
-            row.health.suspend_until(u64::MAX);
-        }
-    }
-
     /// Records that an upstream says that it is leaving. Returns whether this was not
     /// known.
     pub fn record_leaving(&mut self, target: &Target) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod events;
 mod forecast;
 mod health;
+mod identity;
 mod kept_prompts;
 mod key_lease;
 mod leaving;
@@ -78,6 +79,7 @@
 mod upstream_speed;
 mod upstream_table;
 mod version_history;
+mod weights;
 
 pub use crate::{
     attempts::{AttemptEnd, FinalAnswer, NextStep, RetryState},
@@ -92,6 +94,7 @@
     customers::{Customer, CustomerTable, KeyDigest, Quota, QuotaTerms, customer_hash},
     events::{Event, EventError, EventSplitter},
     forecast::{RunForecast, Urgency},
+    identity::Occupant,
     key_lease::{ConfigAnswer, ConfigConfirmation, ConfirmationSource, KeyLease, PeerNews},
     leaving::LeavingUpstream,
     listed_versions::{ListedVersion, ListedVersions, Listing, ServiceVersion, versions_to_list},
@@ -126,4 +129,5 @@
     upstream_speed::PaceReport,
     upstream_table::{BatchRun, Locality, UpstreamTable, WorkKind},
     version_history::{FROM_THE_START_MS, ObservedVersions, VanishedVersion, VersionHistory},
+    weights::{RequiredWeights, WeightVersion},
 };
--- a/crates/gateway/src/limited_upstreams.rs
+++ b/crates/gateway/src/limited_upstreams.rs
@@ -151,7 +151,7 @@
     ) -> impl Iterator<Item = &UpstreamRow> {
         let rows = self.rows.iter();
         rows.filter(move |row| {
-            row.entry.service == *service && row.is_ready() && row.health.is_usable(now_ms)
+            row.entry.service == *service && row.is_ready() && row.is_usable(now_ms)
         })
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -29,6 +29,7 @@
     target::Target,
     upstream_row::UpstreamRow,
     upstream_table::{UpstreamTable, as_f64, round_count, round_ms},
+    weights::{WeightVersion, WeightsFit},
 };
 
 /// Maximum difference from the lowest cost for an upstream to count as equal to
@@ -84,6 +85,8 @@
     /// Version at which the request must run, because it goes on with a stream that began
     /// there; `None` if any may run it.
     pub version: Option<VersionHash>,
+    /// Version of the weights that the request requires; `None` if it requires none.
+    pub weights: Option<WeightVersion>,
     /// Whether the request may be refused. A request that may have run must not
     /// be refused.
     pub may_refuse: bool,
@@ -194,12 +197,18 @@
         request: &PlacementRequest<'_>,
         now_ms: u64,
     ) -> Placement {
-        self.record_refused(request.service, now_ms);
+        let lacks_weights = request
+            .weights
+            .is_some_and(|version| !self.may_have_weights(request.service, version, now_ms));
+        if !lacks_weights {
+            self.record_refused(request.service, now_ms);
+        }
         let (reason, retry_after_ms) = match self.limited_retry_ms(request.service, now_ms) {
             Some(retry_ms) => (RefusalReason::RateLimited, round_ms(retry_ms)),
             None if self.is_service_lost(request.service) => {
                 (RefusalReason::Unreachable, NO_UPSTREAM_RETRY_MS)
             }
+            None if lacks_weights => (RefusalReason::WeightsGone, NO_UPSTREAM_RETRY_MS),
             None if request.version.is_some() => (RefusalReason::VersionGone, NO_UPSTREAM_RETRY_MS),
             None => (RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_MS),
         };
@@ -267,6 +276,7 @@
                     .version
                     .is_none_or(|version| row.runs(version, now_ms))
             })
+            .filter(|(_, row)| row.weights_fit(request.weights, now_ms) != WeightsFit::Lacks)
             .filter(|(_, row)| self.is_within_limit(row, now_ms))
             .map(|(index, row)| self.candidate(index, row, request, proxies, now_ms))
             .collect();
@@ -311,8 +321,9 @@
             unseen: 0,
             has_path,
             preference: Preference {
-                is_usable: row.health.is_usable(now_ms) && has_path,
+                is_usable: row.is_usable(now_ms) && has_path,
                 is_untried: !request.tried.contains(&row.entry.id),
+                weights: row.weights_fit(request.weights, now_ms),
             },
             round_trip_ms,
             detour_ms: (round_trip_ms - own_round_trip_ms).max(0.0),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -17,6 +17,8 @@
     VersionGone,
     /// It is unknown which version began the stream.
     VersionUnknown,
+    /// No upstream has the version of the weights that the request requires.
+    WeightsGone,
     /// The customer has used up its quota.
     OverQuota,
     /// The answer is not expected to end before this instance stops.
@@ -35,6 +37,7 @@
             Self::Quarantined => "quarantined",
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
+            Self::WeightsGone => "weights_gone",
             Self::OverQuota => "over_quota",
             Self::Stopping => "stopping",
         }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -18,6 +18,8 @@
     pub customers: Option<Arc<CustomerTable>>,
     /// Memory of the upstreams of the services that keep prompts.
     pub prompt_memory: Vec<ServiceMemory>,
+    /// Paths of the health checks of the services that have one.
+    health_paths: Vec<(ServiceName, Arc<str>)>,
     /// Sorted by host, then by path prefix.
     routes: Vec<Arc<Route>>,
 }
@@ -115,6 +117,7 @@
             limits,
             customers: None,
             prompt_memory: Vec::new(),
+            health_paths: Vec::new(),
             routes,
         }
     }
@@ -133,6 +136,22 @@
         self
     }
 
+    /// Sets the paths of the health checks of services.
+    #[must_use]
+    pub fn with_health_paths(mut self, mut paths: Vec<(ServiceName, Arc<str>)>) -> Self {
+        paths.sort();
+        self.health_paths = paths;
+        self
+    }
+
+    /// Returns the path of the health check of a service, or `None` if it has none.
+    #[must_use]
+    pub fn health_path(&self, service: &ServiceName) -> Option<&str> {
+        let paths = &self.health_paths;
+        let index = paths.binary_search_by(|(name, _)| name.cmp(service)).ok()?;
+        Some(&paths[index].1)
+    }
+
     /// Returns the route of a request: among the routes of the host, the one
     /// with the longest matching path prefix. A port in `host` is ignored.
     #[must_use]
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,6 +4,8 @@
 
 use model::{FailureDomain, ServiceName, SoftwareVersion, UpstreamId};
 
+use crate::weights::WeightVersion;
+
 /// Registered properties of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
@@ -17,6 +19,9 @@
     pub failure_domain: FailureDomain,
     /// Version of the software that it runs.
     pub version: SoftwareVersion,
+    /// Version of the weights of its models; `None` if it is not registered or if they have
+    /// several.
+    pub weights: Option<WeightVersion>,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
     /// Whether the upstream accepts requests.
--- a/crates/gateway/src/upstream_row.rs
+++ b/crates/gateway/src/upstream_row.rs
@@ -4,12 +4,14 @@
     UpstreamEntry, UpstreamLoad, UpstreamState,
     connectivity::Connectivity,
     health::Health,
+    identity::Identity,
     kept_prompts::KeptPrompts,
     moving_average::MovingAverage,
     peer_loads::PeerLoad,
     peers::{incarnation_hash, upstream_hash},
     stream_origins::VersionHash,
     upstream_speed::{AnswerDelays, UpstreamSpeed},
+    weights::Weights,
 };
 
 /// What this instance knows of one upstream.
@@ -31,6 +33,8 @@
     pub(crate) is_leaving: bool,
     pub(crate) connectivity: Connectivity,
     pub(crate) health: Health,
+    pub(crate) identity: Identity,
+    pub(crate) weights: Weights,
     pub(crate) own_load: UpstreamLoad,
     pub(crate) peer_load: PeerLoad,
     pub(crate) round_trip_ms: MovingAverage,
@@ -46,6 +50,10 @@
             upstream: hash,
             ..UpstreamLoad::default()
         };
+        let mut weights = Weights::default();
+        if let Some(version) = entry.weights {
+            weights.record_statement(version, now_ms);
+        }
         Self {
             warmed_up_at_ms: now_ms + entry.warm_up_remaining_ms,
             incarnation: incarnation_hash(&entry.id, entry.started_unix_ms),
@@ -57,6 +65,8 @@
             is_leaving: false,
             connectivity: Connectivity::default(),
             health: Health::default(),
+            identity: Identity::default(),
+            weights,
             own_load: load,
             peer_load,
             round_trip_ms: MovingAverage::default(),
@@ -76,6 +86,11 @@
         self.entry.state == UpstreamState::Ready && !self.is_leaving
     }
 
+    /// Returns whether requests may be sent to the upstream, which is the one at its address.
+    pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        self.health.is_usable(now_ms) && !self.identity.is_doubted(now_ms)
+    }
+
     /// Returns whether the upstream is sure to run a version of the software.
     pub(crate) fn runs(&self, version: VersionHash, now_ms: u64) -> bool {
         self.version == version && now_ms >= self.may_be_succeeded_until_ms
--- a/crates/gateway/src/upstream_table.rs
+++ b/crates/gateway/src/upstream_table.rs
@@ -108,6 +108,10 @@
                 let row = &mut self.rows[index];
                 row.warmed_up_at_ms = now_ms + entry.warm_up_remaining_ms;
                 row.version = VersionHash::new(&entry.version);
+                if let Some(version) = entry.weights.filter(|_| entry.weights != row.entry.weights)
+                {
+                    row.weights.record_statement(version, now_ms);
+                }
                 row.entry = entry;
                 row.remove_at_ms = None;
             }
--- a/crates/gateway/tests/connectivity.rs
+++ b/crates/gateway/tests/connectivity.rs
@@ -296,6 +296,7 @@
             goal_ms: GOAL_MS,
             waited_ms: 0,
             version: None,
+            weights: None,
             may_refuse: true,
         };
         let placement = table.place(&request, 0);
--- a/crates/gateway/tests/kept_prompts.rs
+++ b/crates/gateway/tests/kept_prompts.rs
@@ -88,6 +88,7 @@
         goal_ms: GOAL_MS,
         waited_ms: 0,
         version: None,
+        weights: None,
         may_refuse: true,
     };
     table.place(&request, now_ms)
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -177,6 +177,7 @@
         goal_ms: GOAL_MS,
         waited_ms,
         version: None,
+        weights: None,
         may_refuse: true,
     };
     let mut table = upstream_table("me", &SAME_DOMAIN);
@@ -197,6 +198,7 @@
         goal_ms: GOAL_MS,
         waited_ms: 0,
         version,
+        weights: None,
         may_refuse: true,
     };
     let mut table = upstream_table("me", &SAME_DOMAIN);
--- a/crates/gateway/tests/preview.rs
+++ b/crates/gateway/tests/preview.rs
@@ -24,6 +24,7 @@
         goal_ms: GOAL_MS,
         waited_ms: 0,
         version: None,
+        weights: None,
         may_refuse: true,
     }
 }
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -55,6 +55,7 @@
         goal_ms: 300,
         waited_ms: 0,
         version,
+        weights: None,
         may_refuse: true,
     };
     table.place(&request, 0)
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -40,6 +40,7 @@
         address: "127.0.0.1:9000".parse().unwrap(),
         failure_domain: FailureDomain::new(domain),
         version: SoftwareVersion::new("v1"),
+        weights: None,
         slots: SLOTS,
         state: UpstreamState::Ready,
         warm_up_remaining_ms: 0,
@@ -74,6 +75,7 @@
         goal_ms: GOAL_MS,
         waited_ms: 0,
         version: None,
+        weights: None,
         may_refuse,
     };
     table.place(&request, now_ms)
--- a/crates/ledger/src/item.rs
+++ b/crates/ledger/src/item.rs
@@ -105,6 +105,8 @@
     /// The upstream did not run the item or the stream was interrupted, which
     /// does not count as a failure of the item.
     Interrupted,
+    /// The upstream lacks what the item requires, so that it has to run at another one.
+    Misplaced,
     /// The run was preempted in favor of online requests.
     Preempted,
 }
--- a/crates/ledger/src/owned_job.rs
+++ b/crates/ledger/src/owned_job.rs
@@ -257,14 +257,14 @@
                 let errors = self.record.error_count(index);
                 (errors >= errors_max).then_some(ItemOutcome::Failed)
             }
-            RunOutcome::Interrupted | RunOutcome::Preempted => None,
+            RunOutcome::Interrupted | RunOutcome::Misplaced | RunOutcome::Preempted => None,
         };
         if let Some(outcome) = item_outcome {
             self.end_item(index, outcome);
             return;
         }
         let delay_ms = match run_outcome {
-            RunOutcome::Preempted => 0,
+            RunOutcome::Misplaced | RunOutcome::Preempted => 0,
             _ => row.rerun_delay_ms(),
         };
         row.state = ItemState::Waiting {
--- a/crates/load/src/replay/scheduler.rs
+++ b/crates/load/src/replay/scheduler.rs
@@ -87,6 +87,7 @@
         service: ServiceName::new("hints"),
         address: ([127, 0, 0, 1], PORT).into(),
         failure_domain: FailureDomain::new(&region_name(region)),
+        weights: None,
         version: SoftwareVersion::new(VERSION),
         slots: SLOTS,
         state: UpstreamState::Ready,
@@ -172,6 +173,7 @@
             goal_ms: ANSWER_GOAL_MS,
             waited_ms: 0,
             version: None,
+            weights: None,
             may_refuse: may_refuse && self.ablation != Some(Ablation::Refusals),
         };
         let placement = self.upstream_table.place(&request, now_ms);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use gateway::{AttemptEnd, LostRequest, RequestContent, Target, UpstreamTable, WorkKind};
-use http::{HeaderMap, Method, Response, Uri, request};
+use gateway::{AttemptEnd, LostRequest, RequestContent, RequiredWeights, Target, WorkKind};
+use http::{HeaderMap, Method, Response, StatusCode, Uri, request};
 use model::{CustomerName, PromptPart};
 
 use crate::{
@@ -15,6 +15,7 @@
         ExchangeFailure, FailureMeaning, UsedConnection, exchange_on, take_idle_connection,
     },
     frame_reader::FrameReader,
+    identity_checks,
     node::Node,
     proxied_attempt::{self, ProxyGuard},
     quarantine, rate_limits,
@@ -43,6 +44,7 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: Rc<str>,
     pub(crate) content: Rc<RequestContent>,
+    pub(crate) required_weights: RequiredWeights,
     /// Parts of the prompt in order; empty if upstreams are not chosen by them.
     pub(crate) prompt_parts: Rc<[PromptPart]>,
 }
@@ -58,6 +60,7 @@
             body,
             request_id: Rc::from(request_id),
             content: Rc::default(),
+            required_weights: platform::decode_required_weights(&parts.headers),
             prompt_parts: Rc::default(),
         }
     }
@@ -132,7 +135,7 @@
 
 /// How an answer reaches this instance.
 #[derive(Debug)]
-enum Transport {
+pub(crate) enum Transport {
     /// From the upstream.
     Direct(UsedConnection),
     /// Through a peer.
@@ -385,7 +388,7 @@
 
 /// Sends a request to an upstream, or has a peer send it if this instance has no path there,
 /// and waits for the head of the answer.
-async fn exchange(
+pub(crate) async fn exchange(
     node: &Rc<Node>,
     target: &Target,
     outgoing: &OutgoingRequest,
@@ -409,6 +412,7 @@
 /// Records what an upstream says about itself in an answer.
 pub(crate) fn record_statements(node: &Node, target: &Target, headers: &HeaderMap) {
     record_if_leaving(node, target, headers);
+    record_weights(node, target, headers);
     rate_limits::record_statement(node, target, headers);
 }
 
@@ -420,11 +424,19 @@
     }
 }
 
+fn record_weights(node: &Node, target: &Target, headers: &HeaderMap) {
+    if let Some(version) = platform::decode_stated_weights(headers) {
+        let now_ms = node.now_ms();
+        let mut upstreams = node.upstreams.borrow_mut();
+        upstreams.record_weights(target, version, now_ms);
+    }
+}
+
 /// Rejects answers to other requests, answers that say that the request did not run,
 /// and successful answers that are not as the server produced them: they lack the
 /// server's stamp or have a content encoding. Records the delay of all other answers.
 fn check_head(
-    node: &Node,
+    node: &Rc<Node>,
     in_flight: &InFlightGuard,
     response: &Response<LimitedBody>,
     outgoing: &OutgoingRequest,
@@ -441,12 +453,7 @@
     }
     let now_ms = node.now_ms();
     if platform::did_not_run(status, headers) {
-        record_not_run(
-            &mut node.upstreams.borrow_mut(),
-            in_flight,
-            platform::is_wrong_instance(status),
-            now_ms,
-        );
+        record_not_run(node, in_flight, status, outgoing.required_weights);
         return Err(AttemptFailure::new(AttemptEnd::NotRun, status));
     }
     if status.is_success() && !platform::is_signed(headers) {
@@ -458,22 +465,32 @@
     }
     let delay_ms = now_ms.saturating_sub(options.expected_at_ms);
     let mut upstreams = node.upstreams.borrow_mut();
+    upstreams.record_identity(&in_flight.target, now_ms);
+    let served = outgoing.required_weights.version();
+    if let Some(version) = served.filter(|_| status.is_success()) {
+        // It has them, whether it states that or not.
+        upstreams.record_weights(&in_flight.target, version, now_ms);
+    }
     #[expect(clippy::cast_precision_loss, reason = "delays are short")]
     upstreams.record_answer_delay(&in_flight.target, delay_ms as f64, now_ms);
     Ok(())
 }
 
-/// Records that the upstream did not run the request because another server has its
-/// address or because it is full.
+/// Records that the upstream did not run the request, because it is full or because the request
+/// is one for another server.
 fn record_not_run(
-    upstreams: &mut UpstreamTable,
+    node: &Rc<Node>,
     in_flight: &InFlightGuard,
-    is_wrong_instance: bool,
-    now_ms: u64,
+    status: StatusCode,
+    required: RequiredWeights,
 ) {
-    if is_wrong_instance {
-        upstreams.record_replaced(&in_flight.target);
-    } else {
-        upstreams.record_full(&in_flight.target, now_ms + FULL_BACKOFF_MS);
+    let target = &in_flight.target;
+    if platform::is_misdirected(status) {
+        identity_checks::record_misdirected(node, target, required);
+        return;
     }
+    let now_ms = node.now_ms();
+    let mut upstreams = node.upstreams.borrow_mut();
+    upstreams.record_identity(target, now_ms);
+    upstreams.record_full(target, now_ms + FULL_BACKOFF_MS);
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -279,6 +279,7 @@
             goal_ms: self.route.goal_ms,
             waited_ms,
             version: self.version,
+            weights: self.outgoing.required_weights.version(),
             may_refuse: !self.retries.may_have_run(),
         };
         let placement = self.node.upstreams.borrow_mut().place(&request, now_ms);
--- a/crates/node/src/jobs/item_run.rs
+++ b/crates/node/src/jobs/item_run.rs
@@ -163,7 +163,7 @@
         Ok(answer) => answer,
         Err(failure) => {
             let reason = format!("{}: {}", failure.end.as_str(), failure.reason);
-            return (RunOutcome::Interrupted, reason);
+            return (outcome_without_answer(context), reason);
         }
     };
     match answer.head.status {
@@ -175,6 +175,20 @@
     }
 }
 
+/// Returns the outcome of a run without an answer for the item.
+fn outcome_without_answer(context: &RunContext) -> RunOutcome {
+    let required = platform::item_required_weights(&context.item_run.item);
+    let upstreams = context.node.upstreams.borrow();
+    let lacks_weights = required.version().is_some_and(|version| {
+        upstreams.lacks_weights(&context.target, version, context.node.now_ms())
+    });
+    if lacks_weights {
+        RunOutcome::Misplaced
+    } else {
+        RunOutcome::Interrupted
+    }
+}
+
 /// Reads the event stream to its end. The partial output is updated after each frame, so
 /// that it is kept if the run is aborted.
 async fn read_stream(
@@ -277,6 +291,7 @@
         body: platform::encode_item_body(item),
         request_id: Rc::from(&*item.id),
         content: Rc::clone(&context.content),
+        required_weights: platform::item_required_weights(item),
         prompt_parts: prompt_parts(&context.route, item),
     };
     let customer = context.customer.as_ref();
--- a/crates/node/src/jobs/item_start.rs
+++ b/crates/node/src/jobs/item_start.rs
@@ -35,7 +35,9 @@
                     Some(without_contents.map_or(candidate, |first| first.min(candidate)));
                 return true;
             }
-            let target = plan.remove(preferred_target(node, item, &plan));
+            let Some(target) = take_target(node, item, &mut plan) else {
+                return true;
+            };
             start_item(node, item, target);
             false
         });
@@ -46,6 +48,21 @@
     waiting.len() < waiting_before
 }
 
+/// Takes the place of an item from the plan, and returns the target at which it runs. An item
+/// that requires weights may need another target than the plan has for it.
+fn take_target(node: &Node, item: &WaitingItem, plan: &mut Vec<Target>) -> Option<Target> {
+    let Some(version) = item.required_weights.version() else {
+        return Some(plan.remove(preferred_target(node, item, plan)));
+    };
+    let now_ms = node.now_ms();
+    let mut upstreams = node.upstreams.borrow_mut();
+    let target = upstreams.batch_target_with_weights(&item.service, version, now_ms)?;
+    upstreams.record_item_with_weights(&target, now_ms);
+    let planned = plan.iter().position(|planned| *planned == target);
+    plan.remove(planned.unwrap_or(0));
+    Some(target)
+}
+
 /// Returns the position of the target at which an item goes on with its output. If it has none
 /// or if no target runs its version, its output begins anew, at the target that is best for
 /// its prompt.
--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use gateway::{
-    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, RequestContent, Route, RouteTable,
-    RunForecast, Urgency, WorkKind, job_hash, runs_to_preempt, service_hash,
+    BatchDemand, BatchRun, JobTakeover, QuarantineCheck, RequestContent, RequiredWeights, Route,
+    RouteTable, RunForecast, Urgency, WorkKind, job_hash, runs_to_preempt, service_hash,
 };
 use ledger::{Directory, JobRecord, OwnedJob, PartialOutput, RunOutcome};
 use model::{JobId, ServiceName, UpstreamId};
@@ -85,6 +85,7 @@
     pub(super) item_index: u32,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
+    pub(super) required_weights: RequiredWeights,
 }
 
 /// A run that has ended.
@@ -276,6 +277,7 @@
                     item_index,
                     route: Arc::clone(route),
                     service: service.clone(),
+                    required_weights: required_weights(job, item_index),
                 });
             }
         }
@@ -355,6 +357,7 @@
             let runner = node.runner.borrow();
             waiting.retain(|item| !runner.is_quarantined(node, item));
         }
+        waiting.retain(|item| may_have_upstream(node, item));
         // The batch plan takes the queue of this instance into account, so the queue is
         // updated first.
         update_batch_queue(node, &waiting);
@@ -396,6 +399,21 @@
     route.service_for(&format!("{}/{item_index}", job.id()))
 }
 
+fn required_weights(job: &OwnedJob, item_index: u32) -> RequiredWeights {
+    let item = job.item_at(item_index);
+    item.map_or(RequiredWeights::Any, platform::item_required_weights)
+}
+
+/// Returns whether an upstream may have the weights that an item requires. If none has, the
+/// item waits, and claims no slot.
+fn may_have_upstream(node: &Node, item: &WaitingItem) -> bool {
+    let Some(version) = item.required_weights.version() else {
+        return true;
+    };
+    let upstreams = node.upstreams.borrow();
+    upstreams.may_have_weights(&item.service, version, node.now_ms())
+}
+
 /// Updates the waiting and running items of this instance in the upstream table, which
 /// builds the load notices for peers from them.
 fn update_batch_queue(node: &Node, waiting: &[WaitingItem]) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -43,6 +43,7 @@
 mod frame_reader;
 mod freshness_check;
 mod heartbeats;
+mod identity_checks;
 mod jobs;
 mod listener;
 mod load_notices;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -295,6 +295,7 @@
             RunOutcome::Error => "error",
             RunOutcome::Impossible => "impossible",
             RunOutcome::Interrupted => "interrupted",
+            RunOutcome::Misplaced => "misplaced",
             RunOutcome::Preempted => "yielded",
         };
         self.item_runs.add(1, &[KeyValue::new("end", name)]);
--- a/crates/node/src/no_answer.rs
+++ b/crates/node/src/no_answer.rs
@@ -48,6 +48,13 @@
                 retry_after_ms,
                 "no upstream is known to run the version that began the stream",
             ),
+            Self::Refused {
+                reason: RefusalReason::WeightsGone,
+                retry_after_ms,
+            } => answer::service_unavailable(
+                retry_after_ms,
+                "no upstream has the version of the weights that the request requires",
+            ),
             Self::Refused {
                 reason: RefusalReason::OverQuota,
                 retry_after_ms,
--- a/crates/node/src/where_query.rs
+++ b/crates/node/src/where_query.rs
@@ -102,6 +102,7 @@
         goal_ms: route.goal_ms,
         waited_ms: 0,
         version: None,
+        weights: None,
         may_refuse: true,
     };
     let preview = node.upstreams.borrow().preview(&request, node.now_ms());
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -420,6 +420,20 @@
         assert_eq!(answer.unwrap().status, StatusCode::OK);
     }
 
+    /// Gives a server a version of the weights, which it states in all its answers.
+    pub async fn set_weights(&self, index: usize, version: u64) {
+        let path = format!("/standin/weights?version={version}");
+        let address = self.servers[index].standin.address();
+        let answer = send_request(address, "POST", &path, &[], Vec::new()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
+    /// Registers a server that has ended, and whose address a running one has.
+    pub async fn register_ended_server(&self, id: &str, index: usize) {
+        let registration = self.registration(index, "ready");
+        self.put_row("servers", id, &registration).await;
+    }
+
     /// Returns the number of servers that nobody can connect to.
     pub async fn crashed_count(&self) -> usize {
         let mut count = 0;
@@ -793,7 +807,7 @@
              "priority": 2, "max_attempts": 2, "service": "oracle",
              "max_count": tokens_max}
         ],
-        "services": [{"name": "oracle"}],
+        "services": [{"name": "oracle", "health_path": "/health"}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_000_000,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
     })
--- a/crates/standin/src/event_server.rs
+++ b/crates/standin/src/event_server.rs
@@ -13,7 +13,9 @@
 //! answer, and `&listener=open` so that only its connections end, as if a supervisor kept
 //! the port. `GET /standin/crashes` returns how often it crashed.
 //! `POST /standin/limit?value=V` makes it state `V` as its rate limit in all its answers,
-//! and without a value end that.
+//! and without a value end that. `POST /standin/weights?version=N` gives it a version of the
+//! weights, which it states, and requests that require another one are refused. `GET /health`
+//! is its health check, and a path with `/refused-N` is refused with the status `N`.
 
 use std::{
     collections::BTreeMap,
@@ -33,7 +35,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Fault, FaultKind, FaultScript, Standin,
+    Fault, FaultKind, FaultScript, Standin, event_refusals,
     http::{self as server, Body, ConnectionDropped, Handler, Reply},
 };
 
@@ -103,6 +105,7 @@
         settings,
         faults: Arc::default(),
         stated_limit: Mutex::default(),
+        weights: Mutex::default(),
         crash_trigger: Mutex::default(),
         crash_count: Arc::default(),
         runs: Mutex::default(),
@@ -117,6 +120,8 @@
     settings: EventServerSettings,
     faults: Arc<FaultScript>,
     stated_limit: Mutex<Option<HeaderValue>>,
+    /// Version of the weights; `None` if the server has none.
+    weights: Mutex<Option<u64>>,
     crash_trigger: Mutex<CrashTrigger>,
     crash_count: Arc<AtomicU32>,
     runs: Mutex<EventRuns>,
@@ -214,6 +219,11 @@
                     value.and_then(|value| HeaderValue::from_str(&value).ok());
                 server::text_response(StatusCode::OK, "set\n")
             }
+            (&Method::POST, "/standin/weights") => {
+                let version = server::query_parameter(&request, "version");
+                *self.lock_weights() = version.and_then(|version| version.parse().ok());
+                server::text_response(StatusCode::OK, "set\n")
+            }
             (&Method::GET, "/standin/crashes") => {
                 server::json_response(&self.crash_count.load(Ordering::Acquire))
             }
@@ -253,23 +263,15 @@
 
 impl EventServer {
     fn answer(&self, request: &Request<Bytes>) -> Response<Body> {
-        let headers = request.headers();
-        let target = header_str(headers, "redwingtack-target-instance");
-        if target.is_some_and(|target| target != self.settings.id) {
-            return server::text_response(
-                StatusCode::MISDIRECTED_REQUEST,
-                "the request names another target instance\n",
-            );
+        let weights = *self.lock_weights();
+        let id = &self.settings.id;
+        if let Some(response) = event_refusals::answer_without_run(request, id, weights) {
+            return response;
         }
         let running_stream = RunningStream(Arc::clone(&self.running_count));
         let already_running = running_stream.0.fetch_add(1, Ordering::AcqRel);
         if already_running >= self.settings.slots {
-            let mut response = server::text_response(StatusCode::SERVICE_UNAVAILABLE, "full\n");
-            let not_run = HeaderValue::from_static("1");
-            response
-                .headers_mut()
-                .insert("redwingtack-not-run", not_run);
-            return response;
+            return event_refusals::full();
         }
         self.record_run(request);
         let mut response = self.respond(request, running_stream);
@@ -280,6 +282,9 @@
         if let Some(id) = id {
             headers.insert("redwingtack-request-id", id);
         }
+        if let Some(weights) = weights {
+            headers.insert("redwingtack-weight-versions", weights.into());
+        }
         response
     }
 
@@ -382,6 +387,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_weights(&self) -> MutexGuard<'_, Option<u64>> {
+        self.weights.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_crash_trigger(&self) -> MutexGuard<'_, CrashTrigger> {
         self.crash_trigger
             .lock()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,7 @@
 mod engine_core;
 mod engine_state;
 mod engine_streams;
+mod event_refusals;
 mod event_server;
 mod fault;
 mod http;
