gateway: a hold time is never 0 where it is a divisor

Cause: the mean time for which requests hold their slots was 0 after answers within a millisecond, and rates are estimated by dividing by it. The number of placements of peers to simulate became u32::MAX, and a cost 0 / 0.

Change: the estimates are 1 ms at least where they are made, and peers' placements are simulated for no longer than requests hold their slots. Why it works: all divisions use these estimates.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -231,7 +231,8 @@
     }
 
     /// Returns the expected number of online requests that peers in the region of
-    /// this instance have placed since their last notices, by Little's law.
+    /// this instance have placed since their last notices and that are still in flight, by
+    /// Little's law.
     fn unseen_placements(&self, service: &ServiceName, timings: TimingEstimates) -> u32 {
         let peers_online: u32 = self
             .rows
@@ -240,7 +241,8 @@
             .map(|row| row.peer_load.online)
             .sum();
         let rate_per_ms = f64::from(peers_online) / timings.online_hold_ms;
-        round_count(rate_per_ms * timings.own_region_age_ms)
+        let since_ms = timings.own_region_age_ms.min(timings.online_hold_ms);
+        round_count(rate_per_ms * since_ms)
     }
 
     fn preemption(&self, row: &UpstreamRow) -> Preemption {
--- a/crates/gateway/src/service_timings.rs
+++ b/crates/gateway/src/service_timings.rs
@@ -7,6 +7,10 @@
     prompt_placement::ServicePrompts, upstream_speed::ServicePace,
 };
 
+/// Minimum estimate of the time for which a request holds its slot, milliseconds. Measured times
+/// are whole milliseconds and may be 0, and rates are estimated by dividing by these times.
+const HOLD_MIN_MS: f64 = 1.0;
+
 /// Measurements shared by all upstreams of a service.
 #[derive(Debug, Clone)]
 pub(crate) struct ServiceRow {
@@ -24,7 +28,7 @@
     pub(crate) prompts: ServicePrompts,
 }
 
-/// Expected times for which requests of a service hold their slots, the maximum
+/// Expected times for which requests of a service hold their slots, which are above 0, the maximum
 /// age of load information from other regions, and the mean age of that from the
 /// own region.
 #[derive(Debug, Clone, Copy)]
@@ -50,8 +54,8 @@
             row.batch_hold_ms.value_or(online_hold_ms)
         });
         TimingEstimates {
-            online_hold_ms,
-            batch_hold_ms,
+            online_hold_ms: online_hold_ms.max(HOLD_MIN_MS),
+            batch_hold_ms: batch_hold_ms.max(HOLD_MIN_MS),
             remote_staleness_ms: self.remote_staleness_ms(),
             own_region_age_ms: self.own_region_age_ms(),
         }
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -272,3 +272,49 @@
     let full = place(&mut table, 100);
     assert!(matches!(full, Placement::Refuse { .. }), "{full:?}");
 }
+
+/// Guards against requests that are closed without an answer (CONFIG): answers that begin and end
+/// within a millisecond were measured as 0 ms, by which rates are divided.
+#[test]
+fn place_after_answers_without_measurable_duration() {
+    const PEERS: usize = 30;
+    let mut table = upstream_table("me", &SAME_DOMAIN);
+    for peer in 0..PEERS {
+        let name = format!("peer-{peer}");
+        table.receive_notice(notice(&name, 1, &[("u1", 1, 1), ("u2", 1, 0)]), 0);
+    }
+    let first = place_after_attempts(&mut table, &[], false, 0);
+    for kind in [WorkKind::Online, WorkKind::Batch] {
+        table.record_completion(target_of(&first), kind, 0);
+    }
+    for _ in 0..100 {
+        let placement = place_after_attempts(&mut table, &[], false, 0);
+        assert!(expected_ms_of(&placement) < GOAL_MS, "{placement:?}");
+    }
+    // Nothing waits; the plan is made without a panic as well.
+    assert_eq!(table.batch_plan(&service(), 0), []);
+}
+
+/// A route may state a latency goal of 0, which is the estimate before the first measurement.
+#[test]
+fn place_with_goal_of_zero() {
+    let mut table = upstream_table("me", &SAME_DOMAIN);
+    for peer in 0..30 {
+        let name = format!("peer-{peer}");
+        table.receive_notice(notice(&name, 1, &[("u1", 1, 0), ("u2", 1, 0)]), 0);
+    }
+    let service = service();
+    let request = PlacementRequest {
+        service: &service,
+        prompt_parts: &[],
+        tried: &[],
+        goal_ms: 0,
+        waited_ms: 0,
+        version: None,
+        weights: None,
+        may_refuse: false,
+    };
+    for _ in 0..100 {
+        assert!(matches!(table.place(&request, 0), Placement::Send { .. }));
+    }
+}
